--- /dev/null
+++ b/railtide/__init__.py
@@ -0,0 +1,3 @@
+"""Railtide: a router fleet for prepaid token budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/railtide/budgets/hand.py
@@ -0,0 +1,70 @@
+"""The part of one budget that a router has in hand. Pure.
+
+`available` shrinks when a request is reserved and grows when it is settled below its reserve.
+`exposed` counts the reserves dispatched without a durable intent.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["Hand", "can_expose", "expose", "reserve", "settle_reserve", "take_back", "unexpose"]
+
+
+@dataclass
+class Hand:
+    """Units granted and what became of them."""
+
+    granted: int = 0
+    spent: int = 0
+    reserved: int = 0
+    exposed: int = 0
+    exposure_limit: int = 0
+
+    @property
+    def available(self) -> int:
+        """Units that a new request may reserve."""
+        return self.granted - self.spent - self.reserved
+
+
+def reserve(hand: Hand, amount: int) -> bool:
+    """Reserve units; False if not so many are available.
+
+    Examples
+    --------
+    >>> hand = Hand(granted=10)
+    >>> reserve(hand, 8), reserve(hand, 8)
+    (True, False)
+    """
+    if amount > hand.available:
+        return False
+    hand.reserved += amount
+    return True
+
+
+def settle_reserve(hand: Hand, amount: int, cost: int) -> int:
+    """End a reserve at its cost, at most the reserve; return the units spent."""
+    spent = min(cost, amount)
+    hand.reserved -= amount
+    hand.spent += spent
+    return spent
+
+
+def take_back(hand: Hand, most: int) -> int:
+    """Remove up to `most` available units from the hand, for a return; return how many."""
+    amount = max(0, min(most, hand.available))
+    hand.granted -= amount
+    return amount
+
+
+def can_expose(hand: Hand, amount: int) -> bool:
+    """Return whether so much more may be dispatched before its intent is durable."""
+    return hand.exposed + amount <= hand.exposure_limit
+
+
+def expose(hand: Hand, amount: int) -> None:
+    """Count units as dispatched without a durable intent."""
+    hand.exposed += amount
+
+
+def unexpose(hand: Hand, amount: int) -> None:
+    """Count units as covered by a durable intent."""
+    hand.exposed -= amount
--- /dev/null
+++ b/railtide/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: proposals on a base version, and the objects in force."""
--- /dev/null
+++ b/railtide/configuration/messages.py
@@ -0,0 +1,29 @@
+"""The record by which an operator proposes a change of configuration."""
+
+from enum import StrEnum
+
+from msgspec import Struct
+
+__all__ = ["Kind", "Proposal"]
+
+
+class Kind(StrEnum):
+    """What an object of the configuration describes."""
+
+    TEMPLATE = "template"
+    ACCOUNT = "account"
+    MODEL = "model"
+    SERVICE = "service"
+
+
+class Proposal(Struct, frozen=True, array_like=True, tag=30):
+    """A new body for an object, accepted if `base_version` is the version in force.
+
+    `kind` is a plain string so that an older reader keeps and skips kinds it does not know.
+    """
+
+    kind: str
+    name: str
+    base_version: int
+    body: bytes
+    author: str = ""
--- /dev/null
+++ b/railtide/journal/fold.py
@@ -0,0 +1,287 @@
+"""The fold: one log record after another into the state. Pure: same log, same state."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from railtide.budgets import balance as budgets
+from railtide.budgets.balance import Balance
+from railtide.budgets.messages import Fence, Grant, Release, Return, TopUp
+from railtide.configuration.messages import Kind, Proposal
+from railtide.configuration.objects import propose, version_of
+from railtide.journal.entries import Code, Entry, Record, Verdict, record_of
+from railtide.journal.state import HolderState, HolderStatus, State
+from railtide.membership.messages import Checkpointed, Close, Heartbeat, Leaving, Open
+from railtide.requests.messages import Adopt, Bill, Intent, Lookup
+from railtide.requests.registry import KeyState, expire_keys, find_key, finish, start
+
+__all__ = ["KEY_RETENTION_MS", "OPEN_MAX_AGE_MS", "Folded", "fold"]
+
+OPEN_MAX_AGE_MS = 600_000
+KEY_RETENTION_MS = 24 * 3_600_000
+
+
+@dataclass(frozen=True)
+class Folded:
+    """An entry that the fold took in its turn, with its verdict."""
+
+    holder: str
+    record: Record | None
+    verdict: Verdict
+
+
+def fold(state: State, offset: int, stamp: int, entries: list[Entry]) -> list[Folded]:
+    """Apply the entries of one log record to the state.
+
+    Parameters
+    ----------
+    state : State
+        Changed in place.
+    offset : int
+        The record's offset; one that is not above the state's is ignored.
+    stamp : int
+        The log's time of the append, milliseconds.
+    entries : list of Entry
+
+    Returns
+    -------
+    list of Folded
+        One for each entry that was neither a repeat nor ahead of its sequence.
+    """
+    if offset <= state.offset:
+        return []
+    state.offset = offset
+    state.stamp = max(state.stamp, stamp)
+    taken = [folded for entry in entries if (folded := _fold_entry(state, entry))]
+    expire_keys(state.registry, state.stamp - KEY_RETENTION_MS)
+    return taken
+
+
+def _fold_entry(state: State, entry: Entry) -> Folded | None:
+    record = record_of(entry)
+    holder = state.by_holder.get(entry.holder)
+    if holder is None:
+        holder = _admit(state, entry, record)
+    if holder is None:
+        return None
+    if entry.seq <= holder.last_seq:
+        state.repeats += 1
+        return None
+    if entry.seq != holder.last_seq + 1:
+        state.gaps += 1
+        return None
+    holder.last_seq = entry.seq
+    verdict = _judge(state, entry, holder, record)
+    _remember_verdict(holder, entry, verdict)
+    return Folded(entry.holder, record, verdict)
+
+
+def _admit(state: State, entry: Entry, record: Record | None) -> HolderState | None:
+    """Return a new holder for a fresh `Open`, None for anything else."""
+    if not isinstance(record, Open) or entry.seq != 1:
+        state.gaps += 1
+        return None
+    if state.stamp - record.since > OPEN_MAX_AGE_MS:
+        state.repeats += 1
+        return None
+    _forget_closed(state)
+    holder = HolderState(
+        record.instance, record.failure_domain, record.address, record.role, record.since
+    )
+    state.by_holder[entry.holder] = holder
+    return holder
+
+
+def _forget_closed(state: State) -> None:
+    """Drop closed holders whose `Open` would be refused by its age."""
+    oldest = state.stamp - OPEN_MAX_AGE_MS
+    gone = [
+        name
+        for name, holder in state.by_holder.items()
+        if holder.status == HolderStatus.CLOSED and holder.since < oldest
+    ]
+    for name in gone:
+        del state.by_holder[name]
+
+
+def _remember_verdict(holder: HolderState, entry: Entry, verdict: Verdict) -> None:
+    for seq in [seq for seq in holder.by_seq if seq <= entry.acked]:
+        del holder.by_seq[seq]
+    holder.by_seq[entry.seq] = verdict
+
+
+def _judge(state: State, entry: Entry, holder: HolderState, record: Record | None) -> Verdict:
+    if record is None:
+        state.skipped += 1
+        return Verdict(entry.seq, Code.SKIPPED, state.offset)
+    return _RULES[type(record)](state, entry, holder, record)
+
+
+def _say(state: State, entry: Entry, holder: HolderState, code: str, **more: object) -> Verdict:
+    fenced = holder.status in (HolderStatus.FENCED, HolderStatus.CLOSED)
+    return Verdict(entry.seq, code, state.offset, fenced=fenced, **more)
+
+
+def _on_open(state: State, entry: Entry, holder: HolderState, record: Open) -> Verdict:
+    code = Code.OK if entry.seq == 1 else Code.REFUSED
+    return _say(state, entry, holder, code)
+
+
+def _on_heartbeat(state: State, entry: Entry, holder: HolderState, record: Heartbeat) -> Verdict:
+    return _say(state, entry, holder, Code.OK)
+
+
+def _on_leaving(state: State, entry: Entry, holder: HolderState, record: Leaving) -> Verdict:
+    if holder.status == HolderStatus.OPEN:
+        holder.status = HolderStatus.LEAVING
+    return _say(state, entry, holder, Code.OK)
+
+
+def _on_close(state: State, entry: Entry, holder: HolderState, record: Close) -> Verdict:
+    holder.status = HolderStatus.CLOSED
+    for balance in state.by_account.values():
+        budgets.close_holding(balance, entry.holder)
+    return _say(state, entry, holder, Code.OK)
+
+
+def _on_top_up(state: State, entry: Entry, holder: HolderState, record: TopUp) -> Verdict:
+    if version_of(state.catalog, Kind.ACCOUNT, record.account) == 0:
+        return _say(state, entry, holder, Code.UNKNOWN_ACCOUNT)
+    balance = state.by_account.setdefault(record.account, Balance())
+    if record.top_up_id in balance.top_up_ids:
+        return _say(state, entry, holder, Code.REFUSED)
+    balance.top_up_ids[record.top_up_id] = None
+    balance.topped_up += record.amount
+    return _say(state, entry, holder, Code.OK, available=budgets.available(balance))
+
+
+def _on_grant(state: State, entry: Entry, holder: HolderState, record: Grant) -> Verdict:
+    balance = state.by_account.get(record.account)
+    if balance is None:
+        return _say(state, entry, holder, Code.BUDGET_EXHAUSTED)
+    if holder.status in (HolderStatus.FENCED, HolderStatus.CLOSED):
+        return _say(state, entry, holder, Code.FENCED)
+    granted = budgets.grant(balance, entry.holder, record.amount, record.exposure)
+    code = Code.OK if granted else Code.BUDGET_EXHAUSTED
+    return _say(state, entry, holder, code, available=budgets.available(balance))
+
+
+def _on_return(state: State, entry: Entry, holder: HolderState, record: Return) -> Verdict:
+    balance = state.by_account.get(record.account)
+    done = balance is not None and budgets.give_back(balance, entry.holder, record.amount)
+    return _say(state, entry, holder, Code.OK if done else Code.REFUSED)
+
+
+def _on_fence(state: State, entry: Entry, holder: HolderState, record: Fence) -> Verdict:
+    target = state.by_holder.get(record.holder)
+    alive = target and target.status in (HolderStatus.OPEN, HolderStatus.LEAVING)
+    if not alive or target.last_seq != record.seen_seq:
+        return _say(state, entry, holder, Code.REFUSED)
+    target.status = HolderStatus.FENCED
+    for balance in state.by_account.values():
+        budgets.fence_holding(balance, record.holder)
+    return _say(state, entry, holder, Code.OK)
+
+
+def _on_release(state: State, entry: Entry, holder: HolderState, record: Release) -> Verdict:
+    target = state.by_holder.get(record.holder)
+    if not target or target.status != HolderStatus.FENCED:
+        return _say(state, entry, holder, Code.REFUSED)
+    target.status = HolderStatus.CLOSED
+    for balance in state.by_account.values():
+        budgets.close_holding(balance, record.holder)
+    return _say(state, entry, holder, Code.OK)
+
+
+def _say_key(
+    state: State, entry: Entry, holder: HolderState, known: KeyState, digest: int
+) -> Verdict:
+    """Return the verdict for a key that another request has; a wrong digest learns nothing."""
+    if known.digest != digest:
+        return _say(state, entry, holder, Code.KEY_MISMATCH)
+    return _say(
+        state,
+        entry,
+        holder,
+        Code.KEY_USED if known.outcome else Code.KEY_OPEN,
+        request_id=known.request_id,
+        outcome=known.outcome or "",
+        answer=known.answer,
+    )
+
+
+def _on_lookup(state: State, entry: Entry, holder: HolderState, record: Lookup) -> Verdict:
+    known = find_key(state.registry, record.account, record.key)
+    if known:
+        return _say_key(state, entry, holder, known, record.digest)
+    return _say(state, entry, holder, Code.OK)
+
+
+def _on_intent(state: State, entry: Entry, holder: HolderState, record: Intent) -> Verdict:
+    known = find_key(state.registry, record.account, record.key)
+    if known:
+        return _say_key(state, entry, holder, known, record.digest)
+    balance = state.by_account.get(record.account)
+    if balance is None or record.request_id in state.registry.by_request_id:
+        return _say(state, entry, holder, Code.REFUSED)
+    if not budgets.open_reserve(balance, entry.holder, record.reserve):
+        return _say(state, entry, holder, Code.BUDGET_EXHAUSTED)
+    start(state.registry, entry.holder, record, state.stamp)
+    return _say(state, entry, holder, Code.OK)
+
+
+def _on_bill(state: State, entry: Entry, holder: HolderState, record: Bill) -> Verdict:
+    request = state.registry.by_request_id.get(record.request_id)
+    if request is None or entry.holder not in (request.owner, request.holder):
+        return _say(state, entry, holder, Code.NOT_OPEN)
+    balance = state.by_account[request.account]
+    budgets.settle(balance, request.holder, request.reserve, record.cost)
+    finish(state.registry, record, state.stamp)
+    payer = state.by_holder.get(request.holder)
+    if payer is None or payer.status == HolderStatus.CLOSED:
+        budgets.close_holding(balance, request.holder)
+    return _say(state, entry, holder, Code.OK)
+
+
+def _on_adopt(state: State, entry: Entry, holder: HolderState, record: Adopt) -> Verdict:
+    request = state.registry.by_request_id.get(record.request_id)
+    if request is None:
+        return _say(state, entry, holder, Code.NOT_OPEN)
+    owner = state.by_holder.get(request.owner)
+    lost = owner is None or owner.status in (HolderStatus.FENCED, HolderStatus.CLOSED)
+    if not lost or holder.status not in (HolderStatus.OPEN, HolderStatus.LEAVING):
+        return _say(state, entry, holder, Code.REFUSED)
+    request.owner = entry.holder
+    return _say(state, entry, holder, Code.OK)
+
+
+def _on_proposal(state: State, entry: Entry, holder: HolderState, record: Proposal) -> Verdict:
+    accepted = propose(state.catalog, record, state.offset)
+    version = version_of(state.catalog, record.kind, record.name)
+    code = Code.OK if accepted else Code.OUTDATED
+    return _say(state, entry, holder, code, available=version)
+
+
+def _on_checkpointed(
+    state: State, entry: Entry, holder: HolderState, record: Checkpointed
+) -> Verdict:
+    state.checkpoint_offset = max(state.checkpoint_offset, record.offset)
+    return _say(state, entry, holder, Code.OK)
+
+
+_RULES: dict[type, Callable[..., Verdict]] = {
+    Open: _on_open,
+    Heartbeat: _on_heartbeat,
+    Leaving: _on_leaving,
+    Close: _on_close,
+    TopUp: _on_top_up,
+    Grant: _on_grant,
+    Return: _on_return,
+    Fence: _on_fence,
+    Release: _on_release,
+    Intent: _on_intent,
+    Bill: _on_bill,
+    Adopt: _on_adopt,
+    Lookup: _on_lookup,
+    Proposal: _on_proposal,
+    Checkpointed: _on_checkpointed,
+}
--- /dev/null
+++ b/railtide/keeper/follower.py
@@ -0,0 +1,133 @@
+"""The follower: reads the log in order into the folded state and never goes back."""
+
+from collections import deque
+from collections.abc import Callable
+from random import Random
+
+import trio
+from loguru import logger
+
+from railtide.journal.backoff import Backoff
+from railtide.journal.checkpoint import latest_checkpoint
+from railtide.journal.client import LogClient, LogRecord, Page
+from railtide.journal.entries import batch_from_bytes
+from railtide.journal.errors import LogUnavailable, RecordsExpired, UnreadableBatch
+from railtide.journal.fold import Folded, fold
+from railtide.journal.state import State
+from railtide.keeper.options import KeeperOptions
+
+__all__ = ["Follower"]
+
+
+class Follower:
+    """Follows one stream.
+
+    Parameters
+    ----------
+    log : LogClient
+    options : KeeperOptions
+    rng : random.Random
+    on_folded : callable
+        Told of what each record changed, after it is in the state.
+    on_reachable : callable
+        Told of each change between a log that answers and one that does not.
+    on_restored : callable
+        Told after the state has been replaced by a checkpoint.
+    """
+
+    def __init__(
+        self,
+        log: LogClient,
+        options: KeeperOptions,
+        rng: Random,
+        on_folded: Callable[[list[Folded]], None],
+        on_reachable: Callable[[bool], None],
+        on_restored: Callable[[], None],
+    ) -> None:
+        self.state = State()
+        self.reachable = False
+        self.caught_up = False
+        self.unreadable = 0
+        self.tail: deque[LogRecord] = deque(maxlen=options.tail_records)
+        self._log = log
+        self._options = options
+        self._backoff = Backoff(options.backoff_s, options.backoff_max_s, rng)
+        self._on_folded = on_folded
+        self._on_reachable = on_reachable
+        self._on_restored = on_restored
+        self._moved = trio.Event()
+        self._goal: int | None = None
+
+    async def run(self) -> None:
+        """Start from the newest checkpoint and follow the log for ever."""
+        while True:
+            try:
+                await self._restore()
+                await self._follow()
+            except LogUnavailable:
+                await self._pause()
+            except RecordsExpired:
+                logger.warning("records expired before they were read; starting from a checkpoint")
+
+    async def wait_for(self, offset: int) -> None:
+        """Return once the state holds `offset`."""
+        while self.state.offset < offset:
+            await self._moved.wait()
+
+    async def _restore(self) -> None:
+        checkpoint = await latest_checkpoint(self._log, self._options.stream)
+        if checkpoint and checkpoint.offset > self.state.offset:
+            self.state = checkpoint
+            self.tail.clear()
+            self._on_restored()
+            logger.info("state restored from the checkpoint at offset {}", checkpoint.offset)
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                page = await self._read()
+            except LogUnavailable:
+                await self._pause()
+                continue
+            self._backoff.reset()
+            self._take(page)
+            self._set_reachable(True)
+
+    async def _read(self) -> Page:
+        options = self._options
+        start = self.state.offset + 1
+        wait_s = options.read_wait_s if self.caught_up else 0
+        return await self._log.read(options.stream, start, options.read_limit, wait_s)
+
+    def _take(self, page: Page) -> None:
+        for record in page.records:
+            if record.offset != self.state.offset + 1:
+                break
+            self._fold_record(record)
+        if self._goal is None:
+            self._goal = page.head
+        if self.state.offset + 1 >= self._goal:
+            self.caught_up = True
+
+    def _fold_record(self, record: LogRecord) -> None:
+        try:
+            entries = batch_from_bytes(record.data)
+        except UnreadableBatch:
+            self.unreadable += 1
+            entries = []
+        folded = fold(self.state, record.offset, record.stamp, entries)
+        self.tail.append(record)
+        self._moved.set()
+        self._moved = trio.Event()
+        self._on_folded(folded)
+
+    async def _pause(self) -> None:
+        self._set_reachable(False)
+        await trio.sleep(self._backoff.next_wait())
+
+    def _set_reachable(self, reachable: bool) -> None:
+        if reachable == self.reachable:
+            return
+        self.reachable = reachable
+        logger.info("log {}", "reachable" if reachable else "unreachable")
+        self._on_reachable(reachable)
--- /dev/null
+++ b/railtide/keeper/keeper.py
@@ -0,0 +1,403 @@
+"""The keeper of one instance: the folded state, and what each connected router must know."""
+
+from abc import ABC, abstractmethod
+from random import Random
+
+import trio
+from loguru import logger
+
+from railtide.budgets.messages import Fence, Grant
+from railtide.configuration.messages import Proposal
+from railtide.journal.checkpoint import parts_of, write_checkpoint
+from railtide.journal.client import LogClient
+from railtide.journal.entries import Code, Entry, Verdict
+from railtide.journal.errors import LogUnavailable
+from railtide.journal.fold import Folded
+from railtide.journal.state import HolderState, HolderStatus, State
+from railtide.journal.writer import Writer
+from railtide.keeper.appender import Appender
+from railtide.keeper.follower import Follower
+from railtide.keeper.leases import lapsed_holders
+from railtide.keeper.options import KeeperOptions
+from railtide.membership.addresses import rendezvous_order
+from railtide.membership.errors import InstanceListUnavailable
+from railtide.membership.identity import Identity, Role
+from railtide.membership.instances import (
+    Instance,
+    InstanceList,
+    InstanceState,
+    merge_instances,
+)
+from railtide.membership.messages import Checkpointed, Close, Heartbeat, Leaving, Open
+from railtide.wire.messages import (
+    DemandMessage,
+    LogStatusMessage,
+    MembersMessage,
+    Message,
+    ObjectMessage,
+    OrphanMessage,
+    VerdictMessage,
+)
+
+__all__ = ["Keeper", "Subscriber"]
+
+LEASE_PARTS = 3
+LEAVE_S = 5.0
+
+
+class Subscriber(ABC):
+    """A router's end at the keeper; `deliver` must not block."""
+
+    @abstractmethod
+    def deliver(self, message: Message) -> None:
+        """Take a message for the router."""
+
+
+class Keeper:
+    """Follows and appends; tells subscribers what changed.
+
+    Parameters
+    ----------
+    identity : Identity
+    log : LogClient
+    instances : InstanceList
+    options : KeeperOptions
+    rng : random.Random
+        For jitter.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        log: LogClient,
+        instances: InstanceList,
+        options: KeeperOptions,
+        rng: Random,
+    ) -> None:
+        self.identity = identity
+        self.options = options
+        self.listed: list[Instance] = []
+        self.fences = 0
+        self.checkpoints = 0
+        self._log = log
+        self._instances = instances
+        self.follower = Follower(
+            log, options, rng, self._on_folded, self._on_reachable, self._on_restored
+        )
+        self.appender = Appender(log, self.follower, options, rng, self._on_refused)
+        self._writer: Writer | None = None
+        self._epochs = 0
+        self._subscribers: dict[int, Subscriber] = {}
+        self._subscriber_by_holder: dict[str, Subscriber] = {}
+        self._heard_by_holder: dict[str, float] = {}
+        self._lost_at_by_holder: dict[str, float] = {}
+        self._members: list[Instance] = []
+
+    @property
+    def state(self) -> State:
+        """The folded state."""
+        return self.follower.state
+
+    @property
+    def ready(self) -> bool:
+        """True once the head seen at the start has been folded."""
+        return self.follower.caught_up
+
+    # -- running ------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Run all duties until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.appender.run)
+            nursery.start_soon(self._run_instance_list)
+            nursery.start_soon(self._run_heartbeats)
+            nursery.start_soon(self._run_leases)
+            nursery.start_soon(self._run_orphans)
+            nursery.start_soon(self._run_checkpoints)
+            nursery.start_soon(self._run_status)
+
+    async def leave(self) -> None:
+        """Append what is queued and close this keeper's holder, as long as the log answers."""
+        if self._writer is None:
+            return
+        self._writer.submit(Close())
+        with trio.move_on_after(LEAVE_S):
+            while self.appender.pending():
+                await trio.sleep(self.options.append_interval_s)
+
+    async def _run_instance_list(self) -> None:
+        while True:
+            try:
+                fetched = await self._instances.fetch()
+            except InstanceListUnavailable:
+                pass
+            else:
+                self.listed = merge_instances(self.listed, fetched)
+                self._announce_members()
+            await trio.sleep(self.options.list_interval_s)
+
+    async def _run_heartbeats(self) -> None:
+        while not self.ready:
+            await trio.sleep(self.options.append_interval_s)
+        self._writer = self._open_writer()
+        while True:
+            await trio.sleep(self.options.lease_s / LEASE_PARTS)
+            if self._writer.fenced:
+                self._writer.submit(Close())
+                self._writer = self._open_writer()
+            elif not self.appender.pending_of(self._writer.holder):
+                self._writer.submit(Heartbeat())
+
+    def _open_writer(self) -> Writer:
+        who = self.identity
+        since = self.state.stamp
+        self._epochs += 1
+        holder = who.holder(Role.KEEPER, self._epochs)
+        writer = Writer(holder, self.appender.add)
+        writer.submit(Open(who.instance, who.failure_domain, who.address, Role.KEEPER, since))
+        return writer
+
+    async def _run_leases(self) -> None:
+        tick = min(self.options.lost_link_s, self.options.lease_s) / LEASE_PARTS
+        while True:
+            await trio.sleep(tick)
+            if self.follower.reachable and self._writer and not self._writer.fenced:
+                self._fence_lapsed()
+                self._fence_lost_links()
+
+    def _fence_lapsed(self) -> None:
+        now = trio.current_time()
+        rank = self._rank()
+        lease_s = self.options.lease_s + rank * self.options.lost_link_s
+        for holder in lapsed_holders(self.state.by_holder, self._heard_by_holder, now, lease_s):
+            self._fence(holder)
+            self._heard_by_holder[holder] = now
+
+    def _rank(self) -> int:
+        """Return this keeper's place among the live ones, so that not all fence at once."""
+        names = sorted(
+            name
+            for name, holder in self.state.by_holder.items()
+            if holder.role == Role.KEEPER and holder.status == HolderStatus.OPEN
+        )
+        return names.index(self._writer.holder) if self._writer.holder in names else 0
+
+    def _fence_lost_links(self) -> None:
+        now = trio.current_time()
+        due = [
+            holder
+            for holder, lost_at in self._lost_at_by_holder.items()
+            if now - lost_at > self.options.lost_link_s and not self.appender.pending_of(holder)
+        ]
+        for holder in due:
+            del self._lost_at_by_holder[holder]
+            if self.is_alive(holder):
+                self._fence(holder)
+
+    def is_alive(self, holder: str) -> bool:
+        """Return whether a holder is neither fenced nor closed."""
+        known = self.state.by_holder.get(holder)
+        return known is not None and known.status in (HolderStatus.OPEN, HolderStatus.LEAVING)
+
+    def _fence(self, holder: str) -> None:
+        self.fences += 1
+        logger.info("fencing holder {}", holder)
+        self._writer.submit(Fence(holder, self.state.by_holder[holder].last_seq))
+
+    async def _run_orphans(self) -> None:
+        while True:
+            await trio.sleep(self.options.orphan_interval_s)
+            if self.ready:
+                self._hand_out_orphans()
+
+    def _hand_out_orphans(self) -> None:
+        routers = self._open_routers()
+        if not routers:
+            return
+        for request_id, request in self.state.registry.by_request_id.items():
+            if self.is_alive(request.owner):
+                continue
+            chosen = rendezvous_order(request_id, list(routers))[0]
+            subscriber = self._subscriber_by_holder.get(chosen)
+            if subscriber:
+                subscriber.deliver(
+                    OrphanMessage(
+                        request_id,
+                        request.account,
+                        request.pool,
+                        request.reserve,
+                        request.key,
+                        request.repeatable,
+                    )
+                )
+
+    def _open_routers(self) -> dict[str, HolderState]:
+        return {
+            name: holder
+            for name, holder in self.state.by_holder.items()
+            if holder.role == Role.ROUTER and holder.status == HolderStatus.OPEN
+        }
+
+    async def _run_checkpoints(self) -> None:
+        while True:
+            await trio.sleep(self.options.list_interval_s)
+            if self.ready and self._writer and self._checkpoint_due():
+                await self._write_checkpoint()
+
+    def _checkpoint_due(self) -> bool:
+        """Return whether it is this keeper's turn; a lower rank has its turn earlier."""
+        every = self.options.checkpoint_every
+        age = self.state.offset - self.state.checkpoint_offset
+        return age >= every + self._rank() * every // LEASE_PARTS
+
+    async def _write_checkpoint(self) -> None:
+        offset = self.state.offset
+        try:
+            await write_checkpoint(
+                self._log, self.options.stream, parts_of(self.state, self._writer.holder)
+            )
+        except LogUnavailable:
+            return
+        self.checkpoints += 1
+        self._writer.submit(Checkpointed(offset))
+
+    async def _run_status(self) -> None:
+        while True:
+            await trio.sleep(self.options.list_interval_s)
+            self._tell_all(self._status())
+
+    # -- subscribers --------------------------------------------------------------------------
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Connect a router: it is told all that is in force, then each change."""
+        self._subscribers[id(subscriber)] = subscriber
+        self._tell_everything(subscriber)
+
+    def _tell_everything(self, subscriber: Subscriber) -> None:
+        for (kind, name), item in self.state.catalog.by_kind_and_name.items():
+            subscriber.deliver(ObjectMessage(kind, name, item.version, item.body, item.offset))
+        subscriber.deliver(MembersMessage(self._members))
+        subscriber.deliver(self._status())
+
+    def unsubscribe(self, subscriber: Subscriber) -> None:
+        """Forget a router whose link is gone; its holders are fenced unless they come back."""
+        self._subscribers.pop(id(subscriber), None)
+        holders = [h for h, s in self._subscriber_by_holder.items() if s is subscriber]
+        for holder in holders:
+            del self._subscriber_by_holder[holder]
+            self._lost_at_by_holder[holder] = trio.current_time()
+
+    def take_entry(self, subscriber: Subscriber, entry: Entry, traceparent: str = "") -> None:
+        """Take an entry of a router: answer from what is folded, else queue it."""
+        self._subscriber_by_holder[entry.holder] = subscriber
+        self._lost_at_by_holder.pop(entry.holder, None)
+        holder = self.state.by_holder.get(entry.holder)
+        if holder is None or entry.seq > holder.last_seq:
+            self.appender.add(entry, traceparent)
+            return
+        verdict = holder.by_seq.get(entry.seq)
+        if verdict:
+            subscriber.deliver(VerdictMessage(entry.holder, verdict))
+
+    def _tell_all(self, message: Message) -> None:
+        for subscriber in self._subscribers.values():
+            subscriber.deliver(message)
+
+    def _status(self) -> LogStatusMessage:
+        state = self.state
+        return LogStatusMessage(self.follower.reachable, state.offset, state.stamp, self.ready)
+
+    # -- changes ------------------------------------------------------------------------------
+
+    def _on_reachable(self, reachable: bool) -> None:
+        if reachable:
+            now = trio.current_time()
+            self._heard_by_holder = {name: now for name in self.state.by_holder}
+        self._tell_all(self._status())
+
+    def _on_restored(self) -> None:
+        """Tell what changed in the records that a checkpoint stood for."""
+        for holder, known in self.state.by_holder.items():
+            self.appender.passed(holder, known.last_seq)
+            subscriber = self._subscriber_by_holder.get(holder)
+            for verdict in known.by_seq.values():
+                if self._writer and holder == self._writer.holder:
+                    self._writer.take_verdict(verdict)
+                if subscriber:
+                    subscriber.deliver(VerdictMessage(holder, verdict))
+        for subscriber in self._subscribers.values():
+            self._tell_everything(subscriber)
+
+    def _on_refused(self, entries: list[Entry]) -> None:
+        """Tell a writer that the fold will never take its holder."""
+        for entry in entries:
+            verdict = Verdict(entry.seq, Code.REFUSED, self.state.offset, fenced=True)
+            subscriber = self._subscriber_by_holder.get(entry.holder)
+            if subscriber:
+                subscriber.deliver(VerdictMessage(entry.holder, verdict))
+            elif self._writer and entry.holder == self._writer.holder:
+                self._writer.take_verdict(verdict)
+
+    def _on_folded(self, taken: list[Folded]) -> None:
+        now = trio.current_time()
+        for folded in taken:
+            self._heard_by_holder[folded.holder] = now
+            self.appender.passed(folded.holder, folded.verdict.seq)
+            self._tell_writer(folded)
+            self._tell_of_record(folded)
+
+    def _tell_writer(self, folded: Folded) -> None:
+        if self._writer and folded.holder == self._writer.holder:
+            self._writer.take_verdict(folded.verdict)
+        subscriber = self._subscriber_by_holder.get(folded.holder)
+        if subscriber:
+            subscriber.deliver(VerdictMessage(folded.holder, folded.verdict))
+
+    def _tell_of_record(self, folded: Folded) -> None:
+        record = folded.record
+        code = folded.verdict.code
+        if isinstance(record, Proposal) and code == Code.OK:
+            self._tell_of_object(record)
+        elif isinstance(record, Grant) and code == Code.BUDGET_EXHAUSTED:
+            self._tell_all(DemandMessage(record.account))
+        elif isinstance(record, Open | Close | Leaving | Fence):
+            self._announce_members()
+            if isinstance(record, Close):
+                self._heard_by_holder.pop(folded.holder, None)
+
+    def _tell_of_object(self, record: Proposal) -> None:
+        item = self.state.catalog.by_kind_and_name[(record.kind, record.name)]
+        self._tell_all(
+            ObjectMessage(record.kind, record.name, item.version, item.body, item.offset)
+        )
+
+    def _announce_members(self) -> None:
+        members = self._routers_as_instances()
+        members += [instance for instance in self.listed if instance.role != Role.ROUTER]
+        if members != self._members:
+            self._members = members
+            self._tell_all(MembersMessage(members))
+
+    def _routers_as_instances(self) -> list[Instance]:
+        """Return the log's routers, with what the platform's list says of leaving."""
+        leaving = {
+            instance.name for instance in self.listed if instance.state is InstanceState.LEAVING
+        }
+        instances = []
+        for name, holder in self.state.by_holder.items():
+            if holder.role not in (Role.ROUTER, Role.KEEPER) or not self.is_alive(name):
+                continue
+            gone = holder.status == HolderStatus.LEAVING or holder.instance in leaving
+            state = InstanceState.LEAVING if gone else InstanceState.LIVE
+            instances.append(
+                Instance(
+                    holder.instance,
+                    name,
+                    holder.address,
+                    holder.failure_domain,
+                    holder.role,
+                    state=state,
+                )
+            )
+        return instances
--- /dev/null
+++ b/railtide/keeper/relay.py
@@ -0,0 +1,175 @@
+"""Ways to the log for a keeper that may be cut off from it: its own, and through another keeper."""
+
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+import trio
+
+from railtide.journal.client import LogClient, Page
+from railtide.journal.errors import JournalError, LogUnavailable, RecordsExpired
+from railtide.wire.errors import LinkLost
+from railtide.wire.links import Connect, Link
+from railtide.wire.messages import AppendMessage, AppendReply, ReadMessage, ReadReply
+
+__all__ = ["DirectLog", "PeerLog", "RelayedLog"]
+
+PROBE_S = 1.0
+REPLY_S = 3.0
+
+
+class DirectLog(LogClient):
+    """The keeper's own way to the log; remembers whether it works.
+
+    Parameters
+    ----------
+    log : LogClient
+    """
+
+    def __init__(self, log: LogClient) -> None:
+        self._log = log
+        self._failed_at: float | None = None
+
+    @property
+    def reachable(self) -> bool:
+        """True unless the last call failed."""
+        return self._failed_at is None
+
+    @property
+    def worth_a_try(self) -> bool:
+        """True if reachable, or if the last failure is some time ago."""
+        return self._failed_at is None or trio.current_time() - self._failed_at >= PROBE_S
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append; see `LogClient.append`."""
+        try:
+            offset = await self._log.append(stream, data)
+        except LogUnavailable:
+            self._failed_at = trio.current_time()
+            raise
+        self._failed_at = None
+        return offset
+
+    async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
+        """Read; see `LogClient.read`."""
+        try:
+            page = await self._log.read(stream, start, limit, wait_s)
+        except LogUnavailable:
+            self._failed_at = trio.current_time()
+            raise
+        self._failed_at = None
+        return page
+
+
+class PeerLog(LogClient):
+    """The log as another keeper reaches it, over one link.
+
+    Records come from that keeper's own tail, so that a cut-off keeper costs the log nothing.
+    """
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+        self._calls = count(1)
+        self._lock = trio.Lock()
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append; see `LogClient.append`."""
+        call = next(self._calls)
+        reply = await self._ask(AppendMessage(call, stream, data), call, 0)
+        if not isinstance(reply, AppendReply) or reply.failed:
+            raise LogUnavailable("the other keeper could not append")
+        return reply.offset
+
+    async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
+        """Read; see `LogClient.read`."""
+        call = next(self._calls)
+        reply = await self._ask(ReadMessage(call, stream, start, limit, wait_s), call, wait_s)
+        if not isinstance(reply, ReadReply) or reply.failed:
+            raise LogUnavailable("the other keeper can't reach the log either")
+        if reply.first >= 0:
+            raise RecordsExpired(reply.first)
+        return Page(reply.records, reply.head)
+
+    async def _ask(
+        self, message: AppendMessage | ReadMessage, call: int, wait_s: float
+    ) -> AppendReply | ReadReply:
+        try:
+            async with self._lock:
+                await self._link.send(message)
+                with trio.fail_after(REPLY_S + wait_s):
+                    return await self._reply_to(call)
+        except (LinkLost, trio.TooSlowError) as err:
+            raise LogUnavailable(f"the other keeper did not answer: {err}") from err
+
+    async def _reply_to(self, call: int) -> AppendReply | ReadReply:
+        while True:
+            reply = await self._link.receive()
+            if isinstance(reply, AppendReply | ReadReply) and reply.call == call:
+                return reply
+
+    async def aclose(self) -> None:
+        """Close the link."""
+        await self._link.aclose()
+
+
+class RelayedLog(LogClient):
+    """The direct way while it works, else through another keeper.
+
+    Parameters
+    ----------
+    direct : DirectLog
+    peers : callable
+        Returns how to connect to the other keepers known now.
+    rng : random.Random
+        Chooses among them.
+    """
+
+    def __init__(self, direct: DirectLog, peers: Callable[[], list[Connect]], rng: Random) -> None:
+        self.relayed = 0
+        self._direct = direct
+        self._peers = peers
+        self._rng = rng
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append; see `LogClient.append`."""
+        if self._direct.worth_a_try:
+            try:
+                return await self._direct.append(stream, data)
+            except LogUnavailable:
+                pass
+        peer = await self._connect()
+        try:
+            return await peer.append(stream, data)
+        finally:
+            await self._close(peer)
+
+    async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
+        """Read; see `LogClient.read`."""
+        if self._direct.worth_a_try:
+            try:
+                return await self._direct.read(stream, start, limit, wait_s)
+            except LogUnavailable:
+                pass
+        peer = await self._connect()
+        try:
+            return await peer.read(stream, start, limit, min(wait_s, PROBE_S))
+        finally:
+            await self._close(peer)
+
+    async def _connect(self) -> PeerLog:
+        peers = self._peers()
+        self._rng.shuffle(peers)
+        for connect in peers:
+            try:
+                with trio.move_on_after(PROBE_S):
+                    link = await connect()
+                    self.relayed += 1
+                    return PeerLog(link)
+            except (LinkLost, JournalError):
+                continue
+        raise LogUnavailable("neither the log nor another keeper can be reached")
+
+    @staticmethod
+    async def _close(peer: PeerLog) -> None:
+        with trio.CancelScope(shield=True):
+            await peer.aclose()
--- /dev/null
+++ b/railtide/keeper/server.py
@@ -0,0 +1,149 @@
+"""The keeper's side of its links: routers beside it, and other keepers that ask for help."""
+
+from itertools import islice
+
+import trio
+from loguru import logger
+
+from railtide.journal.errors import JournalError
+from railtide.keeper.keeper import Keeper, Subscriber
+from railtide.keeper.relay import DirectLog
+from railtide.wire.errors import LinkLost
+from railtide.wire.links import Link, TcpLink
+from railtide.wire.messages import (
+    AppendMessage,
+    AppendReply,
+    EntryMessage,
+    Message,
+    ReadMessage,
+    ReadReply,
+    SubscribeMessage,
+)
+
+__all__ = ["serve_link", "serve_tcp"]
+
+OUTBOX = 50_000
+MOST_WAIT_S = 5.0
+
+
+class _LinkSubscriber(Subscriber):
+    """Queues messages for one link; a reader that falls far behind loses the link."""
+
+    def __init__(self, outbox: trio.MemorySendChannel[Message], scope: trio.CancelScope) -> None:
+        self._outbox = outbox
+        self._scope = scope
+
+    def deliver(self, message: Message) -> None:
+        try:
+            self._outbox.send_nowait(message)
+        except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
+            self._scope.cancel()
+
+
+async def serve_link(keeper: Keeper, direct: DirectLog, link: Link) -> None:
+    """Serve one link until it is lost.
+
+    Parameters
+    ----------
+    keeper : Keeper
+    direct : DirectLog
+        The keeper's own way to the log, used for other keepers; never another keeper's.
+    link : Link
+    """
+    send, receive = trio.open_memory_channel[Message](OUTBOX)
+    try:
+        async with trio.open_nursery() as nursery:
+            subscriber = _LinkSubscriber(send, nursery.cancel_scope)
+            nursery.start_soon(_send_all, receive, link, nursery.cancel_scope)
+            try:
+                await _receive_all(keeper, direct, link, subscriber, nursery)
+            except LinkLost:
+                nursery.cancel_scope.cancel()
+            finally:
+                keeper.unsubscribe(subscriber)
+    finally:
+        with trio.CancelScope(shield=True):
+            await link.aclose()
+
+
+async def _send_all(
+    outbox: trio.MemoryReceiveChannel[Message], link: Link, scope: trio.CancelScope
+) -> None:
+    try:
+        async for message in outbox:
+            await link.send(message)
+    except LinkLost:
+        scope.cancel()
+
+
+async def _receive_all(
+    keeper: Keeper,
+    direct: DirectLog,
+    link: Link,
+    subscriber: _LinkSubscriber,
+    nursery: trio.Nursery,
+) -> None:
+    while True:
+        message = await link.receive()
+        if isinstance(message, ReadMessage):
+            nursery.start_soon(_answer_read, keeper, direct, subscriber, message)
+        elif isinstance(message, AppendMessage):
+            nursery.start_soon(_answer_append, direct, subscriber, message)
+        elif isinstance(message, SubscribeMessage):
+            keeper.subscribe(subscriber)
+        elif isinstance(message, EntryMessage):
+            keeper.take_entry(subscriber, message.entry, message.traceparent)
+
+
+async def _answer_read(
+    keeper: Keeper, direct: DirectLog, subscriber: Subscriber, message: ReadMessage
+) -> None:
+    if not direct.reachable:
+        subscriber.deliver(ReadReply(message.call, failed=True))
+    elif message.stream == keeper.options.stream:
+        subscriber.deliver(await _read_tail(keeper, message))
+    else:
+        subscriber.deliver(await _read_log(direct, message))
+
+
+async def _read_tail(keeper: Keeper, message: ReadMessage) -> ReadReply:
+    with trio.move_on_after(min(message.wait_s, MOST_WAIT_S)):
+        await keeper.follower.wait_for(message.start)
+    tail = keeper.follower.tail
+    first = tail[0].offset if tail else keeper.state.offset + 1
+    if message.start < first:
+        return ReadReply(message.call, first=first)
+    begin = message.start - first
+    records = list(islice(tail, begin, begin + message.limit))
+    return ReadReply(message.call, keeper.state.offset + 1, records)
+
+
+async def _read_log(direct: DirectLog, message: ReadMessage) -> ReadReply:
+    try:
+        page = await direct.read(message.stream, message.start, message.limit, 0)
+    except JournalError:
+        return ReadReply(message.call, failed=True)
+    return ReadReply(message.call, page.head, page.records)
+
+
+async def _answer_append(direct: DirectLog, subscriber: Subscriber, message: AppendMessage) -> None:
+    try:
+        offset = await direct.append(message.stream, message.data)
+    except JournalError:
+        subscriber.deliver(AppendReply(message.call, failed=True))
+    else:
+        subscriber.deliver(AppendReply(message.call, offset))
+
+
+async def serve_tcp(
+    keeper: Keeper,
+    direct: DirectLog,
+    listeners: list[trio.SocketListener],
+) -> None:
+    """Serve routers and other keepers on TCP until cancelled."""
+
+    async def handle(stream: trio.SocketStream) -> None:
+        await serve_link(keeper, direct, TcpLink(stream))
+
+    logger.info("keeper listening on {}", listeners[0].socket.getsockname())
+    await trio.serve_listeners(handle, listeners)
--- /dev/null
+++ b/railtide/lanes/__init__.py
@@ -0,0 +1,1 @@
+"""Lanes: who is served next, and who waits."""
--- /dev/null
+++ b/railtide/lanes/queue.py
@@ -0,0 +1,144 @@
+"""Waiting requests: urgent before bulk, and fair shares among accounts within a lane. Pure."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from enum import IntEnum
+from itertools import count
+
+__all__ = ["FairLanes", "Fifo", "Urgency", "WaitingQueue", "Waiting"]
+
+
+class Urgency(IntEnum):
+    """Lanes, the most urgent first."""
+
+    URGENT = 0
+    BULK = 1
+
+
+@dataclass(eq=False)
+class Waiting:
+    """A request that waits.
+
+    Attributes
+    ----------
+    account, weight
+        Whose share it uses, and how large that share is.
+    cost : int
+        Units; what the share is counted in.
+    finish_tag : float
+        Set by the queue.
+    """
+
+    account: str
+    urgency: Urgency
+    weight: int = 1
+    cost: int = 1
+    finish_tag: float = 0.0
+    order: int = 0
+
+
+class WaitingQueue(ABC):
+    """An order of waiting requests."""
+
+    @abstractmethod
+    def add(self, waiting: Waiting) -> None:
+        """Put a request in."""
+
+    @abstractmethod
+    def peek(self, urgency: Urgency) -> Waiting | None:
+        """Return the next request of a lane, or None."""
+
+    @abstractmethod
+    def remove(self, waiting: Waiting) -> None:
+        """Take a request out; one that is not in is ignored."""
+
+    @abstractmethod
+    def size(self, urgency: Urgency) -> int:
+        """Return how many requests wait in a lane."""
+
+
+@dataclass
+class _Lane:
+    virtual_time: float = 0.0
+    waiting: list[Waiting] = field(default_factory=list)
+    last_finish_by_account: dict[str, float] = field(default_factory=dict)
+
+
+class FairLanes(WaitingQueue):
+    """A lane for each urgency, each in the order of weighted fair queueing.
+
+    References
+    ----------
+    A. Demers, S. Keshav and S. Shenker, "Analysis and simulation of a fair queueing
+    algorithm", SIGCOMM 1989; the self-clocked form of S. Golestani, INFOCOM 1994.
+
+    Examples
+    --------
+    >>> lanes = FairLanes()
+    >>> for account in ("a", "a", "b"):
+    ...     lanes.add(Waiting(account, Urgency.BULK, cost=10))
+    >>> first = lanes.peek(Urgency.BULK)
+    >>> lanes.remove(first)
+    >>> first.account, lanes.peek(Urgency.BULK).account
+    ('a', 'b')
+    """
+
+    def __init__(self) -> None:
+        self._by_urgency = {urgency: _Lane() for urgency in Urgency}
+        self._order = count()
+
+    def add(self, waiting: Waiting) -> None:
+        """Put a request in; see `WaitingQueue.add`."""
+        lane = self._by_urgency[waiting.urgency]
+        last = lane.last_finish_by_account.get(waiting.account, 0.0)
+        begin = max(lane.virtual_time, last)
+        waiting.finish_tag = begin + waiting.cost / waiting.weight
+        waiting.order = next(self._order)
+        lane.last_finish_by_account[waiting.account] = waiting.finish_tag
+        lane.waiting.append(waiting)
+
+    def peek(self, urgency: Urgency) -> Waiting | None:
+        """Return the request with the least finish tag; see `WaitingQueue.peek`."""
+        lane = self._by_urgency[urgency]
+        return min(lane.waiting, key=lambda w: (w.finish_tag, w.order), default=None)
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take a request out; see `WaitingQueue.remove`."""
+        lane = self._by_urgency[waiting.urgency]
+        if waiting not in lane.waiting:
+            return
+        lane.waiting.remove(waiting)
+        lane.virtual_time = max(lane.virtual_time, waiting.finish_tag)
+        if not lane.waiting:
+            lane.last_finish_by_account.clear()
+            lane.virtual_time = 0.0
+
+    def size(self, urgency: Urgency) -> int:
+        """Return how many wait in a lane."""
+        return len(self._by_urgency[urgency].waiting)
+
+
+class Fifo(WaitingQueue):
+    """One queue in order of arrival, whatever the urgency; for comparison."""
+
+    def __init__(self) -> None:
+        self._waiting: list[Waiting] = []
+
+    def add(self, waiting: Waiting) -> None:
+        """Put a request in; see `WaitingQueue.add`."""
+        self._waiting.append(waiting)
+
+    def peek(self, urgency: Urgency) -> Waiting | None:
+        """Return the oldest request if it is of this lane; see `WaitingQueue.peek`."""
+        if self._waiting and self._waiting[0].urgency is urgency:
+            return self._waiting[0]
+        return None
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take a request out; see `WaitingQueue.remove`."""
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
+
+    def size(self, urgency: Urgency) -> int:
+        """Return how many of an urgency wait."""
+        return sum(1 for waiting in self._waiting if waiting.urgency is urgency)
--- /dev/null
+++ b/railtide/lanes/scheduler.py
@@ -0,0 +1,235 @@
+"""The scheduler of one pool: gives waiting requests their slot at an upstream.
+
+Urgent requests go first and have slots at each upstream that bulk can't take. Waiting is bounded
+in number and by each request's deadline; a request that would wait past it is refused at once.
+"""
+
+import trio
+
+from railtide.lanes.errors import DeadlineTooNear, NoUpstream, QueueFull
+from railtide.lanes.queue import FairLanes, Urgency, Waiting, WaitingQueue
+from railtide.membership.instances import Instance
+from railtide.upstreams.choice import Choice
+from railtide.upstreams.load import LoadReport, Upstream, is_ejected, is_leaving
+
+__all__ = ["PoolScheduler", "Slot", "WaitingRequest"]
+
+URGENT_SHARE = 4
+MOST_WAITING = 512
+SERVICE_WEIGHT = 0.1
+LEAST_RETRY_AFTER_S = 0.5
+MOST_RETRY_AFTER_S = 30.0
+
+
+class WaitingRequest(Waiting):
+    """A waiting request with its deadline, its affinity and the slot it is given."""
+
+    def __init__(
+        self,
+        account: str,
+        urgency: Urgency,
+        weight: int,
+        cost: int,
+        deadline: float,
+        affinity: str,
+    ) -> None:
+        super().__init__(account, urgency, weight, cost)
+        self.deadline = deadline
+        self.affinity = affinity
+        self.avoid: frozenset[str] = frozenset()
+        self.slot: Slot | None = None
+        self.given = trio.Event()
+
+
+class Slot:
+    """A request's place at an upstream."""
+
+    def __init__(self, upstream: Upstream, urgency: Urgency, opened_at: float) -> None:
+        self.upstream = upstream
+        self.urgency = urgency
+        self.opened_at = opened_at
+        self.released = False
+
+
+class PoolScheduler:
+    """Slots and waiting requests of one pool, in one router.
+
+    Parameters
+    ----------
+    choice : Choice
+    queue : WaitingQueue, optional
+        `FairLanes` unless given.
+    urgent_share : int
+        One slot in so many is kept for urgent requests; 0 keeps none.
+    most_waiting : int
+        Most requests waiting in a lane.
+    """
+
+    def __init__(
+        self,
+        choice: Choice,
+        queue: WaitingQueue | None = None,
+        urgent_share: int = URGENT_SHARE,
+        most_waiting: int = MOST_WAITING,
+    ) -> None:
+        self.by_name: dict[str, Upstream] = {}
+        self._choice = choice
+        self._queue = queue or FairLanes()
+        self._urgent_share = urgent_share
+        self._most_waiting = most_waiting
+        self._service_s = 0.0
+
+    # -- upstreams ----------------------------------------------------------------------------
+
+    def set_upstreams(self, instances: list[Instance]) -> None:
+        """Take the pool's instances; a new incarnation starts clean, an old one keeps its state."""
+        by_name: dict[str, Upstream] = {}
+        for instance in instances:
+            known = self.by_name.get(instance.name)
+            if known and known.instance.incarnation == instance.incarnation:
+                known.instance = instance
+                by_name[instance.name] = known
+            else:
+                by_name[instance.name] = Upstream(instance)
+        self.by_name = by_name
+        self._serve_waiting()
+
+    def take_report(self, name: str, report: LoadReport) -> None:
+        """Take an upstream's load report; leaving is sticky."""
+        upstream = self.by_name.get(name)
+        if upstream is None:
+            return
+        upstream.report = report
+        upstream.leaving = upstream.leaving or report.leaving
+        self._serve_waiting()
+
+    # -- slots --------------------------------------------------------------------------------
+
+    async def acquire(self, request: WaitingRequest) -> Slot:
+        """Return a slot, waiting in the request's lane.
+
+        Raises
+        ------
+        NoUpstream, QueueFull, DeadlineTooNear
+            At once where that is known at once.
+        """
+        self._check(request)
+        self._queue.add(request)
+        self._serve_waiting()
+        try:
+            with trio.move_on_at(request.deadline):
+                await request.given.wait()
+        except trio.Cancelled:
+            self._give_up(request)
+            raise
+        if request.slot is None:
+            self._give_up(request)
+            raise DeadlineTooNear("no slot came free before the deadline", retry_after=1.0)
+        return request.slot
+
+    async def reacquire(self, request: WaitingRequest, tried: Upstream) -> Slot:
+        """Return a slot for a retry, elsewhere and in another failure domain where possible."""
+        request.slot = None
+        request.given = trio.Event()
+        request.avoid = request.avoid | {tried.instance.name}
+        return await self.acquire(request)
+
+    def release(self, slot: Slot) -> None:
+        """Give a slot back; a second release is ignored."""
+        if slot.released:
+            return
+        slot.released = True
+        self._count(slot, -1)
+        slot.upstream.opened_at.remove(slot.opened_at)
+        took = trio.current_time() - slot.opened_at
+        self._service_s += SERVICE_WEIGHT * (took - self._service_s)
+        self._serve_waiting()
+
+    def expected_wait(self, urgency: Urgency) -> float:
+        """Return how long a new request of a lane may wait, seconds."""
+        ahead = sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
+        slots = sum(self._capacity(u, urgency) for u in self.by_name.values()) or 1
+        return ahead * self._service_s / slots
+
+    def waiting(self, urgency: Urgency) -> int:
+        """Return how many requests wait in a lane."""
+        return self._queue.size(urgency)
+
+    def retry_after(self, urgency: Urgency) -> float:
+        """Return when a refused caller should come back, seconds."""
+        wait = self.expected_wait(urgency)
+        return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait))
+
+    def _check(self, request: WaitingRequest) -> None:
+        now = trio.current_time()
+        retry_after = self.retry_after(request.urgency)
+        if all(is_leaving(upstream) for upstream in self.by_name.values()):
+            raise NoUpstream("no upstream of the pool takes new work", retry_after=retry_after)
+        if self._queue.size(request.urgency) >= self._most_waiting:
+            raise QueueFull("the lane is full", retry_after=retry_after)
+        if now + self.expected_wait(request.urgency) > request.deadline:
+            raise DeadlineTooNear("the lane's wait is past the deadline", retry_after=retry_after)
+
+    def _give_up(self, request: WaitingRequest) -> None:
+        self._queue.remove(request)
+        if request.slot:
+            self.release(request.slot)
+
+    def _serve_waiting(self) -> None:
+        for urgency in Urgency:
+            while self._serve_next(urgency):
+                pass
+
+    def _serve_next(self, urgency: Urgency) -> bool:
+        request = self._queue.peek(urgency)
+        if request is None:
+            return False
+        candidates = self._candidates(request)
+        if not candidates:
+            return False
+        now = trio.current_time()
+        upstream = self._choice.choose(candidates, request.affinity, now)
+        self._queue.remove(request)
+        request.slot = self._open(upstream, urgency, now)
+        request.given.set()
+        return True
+
+    def _open(self, upstream: Upstream, urgency: Urgency, now: float) -> Slot:
+        slot = Slot(upstream, urgency, now)
+        self._count(slot, 1)
+        upstream.opened_at.append(now)
+        return slot
+
+    def _candidates(self, request: WaitingRequest) -> list[Upstream]:
+        now = trio.current_time()
+        staying = [upstream for upstream in self.by_name.values() if not is_leaving(upstream)]
+        healthy = [upstream for upstream in staying if not is_ejected(upstream, now)] or staying
+        free = [upstream for upstream in healthy if self._has_room(upstream, request.urgency)]
+        fresh = [upstream for upstream in free if upstream.instance.name not in request.avoid]
+        return self._other_domains(fresh, request.avoid) or fresh or free
+
+    def _other_domains(self, fresh: list[Upstream], avoid: frozenset[str]) -> list[Upstream]:
+        tried = {
+            self.by_name[name].instance.failure_domain for name in avoid if name in self.by_name
+        }
+        return [upstream for upstream in fresh if upstream.instance.failure_domain not in tried]
+
+    def _has_room(self, upstream: Upstream, urgency: Urgency) -> bool:
+        if upstream.open_requests >= upstream.instance.slots:
+            return False
+        if urgency is Urgency.URGENT:
+            return True
+        return upstream.open_bulk < self._capacity(upstream, urgency)
+
+    def _capacity(self, upstream: Upstream, urgency: Urgency) -> int:
+        slots = upstream.instance.slots
+        if urgency is Urgency.URGENT or not self._urgent_share:
+            return slots
+        return max(1, slots - max(1, slots // self._urgent_share))
+
+    @staticmethod
+    def _count(slot: Slot, change: int) -> None:
+        if slot.urgency is Urgency.URGENT:
+            slot.upstream.open_urgent += change
+        else:
+            slot.upstream.open_bulk += change
--- /dev/null
+++ b/railtide/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: instances, upstreams, and the addresses that callers are told."""
--- /dev/null
+++ b/railtide/membership/addresses.py
@@ -0,0 +1,61 @@
+"""Which instances a caller of an account is told to use. Pure."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+__all__ = ["Entrance", "addresses_for", "rendezvous_order"]
+
+
+@dataclass(frozen=True)
+class Entrance:
+    """A router that callers may be sent to."""
+
+    name: str
+    address: str
+    failure_domain: str
+
+
+def rendezvous_order(key: str, names: Sequence[str]) -> list[str]:
+    """Return the names by their highest random weight for `key`, the best first.
+
+    Notes
+    -----
+    A name that comes or goes moves only the keys that it wins or loses.
+
+    References
+    ----------
+    D. Thaler and C. Ravishankar, "Using name-based mappings to increase hit rates",
+    IEEE/ACM Transactions on Networking 6(1), 1998.
+
+    Examples
+    --------
+    >>> order = rendezvous_order("menu", ["a", "b", "c"])
+    >>> [n for n in order if n != order[0]] == rendezvous_order("menu", order[1:])
+    True
+    """
+    return sorted(names, key=lambda name: _weight(key, name), reverse=True)
+
+
+def _weight(key: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode())
+
+
+def addresses_for(account: str, entrances: Sequence[Entrance], count: int) -> list[Entrance]:
+    """Return up to `count` entrances for an account, each failure domain once before any twice.
+
+    Few entrances for an account mean few grants of its budget, so that less of it is in hands.
+    """
+    by_name = {entrance.name: entrance for entrance in entrances}
+    ordered = [by_name[name] for name in rendezvous_order(account, list(by_name))]
+    chosen: list[Entrance] = []
+    while ordered and len(chosen) < count:
+        used = {entrance.failure_domain for entrance in chosen}
+        fresh = [entrance for entrance in ordered if entrance.failure_domain not in used]
+        if not fresh:
+            chosen += ordered[: count - len(chosen)]
+            break
+        chosen.append(fresh[0])
+        ordered.remove(fresh[0])
+    return chosen
--- /dev/null
+++ b/railtide/membership/identity.py
@@ -0,0 +1,35 @@
+"""Who a process is."""
+
+from dataclasses import dataclass
+
+__all__ = ["Identity", "Role"]
+
+
+class Role:
+    """Roles of holders and instances."""
+
+    ROUTER = "router"
+    KEEPER = "keeper"
+    OPERATOR = "operator"
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True)
+class Identity:
+    """A process's instance, failure domain and address, and an incarnation that no other has."""
+
+    instance: str
+    failure_domain: str
+    address: str
+    incarnation: str
+
+    def holder(self, role: str, number: int) -> str:
+        """Return the id of this process's holder of that number.
+
+        Examples
+        --------
+        >>> Identity("i1", "a", "127.0.0.1:1", "5f").holder(Role.ROUTER, 1)
+        'i1/router/5f/1'
+        """
+        return f"{self.instance}/{role}/{self.incarnation}/{number}"
--- /dev/null
+++ b/railtide/membership/instances.py
@@ -0,0 +1,118 @@
+"""The platform's instance list: how it is read, and how its lag is borne."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import StrEnum
+
+import httpx
+import msgspec
+
+from railtide.membership.errors import InstanceListUnavailable
+
+__all__ = [
+    "HttpInstanceList",
+    "Instance",
+    "InstanceList",
+    "InstanceState",
+    "merge_instances",
+    "open_http_instance_list",
+]
+
+TIMEOUT_S = 2.0
+
+
+class InstanceState(StrEnum):
+    """What the platform's list says of an instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """One line of the platform's list.
+
+    Attributes
+    ----------
+    name, incarnation : str
+        Together they name one life of an instance.
+    pool : str
+        For an upstream, the pool (of one model or service) that it belongs to.
+    slots : int
+        For an upstream, how many requests one router may have open on it.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    failure_domain: str
+    role: str
+    pool: str = ""
+    slots: int = 16
+    state: InstanceState = InstanceState.LIVE
+
+
+class InstanceList(ABC):
+    """A way to the platform's instance list."""
+
+    @abstractmethod
+    async def fetch(self) -> list[Instance]:
+        """Return the list.
+
+        Raises
+        ------
+        InstanceListUnavailable
+            No answer, or one that can't be read.
+        """
+
+
+class HttpInstanceList(InstanceList):
+    """The instance list over HTTP and JSON."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        self._client = client
+
+    async def fetch(self) -> list[Instance]:
+        """Return the list; see `InstanceList.fetch`."""
+        try:
+            answer = await self._client.get("/v1/instances")
+            answer.raise_for_status()
+            return msgspec.json.decode(answer.content, type=list[Instance])
+        except (httpx.HTTPError, msgspec.DecodeError) as err:
+            raise InstanceListUnavailable(str(err)) from err
+
+
+def open_http_instance_list(url: str) -> HttpInstanceList:
+    """Return a client of the instance list at `url`."""
+    return HttpInstanceList(httpx.AsyncClient(base_url=url, timeout=TIMEOUT_S, trust_env=False))
+
+
+@dataclass(frozen=True)
+class _Life:
+    name: str
+    incarnation: str
+
+
+def merge_instances(known: list[Instance], fetched: list[Instance]) -> list[Instance]:
+    """Return the fetched list with each leaving made sticky.
+
+    Parameters
+    ----------
+    known : list of Instance
+        What was believed before.
+    fetched : list of Instance
+        The platform's answer, which may be older than what is known.
+
+    Returns
+    -------
+    list of Instance
+        An instance once leaving stays so for that incarnation.
+    """
+    leaving = {_Life(i.name, i.incarnation) for i in known if i.state is InstanceState.LEAVING}
+    return [
+        (
+            msgspec.structs.replace(i, state=InstanceState.LEAVING)
+            if _Life(i.name, i.incarnation) in leaving
+            else i
+        )
+        for i in fetched
+    ]
--- /dev/null
+++ b/railtide/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' side: publish, top up, show, explain."""
--- /dev/null
+++ b/railtide/operators/session.py
@@ -0,0 +1,109 @@
+"""An operator's session at the log: folds it like any keeper, and appends under a holder."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+import trio
+
+from railtide.journal.client import LogClient
+from railtide.journal.entries import Entry, Record, Verdict
+from railtide.journal.fold import Folded
+from railtide.journal.state import State
+from railtide.journal.writer import Writer
+from railtide.keeper.appender import Appender
+from railtide.keeper.follower import Follower
+from railtide.keeper.options import KeeperOptions
+from railtide.membership.identity import Identity, Role
+from railtide.membership.messages import Close, Open
+from railtide.operators.errors import NoVerdict
+from railtide.process import new_incarnation
+
+__all__ = ["Session", "open_session"]
+
+POLL_S = 0.01
+
+
+class Session:
+    """A folded log to look at, and a way to submit records.
+
+    Parameters
+    ----------
+    log : LogClient
+    options : KeeperOptions
+    timeout_s : float
+        Longest wait for the log.
+    """
+
+    def __init__(self, log: LogClient, options: KeeperOptions, timeout_s: float) -> None:
+        rng = Random()
+        self._timeout_s = timeout_s
+        self._writer: Writer | None = None
+        self.follower = Follower(
+            log, options, rng, self._on_folded, lambda reachable: None, lambda: None
+        )
+        self.appender = Appender(log, self.follower, options, rng, self._on_refused)
+
+    @property
+    def state(self) -> State:
+        """The folded state."""
+        return self.follower.state
+
+    async def wait_until_caught_up(self) -> None:
+        """Return once the head seen at the start is folded; raises `NoVerdict` if it takes long."""
+        with trio.move_on_after(self._timeout_s):
+            while not self.follower.caught_up:
+                await trio.sleep(POLL_S)
+            return
+        raise NoVerdict("the log does not answer; nothing was submitted")
+
+    async def submit(self, record: Record) -> Verdict:
+        """Submit a record and return the fold's verdict on it.
+
+        Raises
+        ------
+        NoVerdict
+            The log did not answer in time; the record may still be in it.
+        """
+        if self._writer is None:
+            self._writer = self._open_writer()
+        verdict = await self._writer.submit(record).wait_at_most(self._timeout_s)
+        if verdict is None:
+            raise NoVerdict("the log does not answer; the change may or may not be accepted")
+        return verdict
+
+    async def close(self) -> None:
+        """Close this session's holder."""
+        if self._writer:
+            await self.submit(Close())
+
+    def _open_writer(self) -> Writer:
+        who = Identity(Role.OPERATOR, "", "", new_incarnation())
+        writer = Writer(who.holder(Role.OPERATOR, 1), self.appender.add)
+        writer.submit(Open(who.instance, "", "", Role.OPERATOR, self.state.stamp))
+        return writer
+
+    def _on_folded(self, taken: list[Folded]) -> None:
+        for folded in taken:
+            self.appender.passed(folded.holder, folded.verdict.seq)
+            if self._writer and folded.holder == self._writer.holder:
+                self._writer.take_verdict(folded.verdict)
+
+    def _on_refused(self, entries: list[Entry]) -> None:
+        for entry in entries:
+            self._writer.take_verdict(Verdict(entry.seq, "refused", self.state.offset, fenced=True))
+
+
+@asynccontextmanager
+async def open_session(
+    log: LogClient, options: KeeperOptions, timeout_s: float
+) -> AsyncIterator[Session]:
+    """Yield a session that has caught up with the log."""
+    session = Session(log, options, timeout_s)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(session.follower.run)
+        nursery.start_soon(session.appender.run)
+        await session.wait_until_caught_up()
+        yield session
+        await session.close()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/railtide/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: intents, claims and bills; dispatch, retry and recovery."""
--- /dev/null
+++ b/railtide/requests/call.py
@@ -0,0 +1,101 @@
+"""A caller's request inside the router, and where its answer goes."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+import msgspec
+
+from railtide.configuration.models import AccountSettings
+from railtide.lanes.queue import Urgency
+
+__all__ = ["AnswerSink", "Call", "Prices", "Usage", "cost_of"]
+
+
+@dataclass(frozen=True)
+class Prices:
+    """Prices in units: a token in, a token out, a call."""
+
+    token_in: int = 0
+    token_out: int = 0
+    call: int = 0
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Token counts in an engine's words."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
+def cost_of(prices: Prices, usage: Usage) -> int:
+    """Return the cost in units.
+
+    Examples
+    --------
+    >>> cost_of(Prices(token_in=1, token_out=3), Usage(10, 5))
+    25
+    """
+    return (
+        prices.call
+        + prices.token_in * usage.prompt_tokens
+        + prices.token_out * usage.completion_tokens
+    )
+
+
+@dataclass(frozen=True)
+class Call:
+    """A request that was authenticated, checked and priced.
+
+    Attributes
+    ----------
+    reserve : int
+        Its greatest cost, units.
+    key : str
+        The caller's Idempotency-Key, or empty.
+    repeatable : bool
+        False for a call that runs at most once.
+    deadline : float
+        Trio time.
+    digest : int
+        Hash of the request, to tell a key used for another one.
+    affinity : str
+        Equal for requests of one account that share a prompt prefix.
+    """
+
+    request_id: str
+    account: str
+    settings: AccountSettings
+    pool: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    prices: Prices
+    reserve: int
+    prompt_tokens: int
+    urgency: Urgency
+    deadline: float
+    stream: bool = False
+    key: str = ""
+    repeatable: bool = True
+    digest: int = 0
+    affinity: str = ""
+    traceparent: str = ""
+
+
+class AnswerSink(ABC):
+    """Where a caller's answer is written."""
+
+    started = False
+
+    @abstractmethod
+    async def start(self, status: int, content_type: str) -> None:
+        """Send the head of the answer; called once."""
+
+    @abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Send part of the body."""
+
+    @abstractmethod
+    async def finish(self) -> None:
+        """End the body; without it the caller knows that the answer is not whole."""
--- /dev/null
+++ b/railtide/requests/dispatcher.py
@@ -0,0 +1,91 @@
+"""The way of a request through the router: replay, reserve, run, and what is said if it can't."""
+
+from collections.abc import Callable
+
+from railtide.budgets.errors import BudgetError
+from railtide.budgets.treasury import Treasury
+from railtide.lanes.errors import LaneError, NoUpstream
+from railtide.lanes.scheduler import PoolScheduler
+from railtide.requests.call import AnswerSink, Call
+from railtide.requests.errors import HolderFenced
+from railtide.requests.execution import Execution, KnownAnswer, answer_of_verdict
+from railtide.requests.messages import Answer, Lookup
+from railtide.requests.services import Services
+
+__all__ = ["Dispatcher"]
+
+RETRY_AFTER_S = 1.0
+
+
+class Dispatcher:
+    """Serves calls.
+
+    Parameters
+    ----------
+    treasury : Treasury
+    scheduler_of : callable
+        Returns the scheduler of a pool, or None for an unknown pool.
+    services : Services
+    """
+
+    def __init__(
+        self,
+        treasury: Treasury,
+        scheduler_of: Callable[[str], PoolScheduler | None],
+        services: Services,
+    ) -> None:
+        self._treasury = treasury
+        self._scheduler_of = scheduler_of
+        self._services = services
+
+    async def serve(self, call: Call, sink: AnswerSink) -> None:
+        """Answer a call.
+
+        Raises
+        ------
+        RailtideError
+            Whose `run` says whether the call ran; nothing was written unless `sink.started`.
+        """
+        kept = self._services.replays.find(call.account, call.key, call.digest)
+        if call.key and kept:
+            await self._replay(kept, sink)
+            return
+        try:
+            await self._serve_new(call, sink)
+        except KnownAnswer as known:
+            await self._replay(known.answer, sink)
+
+    async def _replay(self, answer: Answer, sink: AnswerSink) -> None:
+        self._services.counters.add("answers_replayed")
+        await sink.start(answer.status, answer.content_type)
+        await sink.write(answer.body)
+        await sink.finish()
+
+    async def _serve_new(self, call: Call, sink: AnswerSink) -> None:
+        try:
+            await self._run(call, sink)
+        except HolderFenced:
+            await self._run(call, sink)
+        except (BudgetError, LaneError):
+            if call.key:
+                await self._look_up(call)
+            raise
+
+    async def _run(self, call: Call, sink: AnswerSink) -> None:
+        scheduler = self._scheduler_of(call.pool)
+        if scheduler is None:
+            raise NoUpstream("the pool has no upstream", retry_after=RETRY_AFTER_S)
+        reservation = await self._treasury.reserve(
+            call.account, call.settings, call.reserve, call.deadline
+        )
+        await Execution(call, reservation, scheduler, self._services).run(sink)
+
+    async def _look_up(self, call: Call) -> None:
+        """Raise what is known of the key of a call that can't be run now."""
+        if not self._services.log_reachable():
+            return
+        record = Lookup(call.account, call.key, call.digest)
+        ticket = self._treasury.epoch.writer.submit(record)
+        verdict = await ticket.wait_at_most(self._services.options.commit_wait_s)
+        if verdict is not None and not verdict.ok and not verdict.fenced:
+            raise KnownAnswer(answer_of_verdict(verdict))
--- /dev/null
+++ b/railtide/requests/errors.py
@@ -0,0 +1,113 @@
+"""Errors of requests."""
+
+from railtide.errors import RailtideError, Run
+
+__all__ = [
+    "AnswerGone",
+    "ClaimUnavailable",
+    "DeadlineExceeded",
+    "HolderFenced",
+    "InvalidRequest",
+    "KeyReused",
+    "KeyRequired",
+    "NotAllowed",
+    "OutcomeUnknown",
+    "RequestError",
+    "RequestInProgress",
+    "Unauthorized",
+]
+
+
+class RequestError(RailtideError):
+    """Base of the requests' errors."""
+
+    code = "request-error"
+    status = 500
+
+
+class InvalidRequest(RequestError):
+    """The request can't be read; `detail` names the field and what is allowed."""
+
+    code = "invalid-request"
+    status = 400
+    run = Run.NOT_RUN
+
+
+class Unauthorized(RequestError):
+    """The bearer token belongs to no client account."""
+
+    code = "unauthorized"
+    status = 401
+    run = Run.NOT_RUN
+
+
+class NotAllowed(RequestError):
+    """The account may not reach this model or service, or there is none of that name."""
+
+    code = "not-allowed"
+    status = 403
+    run = Run.NOT_RUN
+
+
+class KeyRequired(RequestError):
+    """A call that may not be repeated needs an Idempotency-Key."""
+
+    code = "key-required"
+    status = 400
+    run = Run.NOT_RUN
+
+
+class KeyReused(RequestError):
+    """The Idempotency-Key belongs to another request of this account."""
+
+    code = "key-reused"
+    status = 422
+    run = Run.NOT_RUN
+
+
+class RequestInProgress(RequestError):
+    """A request with this Idempotency-Key is still open; come back for its answer."""
+
+    code = "request-in-progress"
+    status = 409
+    run = Run.UNKNOWN
+
+
+class AnswerGone(RequestError):
+    """The request with this Idempotency-Key ran; its answer is not kept."""
+
+    code = "answer-gone"
+    status = 410
+    run = Run.RAN
+
+
+class OutcomeUnknown(RequestError):
+    """The call may have run and may not be repeated; it will not be sent again."""
+
+    code = "outcome-unknown"
+    status = 502
+    run = Run.UNKNOWN
+
+
+class ClaimUnavailable(RequestError):
+    """The log can't record the claim that this request needs before it may run."""
+
+    code = "claim-unavailable"
+    status = 503
+    run = Run.NOT_RUN
+
+
+class DeadlineExceeded(RequestError):
+    """The deadline passed while an upstream had the request."""
+
+    code = "deadline-exceeded"
+    status = 504
+    run = Run.UNKNOWN
+
+
+class HolderFenced(RequestError):
+    """This router's incarnation was fenced before the request was sent."""
+
+    code = "holder-fenced"
+    status = 503
+    run = Run.NOT_RUN
--- /dev/null
+++ b/railtide/requests/options.py
@@ -0,0 +1,36 @@
+"""Options of how requests are run, in seconds."""
+
+from dataclasses import dataclass
+
+__all__ = ["RequestOptions"]
+
+
+@dataclass(frozen=True)
+class RequestOptions:
+    """How a router runs requests.
+
+    Attributes
+    ----------
+    commit_wait_s : float
+        Longest hold of the first byte for a durable intent, and of the end mark for a durable
+        bill, while the log is reachable.
+    dispatch_window_s : float
+        A request is not sent if so long has passed since its intent was written; far below the
+        lease, so that a process that was paused does not send what was settled for it.
+    attempts : int
+        Most times a repeatable request is sent.
+    resumes : int
+        Most times a broken stream is taken up again at its engine.
+    most_answer_bytes : int
+        Largest answer that is not a stream.
+    recovery_interval_s, recovery_timeout_s : float
+        Between two questions after a lost holder's request, and until it is given up.
+    """
+
+    commit_wait_s: float = 1.0
+    dispatch_window_s: float = 4.0
+    attempts: int = 3
+    resumes: int = 2
+    most_answer_bytes: int = 16 * 1024 * 1024
+    recovery_interval_s: float = 1.0
+    recovery_timeout_s: float = 60.0
--- /dev/null
+++ b/railtide/requests/registry.py
@@ -0,0 +1,94 @@
+"""Open requests and remembered keys, as the log's order decides them. Pure."""
+
+from dataclasses import dataclass, field
+
+from railtide.requests.messages import Answer, Bill, Intent, Outcome
+
+__all__ = ["KeyState", "OpenRequest", "Registry", "expire_keys", "find_key", "finish", "start"]
+
+
+@dataclass
+class OpenRequest:
+    """A request with an intent and no bill.
+
+    `holder` pays for it; `owner` may bill it (another one after an adoption).
+    """
+
+    account: str
+    holder: str
+    owner: str
+    reserve: int
+    pool: str
+    key: str = ""
+    repeatable: bool = True
+
+
+@dataclass
+class KeyState:
+    """What is known of an idempotency key; `outcome` is None while its request is open."""
+
+    request_id: str
+    stamp: int
+    outcome: Outcome | None = None
+    answer: Answer | None = None
+    digest: int = 0
+
+
+@dataclass
+class Registry:
+    """Open requests by their id, and keys by account and key."""
+
+    by_request_id: dict[str, OpenRequest] = field(default_factory=dict)
+    by_account_and_key: dict[tuple[str, str], KeyState] = field(default_factory=dict)
+
+
+def find_key(registry: Registry, account: str, key: str) -> KeyState | None:
+    """Return what is known of a key, or None for a new or empty one."""
+    if not key:
+        return None
+    return registry.by_account_and_key.get((account, key))
+
+
+def start(registry: Registry, holder: str, intent: Intent, stamp: int) -> None:
+    """Open a request and claim its key."""
+    registry.by_request_id[intent.request_id] = OpenRequest(
+        account=intent.account,
+        holder=holder,
+        owner=holder,
+        reserve=intent.reserve,
+        pool=intent.pool,
+        key=intent.key,
+        repeatable=intent.repeatable,
+    )
+    if intent.key:
+        state = KeyState(intent.request_id, stamp, digest=intent.digest)
+        registry.by_account_and_key[(intent.account, intent.key)] = state
+
+
+def finish(registry: Registry, bill: Bill, stamp: int) -> OpenRequest:
+    """Close an open request; its key keeps the outcome, or is freed if it did not run."""
+    request = registry.by_request_id.pop(bill.request_id)
+    if not request.key:
+        return request
+    where = (request.account, request.key)
+    claim = registry.by_account_and_key.pop(where)
+    if bill.outcome is not Outcome.NOT_RUN:
+        state = KeyState(bill.request_id, stamp, bill.outcome, bill.answer, claim.digest)
+        registry.by_account_and_key[where] = state
+    return request
+
+
+def expire_keys(registry: Registry, before: int) -> int:
+    """Forget finished keys whose stamp is older than `before`; return how many.
+
+    Finished keys stand in the order of their stamps, so the scan ends at the first young one.
+    """
+    old = []
+    for where, state in registry.by_account_and_key.items():
+        if state.stamp >= before:
+            break
+        if state.outcome is not None:
+            old.append(where)
+    for where in old:
+        del registry.by_account_and_key[where]
+    return len(old)
--- /dev/null
+++ b/railtide/requests/replays.py
@@ -0,0 +1,36 @@
+"""Answers of finished requests with a key, kept in this router's memory for a retry."""
+
+from collections import OrderedDict
+
+from railtide.requests.messages import Answer
+
+__all__ = ["Replays"]
+
+MOST_BYTES = 8 * 1024 * 1024
+
+
+class Replays:
+    """The latest answers by account and key, bounded by their size in bytes."""
+
+    def __init__(self, most_bytes: int = MOST_BYTES) -> None:
+        self._most_bytes = most_bytes
+        self._bytes = 0
+        self._by_account_and_key: OrderedDict[tuple[str, str], tuple[int, Answer]] = OrderedDict()
+
+    def keep(self, account: str, key: str, digest: int, answer: Answer) -> None:
+        """Keep an answer, dropping the oldest beyond the bound."""
+        if len(answer.body) > self._most_bytes:
+            return
+        where = (account, key)
+        if where in self._by_account_and_key:
+            self._bytes -= len(self._by_account_and_key.pop(where)[1].body)
+        self._by_account_and_key[where] = (digest, answer)
+        self._bytes += len(answer.body)
+        while self._bytes > self._most_bytes:
+            _, (_, oldest) = self._by_account_and_key.popitem(last=False)
+            self._bytes -= len(oldest.body)
+
+    def find(self, account: str, key: str, digest: int) -> Answer | None:
+        """Return the answer of the same request, or None."""
+        kept_digest, answer = self._by_account_and_key.get((account, key), (0, None))
+        return answer if kept_digest == digest else None
--- /dev/null
+++ b/railtide/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router: takes callers' requests and answers them within their budgets."""
--- /dev/null
+++ b/railtide/router/app.py
@@ -0,0 +1,218 @@
+"""The router's HTTP side: a plain ASGI path for calls, quart for everything else.
+
+Calls and their streams go through ASGI directly, since quart's response wrapper is the largest
+cost of a stream's chunk (see docs/MEASUREMENTS.md).
+"""
+
+import msgspec
+import trio
+from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
+from opentelemetry import trace
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from railtide.errors import RailtideError
+from railtide.requests.call import AnswerSink, Call
+from railtide.requests.errors import InvalidRequest
+from railtide.router.problems import problem_headers, problem_of, problem_to_bytes
+from railtide.router.requests import (
+    CHAT_PATH,
+    SERVICES_PATH,
+    HttpRequest,
+    account_of,
+    call_of,
+)
+from railtide.router.router import Router
+from railtide.router.status import status_of
+from railtide.telemetry.spans import SpanStore, context_of
+
+__all__ = ["RouterApp", "make_app"]
+
+JSON = "application/json"
+UNAVAILABLE = 503
+_tracer = trace.get_tracer("railtide.router")
+
+
+class _AsgiSink(AnswerSink):
+    """Writes an answer as ASGI messages."""
+
+    def __init__(self, send: ASGISendCallable, request_id: str) -> None:
+        self._send = send
+        self._request_id = request_id.encode()
+
+    async def start(self, status: int, content_type: str) -> None:
+        headers = [
+            (b"content-type", content_type.encode()),
+            (b"x-request-id", self._request_id),
+        ]
+        self.started = True
+        await self._send({"type": "http.response.start", "status": status, "headers": headers})
+
+    async def write(self, data: bytes) -> None:
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self) -> None:
+        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
+
+
+class RouterApp:
+    """The ASGI application.
+
+    Parameters
+    ----------
+    router : Router
+    pages : QuartTrio
+        Serves what is not a call.
+    """
+
+    def __init__(self, router: Router, pages: QuartTrio) -> None:
+        self._router = router
+        self._pages = pages
+
+    async def __call__(
+        self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "http" and scope["path"].startswith((CHAT_PATH, SERVICES_PATH)):
+            await self._serve_call(scope, receive, send)
+        else:
+            await self._pages(scope, receive, send)
+
+    async def _serve_call(
+        self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        headers = {name.decode(): value.decode("latin-1") for name, value in scope["headers"]}
+        context = context_of(headers.get("traceparent", ""))
+        with _tracer.start_as_current_span("router.call", context) as span:
+            sink = _AsgiSink(send, "")
+            try:
+                body = await self._read_body(receive)
+                call = self._call(scope, headers, body)
+                span.set_attribute("railtide.request_id", call.request_id)
+                sink = _AsgiSink(send, call.request_id)
+                await self._run(call, sink, receive)
+            except RailtideError as err:
+                span.set_attribute("railtide.code", err.code)
+                await self._answer_error(err, sink, send, headers)
+
+    async def _read_body(self, receive: ASGIReceiveCallable) -> bytes:
+        body = bytearray()
+        while True:
+            message = await receive()
+            if message["type"] != "http.request":
+                raise InvalidRequest("the caller went away before its request was whole")
+            body += message.get("body", b"")
+            if len(body) > self._router.options.most_body_bytes:
+                raise InvalidRequest("the request body is too large")
+            if not message.get("more_body", False):
+                return bytes(body)
+
+    def _call(self, scope: Scope, headers: dict[str, str], body: bytes) -> Call:
+        self._router.check_ready()
+        query = scope["query_string"].decode("latin-1")
+        asked = HttpRequest(scope["method"], scope["path"], query, headers, body)
+        return call_of(asked, self._router.directory, self._router.options)
+
+    async def _run(self, call: Call, sink: _AsgiSink, receive: ASGIReceiveCallable) -> None:
+        """Serve the call; a caller without a key that goes away ends it."""
+        failure: RailtideError | None = None
+        async with trio.open_nursery() as nursery:
+            if not call.key and call.repeatable:
+                nursery.start_soon(_cancel_when_gone, receive, nursery.cancel_scope)
+            try:
+                await self._router.serve(call, sink)
+            except RailtideError as err:
+                failure = err
+            nursery.cancel_scope.cancel()
+        if failure:
+            raise failure
+
+    async def _answer_error(
+        self,
+        err: RailtideError,
+        sink: _AsgiSink,
+        send: ASGISendCallable,
+        headers: dict[str, str],
+    ) -> None:
+        self._router.counters.add(f"errors_{err.code.replace('-', '_')}")
+        problem = problem_of(err, self._other_addresses(headers))
+        if sink.started:
+            await sink.write(b"event: error\ndata: " + problem_to_bytes(problem) + b"\n\n")
+            await sink.finish()
+            return
+        await send(
+            {
+                "type": "http.response.start",
+                "status": problem.status,
+                "headers": problem_headers(problem),
+            }
+        )
+        await send({"type": "http.response.body", "body": problem_to_bytes(problem)})
+
+    def _other_addresses(self, headers: dict[str, str]) -> list[str]:
+        """Return where else the caller may go, while this router is leaving."""
+        if not self._router.draining:
+            return []
+        try:
+            account = account_of(HttpRequest("GET", "", headers=headers), self._router.directory)
+        except RailtideError:
+            return []
+        return [entrance.address for entrance in self._router.addresses(account)]
+
+
+async def _cancel_when_gone(receive: ASGIReceiveCallable, scope: trio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+def make_app(router: Router, spans: SpanStore | None = None) -> RouterApp:
+    """Return the application of a router."""
+    pages = QuartTrio("railtide.router")
+
+    @pages.errorhandler(RailtideError)
+    async def on_error(err: RailtideError) -> Response:
+        problem = problem_of(err)
+        answer = Response(problem_to_bytes(problem), problem.status)
+        for name, value in problem_headers(problem):
+            answer.headers[name.decode()] = value.decode()
+        return answer
+
+    @pages.get("/v1/addresses")
+    async def addresses() -> Response:
+        router.check_ready()
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        account = account_of(HttpRequest("GET", "", headers=headers), router.directory)
+        return _json(
+            {
+                "addresses": [e.address for e in router.addresses(account)],
+                "keep_s": router.options.address_ttl_s,
+            }
+        )
+
+    @pages.get("/healthz")
+    async def healthz() -> Response:
+        return _json({"ok": True})
+
+    @pages.get("/readyz")
+    async def readyz() -> Response:
+        return _json({"ready": router.ready}, 200 if router.ready else UNAVAILABLE)
+
+    @pages.get("/metrics")
+    async def metrics() -> Response:
+        return Response(generate_latest(), content_type=CONTENT_TYPE_LATEST)
+
+    @pages.get("/admin/status")
+    async def status() -> Response:
+        return Response(msgspec.json.encode(status_of(router)), content_type=JSON)
+
+    @pages.get("/admin/traces/<trace_id>")
+    async def traces(trace_id: str) -> Response:
+        return _json({"spans": spans.spans_of(trace_id) if spans else []})
+
+    return RouterApp(router, pages)
+
+
+def _json(body: dict[str, object], status: int = 200) -> Response:
+    return Response(msgspec.json.encode(body), status, content_type=JSON)
--- /dev/null
+++ b/railtide/router/program.py
@@ -0,0 +1,125 @@
+"""The program `railtide-router`."""
+
+from functools import partial
+
+import trio
+import trio.lowlevel
+from pydantic import BaseModel, Field
+
+from railtide.membership.identity import Identity
+from railtide.process import announce, new_incarnation, new_rng, wait_for_stop
+from railtide.router.app import make_app
+from railtide.router.options import RouterOptions
+from railtide.router.router import Router
+from railtide.serving import Bind, bind_socket, serve_http
+from railtide.settings import checked, endpoint, run_program
+from railtide.telemetry.logs import set_up_logs
+from railtide.telemetry.meters import observe, set_up_meters
+from railtide.telemetry.spans import set_up_spans
+from railtide.upstreams.client import HttpUpstreams
+from railtide.wire.links import connect_tcp
+
+__all__ = ["RouterSettings", "main", "router"]
+
+PREFIX = "RAILTIDE_ROUTER"
+GRACEFUL_S = 5.0
+
+
+class RouterSettings(BaseModel):
+    """Checked settings of a router."""
+
+    instance: str = Field(min_length=1, max_length=64)
+    failure_domain: str = Field(min_length=1, max_length=64)
+    heartbeat_s: float = Field(gt=0, le=60)
+    address_ttl_s: float = Field(ge=0, le=300)
+    drain_s: float = Field(ge=0, le=3600)
+    load_interval_s: float = Field(gt=0, le=60)
+    trace_ratio: float = Field(ge=0, le=1)
+
+
+def router(
+    *,
+    instance: str,
+    failure_domain: str,
+    keepers: str,
+    bind: str = "127.0.0.1:0",
+    heartbeat_s: float = 3.0,
+    address_ttl_s: float = 5.0,
+    drain_s: float = 60.0,
+    load_interval_s: float = 0.5,
+    trace_ratio: float = 0.01,
+    log_level: str = "INFO",
+) -> None:
+    """Take callers' requests and answer them within their prepaid budgets.
+
+    Every flag can be given in the environment as RAILTIDE_ROUTER_<FLAG>; the flag goes first.
+    SIGTERM begins a graceful shutdown.
+
+    :param instance: name of this instance in the platform's list
+    :param failure_domain: failure domain of this instance
+    :param keepers: host:port of keepers, comma separated; the one on this instance first
+    :param bind: host:port to listen on; port 0 lets the system choose
+    :param heartbeat_s: longest silence in the log, seconds; below a third of the keepers' lease
+    :param address_ttl_s: how long callers may keep an address answer, seconds
+    :param drain_s: longest wait for open requests at a shutdown, seconds
+    :param load_interval_s: time between two looks at the upstreams' load, seconds
+    :param trace_ratio: share of requests traced when the caller does not decide, 0 to 1
+    :param log_level: least level of log lines
+    """
+    settings = checked(
+        RouterSettings,
+        instance=instance,
+        failure_domain=failure_domain,
+        heartbeat_s=heartbeat_s,
+        address_ttl_s=address_ttl_s,
+        drain_s=drain_s,
+        load_interval_s=load_interval_s,
+        trace_ratio=trace_ratio,
+    )
+    ends = [endpoint(text.strip()) for text in keepers.split(",")]
+    host, port = endpoint(bind)
+    set_up_logs(f"router/{instance}", log_level)
+    trio.run(_run, settings, ends, bind_socket(host, port))
+
+
+async def _run(settings: RouterSettings, keepers: list[tuple[str, int]], bind: Bind) -> None:
+    service = f"railtide-router/{settings.instance}"
+    set_up_meters(service)
+    spans = set_up_spans(service, settings.trace_ratio)
+    made = _make_router(settings, keepers, bind)
+    observe("open_calls", "1", lambda: float(made.open_calls))
+    observe("log_reachable", "1", lambda: float(made.uplink.log_reachable))
+    observe("staleness", "s", lambda: min(made.staleness(), 1e9))
+    stopped = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(made.run)
+        nursery.start_soon(
+            partial(serve_http, make_app(made, spans), bind, stopped.wait, GRACEFUL_S)
+        )
+        announce({"http": bind.address})
+        await wait_for_stop()
+        await made.drain()
+        stopped.set()
+        await trio.lowlevel.checkpoint()
+        nursery.cancel_scope.deadline = trio.current_time() + GRACEFUL_S
+
+
+def _make_router(settings: RouterSettings, keepers: list[tuple[str, int]], bind: Bind) -> Router:
+    identity = Identity(settings.instance, settings.failure_domain, bind.address, new_incarnation())
+    options = RouterOptions(
+        heartbeat_s=settings.heartbeat_s,
+        address_ttl_s=settings.address_ttl_s,
+        drain_s=settings.drain_s,
+        load_interval_s=settings.load_interval_s,
+    )
+    connects = [partial(connect_tcp, host, port) for host, port in keepers]
+    return Router(identity, connects, HttpUpstreams(), options, new_rng())
+
+
+def main() -> None:
+    """Run the program."""
+    run_program(router, PREFIX)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/railtide/router/router.py
@@ -0,0 +1,293 @@
+"""The router: its parts put together, and its life from start to a graceful shutdown."""
+
+from random import Random
+
+import trio
+from loguru import logger
+
+from railtide.budgets.treasury import Epoch, Treasury
+from railtide.configuration.directory import Directory
+from railtide.configuration.errors import StaleConfiguration
+from railtide.configuration.messages import Kind
+from railtide.configuration.models import AccountSettings, ModelBody, ServiceBody
+from railtide.journal.writer import Writer
+from railtide.lanes.scheduler import PoolScheduler
+from railtide.membership.addresses import Entrance, addresses_for
+from railtide.membership.identity import Identity, Role
+from railtide.membership.instances import Instance, InstanceState
+from railtide.membership.messages import Close, Heartbeat, Leaving, Open
+from railtide.requests.call import AnswerSink, Call, Prices
+from railtide.requests.dispatcher import Dispatcher
+from railtide.requests.recovery import Recovery
+from railtide.requests.replays import Replays
+from railtide.requests.retry import RetryBudget
+from railtide.requests.services import Services
+from railtide.router.errors import BacklogFull, Draining, NotReady
+from railtide.router.options import RouterOptions
+from railtide.router.uplink import Uplink
+from railtide.telemetry.counters import Counters
+from railtide.upstreams.choice import PrefixAffinity, TwoChoices
+from railtide.upstreams.client import UpstreamClient
+from railtide.upstreams.errors import UpstreamError
+from railtide.wire.links import Connect
+from railtide.wire.messages import (
+    DemandMessage,
+    LogStatusMessage,
+    MembersMessage,
+    Message,
+    ObjectMessage,
+    OrphanMessage,
+    VerdictMessage,
+)
+
+__all__ = ["Router"]
+
+SOON_S = 1.0
+DRAIN_TICK_S = 0.05
+UPSTREAM_ROLES = (Role.ENGINE, Role.SERVICE)
+
+
+class Router:
+    """One router process.
+
+    Parameters
+    ----------
+    identity : Identity
+    keepers : list of callable
+        How to connect to keepers, in order of preference.
+    upstreams : UpstreamClient
+    options : RouterOptions
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        keepers: list[Connect],
+        upstreams: UpstreamClient,
+        options: RouterOptions,
+        rng: Random,
+    ) -> None:
+        self.identity = identity
+        self.options = options
+        self.counters = Counters()
+        self.directory = Directory()
+        self.draining = False
+        self.open_calls = 0
+        self.uplink = Uplink(keepers, self._on_message, rng)
+        self._rng = rng
+        self._upstreams = upstreams
+        self._epochs = 0
+        self._members: list[Instance] = []
+        self.schedulers_by_pool: dict[str, PoolScheduler] = {}
+        self._fresh_at: float | None = None
+        self._nursery: trio.Nursery | None = None
+        self._epoch_by_holder: dict[str, Epoch] = {}
+        self.treasury = Treasury(self._open_epoch, self._log_reachable, self._holders)
+        self._services = Services(
+            upstreams,
+            options.requests,
+            RetryBudget(),
+            Replays(),
+            self.counters,
+            self._log_reachable,
+            self._cancel_soon,
+        )
+        self._dispatcher = Dispatcher(self.treasury, self.schedulers_by_pool.get, self._services)
+        self._recovery = Recovery(
+            self.treasury,
+            self.schedulers_by_pool.get,
+            self._prices_of,
+            upstreams,
+            options.requests,
+            self.counters,
+        )
+
+    # -- life ---------------------------------------------------------------------------------
+
+    @property
+    def ready(self) -> bool:
+        """True once the keeper has caught up with the log and this router is known there."""
+        return self._fresh_at is not None and not self.draining
+
+    async def run(self) -> None:
+        """Run all duties until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self.uplink.run)
+            nursery.start_soon(self.treasury.run)
+            nursery.start_soon(self._run_heartbeats)
+            nursery.start_soon(self._run_loads)
+
+    async def drain(self) -> None:
+        """Leave: be named to no caller, finish what is open, give back, close."""
+        logger.info("draining")
+        if self.treasury.epoch is None:
+            self.draining = True
+            return
+        self.treasury.epoch.writer.submit(Leaving())
+        await self._sleep_while_named()
+        self.draining = True
+        with trio.move_on_after(self.options.drain_s):
+            while self.open_calls:
+                await trio.sleep(DRAIN_TICK_S)
+        self.treasury.give_back_all()
+        closing = self.treasury.epoch.writer.submit(Close())
+        await closing.wait_at_most(self.options.address_ttl_s)
+        logger.info("drained; {} requests left open", self.open_calls)
+
+    async def _sleep_while_named(self) -> None:
+        """Serve on while callers may hold an answer that names this router."""
+        await trio.sleep(self.options.address_ttl_s)
+
+    async def _run_heartbeats(self) -> None:
+        while True:
+            await trio.sleep(self.options.heartbeat_s)
+            epoch = self.treasury.epoch
+            if epoch and not epoch.writer.pending():
+                epoch.writer.submit(Heartbeat())
+
+    async def _run_loads(self) -> None:
+        while True:
+            await trio.sleep(self.options.load_interval_s)
+            async with trio.open_nursery() as nursery:
+                for scheduler in list(self.schedulers_by_pool.values()):
+                    for upstream in list(scheduler.by_name.values()):
+                        nursery.start_soon(self._read_load, scheduler, upstream.instance)
+
+    async def _read_load(self, scheduler: PoolScheduler, instance: Instance) -> None:
+        try:
+            report = await self._upstreams.load(instance)
+        except UpstreamError:
+            self.counters.add("load_reports_missed")
+            return
+        scheduler.take_report(instance.name, report)
+
+    # -- serving ------------------------------------------------------------------------------
+
+    async def serve(self, call: Call, sink: AnswerSink) -> None:
+        """Answer a call; see `Dispatcher.serve`."""
+        self._check_open(call)
+        self.open_calls += 1
+        try:
+            await self._dispatcher.serve(call, sink)
+            self.counters.add("requests_done")
+        finally:
+            self.open_calls -= 1
+
+    def check_ready(self) -> None:
+        """Raise `Draining` or `NotReady` unless new requests are taken."""
+        if self.draining:
+            raise Draining("this router is leaving; use another address", retry_after=0)
+        if self._fresh_at is None:
+            raise NotReady("this router has not caught up with the log", retry_after=SOON_S)
+
+    def _check_open(self, call: Call) -> None:
+        self.check_ready()
+        most_stale = call.settings.max_stale_s
+        if most_stale and self.staleness() > most_stale:
+            raise StaleConfiguration(
+                "this router is cut off for longer than the account allows", retry_after=SOON_S
+            )
+        if self.treasury.epoch.writer.pending_bytes > self.options.pending_bytes:
+            raise BacklogFull("too many entries wait for the log", retry_after=SOON_S)
+
+    def staleness(self) -> float:
+        """Return how long ago the configuration was known to be fresh, seconds."""
+        if self._fresh_at is None:
+            return float("inf")
+        return trio.current_time() - self._fresh_at
+
+    def addresses(self, account: str) -> list[Entrance]:
+        """Return the routers that callers of an account are to use now."""
+        settings = self.directory.settings(account) or AccountSettings()
+        return addresses_for(account, self._entrances(), settings.entrances)
+
+    def _entrances(self) -> list[Entrance]:
+        return [
+            Entrance(member.name, member.address, member.failure_domain)
+            for member in self._members
+            if member.role == Role.ROUTER and member.state is InstanceState.LIVE
+        ]
+
+    # -- what the parts ask -------------------------------------------------------------------
+
+    def _log_reachable(self) -> bool:
+        return self.uplink.log_reachable
+
+    def _holders(self, settings: AccountSettings) -> int:
+        return max(1, min(settings.entrances, len(self._entrances())))
+
+    def _prices_of(self, pool: str) -> Prices:
+        for body in self.directory.bodies(Kind.MODEL):
+            if isinstance(body, ModelBody) and body.pool == pool:
+                return Prices(token_in=body.price_in, token_out=body.price_out)
+        for body in self.directory.bodies(Kind.SERVICE):
+            if isinstance(body, ServiceBody) and body.pool == pool:
+                return Prices(call=body.price)
+        return Prices()
+
+    def _cancel_soon(self, instance: Instance, request_id: str) -> None:
+        if self._nursery:
+            self._nursery.start_soon(self._upstreams.cancel, instance, request_id)
+
+    def _open_epoch(self) -> Epoch:
+        who = self.identity
+        since = self.uplink.status.stamp
+        self._epochs += 1
+        holder = who.holder(Role.ROUTER, self._epochs)
+        writer = Writer(holder, self.uplink.send)
+        self.uplink.add_writer(writer)
+        epoch = Epoch(writer)
+        self._epoch_by_holder[holder] = epoch
+        writer.submit(Open(who.instance, who.failure_domain, who.address, Role.ROUTER, since))
+        return epoch
+
+    # -- messages of the keeper ---------------------------------------------------------------
+
+    def _on_message(self, message: Message) -> None:
+        match message:
+            case VerdictMessage():
+                self._on_verdict(message)
+            case ObjectMessage():
+                self.directory.put(message.kind, message.name, message.version, message.body)
+            case MembersMessage():
+                self._on_members(message)
+            case DemandMessage():
+                self.treasury.give_back(message.account)
+            case LogStatusMessage():
+                self._on_status(message)
+            case OrphanMessage():
+                self._nursery.start_soon(self._recovery.recover, message)
+
+    def _on_verdict(self, message: VerdictMessage) -> None:
+        epoch = self._epoch_by_holder.get(message.holder)
+        if epoch is None:
+            return
+        ticket = epoch.writer.take_verdict(message.verdict)
+        if ticket:
+            self.treasury.take_ticket(epoch, ticket)
+        if epoch.writer.closed and not epoch.writer.pending():
+            del self._epoch_by_holder[message.holder]
+
+    def _on_status(self, message: LogStatusMessage) -> None:
+        if message.reachable and message.caught_up:
+            self._fresh_at = trio.current_time()
+            self.treasury.begin()
+
+    def _on_members(self, message: MembersMessage) -> None:
+        self._members = message.instances
+        by_pool: dict[str, list[Instance]] = {}
+        for instance in message.instances:
+            if instance.role in UPSTREAM_ROLES:
+                by_pool.setdefault(instance.pool, []).append(instance)
+        for pool in by_pool.keys() | self.schedulers_by_pool.keys():
+            self._scheduler(pool).set_upstreams(by_pool.get(pool, []))
+
+    def _scheduler(self, pool: str) -> PoolScheduler:
+        if pool not in self.schedulers_by_pool:
+            choice = PrefixAffinity(TwoChoices(self._rng))
+            self.schedulers_by_pool[pool] = PoolScheduler(
+                choice, None, self.options.urgent_share, self.options.most_waiting
+            )
+        return self.schedulers_by_pool[pool]
--- /dev/null
+++ b/railtide/settings.py
@@ -0,0 +1,124 @@
+"""Settings of the programs: flags, environment variables, checks, exit codes.
+
+A flag ``--lease-s`` of `railtide-keeper` is also ``RAILTIDE_KEEPER_LEASE_S`` in the environment;
+the flag goes first.
+"""
+
+import inspect
+import os
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from typing import TypeVar
+
+import defopt
+from pydantic import BaseModel, ValidationError
+
+from railtide.errors import RailtideError
+
+__all__ = ["EXIT_FAILED", "EXIT_SETTINGS", "InvalidSetting", "checked", "endpoint", "run_program"]
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+MOST_PORT = 65_535
+
+Settings = TypeVar("Settings", bound=BaseModel)
+
+
+class InvalidSetting(RailtideError):
+    """A setting is missing or out of its bounds."""
+
+    code = "invalid-setting"
+
+
+def checked(model: type[Settings], **values: object) -> Settings:
+    """Return validated settings.
+
+    Raises
+    ------
+    InvalidSetting
+        Names the flag and what is allowed.
+    """
+    try:
+        return model(**values)
+    except ValidationError as err:
+        problem = err.errors()[0]
+        flag = "--" + str(problem["loc"][0]).replace("_", "-") if problem["loc"] else "settings"
+        raise InvalidSetting(f"{flag}: {problem['msg']}, not {problem['input']!r}") from err
+
+
+def endpoint(text: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``.
+
+    Raises
+    ------
+    InvalidSetting
+        If the text is not of that form.
+
+    Examples
+    --------
+    >>> endpoint("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > MOST_PORT:
+        raise InvalidSetting(f"{text!r} is not host:port with a port from 0 to {MOST_PORT}")
+    return host, int(port)
+
+
+def flags_from_environment(
+    function: Callable[..., object], prefix: str, environment: Mapping[str, str]
+) -> list[str]:
+    """Return the flags that the environment sets for a function's parameters.
+
+    Examples
+    --------
+    >>> def main(*, lease_s: float): ...
+    >>> flags_from_environment(main, "RAILTIDE_KEEPER", {"RAILTIDE_KEEPER_LEASE_S": "3"})
+    ['--lease-s', '3']
+    """
+    flags: list[str] = []
+    for name, parameter in inspect.signature(function).parameters.items():
+        value = environment.get(f"{prefix}_{name}".upper())
+        if parameter.kind is parameter.KEYWORD_ONLY and value is not None:
+            flags += ["--" + name.replace("_", "-"), value]
+    return flags
+
+
+def run_program(
+    functions: Callable[..., object] | Sequence[Callable[..., object]],
+    prefix: str,
+    argv: list[str] | None = None,
+) -> object:
+    """Run a command line, ending the process with an exit code on a railtide error.
+
+    Parameters
+    ----------
+    functions : callable or sequence of callable
+        One command, or several that are named by the first argument.
+    prefix : str
+        Of the environment variables.
+    argv : list of str, optional
+        The command line without the program's name.
+    """
+    argv = list(sys.argv[1:] if argv is None else argv)
+    if callable(functions):
+        argv = flags_from_environment(functions, prefix, os.environ) + argv
+    else:
+        argv = _with_command_flags(functions, prefix, argv)
+    try:
+        return defopt.run(functions, argv=argv, cli_options="has_default")
+    except InvalidSetting as err:
+        print(f"{err.code}: {err.detail}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    except RailtideError as err:
+        print(f"{err.code}: {err.detail}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+
+
+def _with_command_flags(
+    functions: Sequence[Callable[..., object]], prefix: str, argv: list[str]
+) -> list[str]:
+    by_name = {function.__name__.replace("_", "-"): function for function in functions}
+    if not argv or argv[0] not in by_name:
+        return argv
+    return [argv[0], *flags_from_environment(by_name[argv[0]], prefix, os.environ), *argv[1:]]
--- /dev/null
+++ b/railtide/standins/faults.py
@@ -0,0 +1,69 @@
+"""Faults that a stand-in commits when told to."""
+
+from enum import StrEnum
+
+import msgspec
+
+__all__ = ["Fault", "FaultKind", "Faults"]
+
+
+class FaultKind(StrEnum):
+    """What goes wrong.
+
+    Attributes
+    ----------
+    SLOW
+        Answers only after `seconds`.
+    DOWN
+        Fails without any effect, and doesn't say so.
+    REFUSE
+        Fails without any effect and says so.
+    LOST
+        Takes effect and then fails.
+    TRUNCATE
+        Breaks the answer off in the middle.
+    CROSS
+        Answers with another request's id.
+    REPEAT
+        Sends each part of the answer twice.
+    """
+
+    SLOW = "slow"
+    DOWN = "down"
+    REFUSE = "refuse"
+    LOST = "lost"
+    TRUNCATE = "truncate"
+    CROSS = "cross"
+    REPEAT = "repeat"
+
+
+class Fault(msgspec.Struct):
+    """A fault, for the next `count` calls (-1 for all) of the kind `only` ("" for any)."""
+
+    kind: FaultKind
+    count: int = -1
+    seconds: float = 0.0
+    only: str = ""
+
+
+class Faults:
+    """The faults set on one stand-in."""
+
+    def __init__(self) -> None:
+        self._faults: list[Fault] = []
+
+    def set(self, fault: Fault) -> None:
+        """Add a fault."""
+        self._faults.append(fault)
+
+    def clear(self) -> None:
+        """Remove all faults."""
+        self._faults.clear()
+
+    def take(self, kind: FaultKind, what: str = "") -> Fault | None:
+        """Return the fault of this kind that strikes the call now, or None."""
+        for fault in self._faults:
+            if fault.kind is kind and fault.only in ("", what) and fault.count != 0:
+                fault.count -= 1 if fault.count > 0 else 0
+                return fault
+        return None
--- /dev/null
+++ b/railtide/standins/program.py
@@ -0,0 +1,89 @@
+"""The program `railtide-standin`: one stand-in as a process, for tests and trials."""
+
+import time
+from collections.abc import Awaitable, Callable
+
+import trio
+from quart_trio import QuartTrio
+
+from railtide.process import announce, wait_for_stop
+from railtide.serving import bind_socket, serve_http
+from railtide.settings import endpoint, run_program
+from railtide.standins.engine import Engine, make_engine_app
+from railtide.standins.faults import Faults
+from railtide.standins.instances import InstanceStore, make_instances_app
+from railtide.standins.log import MOST_RECORDS, LogStore, make_log_app
+from railtide.standins.service import PlainService, make_service_app
+
+__all__ = ["engine", "instances", "log", "main", "service"]
+
+PREFIX = "RAILTIDE_STANDIN"
+MS = 1000
+
+
+def now_ms() -> int:
+    """Return the machine's time in milliseconds."""
+    return int(time.time() * MS)
+
+
+def log(*, bind: str = "127.0.0.1:0", most_records: int = MOST_RECORDS) -> None:
+    """Serve the append-only log.
+
+    :param bind: host:port to listen on
+    :param most_records: records kept of each stream
+    """
+    store = LogStore(now_ms, most_records)
+    _serve(make_log_app(store, Faults()), bind)
+
+
+def instances(*, bind: str = "127.0.0.1:0", lag_s: float = 0.0) -> None:
+    """Serve the instance list.
+
+    :param bind: host:port to listen on
+    :param lag_s: age of the list that is answered, seconds
+    """
+    _serve(make_instances_app(InstanceStore(lag_s), Faults()), bind)
+
+
+def engine(*, bind: str = "127.0.0.1:0", token_s: float = 0.01, batch: int = 32) -> None:
+    """Serve a model engine.
+
+    :param bind: host:port to listen on
+    :param token_s: seconds a token
+    :param batch: most requests generating at once
+    """
+    made = Engine(token_s, batch)
+    _serve(make_engine_app(made, Faults()), bind, made.run)
+
+
+def service(*, bind: str = "127.0.0.1:0", work_s: float = 0.005) -> None:
+    """Serve a plain service.
+
+    :param bind: host:port to listen on
+    :param work_s: seconds a call
+    """
+    _serve(make_service_app(PlainService(work_s), Faults()), bind)
+
+
+def _serve(app: QuartTrio, bind: str, work: Callable[[], Awaitable[None]] | None = None) -> None:
+    bound = bind_socket(*endpoint(bind))
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_http, app, bound)
+            if work:
+                nursery.start_soon(work)
+            announce({"http": bound.address})
+            await wait_for_stop()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def main() -> None:
+    """Run the program."""
+    run_program([log, instances, engine, service], PREFIX)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/railtide/standins/service.py
@@ -0,0 +1,122 @@
+"""Stand-in for a plain service: echoes, counts what it ran, and remembers recent request ids."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import msgspec
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from railtide.standins.faults import FaultKind, Faults
+from railtide.standins.log import add_fault_routes
+from railtide.upstreams.client import PastRun, RunState
+
+__all__ = ["PlainService", "ServiceRun", "make_service_app"]
+
+JSON = "application/json"
+NOT_RUN = {"x-run": "not-run"}
+OTHER_ID = "rt-somebody-elses"
+MOST_RUNS = 200_000
+
+
+@dataclass
+class ServiceRun:
+    """One request and how often it took effect."""
+
+    request_id: str
+    path: str
+    body: str
+    times: int = 0
+
+
+class PlainService:
+    """Runs calls, each taking `work_s` seconds."""
+
+    def __init__(self, work_s: float = 0.005) -> None:
+        self.work_s = work_s
+        self.leaving = False
+        self.running = 0
+        self.runs_by_id: OrderedDict[str, ServiceRun] = OrderedDict()
+
+    async def call(self, request_id: str, path: str, body: str) -> bytes:
+        """Take effect and return the answer."""
+        self.running += 1
+        try:
+            await trio.sleep(self.work_s)
+        finally:
+            self.running -= 1
+        run = self.runs_by_id.setdefault(request_id, ServiceRun(request_id, path, body))
+        run.times += 1
+        if len(self.runs_by_id) > MOST_RUNS:
+            self.runs_by_id.popitem(last=False)
+        return self.answer(run)
+
+    @staticmethod
+    def answer(run: ServiceRun) -> bytes:
+        """Return the answer to a request that ran."""
+        return msgspec.json.encode({"id": run.request_id, "path": run.path, "echo": run.body})
+
+
+def make_service_app(service: PlainService, faults: Faults) -> QuartTrio:
+    """Return the service's HTTP application."""
+    app = QuartTrio("railtide.standins.service")
+
+    _add_state_routes(app, service)
+    add_fault_routes(app, faults)
+
+    @app.route("/<path:path>", methods=["GET", "POST", "PUT", "PATCH", "DELETE"])
+    async def call(path: str) -> Response:
+        slow = faults.take(FaultKind.SLOW)
+        if slow:
+            await trio.sleep(slow.seconds)
+        if faults.take(FaultKind.DOWN):
+            return Response("down", 500)
+        if faults.take(FaultKind.REFUSE) or service.leaving:
+            return Response("refused", 503, headers=NOT_RUN)
+        request_id = request.headers["x-request-id"]
+        body = await service.call(request_id, path, (await request.get_data()).decode())
+        if faults.take(FaultKind.LOST):
+            return Response("lost", 500)
+        answer_id = OTHER_ID if faults.take(FaultKind.CROSS) else request_id
+        return Response(body, content_type=JSON, headers={"x-request-id": answer_id})
+
+    return app
+
+
+def _add_state_routes(app: QuartTrio, service: PlainService) -> None:
+    """Add the routes that are not calls."""
+
+    @app.get("/v1/load")
+    async def load() -> Response:
+        return _json({"running": service.running, "queued": 0, "leaving": service.leaving})
+
+    @app.get("/v1/requests/<request_id>")
+    async def past_run(request_id: str) -> Response:
+        run = service.runs_by_id.get(request_id)
+        if run is None:
+            return _json(PastRun(RunState.UNKNOWN))
+        return _json(PastRun(RunState.DONE, 200, JSON, service.answer(run).decode()))
+
+    @app.delete("/v1/requests/<request_id>")
+    async def cancel(request_id: str) -> Response:
+        return _json({})
+
+    @app.post("/leave")
+    async def leave() -> Response:
+        service.leaving = True
+        return _json({})
+
+    @app.get("/runs")
+    async def runs() -> Response:
+        """Tell what truly ran, for tests."""
+        return _json(
+            [
+                {"request_id": run.request_id, "path": run.path, "times": run.times}
+                for run in service.runs_by_id.values()
+            ]
+        )
+
+
+def _json(body: object) -> Response:
+    return Response(msgspec.json.encode(body), content_type=JSON)
--- /dev/null
+++ b/railtide/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Telemetry: counters, spans and structured logs."""
--- /dev/null
+++ b/railtide/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: engines and plain services, their load, and how they are called."""
--- /dev/null
+++ b/railtide/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between railtide's own processes and the links that carry them."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole: processes, the fault matrix, mutants."""
