Used upstream work never exceeds the budget; a settled request is not answered

Ruled out: charging the caller for lost tries (billed twice for one request). Change: tries extend the reserve in the log (Extend), bills carry what was wasted, a holder may count waste (Waste); the fold remembers how adopters settled, and an answer settled as not run elsewhere is withheld.

--- a/railtide/budgets/balance.py
+++ b/railtide/budgets/balance.py
@@ -14,6 +14,7 @@
     "open_reserve",
     "settle",
     "stranded",
+    "waste",
 ]
 
 
@@ -41,16 +42,21 @@
 
 @dataclass
 class Balance:
-    """A budget: what was paid in, what was billed, and who holds the rest."""
+    """A budget: what was paid in, billed, used without a bill, and who holds the rest.
+
+    `wasted` counts upstream work whose answer never came; it is not billed to the caller, but it
+    was used, so it can't be spent again.
+    """
 
     topped_up: int = 0
     billed: int = 0
+    wasted: int = 0
     by_holder: dict[str, Holding] = field(default_factory=dict)
     top_up_ids: dict[str, None] = field(default_factory=dict)
 
 
 def available(balance: Balance) -> int:
-    """Return the units that are neither billed nor in any hand.
+    """Return the units that are neither billed, wasted nor in any hand.
 
     Examples
     --------
@@ -58,7 +64,7 @@
     50
     """
     held = sum(holding.remaining for holding in balance.by_holder.values())
-    return balance.topped_up - balance.billed - held
+    return balance.topped_up - balance.billed - balance.wasted - held
 
 
 def grant(balance: Balance, holder: str, amount: int, exposure: int) -> bool:
@@ -113,8 +119,8 @@
     return True
 
 
-def settle(balance: Balance, holder: str, reserve: int, cost: int) -> int:
-    """Bill `cost` (at most `reserve`) from a reserve and end that reserve.
+def settle(balance: Balance, holder: str, reserve: int, cost: int, wasted: int = 0) -> int:
+    """Bill `cost` and count `wasted` (together at most `reserve`), and end that reserve.
 
     Returns
     -------
@@ -131,12 +137,25 @@
     """
     holding = balance.by_holder[holder]
     billed = min(cost, reserve)
+    lost = min(wasted, reserve - billed)
     holding.reserved -= reserve
-    holding.remaining -= billed
+    holding.remaining -= billed + lost
     balance.billed += billed
+    balance.wasted += lost
     return billed
 
 
+def waste(balance: Balance, holder: str, amount: int) -> int:
+    """Count units of a holding as used without a bill; return how many it had to give."""
+    holding = balance.by_holder.get(holder)
+    if holding is None:
+        return 0
+    lost = min(amount, holding.remaining - holding.reserved)
+    holding.remaining -= lost
+    balance.wasted += lost
+    return lost
+
+
 def fence_holding(balance: Balance, holder: str) -> int:
     """End a holding, keeping back all that its holder may still spend.
 
--- a/railtide/budgets/hand.py
+++ b/railtide/budgets/hand.py
@@ -40,9 +40,9 @@
     return True
 
 
-def settle_reserve(hand: Hand, amount: int, cost: int) -> int:
-    """End a reserve at its cost, at most the reserve; return the units spent."""
-    spent = min(cost, amount)
+def settle_reserve(hand: Hand, amount: int, used: int) -> int:
+    """End a reserve at what was used, at most the reserve; return the units spent."""
+    spent = min(used, amount)
     hand.reserved -= amount
     hand.spent += spent
     return spent
--- a/railtide/budgets/messages.py
+++ b/railtide/budgets/messages.py
@@ -4,7 +4,7 @@
 
 from msgspec import Meta, Struct
 
-__all__ = ["Amount", "Fence", "Grant", "Release", "Return", "TopUp"]
+__all__ = ["Amount", "Fence", "Grant", "Release", "Return", "TopUp", "Waste"]
 
 Amount = Annotated[int, Meta(ge=0)]
 
@@ -46,3 +46,10 @@
     """An operator's word that a fenced holder is dead: its withheld units go back."""
 
     holder: str
+
+
+class Waste(Struct, frozen=True, array_like=True, tag=15):
+    """Units of the writer's hand that upstream work used and no bill covers."""
+
+    account: str
+    amount: Amount
--- a/railtide/budgets/treasury.py
+++ b/railtide/budgets/treasury.py
@@ -68,7 +68,7 @@
         self.epoch = epoch
         self.account = account
         self.amount = amount
-        self._exposed = False
+        self._exposed = 0
         self._settled = False
         epoch.open_reservations += 1
 
@@ -76,27 +76,34 @@
     def _hand(self) -> Hand:
         return self.epoch.hand(self.account)
 
-    def try_expose(self) -> bool:
-        """Claim the right to dispatch before the intent is durable, if the limit allows it."""
-        if not can_expose(self._hand, self.amount):
+    def extend(self, amount: int) -> bool:
+        """Reserve more units for another try; False if they are not in hand."""
+        if self.epoch.writer.fenced or not reserve(self._hand, amount):
             return False
-        expose(self._hand, self.amount)
-        self._exposed = True
+        self.amount += amount
         return True
 
-    def cover(self) -> None:
-        """Say that the intent is durable."""
-        if self._exposed:
-            unexpose(self._hand, self.amount)
-            self._exposed = False
+    def try_expose(self, amount: int) -> bool:
+        """Claim the right to send before the log covers `amount`, if the limit allows it."""
+        if not can_expose(self._hand, amount):
+            return False
+        expose(self._hand, amount)
+        self._exposed += amount
+        return True
+
+    def cover(self, amount: int) -> None:
+        """Say that the log covers `amount` now, if it was exposed."""
+        covered = min(amount, self._exposed)
+        unexpose(self._hand, covered)
+        self._exposed -= covered
 
-    def settle(self, cost: int) -> int:
-        """End the reservation at its cost; return the units spent. Only the first call counts."""
+    def settle(self, used: int) -> int:
+        """End the reservation at what was used; return the units spent. Only the first counts."""
         if self._settled:
             return 0
         self._settled = True
         self.epoch.open_reservations -= 1
-        return settle_reserve(self._hand, self.amount, cost)
+        return settle_reserve(self._hand, self.amount, used)
 
 
 @dataclass
--- a/railtide/journal/entries.py
+++ b/railtide/journal/entries.py
@@ -7,11 +7,11 @@
 import msgspec
 from msgspec import Struct
 
-from railtide.budgets.messages import Fence, Grant, Release, Return, TopUp
+from railtide.budgets.messages import Fence, Grant, Release, Return, TopUp, Waste
 from railtide.configuration.messages import Proposal
 from railtide.journal.errors import UnreadableBatch
 from railtide.membership.messages import Checkpointed, Close, Heartbeat, Leaving, Open
-from railtide.requests.messages import Adopt, Answer, Bill, Intent, Lookup
+from railtide.requests.messages import Adopt, Answer, Bill, Extend, Intent, Lookup
 
 __all__ = [
     "Code",
@@ -34,6 +34,8 @@
     | Bill
     | Adopt
     | Lookup
+    | Extend
+    | Waste
     | Proposal
     | Open
     | Heartbeat
--- a/railtide/journal/fold.py
+++ b/railtide/journal/fold.py
@@ -5,19 +5,28 @@
 
 from railtide.budgets import balance as budgets
 from railtide.budgets.balance import Balance
-from railtide.budgets.messages import Fence, Grant, Release, Return, TopUp
+from railtide.budgets.messages import Fence, Grant, Release, Return, TopUp, Waste
 from railtide.configuration.messages import Kind, Proposal
 from railtide.configuration.objects import propose, version_of
 from railtide.journal.entries import Code, Entry, Record, Verdict, record_of
 from railtide.journal.state import HolderState, HolderStatus, State
 from railtide.membership.messages import Checkpointed, Close, Heartbeat, Leaving, Open
-from railtide.requests.messages import Adopt, Bill, Intent, Lookup
-from railtide.requests.registry import KeyState, expire_keys, find_key, finish, start
+from railtide.requests.messages import Adopt, Bill, Extend, Intent, Lookup
+from railtide.requests.registry import (
+    KeyState,
+    expire_keys,
+    expire_settled,
+    find_key,
+    finish,
+    remember_settled,
+    start,
+)
 
 __all__ = ["KEY_RETENTION_MS", "OPEN_MAX_AGE_MS", "Folded", "fold"]
 
 OPEN_MAX_AGE_MS = 600_000
 KEY_RETENTION_MS = 24 * 3_600_000
+SETTLED_RETENTION_MS = 2 * 3_600_000
 
 
 @dataclass(frozen=True)
@@ -54,6 +63,7 @@
     state.began = state.began or stamp
     taken = [folded for entry in entries if (folded := _fold_entry(state, entry))]
     expire_keys(state.registry, state.stamp - KEY_RETENTION_MS)
+    expire_settled(state.registry, state.stamp - SETTLED_RETENTION_MS)
     return taken
 
 
@@ -233,16 +243,37 @@
 def _on_bill(state: State, entry: Entry, holder: HolderState, record: Bill) -> Verdict:
     request = state.registry.by_request_id.get(record.request_id)
     if request is None or entry.holder not in (request.owner, request.holder):
-        return _say(state, entry, holder, Code.NOT_OPEN)
+        settled = state.registry.settled_by_request_id.get(record.request_id)
+        outcome = settled.outcome if settled else ""
+        return _say(state, entry, holder, Code.NOT_OPEN, outcome=outcome)
     balance = state.by_account[request.account]
-    budgets.settle(balance, request.holder, request.reserve, record.cost)
+    budgets.settle(balance, request.holder, request.reserve, record.cost, record.wasted)
     finish(state.registry, record, state.stamp)
+    if entry.holder != request.holder:
+        remember_settled(state.registry, record.request_id, record.outcome, state.stamp)
     payer = state.by_holder.get(request.holder)
     if payer is None or payer.status == HolderStatus.CLOSED:
         budgets.close_holding(balance, request.holder)
     return _say(state, entry, holder, Code.OK)
 
 
+def _on_extend(state: State, entry: Entry, holder: HolderState, record: Extend) -> Verdict:
+    request = state.registry.by_request_id.get(record.request_id)
+    if request is None or entry.holder != request.holder:
+        return _say(state, entry, holder, Code.NOT_OPEN)
+    balance = state.by_account[request.account]
+    if not budgets.open_reserve(balance, request.holder, record.amount):
+        return _say(state, entry, holder, Code.BUDGET_EXHAUSTED)
+    request.reserve += record.amount
+    return _say(state, entry, holder, Code.OK)
+
+
+def _on_waste(state: State, entry: Entry, holder: HolderState, record: Waste) -> Verdict:
+    balance = state.by_account.get(record.account)
+    lost = budgets.waste(balance, entry.holder, record.amount) if balance else 0
+    return _say(state, entry, holder, Code.OK if lost == record.amount else Code.REFUSED)
+
+
 def _on_adopt(state: State, entry: Entry, holder: HolderState, record: Adopt) -> Verdict:
     request = state.registry.by_request_id.get(record.request_id)
     if request is None:
@@ -283,6 +314,8 @@
     Bill: _on_bill,
     Adopt: _on_adopt,
     Lookup: _on_lookup,
+    Extend: _on_extend,
+    Waste: _on_waste,
     Proposal: _on_proposal,
     Checkpointed: _on_checkpointed,
 }
--- a/railtide/journal/writer.py
+++ b/railtide/journal/writer.py
@@ -64,6 +64,9 @@
     ----------
     pending_bytes : int
         Size of the records without a verdict.
+    proved_at : float
+        Trio time at which the latest entry was written whose verdict says that the holder was
+        not fenced.
 
     Notes
     -----
@@ -76,6 +79,7 @@
         self.fenced = False
         self.closed = False
         self.pending_bytes = 0
+        self.proved_at = 0.0
         self._on_entry = on_entry
         self._last_seq = 0
         self._acked = 0
@@ -106,5 +110,7 @@
         self.pending_bytes -= len(bytes(entry.record))
         self._acked = next(iter(self._entries_by_seq), self._last_seq + 1) - 1
         self.fenced = self.fenced or verdict.fenced
+        if not verdict.fenced:
+            self.proved_at = max(self.proved_at, ticket.submitted_at)
         ticket.decide(verdict)
         return ticket
--- a/railtide/keeper/appender.py
+++ b/railtide/keeper/appender.py
@@ -136,6 +136,6 @@
 
     def _refuse_unknown(self, batch: list[Entry]) -> None:
         known = self._follower.state.by_holder
-        for holder in {entry.holder for entry in batch} - known.keys():
+        for holder in sorted({entry.holder for entry in batch} - known.keys()):
             refused = self._entries_by_holder.pop(holder, {})
             self._on_refused(list(refused.values()))
--- a/railtide/keeper/keeper.py
+++ b/railtide/keeper/keeper.py
@@ -43,6 +43,7 @@
 
 LEASE_PARTS = 3
 LEAVE_S = 5.0
+PAUSE_TICKS = 4
 
 
 class Subscriber(ABC):
@@ -160,12 +161,21 @@
 
     async def _run_leases(self) -> None:
         tick = min(self.options.lost_link_s, self.options.lease_s) / LEASE_PARTS
+        slept_at = trio.current_time()
         while True:
             await trio.sleep(tick)
+            if trio.current_time() - slept_at > PAUSE_TICKS * tick:
+                self._hear_all_now()
+            slept_at = trio.current_time()
             if self.follower.reachable and self._writer and not self._writer.fenced:
                 self._fence_lapsed()
                 self._fence_lost_links()
 
+    def _hear_all_now(self) -> None:
+        """Give every holder a whole lease again, after a time in which the log was not heard."""
+        now = trio.current_time()
+        self._heard_by_holder = {name: now for name in self.state.by_holder}
+
     def _fence_lapsed(self) -> None:
         now = trio.current_time()
         rank = self._rank()
@@ -312,8 +322,7 @@
 
     def _on_reachable(self, reachable: bool) -> None:
         if reachable:
-            now = trio.current_time()
-            self._heard_by_holder = {name: now for name in self.state.by_holder}
+            self._hear_all_now()
         self._tell_all(self._status())
 
     def _on_restored(self) -> None:
--- /dev/null
+++ b/railtide/requests/cover.py
@@ -0,0 +1,218 @@
+"""The cover of a request in the log: its intent, its extensions, and what may go before them.
+
+Output commit: a request without a key is sent at once, while its intent is on its way to the
+log, as far as the account's exposure allows; output is held until the intent is durable. A
+request with a key is sent only after its claim is durable.
+
+References
+----------
+E. Elnozahy et al., "A survey of rollback-recovery protocols in message-passing systems", ACM
+Computing Surveys 34(3), 2002.
+"""
+
+import trio
+from opentelemetry import trace
+
+from railtide.budgets.errors import ExposureReached
+from railtide.budgets.treasury import Reservation
+from railtide.journal.entries import Code, Verdict
+from railtide.journal.writer import Ticket
+from railtide.requests.call import Call
+from railtide.requests.errors import (
+    AnswerGone,
+    ClaimUnavailable,
+    HolderFenced,
+    KeyReused,
+    OutcomeUnknown,
+    RequestInProgress,
+)
+from railtide.requests.messages import Answer, Extend, Intent, Outcome
+from railtide.requests.services import Services
+from railtide.telemetry.spans import traceparent_of
+
+__all__ = ["Cover", "KnownAnswer", "answer_of_verdict"]
+
+RETRY_SOON_S = 1.0
+
+
+class KnownAnswer(Exception):  # noqa: N818 - not an error: the answer is there already
+    """The request ran before and its answer is kept."""
+
+    def __init__(self, answer: Answer) -> None:
+        super().__init__("the answer is kept")
+        self.answer = answer
+
+
+def answer_of_verdict(verdict: Verdict) -> Answer:
+    """Return the kept answer of a key that another request has.
+
+    Raises
+    ------
+    RequestInProgress, KeyReused, AnswerGone, OutcomeUnknown
+        What else is known of the key.
+    """
+    if verdict.code == Code.KEY_MISMATCH:
+        raise KeyReused("this Idempotency-Key belongs to another request")
+    if verdict.code == Code.KEY_OPEN:
+        raise RequestInProgress("a request with this key is open", retry_after=RETRY_SOON_S)
+    if verdict.outcome == Outcome.UNKNOWN:
+        raise OutcomeUnknown("a request with this key may have run; it is not sent again")
+    if verdict.answer is None:
+        raise AnswerGone("a request with this key ran; its answer is not kept")
+    return verdict.answer
+
+
+class Cover:
+    """The entries that cover one request, and whether it may be sent.
+
+    Parameters
+    ----------
+    call : Call
+    reservation : Reservation
+    services : Services
+    """
+
+    def __init__(self, call: Call, reservation: Reservation, services: Services) -> None:
+        self._call = call
+        self._reservation = reservation
+        self._services = services
+        self._options = services.options
+        self._intent: Ticket | None = None
+
+    @property
+    def open(self) -> bool:
+        """True if a request may be open in the log, so that it needs a bill."""
+        if self._intent is None:
+            return False
+        return self._intent.verdict is None or self._intent.verdict.ok
+
+    # -- before the request is sent -----------------------------------------------------------
+
+    async def declare(self) -> None:
+        """Write the intent; return when the request may be sent.
+
+        Raises
+        ------
+        KnownAnswer
+            Another request has the key, and its answer is kept.
+        RailtideError
+            The request may not be sent.
+        """
+        if self._reservation.epoch.writer.fenced:
+            raise HolderFenced("this router's incarnation was fenced", retry_after=RETRY_SOON_S)
+        if self._call.key and (not self._call.repeatable or self._services.log_reachable()):
+            await self._claim()
+        else:
+            await self._cover(self._call.reserve)
+
+    async def extend(self, amount: int) -> bool:
+        """Reserve and cover another try; return False if there is no budget in hand for it."""
+        if not self._reservation.extend(amount):
+            return False
+        await self._cover(amount)
+        return True
+
+    def check_fresh(self) -> None:
+        """Refuse to send what another router may have settled, after a pause or a long cut.
+
+        Once this holder is fenced its durable requests are settled by others. So a durable
+        request is sent only while the last proof that the holder is not fenced is young.
+        """
+        proved_at = self._reservation.epoch.writer.proved_at
+        age = trio.current_time() - max(proved_at, self._intent.submitted_at)
+        if self._intent.durable and age > self._options.dispatch_window_s:
+            raise HolderFenced("too long since the log was heard", retry_after=RETRY_SOON_S)
+
+    async def _claim(self) -> None:
+        if not self._services.log_reachable():
+            raise ClaimUnavailable("the log can't record the claim", retry_after=RETRY_SOON_S)
+        verdict = await self._wait(self._submit_intent())
+        if verdict.code in (Code.KEY_OPEN, Code.KEY_USED, Code.KEY_MISMATCH):
+            raise KnownAnswer(answer_of_verdict(verdict))
+        self._check(verdict)
+
+    async def _cover(self, amount: int) -> None:
+        """Write the intent or its extension; wait for it only above the exposure."""
+        exposed = self._reservation.try_expose(amount)
+        if not exposed and not self._services.log_reachable():
+            raise ExposureReached(
+                "the log is down and the account's exposure is reached", retry_after=RETRY_SOON_S
+            )
+        ticket = self._submit_extend(amount) if self._intent else self._submit_intent()
+        if not exposed:
+            self._check(await self._wait(ticket))
+
+    def _submit_intent(self) -> Ticket:
+        call = self._call
+        record = Intent(
+            call.request_id,
+            call.account,
+            call.reserve,
+            call.pool,
+            call.key,
+            call.repeatable,
+            call.digest,
+        )
+        self._intent = self._submit(record, call.reserve)
+        return self._intent
+
+    def _submit_extend(self, amount: int) -> Ticket:
+        return self._submit(Extend(self._call.request_id, amount), amount)
+
+    def _submit(self, record: Intent | Extend, amount: int) -> Ticket:
+        writer = self._reservation.epoch.writer
+        ticket = writer.submit(record, traceparent_of(trace.get_current_span()))
+        ticket.when_decided(lambda verdict: self._on_decided(verdict, amount))
+        return ticket
+
+    def _on_decided(self, verdict: Verdict, amount: int) -> None:
+        self._reservation.cover(amount)
+        if not verdict.ok:
+            self._services.counters.add("intents_refused")
+
+    async def _wait(self, ticket: Ticket) -> Verdict:
+        """Return the verdict; give up when the log goes down or the time to send has passed."""
+        until = ticket.submitted_at + self._options.dispatch_window_s
+        while ticket.verdict is None:
+            await ticket.wait_at_most(self._options.commit_wait_s)
+            late = trio.current_time() > until
+            if ticket.verdict is None and (late or not self._services.log_reachable()):
+                raise ClaimUnavailable("the log did not answer", retry_after=RETRY_SOON_S)
+        if trio.current_time() > until:
+            raise ClaimUnavailable("the log answered too late", retry_after=RETRY_SOON_S)
+        return ticket.verdict
+
+    @staticmethod
+    def _check(verdict: Verdict) -> None:
+        if verdict.fenced:
+            raise HolderFenced("this router's incarnation was fenced", retry_after=RETRY_SOON_S)
+        if not verdict.ok:
+            raise ClaimUnavailable(f"the log refused the intent: {verdict.code}")
+
+    # -- before output goes to the caller -----------------------------------------------------
+
+    async def hold_first_byte(self) -> None:
+        """Hold output until the intent is durable, as long as the log is reachable."""
+        await self._hold(self._intent)
+
+    async def hold_end(self, bill: Ticket) -> None:
+        """Hold the end of the answer until the bill is durable, as long as the log is reachable.
+
+        Raises
+        ------
+        HolderFenced
+            Another router settled the request as not run, while this one was taken for lost.
+        """
+        await self._hold(bill)
+        verdict = bill.verdict
+        if verdict and verdict.code == Code.NOT_OPEN and verdict.outcome == Outcome.NOT_RUN:
+            raise HolderFenced("another router settled this request as not run")
+
+    async def _hold(self, ticket: Ticket) -> None:
+        until = trio.current_time() + self._options.commit_wait_s
+        while not ticket.durable and self._services.log_reachable():
+            left = until - trio.current_time()
+            if left <= 0:
+                self._services.counters.add("commit_waits_ended")
+                return
+            await ticket.wait_at_most(left)
--- a/railtide/requests/dispatcher.py
+++ b/railtide/requests/dispatcher.py
@@ -8,8 +8,9 @@
 from railtide.lanes.errors import LaneError, NoUpstream
 from railtide.lanes.scheduler import PoolScheduler
 from railtide.requests.call import AnswerSink, Call
+from railtide.requests.cover import KnownAnswer, answer_of_verdict
 from railtide.requests.errors import HolderFenced
-from railtide.requests.execution import Execution, KnownAnswer, answer_of_verdict
+from railtide.requests.execution import Execution
 from railtide.requests.messages import Answer, Lookup
 from railtide.requests.services import Services
 
@@ -80,7 +81,7 @@
         reservation = await self._treasury.reserve(
             call.account, call.settings, call.reserve, call.deadline
         )
-        await Execution(call, reservation, scheduler, self._services).run(sink)
+        await Execution(call, reservation, scheduler, self._services, sink).run()
 
     async def _look_up(self, call: Call) -> None:
         """Raise what is known of the key of a call that can't be run now."""
--- a/railtide/requests/messages.py
+++ b/railtide/requests/messages.py
@@ -6,7 +6,7 @@
 
 from railtide.budgets.messages import Amount
 
-__all__ = ["Adopt", "Answer", "Bill", "Intent", "Lookup", "Outcome"]
+__all__ = ["Adopt", "Answer", "Bill", "Extend", "Intent", "Lookup", "Outcome"]
 
 
 class Outcome(StrEnum):
@@ -52,12 +52,23 @@
 
 
 class Bill(Struct, frozen=True, array_like=True, tag=21):
-    """Settles an open request: the first one in the log's order counts."""
+    """Settles an open request: the first one in the log's order counts.
+
+    `wasted` is what tries without an answer used, beside the cost.
+    """
 
     request_id: str
     cost: Amount
     outcome: Outcome = Outcome.DONE
     answer: Answer | None = None
+    wasted: Amount = 0
+
+
+class Extend(Struct, frozen=True, array_like=True, tag=24):
+    """Adds to an open request's reserve, since a try without an answer may have used it."""
+
+    request_id: str
+    amount: Amount
 
 
 class Adopt(Struct, frozen=True, array_like=True, tag=22):
--- a/railtide/requests/options.py
+++ b/railtide/requests/options.py
@@ -15,8 +15,9 @@
         Longest hold of the first byte for a durable intent, and of the end mark for a durable
         bill, while the log is reachable.
     dispatch_window_s : float
-        A request is not sent if so long has passed since its intent was written; far below the
-        lease, so that a process that was paused does not send what was settled for it.
+        A durable request is sent only if the holder proved within this time that it is not
+        fenced; a recovery waits as long before it takes an unknown request for one not run.
+        Above the heartbeat's interval, so that it holds in plain traffic.
     attempts : int
         Most times a repeatable request is sent.
     resumes : int
@@ -28,7 +29,7 @@
     """
 
     commit_wait_s: float = 1.0
-    dispatch_window_s: float = 4.0
+    dispatch_window_s: float = 6.0
     attempts: int = 3
     resumes: int = 2
     most_answer_bytes: int = 16 * 1024 * 1024
--- a/railtide/requests/recovery.py
+++ b/railtide/requests/recovery.py
@@ -12,6 +12,7 @@
 from railtide.requests.call import Prices, Usage, cost_of
 from railtide.requests.messages import Adopt, Answer, Bill, Outcome
 from railtide.requests.options import RequestOptions
+from railtide.requests.usage import cost_of_run
 from railtide.telemetry.counters import Counters
 from railtide.upstreams.client import PastRun, RunState, UpstreamClient
 from railtide.upstreams.errors import UpstreamError, UpstreamLost
@@ -20,6 +21,8 @@
 __all__ = ["Recovery"]
 
 OK_STATUS = 200
+ENDED = (RunState.UNKNOWN, RunState.CANCELLED)
+DRIFT = 1.1
 
 
 class Recovery:
@@ -76,17 +79,24 @@
         await writer.submit(bill).wait()
 
     async def _learn(self, orphan: OrphanMessage) -> Bill:
-        """Return the bill of an orphan once an upstream has told, or when time is up."""
-        until = trio.current_time() + self._options.recovery_timeout_s
-        while trio.current_time() < until:
+        """Return the bill of an orphan once an upstream has told, or when time is up.
+
+        That no upstream knows the request counts only after the dispatch window: until then its
+        old holder, if it lives, may still send it.
+        """
+        runs: list[PastRun | None] = []
+        began = trio.current_time()
+        certain_at = began + DRIFT * self._options.dispatch_window_s
+        while trio.current_time() < began + self._options.recovery_timeout_s:
             runs = await self._ask_all(orphan)
             done = [run for run in runs if run and run.state is RunState.DONE]
             if done:
-                return self._bill_of(orphan, done[0])
-            if runs and all(run and run.state is RunState.UNKNOWN for run in runs):
+                return self._bill_of(orphan, done[0], self._wasted(orphan, runs, done[0]))
+            over = bool(runs) and all(run and run.state in ENDED for run in runs)
+            if over and trio.current_time() > certain_at:
                 break
             await trio.sleep(self._options.recovery_interval_s)
-        return self._bill_of_lost(orphan)
+        return self._bill_of_lost(orphan, self._wasted(orphan, runs))
 
     async def _ask_all(self, orphan: OrphanMessage) -> list[PastRun | None]:
         """Return each upstream's word, None for one that did not answer."""
@@ -100,11 +110,22 @@
         except UpstreamError:
             return None
 
-    def _bill_of(self, orphan: OrphanMessage, run: PastRun) -> Bill:
+    def _wasted(
+        self, orphan: OrphanMessage, runs: list[PastRun | None], answered: PastRun | None = None
+    ) -> int:
+        """Return what the runs beside the answered one used; a silent upstream may have run."""
+        prices = self._prices_of(orphan.pool)
+        others = [run for run in runs if run is not answered]
+        if None in others and answered is None:
+            return orphan.reserve
+        known = [run for run in others if run is not None]
+        return sum(cost_of_run(prices, run, orphan.reserve) for run in known)
+
+    def _bill_of(self, orphan: OrphanMessage, run: PastRun, wasted: int) -> Bill:
         body = run.body.encode()
         cost = min(orphan.reserve, self._cost(orphan, run, body))
         answer = Answer(run.status, run.content_type, body) if orphan.key else None
-        return Bill(orphan.request_id, cost, Outcome.DONE, answer)
+        return Bill(orphan.request_id, cost, Outcome.DONE, answer, wasted)
 
     def _cost(self, orphan: OrphanMessage, run: PastRun, body: bytes) -> int:
         prices = self._prices_of(orphan.pool)
@@ -118,14 +139,14 @@
             return orphan.reserve
 
     @staticmethod
-    def _bill_of_lost(orphan: OrphanMessage) -> Bill:
-        """Return the bill of an orphan of which no upstream knows.
+    def _bill_of_lost(orphan: OrphanMessage, wasted: int) -> Bill:
+        """Return the bill of an orphan that no upstream answered whole.
 
         A call that may not be repeated keeps its key and its price: its old router may be paused
         and still send it.
         """
         if orphan.repeatable:
-            return Bill(orphan.request_id, 0, Outcome.NOT_RUN)
+            return Bill(orphan.request_id, 0, Outcome.NOT_RUN, None, wasted)
         return Bill(orphan.request_id, orphan.reserve, Outcome.UNKNOWN)
 
 
--- a/railtide/requests/registry.py
+++ b/railtide/requests/registry.py
@@ -4,7 +4,18 @@
 
 from railtide.requests.messages import Answer, Bill, Intent, Outcome
 
-__all__ = ["KeyState", "OpenRequest", "Registry", "expire_keys", "find_key", "finish", "start"]
+__all__ = [
+    "KeyState",
+    "OpenRequest",
+    "Registry",
+    "Settled",
+    "expire_keys",
+    "expire_settled",
+    "find_key",
+    "finish",
+    "remember_settled",
+    "start",
+]
 
 
 @dataclass
@@ -34,12 +45,21 @@
     digest: int = 0
 
 
+@dataclass
+class Settled:
+    """How a request was settled by another holder than its own."""
+
+    outcome: Outcome
+    stamp: int
+
+
 @dataclass
 class Registry:
-    """Open requests by their id, and keys by account and key."""
+    """Open requests by their id, keys by account and key, and what others settled by id."""
 
     by_request_id: dict[str, OpenRequest] = field(default_factory=dict)
     by_account_and_key: dict[tuple[str, str], KeyState] = field(default_factory=dict)
+    settled_by_request_id: dict[str, Settled] = field(default_factory=dict)
 
 
 def find_key(registry: Registry, account: str, key: str) -> KeyState | None:
@@ -92,3 +112,19 @@
     for where in old:
         del registry.by_account_and_key[where]
     return len(old)
+
+
+def remember_settled(registry: Registry, request_id: str, outcome: Outcome, stamp: int) -> None:
+    """Remember how an adopter settled a request, for its old holder if that still lives."""
+    registry.settled_by_request_id[request_id] = Settled(outcome, stamp)
+
+
+def expire_settled(registry: Registry, before: int) -> None:
+    """Forget what was settled before a stamp; entries stand in the order of their stamps."""
+    old = []
+    for request_id, settled in registry.settled_by_request_id.items():
+        if settled.stamp >= before:
+            break
+        old.append(request_id)
+    for request_id in old:
+        del registry.settled_by_request_id[request_id]
--- a/railtide/requests/services.py
+++ b/railtide/requests/services.py
@@ -1,9 +1,8 @@
 """What all requests of one router share."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from railtide.membership.instances import Instance
 from railtide.requests.options import RequestOptions
 from railtide.requests.replays import Replays
 from railtide.requests.retry import RetryBudget
@@ -21,8 +20,8 @@
     ----------
     log_reachable : callable
         Whether entries become durable now.
-    cancel_soon : callable
-        Asks an upstream, in the background, to stop a request.
+    start_soon : callable
+        Runs an async function without arguments in the background.
     """
 
     upstreams: UpstreamClient
@@ -31,4 +30,4 @@
     replays: Replays
     counters: Counters
     log_reachable: Callable[[], bool]
-    cancel_soon: Callable[[Instance, str], None]
+    start_soon: Callable[[Callable[[], Awaitable[None]]], None]
--- /dev/null
+++ b/railtide/requests/usage.py
@@ -0,0 +1,44 @@
+"""What a try without an answer used, as far as its upstream tells."""
+
+from railtide.membership.instances import Instance
+from railtide.requests.call import Prices, Usage, cost_of
+from railtide.upstreams.client import PastRun, RunState, UpstreamClient
+from railtide.upstreams.errors import UpstreamError
+
+__all__ = ["cancel_and_learn_cost", "cost_of_run"]
+
+
+def cost_of_run(prices: Prices, run: PastRun, reserve: int) -> int:
+    """Return what a run used, units; the whole reserve where that can't be told.
+
+    Examples
+    --------
+    >>> cost_of_run(Prices(call=5), PastRun(RunState.UNKNOWN), 9)
+    0
+    """
+    if run.state is RunState.UNKNOWN:
+        return 0
+    if prices.call:
+        return prices.call
+    if run.usage is None:
+        return reserve
+    usage = Usage(run.usage.prompt_tokens, run.usage.completion_tokens)
+    return min(reserve, cost_of(prices, usage))
+
+
+async def cancel_and_learn_cost(
+    upstreams: UpstreamClient,
+    upstream: Instance,
+    request_id: str,
+    prices: Prices,
+    reserve: int,
+) -> int:
+    """Cancel a try at its upstream and return what it used, units.
+
+    An upstream that does not answer is taken to have used the whole reserve.
+    """
+    try:
+        run = await upstreams.cancel(upstream, request_id)
+    except UpstreamError:
+        return reserve
+    return cost_of_run(prices, run, reserve)
--- a/railtide/router/router.py
+++ b/railtide/router/router.py
@@ -1,5 +1,6 @@
 """The router: its parts put together, and its life from start to a graceful shutdown."""
 
+from collections.abc import Awaitable, Callable
 from random import Random
 
 import trio
@@ -91,7 +92,7 @@
             Replays(),
             self.counters,
             self._log_reachable,
-            self._cancel_soon,
+            self._start_soon,
         )
         self._dispatcher = Dispatcher(self.treasury, self.schedulers_by_pool.get, self._services)
         self._recovery = Recovery(
@@ -132,7 +133,7 @@
         await self._sleep_while_named()
         self.draining = True
         with trio.move_on_after(self.options.drain_s):
-            while self.open_calls:
+            while self.open_calls or self.treasury.epoch.open_reservations:
                 await trio.sleep(DRAIN_TICK_S)
         self.treasury.give_back_all()
         writer = self.treasury.epoch.writer
@@ -232,9 +233,9 @@
                 return Prices(call=body.price)
         return Prices()
 
-    def _cancel_soon(self, instance: Instance, request_id: str) -> None:
+    def _start_soon(self, work: Callable[[], Awaitable[None]]) -> None:
         if self._nursery:
-            self._nursery.start_soon(self._upstreams.cancel, instance, request_id)
+            self._nursery.start_soon(work)
 
     def _open_epoch(self) -> Epoch:
         who = self.identity
@@ -286,7 +287,7 @@
         for instance in message.instances:
             if instance.role in UPSTREAM_ROLES:
                 by_pool.setdefault(instance.pool, []).append(instance)
-        for pool in by_pool.keys() | self.schedulers_by_pool.keys():
+        for pool in sorted(by_pool.keys() | self.schedulers_by_pool.keys()):
             self._scheduler(pool).set_upstreams(by_pool.get(pool, []))
 
     def _scheduler(self, pool: str) -> PoolScheduler:
--- a/railtide/upstreams/client.py
+++ b/railtide/upstreams/client.py
@@ -17,6 +17,7 @@
     "HttpUpstreams",
     "PastRun",
     "RunState",
+    "RunUsage",
     "UpstreamAnswer",
     "UpstreamCall",
     "UpstreamClient",
@@ -66,13 +67,22 @@
 
     DONE = "done"
     RUNNING = "running"
+    CANCELLED = "cancelled"
     UNKNOWN = "unknown"
 
 
+class RunUsage(msgspec.Struct, frozen=True):
+    """Tokens that a run has used so far."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
 class PastRun(msgspec.Struct, frozen=True):
     """What became of a request, in an upstream's own words."""
 
     state: RunState
+    usage: RunUsage | None = None
     status: int = 0
     content_type: str = ""
     body: str = ""
@@ -98,8 +108,8 @@
         """Return what became of a request; raises `UpstreamLost` without an answer."""
 
     @abstractmethod
-    async def cancel(self, upstream: Instance, request_id: str) -> None:
-        """Ask an upstream to stop a request; failures are ignored."""
+    async def cancel(self, upstream: Instance, request_id: str) -> PastRun:
+        """Stop a request and return what it used; raises `UpstreamLost` without an answer."""
 
     @abstractmethod
     async def load(self, upstream: Instance) -> LoadReport:
@@ -170,19 +180,19 @@
 
     async def past_run(self, upstream: Instance, request_id: str) -> PastRun:
         """Ask what became of a request; see `UpstreamClient.past_run`."""
-        answer = await self._ask(upstream, "GET", f"/v1/requests/{request_id}")
+        return await self._ask_of_run(upstream, "GET", request_id)
+
+    async def cancel(self, upstream: Instance, request_id: str) -> PastRun:
+        """Cancel a request; see `UpstreamClient.cancel`."""
+        return await self._ask_of_run(upstream, "DELETE", request_id)
+
+    async def _ask_of_run(self, upstream: Instance, method: str, request_id: str) -> PastRun:
+        answer = await self._ask(upstream, method, f"/v1/requests/{request_id}")
         try:
             return msgspec.json.decode(answer.content, type=PastRun)
         except msgspec.DecodeError as err:
             raise UpstreamLost(f"the outcome can't be read: {err}") from err
 
-    async def cancel(self, upstream: Instance, request_id: str) -> None:
-        """Cancel a request; see `UpstreamClient.cancel`."""
-        try:
-            await self._ask(upstream, "DELETE", f"/v1/requests/{request_id}")
-        except UpstreamLost:
-            return
-
     async def load(self, upstream: Instance) -> LoadReport:
         """Read a load report; see `UpstreamClient.load`."""
         answer = await self._ask(upstream, "GET", "/v1/load")
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,70 @@
+"""A longer random run of fault sequences; a seed reproduces a case.
+
+``python -m tests.soak [first seed] [count]`` prints each seed that fails and exits with 1.
+"""
+
+import signal
+import sys
+import traceback
+from concurrent.futures import ProcessPoolExecutor
+from random import Random
+
+from loguru import logger
+
+from tests.matrix.scenario import FAULTS, STEPS, Trigger
+from tests.matrix.test_matrix import run_on_virtual_clock
+
+WORKERS = 7
+MOST_FAULTS = 3
+MOST_NTH = 4
+CASE_S = 20
+
+
+def case_of(seed: int) -> list[tuple[str, str, str, int]]:
+    """Return the (step, moment, fault, nth) of a seed."""
+    rng = Random(seed)
+    count = rng.randint(2, MOST_FAULTS)
+    return [
+        (*rng.choice(STEPS), rng.choice(sorted(FAULTS)), rng.randint(1, MOST_NTH))
+        for _ in range(count)
+    ]
+
+
+def run_case(seed: int) -> str:
+    """Run a seed; return an empty string or what failed."""
+    logger.remove()
+    signal.alarm(CASE_S)
+    signal.signal(signal.SIGALRM, _on_alarm)
+    try:
+        run_on_virtual_clock([Trigger(s, m, FAULTS[f], n) for s, m, f, n in case_of(seed)])
+    except BaseException:
+        return traceback.format_exc()
+    finally:
+        signal.alarm(0)
+    return ""
+
+
+def _on_alarm(number: int, frame: object) -> None:
+    raise TimeoutError(f"the case took over {CASE_S} s: {''.join(traceback.format_stack(frame))}")
+
+
+def main() -> int:
+    """Run seeds in parallel and report."""
+    first = int(sys.argv[1]) if len(sys.argv) > 1 else 0
+    count = int(sys.argv[2]) if len(sys.argv) > 2 else 700
+    failed = 0
+    with ProcessPoolExecutor(WORKERS) as pool:
+        for seed, said in zip(
+            range(first, first + count),
+            pool.map(run_case, range(first, first + count)),
+            strict=True,
+        ):
+            if said:
+                failed += 1
+                print(f"seed {seed}: {case_of(seed)}\n{said}", flush=True)
+    print(f"{count - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
