--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,251 @@
+"""Budget policy on a virtual clock: adaptive grants, fixed grants, equal static shares.
+
+Run ``python -m bench.policy``. Real treasuries and the real fold; the log is in memory with a
+delay, and each router can be cut off from it. A false refusal is one made while the budget, with
+all that is in hands, would have covered the request.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+from loguru import logger
+from trio.testing import MockClock
+
+from railtide.budgets.balance import available
+from railtide.budgets.errors import BudgetError
+from railtide.budgets.messages import TopUp
+from railtide.budgets.sizing import AdaptiveSizing, EqualShares, FixedSizing, GrantSizing
+from railtide.budgets.treasury import Epoch, Treasury
+from railtide.configuration.messages import Proposal
+from railtide.configuration.models import AccountSettings
+from railtide.journal.entries import Code, Entry
+from railtide.journal.fold import fold
+from railtide.journal.state import State
+from railtide.journal.writer import Writer
+from railtide.membership.messages import Open
+from railtide.requests.messages import Bill, Intent
+
+ROUTERS = 4
+SECONDS = 60.0
+LOG_S = 0.02
+ACCOUNT = "pantry"
+SETTINGS = AccountSettings(grant_horizon_s=5, grant_min=200, budget_wait_s=0.5)
+FIXED = 2_000
+MOST = 100
+
+
+@dataclass
+class Node:
+    """One router: its treasury, and whether it reaches the log."""
+
+    name: str
+    reachable: bool = True
+    treasury: Treasury | None = None
+    writers: list[Writer] = field(default_factory=list)
+
+
+class MiniLog:
+    """The fold behind a delay; entries of a cut-off node wait with its writer."""
+
+    def __init__(self) -> None:
+        self.state = State()
+        self.nodes: dict[str, Node] = {}
+        self._operator = Writer("operator", lambda entry, trace: self._fold([entry]))
+        self._operator.submit(Open("operator", "", "", "operator", 0))
+        self._operator.submit(Proposal("account", ACCOUNT, 0, b"{}"))
+
+    def top_up(self, units: int, name: str) -> None:
+        """Add to the budget."""
+        self._operator.submit(TopUp(ACCOUNT, units, name))
+
+    def _fold(self, entries: list[Entry]) -> None:
+        for folded in fold(self.state, self.state.offset + 1, 1, entries):
+            if folded.verdict.code == Code.BUDGET_EXHAUSTED:
+                for node in self.nodes.values():
+                    if node.reachable:
+                        node.treasury.give_back(ACCOUNT)
+            node = self.nodes.get(folded.holder)
+            if node:
+                writer = node.writers[0]
+                ticket = writer.take_verdict(folded.verdict)
+                node.treasury.take_ticket(node.treasury.epoch, ticket)
+
+    async def run(self) -> None:
+        """Fold what nodes have written, every `LOG_S`."""
+        while True:
+            await trio.sleep(LOG_S)
+            for node in self.nodes.values():
+                if node.reachable:
+                    self._fold([e for writer in node.writers for e in writer.pending()])
+
+    def add_node(self, name: str, sizing: Callable[[], GrantSizing]) -> Node:
+        """Return a node with a treasury of its own."""
+        node = Node(name)
+
+        def open_epoch() -> Epoch:
+            writer = Writer(name, lambda entry, trace: None)
+            node.writers.append(writer)
+            writer.submit(Open(name, "", "", "router", 0))
+            return Epoch(writer)
+
+        policy = sizing()
+        node.treasury = Treasury(
+            open_epoch, lambda: node.reachable, lambda settings: ROUTERS, lambda settings: policy
+        )
+        node.treasury.begin()
+        self.nodes[name] = node
+        return node
+
+
+@dataclass
+class Result:
+    """What one run showed."""
+
+    served: int = 0
+    refused: int = 0
+    false_refusals: int = 0
+    overspend: int = 0
+    left_in_hands: int = 0
+
+
+class Trial:
+    """One scenario under one policy."""
+
+    def __init__(self, sizing: Callable[[], GrantSizing], budget: int, seed: int) -> None:
+        self.log = MiniLog()
+        self.result = Result()
+        self.paid = budget
+        self.used = 0
+        self._rng = Random(seed)
+        self.log.top_up(budget, "first")
+        self.nodes = [self.log.add_node(f"r{n}", sizing) for n in range(ROUTERS)]
+
+    async def request(self, node: Node, number: int) -> None:
+        """Reserve, run and settle one request, or count why not."""
+        reserve = self._rng.randint(40, MOST)
+        cost = self._rng.randint(10, reserve)
+        deadline = trio.current_time() + 5
+        try:
+            held = await node.treasury.reserve(ACCOUNT, SETTINGS, reserve, deadline)
+        except BudgetError:
+            self.result.refused += 1
+            self.result.false_refusals += self.paid - self.used >= reserve
+            return
+        writer = held.epoch.writer
+        writer.submit(Intent(f"{node.name}-{number}", ACCOUNT, reserve, "pool"))
+        await trio.sleep(self._rng.uniform(0.1, 0.6))
+        held.settle(cost)
+        writer.submit(Bill(f"{node.name}-{number}", cost))
+        self.used += cost
+        self.result.served += 1
+
+    async def traffic(self, rates: list[float]) -> None:
+        """Send requests to each node at its rate, in requests a second."""
+        async with trio.open_nursery() as nursery:
+            for node, rate in zip(self.nodes, rates, strict=True):
+                nursery.start_soon(self._caller, node, rate)
+
+    async def _caller(self, node: Node, rate: float) -> None:
+        number = 0
+        until = trio.current_time() + SECONDS
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                await trio.sleep(self._rng.expovariate(rate))
+                number += 1
+                nursery.start_soon(self.request, node, number)
+
+    def finish(self) -> Result:
+        """Return the figures of the run."""
+        balance = self.log.state.by_account[ACCOUNT]
+        self.result.overspend = max(0, self.used - self.paid)
+        self.result.left_in_hands = self.paid - balance.billed - available(balance)
+        return self.result
+
+
+async def plain(trial: Trial) -> None:
+    """Uneven load, plenty of budget for three quarters of it."""
+    await trial.traffic([12.0, 6.0, 3.0, 1.0])
+
+
+async def partition_and_top_up(trial: Trial) -> None:
+    """One node is cut off for half a minute; the budget is topped up meanwhile."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trial.traffic, [12.0, 6.0, 3.0, 1.0])
+        await trio.sleep(15)
+        trial.nodes[0].reachable = False
+        await trio.sleep(10)
+        trial.log.top_up(20_000, "second")
+        trial.paid += 20_000
+        await trio.sleep(20)
+        trial.nodes[0].reachable = True
+
+
+async def outage(trial: Trial) -> None:
+    """The log is down for eight seconds."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trial.traffic, [12.0, 6.0, 3.0, 1.0])
+        await trio.sleep(20)
+        for node in trial.nodes:
+            node.reachable = False
+        await trio.sleep(8)
+        for node in trial.nodes:
+            node.reachable = True
+
+
+async def near_empty(trial: Trial) -> None:
+    """The budget ends half way; every unit counts."""
+    await trial.traffic([8.0, 4.0, 2.0, 1.0])
+
+
+SCENARIOS: dict[str, tuple[Callable, int]] = {
+    "plain": (plain, 120_000),
+    "partition+top-up": (partition_and_top_up, 300_000),
+    "log outage": (outage, 120_000),
+    "near empty": (near_empty, 16_000),
+}
+
+
+def policies(budget: int) -> dict[str, Callable[[], GrantSizing]]:
+    """Return the policies by name; each call makes a new one for a node."""
+    return {
+        "adaptive 5 s": lambda: AdaptiveSizing(5.0, SETTINGS.grant_min),
+        "adaptive 30 s": lambda: AdaptiveSizing(30.0, SETTINGS.grant_min),
+        "fixed": lambda: FixedSizing(FIXED),
+        "equal shares": lambda: EqualShares(budget // ROUTERS),
+    }
+
+
+def run_trial(scenario: Callable, sizing: Callable[[], GrantSizing], budget: int) -> Result:
+    """Return the result of one run."""
+
+    async def run() -> Result:
+        trial = Trial(sizing, budget, seed=11)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trial.log.run)
+            for node in trial.nodes:
+                nursery.start_soon(node.treasury.run)
+            await scenario(trial)
+            await trio.sleep(2)
+            nursery.cancel_scope.cancel()
+        return trial.finish()
+
+    return trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+def main() -> None:
+    """Print the table."""
+    logger.remove()
+    print("scenario           policy         served  refused  false refusals  overspend  in hands")
+    for name, (scenario, budget) in SCENARIOS.items():
+        for policy, sizing in policies(budget).items():
+            got = run_trial(scenario, sizing, budget)
+            print(
+                f"{name:18s} {policy:13s} {got.served:7d} {got.refused:8d} {got.false_refusals:15d}"
+                f" {got.overspend:10d} {got.left_in_hands:9d}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/railtide/budgets/sizing.py
+++ b/railtide/budgets/sizing.py
@@ -41,7 +41,12 @@
 
 
 class GrantSizing(ABC):
-    """A policy for the size of grants."""
+    """A policy for the size of grants.
+
+    `returns_idle` says whether what traffic does not need goes back to the budget.
+    """
+
+    returns_idle = True
 
     @abstractmethod
     def size(self, demand: Demand) -> int:
@@ -91,6 +96,8 @@
 class EqualShares(GrantSizing):
     """The whole of this router's equal share at once, and never more; for comparison."""
 
+    returns_idle = False
+
     def __init__(self, share: int) -> None:
         self._left = share
 
--- /dev/null
+++ b/railtide/budgets/tests/test_treasury.py
@@ -0,0 +1,171 @@
+"""Tests of railtide.budgets.treasury."""
+
+import pytest
+import trio
+
+from railtide.budgets.errors import BudgetExhausted, BudgetUnavailable
+from railtide.budgets.messages import Grant, Return
+from railtide.budgets.treasury import Epoch, Treasury
+from railtide.configuration.models import AccountSettings
+from railtide.journal.entries import Code, Entry, Verdict, record_of
+from railtide.journal.writer import Writer
+from railtide.membership.messages import Close, Heartbeat
+
+SETTINGS = AccountSettings(
+    grant_min=100, grant_horizon_s=1, exposure_percent=50, budget_wait_s=0.5
+)
+
+
+class Book:
+    """A stand-in for the log that grants from a budget at once, or not at all."""
+
+    def __init__(self, budget: int, reachable: bool = True) -> None:
+        self.budget = budget
+        self.reachable = reachable
+        self.records = []
+        self.epochs: list[Epoch] = []
+        self.treasury = Treasury(self._open, lambda: self.reachable, lambda settings: 2)
+        self.treasury.begin()
+
+    def _open(self) -> Epoch:
+        epoch = Epoch(Writer(f"h{len(self.epochs)}", self._on_entry))
+        self.epochs.append(epoch)
+        return epoch
+
+    def _on_entry(self, entry: Entry, trace: str) -> None:
+        self.records.append(record_of(entry))
+
+    def decide(self, fenced: bool = False) -> None:
+        for epoch in self.epochs:
+            for entry in epoch.writer.pending():
+                self._decide(epoch, entry, fenced)
+
+    def _decide(self, epoch: Epoch, entry: Entry, fenced: bool) -> None:
+        record = record_of(entry)
+        code = Code.OK
+        if isinstance(record, Grant):
+            code = Code.OK if record.amount <= self.budget else Code.BUDGET_EXHAUSTED
+            self.budget -= record.amount if code == Code.OK else 0
+        verdict = Verdict(entry.seq, code, 0, available=self.budget, fenced=fenced)
+        ticket = epoch.writer.take_verdict(verdict)
+        self.treasury.take_ticket(epoch, ticket)
+
+    async def run(self) -> None:
+        while True:
+            await trio.sleep(0.05)
+            self.decide()
+
+    async def reserve(self, amount: int):
+        deadline = trio.current_time() + 10
+        return await self.treasury.reserve("acc", SETTINGS, amount, deadline)
+
+
+@pytest.fixture
+async def nursery_scope(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        yield nursery
+        nursery.cancel_scope.cancel()
+
+
+class TestReserve:
+    async def test_waits_for_its_grant(self, nursery_scope) -> None:
+        book = Book(1000)
+        nursery_scope.start_soon(book.run)
+        held = await book.reserve(30)
+        assert held.amount == 30
+        assert book.treasury.epoch.hand("acc").available == 70
+
+    async def test_exhausted_budget_is_refused_with_its_code(self, nursery_scope) -> None:
+        book = Book(20)
+        nursery_scope.start_soon(book.run)
+        with pytest.raises(BudgetExhausted) as refused:
+            await book.reserve(30)
+        assert refused.value.retry_after > 0
+
+    async def test_last_units_are_asked_for_exactly(self, nursery_scope) -> None:
+        book = Book(40)
+        nursery_scope.start_soon(book.run)
+        assert (await book.reserve(35)).amount == 35
+
+    async def test_unreachable_log_is_refused_at_once(self, autojump_clock) -> None:
+        book = Book(1000, reachable=False)
+        began = trio.current_time()
+        with pytest.raises(BudgetUnavailable):
+            await book.reserve(30)
+        assert trio.current_time() == began
+
+    async def test_hand_serves_on_in_an_outage(self, nursery_scope) -> None:
+        book = Book(1000)
+        nursery_scope.start_soon(book.run)
+        (await book.reserve(10)).settle(10)
+        book.reachable = False
+        assert await book.reserve(60)
+
+
+class TestReservation:
+    async def test_exposure_is_bounded_and_covered(self, nursery_scope) -> None:
+        book = Book(1000)
+        nursery_scope.start_soon(book.run)
+        held = [await book.reserve(30) for _ in range(2)]
+        assert held[0].try_expose(30)
+        assert not held[1].try_expose(30)
+        held[0].cover(30)
+        assert held[1].try_expose(30)
+
+    async def test_settles_once(self, nursery_scope) -> None:
+        book = Book(1000)
+        nursery_scope.start_soon(book.run)
+        held = await book.reserve(30)
+        assert held.settle(20) == 20
+        assert held.settle(5) == 0
+        assert book.treasury.epoch.hand("acc").spent == 20
+
+    async def test_extends_only_from_the_hand(self, nursery_scope) -> None:
+        book = Book(100)
+        nursery_scope.start_soon(book.run)
+        held = await book.reserve(60)
+        assert held.extend(40)
+        assert not held.extend(1)
+
+
+class TestEpochs:
+    async def test_fence_opens_a_new_epoch_and_closes_the_old_when_settled(
+        self, nursery_scope
+    ) -> None:
+        book = Book(1000)
+        held = []
+
+        async def reserve() -> None:
+            held.append(await book.reserve(30))
+
+        nursery_scope.start_soon(book.treasury.run)
+        nursery_scope.start_soon(reserve)
+        await trio.sleep(0.1)
+        book.decide()
+        await trio.sleep(0.1)
+        book.treasury.epoch.writer.submit(Heartbeat())
+        book.decide(fenced=True)
+        await trio.sleep(2)
+        assert len(book.epochs) == 2
+        assert Close() not in book.records
+        held[0].settle(10)
+        await trio.sleep(2)
+        assert book.records[-1] == Close()
+
+    async def test_demand_returns_what_lies_idle(self, nursery_scope) -> None:
+        book = Book(1000)
+        nursery_scope.start_soon(book.run)
+        (await book.reserve(30)).settle(30)
+        await trio.sleep(5)
+        book.treasury.give_back("acc")
+        assert book.records[-1] == Return("acc", 70)
+        assert book.treasury.epoch.hand("acc").available == 0
+
+    async def test_traffic_that_ends_gives_back(self, nursery_scope) -> None:
+        book = Book(100_000)
+        nursery_scope.start_soon(book.run)
+        nursery_scope.start_soon(book.treasury.run)
+        for _ in range(50):
+            (await book.reserve(100)).settle(100)
+        await trio.sleep(25)
+        assert book.treasury.epoch.hand("acc").available <= 2 * SETTINGS.grant_min
--- a/railtide/budgets/treasury.py
+++ b/railtide/budgets/treasury.py
@@ -276,7 +276,8 @@
         if self.epoch is None or self.epoch.writer.fenced:
             return
         hand = self.epoch.by_account.get(account)
-        if hand is None:
+        settings = self._settings_by_account.get(account)
+        if hand is None or settings is None or not self._sizing(settings).returns_idle:
             return
         busy = trio.current_time() - self._account(account).seen_at < BUSY_S
         most = hand.available // IDLE_KEEP_SHARE if busy else hand.available
@@ -308,6 +309,8 @@
         settings = self._settings_by_account.get(account)
         if settings is None or not self._log_reachable():
             return
+        if not self._sizing(settings).returns_idle:
+            return
         rate = self._decayed_rate(self._account(account))
         keep = round(rate * settings.grant_horizon_s) + settings.grant_min
         if hand.available > 2 * keep:
--- /dev/null
+++ b/railtide/journal/tests/test_fold.py
@@ -0,0 +1,337 @@
+"""Tests of railtide.journal.fold."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from railtide.budgets.balance import available
+from railtide.budgets.messages import Fence, Grant, Release, Return, TopUp, Waste
+from railtide.configuration.messages import Proposal
+from railtide.journal.checkpoint import state_from_bytes, state_to_bytes
+from railtide.journal.entries import Code, Entry, Record, make_entry
+from railtide.journal.fold import OPEN_MAX_AGE_MS, fold
+from railtide.journal.state import HolderStatus, State
+from railtide.membership.messages import Close, Heartbeat, Open
+from railtide.requests.messages import Adopt, Bill, Extend, Intent, Lookup, Outcome
+
+ACCOUNT = "pantry"
+HOLDERS = ("a", "b", "c")
+
+
+class Log:
+    """Writes entries one by one and folds each."""
+
+    def __init__(self, holders: tuple[str, ...] = HOLDERS) -> None:
+        self.state = State()
+        self.stamp = 1
+        self.seqs: dict[str, int] = {}
+        self.written: list[Entry] = []
+        for holder in ("op", *holders):
+            self.write(holder, Open(holder, "d", "", "router", 0))
+        self.write("op", Proposal("account", ACCOUNT, 0, b"{}"))
+
+    def entry(self, holder: str, record: Record) -> Entry:
+        self.seqs[holder] = self.seqs.get(holder, 0) + 1
+        return make_entry(holder, self.seqs[holder], 0, record)
+
+    def fold(self, entries: list[Entry]):
+        return fold(self.state, self.state.offset + 1, self.stamp, entries)
+
+    def write(self, holder: str, record: Record):
+        entry = self.entry(holder, record)
+        self.written.append(entry)
+        return self.fold([entry])[0].verdict
+
+    @property
+    def balance(self):
+        return self.state.by_account[ACCOUNT]
+
+
+class TestSequence:
+    def test_repeat_takes_effect_once(self) -> None:
+        log = Log()
+        entry = log.entry("op", TopUp(ACCOUNT, 5, "t"))
+        assert len(log.fold([entry, entry])) == 1
+        assert log.fold([entry]) == []
+        assert log.balance.topped_up == 5
+
+    def test_entry_ahead_of_its_turn_waits_to_be_sent_again(self) -> None:
+        log = Log()
+        first, second = log.entry("a", Heartbeat()), log.entry("a", Heartbeat())
+        assert log.fold([second]) == []
+        assert len(log.fold([first, second])) == 2
+
+    def test_unknown_record_is_skipped_and_keeps_its_place(self) -> None:
+        log = Log()
+        entry = log.entry("a", Heartbeat())
+        unknown = Entry("a", entry.seq, 0, b"\x93\xcd\x03\xe7\x01\x02")
+        assert log.fold([unknown])[0].verdict.code == Code.SKIPPED
+        assert log.write("a", Heartbeat()).ok
+
+    def test_record_with_a_newer_field_is_read(self) -> None:
+        log = Log()
+        entry = log.entry("op", TopUp(ACCOUNT, 5, "t"))
+        longer = bytes([bytes(entry.record)[0] + 1]) + bytes(entry.record)[1:] + b"\x07"
+        assert log.fold([Entry("op", entry.seq, 0, longer)])[0].verdict.ok
+        assert log.balance.topped_up == 5
+
+    def test_lower_offset_is_ignored(self) -> None:
+        log = Log()
+        entry = log.entry("op", TopUp(ACCOUNT, 5, "t"))
+        assert fold(log.state, log.state.offset, 9, [entry]) == []
+
+    def test_late_open_of_a_forgotten_holder_is_refused(self) -> None:
+        log = Log()
+        first = log.written[1]
+        log.write("a", Close())
+        log.stamp = 2 * OPEN_MAX_AGE_MS
+        log.write("op", Heartbeat())
+        log.fold([log.entry("d", Open("d", "", "", "router", log.stamp))])
+        assert "a" not in log.state.by_holder
+        assert log.fold([first]) == []
+        assert "a" not in log.state.by_holder
+
+    def test_verdict_is_kept_until_acknowledged(self) -> None:
+        log = Log()
+        log.write("a", Heartbeat())
+        assert 2 in log.state.by_holder["a"].by_seq
+        log.fold([make_entry("a", 3, 2, Heartbeat())])
+        assert list(log.state.by_holder["a"].by_seq) == [3]
+
+
+class TestGrants:
+    def test_grant_beyond_the_budget_is_refused(self) -> None:
+        log = Log()
+        log.write("op", TopUp(ACCOUNT, 10, "t"))
+        assert log.write("a", Grant(ACCOUNT, 8, 0)).ok
+        refused = log.write("b", Grant(ACCOUNT, 8, 0))
+        assert (refused.code, refused.available) == (Code.BUDGET_EXHAUSTED, 2)
+
+    def test_top_up_counts_once_by_its_id(self) -> None:
+        log = Log()
+        assert log.write("op", TopUp(ACCOUNT, 10, "t")).ok
+        assert log.write("a", TopUp(ACCOUNT, 10, "t")).code == Code.REFUSED
+        assert log.balance.topped_up == 10
+
+    def test_top_up_of_unknown_account_is_refused(self) -> None:
+        assert Log().write("op", TopUp("nobody", 1, "t")).code == Code.UNKNOWN_ACCOUNT
+
+    def test_fence_withholds_open_requests_and_exposure(self) -> None:
+        log = Log()
+        log.write("op", TopUp(ACCOUNT, 100, "t"))
+        log.write("a", Grant(ACCOUNT, 60, 10))
+        log.write("a", Intent("r", ACCOUNT, 5, "p"))
+        assert log.write("b", Fence("a", log.seqs["a"])).ok
+        assert available(log.balance) == 100 - 15
+
+    def test_fence_loses_against_a_later_entry(self) -> None:
+        log = Log()
+        seen = log.seqs["a"]
+        log.write("a", Heartbeat())
+        assert log.write("b", Fence("a", seen)).code == Code.REFUSED
+        assert log.state.by_holder["a"].status == HolderStatus.OPEN
+
+    def test_late_return_of_a_fenced_holder_frees_nothing(self) -> None:
+        log = Log()
+        log.write("op", TopUp(ACCOUNT, 100, "t"))
+        log.write("a", Grant(ACCOUNT, 60, 10))
+        log.write("b", Fence("a", log.seqs["a"]))
+        assert log.write("a", Return(ACCOUNT, 10)).code == Code.REFUSED
+        assert available(log.balance) == 90
+
+    def test_fenced_holder_gets_no_grant(self) -> None:
+        log = Log()
+        log.write("op", TopUp(ACCOUNT, 100, "t"))
+        log.write("b", Fence("a", log.seqs["a"]))
+        assert log.write("a", Grant(ACCOUNT, 1, 0)).code == Code.FENCED
+
+    def test_close_gives_back_all_but_open_requests(self) -> None:
+        log = Log()
+        log.write("op", TopUp(ACCOUNT, 100, "t"))
+        log.write("a", Grant(ACCOUNT, 60, 10))
+        log.write("a", Intent("r", ACCOUNT, 5, "p"))
+        log.write("a", Close())
+        assert available(log.balance) == 95
+        log.write("b", Adopt("r"))
+        log.write("b", Bill("r", 3))
+        assert available(log.balance) == 97
+
+    def test_release_gives_back_what_was_withheld(self) -> None:
+        log = Log()
+        log.write("op", TopUp(ACCOUNT, 100, "t"))
+        log.write("a", Grant(ACCOUNT, 60, 10))
+        assert log.write("op", Release("a")).code == Code.REFUSED
+        log.write("b", Fence("a", log.seqs["a"]))
+        assert log.write("op", Release("a")).ok
+        assert available(log.balance) == 100
+
+
+class TestRequests:
+    def ready(self) -> Log:
+        log = Log()
+        log.write("op", TopUp(ACCOUNT, 100, "t"))
+        log.write("a", Grant(ACCOUNT, 40, 20))
+        log.write("b", Grant(ACCOUNT, 40, 20))
+        return log
+
+    def test_first_bill_counts(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r", ACCOUNT, 10, "p"))
+        assert log.write("a", Bill("r", 7)).ok
+        assert log.write("a", Bill("r", 7)).code == Code.NOT_OPEN
+        assert log.balance.billed == 7
+
+    def test_bill_is_bounded_by_the_reserve(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r", ACCOUNT, 10, "p"))
+        log.write("a", Bill("r", 90))
+        assert log.balance.billed == 10
+
+    def test_claim_is_won_once(self) -> None:
+        log = self.ready()
+        assert log.write("a", Intent("r1", ACCOUNT, 10, "p", "k")).ok
+        assert log.write("b", Intent("r2", ACCOUNT, 10, "p", "k")).code == Code.KEY_OPEN
+        log.write("a", Bill("r1", 1))
+        assert log.write("b", Intent("r3", ACCOUNT, 10, "p", "k")).code == Code.KEY_USED
+
+    def test_key_of_another_request_learns_nothing(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r1", ACCOUNT, 10, "p", "k", digest=1))
+        verdict = log.write("b", Lookup(ACCOUNT, "k", digest=2))
+        assert (verdict.code, verdict.request_id) == (Code.KEY_MISMATCH, "")
+
+    def test_key_is_free_after_not_run(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r1", ACCOUNT, 10, "p", "k"))
+        log.write("a", Bill("r1", 0, Outcome.NOT_RUN))
+        assert log.write("b", Intent("r2", ACCOUNT, 10, "p", "k")).ok
+
+    def test_key_is_kept_after_unknown(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r1", ACCOUNT, 10, "p", "k", False))
+        log.write("a", Bill("r1", 10, Outcome.UNKNOWN))
+        verdict = log.write("b", Intent("r2", ACCOUNT, 10, "p", "k", False))
+        assert (verdict.code, verdict.outcome) == (Code.KEY_USED, Outcome.UNKNOWN)
+
+    def test_only_a_lost_holders_request_is_adopted(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r", ACCOUNT, 10, "p"))
+        assert log.write("b", Adopt("r")).code == Code.REFUSED
+        log.write("b", Fence("a", log.seqs["a"]))
+        assert log.write("b", Adopt("r")).ok
+        assert log.write("c", Adopt("r")).code == Code.REFUSED
+        log.write("b", Bill("r", 0, Outcome.NOT_RUN))
+        assert log.write("a", Bill("r", 5)).outcome == Outcome.NOT_RUN
+
+    def test_stranger_can_not_bill(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r", ACCOUNT, 10, "p"))
+        assert log.write("b", Bill("r", 5)).code == Code.NOT_OPEN
+
+    def test_extension_raises_the_reserve_and_waste_is_counted_apart(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r", ACCOUNT, 10, "p"))
+        assert log.write("a", Extend("r", 10)).ok
+        log.write("a", Bill("r", 9, wasted=8))
+        assert (log.balance.billed, log.balance.wasted) == (9, 8)
+        assert log.write("a", Waste(ACCOUNT, 3)).ok
+        assert log.balance.wasted == 11
+
+
+class TestConfiguration:
+    def test_one_of_two_racing_operators_wins(self) -> None:
+        log = Log()
+        assert log.write("a", Proposal("template", "t", 0, b"1")).ok
+        lost = log.write("b", Proposal("template", "t", 0, b"2"))
+        assert (lost.code, lost.available) == (Code.OUTDATED, 1)
+        assert log.state.catalog.by_kind_and_name[("template", "t")].body == b"1"
+
+
+class TestCheckpoint:
+    def test_state_survives_its_encoding(self) -> None:
+        log = TestRequests().ready()
+        log.write("a", Intent("r", ACCOUNT, 10, "p", "k"))
+        assert state_from_bytes(state_to_bytes(log.state)) == log.state
+
+
+class FoldMachine(RuleBasedStateMachine):
+    """Routers that keep their own books against the fold: use never exceeds the budget.
+
+    The model is of the routers, not of the fold: a router spends from what it was granted, and
+    sends at most its exposure before its intents are in the log, fenced or not.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = Log()
+        self.paid = 0
+        self.used = 0
+        self.waiting: dict[str, list[tuple[Record, int]]] = {h: [] for h in HOLDERS}
+        self.hand = dict.fromkeys(HOLDERS, 0)
+        self.exposed = dict.fromkeys(HOLDERS, 0)
+        self.limit = dict.fromkeys(HOLDERS, 0)
+        self.fenced = dict.fromkeys(HOLDERS, False)
+        self.number = 0
+
+    @rule(amount=st.integers(0, 100))
+    def top_up(self, amount: int) -> None:
+        self.number += 1
+        self.paid += amount
+        assert self.log.write("op", TopUp(ACCOUNT, amount, f"t{self.number}")).ok
+
+    @rule(holder=st.sampled_from(HOLDERS), amount=st.integers(1, 60), exposure=st.integers(0, 20))
+    def ask(self, holder: str, amount: int, exposure: int) -> None:
+        self.deliver(holder)
+        verdict = self.log.write(holder, Grant(ACCOUNT, amount, min(amount, exposure)))
+        self.fenced[holder] |= verdict.fenced
+        if verdict.ok:
+            self.hand[holder] += amount
+            self.limit[holder] = max(self.limit[holder], min(amount, exposure))
+
+    @rule(holder=st.sampled_from(HOLDERS), reserve=st.integers(1, 20), share=st.integers(0, 100))
+    def run_before_the_log_knows(self, holder: str, reserve: int, share: int) -> None:
+        if self.fenced[holder] or self.hand[holder] < reserve:
+            return
+        if self.exposed[holder] + reserve > self.limit[holder]:
+            return
+        self.number += 1
+        cost = reserve * share // 100
+        self.used += cost
+        self.hand[holder] -= cost
+        self.exposed[holder] += reserve
+        self.waiting[holder].append((Intent(f"r{self.number}", ACCOUNT, reserve, "p"), reserve))
+        self.waiting[holder].append((Bill(f"r{self.number}", cost), 0))
+
+    @rule(holder=st.sampled_from(HOLDERS), amount=st.integers(1, 20))
+    def give_back(self, holder: str, amount: int) -> None:
+        if self.hand[holder] >= amount:
+            self.hand[holder] -= amount
+            self.waiting[holder].append((Return(ACCOUNT, amount), 0))
+
+    @rule(holder=st.sampled_from(HOLDERS))
+    def deliver(self, holder: str) -> None:
+        for record, reserve in self.waiting[holder]:
+            verdict = self.log.write(holder, record)
+            self.fenced[holder] |= verdict.fenced
+            self.exposed[holder] -= reserve
+            if not isinstance(record, Return):
+                assert verdict.ok, f"{record}: {verdict.code}"
+        self.waiting[holder].clear()
+
+    @rule(by=st.sampled_from(HOLDERS), lost=st.sampled_from(HOLDERS))
+    def fence(self, by: str, lost: str) -> None:
+        if by != lost:
+            self.log.write(by, Fence(lost, self.log.seqs[lost]))
+
+    @invariant()
+    def use_stays_within_the_budget(self) -> None:
+        assert self.used <= self.paid
+        balance = self.log.state.by_account.get(ACCOUNT)
+        if balance:
+            assert available(balance) >= 0
+            withheld = sum(holding.remaining for holding in balance.by_holder.values())
+            assert self.used <= balance.billed + balance.wasted + withheld
+
+
+FoldMachine.TestCase.settings = settings(max_examples=120, stateful_step_count=30)
+TestFoldAgainstRouters = FoldMachine.TestCase
--- a/railtide/keeper/program.py
+++ b/railtide/keeper/program.py
@@ -12,7 +12,7 @@
 from railtide.keeper.server import serve_tcp
 from railtide.membership.identity import Identity
 from railtide.membership.instances import open_http_instance_list
-from railtide.process import announce, new_incarnation, new_rng, wait_for_stop
+from railtide.process import announce, new_incarnation, new_rng, relax_gc, wait_for_stop
 from railtide.serving import Bind, bind_socket, serve_http
 from railtide.settings import checked, endpoint, run_program
 from railtide.telemetry.logs import set_up_logs
@@ -122,6 +122,7 @@
         nursery.start_soon(made.run)
         nursery.start_soon(serve_tcp, made, parts.direct, [listener])
         nursery.start_soon(partial(serve_http, make_app(made, spans), http))
+        relax_gc()
         announce({"link": link.address, "http": http.address})
         await wait_for_stop()
         await made.leave()
--- /dev/null
+++ b/railtide/lanes/tests/test_scheduler.py
@@ -0,0 +1,120 @@
+"""Tests of railtide.lanes.scheduler."""
+
+from random import Random
+
+import pytest
+import trio
+
+from railtide.lanes.errors import DeadlineTooNear, NoUpstream, QueueFull
+from railtide.lanes.queue import Urgency
+from railtide.lanes.scheduler import PoolScheduler, Slot, WaitingRequest
+from railtide.membership.instances import Instance
+from railtide.upstreams.choice import TwoChoices
+from railtide.upstreams.load import LoadReport
+
+
+def pool(*names: str, slots: int = 4) -> list[Instance]:
+    return [Instance(n, "1", f"{n}:1", n[0], "engine", "p", slots) for n in names]
+
+
+def make(*names: str, slots: int = 4, most_waiting: int = 100) -> PoolScheduler:
+    scheduler = PoolScheduler(TwoChoices(Random(1)), most_waiting=most_waiting)
+    scheduler.set_upstreams(pool(*names, slots=slots))
+    return scheduler
+
+
+def request(urgency: Urgency = Urgency.BULK, account: str = "a", within: float = 60):
+    return WaitingRequest(account, urgency, 1, 1, trio.current_time() + within, "")
+
+
+async def fill(scheduler: PoolScheduler, count: int) -> list[Slot]:
+    return [await scheduler.acquire(request()) for _ in range(count)]
+
+
+class TestPoolScheduler:
+    async def test_bulk_leaves_slots_for_urgent(self, autojump_clock) -> None:
+        scheduler = make("a")
+        await fill(scheduler, 3)
+        with pytest.raises(DeadlineTooNear):
+            await scheduler.acquire(request(within=1))
+        assert await scheduler.acquire(request(Urgency.URGENT, within=1))
+
+    async def test_urgent_is_served_before_waiting_bulk(self, autojump_clock) -> None:
+        scheduler = make("a", slots=1)
+        held = await scheduler.acquire(request())
+        served = []
+
+        async def wait(urgency: Urgency) -> None:
+            slot = await scheduler.acquire(request(urgency))
+            served.append(urgency)
+            scheduler.release(slot)
+
+        async with trio.open_nursery() as nursery:
+            for urgency in (Urgency.BULK, Urgency.BULK, Urgency.URGENT):
+                nursery.start_soon(wait, urgency)
+            await trio.sleep(1)
+            scheduler.release(held)
+        assert served[0] is Urgency.URGENT
+
+    async def test_accounts_share_a_lane(self, autojump_clock) -> None:
+        scheduler = make("a", slots=2)
+        held = await scheduler.acquire(request())
+        served = []
+
+        async def wait(account: str) -> None:
+            slot = await scheduler.acquire(request(account=account))
+            served.append(account)
+            await trio.sleep(1)
+            scheduler.release(slot)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(wait, "greedy")
+            await trio.sleep(0.1)
+            nursery.start_soon(wait, "modest")
+            await trio.sleep(1)
+            scheduler.release(held)
+        assert served.index("modest") < 3
+
+    async def test_full_lane_refuses_at_once(self, autojump_clock) -> None:
+        scheduler = make("a", slots=1, most_waiting=1)
+        await fill(scheduler, 1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._wait_in_vain, scheduler)
+            await trio.sleep(0.1)
+            began = trio.current_time()
+            with pytest.raises(QueueFull) as refused:
+                await scheduler.acquire(request())
+            assert trio.current_time() == began
+            assert refused.value.retry_after > 0
+            nursery.cancel_scope.cancel()
+        assert scheduler.waiting(Urgency.BULK) == 0
+
+    async def _wait_in_vain(self, scheduler: PoolScheduler) -> None:
+        await scheduler.acquire(request())
+
+    async def test_leaving_upstream_gets_no_new_work(self, autojump_clock) -> None:
+        scheduler = make("a", "b")
+        scheduler.take_report("a", LoadReport(0, 0, True, 0.0))
+        scheduler.take_report("a", LoadReport(0, 0, False, 1.0))
+        slots = await fill(scheduler, 3)
+        assert {slot.upstream.instance.name for slot in slots} == {"b"}
+        scheduler.take_report("b", LoadReport(0, 0, True, 2.0))
+        with pytest.raises(NoUpstream):
+            await scheduler.acquire(request())
+
+    async def test_retry_goes_to_another_failure_domain(self, autojump_clock) -> None:
+        scheduler = make("a1", "a2", "b1")
+        waiting = request()
+        slot = await scheduler.acquire(waiting)
+        tried = scheduler.by_name["a1"]
+        scheduler.release(slot)
+        again = await scheduler.reacquire(waiting, tried)
+        assert again.upstream.instance.name == "b1"
+
+    async def test_release_counts_once(self, autojump_clock) -> None:
+        scheduler = make("a")
+        slot = await scheduler.acquire(request())
+        scheduler.release(slot)
+        scheduler.release(slot)
+        assert scheduler.by_name["a"].open_requests == 0
--- /dev/null
+++ b/railtide/membership/tests/test_addresses.py
@@ -0,0 +1,45 @@
+"""Tests of railtide.membership.addresses and railtide.membership.instances."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from railtide.membership.addresses import Entrance, addresses_for
+from railtide.membership.instances import Instance, InstanceState, merge_instances
+
+NAMES = st.lists(st.text("abcdef", min_size=1, max_size=4), min_size=1, max_size=12, unique=True)
+
+
+def entrances(names: list[str]) -> list[Entrance]:
+    return [Entrance(name, f"{name}:1", "xyz"[len(name) % 3]) for name in names]
+
+
+class TestAddresses:
+    @given(names=NAMES, count=st.integers(1, 5))
+    def test_are_distinct_and_as_many_as_asked(self, names: list[str], count: int) -> None:
+        chosen = addresses_for("acc", entrances(names), count)
+        assert len(set(chosen)) == len(chosen) == min(count, len(names))
+
+    @given(names=NAMES)
+    def test_cover_every_failure_domain_first(self, names: list[str]) -> None:
+        domains = {entrance.failure_domain for entrance in entrances(names)}
+        chosen = addresses_for("acc", entrances(names), len(domains))
+        assert {entrance.failure_domain for entrance in chosen} == domains
+
+    @given(names=NAMES)
+    def test_losing_another_instance_changes_nothing(self, names: list[str]) -> None:
+        first = addresses_for("acc", entrances(names), 1)[0]
+        others = [name for name in names if name != first.name]
+        kept = [first.name, *others[1:]]
+        assert addresses_for("acc", entrances(kept), 1) == [first]
+
+
+class TestMergeInstances:
+    def test_leaving_is_sticky_for_an_incarnation(self) -> None:
+        live = Instance("e", "1", "e:1", "a", "engine")
+        leaving = Instance("e", "1", "e:1", "a", "engine", state=InstanceState.LEAVING)
+        assert merge_instances([leaving], [live])[0].state is InstanceState.LEAVING
+
+    def test_new_incarnation_is_live(self) -> None:
+        leaving = Instance("e", "1", "e:1", "a", "engine", state=InstanceState.LEAVING)
+        fresh = Instance("e", "2", "e:1", "a", "engine")
+        assert merge_instances([leaving], [fresh]) == [fresh]
--- a/railtide/process.py
+++ b/railtide/process.py
@@ -1,5 +1,6 @@
 """What all server programs share: signals, and one line on standard output when listening."""
 
+import gc
 import signal
 from collections.abc import Mapping
 from random import Random
@@ -9,9 +10,11 @@
 import trio
 from loguru import logger
 
-__all__ = ["announce", "new_incarnation", "new_rng", "wait_for_stop"]
+__all__ = ["announce", "new_incarnation", "new_rng", "relax_gc", "wait_for_stop"]
 
 INCARNATION_LENGTH = 12
+GC_THRESHOLD = 50_000
+GC_OLDER = 20
 
 
 def announce(addresses: Mapping[str, str]) -> None:
@@ -19,6 +22,17 @@
     print(msgspec.json.encode({"listening": dict(addresses)}).decode(), flush=True)
 
 
+def relax_gc() -> None:
+    """Collect cyclic garbage less often, and never look again at what the start-up made.
+
+    A relay makes many short-lived objects and few cycles; the default thresholds spend a
+    noticeable share of its time on scans.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD, GC_OLDER, GC_OLDER)
+
+
 def new_incarnation() -> str:
     """Return an id that no other process has."""
     return uuid4().hex[:INCARNATION_LENGTH]
--- /dev/null
+++ b/railtide/requests/tests/test_answers.py
@@ -0,0 +1,70 @@
+"""Tests of railtide.requests.answers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from railtide.requests.answers import END_MARK, StreamChecker, usage_of_body
+from railtide.upstreams.errors import AnswerMismatch, UpstreamLost
+
+
+def event(index: int, request_id: str = "r1") -> bytes:
+    usage = ',"usage":{"prompt_tokens":3,"completion_tokens":4}' if index == 3 else ""
+    return f'id: {index}\ndata: {{"id":"{request_id}","t":{index}{usage}}}\n\n'.encode()
+
+
+WHOLE = b"".join(event(index) for index in range(4))
+
+
+class TestStreamChecker:
+    @given(cuts=st.lists(st.integers(0, len(WHOLE) + len(END_MARK)), max_size=8))
+    def test_any_cut_of_the_bytes_gives_the_same_answer(self, cuts: list[int]) -> None:
+        data = WHOLE + END_MARK
+        edges = sorted({0, len(data), *cuts})
+        checker = StreamChecker("r1")
+        parts = [checker.feed(data[a:b]) for a, b in zip(edges, edges[1:], strict=False)]
+        assert b"".join(parts) == WHOLE
+        assert checker.finished
+        assert checker.usage.completion_tokens == 4
+
+    def test_repeated_events_are_dropped(self) -> None:
+        checker = StreamChecker("r1")
+        assert checker.feed(event(0) * 2 + event(1)) == event(0) + event(1)
+        assert checker.repeats == 1
+
+    def test_missing_event_breaks_the_stream(self) -> None:
+        checker = StreamChecker("r1")
+        checker.feed(event(0))
+        with pytest.raises(UpstreamLost):
+            checker.feed(event(2))
+
+    def test_other_id_is_a_mismatch(self) -> None:
+        with pytest.raises(AnswerMismatch):
+            StreamChecker("r1").feed(event(0, "r2"))
+
+    def test_resumed_stream_continues_where_it_broke(self) -> None:
+        checker = StreamChecker("r1")
+        checker.feed(event(0) + event(1) + event(2)[:5])
+        checker.restart()
+        assert checker.feed(WHOLE + END_MARK) == event(2) + event(3)
+
+    def test_events_without_a_place_are_counted(self) -> None:
+        checker = StreamChecker("r1")
+        plain = b'data: {"id":"r1"}\n\n'
+        checker.feed(plain * 2)
+        checker.restart()
+        assert checker.feed(plain * 3) == plain
+
+
+class TestUsageOfBody:
+    def test_truncated_body_is_lost(self) -> None:
+        with pytest.raises(UpstreamLost):
+            usage_of_body(b'{"id":"r1","usage":{"prompt_tok', "r1")
+
+    def test_other_id_is_a_mismatch(self) -> None:
+        with pytest.raises(AnswerMismatch):
+            usage_of_body(b'{"id":"r2"}', "r1")
+
+    def test_body_without_usage_is_lost(self) -> None:
+        with pytest.raises(UpstreamLost):
+            usage_of_body(b'{"id":"r1"}', "r1")
--- a/railtide/router/program.py
+++ b/railtide/router/program.py
@@ -7,7 +7,7 @@
 from pydantic import BaseModel, Field
 
 from railtide.membership.identity import Identity
-from railtide.process import announce, new_incarnation, new_rng, wait_for_stop
+from railtide.process import announce, new_incarnation, new_rng, relax_gc, wait_for_stop
 from railtide.router.app import make_app
 from railtide.router.options import RouterOptions
 from railtide.router.router import Router
@@ -96,6 +96,7 @@
         nursery.start_soon(
             partial(serve_http, make_app(made, spans), bind, stopped.wait, GRACEFUL_S)
         )
+        relax_gc()
         announce({"http": bind.address})
         await wait_for_stop()
         await made.drain()
--- /dev/null
+++ b/railtide/upstreams/tests/test_load.py
@@ -0,0 +1,56 @@
+"""Tests of railtide.upstreams.load and railtide.upstreams.choice."""
+
+from random import Random
+
+from railtide.membership.instances import Instance
+from railtide.upstreams.choice import PrefixAffinity, TwoChoices
+from railtide.upstreams.load import (
+    REPORT_MAX_AGE_S,
+    LoadReport,
+    Upstream,
+    estimated_load,
+    is_ejected,
+    note_failure,
+    note_success,
+)
+
+
+def upstream(name: str = "e", **more: object) -> Upstream:
+    return Upstream(Instance(name, "1", name, "a", "engine"), **more)
+
+
+class TestEstimatedLoad:
+    def test_adds_what_was_opened_since_the_report(self) -> None:
+        made = upstream(opened_at=[1.0, 3.0], report=LoadReport(4, 2, False, 2.0))
+        assert estimated_load(made, 3.5) == 7
+
+    def test_old_report_is_not_believed(self) -> None:
+        made = upstream(open_bulk=1, report=LoadReport(40, 0, False, 0.0))
+        assert estimated_load(made, REPORT_MAX_AGE_S + 1) == 1
+
+
+class TestEjection:
+    def test_second_failure_in_a_row_ejects_for_a_while(self) -> None:
+        made = upstream()
+        note_failure(made, 0.0)
+        assert not is_ejected(made, 0.0)
+        note_failure(made, 0.0)
+        assert is_ejected(made, 0.5)
+        assert not is_ejected(made, 1.0)
+        note_success(made)
+        assert made.failures == 0
+
+
+class TestChoice:
+    def test_two_choices_takes_the_less_loaded(self) -> None:
+        idle, busy = upstream("idle"), upstream("busy", open_bulk=9)
+        choice = TwoChoices(Random(1))
+        assert {choice.choose([idle, busy], "", 0.0).instance.name for _ in range(9)} == {"idle"}
+
+    def test_affinity_holds_until_its_home_is_busier(self) -> None:
+        pool = [upstream("e1"), upstream("e2"), upstream("e3")]
+        choice = PrefixAffinity(TwoChoices(Random(1)))
+        home = choice.choose(pool, "acc/prefix", 0.0)
+        assert all(choice.choose(pool, "acc/prefix", 0.0) is home for _ in range(9))
+        home.open_bulk = 50
+        assert choice.choose(pool, "acc/prefix", 0.0) is not home
--- a/railtide/wire/codec.py
+++ b/railtide/wire/codec.py
@@ -221,5 +221,5 @@
             if isinstance(read, EntryMessage) and message.traceparent:
                 return EntryMessage(read.entry, message.traceparent)
             return read
-    except (capnp.KjException, msgspec.DecodeError, UnicodeDecodeError) as err:
+    except (capnp.KjException, msgspec.DecodeError, ValueError) as err:
         raise UnreadableMessage(str(err)) from err
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -44,8 +44,11 @@
     instances: Process | None = None
 
     def start(self, module: str, *args: str) -> Process:
+        return self.start_module(f"railtide.{module}.program", *args)
+
+    def start_module(self, module: str, *args: str) -> Process:
         popen = subprocess.Popen(
-            [sys.executable, "-m", f"railtide.{module}.program", *args],
+            [sys.executable, "-m", module, *args],
             stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL,
             text=True,
@@ -61,7 +64,7 @@
 
     def start_engine(self, name: str, domain: str, pool: str, token_s: float = 0.005) -> Process:
         engine = self.start("standins", "engine", "--token-s", str(token_s))
-        self.list_instance(Instance(name, "1", engine.http, domain, "engine", pool))
+        self.list_instance(Instance(name, "1", engine.http, domain, "engine", pool, 64))
         return engine
 
     def start_service(self, name: str, domain: str, pool: str) -> Process:
