Treasury tests run on the virtual clock

Cause: the clock fixture was hidden behind another fixture, so the tests ran in real time and one timed out at 20 s. No check changed.

--- a/railtide/budgets/tests/test_treasury.py
+++ b/railtide/budgets/tests/test_treasury.py
@@ -11,9 +11,7 @@
 from railtide.journal.writer import Writer
 from railtide.membership.messages import Close, Heartbeat
 
-SETTINGS = AccountSettings(
-    grant_min=100, grant_horizon_s=1, exposure_percent=50, budget_wait_s=0.5
-)
+SETTINGS = AccountSettings(grant_min=100, grant_horizon_s=1, exposure_percent=50, budget_wait_s=0.5)
 
 
 class Book:
@@ -61,28 +59,30 @@
 
 
 @pytest.fixture
-async def nursery_scope(autojump_clock):
+async def nursery_scope():
     async with trio.open_nursery() as nursery:
         yield nursery
         nursery.cancel_scope.cancel()
 
 
 class TestReserve:
-    async def test_waits_for_its_grant(self, nursery_scope) -> None:
+    async def test_waits_for_its_grant(self, autojump_clock, nursery_scope) -> None:
         book = Book(1000)
         nursery_scope.start_soon(book.run)
         held = await book.reserve(30)
         assert held.amount == 30
         assert book.treasury.epoch.hand("acc").available == 70
 
-    async def test_exhausted_budget_is_refused_with_its_code(self, nursery_scope) -> None:
+    async def test_exhausted_budget_is_refused_with_its_code(
+        self, autojump_clock, nursery_scope
+    ) -> None:
         book = Book(20)
         nursery_scope.start_soon(book.run)
         with pytest.raises(BudgetExhausted) as refused:
             await book.reserve(30)
         assert refused.value.retry_after > 0
 
-    async def test_last_units_are_asked_for_exactly(self, nursery_scope) -> None:
+    async def test_last_units_are_asked_for_exactly(self, autojump_clock, nursery_scope) -> None:
         book = Book(40)
         nursery_scope.start_soon(book.run)
         assert (await book.reserve(35)).amount == 35
@@ -94,7 +94,7 @@
             await book.reserve(30)
         assert trio.current_time() == began
 
-    async def test_hand_serves_on_in_an_outage(self, nursery_scope) -> None:
+    async def test_hand_serves_on_in_an_outage(self, autojump_clock, nursery_scope) -> None:
         book = Book(1000)
         nursery_scope.start_soon(book.run)
         (await book.reserve(10)).settle(10)
@@ -103,7 +103,7 @@
 
 
 class TestReservation:
-    async def test_exposure_is_bounded_and_covered(self, nursery_scope) -> None:
+    async def test_exposure_is_bounded_and_covered(self, autojump_clock, nursery_scope) -> None:
         book = Book(1000)
         nursery_scope.start_soon(book.run)
         held = [await book.reserve(30) for _ in range(2)]
@@ -112,7 +112,7 @@
         held[0].cover(30)
         assert held[1].try_expose(30)
 
-    async def test_settles_once(self, nursery_scope) -> None:
+    async def test_settles_once(self, autojump_clock, nursery_scope) -> None:
         book = Book(1000)
         nursery_scope.start_soon(book.run)
         held = await book.reserve(30)
@@ -120,7 +120,7 @@
         assert held.settle(5) == 0
         assert book.treasury.epoch.hand("acc").spent == 20
 
-    async def test_extends_only_from_the_hand(self, nursery_scope) -> None:
+    async def test_extends_only_from_the_hand(self, autojump_clock, nursery_scope) -> None:
         book = Book(100)
         nursery_scope.start_soon(book.run)
         held = await book.reserve(60)
@@ -130,7 +130,7 @@
 
 class TestEpochs:
     async def test_fence_opens_a_new_epoch_and_closes_the_old_when_settled(
-        self, nursery_scope
+        self, autojump_clock, nursery_scope
     ) -> None:
         book = Book(1000)
         held = []
@@ -152,7 +152,7 @@
         await trio.sleep(2)
         assert book.records[-1] == Close()
 
-    async def test_demand_returns_what_lies_idle(self, nursery_scope) -> None:
+    async def test_demand_returns_what_lies_idle(self, autojump_clock, nursery_scope) -> None:
         book = Book(1000)
         nursery_scope.start_soon(book.run)
         (await book.reserve(30)).settle(30)
@@ -161,7 +161,7 @@
         assert book.records[-1] == Return("acc", 70)
         assert book.treasury.epoch.hand("acc").available == 0
 
-    async def test_traffic_that_ends_gives_back(self, nursery_scope) -> None:
+    async def test_traffic_that_ends_gives_back(self, autojump_clock, nursery_scope) -> None:
         book = Book(100_000)
         nursery_scope.start_soon(book.run)
         nursery_scope.start_soon(book.treasury.run)
