A retry asks for the budget that its lost try may have used

Cause: tests/matrix/test_single.py: a request whose first answer was lost was refused although the budget had plenty, since the extension looked only at what was in hand. Change: Treasury.extend obtains a grant as reserve does.

--- a/railtide/budgets/treasury.py
+++ b/railtide/budgets/treasury.py
@@ -8,11 +8,12 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import trio
 from loguru import logger
 
-from railtide.budgets.errors import BudgetExhausted, BudgetUnavailable
+from railtide.budgets.errors import BudgetError, BudgetExhausted, BudgetUnavailable
 from railtide.budgets.hand import (
     Hand,
     can_expose,
@@ -31,6 +32,8 @@
 
 __all__ = ["Epoch", "Reservation", "Treasury"]
 
+Taken = TypeVar("Taken")
+
 RATE_WINDOW_S = 5.0
 RETRY_GRANT_S = 0.05
 RETRY_AFTER_S = 1.0
@@ -181,12 +184,43 @@
         """
         self._settings_by_account[account] = settings
         self._note_rate(account, amount)
+        taken = await self._obtain(
+            account, settings, amount, deadline, lambda: self._take(account, amount)
+        )
+        self._refill(account, settings)
+        return taken
+
+    async def extend(
+        self, reservation: Reservation, settings: AccountSettings, amount: int, deadline: float
+    ) -> bool:
+        """Add to a reservation, asking for a grant if need be; return whether it was done.
+
+        Only the reservation's own epoch can extend it.
+        """
+        epoch = reservation.epoch
+
+        def take() -> bool:
+            return epoch is self.epoch and reservation.extend(amount)
+
+        try:
+            return await self._obtain(reservation.account, settings, amount, deadline, take)
+        except BudgetError:
+            return False
+
+    async def _obtain(
+        self,
+        account: str,
+        settings: AccountSettings,
+        amount: int,
+        deadline: float,
+        take: Callable[[], Taken | None],
+    ) -> Taken:
+        """Return what `take` returns once it is true, asking for grants until then."""
         until = min(deadline, trio.current_time() + settings.budget_wait_s)
         exhausted = False
         while True:
-            taken = self._take(account, amount)
+            taken = take()
             if taken:
-                self._refill(account, settings)
                 return taken
             now = trio.current_time()
             if now >= until or not self._log_reachable():
--- a/railtide/requests/cover.py
+++ b/railtide/requests/cover.py
@@ -106,8 +106,12 @@
             await self._cover(self._call.reserve)
 
     async def extend(self, amount: int) -> bool:
-        """Reserve and cover another try; return False if there is no budget in hand for it."""
-        if not self._reservation.extend(amount):
+        """Reserve and cover another try; return False if there is no budget for it."""
+        call = self._call
+        extended = await self._services.extend(
+            self._reservation, call.settings, amount, call.deadline
+        )
+        if not extended:
             return False
         await self._cover(amount)
         return True
--- a/railtide/requests/services.py
+++ b/railtide/requests/services.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from railtide.budgets.treasury import Reservation
+from railtide.configuration.models import AccountSettings
 from railtide.requests.options import RequestOptions
 from railtide.requests.replays import Replays
 from railtide.requests.retry import RetryBudget
@@ -20,6 +22,8 @@
     ----------
     log_reachable : callable
         Whether entries become durable now.
+    extend : callable
+        Adds to a reservation; see `Treasury.extend`.
     start_soon : callable
         Runs an async function without arguments in the background.
     """
@@ -30,4 +34,5 @@
     replays: Replays
     counters: Counters
     log_reachable: Callable[[], bool]
+    extend: Callable[[Reservation, AccountSettings, int, float], Awaitable[bool]]
     start_soon: Callable[[Callable[[], Awaitable[None]]], None]
--- a/railtide/router/router.py
+++ b/railtide/router/router.py
@@ -92,6 +92,7 @@
             Replays(),
             self.counters,
             self._log_reachable,
+            self.treasury.extend,
             self._start_soon,
         )
         self._dispatcher = Dispatcher(self.treasury, self.schedulers_by_pool.get, self._services)
--- /dev/null
+++ b/tests/matrix/test_single.py
@@ -0,0 +1,190 @@
+"""Single requests under single faults, where the exact outcome is known."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from trio.testing import MockClock
+
+from railtide.errors import Run
+from railtide.standins.faults import Fault, FaultKind
+from tests.matrix.checks import check_all, read_ledger, true_costs
+from tests.matrix.world import TEMPLATE, Attempt, World, booking, chat
+
+
+async def never(step: str, moment: str, actor: str) -> None:
+    """Strike nowhere."""
+
+
+def in_world(
+    work: Callable[[World], Awaitable[None]],
+    reached: Callable[[str, str, str], Awaitable[None]] = never,
+    template: dict = TEMPLATE,
+) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            world = World(nursery, reached, template)
+            await world.build()
+            await work(world)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+def set_faults(world: World, kind: FaultKind, count: int, seconds: float = 0.0) -> None:
+    """Let the next `count` calls to all upstreams together go wrong."""
+    shared = Fault(kind, count, seconds)
+    for faults in world.platform.faults.values():
+        faults.set(shared)
+
+
+async def ask(world: World, marker: str, stream: bool = False, key: str = "") -> Attempt:
+    request = chat("bortolini", marker, 10, stream, key)
+    return await world.attempt("i1", "bortolini", marker, request)
+
+
+class TestLostTries:
+    def test_retry_is_answered_and_the_lost_try_counted_as_waste(self) -> None:
+        async def work(world: World) -> None:
+            set_faults(world, FaultKind.LOST, 1)
+            attempt = await ask(world, "m")
+            assert attempt.answered
+            await trio.sleep(5)
+            bill = read_ledger(world).bills_by_request[attempt.sink.request_id][0]
+            used = true_costs(world)[attempt.sink.request_id]
+            assert bill.cost < used <= bill.cost + bill.wasted
+            world.publications.clear()
+
+        in_world(work)
+
+    def test_refusal_after_a_lost_try_does_not_say_not_run(self) -> None:
+        async def work(world: World) -> None:
+            set_faults(world, FaultKind.LOST, 1)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._refuse_soon, world)
+                attempt = await ask(world, "m")
+            assert attempt.error.run is Run.UNKNOWN
+
+        in_world(work)
+
+    async def _refuse_soon(self, world: World) -> None:
+        while not world.platform.starts:
+            await trio.sleep(0.001)
+        set_faults(world, FaultKind.REFUSE, 9)
+
+    def test_failed_request_is_not_billed_but_its_use_is_counted(self) -> None:
+        async def work(world: World) -> None:
+            set_faults(world, FaultKind.LOST, 9)
+            attempt = await ask(world, "m")
+            assert attempt.error.code == "upstream-lost"
+            await trio.sleep(5)
+            balance = read_ledger(world).state.by_account["bortolini"]
+            assert balance.billed == 0
+            assert balance.wasted >= true_costs(world)[attempt.call.request_id] > 0
+
+        in_world(work)
+
+
+class TestOnceCalls:
+    def test_lost_answer_is_unknown_and_never_sent_again(self) -> None:
+        async def work(world: World) -> None:
+            set_faults(world, FaultKind.LOST, 1)
+            request = booking("bortolini", "hole", "k")
+            first = await world.attempt("i1", "bortolini", "hole", request)
+            again = await world.attempt("i2", "bortolini", "hole", request)
+            assert [a.error.code for a in (first, again)] == ["outcome-unknown"] * 2
+            assert len(world.platform.starts) == 1
+
+        in_world(work)
+
+    def test_no_log_no_claim_no_run(self) -> None:
+        async def work(world: World) -> None:
+            await ask(world, "warm")
+            world.platform.log_down = True
+            await trio.sleep(3)
+            request = booking("bortolini", "hole", "k")
+            attempt = await world.attempt("i1", "bortolini", "hole", request)
+            assert (attempt.error.code, attempt.error.run) == ("claim-unavailable", Run.NOT_RUN)
+            assert not [s for s in world.platform.starts if s[2] == attempt.call.request_id]
+
+        in_world(work)
+
+    def test_refused_call_goes_elsewhere(self) -> None:
+        async def work(world: World) -> None:
+            set_faults(world, FaultKind.REFUSE, 1)
+            request = booking("bortolini", "hole", "k")
+            assert (await world.attempt("i1", "bortolini", "hole", request)).answered
+
+        in_world(work)
+
+
+class TestOutage:
+    def test_hands_serve_on_and_bills_follow(self) -> None:
+        async def work(world: World) -> None:
+            await ask(world, "warm")
+            world.platform.log_down = True
+            await trio.sleep(3)
+            attempt = await ask(world, "m", stream=True)
+            assert attempt.answered
+            world.platform.log_down = False
+            await trio.sleep(40)
+            check_all_but_publications(world)
+
+        in_world(work, template=TEMPLATE | {"grant_min": 1000})
+
+    def test_exposure_bounds_what_is_sent_without_the_log(self) -> None:
+        async def work(world: World) -> None:
+            await ask(world, "warm")
+            world.platform.log_down = True
+            await trio.sleep(3)
+            attempts = [await ask(world, f"m{n}") for n in range(8)]
+            refused = [a for a in attempts if not a.answered]
+            assert len(refused) < len(attempts)
+            assert refused and all(a.error.run is Run.NOT_RUN for a in refused)
+
+        in_world(work, template=TEMPLATE | {"grant_min": 400})
+
+
+class TestStreams:
+    def test_truncated_stream_is_resumed_whole(self) -> None:
+        async def work(world: World) -> None:
+            set_faults(world, FaultKind.TRUNCATE, 1)
+            attempt = await ask(world, "m", stream=True)
+            assert attempt.answered
+            assert world.routers["i1"].router.counters.value("streams_resumed") == 1
+            await trio.sleep(40)
+            check_all_but_publications(world)
+
+        in_world(work)
+
+
+class TestKeys:
+    def test_key_used_for_another_request_is_refused(self) -> None:
+        async def work(world: World) -> None:
+            assert (await ask(world, "m", key="k")).answered
+            other = await ask(world, "other", key="k")
+            assert other.error.code == "key-reused"
+
+        in_world(work)
+
+    def test_exhausted_budget_still_gives_a_known_answer(self) -> None:
+        async def work(world: World) -> None:
+            assert (await ask(world, "m", key="k")).answered
+            request = chat("bortolini", "m", 10, False, "k")
+            router = world.routers["i2"].router
+            router.treasury.reserve = self._exhausted
+            again = await world.attempt("i2", "bortolini", "m", request)
+            assert again.answered
+
+        in_world(work)
+
+    async def _exhausted(self, *args: object) -> None:
+        from railtide.budgets.errors import BudgetExhausted
+
+        raise BudgetExhausted
+
+
+def check_all_but_publications(world: World) -> None:
+    """Check the promises of a world without a publisher."""
+    for process in world.routers.values():
+        process.router.directory.put("template", "base", 2, b'{"models":["brief"]}')
+    check_all(world)
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -145,8 +145,14 @@
 class World:
     """The fleet; `reached` is called at every step with its moment and instance."""
 
-    def __init__(self, nursery: trio.Nursery, reached: Callable[..., Awaitable[None]]) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        reached: Callable[..., Awaitable[None]],
+        template: dict = TEMPLATE,
+    ) -> None:
         self.nursery = nursery
+        self.template = template
         log = RememberingLog(lambda: int((trio.current_time() + 1e6) * 1000))
         self.platform = Platform(log, InstanceStore(), reached)
         self.keepers: dict[str, KeeperProcess] = {}
@@ -269,7 +275,7 @@
         operator = Operator(self, "i3")
         operator.publish("model", "brief", {"pool": "brief-pool", "price_in": 1, "price_out": 2})
         operator.publish("service", "crew", {"pool": "crew-pool", "price": 20, "once": ["book"]})
-        operator.publish("template", "base", TEMPLATE)
+        operator.publish("template", "base", self.template)
         for account, units in ACCOUNTS.items():
             body = {"template": "base", "key_hashes": [key_hash(account)]}
             operator.publish("account", account, body)
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,228 @@
+"""Single faults put into the decision code, each caught by named tests.
+
+``python -m tests.mutants`` copies the project, puts one fault in, runs the tests named for it and
+expects them to fail. It prints every mutant that survives and exits with 1 if one is not listed
+in `SURVIVORS`. Generic tools mutate operators by the thousand; these are the faults the promises
+fear, so they are written by hand.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+WORKERS = 6
+FOLD = "railtide/journal/tests/test_fold.py"
+SINGLE = "tests/matrix/test_single.py"
+FOUND = "tests/matrix/test_regressions.py"
+TIMEOUT_S = 150
+SURVIVORS = ("proof-trusted-after-pause",)
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """A fault: in `file`, `old` becomes `new`; `tests` must then fail."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+
+
+MUTANTS = [
+    Mutant(
+        "grant-not-checked-against-the-balance",
+        "budgets/balance.py",
+        "if amount > available(balance):",
+        "if False:",
+        (FOLD,),
+    ),
+    Mutant(
+        "repeat-not-dropped",
+        "journal/fold.py",
+        "    if entry.seq <= holder.last_seq:\n        state.repeats += 1\n        return None\n"
+        "    if entry.seq != holder.last_seq + 1:",
+        "    if entry.seq > holder.last_seq + 1:",
+        (FOLD,),
+    ),
+    Mutant(
+        "claim-skipped",
+        "journal/fold.py",
+        "find_key(state.registry, record.account, record.key)\n    if known:\n"
+        "        return _say_key(state, entry, holder, known, record.digest)\n"
+        "    balance",
+        "None\n    balance",
+        (FOLD,),
+    ),
+    Mutant(
+        "id-not-compared",
+        "requests/answers.py",
+        "if self._id not in event:",
+        "if False:",
+        ("railtide/requests/tests",),
+    ),
+    Mutant(
+        "lower-offset-taken",
+        "journal/fold.py",
+        "if offset <= state.offset:",
+        "if False:",
+        (FOLD,),
+    ),
+    Mutant(
+        "lower-version-taken",
+        "configuration/directory.py",
+        "if held and held.version >= version:",
+        "if False:",
+        ("railtide/configuration/tests",),
+    ),
+    Mutant(
+        "proof-trusted-after-pause",
+        "requests/cover.py",
+        "if self._intent.durable and age",
+        "if False and age",
+        (SINGLE, FOUND),
+    ),
+    Mutant(
+        "exposure-not-withheld",
+        "budgets/balance.py",
+        "holding.reserved + holding.exposure)",
+        "holding.reserved)",
+        (FOLD,),
+    ),
+    Mutant(
+        "late-return-accepted",
+        "budgets/balance.py",
+        "    if holding is None or holding.fenced:\n        return False\n    if amount",
+        "    if holding is None:\n        return False\n    if amount",
+        (FOLD,),
+    ),
+    Mutant(
+        "exposure-not-bounded",
+        "budgets/hand.py",
+        "return hand.exposed + amount <= hand.exposure_limit",
+        "return True",
+        (SINGLE, "railtide/budgets/tests"),
+    ),
+    Mutant(
+        "end-mark-not-needed",
+        "requests/relay.py",
+        "while not self._checker.finished:",
+        "while False:",
+        (SINGLE,),
+    ),
+    Mutant(
+        "once-call-sent-again",
+        "requests/execution.py",
+        "if not refused and not self._call.repeatable:",
+        "if False:",
+        (SINGLE,),
+    ),
+    Mutant(
+        "not-run-after-a-lost-try",
+        "requests/execution.py",
+        "if self._may_have_run and err.run is Run.NOT_RUN:",
+        "if False:",
+        (SINGLE,),
+    ),
+    Mutant(
+        "lost-try-not-counted",
+        "requests/execution.py",
+        "wasted = self._call.reserve * len(self._lost_tries)",
+        "wasted = 0",
+        (SINGLE,),
+    ),
+    Mutant(
+        "fence-without-comparing",
+        "journal/fold.py",
+        "if not alive or target.last_seq != record.seen_seq:",
+        "if not alive:",
+        (FOLD,),
+    ),
+    Mutant(
+        "both-operators-win",
+        "configuration/objects.py",
+        "if proposal.base_version != version:",
+        "if False:",
+        (FOLD,),
+    ),
+    Mutant(
+        "leaving-not-sticky",
+        "lanes/scheduler.py",
+        "upstream.leaving = upstream.leaving or report.leaving",
+        "upstream.leaving = report.leaving",
+        ("railtide/lanes/tests",),
+    ),
+    Mutant(
+        "stranger-may-bill",
+        "journal/fold.py",
+        "if request is None or entry.holder not in (request.owner, request.holder):",
+        "if request is None:",
+        (FOLD,),
+    ),
+    Mutant(
+        "settled-elsewhere-answered",
+        "requests/cover.py",
+        "if verdict and verdict.code == Code.NOT_OPEN",
+        "if False and verdict.code == Code.NOT_OPEN",
+        (FOUND,),
+    ),
+    Mutant(
+        "key-forgotten-after-unknown",
+        "requests/registry.py",
+        "if bill.outcome is not Outcome.NOT_RUN:",
+        "if bill.outcome is Outcome.DONE:",
+        (FOLD, SINGLE),
+    ),
+    Mutant(
+        "claim-without-a-log",
+        "requests/cover.py",
+        "        if not self._services.log_reachable():\n            raise ClaimUnavailable(",
+        "        if False:\n            raise ClaimUnavailable(",
+        (SINGLE,),
+    ),
+]
+
+
+def survives(mutant: Mutant) -> bool:
+    """Return whether the named tests pass with the fault in."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for part in ("railtide", "tests"):
+            shutil.copytree(ROOT / part, copy / part, ignore=shutil.ignore_patterns("__pycache__"))
+        for name in ("pyproject.toml", "conftest.py"):
+            shutil.copy(ROOT / name, copy / name)
+        target = copy / "railtide" / mutant.file
+        text = target.read_text()
+        if text.count(mutant.old) != 1:
+            raise ValueError(f"{mutant.name}: its text stands {text.count(mutant.old)} times")
+        target.write_text(text.replace(mutant.old, mutant.new))
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-x", "--timeout", "100", *mutant.tests],
+            cwd=copy,
+            env={"PYTHONPATH": str(copy), "PATH": "", "PYTHONHASHSEED": "0"},
+            capture_output=True,
+            timeout=TIMEOUT_S,
+        )
+    return done.returncode == 0
+
+
+def main() -> int:
+    """Try all mutants and report."""
+    with ThreadPoolExecutor(WORKERS) as pool:
+        results = list(pool.map(survives, MUTANTS))
+    unexpected = 0
+    for mutant, alive in zip(MUTANTS, results, strict=True):
+        listed = " (listed)" if mutant.name in SURVIVORS else ""
+        print(f"{'survived' if alive else 'caught'}{listed if alive else ''}: {mutant.name}")
+        unexpected += alive and mutant.name not in SURVIVORS
+    print(f"{results.count(False)} caught, {results.count(True)} survived")
+    return 1 if unexpected else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
