--- /dev/null
+++ b/railtide/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: both users' deployments in small, in one process."""
