--- a/railtide/budgets/balance.py
+++ b/railtide/budgets/balance.py
@@ -7,6 +7,7 @@
     "Balance",
     "Holding",
     "available",
+    "bill_late",
     "close_holding",
     "fence_holding",
     "give_back",
@@ -145,6 +146,17 @@
     return billed
 
 
+def bill_late(balance: Balance, holder: str, cost: int) -> int:
+    """Bill from the unreserved part of a holding; return the units it had to give."""
+    holding = balance.by_holder.get(holder)
+    if holding is None:
+        return 0
+    billed = min(cost, holding.remaining - holding.reserved)
+    holding.remaining -= billed
+    balance.billed += billed
+    return billed
+
+
 def waste(balance: Balance, holder: str, amount: int) -> int:
     """Count units of a holding as used without a bill; return how many it had to give."""
     holding = balance.by_holder.get(holder)
--- a/railtide/journal/fold.py
+++ b/railtide/journal/fold.py
@@ -11,9 +11,11 @@
 from railtide.journal.entries import Code, Entry, Record, Verdict, record_of
 from railtide.journal.state import HolderState, HolderStatus, State
 from railtide.membership.messages import Checkpointed, Close, Heartbeat, Leaving, Open
-from railtide.requests.messages import Adopt, Bill, Extend, Intent, Lookup
+from railtide.requests.messages import Adopt, Bill, Extend, Intent, Lookup, Outcome
 from railtide.requests.registry import (
     KeyState,
+    correct,
+    correctable,
     expire_keys,
     expire_settled,
     find_key,
@@ -128,8 +130,12 @@
 
 
 def _say(state: State, entry: Entry, holder: HolderState, code: str, **more: object) -> Verdict:
-    fenced = holder.status in (HolderStatus.FENCED, HolderStatus.CLOSED)
-    return Verdict(entry.seq, code, state.offset, fenced=fenced, **more)
+    return Verdict(entry.seq, code, state.offset, fenced=_is_ended(holder), **more)
+
+
+def _is_ended(holder: HolderState) -> bool:
+    """Return whether the holder may start nothing that it has not sent already."""
+    return holder.status in (HolderStatus.FENCED, HolderStatus.CLOSED)
 
 
 def _on_open(state: State, entry: Entry, holder: HolderState, record: Open) -> Verdict:
@@ -169,7 +175,7 @@
     balance = state.by_account.get(record.account)
     if balance is None:
         return _say(state, entry, holder, Code.BUDGET_EXHAUSTED)
-    if holder.status in (HolderStatus.FENCED, HolderStatus.CLOSED):
+    if _is_ended(holder):
         return _say(state, entry, holder, Code.FENCED)
     granted = budgets.grant(balance, entry.holder, record.amount, record.exposure)
     code = Code.OK if granted else Code.BUDGET_EXHAUSTED
@@ -231,6 +237,8 @@
     known = find_key(state.registry, record.account, record.key)
     if known:
         return _say_key(state, entry, holder, known, record.digest)
+    if _is_ended(holder) and not record.exposed:
+        return _say(state, entry, holder, Code.FENCED)
     balance = state.by_account.get(record.account)
     if balance is None or record.request_id in state.registry.by_request_id:
         return _say(state, entry, holder, Code.REFUSED)
@@ -243,14 +251,14 @@
 def _on_bill(state: State, entry: Entry, holder: HolderState, record: Bill) -> Verdict:
     request = state.registry.by_request_id.get(record.request_id)
     if request is None or entry.holder not in (request.owner, request.holder):
-        settled = state.registry.settled_by_request_id.get(record.request_id)
-        outcome = settled.outcome if settled else ""
-        return _say(state, entry, holder, Code.NOT_OPEN, outcome=outcome)
+        return _on_late_bill(state, entry, holder, record)
     balance = state.by_account[request.account]
     budgets.settle(balance, request.holder, request.reserve, record.cost, record.wasted)
+    claim = find_key(state.registry, request.account, request.key)
     finish(state.registry, record, state.stamp)
     if entry.holder != request.holder:
-        remember_settled(state.registry, record.request_id, record.outcome, state.stamp)
+        digest = claim.digest if claim else 0
+        remember_settled(state.registry, record, request, digest, state.stamp)
     payer = state.by_holder.get(request.holder)
     if payer is None or payer.status == HolderStatus.CLOSED:
         budgets.close_holding(balance, request.holder)
@@ -261,6 +269,8 @@
     request = state.registry.by_request_id.get(record.request_id)
     if request is None or entry.holder != request.holder:
         return _say(state, entry, holder, Code.NOT_OPEN)
+    if _is_ended(holder) and not record.exposed:
+        return _say(state, entry, holder, Code.FENCED)
     balance = state.by_account[request.account]
     if not budgets.open_reserve(balance, request.holder, record.amount):
         return _say(state, entry, holder, Code.BUDGET_EXHAUSTED)
@@ -274,6 +284,21 @@
     return _say(state, entry, holder, Code.OK if lost == record.amount else Code.REFUSED)
 
 
+def _on_late_bill(state: State, entry: Entry, holder: HolderState, record: Bill) -> Verdict:
+    """Judge the bill of a request that is settled: only its own holder may correct "not run".
+
+    A router that was cut off, or paused, and ran a request that others took for not run so still
+    bills it once. What it withheld pays for it.
+    """
+    settled = correctable(state.registry, entry.holder, record.request_id)
+    if settled and record.outcome is not Outcome.NOT_RUN:
+        budgets.bill_late(state.by_account[settled.request.account], entry.holder, record.cost)
+        correct(state.registry, settled, record, state.stamp)
+        return _say(state, entry, holder, Code.OK)
+    known = state.registry.settled_by_request_id.get(record.request_id)
+    return _say(state, entry, holder, Code.NOT_OPEN, outcome=known.outcome if known else "")
+
+
 def _on_adopt(state: State, entry: Entry, holder: HolderState, record: Adopt) -> Verdict:
     request = state.registry.by_request_id.get(record.request_id)
     if request is None:
--- a/railtide/keeper/appender.py
+++ b/railtide/keeper/appender.py
@@ -43,6 +43,7 @@
     ) -> None:
         self.appends = 0
         self.failures = 0
+        self.answers_lost = 0
         self.bytes_appended = 0
         self._log = log
         self._follower = follower
@@ -51,6 +52,8 @@
         self._backoff = Backoff(options.backoff_s, options.backoff_max_s, rng)
         self._entries_by_holder: dict[str, dict[int, Entry]] = {}
         self._waiting = trio.Event()
+        self._in_flight: set[tuple[str, int]] = set()
+        self._append_scope = trio.CancelScope()
         self._spans_by_holder_and_seq: dict[tuple[str, int], trace.Span] = {}
 
     def add(self, entry: Entry, traceparent: str = "") -> None:
@@ -71,11 +74,14 @@
             return
         for old in [old for old in queue if old <= seq]:
             del queue[old]
+            self._in_flight.discard((holder, old))
             span = self._spans_by_holder_and_seq.pop((holder, old), None)
             if span:
                 span.end()
         if not queue:
             del self._entries_by_holder[holder]
+        if not self._in_flight:
+            self._append_scope.cancel()
 
     def pending_of(self, holder: str) -> bool:
         """Return whether entries of the holder are queued."""
@@ -113,10 +119,9 @@
     async def _append(self, batch: list[Entry]) -> None:
         data = batch_to_bytes(batch)
         began = trio.current_time()
-        with self._log_span(batch):
-            offset = await self._log.append(self._options.stream, data)
         self.appends += 1
         self.bytes_appended += len(data)
+        offset = await self._append_or_see_it_folded(batch, data)
         self._backoff.reset()
         with trio.move_on_after(FOLD_WAIT_S):
             await self._follower.wait_for(offset)
@@ -125,6 +130,17 @@
         if rest > 0:
             await trio.sleep(rest)
 
+    async def _append_or_see_it_folded(self, batch: list[Entry], data: bytes) -> int:
+        """Append and return the offset; stop waiting once the fold has passed the whole batch.
+
+        An answer that is lost after the append took effect so costs no timeout.
+        """
+        self._in_flight = {(entry.holder, entry.seq) for entry in batch}
+        with trio.CancelScope() as self._append_scope, self._log_span(batch):
+            return await self._log.append(self._options.stream, data)
+        self.answers_lost += 1
+        return self._follower.state.offset
+
     def _log_span(self, batch: list[Entry]) -> AbstractContextManager[object]:
         """Return a span of the group append, below the first traced entry in it."""
         for entry in batch:
--- /dev/null
+++ b/railtide/keeper/tests/test_appender.py
@@ -0,0 +1,106 @@
+"""Tests of railtide.keeper.appender."""
+
+from random import Random
+
+import trio
+
+from railtide.journal.client import LogClient, Page
+from railtide.journal.entries import make_entry
+from railtide.journal.errors import LogUnavailable
+from railtide.journal.state import HolderStatus
+from railtide.keeper.appender import Appender
+from railtide.keeper.follower import Follower
+from railtide.keeper.options import KeeperOptions
+from railtide.membership.messages import Heartbeat, Open
+from railtide.standins.log import LogStore
+
+ANSWER_TIMEOUT_S = 5.0
+
+
+class FlakyLog(LogClient):
+    """A log in memory whose next appends go wrong as listed."""
+
+    def __init__(self, *faults: str) -> None:
+        self.store = LogStore(lambda: 1_000)
+        self.faults = list(faults)
+
+    async def append(self, stream: str, data: bytes) -> int:
+        await trio.sleep(0.001)
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "never-arrived":
+            raise LogUnavailable
+        offset = self.store.append(stream, data)
+        if fault == "answer-lost":
+            await trio.sleep(ANSWER_TIMEOUT_S)
+            raise LogUnavailable
+        if fault == "arrived-twice":
+            offset = self.store.append(stream, data)
+        return offset
+
+    async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
+        await trio.sleep(0.001)
+        return await self.store.read(stream, start, limit, wait_s)
+
+
+class Node:
+    """A follower and an appender on one log."""
+
+    def __init__(self, log: LogClient) -> None:
+        options = KeeperOptions()
+        rng = Random(1)
+        self.refused = []
+        self.follower = Follower(
+            log, options, rng, self._on_folded, lambda reachable: None, lambda: None
+        )
+        self.appender = Appender(log, self.follower, options, rng, self.refused.extend)
+
+    def _on_folded(self, taken) -> None:
+        for folded in taken:
+            self.appender.passed(folded.holder, folded.verdict.seq)
+
+    async def append_all(self, *entries) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.appender.run)
+            for entry in entries:
+                self.appender.add(entry)
+            while self.appender.pending():
+                await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
+
+def entries(since: int = 0):
+    return (
+        make_entry("h", 1, 0, Open("i", "d", "", "router", since)),
+        make_entry("h", 2, 0, Heartbeat()),
+    )
+
+
+class TestAppender:
+    async def test_each_entry_is_folded_once_whatever_the_append_does(self, autojump_clock) -> None:
+        for fault in ("", "never-arrived", "answer-lost", "arrived-twice"):
+            node = Node(FlakyLog(fault))
+            await node.append_all(*entries())
+            assert node.follower.state.by_holder["h"].last_seq == 2
+            assert node.follower.state.by_holder["h"].status == HolderStatus.OPEN
+
+    async def test_lost_answer_costs_no_timeout(self, autojump_clock) -> None:
+        node = Node(FlakyLog("answer-lost"))
+        began = trio.current_time()
+        await node.append_all(*entries())
+        assert trio.current_time() - began < 1
+        assert node.appender.answers_lost == 1
+
+    async def test_two_keepers_may_append_the_same(self, autojump_clock) -> None:
+        log = FlakyLog()
+        nodes = [Node(log), Node(log)]
+        async with trio.open_nursery() as nursery:
+            for node in nodes:
+                nursery.start_soon(node.append_all, *entries())
+        assert nodes[0].follower.state.by_holder["h"].last_seq == 2
+
+    async def test_entries_of_an_unknown_holder_are_handed_back(self, autojump_clock) -> None:
+        node = Node(FlakyLog())
+        lonely = make_entry("unknown", 2, 0, Heartbeat())
+        await node.append_all(*entries(), lonely)
+        assert node.refused == [lonely]
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -10,7 +10,13 @@
 from railtide.lanes.queue import FairLanes, Urgency, Waiting, WaitingQueue
 from railtide.membership.instances import Instance
 from railtide.upstreams.choice import Choice
-from railtide.upstreams.load import LoadReport, Upstream, is_ejected, is_leaving
+from railtide.upstreams.load import (
+    REPORT_MAX_AGE_S,
+    LoadReport,
+    Upstream,
+    is_ejected,
+    is_leaving,
+)
 
 __all__ = ["PoolScheduler", "Slot", "WaitingRequest"]
 
@@ -82,8 +88,12 @@
     # -- upstreams ----------------------------------------------------------------------------
 
     def set_upstreams(self, instances: list[Instance]) -> None:
-        """Take the pool's instances; a new incarnation starts clean, an old one keeps its state."""
-        by_name: dict[str, Upstream] = {}
+        """Take the pool's instances; a new incarnation starts clean, an old one keeps its state.
+
+        A list that lacks at least half of the upstreams whose load reports are fresh is taken to
+        be wrong: those are kept as long as they report.
+        """
+        by_name = self._reporting_but_missing({instance.name for instance in instances})
         for instance in instances:
             known = self.by_name.get(instance.name)
             if known and known.instance.incarnation == instance.incarnation:
@@ -94,6 +104,16 @@
         self.by_name = by_name
         self._serve_waiting()
 
+    def _reporting_but_missing(self, listed: set[str]) -> dict[str, Upstream]:
+        now = trio.current_time()
+        reporting = {
+            name: upstream
+            for name, upstream in self.by_name.items()
+            if upstream.report and now - upstream.report.taken_at < REPORT_MAX_AGE_S
+        }
+        missing = {name: known for name, known in reporting.items() if name not in listed}
+        return missing if len(missing) * 2 >= len(reporting) else {}
+
     def take_report(self, name: str, report: LoadReport) -> None:
         """Take an upstream's load report; leaving is sticky."""
         upstream = self.by_name.get(name)
--- a/railtide/lanes/tests/test_scheduler.py
+++ b/railtide/lanes/tests/test_scheduler.py
@@ -112,6 +112,23 @@
         again = await scheduler.reacquire(waiting, tried)
         assert again.upstream.instance.name == "b1"
 
+    async def test_list_that_lost_most_upstreams_is_not_believed(self, autojump_clock) -> None:
+        scheduler = make("a", "b", "c")
+        for name in "abc":
+            scheduler.take_report(name, LoadReport(0, 0, False, trio.current_time()))
+        scheduler.set_upstreams([])
+        assert set(scheduler.by_name) == {"a", "b", "c"}
+        await trio.sleep(10)
+        scheduler.set_upstreams([])
+        assert scheduler.by_name == {}
+
+    async def test_list_that_lost_one_upstream_is(self, autojump_clock) -> None:
+        scheduler = make("a", "b", "c")
+        for name in "abc":
+            scheduler.take_report(name, LoadReport(0, 0, False, trio.current_time()))
+        scheduler.set_upstreams(pool("a", "b"))
+        assert set(scheduler.by_name) == {"a", "b"}
+
     async def test_release_counts_once(self, autojump_clock) -> None:
         scheduler = make("a")
         slot = await scheduler.acquire(request())
--- a/railtide/requests/cover.py
+++ b/railtide/requests/cover.py
@@ -122,15 +122,19 @@
         Once this holder is fenced its durable requests are settled by others. So a durable
         request is sent only while the last proof that the holder is not fenced is young.
         """
+        if self._may_be_settled():
+            raise HolderFenced("too long since the log was heard", retry_after=RETRY_SOON_S)
+
+    def _may_be_settled(self) -> bool:
+        """Return whether others may have fenced this holder and settled the request."""
         proved_at = self._reservation.epoch.writer.proved_at
         age = trio.current_time() - max(proved_at, self._intent.submitted_at)
-        if self._intent.durable and age > self._options.dispatch_window_s:
-            raise HolderFenced("too long since the log was heard", retry_after=RETRY_SOON_S)
+        return self._intent.durable and age > self._options.dispatch_window_s
 
     async def _claim(self) -> None:
         if not self._services.log_reachable():
             raise ClaimUnavailable("the log can't record the claim", retry_after=RETRY_SOON_S)
-        verdict = await self._wait(self._submit_intent())
+        verdict = await self._wait(self._submit_intent(exposed=False))
         if verdict.code in (Code.KEY_OPEN, Code.KEY_USED, Code.KEY_MISMATCH):
             raise KnownAnswer(answer_of_verdict(verdict))
         self._check(verdict)
@@ -142,11 +146,14 @@
             raise ExposureReached(
                 "the log is down and the account's exposure is reached", retry_after=RETRY_SOON_S
             )
-        ticket = self._submit_extend(amount) if self._intent else self._submit_intent()
+        if self._intent:
+            ticket = self._submit(Extend(self._call.request_id, amount, exposed), amount)
+        else:
+            ticket = self._submit_intent(exposed)
         if not exposed:
             self._check(await self._wait(ticket))
 
-    def _submit_intent(self) -> Ticket:
+    def _submit_intent(self, exposed: bool) -> Ticket:
         call = self._call
         record = Intent(
             call.request_id,
@@ -156,13 +163,11 @@
             call.key,
             call.repeatable,
             call.digest,
+            exposed,
         )
         self._intent = self._submit(record, call.reserve)
         return self._intent
 
-    def _submit_extend(self, amount: int) -> Ticket:
-        return self._submit(Extend(self._call.request_id, amount), amount)
-
     def _submit(self, record: Intent | Extend, amount: int) -> Ticket:
         writer = self._reservation.epoch.writer
         ticket = writer.submit(record, traceparent_of(trace.get_current_span()))
@@ -202,6 +207,9 @@
     async def hold_end(self, bill: Ticket) -> None:
         """Hold the end of the answer until the bill is durable, as long as the log is reachable.
 
+        After a pause the log is out of reach for a moment, while others may have settled the
+        request; so it is waited for then, too.
+
         Raises
         ------
         HolderFenced
@@ -214,7 +222,7 @@
 
     async def _hold(self, ticket: Ticket) -> None:
         until = trio.current_time() + self._options.commit_wait_s
-        while not ticket.durable and self._services.log_reachable():
+        while not ticket.durable and (self._services.log_reachable() or self._may_be_settled()):
             left = until - trio.current_time()
             if left <= 0:
                 self._services.counters.add("commit_waits_ended")
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -6,6 +6,7 @@
 from railtide.budgets.messages import Waste
 from railtide.budgets.treasury import Reservation
 from railtide.errors import RailtideError, Run
+from railtide.journal.entries import Code, Verdict
 from railtide.journal.writer import Ticket
 from railtide.lanes.scheduler import PoolScheduler, Slot, WaitingRequest
 from railtide.membership.instances import Instance
@@ -108,10 +109,10 @@
         """Bill the answer and send the caller what it has not been sent."""
         wasted = self._call.reserve * len(self._lost_tries)
         self._settle(relayed.cost, Outcome.DONE, relayed.answer, wasted)
+        self._bill.when_decided(self._on_bill_decided)
         try:
             await self._cover.hold_end(self._bill)
         except HolderFenced as err:
-            self._waste(relayed.cost)
             raise UpstreamLost(err.detail) from err
         self._keep(relayed.answer)
         if not self._sink.started:
@@ -215,10 +216,13 @@
         if call.key:
             self._services.replays.keep(call.account, call.key, call.digest, answer)
 
-    def _waste(self, amount: int) -> None:
-        """Count what ran after another router had settled the request as not run."""
-        record = Waste(self._call.account, amount)
-        self._reservation.epoch.writer.submit(record)
+    def _on_bill_decided(self, verdict: Verdict) -> None:
+        """Count as waste what ran after another router had settled the request as not run."""
+        if verdict.code != Code.NOT_OPEN or verdict.outcome != Outcome.NOT_RUN:
+            return
+        record = self._bill.record
+        writer = self._reservation.epoch.writer
+        writer.submit(Waste(self._call.account, record.cost + record.wasted))
 
     def _close(self) -> None:
         """Let the slot go, and see to the bill of a request without an answer."""
--- a/railtide/requests/messages.py
+++ b/railtide/requests/messages.py
@@ -39,7 +39,8 @@
     """Says that a request is about to run; with a `key` it is the claim on that key.
 
     `reserve` is the greatest cost of the request; `pool` names where it runs; `digest` is a hash
-    of the request, so that a key used again for another request is told apart.
+    of the request, so that a key used again for another request is told apart. `exposed` says
+    that the request may be sent before this record is in the log.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     key: str = ""
     repeatable: bool = True
     digest: int = 0
+    exposed: bool = False
 
 
 class Bill(Struct, frozen=True, array_like=True, tag=21):
@@ -69,6 +71,7 @@
 
     request_id: str
     amount: Amount
+    exposed: bool = False
 
 
 class Adopt(Struct, frozen=True, array_like=True, tag=22):
--- a/railtide/requests/registry.py
+++ b/railtide/requests/registry.py
@@ -9,6 +9,8 @@
     "OpenRequest",
     "Registry",
     "Settled",
+    "correct",
+    "correctable",
     "expire_keys",
     "expire_settled",
     "find_key",
@@ -49,8 +51,10 @@
 class Settled:
     """How a request was settled by another holder than its own."""
 
+    request: OpenRequest
     outcome: Outcome
     stamp: int
+    digest: int = 0
 
 
 @dataclass
@@ -114,9 +118,35 @@
     return len(old)
 
 
-def remember_settled(registry: Registry, request_id: str, outcome: Outcome, stamp: int) -> None:
+def remember_settled(
+    registry: Registry, bill: Bill, request: OpenRequest, digest: int, stamp: int
+) -> None:
     """Remember how an adopter settled a request, for its old holder if that still lives."""
-    registry.settled_by_request_id[request_id] = Settled(outcome, stamp)
+    settled = Settled(request, bill.outcome, stamp, digest)
+    registry.settled_by_request_id[bill.request_id] = settled
+
+
+def correctable(registry: Registry, holder: str, request_id: str) -> Settled | None:
+    """Return a request that an adopter took for not run and its own holder may still bill.
+
+    Not one whose key another request has claimed since.
+    """
+    settled = registry.settled_by_request_id.get(request_id)
+    if settled is None or settled.outcome is not Outcome.NOT_RUN:
+        return None
+    request = settled.request
+    if request.holder != holder or find_key(registry, request.account, request.key):
+        return None
+    return settled
+
+
+def correct(registry: Registry, settled: Settled, bill: Bill, stamp: int) -> None:
+    """Put a late bill in the place of an adopter's settlement, and claim the key again."""
+    settled.outcome = bill.outcome
+    request = settled.request
+    if request.key and bill.outcome is not Outcome.NOT_RUN:
+        state = KeyState(bill.request_id, stamp, bill.outcome, bill.answer, settled.digest)
+        registry.by_account_and_key[(request.account, request.key)] = state
 
 
 def expire_settled(registry: Registry, before: int) -> None:
--- a/railtide/router/uplink.py
+++ b/railtide/router/uplink.py
@@ -18,7 +18,7 @@
 
 BACKOFF_S = 0.05
 BACKOFF_MAX_S = 1.0
-SILENCE_S = 5.0
+SILENCE_S = 3.0
 
 
 class Uplink:
--- a/tests/matrix/ports.py
+++ b/tests/matrix/ports.py
@@ -52,7 +52,8 @@
         self.running.set()
 
     def pause(self) -> None:
-        self.running = trio.Event()
+        if self.running.is_set():
+            self.running = trio.Event()
 
     def resume(self) -> None:
         self.running.set()
