The keeper in smaller parts; pages shared by both servers

Change: fencing and views (pure) are modules of their own, common pages are in telemetry. Behaviour is the same.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(BIN)/railtide-demo
 
 test: $(VENV)/ready
-	CI=true $(BIN)/pytest -n 6
+	CI=true PYTHONHASHSEED=0 $(BIN)/pytest -n 6
 
 lint: $(VENV)/ready
 	$(BIN)/black --check --quiet .
@@ -22,7 +22,7 @@
 	$(BIN)/python -m bench.all
 
 soak: $(VENV)/ready
-	$(BIN)/python -m tests.soak
+	PYTHONHASHSEED=0 $(BIN)/python -m tests.soak $(SOAK)
 
 mutants: $(VENV)/ready
 	$(BIN)/python -m tests.mutants
--- a/railtide/budgets/balance.py
+++ b/railtide/budgets/balance.py
@@ -148,24 +148,25 @@
 
 def bill_late(balance: Balance, holder: str, cost: int) -> int:
     """Bill from the unreserved part of a holding; return the units it had to give."""
-    holding = balance.by_holder.get(holder)
-    if holding is None:
-        return 0
-    billed = min(cost, holding.remaining - holding.reserved)
-    holding.remaining -= billed
+    billed = _take_unreserved(balance, holder, cost)
     balance.billed += billed
     return billed
 
 
 def waste(balance: Balance, holder: str, amount: int) -> int:
     """Count units of a holding as used without a bill; return how many it had to give."""
+    lost = _take_unreserved(balance, holder, amount)
+    balance.wasted += lost
+    return lost
+
+
+def _take_unreserved(balance: Balance, holder: str, most: int) -> int:
     holding = balance.by_holder.get(holder)
     if holding is None:
         return 0
-    lost = min(amount, holding.remaining - holding.reserved)
-    holding.remaining -= lost
-    balance.wasted += lost
-    return lost
+    taken = min(most, holding.remaining - holding.reserved)
+    holding.remaining -= taken
+    return taken
 
 
 def fence_holding(balance: Balance, holder: str) -> int:
--- a/railtide/keeper/app.py
+++ b/railtide/keeper/app.py
@@ -1,19 +1,15 @@
 """The keeper's HTTP side: health, readiness, metrics, status, traces."""
 
 import msgspec
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-from quart import Response
 from quart_trio import QuartTrio
 
 from railtide.budgets.balance import available, stranded
 from railtide.keeper.keeper import Keeper
+from railtide.telemetry.pages import add_common_pages
 from railtide.telemetry.spans import SpanStore
 
 __all__ = ["BalanceStatus", "KeeperStatus", "make_app", "status_of"]
 
-JSON = "application/json"
-UNAVAILABLE = 503
-
 
 class BalanceStatus(msgspec.Struct):
     """One budget, units."""
@@ -60,7 +56,7 @@
         appends=keeper.appender.appends,
         append_failures=keeper.appender.failures,
         bytes_appended=keeper.appender.bytes_appended,
-        fences=keeper.fences,
+        fences=keeper.fencer.fences,
         checkpoints=keeper.checkpoints,
         checkpoint_offset=state.checkpoint_offset,
         repeats=state.repeats,
@@ -88,28 +84,5 @@
     """Return the keeper's application."""
     app = QuartTrio("railtide.keeper")
 
-    @app.get("/healthz")
-    async def healthz() -> Response:
-        return _json({"ok": True})
-
-    @app.get("/readyz")
-    async def readyz() -> Response:
-        return _json({"ready": keeper.ready}, 200 if keeper.ready else UNAVAILABLE)
-
-    @app.get("/metrics")
-    async def metrics() -> Response:
-        return Response(generate_latest(), content_type=CONTENT_TYPE_LATEST)
-
-    @app.get("/admin/status")
-    async def status() -> Response:
-        return _json(status_of(keeper))
-
-    @app.get("/admin/traces/<trace_id>")
-    async def traces(trace_id: str) -> Response:
-        return _json({"spans": spans.spans_of(trace_id) if spans else []})
-
+    add_common_pages(app, lambda: keeper.ready, lambda: status_of(keeper), spans)
     return app
-
-
-def _json(body: object, status: int = 200) -> Response:
-    return Response(msgspec.json.encode(body), status, content_type=JSON)
--- a/railtide/keeper/assembly.py
+++ b/railtide/keeper/assembly.py
@@ -8,6 +8,7 @@
 from railtide.keeper.keeper import Keeper
 from railtide.keeper.options import KeeperOptions
 from railtide.keeper.relay import DirectLog, RelayedLog
+from railtide.keeper.views import is_alive
 from railtide.membership.identity import Identity, Role
 from railtide.membership.instances import InstanceList
 from railtide.wire.links import Connect, connect_tcp
@@ -43,10 +44,11 @@
 
 def _peer_addresses(keeper: Keeper) -> list[str]:
     own = keeper.identity.address
+    by_holder = keeper.state.by_holder
     return [
         holder.address
-        for name, holder in keeper.state.by_holder.items()
-        if holder.role == Role.KEEPER and holder.address != own and keeper.is_alive(name)
+        for name, holder in by_holder.items()
+        if holder.role == Role.KEEPER and holder.address != own and is_alive(by_holder, name)
     ]
 
 
--- a/railtide/keeper/keeper.py
+++ b/railtide/keeper/keeper.py
@@ -4,7 +4,6 @@
 from random import Random
 
 import trio
-from loguru import logger
 
 from railtide.budgets.messages import Fence, Grant
 from railtide.configuration.messages import Proposal
@@ -13,19 +12,18 @@
 from railtide.journal.entries import Code, Entry, Verdict
 from railtide.journal.errors import LogUnavailable
 from railtide.journal.fold import Folded
-from railtide.journal.state import HolderState, HolderStatus, State
+from railtide.journal.state import State
 from railtide.journal.writer import Writer
 from railtide.keeper.appender import Appender
+from railtide.keeper.fencing import Fencer
 from railtide.keeper.follower import Follower
-from railtide.keeper.leases import lapsed_holders
 from railtide.keeper.options import KeeperOptions
-from railtide.membership.addresses import rendezvous_order
+from railtide.keeper.views import members_of, orphans_by_router, rank_of
 from railtide.membership.errors import InstanceListUnavailable
 from railtide.membership.identity import Identity, Role
 from railtide.membership.instances import (
     Instance,
     InstanceList,
-    InstanceState,
     merge_instances,
 )
 from railtide.membership.messages import Checkpointed, Close, Heartbeat, Leaving, Open
@@ -35,7 +33,6 @@
     MembersMessage,
     Message,
     ObjectMessage,
-    OrphanMessage,
     VerdictMessage,
 )
 
@@ -43,7 +40,6 @@
 
 LEASE_PARTS = 3
 LEAVE_S = 5.0
-PAUSE_TICKS = 4
 
 
 class Subscriber(ABC):
@@ -78,7 +74,6 @@
         self.identity = identity
         self.options = options
         self.listed: list[Instance] = []
-        self.fences = 0
         self.checkpoints = 0
         self._log = log
         self._instances = instances
@@ -86,12 +81,11 @@
             log, options, rng, self._on_folded, self._on_reachable, self._on_restored
         )
         self.appender = Appender(log, self.follower, options, rng, self._on_refused)
+        self.fencer = Fencer(options, lambda: self.state, self.appender, self._fencing_writer)
         self._writer: Writer | None = None
         self._epochs = 0
         self._subscribers: dict[int, Subscriber] = {}
         self._subscriber_by_holder: dict[str, Subscriber] = {}
-        self._heard_by_holder: dict[str, float] = {}
-        self._lost_at_by_holder: dict[str, float] = {}
         self._members: list[Instance] = []
 
     @property
@@ -113,7 +107,7 @@
             nursery.start_soon(self.appender.run)
             nursery.start_soon(self._run_instance_list)
             nursery.start_soon(self._run_heartbeats)
-            nursery.start_soon(self._run_leases)
+            nursery.start_soon(self.fencer.run)
             nursery.start_soon(self._run_orphans)
             nursery.start_soon(self._run_checkpoints)
             nursery.start_soon(self._run_status)
@@ -150,6 +144,12 @@
             elif not self.appender.pending_of(self._writer.holder):
                 self._writer.submit(Heartbeat())
 
+    def _fencing_writer(self) -> Writer | None:
+        """Return the writer while the log is heard and this keeper is not fenced itself."""
+        if not self.follower.reachable or self._writer is None or self._writer.fenced:
+            return None
+        return self._writer
+
     def _open_writer(self) -> Writer:
         who = self.identity
         since = self.state.stamp
@@ -159,62 +159,6 @@
         writer.submit(Open(who.instance, who.failure_domain, who.address, Role.KEEPER, since))
         return writer
 
-    async def _run_leases(self) -> None:
-        tick = min(self.options.lost_link_s, self.options.lease_s) / LEASE_PARTS
-        slept_at = trio.current_time()
-        while True:
-            await trio.sleep(tick)
-            if trio.current_time() - slept_at > PAUSE_TICKS * tick:
-                self._hear_all_now()
-            slept_at = trio.current_time()
-            if self.follower.reachable and self._writer and not self._writer.fenced:
-                self._fence_lapsed()
-                self._fence_lost_links()
-
-    def _hear_all_now(self) -> None:
-        """Give every holder a whole lease again, after a time in which the log was not heard."""
-        now = trio.current_time()
-        self._heard_by_holder = {name: now for name in self.state.by_holder}
-
-    def _fence_lapsed(self) -> None:
-        now = trio.current_time()
-        rank = self._rank()
-        lease_s = self.options.lease_s + rank * self.options.lost_link_s
-        for holder in lapsed_holders(self.state.by_holder, self._heard_by_holder, now, lease_s):
-            self._fence(holder)
-            self._heard_by_holder[holder] = now
-
-    def _rank(self) -> int:
-        """Return this keeper's place among the live ones, so that not all fence at once."""
-        names = sorted(
-            name
-            for name, holder in self.state.by_holder.items()
-            if holder.role == Role.KEEPER and holder.status == HolderStatus.OPEN
-        )
-        return names.index(self._writer.holder) if self._writer.holder in names else 0
-
-    def _fence_lost_links(self) -> None:
-        now = trio.current_time()
-        due = [
-            holder
-            for holder, lost_at in self._lost_at_by_holder.items()
-            if now - lost_at > self.options.lost_link_s and not self.appender.pending_of(holder)
-        ]
-        for holder in due:
-            del self._lost_at_by_holder[holder]
-            if self.is_alive(holder):
-                self._fence(holder)
-
-    def is_alive(self, holder: str) -> bool:
-        """Return whether a holder is neither fenced nor closed."""
-        known = self.state.by_holder.get(holder)
-        return known is not None and known.status in (HolderStatus.OPEN, HolderStatus.LEAVING)
-
-    def _fence(self, holder: str) -> None:
-        self.fences += 1
-        logger.info("fencing holder {}", holder)
-        self._writer.submit(Fence(holder, self.state.by_holder[holder].last_seq))
-
     async def _run_orphans(self) -> None:
         while True:
             await trio.sleep(self.options.orphan_interval_s)
@@ -222,32 +166,10 @@
                 self._hand_out_orphans()
 
     def _hand_out_orphans(self) -> None:
-        routers = self._open_routers()
-        if not routers:
-            return
-        for request_id, request in self.state.registry.by_request_id.items():
-            if self.is_alive(request.owner):
-                continue
-            chosen = rendezvous_order(request_id, list(routers))[0]
-            subscriber = self._subscriber_by_holder.get(chosen)
-            if subscriber:
-                subscriber.deliver(
-                    OrphanMessage(
-                        request_id,
-                        request.account,
-                        request.pool,
-                        request.reserve,
-                        request.key,
-                        request.repeatable,
-                    )
-                )
-
-    def _open_routers(self) -> dict[str, HolderState]:
-        return {
-            name: holder
-            for name, holder in self.state.by_holder.items()
-            if holder.role == Role.ROUTER and holder.status == HolderStatus.OPEN
-        }
+        by_router = orphans_by_router(self.state, self._subscriber_by_holder)
+        for router, orphans in by_router.items():
+            for orphan in orphans:
+                self._subscriber_by_holder[router].deliver(orphan)
 
     async def _run_checkpoints(self) -> None:
         while True:
@@ -259,7 +181,8 @@
         """Return whether it is this keeper's turn; a lower rank has its turn earlier."""
         every = self.options.checkpoint_every
         age = self.state.offset - self.state.checkpoint_offset
-        return age >= every + self._rank() * every // LEASE_PARTS
+        rank = rank_of(self.state.by_holder, self._writer.holder)
+        return age >= every + rank * every // LEASE_PARTS
 
     async def _write_checkpoint(self) -> None:
         offset = self.state.offset
@@ -296,12 +219,12 @@
         holders = [h for h, s in self._subscriber_by_holder.items() if s is subscriber]
         for holder in holders:
             del self._subscriber_by_holder[holder]
-            self._lost_at_by_holder[holder] = trio.current_time()
+            self.fencer.link_lost(holder)
 
     def take_entry(self, subscriber: Subscriber, entry: Entry, traceparent: str = "") -> None:
         """Take an entry of a router: answer from what is folded, else queue it."""
         self._subscriber_by_holder[entry.holder] = subscriber
-        self._lost_at_by_holder.pop(entry.holder, None)
+        self.fencer.link_back(entry.holder)
         holder = self.state.by_holder.get(entry.holder)
         if holder is None or entry.seq > holder.last_seq:
             self.appender.add(entry, traceparent)
@@ -322,7 +245,7 @@
 
     def _on_reachable(self, reachable: bool) -> None:
         if reachable:
-            self._hear_all_now()
+            self.fencer.hear_all()
         self._tell_all(self._status())
 
     def _on_restored(self) -> None:
@@ -349,9 +272,8 @@
                 self._writer.take_verdict(verdict)
 
     def _on_folded(self, taken: list[Folded]) -> None:
-        now = trio.current_time()
         for folded in taken:
-            self._heard_by_holder[folded.holder] = now
+            self.fencer.hear(folded.holder)
             self.appender.passed(folded.holder, folded.verdict.seq)
             self._tell_writer(folded)
             self._tell_of_record(folded)
@@ -373,7 +295,7 @@
         elif isinstance(record, Open | Close | Leaving | Fence):
             self._announce_members()
             if isinstance(record, Close):
-                self._heard_by_holder.pop(folded.holder, None)
+                self.fencer.forget(folded.holder)
 
     def _tell_of_object(self, record: Proposal) -> None:
         item = self.state.catalog.by_kind_and_name[(record.kind, record.name)]
@@ -382,31 +304,7 @@
         )
 
     def _announce_members(self) -> None:
-        members = self._routers_as_instances()
-        members += [instance for instance in self.listed if instance.role != Role.ROUTER]
+        members = members_of(self.state.by_holder, self.listed)
         if members != self._members:
             self._members = members
             self._tell_all(MembersMessage(members))
-
-    def _routers_as_instances(self) -> list[Instance]:
-        """Return the log's routers, with what the platform's list says of leaving."""
-        leaving = {
-            instance.name for instance in self.listed if instance.state is InstanceState.LEAVING
-        }
-        instances = []
-        for name, holder in self.state.by_holder.items():
-            if holder.role not in (Role.ROUTER, Role.KEEPER) or not self.is_alive(name):
-                continue
-            gone = holder.status == HolderStatus.LEAVING or holder.instance in leaving
-            state = InstanceState.LEAVING if gone else InstanceState.LIVE
-            instances.append(
-                Instance(
-                    holder.instance,
-                    name,
-                    holder.address,
-                    holder.failure_domain,
-                    holder.role,
-                    state=state,
-                )
-            )
-        return instances
--- /dev/null
+++ b/railtide/keeper/views.py
@@ -0,0 +1,92 @@
+"""What a keeper reads out of the folded state. Pure."""
+
+from collections.abc import Collection, Mapping
+
+from railtide.journal.state import HolderState, HolderStatus, State
+from railtide.membership.addresses import rendezvous_order
+from railtide.membership.identity import Role
+from railtide.membership.instances import Instance, InstanceState
+from railtide.wire.messages import OrphanMessage
+
+__all__ = ["is_alive", "members_of", "open_routers", "orphans_by_router", "rank_of"]
+
+ALIVE = (HolderStatus.OPEN, HolderStatus.LEAVING)
+
+
+def is_alive(by_holder: Mapping[str, HolderState], holder: str) -> bool:
+    """Return whether a holder is neither fenced nor closed."""
+    known = by_holder.get(holder)
+    return known is not None and known.status in ALIVE
+
+
+def rank_of(by_holder: Mapping[str, HolderState], holder: str) -> int:
+    """Return a keeper's place among the live ones, 0 for one that is not among them."""
+    names = sorted(
+        name
+        for name, known in by_holder.items()
+        if known.role == Role.KEEPER and known.status == HolderStatus.OPEN
+    )
+    return names.index(holder) if holder in names else 0
+
+
+def open_routers(by_holder: Mapping[str, HolderState]) -> list[str]:
+    """Return the holders of routers that are neither leaving nor ended."""
+    return [
+        name
+        for name, holder in by_holder.items()
+        if holder.role == Role.ROUTER and holder.status == HolderStatus.OPEN
+    ]
+
+
+def orphans_by_router(state: State, connected: Collection[str]) -> dict[str, list[OrphanMessage]]:
+    """Return the open requests of ended owners, by the connected router that is to settle each.
+
+    Every keeper chooses the same router for a request, and hands it out only if it is connected.
+    """
+    routers = open_routers(state.by_holder)
+    orphans: dict[str, list[OrphanMessage]] = {}
+    if not routers:
+        return orphans
+    for request_id, request in state.registry.by_request_id.items():
+        if is_alive(state.by_holder, request.owner):
+            continue
+        chosen = rendezvous_order(request_id, routers)[0]
+        if chosen in connected:
+            orphan = OrphanMessage(
+                request_id,
+                request.account,
+                request.pool,
+                request.reserve,
+                request.key,
+                request.repeatable,
+            )
+            orphans.setdefault(chosen, []).append(orphan)
+    return orphans
+
+
+def members_of(
+    by_holder: Mapping[str, HolderState], listed: Collection[Instance]
+) -> list[Instance]:
+    """Return all instances: routers and keepers as the log has them, upstreams as listed.
+
+    A router that the platform's list shows as leaving is leaving, whatever it says itself.
+    """
+    leaving = {i.name for i in listed if i.state is InstanceState.LEAVING}
+    members = [
+        _as_instance(name, holder, holder.instance in leaving)
+        for name, holder in by_holder.items()
+        if holder.role in (Role.ROUTER, Role.KEEPER) and holder.status in ALIVE
+    ]
+    return members + [instance for instance in listed if instance.role != Role.ROUTER]
+
+
+def _as_instance(name: str, holder: HolderState, listed_leaving: bool) -> Instance:
+    gone = listed_leaving or holder.status == HolderStatus.LEAVING
+    return Instance(
+        holder.instance,
+        name,
+        holder.address,
+        holder.failure_domain,
+        holder.role,
+        state=InstanceState.LEAVING if gone else InstanceState.LIVE,
+    )
--- a/railtide/router/app.py
+++ b/railtide/router/app.py
@@ -4,11 +4,9 @@
 relay and the server (figures in docs/MEASUREMENTS.md).
 """
 
-import msgspec
 import trio
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
 from opentelemetry import trace
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from quart import Response, request
 from quart_trio import QuartTrio
 
@@ -25,12 +23,11 @@
 )
 from railtide.router.router import Router
 from railtide.router.status import status_of
+from railtide.telemetry.pages import add_common_pages, json_response
 from railtide.telemetry.spans import SpanStore, context_of
 
 __all__ = ["RouterApp", "make_app"]
 
-JSON = "application/json"
-UNAVAILABLE = 503
 _tracer = trace.get_tracer("railtide.router")
 
 
@@ -182,35 +179,12 @@
         router.check_ready()
         headers = {name.lower(): value for name, value in request.headers.items()}
         account = account_of(HttpRequest("GET", "", headers=headers), router.directory)
-        return _json(
+        return json_response(
             {
                 "addresses": [e.address for e in router.addresses(account)],
                 "keep_s": router.options.address_ttl_s,
             }
         )
 
-    @pages.get("/healthz")
-    async def healthz() -> Response:
-        return _json({"ok": True})
-
-    @pages.get("/readyz")
-    async def readyz() -> Response:
-        return _json({"ready": router.ready}, 200 if router.ready else UNAVAILABLE)
-
-    @pages.get("/metrics")
-    async def metrics() -> Response:
-        return Response(generate_latest(), content_type=CONTENT_TYPE_LATEST)
-
-    @pages.get("/admin/status")
-    async def status() -> Response:
-        return Response(msgspec.json.encode(status_of(router)), content_type=JSON)
-
-    @pages.get("/admin/traces/<trace_id>")
-    async def traces(trace_id: str) -> Response:
-        return _json({"spans": spans.spans_of(trace_id) if spans else []})
-
+    add_common_pages(pages, lambda: router.ready, lambda: status_of(router), spans)
     return RouterApp(router, pages)
-
-
-def _json(body: dict[str, object], status: int = 200) -> Response:
-    return Response(msgspec.json.encode(body), status, content_type=JSON)
