--- a/railtide/budgets/tests/test_treasury.py
+++ b/railtide/budgets/tests/test_treasury.py
@@ -112,6 +112,20 @@
         held[0].cover(30)
         assert held[1].try_expose(30)
 
+    async def test_settled_request_is_exposed_by_its_cost(
+        self, autojump_clock, nursery_scope
+    ) -> None:
+        book = Book(1000)
+        nursery_scope.start_soon(book.run)
+        first = await book.reserve(45)
+        second = await book.reserve(45)
+        assert first.try_expose(45) and not second.try_expose(45)
+        first.settle(5)
+        assert second.try_expose(45)
+        first.cover(45)
+        second.cover(45)
+        assert book.treasury.epoch.hand("acc").exposed == 0
+
     async def test_settles_once(self, autojump_clock, nursery_scope) -> None:
         book = Book(1000)
         nursery_scope.start_soon(book.run)
--- a/railtide/budgets/treasury.py
+++ b/railtide/budgets/treasury.py
@@ -101,10 +101,15 @@
         self._exposed -= covered
 
     def settle(self, used: int) -> int:
-        """End the reservation at what was used; return the units spent. Only the first counts."""
+        """End the reservation at what was used; return the units spent. Only the first counts.
+
+        What is still exposed shrinks to what was used: the bill stands right behind the intent in
+        this holder's sequence, so no more than that can be missing from the log.
+        """
         if self._settled:
             return 0
         self._settled = True
+        self.cover(self._exposed - min(used, self._exposed))
         self.epoch.open_reservations -= 1
         return settle_reserve(self._hand, self.amount, used)
 
--- a/railtide/requests/cover.py
+++ b/railtide/requests/cover.py
@@ -172,13 +172,16 @@
     def _submit(self, record: Intent | Extend, amount: int) -> Ticket:
         writer = self._reservation.epoch.writer
         ticket = writer.submit(record, traceparent_of(trace.get_current_span()))
-        ticket.when_decided(lambda verdict: self._on_decided(verdict, amount))
+        ticket.when_decided(lambda verdict: self._on_decided(verdict, record, amount))
         return ticket
 
-    def _on_decided(self, verdict: Verdict, amount: int) -> None:
+    def _on_decided(self, verdict: Verdict, record: Intent | Extend, amount: int) -> None:
         self._reservation.cover(amount)
-        if not verdict.ok:
-            self._services.counters.add("intents_refused")
+        if verdict.ok:
+            return
+        self._services.counters.add("intents_refused")
+        if record.exposed and verdict.code == Code.BUDGET_EXHAUSTED:
+            self._services.counters.add("sent_intents_uncovered")
 
     async def _wait(self, ticket: Ticket) -> Verdict:
         """Return the verdict; give up when the log goes down or the time to send has passed."""
--- a/tests/matrix/checks.py
+++ b/tests/matrix/checks.py
@@ -67,6 +67,7 @@
     """Check every promise."""
     ledger = read_ledger(world)
     check_no_overspend(world, ledger)
+    check_sent_is_covered(world)
     check_billed_once(world, ledger)
     check_answers_whole(world)
     check_not_run_is_true(world)
@@ -90,6 +91,12 @@
         assert ledger.state.by_account[account].billed <= units
 
 
+def check_sent_is_covered(world: World) -> None:
+    for name, process in world.routers.items():
+        uncovered = process.router.counters.value("sent_intents_uncovered")
+        assert uncovered == 0, f"{name} sent what its holder could not cover"
+
+
 def check_billed_once(world: World, ledger: Ledger) -> None:
     costs = true_costs(world)
     for request_id, bills in ledger.bills_by_request.items():
