A silent upstream's run counts as waste; recovery ends with its holder

Cause, found by new tests of recovery: with no answered run, a silent upstream was left out of the waste, so a lost router's request that may have run there cost nothing. Seen to fail: (0, 0) instead of (0, 50). Also, reading the code: a recovery whose holder was fenced waited for ever and kept others from it in this process; an unexpected error while serving left the caller without an answer.

--- a/railtide/requests/recovery.py
+++ b/railtide/requests/recovery.py
@@ -69,14 +69,18 @@
             self._under_way.discard(orphan.request_id)
 
     async def _adopt_and_settle(self, orphan: OrphanMessage) -> None:
+        """Settle an orphan under one holder; if that ends meanwhile, others are handed it."""
         writer = self._treasury.epoch.writer
-        verdict = await writer.submit(Adopt(orphan.request_id)).wait()
-        if not verdict.ok:
+        patience_s = self._options.recovery_timeout_s
+        verdict = await writer.submit(Adopt(orphan.request_id)).wait_at_most(patience_s)
+        if verdict is None or not verdict.ok:
             return
         bill = await self._learn(orphan)
+        if writer.fenced:
+            return
         self._counters.add("requests_recovered")
         logger.info("recovered request {}: {}", orphan.request_id, bill.outcome)
-        await writer.submit(bill).wait()
+        await writer.submit(bill).wait_at_most(patience_s)
 
     async def _learn(self, orphan: OrphanMessage) -> Bill:
         """Return the bill of an orphan once an upstream has told, or when time is up.
@@ -115,11 +119,10 @@
     ) -> int:
         """Return what the runs beside the answered one used; a silent upstream may have run."""
         prices = self._prices_of(orphan.pool)
-        others = [run for run in runs if run is not answered]
-        if None in others and answered is None:
+        if answered is None and None in runs:
             return orphan.reserve
-        known = [run for run in others if run is not None]
-        return sum(cost_of_run(prices, run, orphan.reserve) for run in known)
+        others = [run for run in runs if run is not None and run is not answered]
+        return sum(cost_of_run(prices, run, orphan.reserve) for run in others)
 
     def _bill_of(self, orphan: OrphanMessage, run: PastRun, wasted: int) -> Bill:
         body = run.body.encode()
--- a/railtide/router/app.py
+++ b/railtide/router/app.py
@@ -6,6 +6,7 @@
 
 import trio
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
+from loguru import logger
 from opentelemetry import trace
 from quart import Response, request
 from quart_trio import QuartTrio
@@ -90,6 +91,9 @@
             except RailtideError as err:
                 span.set_attribute("railtide.code", err.code)
                 await self._answer_error(err, sink, send, headers)
+            except Exception as err:
+                logger.error("unexpected error while serving a call: {!r}", err)
+                await self._answer_error(RailtideError("unexpected"), sink, send, headers)
 
     async def _read_body(self, receive: ASGIReceiveCallable) -> bytes:
         body = bytearray()
