A key is billed once, also when it was sent without its claim

If another run with the key was open, the late intent was refused: the answer stood unbilled and its use was counted nowhere. Ruled out: refusing keyed requests in an outage (false refusals); billing both runs (one request billed twice). Change: an intent that was exposed is taken beside the key's owner; the first run that ends is billed and owns the key, any other's use is waste. Three tests of the fold, the sequence is a regression.

--- a/railtide/journal/entries.py
+++ b/railtide/journal/entries.py
@@ -57,6 +57,7 @@
     KEY_USED = "key-used"
     KEY_MISMATCH = "key-mismatch"
     NOT_OPEN = "request-not-open"
+    WASTED = "key-billed-already"
     OUTDATED = "outdated-version"
     REFUSED = "refused"
 
--- a/railtide/journal/fold.py
+++ b/railtide/journal/fold.py
@@ -16,10 +16,12 @@
     KeyState,
     correct,
     correctable,
+    drop,
     expire_keys,
     expire_settled,
     find_key,
     finish,
+    is_beaten,
     remember_settled,
     start,
 )
@@ -235,7 +237,7 @@
 
 def _on_intent(state: State, entry: Entry, holder: HolderState, record: Intent) -> Verdict:
     known = find_key(state.registry, record.account, record.key)
-    if known:
+    if known and not record.exposed:
         return _say_key(state, entry, holder, known, record.digest)
     if _is_ended(holder) and not record.exposed:
         return _say(state, entry, holder, Code.FENCED)
@@ -253,16 +255,26 @@
     if request is None or entry.holder not in (request.owner, request.holder):
         return _on_late_bill(state, entry, holder, record)
     balance = state.by_account[request.account]
-    budgets.settle(balance, request.holder, request.reserve, record.cost, record.wasted)
-    claim = find_key(state.registry, request.account, request.key)
-    finish(state.registry, record, state.stamp)
+    code = Code.OK
+    if is_beaten(state.registry, record, request):
+        used = record.cost + record.wasted
+        budgets.settle(balance, request.holder, request.reserve, 0, used)
+        drop(state.registry, record.request_id)
+        code = Code.WASTED
+    else:
+        budgets.settle(balance, request.holder, request.reserve, record.cost, record.wasted)
+        finish(state.registry, record, state.stamp)
     if entry.holder != request.holder:
-        digest = claim.digest if claim else 0
-        remember_settled(state.registry, record, request, digest, state.stamp)
-    payer = state.by_holder.get(request.holder)
+        remember_settled(state.registry, record, request, state.stamp)
+    _close_settled_payer(state, balance, request.holder)
+    return _say(state, entry, holder, code)
+
+
+def _close_settled_payer(state: State, balance: Balance, holder: str) -> None:
+    """Give back what a closed holder kept for a request that is settled now."""
+    payer = state.by_holder.get(holder)
     if payer is None or payer.status == HolderStatus.CLOSED:
-        budgets.close_holding(balance, request.holder)
-    return _say(state, entry, holder, Code.OK)
+        budgets.close_holding(balance, holder)
 
 
 def _on_extend(state: State, entry: Entry, holder: HolderState, record: Extend) -> Verdict:
--- a/railtide/journal/tests/test_fold.py
+++ b/railtide/journal/tests/test_fold.py
@@ -266,6 +266,31 @@
         assert log.write("a", Extend("r", 10)).code == Code.FENCED
         assert log.write("a", Extend("r", 10, exposed=True)).ok
 
+    def test_key_sent_without_its_claim_is_billed_once(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r1", ACCOUNT, 10, "p", "k"))
+        assert log.write("b", Intent("r2", ACCOUNT, 10, "p", "k", exposed=True)).ok
+        assert log.write("b", Bill("r2", 7)).ok
+        assert log.write("a", Bill("r1", 6)).code == Code.WASTED
+        assert (log.balance.billed, log.balance.wasted) == (7, 6)
+        assert log.write("c", Lookup(ACCOUNT, "k")).request_id == "r2"
+
+    def test_key_sent_without_its_claim_is_waste_once_the_other_ended(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r1", ACCOUNT, 10, "p", "k"))
+        log.write("b", Intent("r2", ACCOUNT, 10, "p", "k", exposed=True))
+        log.write("a", Bill("r1", 6))
+        assert log.write("b", Bill("r2", 7)).code == Code.WASTED
+        assert (log.balance.billed, log.balance.wasted) == (6, 7)
+
+    def test_lost_claim_does_not_free_a_key_that_another_run_used(self) -> None:
+        log = self.ready()
+        log.write("a", Intent("r1", ACCOUNT, 10, "p", "k"))
+        log.write("b", Intent("r2", ACCOUNT, 10, "p", "k", exposed=True))
+        log.write("b", Bill("r2", 7))
+        log.write("a", Bill("r1", 0, Outcome.NOT_RUN))
+        assert log.write("c", Lookup(ACCOUNT, "k")).code == Code.KEY_USED
+
     def test_stranger_can_not_bill(self) -> None:
         log = self.ready()
         log.write("a", Intent("r", ACCOUNT, 10, "p"))
--- a/railtide/requests/registry.py
+++ b/railtide/requests/registry.py
@@ -11,10 +11,12 @@
     "Settled",
     "correct",
     "correctable",
+    "drop",
     "expire_keys",
     "expire_settled",
     "find_key",
     "finish",
+    "is_beaten",
     "remember_settled",
     "start",
 ]
@@ -34,6 +36,7 @@
     pool: str
     key: str = ""
     repeatable: bool = True
+    digest: int = 0
 
 
 @dataclass
@@ -54,7 +57,6 @@
     request: OpenRequest
     outcome: Outcome
     stamp: int
-    digest: int = 0
 
 
 @dataclass
@@ -74,7 +76,7 @@
 
 
 def start(registry: Registry, holder: str, intent: Intent, stamp: int) -> None:
-    """Open a request and claim its key."""
+    """Open a request and claim its key, unless another has it."""
     registry.by_request_id[intent.request_id] = OpenRequest(
         account=intent.account,
         holder=holder,
@@ -83,25 +85,50 @@
         pool=intent.pool,
         key=intent.key,
         repeatable=intent.repeatable,
+        digest=intent.digest,
     )
-    if intent.key:
+    if intent.key and not find_key(registry, intent.account, intent.key):
         state = KeyState(intent.request_id, stamp, digest=intent.digest)
         registry.by_account_and_key[(intent.account, intent.key)] = state
 
 
+def is_beaten(registry: Registry, bill: Bill, request: OpenRequest) -> bool:
+    """Return whether another request with the same key has ended first.
+
+    That happens when a request was sent without its claim while the log was down. Its use is then
+    waste: a key is billed once.
+    """
+    if bill.outcome is Outcome.NOT_RUN:
+        return False
+    known = find_key(registry, request.account, request.key)
+    return bool(known and known.outcome and known.request_id != bill.request_id)
+
+
 def finish(registry: Registry, bill: Bill, stamp: int) -> OpenRequest:
     """Close an open request; its key keeps the outcome, or is freed if it did not run."""
     request = registry.by_request_id.pop(bill.request_id)
-    if not request.key:
-        return request
-    where = (request.account, request.key)
-    claim = registry.by_account_and_key.pop(where)
-    if bill.outcome is not Outcome.NOT_RUN:
-        state = KeyState(bill.request_id, stamp, bill.outcome, bill.answer, claim.digest)
-        registry.by_account_and_key[where] = state
+    known = find_key(registry, request.account, request.key)
+    owns_key = known is not None and known.request_id == bill.request_id
+    if owns_key:
+        del registry.by_account_and_key[(request.account, request.key)]
+    if request.key and bill.outcome is not Outcome.NOT_RUN:
+        _keep_outcome(registry, request, bill, stamp)
     return request
 
 
+def _keep_outcome(registry: Registry, request: OpenRequest, bill: Bill, stamp: int) -> None:
+    """Let the key tell this outcome, behind all others so that they stay in order of time."""
+    where = (request.account, request.key)
+    registry.by_account_and_key.pop(where, None)
+    state = KeyState(bill.request_id, stamp, bill.outcome, bill.answer, request.digest)
+    registry.by_account_and_key[where] = state
+
+
+def drop(registry: Registry, request_id: str) -> None:
+    """Close an open request without a word on its key."""
+    del registry.by_request_id[request_id]
+
+
 def expire_keys(registry: Registry, before: int) -> int:
     """Forget finished keys whose stamp is older than `before`; return how many.
 
@@ -118,12 +145,9 @@
     return len(old)
 
 
-def remember_settled(
-    registry: Registry, bill: Bill, request: OpenRequest, digest: int, stamp: int
-) -> None:
+def remember_settled(registry: Registry, bill: Bill, request: OpenRequest, stamp: int) -> None:
     """Remember how an adopter settled a request, for its old holder if that still lives."""
-    settled = Settled(request, bill.outcome, stamp, digest)
-    registry.settled_by_request_id[bill.request_id] = settled
+    registry.settled_by_request_id[bill.request_id] = Settled(request, bill.outcome, stamp)
 
 
 def correctable(registry: Registry, holder: str, request_id: str) -> Settled | None:
@@ -143,10 +167,8 @@
 def correct(registry: Registry, settled: Settled, bill: Bill, stamp: int) -> None:
     """Put a late bill in the place of an adopter's settlement, and claim the key again."""
     settled.outcome = bill.outcome
-    request = settled.request
-    if request.key and bill.outcome is not Outcome.NOT_RUN:
-        state = KeyState(bill.request_id, stamp, bill.outcome, bill.answer, settled.digest)
-        registry.by_account_and_key[(request.account, request.key)] = state
+    if settled.request.key:
+        _keep_outcome(registry, settled.request, bill, stamp)
 
 
 def expire_settled(registry: Registry, before: int) -> None:
--- a/tests/matrix/test_regressions.py
+++ b/tests/matrix/test_regressions.py
@@ -27,6 +27,11 @@
         ("bill", "after", "log-down", 3),
         ("leaving", "before", "instance-killed", 4),
     ],
+    "key-sent-without-its-claim-while-another-run-was-open": [
+        ("intent", "before", "log-down", 4),
+        ("grant", "during", "router-killed", 3),
+        ("checkpoint", "after", "upstream-repeating", 2),
+    ],
     "same-fault-twice": [
         ("bill", "during", "log-answer-lost", 1),
         ("bill", "during", "log-answer-lost", 2),
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,7 +52,8 @@
     Mutant(
         "claim-skipped",
         "journal/fold.py",
-        "    if known:\n        return _say_key(state, entry, holder, known, record.digest)\n"
+        "    if known and not record.exposed:\n"
+        "        return _say_key(state, entry, holder, known, record.digest)\n"
         "    if _is_ended",
         "    if _is_ended",
         (FOLD,),
@@ -66,6 +67,13 @@
         "    balance = state.by_account.get(record.account)",
         (FOLD,),
     ),
+    Mutant(
+        "key-billed-twice",
+        "journal/fold.py",
+        "    if is_beaten(state.registry, record, request):",
+        "    if False:",
+        (FOLD,),
+    ),
     Mutant(
         "anyone-corrects-a-settlement",
         "requests/registry.py",
