--- a/bench/world.py
+++ b/bench/world.py
@@ -8,7 +8,7 @@
 
 from tests.processes import Deployment, deployment
 
-__all__ = ["KEY", "bench_world"]
+__all__ = ["KEY", "bench_world", "wait_until_served"]
 
 KEY = {"authorization": "Bearer bench-key"}
 READY_S = 20.0
@@ -25,11 +25,12 @@
         world.publish("model", "brief", {"pool": "brief-pool"})
         world.publish("template", "base", {"models": ["brief"], "grant_min": 1_000_000})
         world.publish_account("bench", "bench-key", 1_000_000_000, exposure_percent=100)
-        _wait_until_served(world.router.http)
+        wait_until_served(world.router.http)
         yield world
 
 
-def _wait_until_served(router: str) -> None:
+def wait_until_served(router: str) -> None:
+    """Return once a router answers the bench account; raises TimeoutError."""
     body = {"model": "brief", "messages": [{"role": "user", "content": "tokens=1"}]}
     url = f"http://{router}/v1/chat/completions"
     until = time.monotonic() + READY_S
--- a/railtide/keeper/app.py
+++ b/railtide/keeper/app.py
@@ -32,6 +32,7 @@
     pending: int
     appends: int
     append_failures: int
+    append_answers_lost: int
     bytes_appended: int
     fences: int
     checkpoints: int
@@ -39,6 +40,7 @@
     repeats: int
     gaps: int
     skipped: int
+    unreadable: int
     holders: dict[str, str]
     balances: dict[str, BalanceStatus]
 
@@ -55,6 +57,7 @@
         pending=keeper.appender.pending(),
         appends=keeper.appender.appends,
         append_failures=keeper.appender.failures,
+        append_answers_lost=keeper.appender.answers_lost,
         bytes_appended=keeper.appender.bytes_appended,
         fences=keeper.fencer.fences,
         checkpoints=keeper.checkpoints,
@@ -62,6 +65,7 @@
         repeats=state.repeats,
         gaps=state.gaps,
         skipped=state.skipped,
+        unreadable=keeper.follower.unreadable,
         holders={name: holder.status for name, holder in state.by_holder.items()},
         balances=_balances(keeper),
     )
--- a/railtide/router/app.py
+++ b/railtide/router/app.py
@@ -155,9 +155,9 @@
             return []
         try:
             account = account_of(HttpRequest("GET", "", headers=headers), self._router.directory)
+            return [entrance.address for entrance in self._router.addresses(account)]
         except RailtideError:
             return []
-        return [entrance.address for entrance in self._router.addresses(account)]
 
 
 async def _cancel_when_gone(receive: ASGIReceiveCallable, scope: trio.CancelScope) -> None:
--- a/railtide/router/router.py
+++ b/railtide/router/router.py
@@ -14,6 +14,7 @@
 from railtide.journal.writer import Writer
 from railtide.lanes.scheduler import PoolScheduler
 from railtide.membership.addresses import Entrance, addresses_for
+from railtide.membership.errors import NoInstance
 from railtide.membership.identity import Identity, Role
 from railtide.membership.instances import Instance, InstanceState
 from railtide.membership.messages import Close, Heartbeat, Leaving, Open
@@ -206,9 +207,18 @@
         return trio.current_time() - self._fresh_at
 
     def addresses(self, account: str) -> list[Entrance]:
-        """Return the routers that callers of an account are to use now."""
+        """Return the routers that callers of an account are to use now.
+
+        Raises
+        ------
+        NoInstance
+            None is known that is live.
+        """
         settings = self.directory.settings(account) or AccountSettings()
-        return addresses_for(account, self._entrances(), settings.entrances)
+        chosen = addresses_for(account, self._entrances(), settings.entrances)
+        if not chosen:
+            raise NoInstance("no live router is known", retry_after=SOON_S)
+        return chosen
 
     def _entrances(self) -> list[Entrance]:
         return [
--- a/railtide/router/status.py
+++ b/railtide/router/status.py
@@ -33,7 +33,7 @@
     """The body of `/admin/status`.
 
     `offset` is how far the log is folded; `versions` tells which version of each object is in
-    force here; `staleness_s` is -1 before the first news.
+    force here; `staleness_s` is -1 before the first news; `keeper_links` counts links made.
     """
 
     instance: str
@@ -44,6 +44,11 @@
     offset: int
     staleness_s: float
     open_calls: int
+    grants: int
+    returns: int
+    budget_refusals: int
+    invalid_objects: int
+    keeper_links: int
     versions: dict[str, int]
     hands: list[HandStatus]
     upstreams: list[UpstreamStatus]
@@ -63,6 +68,11 @@
         offset=router.uplink.status.offset,
         staleness_s=-1.0 if staleness == float("inf") else staleness,
         open_calls=router.open_calls,
+        grants=router.treasury.grants,
+        returns=router.treasury.returns,
+        budget_refusals=router.treasury.refusals,
+        invalid_objects=router.directory.invalid,
+        keeper_links=router.uplink.connects,
         versions=router.directory.versions(),
         hands=_hands(router),
         upstreams=_upstreams(router),
--- a/railtide/router/tests/test_app.py
+++ b/railtide/router/tests/test_app.py
@@ -7,6 +7,7 @@
 
 from railtide.configuration.directory import Directory
 from railtide.configuration.models import key_hash
+from railtide.membership.errors import NoInstance
 from railtide.requests.call import AnswerSink, Call
 from railtide.router.app import make_app
 from railtide.router.errors import Draining
@@ -36,7 +37,7 @@
             raise Draining("leaving", retry_after=0)
 
     def addresses(self, account: str) -> list:
-        return []
+        raise NoInstance
 
 
 async def answer_of(router: FakeRouter, body: bytes = BODY, gone: bool = False, **headers: str):
