railtidectl says nothing of its own links to the log

Cause: README's deployment by hand, tried as it stands, showed log lines of the operator's session on standard error.

--- a/railtide/operators/program.py
+++ b/railtide/operators/program.py
@@ -26,6 +26,7 @@
 from railtide.operators.errors import NoVerdict, Refused
 from railtide.operators.session import Session, open_session
 from railtide.settings import InvalidSetting, run_program
+from railtide.telemetry.logs import set_up_logs
 
 __all__ = [
     "balance",
@@ -346,6 +347,7 @@
         explain,
         key_hash,
     ]
+    set_up_logs("railtidectl", "WARNING")
     run_program(commands, PREFIX)
 
 
