A backlog of entries folds in linear time; one way through another keeper

Cause, found by reading the whole change: after an outage every folded entry scanned all remembered verdicts of its holder, and all its queued entries, in the fold and in the appender. Both stand in the order of their numbers, so the scan may end at the first one that stays. RelayedLog had its way through a peer written twice, for append and for read. Behaviour is the same.

--- a/railtide/journal/fold.py
+++ b/railtide/journal/fold.py
@@ -119,8 +119,8 @@
 
 
 def _remember_verdict(holder: HolderState, entry: Entry, verdict: Verdict) -> None:
-    for seq in [seq for seq in holder.by_seq if seq <= entry.acked]:
-        del holder.by_seq[seq]
+    while holder.by_seq and (oldest := next(iter(holder.by_seq))) <= entry.acked:
+        del holder.by_seq[oldest]
     holder.by_seq[entry.seq] = verdict
 
 
--- a/railtide/keeper/appender.py
+++ b/railtide/keeper/appender.py
@@ -72,7 +72,7 @@
         queue = self._entries_by_holder.get(holder)
         if queue is None:
             return
-        for old in [old for old in queue if old <= seq]:
+        while queue and (old := next(iter(queue))) <= seq:
             del queue[old]
             self._in_flight.discard((holder, old))
             span = self._spans_by_holder_and_seq.pop((holder, old), None)
--- a/railtide/keeper/relay.py
+++ b/railtide/keeper/relay.py
@@ -1,8 +1,9 @@
 """Ways to the log for a keeper that may be cut off from it: its own, and through another keeper."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from itertools import count
 from random import Random
+from typing import TypeVar
 
 import trio
 
@@ -14,6 +15,8 @@
 
 __all__ = ["DirectLog", "PeerLog", "RelayedLog"]
 
+Result = TypeVar("Result")
+
 PROBE_S = 1.0
 REPLY_S = 3.0
 
@@ -132,27 +135,26 @@
 
     async def append(self, stream: str, data: bytes) -> int:
         """Append; see `LogClient.append`."""
-        if self._direct.worth_a_try:
-            try:
-                return await self._direct.append(stream, data)
-            except LogUnavailable:
-                pass
-        peer = await self._connect()
-        try:
-            return await peer.append(stream, data)
-        finally:
-            await self._close(peer)
+        return await self._by_some_way(lambda log: log.append(stream, data))
 
     async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
         """Read; see `LogClient.read`."""
+
+        def read(log: LogClient) -> Awaitable[Page]:
+            wait = wait_s if log is self._direct else min(wait_s, PROBE_S)
+            return log.read(stream, start, limit, wait)
+
+        return await self._by_some_way(read)
+
+    async def _by_some_way(self, use: Callable[[LogClient], Awaitable[Result]]) -> Result:
         if self._direct.worth_a_try:
             try:
-                return await self._direct.read(stream, start, limit, wait_s)
+                return await use(self._direct)
             except LogUnavailable:
                 pass
         peer = await self._connect()
         try:
-            return await peer.read(stream, start, limit, min(wait_s, PROBE_S))
+            return await use(peer)
         finally:
             await self._close(peer)
 
