--- /dev/null
+++ b/railtide/budgets/ledger.py
@@ -0,0 +1,143 @@
+"""A client account's ledger: one record that says who holds what of its budget. Pure.
+
+The whole ledger of an account is the value of one key and is changed by compare-and-swap alone,
+so there is no history to fold: the newest record is the state. A holder may spend what it was
+granted and nothing else, whatever it hears or does not hear of the others. So the budget is kept
+under every cut, pause and kill; what a lost holder has not returned counts as spent.
+
+References
+----------
+P. O'Neil, "The escrow transactional method", ACM TODS 11(4), 1986.
+"""
+
+import msgspec
+
+__all__ = [
+    "Holding",
+    "Ledger",
+    "account_for",
+    "close_former",
+    "committed",
+    "grant",
+    "ledger_from_bytes",
+    "ledger_to_bytes",
+    "reported_spend",
+]
+
+
+class Holding(msgspec.Struct, array_like=True):
+    """What one process holds of one budget, units, cumulative over its lifetime.
+
+    Attributes
+    ----------
+    incarnation : str
+        The process.
+    granted : int
+        Granted less returned; what was spent is part of it.
+    spent : int
+        Spent as far as the process has reported.
+    requests : int
+        Requests billed as far as reported.
+    """
+
+    incarnation: str
+    granted: int = 0
+    spent: int = 0
+    requests: int = 0
+
+
+class Ledger(msgspec.Struct, array_like=True):
+    """A budget's ledger.
+
+    Attributes
+    ----------
+    closed : int
+        Units of holders that are gone: billed, or held when they were lost.
+    billed : int
+        Units billed by holders that are gone, as far as they reported.
+    by_instance : dict of str to Holding
+        A new process of an instance proves that the one before it is dead.
+    """
+
+    closed: int = 0
+    billed: int = 0
+    by_instance: dict[str, Holding] = {}
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Ledger)
+
+
+def ledger_to_bytes(ledger: Ledger) -> bytes:
+    """Return a ledger's encoding."""
+    return _encoder.encode(ledger)
+
+
+def ledger_from_bytes(data: bytes) -> Ledger:
+    """Return a ledger from its encoding; raises `msgspec.DecodeError`.
+
+    Examples
+    --------
+    >>> ledger_from_bytes(ledger_to_bytes(Ledger(closed=3))).closed
+    3
+    """
+    return _decoder.decode(data)
+
+
+def committed(ledger: Ledger) -> int:
+    """Return the units that were spent or may be spent without another grant.
+
+    Examples
+    --------
+    >>> committed(Ledger(closed=5, by_instance={"a": Holding("a1", granted=7, spent=2)}))
+    12
+    """
+    return ledger.closed + sum(held.granted for held in ledger.by_instance.values())
+
+
+def reported_spend(ledger: Ledger) -> int:
+    """Return the units known to be spent; the true figure lies between this and `committed`."""
+    return ledger.closed + sum(held.spent for held in ledger.by_instance.values())
+
+
+def close_former(ledger: Ledger, instance: str, incarnation: str) -> int:
+    """Close the holding of an instance's former process; return the units written off.
+
+    What it had not reported may have been spent, so it is counted as spent.
+
+    Examples
+    --------
+    >>> ledger = Ledger(by_instance={"a": Holding("a1", granted=7, spent=2)})
+    >>> close_former(ledger, "a", "a2"), ledger.closed, ledger.billed
+    (5, 7, 2)
+    """
+    former = ledger.by_instance.get(instance)
+    if former is None or former.incarnation == incarnation:
+        return 0
+    del ledger.by_instance[instance]
+    ledger.closed += former.granted
+    ledger.billed += former.spent
+    return former.granted - former.spent
+
+
+def account_for(ledger: Ledger, instance: str, holding: Holding) -> None:
+    """Set a process's holding; an empty one of no use is left out."""
+    if holding.granted or holding.spent:
+        ledger.by_instance[instance] = holding
+    else:
+        ledger.by_instance.pop(instance, None)
+
+
+def grant(ledger: Ledger, prepaid: int, wanted: int, least: int) -> int:
+    """Return how many units may be granted now: `wanted`, or down to `least`, or none.
+
+    Examples
+    --------
+    >>> grant(Ledger(closed=90), prepaid=100, wanted=20, least=5)
+    10
+    >>> grant(Ledger(closed=99), prepaid=100, wanted=20, least=5)
+    0
+    """
+    left = prepaid - committed(ledger)
+    amount = min(wanted, left)
+    return amount if amount >= max(least, 1) else 0
--- a/railtide/budgets/treasury.py
+++ b/railtide/budgets/treasury.py
@@ -25,6 +25,7 @@
 )
 from railtide.budgets.messages import Grant, Return
 from railtide.budgets.sizing import AdaptiveSizing, Demand, GrantSizing, exposure_of, low_water
+from railtide.budgets.source import BudgetSource, Reserved
 from railtide.configuration.models import AccountSettings
 from railtide.journal.entries import Code
 from railtide.journal.writer import Ticket, Writer
@@ -56,7 +57,7 @@
         return self.by_account.setdefault(account, Hand())
 
 
-class Reservation:
+class Reservation(Reserved):
     """Units reserved for one request, from reserve to settlement.
 
     Parameters
@@ -125,7 +126,7 @@
     changed: trio.Event = field(default_factory=trio.Event)
 
 
-class Treasury:
+class Treasury(BudgetSource):
     """Hands out reservations and tends the hands.
 
     Parameters
@@ -169,24 +170,7 @@
     async def reserve(
         self, account: str, settings: AccountSettings, amount: int, deadline: float
     ) -> Reservation:
-        """Return a reservation.
-
-        Parameters
-        ----------
-        account : str
-        settings : AccountSettings
-        amount : int
-            The request's greatest cost, units.
-        deadline : float
-            Trio time after which the request is of no use.
-
-        Raises
-        ------
-        BudgetExhausted
-            The log says that the budget does not cover it.
-        BudgetUnavailable
-            The log can't say in time.
-        """
+        """Return a reservation; see `BudgetSource.reserve`."""
         self._settings_by_account[account] = settings
         self._note_rate(account, amount)
         taken = await self._obtain(
--- /dev/null
+++ b/railtide/edge/node.py
@@ -0,0 +1,241 @@
+"""The edge router: its parts put together, and its life from start to a graceful shutdown."""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+from random import Random
+
+import trio
+from loguru import logger
+
+from railtide.budgets.ledger_treasury import LedgerTreasury
+from railtide.configuration.errors import InvalidObject
+from railtide.configuration.snapshot import Snapshot
+from railtide.edge.options import EdgeOptions
+from railtide.edge.sources import Sources
+from railtide.journal.feed import Feed, FeedOptions
+from railtide.journal.keyed import KeyedRecord, KeyedStore
+from railtide.lanes.scheduler import PoolScheduler
+from railtide.membership.addresses import Entrance
+from railtide.membership.identity import Identity
+from railtide.membership.instances import Instance
+from railtide.membership.roster import Member, Roster
+from railtide.membership.upstream_list import RECENT_LOSS_S, RETURN_GRACE_S, UpstreamList
+from railtide.requests.call import AnswerSink, Call
+from railtide.requests.dispatcher import Dispatcher
+from railtide.requests.ledger_cover import ledger_cover_maker
+from railtide.requests.passthrough import pass_through_relay
+from railtide.requests.replays import Replays
+from railtide.requests.retry import RetryBudget
+from railtide.requests.services import Services
+from railtide.telemetry.counters import Counters
+from railtide.upstreams.choice import PrefixAffinity, TwoChoices
+from railtide.upstreams.client import UpstreamClient
+from railtide.upstreams.load import LoadReport
+
+__all__ = ["EdgeNode"]
+
+DRAIN_TICK_S = 0.02
+RETURN_S = 0.5
+"""Longest wait at a shutdown for the store to take back what is in hand."""
+
+
+class EdgeNode:
+    """One edge router.
+
+    Parameters
+    ----------
+    identity : Identity
+    store : KeyedStore
+    sources : Sources
+    upstreams : UpstreamClient
+    options : EdgeOptions
+    rng : random.Random
+
+    Attributes
+    ----------
+    snapshot : Snapshot or None
+        The configuration in force; never replaced by a lower version.
+    leaving : bool
+        Set by a shutdown: other routers are to be used.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: KeyedStore,
+        sources: Sources,
+        upstreams: UpstreamClient,
+        options: EdgeOptions,
+        rng: Random,
+    ) -> None:
+        self.identity = identity
+        self.options = options
+        self.counters = Counters()
+        self.snapshot: Snapshot | None = None
+        self.leaving = False
+        self.open_calls = 0
+        self.schedulers_by_pool: dict[str, PoolScheduler] = {}
+        self.on_snapshot: Callable[[Snapshot], None] = lambda snapshot: None
+        self._sources = sources
+        self._rng = rng
+        self._nursery: trio.Nursery | None = None
+        self._retries_by_pool: dict[str, RetryBudget] = {}
+        member = Member(identity.incarnation, identity.address, identity.failure_domain, 0)
+        self.roster = Roster(store, identity.instance, member, options.roster, rng)
+        self.treasury = LedgerTreasury(
+            store, identity.instance, identity.incarnation, self._routers, options.ledger
+        )
+        self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
+        self._configuration_feed = Feed(
+            store,
+            sources.configuration_topic,
+            FeedOptions(wait_s=options.configuration_wait_s),
+            rng,
+            self._take_configuration,
+        )
+        self._upstream_feed = Feed(
+            store,
+            sources.upstream_topic,
+            FeedOptions(wait_s=options.configuration_wait_s, pause_s=options.upstream_pause_s),
+            rng,
+            self._take_upstreams,
+            self._upstream_list.keep_only,
+        )
+        services = Services(
+            upstreams,
+            options.requests,
+            self._retries_of,
+            Replays(),
+            self.counters,
+            lambda: self.treasury.reachable,
+            None,
+            self._start_soon,
+            ledger_cover_maker(self.treasury.count_bill),
+            pass_through_relay,
+        )
+        self._dispatcher = Dispatcher(self.treasury, self.schedulers_by_pool.get, services)
+
+    # -- life ---------------------------------------------------------------------------------
+
+    @property
+    def ready(self) -> bool:
+        """True once configuration, upstreams and budgets are known, until the shutdown."""
+        known = self.snapshot is not None and self._upstream_feed.caught_up
+        return known and self.treasury.ready and not self.leaving
+
+    async def run(self) -> None:
+        """Run all duties until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._configuration_feed.run)
+            nursery.start_soon(self._upstream_feed.run)
+            nursery.start_soon(self._run_settling)
+            nursery.start_soon(self.treasury.run)
+            nursery.start_soon(partial(self.roster.run, lambda: self.ready))
+
+    async def drain(self) -> None:
+        """Leave: be named to no caller, serve those who still come, finish, give back."""
+        began = trio.current_time()
+        logger.bind(open_calls=self.open_calls).info("leaving")
+        self.leaving = True
+        with trio.move_on_after(self.options.leave_accept_s):
+            await self.roster.leave()
+        await trio.sleep_until(began + self.options.leave_accept_s)
+        with trio.move_on_at(began + self.options.leave_s):
+            while self.open_calls:
+                await trio.sleep(DRAIN_TICK_S)
+        with trio.move_on_after(RETURN_S):
+            await self.treasury.give_back_all()
+        logger.bind(open_calls=self.open_calls).info("left")
+
+    async def _run_settling(self) -> None:
+        while True:
+            await trio.sleep(self.options.settle_s)
+            self._upstream_list.settle()
+
+    # -- serving ------------------------------------------------------------------------------
+
+    async def serve(self, call: Call, sink: AnswerSink) -> None:
+        """Answer a call; see `Dispatcher.serve`."""
+        self.open_calls += 1
+        try:
+            await self._dispatcher.serve(call, sink)
+        finally:
+            self.open_calls -= 1
+
+    def addresses(self, failure_domain: str) -> list[Entrance]:
+        """Return the routers that a caller may use, those of its failure domain first."""
+        live = self.roster.live()
+        live.sort(key=lambda entrance: entrance.failure_domain != failure_domain)
+        return live[: self.options.most_addresses]
+
+    def take_load(self, upstream: Instance, report: LoadReport) -> None:
+        """Take what an upstream said of its load with an answer."""
+        scheduler = self.schedulers_by_pool.get(upstream.pool)
+        if scheduler:
+            scheduler.take_report(upstream.name, report)
+
+    # -- what the store says ------------------------------------------------------------------
+
+    def _take_configuration(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            try:
+                snapshot = self._sources.snapshot_of(record)
+            except InvalidObject as err:
+                logger.bind(offset=record.offset, error=err.detail).error("configuration-invalid")
+                continue
+            if snapshot is not None:
+                self._apply(snapshot)
+
+    def _apply(self, snapshot: Snapshot) -> None:
+        held = self.snapshot.version if self.snapshot else None
+        if held is not None and snapshot.version <= held:
+            logger.bind(version=snapshot.version, held=held).info("configuration-older")
+            return
+        self.snapshot = snapshot
+        self.treasury.set_prepaid(dict(snapshot.prepaid_by_account))
+        self.on_snapshot(snapshot)
+        logger.bind(version=snapshot.version, before=held).info("configuration-in-force")
+
+    def _take_upstreams(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            if not record.value:
+                self._upstream_list.remove(record.key)
+                continue
+            try:
+                self._upstream_list.put(self._sources.upstream_of(record))
+            except InvalidObject as err:
+                logger.bind(upstream=record.key, error=err.detail).error("upstream-invalid")
+        self._upstream_list.settle()
+
+    def _lapse_until(self) -> float:
+        """Return until when a removed record may have lapsed with the store away."""
+        feed = self._upstream_feed
+        if not feed.caught_up or feed.back_at < feed.lost_at:
+            return trio.current_time() + RETURN_GRACE_S
+        if feed.lost_at == -float("inf") or trio.current_time() - feed.back_at > RECENT_LOSS_S:
+            return trio.current_time()
+        return feed.back_at + RETURN_GRACE_S
+
+    def _set_pool(self, pool: str, instances: list[Instance]) -> None:
+        if pool not in self.schedulers_by_pool:
+            choice = PrefixAffinity(TwoChoices(self._rng))
+            self.schedulers_by_pool[pool] = PoolScheduler(choice, urgent_share=0, trusts_list=True)
+        self.schedulers_by_pool[pool].set_upstreams(instances)
+
+    # -- what the parts ask -------------------------------------------------------------------
+
+    def _routers(self) -> int:
+        return max(1, len(self.roster.live()))
+
+    def _retries_of(self, pool: str) -> RetryBudget:
+        budget = self._retries_by_pool.get(pool)
+        if budget is None:
+            saved = self.options.retry_slack / self._routers()
+            budget = RetryBudget(self.options.retry_share, saved, saved)
+            self._retries_by_pool[pool] = budget
+        return budget
+
+    def _start_soon(self, work: Callable[[], Awaitable[None]]) -> None:
+        if self._nursery:
+            self._nursery.start_soon(work)
--- /dev/null
+++ b/railtide/edge/options.py
@@ -0,0 +1,55 @@
+"""Options of an edge router, in seconds and shares."""
+
+from dataclasses import dataclass, field
+
+from railtide.budgets.ledger_treasury import LedgerOptions
+from railtide.membership.roster import RosterOptions
+from railtide.requests.options import RequestOptions
+
+__all__ = ["EdgeOptions"]
+
+
+@dataclass(frozen=True)
+class EdgeOptions:
+    """How an edge router behaves.
+
+    Attributes
+    ----------
+    requests, ledger, roster
+        Options of those parts.
+    configuration_wait_s : float
+        How long a read of the configuration waits; bounds how late a silent store is noticed.
+    upstream_pause_s : float
+        Least time between two reads of the upstreams' records. Their heartbeats come several
+        times a second; a leaving upstream may be sent work for seconds.
+    settle_s : float
+        Time between two looks at upstreams that are about to be dropped.
+    retry_share : float
+        Retries that a request earns for its pool.
+    retry_slack : float
+        Retries that all routers together may have saved up for a pool.
+    address_ttl_s : float
+        How long callers keep an answer with addresses.
+    most_addresses : int
+        Addresses in one answer.
+    leave_accept_s : float
+        How long after SIGTERM new requests are still served: until callers have new addresses.
+    leave_s : float
+        How long after SIGTERM the process ends at the latest.
+    queue_share : float
+        Share of a request's response-time goal that it may wait for a slot.
+    """
+
+    requests: RequestOptions = field(default_factory=RequestOptions)
+    ledger: LedgerOptions = field(default_factory=LedgerOptions)
+    roster: RosterOptions = field(default_factory=RosterOptions)
+    configuration_wait_s: float = 2.0
+    upstream_pause_s: float = 0.3
+    settle_s: float = 0.1
+    retry_share: float = 0.1
+    retry_slack: float = 27.0
+    address_ttl_s: float = 1.0
+    most_addresses: int = 64
+    leave_accept_s: float = 2.5
+    leave_s: float = 7.0
+    queue_share: float = 0.25
--- /dev/null
+++ b/railtide/journal/feed.py
@@ -0,0 +1,129 @@
+"""A feed: follows a keyed topic from its newest records on and never goes back."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import trio
+from loguru import logger
+
+from railtide.journal.backoff import Backoff
+from railtide.journal.errors import LogUnavailable, RecordsExpired
+from railtide.journal.keyed import KeyedRecord, KeyedStore
+
+__all__ = ["Feed", "FeedOptions"]
+
+BACKOFF_S = 0.1
+BACKOFF_MOST_S = 0.8
+"""Waits after a failed call; a store that is back is found within the second that the desired
+state has to spare."""
+
+
+@dataclass(frozen=True)
+class FeedOptions:
+    """How a topic is followed.
+
+    Attributes
+    ----------
+    wait_s : float
+        How long a read waits for a record. It bounds how late a silent store is noticed.
+    pause_s : float
+        Least time between two reads, so that a busy topic costs a bounded number of calls.
+    """
+
+    wait_s: float = 2.0
+    pause_s: float = 0.0
+
+
+class Feed:
+    """Follows one topic.
+
+    Parameters
+    ----------
+    store : KeyedStore
+    topic : str
+    options : FeedOptions
+    rng : random.Random
+    on_records : callable
+        Told of new records, in order; after a gap in the history, of the newest of each key.
+    on_newest : callable, optional
+        Told of all keys that exist, each time the newest records were read.
+
+    Attributes
+    ----------
+    reachable : bool
+        Whether the last call was answered.
+    caught_up : bool
+        Whether the topic was read to its end once.
+    lost_at, back_at : float
+        Trio time of the latest loss of the store, and of its latest return.
+    """
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        topic: str,
+        options: FeedOptions,
+        rng: Random,
+        on_records: Callable[[list[KeyedRecord]], None],
+        on_newest: Callable[[set[str]], None] | None = None,
+    ) -> None:
+        self.reachable = False
+        self.caught_up = False
+        self.lost_at = -float("inf")
+        self.back_at = -float("inf")
+        self.next_offset = 0
+        self._store = store
+        self._topic = topic
+        self._options = options
+        self._on_records = on_records
+        self._on_newest = on_newest
+        self._backoff = Backoff(BACKOFF_S, BACKOFF_MOST_S, rng)
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        started = False
+        while True:
+            try:
+                if not started:
+                    await self._read_newest()
+                    started = True
+                await self._follow()
+            except LogUnavailable as err:
+                self._note_lost(err)
+                await trio.sleep(self._backoff.next_wait())
+            except RecordsExpired as err:
+                logger.bind(topic=self._topic, first=err.first).info("history-expired")
+                started = False
+
+    async def _read_newest(self) -> None:
+        page = await self._store.newest(self._topic)
+        self._note_reachable()
+        if page.records:
+            self._on_records(page.records)
+        if self._on_newest:
+            self._on_newest({record.key for record in page.records})
+        self.next_offset = page.end
+        self.caught_up = True
+
+    async def _follow(self) -> None:
+        while True:
+            page = await self._store.read(self._topic, self.next_offset, self._options.wait_s)
+            self._note_reachable()
+            if page.records:
+                self._on_records(page.records)
+                self.next_offset = page.records[-1].offset + 1
+            await trio.sleep(self._options.pause_s)
+
+    def _note_reachable(self) -> None:
+        self._backoff.reset()
+        if not self.reachable:
+            self.reachable = True
+            self.back_at = trio.current_time()
+            logger.bind(topic=self._topic, offset=self.next_offset).info("store-reached")
+
+    def _note_lost(self, err: LogUnavailable) -> None:
+        if self.reachable:
+            self.reachable = False
+            self.lost_at = trio.current_time()
+            logger.bind(topic=self._topic, reason=err.detail).warning("store-lost")
--- /dev/null
+++ b/railtide/journal/keyed.py
@@ -0,0 +1,93 @@
+"""Keyed topics of the platform's store: records by key, the newest of each kept for good.
+
+A topic has numbered partitions; offsets order the records of one partition. An append may name
+the offset at which the partition must end, which makes it a compare-and-swap.
+"""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from railtide.journal.errors import JournalError
+
+__all__ = ["AppendConflict", "KeyedPage", "KeyedRecord", "KeyedStore"]
+
+
+class AppendConflict(JournalError):
+    """Others appended since: nothing was written.
+
+    Parameters
+    ----------
+    end : int
+        The partition's end now.
+    """
+
+    code = "append-conflict"
+
+    def __init__(self, end: int) -> None:
+        super().__init__(f"the partition ends at {end}")
+        self.end = end
+
+
+@dataclass(frozen=True)
+class KeyedRecord:
+    """A key and its value at an offset; an empty value removes the key."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclass(frozen=True)
+class KeyedPage:
+    """Records in the order of their offsets, and where the partition ended."""
+
+    records: list[KeyedRecord]
+    end: int
+
+
+class KeyedStore(ABC):
+    """A way to the keyed topics."""
+
+    @abstractmethod
+    async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
+        """Return the newest record of each key.
+
+        The pages behind it are no snapshot: the records from the page's `end` on are to be read
+        after it.
+
+        Raises
+        ------
+        LogUnavailable
+            No answer.
+        """
+
+    @abstractmethod
+    async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
+        """Return records from `start` on, waiting up to `wait_s` seconds for the first.
+
+        Raises
+        ------
+        LogUnavailable
+            No answer.
+        RecordsExpired
+            The store does not keep `start` any more.
+        """
+
+    @abstractmethod
+    async def append(
+        self,
+        topic: str,
+        values_by_key: dict[str, bytes],
+        expected_end: int | None = None,
+        partition: int = 0,
+    ) -> int:
+        """Append records, all or none, and return the partition's end behind them.
+
+        Raises
+        ------
+        AppendConflict
+            The partition does not end at `expected_end`.
+        LogUnavailable
+            The records may or may not be there, or come to be there as long as the condition
+            holds.
+        """
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -69,6 +69,8 @@
         One slot in so many is kept for urgent requests; 0 keeps none.
     most_waiting : int
         Most requests waiting in a lane.
+    trusts_list : bool
+        Whether a list that lacks many reporting upstreams is believed all the same.
     """
 
     def __init__(
@@ -77,12 +79,14 @@
         queue: WaitingQueue | None = None,
         urgent_share: int = URGENT_SHARE,
         most_waiting: int = MOST_WAITING,
+        trusts_list: bool = False,
     ) -> None:
         self.by_name: dict[str, Upstream] = {}
         self._choice = choice
         self._queue = queue or FairLanes()
         self._urgent_share = urgent_share
         self._most_waiting = most_waiting
+        self._trusts_list = trusts_list
         self._service_s = 0.0
 
     # -- upstreams ----------------------------------------------------------------------------
@@ -91,7 +95,7 @@
         """Take the pool's instances; a new incarnation starts clean, an old one keeps its state.
 
         A list that lacks at least half of the upstreams whose load reports are fresh is taken to
-        be wrong: those are kept as long as they report.
+        be wrong, unless the list is trusted: those are kept as long as they report.
         """
         by_name = self._reporting_but_missing({instance.name for instance in instances})
         for instance in instances:
@@ -105,6 +109,8 @@
         self._serve_waiting()
 
     def _reporting_but_missing(self, listed: set[str]) -> dict[str, Upstream]:
+        if self._trusts_list:
+            return {}
         now = trio.current_time()
         reporting = {
             name: upstream
--- /dev/null
+++ b/railtide/membership/roster.py
@@ -0,0 +1,158 @@
+"""The roster: which routers of this system live, kept as one record each in a keyed topic.
+
+Each router writes its record at an interval. A reader believes a router alive until its record
+has not moved for some intervals by the reader's own steady clock, counted only while the store
+is heard: a store that is away makes nobody dead.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+import trio
+from loguru import logger
+
+from railtide.journal.errors import LogUnavailable
+from railtide.journal.feed import Feed, FeedOptions
+from railtide.journal.keyed import KeyedRecord, KeyedStore
+from railtide.membership.addresses import Entrance
+
+__all__ = ["Member", "Roster", "RosterOptions"]
+
+
+@dataclass(frozen=True)
+class RosterOptions:
+    """How routers find one another, in seconds.
+
+    Attributes
+    ----------
+    topic : str
+    beat_s : float
+        Time between two records of a router.
+    dead_after_s : float
+        A router whose record has not moved for so long is not named to callers. Three beats and
+        a slow answer of the store.
+    read_pause_s : float
+        Least time between two reads of the topic.
+    """
+
+    topic: str = "keyed.railtide-roster"
+    beat_s: float = 1.0
+    dead_after_s: float = 3.5
+    read_pause_s: float = 1.0
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """A router's record; an empty address says that it is leaving."""
+
+    incarnation: str
+    address: str
+    failure_domain: str
+    beat: int
+
+
+@dataclass
+class _Heard:
+    member: Member
+    at: float
+
+
+class Roster:
+    """Announces this router and knows the others.
+
+    Parameters
+    ----------
+    store : KeyedStore
+    instance : str
+        Name of this router's instance.
+    member : Member
+        Its first record.
+    options : RosterOptions
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        instance: str,
+        member: Member,
+        options: RosterOptions,
+        rng: Random,
+    ) -> None:
+        self._store = store
+        self._instance = instance
+        self._member = member
+        self._options = options
+        self._heard_by_instance: dict[str, _Heard] = {}
+        feed_options = FeedOptions(wait_s=options.beat_s, pause_s=options.read_pause_s)
+        self._feed = Feed(store, options.topic, feed_options, rng, self._take)
+        self._announcing = True
+        self._changed = trio.Event()
+
+    async def run(self, is_ready: Callable[[], bool]) -> None:
+        """Announce this router from when it is ready, and follow the others, for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._feed.run)
+            nursery.start_soon(self._run_beats, is_ready)
+
+    async def _run_beats(self, is_ready: Callable[[], bool]) -> None:
+        while True:
+            if self._announcing and is_ready():
+                await self._write()
+            with trio.move_on_after(self._options.beat_s):
+                await self._changed.wait()
+
+    async def _write(self) -> None:
+        member = msgspec.structs.replace(self._member, beat=self._member.beat + 1)
+        self._member = member
+        value = msgspec.msgpack.encode(member)
+        try:
+            await self._store.append(self._options.topic, {self._instance: value})
+        except LogUnavailable as err:
+            logger.bind(reason=err.detail).debug("beat-lost")
+
+    async def leave(self) -> None:
+        """Say that callers are to go elsewhere."""
+        self._announcing = False
+        self._member = msgspec.structs.replace(self._member, address="")
+        await self._write()
+
+    def _take(self, records: list[KeyedRecord]) -> None:
+        now = trio.current_time()
+        for record in records:
+            if not record.value:
+                self._heard_by_instance.pop(record.key, None)
+                continue
+            try:
+                member = msgspec.msgpack.decode(record.value, type=Member)
+            except msgspec.DecodeError as err:
+                logger.bind(instance=record.key, error=str(err)).error("member-unreadable")
+                continue
+            self._hear(record.key, member, now)
+
+    def _hear(self, instance: str, member: Member, now: float) -> None:
+        known = self._heard_by_instance.get(instance)
+        if known is None or known.member.incarnation != member.incarnation:
+            logger.bind(instance=instance, address=member.address).info("router-seen")
+        elif known.member.address and not member.address:
+            logger.bind(instance=instance).info("router-leaving")
+        self._heard_by_instance[instance] = _Heard(member, now)
+
+    def live(self) -> list[Entrance]:
+        """Return the routers that callers may be sent to."""
+        silent_since = self._silence_began()
+        return [
+            Entrance(instance, heard.member.address, heard.member.failure_domain)
+            for instance, heard in self._heard_by_instance.items()
+            if heard.member.address and silent_since - heard.at <= self._options.dead_after_s
+        ]
+
+    def _silence_began(self) -> float:
+        """Return now, or the time at which the store was lost: silence counts up to there."""
+        if self._feed.reachable:
+            returned = trio.current_time() - self._feed.back_at
+            if returned < self._options.dead_after_s:
+                return self._feed.lost_at
+            return trio.current_time()
+        return self._feed.lost_at
--- /dev/null
+++ b/railtide/platform/desired_state.py
@@ -0,0 +1,177 @@
+"""The operator's desired state and the engines' records, decoded into the product's own types."""
+
+import msgspec
+
+from railtide.configuration.errors import InvalidObject
+from railtide.configuration.routes import PoolSettings, Route, RouteTable, Share
+from railtide.configuration.snapshot import (
+    AccountTerms,
+    RequestLimits,
+    Snapshot,
+    account_by_key,
+    prepaid_by_account,
+)
+from railtide.edge.sources import Sources
+from railtide.journal.keyed import KeyedRecord
+from railtide.membership.identity import Role
+from railtide.membership.instances import Instance, InstanceState
+
+__all__ = ["PlatformSources"]
+
+CONFIG_KEY = "config"
+STREAMING = "streaming"
+SAFE = "safe"
+READY = "ready"
+MS = 1000.0
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    """`kind` is safe, unsafe or streaming; `goal_ms` is the response-time objective."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    goal_ms: float = 0
+    priority: int = 5
+    service: str = ""
+    split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    """`stride` is how many tokens one event of a stream holds at most."""
+
+    stride: int = 1
+
+
+class _Service(msgspec.Struct):
+    """`max_conns` is what one engine takes from all callers together."""
+
+    name: str
+    max_conns: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct):
+    """`prepaid` is the total for the whole day, not what is left."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    prepaid: int | None = None
+
+
+class _DesiredState(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits | None = None
+    tenants: list[_Tenant] | None = None
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = READY
+
+
+_state_decoder = msgspec.json.Decoder(_DesiredState)
+_server_decoder = msgspec.json.Decoder(_Server)
+
+
+class PlatformSources(Sources):
+    """The platform's topics of the desired state and of its engines."""
+
+    configuration_topic = "keyed.op"
+    upstream_topic = "keyed.servers"
+
+    def snapshot_of(self, record: KeyedRecord) -> Snapshot | None:
+        """Return the desired state in a record; see `Sources.snapshot_of`."""
+        if record.key != CONFIG_KEY or not record.value:
+            return None
+        try:
+            return _snapshot(_state_decoder.decode(record.value))
+        except msgspec.DecodeError as err:
+            raise InvalidObject(str(err)) from err
+
+    def upstream_of(self, record: KeyedRecord) -> Instance:
+        """Return the engine in a record; see `Sources.upstream_of`."""
+        try:
+            server = _server_decoder.decode(record.value)
+        except msgspec.DecodeError as err:
+            raise InvalidObject(str(err)) from err
+        return Instance(
+            name=record.key,
+            incarnation=record.key,
+            address=server.address,
+            failure_domain=server.zone,
+            role=Role.ENGINE,
+            pool=server.service,
+            slots=max(1, server.slots),
+            state=InstanceState.LIVE if server.state == READY else InstanceState.LEAVING,
+        )
+
+
+def _snapshot(state: _DesiredState) -> Snapshot:
+    accounts = [
+        AccountTerms(t.name, tuple(t.api_keys), t.priority, t.prepaid) for t in state.tenants or []
+    ]
+    pools = [
+        PoolSettings(s.name, s.max_conns, s.engine.stride if s.engine else 1)
+        for s in state.services
+    ]
+    return Snapshot(
+        version=state.version,
+        table=RouteTable.of([_route(route) for route in state.routes]),
+        pool_by_name={pool.name: pool for pool in pools},
+        account_by_key=account_by_key(accounts),
+        prepaid_by_account=prepaid_by_account(accounts),
+        limits=_limits(state.limits) if state.limits else None,
+        keyed=state.tenants is not None,
+    )
+
+
+def _limits(limits: _Limits) -> RequestLimits:
+    return RequestLimits(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_ms / MS,
+        limits.idle_timeout_ms / MS,
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = tuple(Share(s.service, s.weight) for s in route.split) or (Share(route.service, 1.0),)
+    stream = route.kind == STREAMING
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        shares=shares,
+        repeatable=route.kind == SAFE or (stream and route.resumable),
+        stream=stream,
+        resumable=stream and route.resumable,
+        timeout_s=route.timeout_ms / MS,
+        goal_s=route.goal_ms / MS,
+        priority=route.priority,
+        attempts=route.max_attempts,
+        public=route.public,
+    )
--- /dev/null
+++ b/railtide/platform/program.py
@@ -0,0 +1,163 @@
+"""The program `railtide-edge`: an edge router as one process on the users' platform."""
+
+import signal
+from functools import partial
+from urllib.parse import parse_qs, urlsplit
+
+import trio
+from loguru import logger
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from railtide.configuration.snapshot import Snapshot
+from railtide.edge.node import EdgeNode
+from railtide.edge.options import EdgeOptions
+from railtide.http.messages import HttpRequest
+from railtide.http.server import ConnectionLimits, HttpServer, Responder
+from railtide.http.sockets import listen
+from railtide.membership.identity import Identity
+from railtide.platform.boot import Boot, read_boot
+from railtide.platform.desired_state import PlatformSources
+from railtide.platform.ingress import Ingress, addresses_body
+from railtide.platform.store import PlatformStore
+from railtide.platform.upstreams import PlatformUpstreams
+from railtide.process import new_incarnation, new_rng, relax_gc
+from railtide.settings import endpoint, run_program
+from railtide.telemetry.counters import Counters
+from railtide.telemetry.lines import set_up_lines
+from railtide.telemetry.meters import set_up_meters
+
+__all__ = ["edge", "main"]
+
+PREFIX = "RAILTIDE_EDGE"
+OK = 200
+UNAVAILABLE = 503
+NOT_FOUND = 404
+JSON = ((b"content-type", b"application/json"),)
+METRICS_PORT = 9464
+"""As `deploy/system.toml` says; the port that the Prometheus exporters of OpenTelemetry use."""
+ANSWER_LAST_S = 0.2
+"""Left at the end of a shutdown for the last lines and closing connections."""
+
+
+def edge(*, log_level: str = "INFO", metrics_port: int = METRICS_PORT) -> None:
+    """Take callers' requests and answer them within their prepaid budgets, on the platform.
+
+    The platform's settings file is named by RAILTIDE_BOOT. Every flag can be given in the
+    environment as RAILTIDE_EDGE_<FLAG>; the flag goes first. SIGTERM begins a graceful shutdown,
+    SIGHUP reads the settings again.
+
+    :param log_level: least level of log lines
+    :param metrics_port: port of the metrics page
+    """
+    boot = read_boot()
+    trio.run(_run, boot, log_level, metrics_port)
+
+
+async def _run(boot: Boot, log_level: str, metrics_port: int) -> None:
+    lines = set_up_lines(f"edge/{boot.instance}", log_level)
+    set_up_meters(f"railtide-edge/{boot.instance}")
+    rng = new_rng()
+    identity = Identity(boot.instance, boot.failure_domain, boot.calls, new_incarnation())
+    counters = Counters()
+    store = PlatformStore(boot.store, counters)
+    upstreams = PlatformUpstreams()
+    options = EdgeOptions(retry_share=boot.retry_ratio / 2, retry_slack=boot.retry_slack / 2)
+    node = EdgeNode(identity, store, PlatformSources(), upstreams, options, rng)
+    upstreams.on_load = node.take_load
+    limits = ConnectionLimits()
+    node.on_snapshot = partial(_apply_limits, limits)
+    ingress = Ingress(node, rng)
+    calls = HttpServer(ingress.handle, limits)
+    logger.bind(incarnation=identity.incarnation, address=boot.calls).info("started")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lines.run)
+        nursery.start_soon(node.run)
+        nursery.start_soon(_serve, calls, boot.calls)
+        nursery.start_soon(_serve, _page(partial(_readiness, node)), boot.readiness)
+        nursery.start_soon(_serve, _page(partial(_lookup, node)), boot.lookup)
+        nursery.start_soon(_serve, _page(_metrics), f"{boot.host}:{metrics_port}")
+        nursery.start_soon(_reload_on_signal)
+        relax_gc()
+        await _wait_for_stop()
+        await _leave(node, ingress, calls)
+        lines.flush()
+        nursery.cancel_scope.cancel()
+
+
+async def _leave(node: EdgeNode, ingress: Ingress, calls: HttpServer) -> None:
+    """Shut down: answer what comes until callers have left, then refuse, then close."""
+    calls.closing = True
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(node.drain)
+        await trio.sleep(node.options.leave_accept_s)
+        ingress.refusing = True
+    calls.close_idle()
+    await trio.sleep(ANSWER_LAST_S)
+
+
+def _apply_limits(limits: ConnectionLimits, snapshot: Snapshot) -> None:
+    if snapshot.limits:
+        limits.head_bytes = snapshot.limits.head_bytes
+        limits.body_bytes = snapshot.limits.body_bytes
+        limits.head_timeout_s = snapshot.limits.head_timeout_s
+        limits.idle_timeout_s = snapshot.limits.idle_timeout_s
+
+
+async def _serve(server: HttpServer, address: str) -> None:
+    host, port = endpoint(address)
+    try:
+        listener = await listen(host, port)
+    except OSError as err:
+        logger.bind(address=address, error=str(err)).error("cannot-listen")
+        return
+    await server.serve(listener)
+
+
+def _page(handler) -> HttpServer:
+    return HttpServer(handler, ConnectionLimits())
+
+
+async def _readiness(node: EdgeNode, request: HttpRequest, responder: Responder) -> None:
+    await responder.answer(OK if node.ready else UNAVAILABLE, ())
+
+
+async def _lookup(node: EdgeNode, request: HttpRequest, responder: Responder) -> None:
+    """Answer which addresses a client of a zone may use."""
+    parts = urlsplit(request.target.decode("latin-1"))
+    if parts.path != "/resolve":
+        await responder.answer(NOT_FOUND, ())
+        return
+    zone = parse_qs(parts.query).get("zone", [""])[0]
+    addresses = [entrance.address for entrance in node.addresses(zone)]
+    if not addresses:
+        await responder.answer(UNAVAILABLE, ())
+        return
+    await responder.answer(OK, JSON, addresses_body(addresses, node.options.address_ttl_s))
+
+
+async def _metrics(request: HttpRequest, responder: Responder) -> None:
+    headers = ((b"content-type", CONTENT_TYPE_LATEST.encode()),)
+    await responder.answer(OK, headers, generate_latest())
+
+
+async def _wait_for_stop() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            logger.bind(signal=signal.Signals(number).name).info("stopping")
+            return
+
+
+async def _reload_on_signal() -> None:
+    """Say at each SIGHUP that the settings were read; all that is used is fixed at the start."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            logger.bind(instance=read_boot().instance).info("settings-read")
+
+
+def main() -> None:
+    """Run the program."""
+    run_program(edge, PREFIX)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/railtide/platform/store.py
@@ -0,0 +1,160 @@
+"""The client of the platform's store: keyed topics over HTTP."""
+
+from base64 import b64decode
+
+import msgspec
+import trio
+
+from railtide.http.client import Exchange, PeerPool
+from railtide.http.errors import HttpError
+from railtide.http.messages import HttpRequest
+from railtide.journal.errors import LogUnavailable, RecordsExpired
+from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord, KeyedStore
+from railtide.telemetry.counters import Counters
+
+__all__ = ["PlatformStore"]
+
+ANSWER_S = 1.0
+"""Longest wait for an answer, beyond what a read asks for. The store answers in 4 ms, 240 ms when
+it is slow; a silent one is noticed while the desired state may still be late."""
+LENGTH_BYTES = 4
+OFFSET_BYTES = 8
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool = False
+    end_offset: int = 0
+
+
+class _Appended(msgspec.Struct):
+    end_offset: int
+
+
+class _Expired(msgspec.Struct):
+    first: int
+
+
+class PlatformStore(KeyedStore):
+    """Keyed topics of the platform's store.
+
+    Parameters
+    ----------
+    address : str
+        host:port.
+    counters : Counters
+        Calls are counted by kind and by outcome.
+    """
+
+    def __init__(self, address: str, counters: Counters) -> None:
+        host, _, port = address.rpartition(":")
+        self._pool = PeerPool(host, int(port))
+        self._host = address.encode()
+        self._counters = counters
+
+    async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
+        """Return the newest records; see `KeyedStore.newest`."""
+        records: list[KeyedRecord] = []
+        end: int | None = None
+        after = ""
+        while True:
+            target = f"/log-newest?topic={topic}&part={partition}" + after
+            page = _decode(await self._call(b"GET", target, b"", ANSWER_S), _Newest)
+            end = page.end_offset if end is None else end
+            records += [KeyedRecord(i.key, b64decode(i.value), i.offset) for i in page.items]
+            if not page.has_more:
+                break
+            after = f"&after={page.items[-1].key}"
+        return KeyedPage(sorted(records, key=lambda record: record.offset), end)
+
+    async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
+        """Return records; see `KeyedStore.read`."""
+        wait_ms = round(wait_s * 1000)
+        target = f"/log-read?topic={topic}&part={partition}&from={start}&wait_ms={wait_ms}"
+        data = await self._call(b"GET", target, b"", ANSWER_S + wait_s)
+        return _page_of(data, start)
+
+    async def append(
+        self,
+        topic: str,
+        values_by_key: dict[str, bytes],
+        expected_end: int | None = None,
+        partition: int = 0,
+    ) -> int:
+        """Append records; see `KeyedStore.append`."""
+        target = f"/log-append?topic={topic}&part={partition}"
+        if expected_end is not None:
+            target += f"&expected_offset={expected_end}"
+        body = b"".join(_record_bytes(key, value) for key, value in values_by_key.items())
+        return _decode(await self._call(b"POST", target, body, ANSWER_S), _Appended).end_offset
+
+    # -- calls --------------------------------------------------------------------------------
+
+    async def _call(self, method: bytes, target: str, body: bytes, timeout_s: float) -> bytes:
+        self._counters.add("store_calls")
+        self._counters.add("store_bytes_sent", len(body))
+        request = HttpRequest(method, target.encode(), ((b"host", self._host),), body)
+        try:
+            with trio.fail_after(timeout_s):
+                return await self._exchange(request)
+        except (HttpError, trio.TooSlowError) as err:
+            self._counters.add("store_calls_unanswered")
+            raise LogUnavailable(f"{target.partition('?')[0]}: {type(err).__name__}") from err
+
+    async def _exchange(self, request: HttpRequest) -> bytes:
+        exchange = await self._pool.send(request)
+        try:
+            body = b"".join([chunk async for chunk in exchange.chunks()])
+        finally:
+            exchange.abandon()
+        self._counters.add("store_bytes_received", len(body))
+        self._check(exchange, body)
+        return body
+
+    def _check(self, exchange: Exchange, body: bytes) -> None:
+        if exchange.status == 200:
+            return
+        self._counters.add(f"store_answers_{exchange.status}")
+        if exchange.status == 412:
+            raise AppendConflict(_decode(body, _Appended).end_offset)
+        if exchange.status == 410:
+            raise RecordsExpired(_decode(body, _Expired).first)
+        raise LogUnavailable(f"the store answered {exchange.status}")
+
+
+def _decode(body: bytes, kind: type) -> msgspec.Struct:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as err:
+        raise LogUnavailable(f"the store's answer is unreadable: {err}") from err
+
+
+def _record_bytes(key: str, value: bytes) -> bytes:
+    """Return a record: its length, the key's length and the key, then the value."""
+    name = key.encode()
+    content = bytes([len(name)]) + name + value
+    return len(content).to_bytes(LENGTH_BYTES, "big") + content
+
+
+def _page_of(data: bytes, start: int) -> KeyedPage:
+    """Return the page in an answer: the end, the first kept offset, then records from `start`."""
+    end = int.from_bytes(data[:OFFSET_BYTES], "big")
+    records = []
+    at = 2 * OFFSET_BYTES
+    offset = start
+    while at < len(data):
+        length = int.from_bytes(data[at : at + LENGTH_BYTES], "big")
+        content = data[at + LENGTH_BYTES : at + LENGTH_BYTES + length]
+        if len(content) < length or not content:
+            raise LogUnavailable("the store's answer is cut short")
+        name_end = 1 + content[0]
+        records.append(KeyedRecord(content[1:name_end].decode(), content[name_end:], offset))
+        offset += 1
+        at += LENGTH_BYTES + length
+    return KeyedPage(records, end)
--- /dev/null
+++ b/railtide/platform/upstreams.py
@@ -0,0 +1,145 @@
+"""Calls to the platform's engines: heads and codes translated, nothing decided."""
+
+from collections.abc import AsyncIterator, Callable
+
+import trio
+
+from railtide.http.client import Exchange, PeerPool
+from railtide.http.errors import ConnectFailed, HttpError
+from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
+from railtide.membership.instances import Instance
+from railtide.platform import names
+from railtide.upstreams.client import PastRun, UpstreamAnswer, UpstreamCall, UpstreamClient
+from railtide.upstreams.errors import (
+    AnswerMismatch,
+    UpstreamLost,
+    UpstreamMoved,
+    UpstreamRefused,
+)
+from railtide.upstreams.load import LoadReport
+
+__all__ = ["PlatformUpstreams"]
+
+MISDIRECTED = 421
+OK_CLASS = 2
+HIGHEST_RANK = 9
+
+
+class _Answer(UpstreamAnswer):
+    def __init__(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+        self.status = exchange.status
+        self.headers = without_hop_by_hop(exchange.headers)
+        self.content_type = ""
+        self.request_id = (first_header(exchange.headers, names.ATTEMPT_ID) or b"").decode()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        try:
+            async for data in self._exchange.chunks():
+                yield data
+        except HttpError as err:
+            raise UpstreamLost(err.detail) from err
+
+    async def aclose(self) -> None:
+        self._exchange.abandon()
+
+
+class PlatformUpstreams(UpstreamClient):
+    """The platform's engines.
+
+    Parameters
+    ----------
+    on_load : callable
+        Told of an engine's load as its answers tell it.
+    """
+
+    def __init__(self) -> None:
+        self.on_load: Callable[[Instance, LoadReport], None] = lambda upstream, report: None
+        self._pool_by_name: dict[str, PeerPool] = {}
+
+    async def open(self, upstream: Instance, call: UpstreamCall) -> UpstreamAnswer:
+        """Send a call; see `UpstreamClient.open`."""
+        request = HttpRequest(
+            call.method.encode(), call.path.encode(), _headers(upstream, call), call.body
+        )
+        try:
+            exchange = await self._pool(upstream).send(request)
+        except ConnectFailed as err:
+            raise UpstreamRefused(err.detail) from err
+        except HttpError as err:
+            raise UpstreamLost(err.detail) from err
+        try:
+            self._check(upstream, call, exchange)
+        except BaseException:
+            await self._read_refusal(exchange)
+            raise
+        return _Answer(exchange)
+
+    def _check(self, upstream: Instance, call: UpstreamCall, exchange: Exchange) -> None:
+        self._take_load(upstream, exchange.headers)
+        echoed = first_header(exchange.headers, names.ATTEMPT_ID)
+        if echoed is not None and echoed.decode() != call.request_id:
+            raise AnswerMismatch("the answer carries another request's id")
+        if exchange.status == MISDIRECTED:
+            raise UpstreamMoved("another instance has the address")
+        if first_header(exchange.headers, names.NOT_RUN) is not None:
+            raise UpstreamRefused(f"the upstream refused with {exchange.status}")
+        sealed = first_header(exchange.headers, names.SEAL) is not None
+        if exchange.status // 100 == OK_CLASS and not sealed:
+            raise AnswerMismatch("the answer is not signed")
+
+    @staticmethod
+    async def _read_refusal(exchange: Exchange) -> None:
+        """Read the rest of a refusal if it is there, so that its connection can be kept."""
+        with trio.move_on_after(0) as scope:
+            scope.shield = True
+            try:
+                async for _ in exchange.chunks():
+                    pass
+            except HttpError:
+                pass  # the connection is dropped, and the refusal stands
+        exchange.abandon()
+
+    def _take_load(self, upstream: Instance, headers: Headers) -> None:
+        told = first_header(headers, names.LOAD)
+        parts = told.split(b",") if told else []
+        if len(parts) >= 2 and parts[0].isdigit() and parts[1].isdigit():
+            report = LoadReport(int(parts[0]), int(parts[1]), False, trio.current_time())
+            self.on_load(upstream, report)
+
+    async def past_run(self, upstream: Instance, request_id: str) -> PastRun:
+        """Raise: these engines keep no outcomes."""
+        raise UpstreamLost("these upstreams keep no outcomes")
+
+    async def cancel(self, upstream: Instance, request_id: str) -> PastRun:
+        """Raise: these engines stop with their connection."""
+        raise UpstreamLost("these upstreams keep no outcomes")
+
+    async def load(self, upstream: Instance) -> LoadReport:
+        """Raise: loads come with the answers."""
+        raise UpstreamLost("loads come with the answers")
+
+    def keep_only(self, listed: set[str]) -> None:
+        """Close the kept connections of engines that are gone."""
+        for name in self._pool_by_name.keys() - listed:
+            self._pool_by_name.pop(name).close()
+
+    def _pool(self, upstream: Instance) -> PeerPool:
+        pool = self._pool_by_name.get(upstream.name)
+        if pool is None:
+            host, _, port = upstream.address.rpartition(":")
+            pool = PeerPool(host, int(port))
+            self._pool_by_name[upstream.name] = pool
+        return pool
+
+
+def _headers(upstream: Instance, call: UpstreamCall) -> Headers:
+    own = [
+        (names.DEADLINE_MS, str(max(1, int(call.timeout_s * 1000))).encode()),
+        (names.EXPECTED_UPSTREAM, upstream.incarnation.encode()),
+        (names.RANK, str(min(call.rank, HIGHEST_RANK)).encode()),
+    ]
+    if call.resume_after:
+        own.append((names.LAST_EVENT_ID, call.resume_after.encode()))
+    replaced = {name for name, _ in own}
+    return (*(h for h in call.headers if h[0] not in replaced), *own)
--- a/railtide/requests/errors.py
+++ b/railtide/requests/errors.py
@@ -15,6 +15,7 @@
     "RequestError",
     "RequestInProgress",
     "Unauthorized",
+    "UnknownRoute",
 ]
 
 
@@ -41,6 +42,14 @@
     run = Run.NOT_RUN
 
 
+class UnknownRoute(RequestError):
+    """No route of the configuration leads to this host and path."""
+
+    code = "unknown-route"
+    status = 404
+    run = Run.NOT_RUN
+
+
 class NotAllowed(RequestError):
     """The account may not reach this model or service, or there is none of that name."""
 
--- /dev/null
+++ b/railtide/requests/events.py
@@ -0,0 +1,74 @@
+"""Server-sent events of a stream that is passed on unchanged. Pure."""
+
+__all__ = ["EventStream"]
+
+EVENT_END = b"\n\n"
+ID_FIELD = b"id:"
+
+
+class EventStream:
+    """Cuts a stream into whole events and drops those that were passed on before.
+
+    Attributes
+    ----------
+    last_id : str
+        Id of the last event passed, for the ``Last-Event-Id`` of a resumed stream.
+    events : int
+        Events passed.
+
+    Examples
+    --------
+    >>> stream = EventStream()
+    >>> stream.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
+    b'id: 1\\ndata: a\\n\\n'
+    >>> stream.restart()
+    >>> stream.feed(b"id: 1\\ndata: a\\n\\nid: 2\\ndata: b\\n\\n"), stream.last_id
+    (b'id: 2\\ndata: b\\n\\n', '2')
+    """
+
+    def __init__(self) -> None:
+        self.last_id = ""
+        self.events = 0
+        self._rest = b""
+
+    def restart(self) -> None:
+        """Begin with another run of the stream; a half event of the one before is dropped."""
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes as they were read and return the whole new events in them."""
+        data = self._rest + data
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            self._rest = data
+            return b""
+        whole, self._rest = data[:end], data[end:]
+        return b"".join(
+            event + EVENT_END
+            for event in whole[: -len(EVENT_END)].split(EVENT_END)
+            if self._is_new(event)
+        )
+
+    def end(self) -> bytes:
+        """Return what stands behind the last whole event of a stream that ended whole."""
+        rest, self._rest = self._rest, b""
+        return rest
+
+    def _is_new(self, event: bytes) -> bool:
+        event_id = _id_of(event)
+        if self.last_id and _not_after(event_id, self.last_id):
+            return False
+        self.events += 1
+        self.last_id = event_id or self.last_id
+        return True
+
+
+def _id_of(event: bytes) -> str:
+    for line in event.split(b"\n"):
+        if line.startswith(ID_FIELD):
+            return line[len(ID_FIELD) :].strip().decode("latin-1")
+    return ""
+
+
+def _not_after(event_id: str, last_id: str) -> bool:
+    return event_id.isdigit() and last_id.isdigit() and int(event_id) <= int(last_id)
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -23,7 +23,13 @@
 from railtide.requests.usage import cancel_and_learn_cost
 from railtide.telemetry.spans import traceparent_of
 from railtide.upstreams.client import UpstreamCall
-from railtide.upstreams.errors import UpstreamError, UpstreamLost, UpstreamRefused
+from railtide.upstreams.errors import (
+    UpstreamError,
+    UpstreamFailed,
+    UpstreamLost,
+    UpstreamMoved,
+    UpstreamRefused,
+)
 from railtide.upstreams.load import Upstream, note_failure, note_success
 
 __all__ = ["Execution"]
@@ -147,7 +153,10 @@
                 return relayed
             except UpstreamError as err:
                 self._note_failure(upstream, err)
-                await self._prepare_retry(err, attempt)
+                try:
+                    await self._prepare_retry(err, attempt)
+                except UpstreamFailed as failed:
+                    return failed.answer
             attempt += 1
             self._services.counters.add("retries")
             self._scheduler.release(self._slot)
@@ -181,6 +190,8 @@
         if not isinstance(err, UpstreamRefused):
             self._lost_tries.append(upstream.instance)
         self._sent_to = None
+        if isinstance(err, UpstreamMoved):
+            upstream.leaving = True
         note_failure(upstream, trio.current_time())
         self._services.counters.add(f"attempts_failed_{err.code.replace('-', '_')}")
 
@@ -188,6 +199,8 @@
         """Raise unless the request may be sent again, with budget for another run."""
         refused = isinstance(err, UpstreamRefused)
         if not refused and not self._call.repeatable:
+            if isinstance(err, UpstreamFailed):
+                raise err
             raise OutcomeUnknown("the call may have run and is not sent again") from err
         begun = self._sink.started and not self._call.resumable
         if begun or attempt >= (self._call.attempts or self._services.options.attempts):
--- /dev/null
+++ b/railtide/requests/passthrough.py
@@ -0,0 +1,112 @@
+"""The relay of answers that are passed on unchanged, with their upstream's own headers."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import aclosing
+from dataclasses import replace
+
+from railtide.http.messages import Headers
+from railtide.membership.instances import Instance
+from railtide.requests.call import AnswerSink, Call, Usage, cost_of
+from railtide.requests.events import EventStream
+from railtide.requests.messages import Answer
+from railtide.requests.relay import Relay, Relayed, closing
+from railtide.requests.services import Services
+from railtide.upstreams.client import UpstreamAnswer, UpstreamCall
+from railtide.upstreams.errors import UpstreamFailed, UpstreamLost, UpstreamRefused
+
+__all__ = ["PassThroughRelay", "pass_through_relay"]
+
+OK_STATUS = 200
+SERVER_ERROR = 500
+
+
+class PassThroughRelay(Relay):
+    """Passes on the whole answer of one upstream, or the events of one stream over its runs.
+
+    Parameters
+    ----------
+    call : Call
+    sink : AnswerSink
+    services : Services
+    before_first_byte : callable
+        Awaited once before anything is sent to the caller.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        sink: AnswerSink,
+        services: Services,
+        before_first_byte: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._call = call
+        self._sink = sink
+        self._services = services
+        self._before_first_byte = before_first_byte
+        self._events = EventStream()
+        self._ran = False
+
+    def delivered_cost(self) -> int:
+        """Return the cost of the input and of the events passed; see `Relay.delivered_cost`.
+
+        Input counts from when the request was sent, since the upstream may have read it.
+        """
+        if not self._ran:
+            return 0
+        output = self._events.events * self._call.tokens_per_event
+        usage = Usage(self._call.prompt_tokens, output)
+        return min(self._call.reserve, cost_of(self._call.prices, usage))
+
+    async def relay(self, upstream: Instance, sent: UpstreamCall) -> Relayed:
+        """Send the call and pass its answer on; see `Relay.relay`."""
+        ran_before, self._ran = self._ran, True
+        sent = replace(sent, resume_after=self._events.last_id)
+        try:
+            answer = await self._services.upstreams.open(upstream, sent)
+        except UpstreamRefused:
+            self._ran = ran_before
+            raise
+        async with closing(answer):
+            if self._call.stream and answer.status == OK_STATUS:
+                return await self._pass_stream(answer)
+            return await self._read_whole(answer)
+
+    async def _read_whole(self, answer: UpstreamAnswer) -> Relayed:
+        body = bytearray()
+        async with aclosing(answer.chunks()) as chunks:
+            async for data in chunks:
+                body += data
+                if len(body) > self._services.options.most_answer_bytes:
+                    raise UpstreamLost("the answer is larger than this router takes")
+        kept = Answer(answer.status, answer.content_type, bytes(body))
+        whole = Relayed(self.delivered_cost(), kept, kept.body, answer.headers)
+        if answer.status >= SERVER_ERROR:
+            raise UpstreamFailed(whole)
+        return whole
+
+    async def _pass_stream(self, answer: UpstreamAnswer) -> Relayed:
+        self._events.restart()
+        async with aclosing(answer.chunks()) as chunks:
+            async for data in chunks:
+                await self._pass_on(answer.headers, answer.content_type, self._events.feed(data))
+        rest = self._events.end()
+        kept = Answer(OK_STATUS, answer.content_type, b"")
+        return Relayed(self.delivered_cost(), kept, rest, answer.headers)
+
+    async def _pass_on(self, headers: Headers, content_type: str, events: bytes) -> None:
+        if not events:
+            return
+        if not self._sink.started:
+            await self._before_first_byte()
+            await self._sink.start(OK_STATUS, content_type, self._call.request_id, headers)
+        await self._sink.write(events)
+
+
+def pass_through_relay(
+    call: Call,
+    sink: AnswerSink,
+    services: Services,
+    before_first_byte: Callable[[], Awaitable[None]],
+) -> Relay:
+    """Return a relay that changes nothing."""
+    return PassThroughRelay(call, sink, services, before_first_byte)
--- a/railtide/upstreams/errors.py
+++ b/railtide/upstreams/errors.py
@@ -2,7 +2,14 @@
 
 from railtide.errors import RailtideError, Run
 
-__all__ = ["AnswerMismatch", "UpstreamError", "UpstreamLost", "UpstreamRefused"]
+__all__ = [
+    "AnswerMismatch",
+    "UpstreamError",
+    "UpstreamFailed",
+    "UpstreamLost",
+    "UpstreamMoved",
+    "UpstreamRefused",
+]
 
 
 class UpstreamError(RailtideError):
@@ -20,6 +27,12 @@
     run = Run.NOT_RUN
 
 
+class UpstreamMoved(UpstreamRefused):
+    """Another upstream has the address now; this one is gone."""
+
+    code = "upstream-moved"
+
+
 class UpstreamLost(UpstreamError):
     """Bytes left for the upstream and no whole answer came back."""
 
@@ -27,6 +40,22 @@
     run = Run.UNKNOWN
 
 
+class UpstreamFailed(UpstreamLost):
+    """The call ran and the upstream answered that it failed.
+
+    Parameters
+    ----------
+    answer : object
+        The whole answer, which the caller gets if no other upstream is tried.
+    """
+
+    code = "upstream-failed"
+
+    def __init__(self, answer: object) -> None:
+        super().__init__("the upstream answered that it failed")
+        self.answer = answer
+
+
 class AnswerMismatch(UpstreamLost):
     """The answer carries another request's id; it is dropped."""
 
