Budgets are spread over the routers ahead of need; a retry has its own wait

Half of what is left now lies in the hands of all routers. A failed try was answered 502 where the slot for its retry was refused at once, since the first wait's deadline had passed; a retry now has 50 ms, and a signed failure is passed on.

--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -45,10 +45,17 @@
     topic : str
         The keyed topic of the ledgers.
     horizon_s : float
-        A hand holds about this much of the account's traffic: how long a router serves without
-        the store, and what a kill writes off.
+        A hand holds at least about this much of the account's traffic: how long a router serves
+        without the store, and what a kill writes off. The users' cuts last 7 to 9 s.
+    spread_share : float
+        This share of what is left of a budget lies in the hands of all routers together, if it
+        is more: requests of one account at one router are few and their sizes vary much.
     refill_share : float
         A hand below this share of its target is refilled.
+    return_share : float
+        A hand above this multiple of its target returns the rest.
+    grant_share : float
+        Most of what is not in any hand that one grant ahead of need takes.
     rate_window_s : float
         Over which the traffic of an account is averaged.
     tend_s : float
@@ -64,9 +71,12 @@
     """
 
     topic: str = "keyed.railtide-ledger"
-    horizon_s: float = 8.0
-    refill_share: float = 0.5
-    rate_window_s: float = 4.0
+    horizon_s: float = 10.0
+    spread_share: float = 0.5
+    refill_share: float = 0.75
+    return_share: float = 1.4
+    grant_share: float = 0.25
+    rate_window_s: float = 8.0
     tend_s: float = 0.5
     retry_s: float = 0.1
     least_grant: int = 1_000
@@ -145,6 +155,13 @@
     routers : callable
         Returns how many routers share the budgets.
     options : LedgerOptions
+
+    Attributes
+    ----------
+    ready, reachable : bool
+        Whether the ledgers were read once, and whether the store answered last.
+    spreading : bool
+        Whether `routers` is to be relied on, so that budgets are spread over all of them.
     """
 
     def __init__(
@@ -160,6 +177,7 @@
         self.grants = 0
         self.conflicts = 0
         self.refusals = 0
+        self.spreading = False
         self._store = store
         self._instance = instance
         self._incarnation = incarnation
@@ -184,7 +202,7 @@
         self._note_rate(known, amount)
         if not reserve(known.hand, amount):
             await self._wait_for_grant(account, known, settings, amount, deadline)
-        elif known.hand.available < self._target(known) * self._options.refill_share:
+        elif self._is_low(account, known):
             self._asked.set()
         return LedgerReservation(known, amount)
 
@@ -355,8 +373,10 @@
     def _something_due(self) -> bool:
         now = trio.current_time()
         return any(
-            self._wanted(known, now) or self._idle(known) or self._is_returning(known)
-            for known in self._by_account.values()
+            self._wanted(account, known, now)
+            or self._idle(account, known)
+            or self._is_returning(known)
+            for account, known in self._by_account.items()
         )
 
     @staticmethod
@@ -376,12 +396,12 @@
         lost = close_former(ledger, self._instance, self._incarnation)
         if lost:
             logger.bind(account=account, units=lost).info("former-hand-written-off")
-        take_back(known.hand, self._idle(known))
+        take_back(known.hand, self._idle(account, known))
         own = Holding(
             self._incarnation, known.hand.granted, known.hand.spent, known.billed_requests
         )
         account_for(ledger, self._instance, own)
-        amount = self._grantable(known, ledger)
+        amount = self._grantable(account, known, ledger)
         if not (lost or amount or self._is_returning(known)):
             return
         own.granted += amount
@@ -390,10 +410,10 @@
         change.holding_by_account[account] = own
         change.amount_by_account[account] = amount
 
-    def _grantable(self, known: _Account, ledger: Ledger) -> int:
+    def _grantable(self, account: str, known: _Account, ledger: Ledger) -> int:
         """Return the units that the ledger can grant of those wanted."""
         now = trio.current_time()
-        wanted = self._wanted(known, now)
+        wanted = self._wanted(account, known, now)
         if not wanted or known.prepaid is None:
             return 0
         amount = grant(ledger, known.prepaid, self._share(known, ledger, wanted), self._need(known))
@@ -402,10 +422,10 @@
         return amount
 
     def _share(self, known: _Account, ledger: Ledger, wanted: int) -> int:
-        """Return the wanted units, near the end only a fair share of what is left."""
+        """Return the wanted units; ahead of need only a share of what is in no hand."""
         left = max(0, known.prepaid - committed(ledger))
-        fair = left // (2 * max(1, self._routers()))
-        return max(self._need(known), min(wanted, fair))
+        share = round(left * self._options.grant_share)
+        return max(self._need(known), min(wanted, share))
 
     def _take_grants(self, change: _Change) -> None:
         for account, holding in change.holding_by_account.items():
@@ -428,25 +448,35 @@
             return 0
         return max(0, min(known.needs) - known.hand.available)
 
-    def _target(self, known: _Account) -> int:
-        return round(self._decayed_rate(known) * self._options.horizon_s)
+    def _target(self, account: str, known: _Account) -> int:
+        """Return the units that should be in hand."""
+        by_rate = self._decayed_rate(known) * self._options.horizon_s
+        if not known.prepaid or not self.spreading:
+            return round(by_rate)
+        left = max(0, known.prepaid - reported_spend(self._ledger(account)))
+        spread = left * self._options.spread_share / self._routers()
+        return round(max(by_rate, spread))
 
-    def _wanted(self, known: _Account, now: float) -> int:
+    def _is_low(self, account: str, known: _Account) -> bool:
+        level = self._target(account, known) * self._options.refill_share
+        return known.hand.available < level
+
+    def _wanted(self, account: str, known: _Account, now: float) -> int:
         """Return the units to ask for, 0 while the hand suffices or a refusal is fresh."""
         if self._leaving or now - known.refused_at < self._options.retry_s:
             return 0
         missing = max(0, sum(known.needs) - known.hand.available)
-        target = self._target(known)
-        low = known.hand.available < target * self._options.refill_share
-        if not missing and not low:
+        if not missing and not self._is_low(account, known):
             return 0
-        return max(missing, target - known.hand.available, self._options.least_grant)
-
-    def _idle(self, known: _Account) -> int:
-        """Return the units that the traffic does not need any more."""
-        keep = self._target(known) + self._options.least_grant
-        spare = known.hand.available - keep
-        return spare if spare > keep else 0
+        short = self._target(account, known) - known.hand.available
+        return max(missing, short, self._options.least_grant)
+
+    def _idle(self, account: str, known: _Account) -> int:
+        """Return the units that are too many in this hand."""
+        target = self._target(account, known)
+        most = target * self._options.return_share + self._options.least_grant
+        available = known.hand.available
+        return available - target if available > most else 0
 
     # -- small parts --------------------------------------------------------------------------
 
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -131,6 +131,7 @@
             nursery.start_soon(self._upstream_feed.run)
             nursery.start_soon(self._run_settling)
             nursery.start_soon(self.treasury.run)
+            nursery.start_soon(self._run_spreading)
             nursery.start_soon(partial(self.roster.run, lambda: self.ready))
 
     async def drain(self) -> None:
@@ -148,6 +149,13 @@
             await self.treasury.give_back_all()
         logger.bind(open_calls=self.open_calls).info("left")
 
+    async def _run_spreading(self) -> None:
+        """Let budgets be spread over the routers once all that live have written to the roster."""
+        while not self.roster.caught_up:
+            await trio.sleep(self.options.settle_s)
+        await trio.sleep(self.options.roster.dead_after_s)
+        self.treasury.spreading = True
+
     async def _run_settling(self) -> None:
         while True:
             await trio.sleep(self.options.settle_s)
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -25,6 +25,8 @@
 SERVICE_WEIGHT = 0.1
 LEAST_RETRY_AFTER_S = 0.5
 MOST_RETRY_AFTER_S = 30.0
+RETRY_WAIT_S = 0.05
+"""Longest wait of a retry for a slot when the request's own wait is used up."""
 
 
 class WaitingRequest(Waiting):
@@ -157,6 +159,7 @@
         """Return a slot for a retry, elsewhere and in another failure domain where possible."""
         request.slot = None
         request.given = trio.Event()
+        request.deadline = max(request.deadline, trio.current_time() + RETRY_WAIT_S)
         request.avoid = request.avoid | {tried.instance.name}
         return await self.acquire(request)
 
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -139,6 +139,11 @@
             logger.bind(instance=instance).info("router-leaving")
         self._heard_by_instance[instance] = _Heard(member, now)
 
+    @property
+    def caught_up(self) -> bool:
+        """True once the topic was read to its end."""
+        return self._feed.caught_up
+
     def live(self) -> list[Entrance]:
         """Return the routers that callers may be sent to."""
         silent_since = self._silence_began()
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -153,14 +153,17 @@
                 return relayed
             except UpstreamError as err:
                 self._note_failure(upstream, err)
-                try:
-                    await self._prepare_retry(err, attempt)
-                except UpstreamFailed as failed:
+                failed = err
+            try:
+                await self._prepare_retry(failed, attempt)
+                self._scheduler.release(self._slot)
+                self._slot = await self._scheduler.reacquire(self._waiting, upstream)
+            except RailtideError:
+                if isinstance(failed, UpstreamFailed):
                     return failed.answer
+                raise
             attempt += 1
             self._services.counters.add("retries")
-            self._scheduler.release(self._slot)
-            self._slot = await self._scheduler.reacquire(self._waiting, upstream)
 
     async def _try(self, upstream: Instance) -> Relayed:
         with _tracer.start_as_current_span("upstream.call") as span:
@@ -199,8 +202,6 @@
         """Raise unless the request may be sent again, with budget for another run."""
         refused = isinstance(err, UpstreamRefused)
         if not refused and not self._call.repeatable:
-            if isinstance(err, UpstreamFailed):
-                raise err
             raise OutcomeUnknown("the call may have run and is not sent again") from err
         begun = self._sink.started and not self._call.resumable
         if begun or attempt >= (self._call.attempts or self._services.options.attempts):
