Hands hold at most half of what is left; the end of a budget lies in no hand

Ruled out: budgets truly spent (13 requests of 2,280 were not owed). What goes into hands ahead of need is now bounded by half of what is left, spent units are reported, and hands too small for a usual request are returned. A cancelled request is logged as caller-gone, also when several tasks were cancelled.

--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -32,6 +32,8 @@
 
 __all__ = ["LedgerOptions", "LedgerTreasury"]
 
+TYPICAL_WEIGHT = 0.1
+"""Weight of the latest request in the usual size of requests."""
 RETURN_TICK_S = 0.02
 """Between two looks at whether a return is written, at a shutdown."""
 
@@ -48,22 +50,26 @@
         A hand holds at least about this much of the account's traffic: how long a router serves
         without the store, and what a kill writes off. The users' cuts last 7 to 9 s.
     spread_share : float
-        This share of what is left of a budget lies in the hands of all routers together, if it
-        is more: requests of one account at one router are few and their sizes vary much.
+        Most of what is left of a budget that lies in the hands of all routers together ahead of
+        need. It is what a kill of all of them writes off; and requests of one account at one
+        router are few and their sizes vary much, so hands sized on rates alone run dry.
     refill_share : float
         A hand below this share of its target is refilled.
     return_share : float
         A hand above this multiple of its target returns the rest.
-    grant_share : float
-        Most of what is not in any hand that one grant ahead of need takes.
+    least_requests : float
+        Typical requests that a hand must cover to be worth keeping. Below it nothing is kept
+        ahead of need, so that the end of a budget does not lie in hands too small to use.
+    report_share : float
+        Share of its target that a hand reports once it was spent.
+    read_s : float
+        Longest time between two looks at the ledgers, for what others need.
     rate_window_s : float
         Over which the traffic of an account is averaged.
     tend_s : float
         Time between two looks at all hands.
     retry_s : float
         Wait after a failed call to the store, and before a refused grant is asked for again.
-    least_grant : int
-        Smallest grant asked for ahead of need, units.
     retry_after_s : float
         When a caller refused for a budget in other hands should come back.
     exhausted_retry_after_s : float
@@ -75,11 +81,12 @@
     spread_share: float = 0.5
     refill_share: float = 0.75
     return_share: float = 1.4
-    grant_share: float = 0.25
+    least_requests: float = 1.0
+    report_share: float = 0.3
+    read_s: float = 1.0
     rate_window_s: float = 8.0
     tend_s: float = 0.5
     retry_s: float = 0.1
-    least_grant: int = 1_000
     retry_after_s: float = 0.5
     exhausted_retry_after_s: float = 2.0
 
@@ -95,6 +102,8 @@
         `written.granted`; what it is below is on its way back.
     billed_requests : int
         Requests billed so far.
+    typical : float
+        Units of a usual request, averaged.
     refused_at : float
         Trio time of the latest grant that was not to be had.
     """
@@ -105,6 +114,7 @@
     billed_requests: int = 0
     rate: float = 0.0
     seen_at: float = 0.0
+    typical: float = 0.0
     needs: list[int] = field(default_factory=list)
     refused_at: float = -math.inf
     changed: trio.Event = field(default_factory=trio.Event)
@@ -135,12 +145,14 @@
 class _Change:
     """An append that is tried until it is known to be in the ledgers, or never to be.
 
-    `amount_by_account` is what it grants to this process.
+    `amount_by_account` is what it grants to this process, `lost_by_account` what it writes off
+    of the process before.
     """
 
     expected_end: int
     holding_by_account: dict[str, Holding]
     amount_by_account: dict[str, int]
+    lost_by_account: dict[str, int]
     value_by_key: dict[str, bytes]
 
 
@@ -189,6 +201,7 @@
         self._unsure: _Change | None = None
         self._asked = trio.Event()
         self._leaving = False
+        self._read_at = -math.inf
 
     # -- reserving ----------------------------------------------------------------------------
 
@@ -294,7 +307,8 @@
     async def _tend(self) -> None:
         if self._end is None:
             await self._restore()
-        if self._unsure is None and not self._something_due():
+        stale = trio.current_time() - self._read_at > self._options.read_s
+        if self._unsure is None and not stale and not self._something_due():
             return
         await self._catch_up()
         while True:
@@ -325,6 +339,7 @@
             page = await self._store.newest(self._options.topic)
             self._end = page.end
         self._note_reachable(True, "")
+        self._read_at = trio.current_time()
         self._take(page)
         if page.records:
             self._end = max(self._end, page.records[-1].offset + 1)
@@ -376,6 +391,7 @@
             self._wanted(account, known, now)
             or self._idle(account, known)
             or self._is_returning(known)
+            or self._is_report_due(account, known)
             for account, known in self._by_account.items()
         )
 
@@ -383,9 +399,16 @@
     def _is_returning(known: _Account) -> bool:
         return known.hand.granted < known.written.granted
 
+    def _is_report_due(self, account: str, known: _Account) -> bool:
+        """Return whether so much was spent that others should know."""
+        unreported = known.hand.spent - known.written.spent
+        return unreported > self._options.report_share * max(
+            self._target(account, known), known.typical
+        )
+
     def _plan(self) -> _Change | None:
         """Return the next change of the ledgers, or None if none is needed."""
-        change = _Change(self._end, {}, {}, {})
+        change = _Change(self._end, {}, {}, {}, {})
         for account in sorted(self._ledger_by_account.keys() | self._by_account.keys()):
             self._plan_account(account, change)
         return change if change.value_by_key else None
@@ -394,38 +417,40 @@
         known = self._account(account)
         ledger = ledger_from_bytes(ledger_to_bytes(self._ledger(account)))
         lost = close_former(ledger, self._instance, self._incarnation)
-        if lost:
-            logger.bind(account=account, units=lost).info("former-hand-written-off")
         take_back(known.hand, self._idle(account, known))
         own = Holding(
             self._incarnation, known.hand.granted, known.hand.spent, known.billed_requests
         )
         account_for(ledger, self._instance, own)
         amount = self._grantable(account, known, ledger)
-        if not (lost or amount or self._is_returning(known)):
+        due = self._is_returning(known) or self._is_report_due(account, known)
+        if not (lost or amount or due):
             return
         own.granted += amount
         account_for(ledger, self._instance, own)
         change.value_by_key[account] = ledger_to_bytes(ledger)
         change.holding_by_account[account] = own
         change.amount_by_account[account] = amount
+        change.lost_by_account[account] = lost
 
     def _grantable(self, account: str, known: _Account, ledger: Ledger) -> int:
         """Return the units that the ledger can grant of those wanted."""
         now = trio.current_time()
-        wanted = self._wanted(account, known, now)
-        if not wanted or known.prepaid is None:
+        if known.prepaid is None or self._leaving or not self._wanted(account, known, now):
             return 0
-        amount = grant(ledger, known.prepaid, self._share(known, ledger, wanted), self._need(known))
+        missing = self._missing(known)
+        short = self._target(account, known) - known.hand.available - missing
+        ahead = min(max(0, short), self._ahead(known, ledger))
+        amount = grant(ledger, known.prepaid, missing + ahead, self._need(known))
         if not amount:
             known.refused_at = now
         return amount
 
-    def _share(self, known: _Account, ledger: Ledger, wanted: int) -> int:
-        """Return the wanted units; ahead of need only a share of what is in no hand."""
-        left = max(0, known.prepaid - committed(ledger))
-        share = round(left * self._options.grant_share)
-        return max(self._need(known), min(wanted, share))
+    def _ahead(self, known: _Account, ledger: Ledger) -> int:
+        """Return the units that may still go into hands ahead of need."""
+        left = known.prepaid - reported_spend(ledger)
+        in_hands = committed(ledger) - reported_spend(ledger)
+        return max(0, round(left * self._options.spread_share) - in_hands)
 
     def _take_grants(self, change: _Change) -> None:
         for account, holding in change.holding_by_account.items():
@@ -434,6 +459,9 @@
             known.hand.granted += amount
             known.written = holding
             self.grants += amount > 0
+            lost = change.lost_by_account[account]
+            if lost:
+                logger.bind(account=account, units=lost).info("former-hand-written-off")
 
     def _wake_all(self) -> None:
         for known in self._by_account.values():
@@ -450,33 +478,35 @@
 
     def _target(self, account: str, known: _Account) -> int:
         """Return the units that should be in hand."""
-        by_rate = self._decayed_rate(known) * self._options.horizon_s
         if not known.prepaid or not self.spreading:
-            return round(by_rate)
+            return 0
         left = max(0, known.prepaid - reported_spend(self._ledger(account)))
-        spread = left * self._options.spread_share / self._routers()
-        return round(max(by_rate, spread))
+        most = left * self._options.spread_share
+        by_rate = self._decayed_rate(known) * self._options.horizon_s
+        target = min(max(by_rate, most / self._routers()), most / 2)
+        return round(target) if target >= known.typical * self._options.least_requests else 0
 
     def _is_low(self, account: str, known: _Account) -> bool:
         level = self._target(account, known) * self._options.refill_share
         return known.hand.available < level
 
-    def _wanted(self, account: str, known: _Account, now: float) -> int:
-        """Return the units to ask for, 0 while the hand suffices or a refusal is fresh."""
+    def _missing(self, known: _Account) -> int:
+        """Return the units that the waiting requests lack together."""
+        return max(0, sum(known.needs) - known.hand.available)
+
+    def _wanted(self, account: str, known: _Account, now: float) -> bool:
+        """Return whether to ask for units; not while a refusal is fresh."""
         if self._leaving or now - known.refused_at < self._options.retry_s:
-            return 0
-        missing = max(0, sum(known.needs) - known.hand.available)
-        if not missing and not self._is_low(account, known):
-            return 0
-        short = self._target(account, known) - known.hand.available
-        return max(missing, short, self._options.least_grant)
+            return False
+        return self._missing(known) > 0 or self._is_low(account, known)
 
     def _idle(self, account: str, known: _Account) -> int:
         """Return the units that are too many in this hand."""
-        target = self._target(account, known)
-        most = target * self._options.return_share + self._options.least_grant
+        keep = self._target(account, known) + sum(known.needs)
         available = known.hand.available
-        return available - target if available > most else 0
+        if available <= max(keep * self._options.return_share, known.typical / 2):
+            return 0
+        return available - keep
 
     # -- small parts --------------------------------------------------------------------------
 
@@ -492,6 +522,7 @@
 
     def _note_rate(self, known: _Account, amount: int) -> None:
         known.rate = self._decayed_rate(known) + amount / self._options.rate_window_s
+        known.typical += (amount - known.typical) * TYPICAL_WEIGHT
         known.seen_at = trio.current_time()
 
     def _decayed_rate(self, known: _Account) -> float:
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -97,8 +97,9 @@
         except RailtideError as err:
             trace.code, trace.detail = err.code, err.detail
             trace.status = await self._refuse(err, responder, trace)
-        except trio.Cancelled:
-            trace.code = "caller-gone"
+        except BaseException as err:
+            if _is_cancelled(err):
+                trace.code = "caller-gone"
             raise
         finally:
             self._node.counters.add(f"answers_{trace.code.replace('-', '_')}")
@@ -128,6 +129,13 @@
         return status
 
 
+def _is_cancelled(err: BaseException) -> bool:
+    """Return whether an error is a cancellation, of one task or of several."""
+    if isinstance(err, BaseExceptionGroup):
+        return all(_is_cancelled(inner) for inner in err.exceptions)
+    return isinstance(err, trio.Cancelled)
+
+
 class _Trace:
     """What a request's log line says."""
 
