--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -49,10 +49,13 @@
     horizon_s : float
         A hand holds at least about this much of the account's traffic: how long a router serves
         without the store, and what a kill writes off. The users' cuts last 7 to 9 s.
-    spread_share : float
+    most_share : float
         Most of what is left of a budget that lies in the hands of all routers together ahead of
-        need. It is what a kill of all of them writes off; and requests of one account at one
-        router are few and their sizes vary much, so hands sized on rates alone run dry.
+        need: what a kill of all of them writes off.
+    spread_share : float
+        The part of what is left that is spread over all routers alike. Callers keep their
+        connections, so an account's traffic is at few routers; the others need enough for a
+        caller that comes anew.
     refill_share : float
         A hand below this share of its target is refilled.
     return_share : float
@@ -77,8 +80,9 @@
     """
 
     topic: str = "keyed.railtide-ledger"
-    horizon_s: float = 10.0
-    spread_share: float = 0.5
+    horizon_s: float = 12.0
+    most_share: float = 0.6
+    spread_share: float = 0.15
     refill_share: float = 0.75
     return_share: float = 1.4
     least_requests: float = 1.0
@@ -450,7 +454,7 @@
         """Return the units that may still go into hands ahead of need."""
         left = known.prepaid - reported_spend(ledger)
         in_hands = committed(ledger) - reported_spend(ledger)
-        return max(0, round(left * self._options.spread_share) - in_hands)
+        return max(0, round(left * self._options.most_share) - in_hands)
 
     def _take_grants(self, change: _Change) -> None:
         for account, holding in change.holding_by_account.items():
@@ -481,9 +485,9 @@
         if not known.prepaid or not self.spreading:
             return 0
         left = max(0, known.prepaid - reported_spend(self._ledger(account)))
-        most = left * self._options.spread_share
+        spread = left * self._options.spread_share / self._routers()
         by_rate = self._decayed_rate(known) * self._options.horizon_s
-        target = min(max(by_rate, most / self._routers()), most / 2)
+        target = min(max(by_rate, spread), left * self._options.most_share / 2)
         return round(target) if target >= known.typical * self._options.least_requests else 0
 
     def _is_low(self, account: str, known: _Account) -> bool:
