--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -231,7 +231,8 @@
         amount: int,
         deadline: float,
     ) -> None:
-        until = min(deadline, trio.current_time() + settings.budget_wait_s)
+        now = trio.current_time()
+        until = min(deadline, now + settings.budget_wait_s) if self.reachable else now
         known.needs.append(amount)
         try:
             with trio.move_on_at(until):
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -28,9 +28,9 @@
 """When a caller should come back that met a router which is starting or leaving."""
 TOKEN_PRICES = Prices(token_in=1, token_out=1)
 """Budgets of the platform count tokens."""
-BUDGET_WAIT_S = 0.25
-"""Longest wait for a grant: some calls of a store of 4 ms, under the least response-time goal
-of a request that has a budget."""
+BUDGET_WAIT_S = 0.1
+"""Longest wait for a grant: some calls of a store of 4 ms, a quarter of the least response-time
+goal of a request that has a budget."""
 ACCOUNT_SETTINGS = AccountSettings(budget_wait_s=BUDGET_WAIT_S)
 NOT_RUN_STATUS = 503
 SERVER_ERROR = 500
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -7,7 +7,9 @@
 import trio
 from loguru import logger
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from pydantic import BaseModel, Field
 
+from railtide.budgets.ledger_treasury import LedgerOptions
 from railtide.configuration.snapshot import Snapshot
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
@@ -21,7 +23,7 @@
 from railtide.platform.store import PlatformStore
 from railtide.platform.upstreams import PlatformUpstreams
 from railtide.process import new_incarnation, new_rng, relax_gc
-from railtide.settings import endpoint, run_program
+from railtide.settings import checked, endpoint, run_program
 from railtide.telemetry.counters import Counters
 from railtide.telemetry.lines import set_up_lines
 from railtide.telemetry.meters import set_up_meters
@@ -35,11 +37,30 @@
 JSON = ((b"content-type", b"application/json"),)
 METRICS_PORT = 9464
 """As `deploy/system.toml` says; the port that the Prometheus exporters of OpenTelemetry use."""
+RETRY_PART = 0.5
+"""Part of the retries allowed to all routers that is used: they count without one another, and
+the platform counts in windows that slide."""
 ANSWER_LAST_S = 0.2
 """Left at the end of a shutdown for the last lines and closing connections."""
 
 
-def edge(*, log_level: str = "INFO", metrics_port: int = METRICS_PORT) -> None:
+class EdgeSettings(BaseModel):
+    """Checked settings of an edge router that the platform's file does not hold."""
+
+    metrics_port: int = Field(ge=1, le=65_535)
+    budget_horizon_s: float = Field(gt=0, le=600)
+    budget_most_share: float = Field(gt=0, le=1)
+    budget_spread_share: float = Field(ge=0, le=1)
+
+
+def edge(
+    *,
+    log_level: str = "INFO",
+    metrics_port: int = METRICS_PORT,
+    budget_horizon_s: float = LedgerOptions.horizon_s,
+    budget_most_share: float = LedgerOptions.most_share,
+    budget_spread_share: float = LedgerOptions.spread_share,
+) -> None:
     """Take callers' requests and answer them within their prepaid budgets, on the platform.
 
     The platform's settings file is named by RAILTIDE_BOOT. Every flag can be given in the
@@ -48,12 +69,22 @@
 
     :param log_level: least level of log lines
     :param metrics_port: port of the metrics page
+    :param budget_horizon_s: seconds of an account's traffic that a router holds; more serves longer
+        without the store, less is written off when a router is killed
+    :param budget_most_share: most of what is left of a budget that lies with all routers, 0 to 1
+    :param budget_spread_share: part of what is left that is spread over all routers alike, 0 to 1
     """
-    boot = read_boot()
-    trio.run(_run, boot, log_level, metrics_port)
+    settings = checked(
+        EdgeSettings,
+        metrics_port=metrics_port,
+        budget_horizon_s=budget_horizon_s,
+        budget_most_share=budget_most_share,
+        budget_spread_share=budget_spread_share,
+    )
+    trio.run(_run, read_boot(), settings, log_level)
 
 
-async def _run(boot: Boot, log_level: str, metrics_port: int) -> None:
+async def _run(boot: Boot, settings: EdgeSettings, log_level: str) -> None:
     lines = set_up_lines(f"edge/{boot.instance}", log_level)
     set_up_meters(f"railtide-edge/{boot.instance}")
     rng = new_rng()
@@ -61,7 +92,7 @@
     counters = Counters()
     store = PlatformStore(boot.store, counters)
     upstreams = PlatformUpstreams()
-    options = EdgeOptions(retry_share=boot.retry_ratio / 2, retry_slack=boot.retry_slack / 2)
+    options = _options(boot, settings)
     node = EdgeNode(identity, store, PlatformSources(), upstreams, options, rng)
     upstreams.on_load = node.take_load
     limits = ConnectionLimits()
@@ -75,7 +106,7 @@
         nursery.start_soon(_serve, calls, boot.calls)
         nursery.start_soon(_serve, _page(partial(_readiness, node)), boot.readiness)
         nursery.start_soon(_serve, _page(partial(_lookup, node)), boot.lookup)
-        nursery.start_soon(_serve, _page(_metrics), f"{boot.host}:{metrics_port}")
+        nursery.start_soon(_serve, _page(_metrics), f"{boot.host}:{settings.metrics_port}")
         nursery.start_soon(_reload_on_signal)
         relax_gc()
         await _wait_for_stop()
@@ -84,6 +115,18 @@
         nursery.cancel_scope.cancel()
 
 
+def _options(boot: Boot, settings: EdgeSettings) -> EdgeOptions:
+    return EdgeOptions(
+        ledger=LedgerOptions(
+            horizon_s=settings.budget_horizon_s,
+            most_share=settings.budget_most_share,
+            spread_share=settings.budget_spread_share,
+        ),
+        retry_share=boot.retry_ratio * RETRY_PART,
+        retry_slack=boot.retry_slack * RETRY_PART,
+    )
+
+
 async def _leave(node: EdgeNode, ingress: Ingress, calls: HttpServer) -> None:
     """Shut down: answer what comes until callers have left, then refuse, then close."""
     calls.closing = True
