Ledgers have tests; a lost answer no longer costs its requests half a second

Cause: after a failed call the treasury slept until its next tending, 0.5 s later, though requests waited (limit 0.1 s); found by the test of the lost answer, which failed first. Before the ledgers are read the first time, requests wait instead of being refused at once.

--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -232,7 +232,8 @@
         deadline: float,
     ) -> None:
         now = trio.current_time()
-        until = min(deadline, now + settings.budget_wait_s) if self.reachable else now
+        away = self.ready and not self.reachable
+        until = now if away else min(deadline, now + settings.budget_wait_s)
         known.needs.append(amount)
         try:
             with trio.move_on_at(until):
@@ -308,6 +309,8 @@
             except LogUnavailable as err:
                 self._note_reachable(False, err.detail)
                 await trio.sleep(self._options.retry_s)
+                if self._unsure or any(known.needs for known in self._by_account.values()):
+                    self._asked.set()
 
     async def _tend(self) -> None:
         if self._end is None:
--- /dev/null
+++ b/railtide/budgets/tests/test_ledger.py
@@ -0,0 +1,47 @@
+"""Tests of railtide.budgets.ledger."""
+
+from railtide.budgets.ledger import (
+    Holding,
+    Ledger,
+    account_for,
+    close_former,
+    committed,
+    grant,
+    ledger_from_bytes,
+    ledger_to_bytes,
+    reported_spend,
+)
+
+
+class TestLedger:
+    def test_former_process_of_an_instance_is_written_off_whole(self) -> None:
+        ledger = Ledger(by_instance={"a": Holding("a1", granted=70, spent=20, requests=3)})
+        assert close_former(ledger, "a", "a2") == 50
+        assert committed(ledger) == 70
+        assert ledger.billed == 20
+
+    def test_own_holding_is_not_written_off(self) -> None:
+        ledger = Ledger(by_instance={"a": Holding("a1", granted=70)})
+        assert close_former(ledger, "a", "a1") == 0
+        assert committed(ledger) == 70
+
+    def test_committed_counts_what_may_still_be_spent(self) -> None:
+        ledger = Ledger(closed=5)
+        account_for(ledger, "a", Holding("a1", granted=10, spent=4))
+        assert committed(ledger) == 15
+        assert reported_spend(ledger) == 9
+
+    def test_empty_holding_is_left_out(self) -> None:
+        ledger = Ledger(by_instance={"a": Holding("a1", granted=3)})
+        account_for(ledger, "a", Holding("a1"))
+        assert ledger.by_instance == {}
+
+    def test_grant_never_exceeds_what_is_left(self) -> None:
+        ledger = Ledger(closed=60, by_instance={"b": Holding("b1", granted=30)})
+        assert grant(ledger, prepaid=100, wanted=50, least=1) == 10
+        assert grant(ledger, prepaid=100, wanted=50, least=11) == 0
+        assert grant(ledger, prepaid=80, wanted=1, least=1) == 0
+
+    def test_encoding_keeps_all(self) -> None:
+        ledger = Ledger(5, 4, {"a": Holding("a1", 3, 2, 1)})
+        assert ledger_from_bytes(ledger_to_bytes(ledger)) == ledger
--- /dev/null
+++ b/railtide/budgets/tests/test_ledger_treasury.py
@@ -0,0 +1,235 @@
+"""Tests of railtide.budgets.ledger_treasury: no overspend under any fault, few false refusals."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import given
+from hypothesis import strategies as st
+
+from railtide.budgets.errors import BudgetError, BudgetExhausted, BudgetUnavailable
+from railtide.budgets.ledger import Holding, Ledger, committed, ledger_from_bytes, ledger_to_bytes
+from railtide.budgets.ledger_treasury import LedgerOptions, LedgerTreasury
+from railtide.configuration.models import AccountSettings
+from railtide.standins.keyed_store import MemoryStore
+
+ACCOUNT = "a"
+SETTINGS = AccountSettings(budget_wait_s=0.2)
+OPTIONS = LedgerOptions()
+
+
+def treasury(store: MemoryStore, name: str = "i1", life: str = "1", routers: int = 1):
+    made = LedgerTreasury(store, name, f"{name}-{life}", lambda: routers, OPTIONS)
+    made.set_prepaid({ACCOUNT: 1000})
+    return made
+
+
+def ledger_of(store: MemoryStore) -> Ledger:
+    record = store.topic(OPTIONS.topic).newest_by_key.get(ACCOUNT)
+    return ledger_from_bytes(record.value) if record else Ledger()
+
+
+class TestReserve:
+    async def test_grant_covers_later_requests_without_the_store(self, autojump_clock) -> None:
+        store = MemoryStore()
+        made = treasury(store)
+        made.spreading = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            (await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)).settle(40)
+            await trio.sleep(2)
+            store.down = True
+            await trio.sleep(2)
+            (await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)).settle(40)
+            nursery.cancel_scope.cancel()
+
+    async def test_store_away_refuses_at_once(self, autojump_clock) -> None:
+        store = MemoryStore()
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(1)
+            store.down = True
+            await trio.sleep(3)
+            began = trio.current_time()
+            with pytest.raises(BudgetUnavailable) as refused:
+                await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)
+            assert trio.current_time() == began
+            assert refused.value.retry_after
+            nursery.cancel_scope.cancel()
+
+    async def test_spent_budget_is_told_apart_from_one_in_other_hands(self, autojump_clock) -> None:
+        store = MemoryStore()
+        other = Ledger(by_instance={"i2": Holding("i2-1", granted=1000, spent=300)})
+        store.put(OPTIONS.topic, ACCOUNT, ledger_to_bytes(other))
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            with pytest.raises(BudgetUnavailable):
+                await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)
+            spent = Ledger(by_instance={"i2": Holding("i2-1", granted=1000, spent=990)})
+            store.put(OPTIONS.topic, ACCOUNT, ledger_to_bytes(spent))
+            await trio.sleep(2)
+            with pytest.raises(BudgetExhausted):
+                await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)
+            nursery.cancel_scope.cancel()
+
+    async def test_request_without_cost_needs_no_budget(self, autojump_clock) -> None:
+        made = treasury(MemoryStore())
+        assert (await made.reserve(ACCOUNT, SETTINGS, 0, 9.0)).amount == 0
+
+
+class TestLedgers:
+    async def test_lost_answer_is_learnt_by_reading(self, autojump_clock) -> None:
+        store = MemoryStore()
+        made = treasury(store)
+        store.lose_answers = 1
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)
+            nursery.cancel_scope.cancel()
+        assert committed(ledger_of(store)) == 50
+
+    async def test_late_append_is_not_counted_twice(self, autojump_clock) -> None:
+        store = MemoryStore()
+        made = treasury(store)
+        store.late_appends = 1
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)
+            store.do_late()
+            await trio.sleep(2)
+            nursery.cancel_scope.cancel()
+        assert committed(ledger_of(store)) == 50
+
+    async def test_new_process_writes_off_the_hand_of_the_one_before(self, autojump_clock) -> None:
+        store = MemoryStore()
+        for life, expected in (("1", 50), ("2", 110)):
+            made = treasury(store, life=life)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(made.run)
+                await made.reserve(ACCOUNT, SETTINGS, int(life) * 10 + 40, 9.0)
+                nursery.cancel_scope.cancel()
+            assert committed(ledger_of(store)) == expected
+
+    async def test_shutdown_gives_back_all_but_what_was_spent(self, autojump_clock) -> None:
+        store = MemoryStore()
+        made = treasury(store)
+        made.spreading = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            (await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)).settle(30)
+            await trio.sleep(2)
+            assert committed(ledger_of(store)) > 30
+            await made.give_back_all()
+            assert committed(ledger_of(store)) == 30
+            nursery.cancel_scope.cancel()
+
+    async def test_lower_budget_takes_idle_units_back(self, autojump_clock) -> None:
+        store = MemoryStore()
+        made = treasury(store)
+        made.spreading = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            (await made.reserve(ACCOUNT, SETTINGS, 200, trio.current_time() + 9)).settle(200)
+            await trio.sleep(2)
+            made.set_prepaid({ACCOUNT: 100})
+            with pytest.raises(BudgetError):
+                await made.reserve(ACCOUNT, SETTINGS, 10, trio.current_time() + 9)
+            await trio.sleep(2)
+            assert committed(ledger_of(store)) == 200
+            nursery.cancel_scope.cancel()
+
+    async def test_history_that_expired_is_read_again(self, autojump_clock) -> None:
+        store = MemoryStore()
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await made.reserve(ACCOUNT, SETTINGS, 10, trio.current_time() + 9)
+            other = ledger_of(store)
+            other.by_instance["i2"] = Holding("i2-1", granted=900)
+            store.put(OPTIONS.topic, ACCOUNT, ledger_to_bytes(other))
+            store.topic(OPTIONS.topic).forget()
+            with pytest.raises(BudgetUnavailable):
+                await made.reserve(ACCOUNT, SETTINGS, 500, trio.current_time() + 9)
+            nursery.cancel_scope.cancel()
+        assert committed(ledger_of(store)) <= 1000
+
+    async def test_unreadable_ledger_is_logged_and_the_rest_goes_on(self, autojump_clock) -> None:
+        store = MemoryStore()
+        store.put(OPTIONS.topic, "other", b"\xc1")
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await made.reserve(ACCOUNT, SETTINGS, 10, trio.current_time() + 9)
+            nursery.cancel_scope.cancel()
+
+
+@dataclass
+class Fleet:
+    """Routers over one store, what each truly spent, and faults drawn from a seed."""
+
+    store: MemoryStore = field(default_factory=MemoryStore)
+    spent: int = 0
+    served: int = 0
+    lives: int = 0
+
+    async def live(self, name: str, rng: Random) -> None:
+        """Be a router that is killed and started again, for ever."""
+        while True:
+            self.lives += 1
+            made = treasury(self.store, name, str(self.lives), routers=3)
+            made.spreading = rng.random() < 0.7
+            with trio.move_on_after(rng.uniform(0.5, 8.0)):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(made.run)
+                    while True:
+                        nursery.start_soon(self._request, made, rng)
+                        await trio.sleep(rng.uniform(0.0, 0.4))
+
+    async def _request(self, made: LedgerTreasury, rng: Random) -> None:
+        amount = rng.randint(1, 60)
+        try:
+            reserved = await made.reserve(ACCOUNT, SETTINGS, amount, trio.current_time() + 1)
+        except BudgetError:
+            return
+        used = rng.randint(0, amount)
+        self.spent += used
+        await trio.sleep(rng.uniform(0.0, 0.5))
+        reserved.settle(used)
+        self.served += 1
+
+    async def break_store(self, rng: Random) -> None:
+        """Let the store fail in all its ways, for ever."""
+        while True:
+            await trio.sleep(rng.uniform(0.1, 1.5))
+            fault = rng.choice(["down", "lost", "late", "forget", "slow", "none"])
+            self.store.down = fault == "down"
+            self.store.lose_answers = 2 if fault == "lost" else 0
+            self.store.late_appends = 1 if fault == "late" else 0
+            self.store.delay_s = 0.2 if fault == "slow" else 0.004
+            if fault == "forget":
+                self.store.topic(OPTIONS.topic).forget()
+            if rng.random() < 0.5:
+                self.store.do_late()
+
+
+class TestNoOverspend:
+    @given(seed=st.integers(0, 10_000))
+    def test_under_kills_and_a_store_that_fails_in_all_its_ways(self, seed: int) -> None:
+        fleet = Fleet()
+
+        async def run() -> None:
+            rng = Random(seed)
+            with trio.move_on_after(25):
+                async with trio.open_nursery() as nursery:
+                    for name in ("i1", "i2", "i3"):
+                        nursery.start_soon(fleet.live, name, Random(rng.random()))
+                    nursery.start_soon(fleet.break_store, rng)
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        assert fleet.spent <= 1000
+        assert committed(ledger_of(fleet.store)) <= 1000
+        assert fleet.served
--- /dev/null
+++ b/railtide/standins/keyed_store.py
@@ -0,0 +1,135 @@
+"""A keyed store in memory, and the faults that the real one shows."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from railtide.journal.errors import LogUnavailable, RecordsExpired
+from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord, KeyedStore
+
+__all__ = ["MemoryStore", "MemoryTopic"]
+
+
+@dataclass
+class MemoryTopic:
+    """The records of one topic from `first` on, and the newest of each key."""
+
+    first: int = 0
+    records: list[KeyedRecord] = field(default_factory=list)
+    newest_by_key: dict[str, KeyedRecord] = field(default_factory=dict)
+    moved: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.first + len(self.records)
+
+    def add(self, key: str, value: bytes) -> None:
+        """Append a record; an empty value removes its key."""
+        record = KeyedRecord(key, value, self.end)
+        self.records.append(record)
+        if value:
+            self.newest_by_key[key] = record
+        else:
+            self.newest_by_key.pop(key, None)
+
+    def forget(self) -> None:
+        """Drop the history; the newest records stay."""
+        self.first = self.end
+        self.records.clear()
+
+
+class MemoryStore(KeyedStore):
+    """Keyed topics in memory.
+
+    Attributes
+    ----------
+    down : bool
+        Every call fails, nothing is done.
+    lose_answers : int
+        So many coming appends are done and not answered.
+    late_appends : int
+        So many coming appends are not answered, and done only when `do_late` is called.
+    delay_s : float
+        Time that a call takes.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lose_answers = 0
+        self.late_appends = 0
+        self.delay_s = 0.0
+        self.calls = 0
+        self._topic_by_name: dict[str, MemoryTopic] = {}
+        self._late: list[tuple[str, dict[str, bytes], int | None]] = []
+
+    def topic(self, name: str) -> MemoryTopic:
+        """Return a topic, made on first use."""
+        return self._topic_by_name.setdefault(name, MemoryTopic())
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record as others would."""
+        self._write(topic, {key: value})
+
+    async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
+        """Return the newest records; see `KeyedStore.newest`."""
+        await self._call()
+        known = self.topic(topic)
+        records = sorted(known.newest_by_key.values(), key=lambda record: record.offset)
+        return KeyedPage(records, known.end)
+
+    async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
+        """Return records; see `KeyedStore.read`."""
+        await self._call()
+        known = self.topic(topic)
+        if start < known.first:
+            raise RecordsExpired(known.first)
+        if start >= known.end and wait_s:
+            with trio.move_on_after(wait_s):
+                await known.moved.wait()
+            await self._call()
+            if start < known.first:
+                raise RecordsExpired(known.first)
+        return KeyedPage(known.records[start - known.first :], known.end)
+
+    async def append(
+        self,
+        topic: str,
+        values_by_key: dict[str, bytes],
+        expected_end: int | None = None,
+        partition: int = 0,
+    ) -> int:
+        """Append records; see `KeyedStore.append`."""
+        await self._call()
+        known = self.topic(topic)
+        if self.late_appends:
+            self.late_appends -= 1
+            self._late.append((topic, values_by_key, expected_end))
+            raise LogUnavailable("no answer")
+        if expected_end is not None and expected_end != known.end:
+            raise AppendConflict(known.end)
+        self._write(topic, values_by_key)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise LogUnavailable("the answer was lost")
+        return known.end
+
+    def do_late(self) -> None:
+        """Do the appends that were late, where their condition still holds."""
+        for topic, values, expected_end in self._late:
+            if expected_end is None or expected_end == self.topic(topic).end:
+                self._write(topic, values)
+        self._late.clear()
+
+    def _write(self, topic: str, values_by_key: dict[str, bytes]) -> None:
+        known = self.topic(topic)
+        for key, value in values_by_key.items():
+            known.add(key, value)
+        known.moved.set()
+        known.moved = trio.Event()
+
+    async def _call(self) -> None:
+        self.calls += 1
+        await trio.sleep(self.delay_s)
+        if self.down:
+            raise LogUnavailable("the store is down")
