--- /dev/null
+++ b/railtide/configuration/tests/test_routes.py
@@ -0,0 +1,31 @@
+"""Tests of railtide.configuration.routes."""
+
+from random import Random
+
+from railtide.configuration.routes import Route, RouteTable, Share, choose_pool
+
+
+def route(prefix: str, host: str = "h", shares: tuple[Share, ...] = (Share("p", 1),)) -> Route:
+    return Route(prefix, host, prefix, shares, True, False, False, 1.0, 0.1, 0, 1, False)
+
+
+class TestRouteTable:
+    def test_longest_prefix_wins(self) -> None:
+        table = RouteTable.of([route("/a/"), route("/a/b/"), route("/")])
+        assert table.match("h", "/a/b/c").name == "/a/b/"
+        assert table.match("h", "/a/bc").name == "/a/"
+        assert table.match("h", "/x").name == "/"
+
+    def test_unknown_host_or_path_has_no_route(self) -> None:
+        table = RouteTable.of([route("/a/")])
+        assert table.match("other", "/a/") is None
+        assert table.match("h", "/b/") is None
+
+
+class TestChoosePool:
+    def test_weights_decide(self) -> None:
+        split = route("/a/", shares=(Share("p", 90), Share("q", 10), Share("none", 0)))
+        rng = Random(1)
+        drawn = [choose_pool(split, rng) for _ in range(1000)]
+        assert 50 < drawn.count("q") < 150
+        assert "none" not in drawn
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -19,6 +19,9 @@
 """Bytes of later requests kept while one is answered; beyond it the caller's departure is not
 watched until the answer ends."""
 
+HEADER_MARKS = 4
+"""Bytes of a header line beside its name and value: colon, space and the line's end."""
+
 BAD_REQUEST = 400
 TIMEOUT = 408
 TOO_LARGE = 413
@@ -195,6 +198,8 @@
             event = await self._next_event()
             if isinstance(event, h11.Request):
                 head = event
+                if _head_bytes(event) > self.server.limits.head_bytes:
+                    raise _RequestRefused(HEAD_TOO_LARGE)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self.server.limits.body_bytes:
@@ -254,6 +259,12 @@
             self.h11.receive_data(data)
 
 
+def _head_bytes(head: h11.Request) -> int:
+    """Return a head's size; h11 bounds only what it has to keep for the next read."""
+    lines = sum(len(name) + len(value) + HEADER_MARKS for name, value in head.headers)
+    return len(head.method) + len(head.target) + lines
+
+
 class _H11Responder(Responder):
     def __init__(self, connection: _Connection) -> None:
         self._connection = connection
--- /dev/null
+++ b/railtide/http/tests/test_connections.py
@@ -0,0 +1,255 @@
+"""Tests of railtide.http: what a connection tells of a request, in each way it can end."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+
+import pytest
+import trio
+
+from railtide.http.client import Exchange, PeerPool
+from railtide.http.errors import ConnectFailed, ConnectionLost
+from railtide.http.messages import HttpRequest
+from railtide.http.server import ConnectionLimits, HttpServer, Responder
+from railtide.http.sockets import listen
+
+GET = HttpRequest(b"GET", b"/a", ((b"host", b"x"),))
+HEAD = b"HTTP/1.1 200 OK\r\n"
+WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
+
+Script = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+@asynccontextmanager
+async def peer(script: Script) -> AsyncIterator[PeerPool]:
+    """Serve each connection with a script; yield a pool of connections to it."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError):  # the client drops what it may not use again
+            await script(stream)
+
+    listener = await listen("127.0.0.1", 0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        yield PeerPool("127.0.0.1", listener.socket.getsockname()[1])
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def server(handler, limits: ConnectionLimits | None = None) -> AsyncIterator[HttpServer]:
+    """Serve a handler; the server's `port` is set."""
+    made = HttpServer(handler, limits or ConnectionLimits())
+    listener = await listen("127.0.0.1", 0)
+    made.port = listener.socket.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(made.serve, listener)
+        yield made
+        nursery.cancel_scope.cancel()
+
+
+def answers(*parts: bytes) -> Script:
+    """Return a script that answers each request with the next of some bytes, then closes."""
+
+    async def script(stream: trio.SocketStream) -> None:
+        for part in parts:
+            if not await stream.receive_some():
+                return
+            await stream.send_all(part)
+
+    return script
+
+
+async def body_of(exchange: Exchange) -> bytes:
+    return b"".join([chunk async for chunk in exchange.chunks()])
+
+
+class TestExchange:
+    async def test_connection_is_kept_for_the_next_request(self) -> None:
+        async with peer(answers(WHOLE, WHOLE)) as pool:
+            assert await body_of(await pool.send(GET)) == b"ok"
+            second = await pool.send(GET)
+            assert await body_of(second) == b"ok"
+            assert second.reused and pool.opened == 1
+
+    async def test_bytes_behind_an_answer_belong_to_no_request(self) -> None:
+        async with peer(answers(WHOLE + WHOLE, WHOLE)) as pool:
+            await body_of(await pool.send(GET))
+            await body_of(await pool.send(GET))
+            assert pool.opened == 2
+
+    async def test_bytes_on_an_idle_connection_drop_it(self) -> None:
+        async def late(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(WHOLE)
+            await trio.sleep(0.05)
+            await stream.send_all(WHOLE)
+            await stream.receive_some()
+
+        async with peer(late) as pool:
+            await body_of(await pool.send(GET))
+            await trio.sleep(0.15)
+            await body_of(await pool.send(GET))
+            assert pool.opened == 2
+
+    async def test_close_is_respected(self) -> None:
+        closing = HEAD + b"Connection: close\r\nContent-Length: 2\r\n\r\nok"
+        async with peer(answers(closing)) as pool:
+            await body_of(await pool.send(GET))
+            await body_of(await pool.send(GET))
+            assert pool.opened == 2
+
+    async def test_cut_body_is_not_whole(self) -> None:
+        async with peer(answers(HEAD + b"Content-Length: 9\r\n\r\nok")) as pool:
+            exchange = await pool.send(GET)
+            with pytest.raises(ConnectionLost):
+                await body_of(exchange)
+
+    async def test_chunked_body_without_its_end_is_not_whole(self) -> None:
+        part = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+        async with peer(answers(part)) as pool:
+            exchange = await pool.send(GET)
+            with pytest.raises(ConnectionLost):
+                await body_of(exchange)
+
+    async def test_body_that_ends_with_its_connection_is_whole(self) -> None:
+        async with peer(answers(HEAD + b"\r\nok")) as pool:
+            assert await body_of(await pool.send(GET)) == b"ok"
+
+    async def test_body_that_ends_with_a_reset_is_not_whole(self) -> None:
+        async def script(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(HEAD + b"\r\nok")
+            await trio.sleep(0.05)
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+            stream.socket.close()
+
+        async with peer(script) as pool:
+            exchange = await pool.send(GET)
+            with pytest.raises(ConnectionLost):
+                await body_of(exchange)
+
+    async def test_garbage_is_no_answer(self) -> None:
+        async with peer(answers(b"\x00\x01garbage\r\n\r\n")) as pool:
+            with pytest.raises(ConnectionLost):
+                await pool.send(GET)
+
+    async def test_closed_without_an_answer_may_have_run(self) -> None:
+        async with peer(answers()) as pool:
+            with pytest.raises(ConnectionLost):
+                await pool.send(GET)
+
+    async def test_nobody_listening_is_certain_not_to_have_run(self) -> None:
+        listener = await listen("127.0.0.1", 0)
+        port = listener.socket.getsockname()[1]
+        await listener.aclose()
+        with pytest.raises(ConnectFailed):
+            await PeerPool("127.0.0.1", port).send(GET)
+
+    async def test_early_answer_to_a_long_body_ends_the_sending(self) -> None:
+        async def early(stream: trio.SocketStream) -> None:
+            await stream.receive_some(10)
+            await stream.send_all(WHOLE)
+            await trio.sleep_forever()
+
+        long = HttpRequest(b"POST", b"/a", ((b"host", b"x"),), b"x" * 30_000_000)
+        async with peer(early) as pool:
+            exchange = await pool.send(long)
+            assert await body_of(exchange) == b"ok"
+            await body_of(await pool.send(GET))
+            assert pool.opened == 2
+
+
+class TestServer:
+    async def test_answers_whole_and_in_chunks(self) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            if request.target == b"/s":
+                await responder.start(200, (), None)
+                await responder.write(b"a")
+                await responder.write(b"b")
+                await responder.finish()
+            else:
+                await responder.answer(200, (), request.body)
+
+        async with server(handler) as made:
+            pool = PeerPool("127.0.0.1", made.port)
+            post = HttpRequest(b"POST", b"/e", ((b"host", b"x"),), b"body")
+            assert await body_of(await pool.send(post)) == b"body"
+            stream = HttpRequest(b"GET", b"/s", ((b"host", b"x"),))
+            assert await body_of(await pool.send(stream)) == b"ab"
+            assert pool.opened == 1
+
+    async def test_answer_that_is_not_finished_looks_broken(self) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.start(200, (), None)
+            await responder.write(b"a")
+
+        async with server(handler) as made:
+            exchange = await PeerPool("127.0.0.1", made.port).send(GET)
+            with pytest.raises(ConnectionLost):
+                await body_of(exchange)
+
+    @pytest.mark.parametrize("half", [True, False])
+    async def test_caller_that_leaves_cancels_its_handler(self, half: bool) -> None:
+        cancelled = trio.Event()
+
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            try:
+                await trio.sleep_forever()
+            finally:
+                cancelled.set()
+
+        async with server(handler) as made:
+            stream = await trio.open_tcp_stream("127.0.0.1", made.port)
+            await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            await trio.sleep(0.05)
+            await (stream.send_eof() if half else stream.aclose())
+            with trio.fail_after(5):
+                await cancelled.wait()
+
+    async def test_requests_sent_ahead_are_answered_in_turn(self) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await trio.sleep(0.02)
+            await responder.answer(200, (), request.target)
+
+        async with server(handler) as made:
+            stream = await trio.open_tcp_stream("127.0.0.1", made.port)
+            await stream.send_all(
+                b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n"
+            )
+            seen = b""
+            with trio.fail_after(5):
+                while b"/2" not in seen:
+                    seen += await stream.receive_some()
+            assert seen.index(b"/1") < seen.index(b"/2")
+
+    async def test_head_and_body_above_the_limits_are_refused(self) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, ())
+
+        limits = ConnectionLimits(head_bytes=500, body_bytes=10)
+        async with server(handler, limits) as made:
+            big = HttpRequest(b"POST", b"/", ((b"host", b"x"),), b"x" * 11)
+            assert (await PeerPool("127.0.0.1", made.port).send(big)).status == 413
+            long = HttpRequest(b"GET", b"/" + b"x" * 900, ((b"host", b"x"),))
+            assert (await PeerPool("127.0.0.1", made.port).send(long)).status == 431
+
+    async def test_slow_head_is_given_up(self) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, ())
+
+        async with server(handler, ConnectionLimits(head_timeout_s=0.1)) as made:
+            stream = await trio.open_tcp_stream("127.0.0.1", made.port)
+            await stream.send_all(b"GET / HTTP/1.1\r\nHo")
+            with trio.fail_after(5):
+                assert b" 408 " in await stream.receive_some()
+
+    async def test_closing_server_asks_callers_to_leave(self) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, ())
+
+        async with server(handler) as made:
+            made.closing = True
+            pool = PeerPool("127.0.0.1", made.port)
+            await body_of(await pool.send(GET))
+            await body_of(await pool.send(GET))
+            assert pool.opened == 2
