A heartbeat under way can't bring a leaving router back

Ruled out: lag of the read (the record was there, behind it stood a beat with the address). Writes of the roster are now one after another.

--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -88,7 +88,7 @@
         feed_options = FeedOptions(wait_s=options.beat_s, pause_s=options.read_pause_s)
         self._feed = Feed(store, options.topic, feed_options, rng, self._take)
         self._announcing = True
-        self._changed = trio.Event()
+        self._writing = trio.Lock()
 
     async def run(self, is_ready: Callable[[], bool]) -> None:
         """Announce this router from when it is ready, and follow the others, for ever."""
@@ -98,10 +98,14 @@
 
     async def _run_beats(self, is_ready: Callable[[], bool]) -> None:
         while True:
-            if self._announcing and is_ready():
+            if is_ready():
+                await self._beat()
+            await trio.sleep(self._options.beat_s)
+
+    async def _beat(self) -> None:
+        async with self._writing:
+            if self._announcing:
                 await self._write()
-            with trio.move_on_after(self._options.beat_s):
-                await self._changed.wait()
 
     async def _write(self) -> None:
         member = msgspec.structs.replace(self._member, beat=self._member.beat + 1)
@@ -115,8 +119,9 @@
     async def leave(self) -> None:
         """Say that callers are to go elsewhere."""
         self._announcing = False
-        self._member = msgspec.structs.replace(self._member, address="")
-        await self._write()
+        async with self._writing:
+            self._member = msgspec.structs.replace(self._member, address="")
+            await self._write()
 
     def _take(self, records: list[KeyedRecord]) -> None:
         now = trio.current_time()
--- a/railtide/membership/tests/test_roster.py
+++ b/railtide/membership/tests/test_roster.py
@@ -80,6 +80,21 @@
             assert names(first) == ["a"]
             nursery.cancel_scope.cancel()
 
+    async def test_beat_under_way_does_not_bring_a_leaving_router_back(
+        self, autojump_clock
+    ) -> None:
+        store = MemoryStore()
+        made = roster(store, "a")
+        async with trio.open_nursery() as nursery:
+            await start(nursery, made)
+            await trio.sleep(0.5)
+            store.delay_s = 0.8
+            await trio.sleep(0.6)
+            await made.leave()
+            await trio.sleep(3)
+            assert names(made) == []
+            nursery.cancel_scope.cancel()
+
     async def test_unreadable_record_is_passed_over(self, autojump_clock) -> None:
         store = MemoryStore()
         store.put(OPTIONS.topic, "x", b"\xc1")
