--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -26,7 +26,8 @@
 __all__ = ["Ingress", "call_of"]
 
 SOON_S = 0.3
-"""When a caller should come back that met a router which is starting or leaving."""
+"""When a caller should come back where the refusal does not say: engines and routers that start,
+leave or are full for a moment."""
 TOKEN_PRICES = Prices(token_in=1, token_out=1)
 """Budgets of the platform count tokens."""
 BUDGET_WAIT_S = 0.1
@@ -125,8 +126,9 @@
         not_run = err.run is Run.NOT_RUN and err.status >= SERVER_ERROR
         status = NOT_RUN_STATUS if not_run else err.status
         headers = [(b"content-type", PROBLEM_TYPE.encode())]
-        if err.retry_after is not None:
-            headers.append((b"retry-after", f"{err.retry_after:.2f}".encode()))
+        retry_after = SOON_S if err.retry_after is None and not_run else err.retry_after
+        if retry_after is not None:
+            headers.append((b"retry-after", f"{retry_after:.2f}".encode()))
         if trace.request_id:
             headers.append((names.ATTEMPT_ID, trace.request_id.encode()))
         await responder.answer(status, tuple(headers), problem_to_bytes(problem_of(err)))
