--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -80,8 +80,8 @@
     """
 
     topic: str = "keyed.railtide-ledger"
-    horizon_s: float = 12.0
-    most_share: float = 0.6
+    horizon_s: float = 14.0
+    most_share: float = 0.35
     spread_share: float = 0.15
     refill_share: float = 0.75
     return_share: float = 1.4
