--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -21,6 +21,7 @@
 from railtide.requests.errors import InvalidRequest, Unauthorized, UnknownRoute
 from railtide.router.errors import Draining, NotReady
 from railtide.router.problems import PROBLEM_TYPE, problem_of, problem_to_bytes
+from railtide.telemetry.latency import Latency
 from railtide.upstreams.choice import Affinity
 
 __all__ = ["Ingress", "call_of"]
@@ -48,7 +49,7 @@
     def __init__(self, responder: Responder, stream: bool) -> None:
         self._responder = responder
         self._stream = stream
-        self._status = 0
+        self.started_at = 0.0
         self._headers: Headers = ()
         self._body = b""
         self.status = 0
@@ -57,6 +58,7 @@
         self, status: int, content_type: str, request_id: str, headers: Headers = ()
     ) -> None:
         self.started = True
+        self.started_at = trio.current_time()
         self.status = status
         self._headers = headers
         if self._stream:
@@ -86,6 +88,8 @@
 
     def __init__(self, node: EdgeNode, rng: Random) -> None:
         self.refusing = False
+        self._durations = Latency("request_duration")
+        self._first_bytes = Latency("first_byte")
         self._node = node
         self._rng = rng
 
@@ -96,7 +100,7 @@
         try:
             call = self._decode(request, trace)
             trace.call = call
-            sink = _Sink(responder, call.stream)
+            trace.sink = sink = _Sink(responder, call.stream)
             await self._node.serve(call, sink)
             trace.status, trace.code = sink.status, "done"
         except RailtideError as err:
@@ -107,8 +111,12 @@
                 trace.code = "caller-gone"
             raise
         finally:
+            took_s = trio.current_time() - began
             self._node.counters.add(f"answers_{trace.code.replace('-', '_')}")
-            trace.write(trio.current_time() - began)
+            self._durations.record(took_s, code=trace.code)
+            if trace.sink and trace.sink.started_at:
+                self._first_bytes.record(trace.sink.started_at - began)
+            trace.write(took_s)
 
     def _decode(self, request: HttpRequest, trace: "_Trace") -> Call:
         snapshot = self._node.snapshot
@@ -149,6 +157,7 @@
         self.request_id = (first_header(request.headers, names.ATTEMPT_ID) or b"").decode()
         self.version: int | None = None
         self.call: Call | None = None
+        self.sink: _Sink | None = None
         self.status = 0
         self.code = "internal-error"
         self.detail = ""
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -1,6 +1,7 @@
 """One request from its slot to its bill: tries, retries, and what is billed if no answer comes."""
 
 import trio
+from loguru import logger
 from opentelemetry import trace
 
 from railtide.budgets.messages import Waste
@@ -30,7 +31,7 @@
     UpstreamMoved,
     UpstreamRefused,
 )
-from railtide.upstreams.load import Upstream, note_failure, note_success
+from railtide.upstreams.load import Upstream, estimated_load, note_failure, note_success
 
 __all__ = ["Execution"]
 
@@ -147,6 +148,7 @@
         attempt = 1
         while True:
             upstream = self._slot.upstream
+            self._log_sent(upstream, attempt)
             try:
                 relayed = await self._try(upstream.instance)
                 note_success(upstream)
@@ -165,6 +167,19 @@
             attempt += 1
             self._services.counters.add("retries")
 
+    def _log_sent(self, upstream: Upstream, attempt: int) -> None:
+        """Say where the request goes, and what was known of that upstream's load."""
+        report = upstream.report
+        now = trio.current_time()
+        logger.bind(
+            request_id=self._call.request_id,
+            upstream=upstream.instance.name,
+            attempt=attempt,
+            own_open=upstream.open_requests,
+            load=estimated_load(upstream, now),
+            load_age_ms=round((now - report.taken_at) * 1000) if report else None,
+        ).info("request-sent")
+
     async def _try(self, upstream: Instance) -> Relayed:
         with _tracer.start_as_current_span("upstream.call") as span:
             span.set_attribute("railtide.upstream", upstream.name)
@@ -197,6 +212,14 @@
             upstream.leaving = True
         note_failure(upstream, trio.current_time())
         self._services.counters.add(f"attempts_failed_{err.code.replace('-', '_')}")
+        logger.bind(
+            request_id=self._call.request_id,
+            upstream=upstream.instance.name,
+            code=err.code,
+            run=err.run,
+            detail=err.detail,
+            failures=upstream.failures,
+        ).info("attempt-failed")
 
     async def _prepare_retry(self, err: UpstreamError, attempt: int) -> None:
         """Raise unless the request may be sent again, with budget for another run."""
