Learning that an append was written keeps what others wrote since

An append whose answer was lost was found in the ledger, and its own older copy then stood in for the ledger just read; the next compare-and-swap wrote it over the others' grants. Ruled out: late appends, write-offs. test_learning_of_a_lost_answer... fails on that code.

--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -217,7 +217,6 @@
         """Take a change that is in the ledger now."""
         self.hand.granted += change.granted
         self._written = change.holding
-        self._ledger = change.ledger
         if change.lost:
             logger.bind(account=self.account, units=change.lost).info("former-hand-written-off")
 
--- a/railtide/budgets/ledger_partition.py
+++ b/railtide/budgets/ledger_partition.py
@@ -177,11 +177,13 @@
             raise
         self._unsure = None
         self._end = append.expected_end + len(values)
+        for account, change in append.change_by_account.items():
+            self._ledger_by_account[account] = change.ledger
+            self.hand_by_account[account].take_ledger(change.ledger)
         self._take(append)
 
     def _take(self, append: _Append) -> None:
         for account, change in append.change_by_account.items():
-            self._ledger_by_account[account] = change.ledger
             self.hand_by_account[account].take(change)
 
     def _plan(self) -> _Append | None:
