A router serves while some partitions of the store are away

Ruled out: slow start (configuration in force 0.1 s after the start) and budgets (the lines say not-ready). test_request_without_a_cost... fails on the code before.

--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -69,6 +69,7 @@
     Attributes
     ----------
     refusals : int
+    partitions : list of LedgerPartition
     """
 
     def __init__(
@@ -85,29 +86,29 @@
         self._options = options
         self._holder = Holder(instance, incarnation, routers, options)
         rng = Random(incarnation)
-        self._partitions = [
+        self.partitions = [
             LedgerPartition(store, index, self._holder, rng) for index in range(options.partitions)
         ]
         self._by_account: dict[str, AccountHand] = {}
-        self._configured = False
-        self._was_ready = False
 
     @property
     def ready(self) -> bool:
-        """True from when the ledgers of all accounts of a configuration were read."""
-        if not self._was_ready and self._configured:
-            self._was_ready = all(part.loaded for part in self._partitions)
-        return self._was_ready
+        """True once ledgers were read.
+
+        One partition is enough, since the store may serve some and not others for long; accounts
+        in the others are refused until theirs is read.
+        """
+        return any(part.loaded for part in self.partitions)
 
     @property
     def reachable(self) -> bool:
         """True unless the store did not answer a partition's last call."""
-        return all(part.reachable for part in self._partitions)
+        return all(part.reachable for part in self.partitions)
 
     def spread(self) -> None:
         """Keep hands ahead of need from now on, since the number of routers is known."""
         self._holder.spreading = True
-        for part in self._partitions:
+        for part in self.partitions:
             part.ask()
 
     # -- reserving ----------------------------------------------------------------------------
@@ -155,7 +156,6 @@
 
     def set_prepaid(self, prepaid_by_account: dict[str, int]) -> None:
         """Take the budgets in force; an account that is not named has none left."""
-        self._configured = True
         for account, prepaid in prepaid_by_account.items():
             self._account(account).set_prepaid(prepaid)
         for account in self._by_account.keys() - prepaid_by_account.keys():
@@ -164,7 +164,7 @@
     async def run(self) -> None:
         """Tend the hands for ever."""
         async with trio.open_nursery() as nursery:
-            for part in self._partitions:
+            for part in self.partitions:
                 nursery.start_soon(part.run)
 
     async def give_back_all(self) -> None:
@@ -183,4 +183,4 @@
         return known
 
     def _partition(self, account: str) -> LedgerPartition:
-        return self._partitions[partition_of(account, len(self._partitions))]
+        return self.partitions[partition_of(account, len(self.partitions))]
--- a/railtide/budgets/tests/test_ledger_treasury.py
+++ b/railtide/budgets/tests/test_ledger_treasury.py
@@ -12,7 +12,7 @@
 from railtide.budgets.errors import BudgetError, BudgetExhausted, BudgetUnavailable
 from railtide.budgets.hand_size import LedgerOptions
 from railtide.budgets.ledger import Holding, Ledger, committed, ledger_from_bytes, ledger_to_bytes
-from railtide.budgets.ledger_treasury import LedgerTreasury
+from railtide.budgets.ledger_treasury import LedgerTreasury, partition_of
 from railtide.configuration.models import AccountSettings
 from railtide.standins.keyed_store import MemoryStore
 
@@ -79,6 +79,27 @@
                 await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)
             nursery.cancel_scope.cancel()
 
+    async def test_partition_that_is_down_refuses_its_own_accounts_only(
+        self, autojump_clock
+    ) -> None:
+        store = MemoryStore()
+        options = LedgerOptions(partitions=2)
+        made = LedgerTreasury(store, "i1", "i1-1", lambda: 1, options)
+        names = {partition_of(name, 2): name for name in "abcdefgh"}
+        made.set_prepaid(dict.fromkeys(names.values(), 1000))
+        store.down_partitions = {1}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(1)
+            assert made.ready
+            await made.reserve(names[0], SETTINGS, 50, trio.current_time() + 9)
+            with pytest.raises(BudgetUnavailable):
+                await made.reserve(names[1], SETTINGS, 50, trio.current_time() + 9)
+            store.down_partitions = set()
+            await trio.sleep(1)
+            await made.reserve(names[1], SETTINGS, 50, trio.current_time() + 9)
+            nursery.cancel_scope.cancel()
+
     async def test_request_without_cost_needs_no_budget(self, autojump_clock) -> None:
         made = treasury(MemoryStore())
         assert (await made.reserve(ACCOUNT, SETTINGS, 0, 9.0)).amount == 0
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -125,9 +125,14 @@
     @property
     def ready(self) -> bool:
         """True once configuration, upstreams and budgets are known, until the shutdown."""
-        known = self.snapshot is not None and self._upstream_feed.caught_up
+        known = self.snapshot is not None and self.upstreams_known
         return known and self.treasury.ready and not self.leaving
 
+    @property
+    def upstreams_known(self) -> bool:
+        """True once the list of upstreams was read to its end."""
+        return self._upstream_feed.caught_up
+
     async def run(self) -> None:
         """Run all duties until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -120,7 +120,7 @@
 
     def _decode(self, request: HttpRequest, trace: "_Trace") -> Call:
         snapshot = self._node.snapshot
-        if snapshot is None or not self._node.treasury.ready:
+        if snapshot is None or not self._node.upstreams_known:
             raise NotReady("this router has not read its configuration", retry_after=SOON_S)
         if self.refusing:
             raise Draining("this router is leaving; use another address", retry_after=0.0)
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -255,6 +255,14 @@
             refused = await w.ask("/stream/x", *self.TOKENS)
             assert refused.status == 402
 
+    async def test_request_without_a_cost_needs_no_ledger(self) -> None:
+        async with world() as w:
+            await w.add_engine("e1")
+            for part in w.node.treasury.partitions:
+                part.loaded = False
+            assert not w.node.ready
+            assert (await w.ask("/once/x", body=b"b")).status == 200
+
     async def test_top_up_counts_from_its_version_on(self) -> None:
         async with world(desired_state(prepaid=100)) as w:
             await w.add_engine("e1", events=3)
--- a/railtide/standins/keyed_store.py
+++ b/railtide/standins/keyed_store.py
@@ -46,6 +46,8 @@
     ----------
     down : bool
         Every call fails, nothing is done.
+    down_partitions : set of int
+        Calls to these fail in every topic.
     lose_answers : int
         So many coming appends are done and not answered.
     late_appends : int
@@ -56,6 +58,7 @@
 
     def __init__(self) -> None:
         self.down = False
+        self.down_partitions: set[int] = set()
         self.lose_answers = 0
         self.late_appends = 0
         self.delay_s = 0.0
@@ -73,21 +76,21 @@
 
     async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
         """Return the newest records; see `KeyedStore.newest`."""
-        await self._call()
+        await self._call(partition)
         known = self.topic(topic, partition)
         records = sorted(known.newest_by_key.values(), key=lambda record: record.offset)
         return KeyedPage(records, known.end)
 
     async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
         """Return records; see `KeyedStore.read`."""
-        await self._call()
+        await self._call(partition)
         known = self.topic(topic, partition)
         if start < known.first:
             raise RecordsExpired(known.first)
         if start >= known.end and wait_s:
             with trio.move_on_after(wait_s):
                 await known.moved.wait()
-            await self._call()
+            await self._call(partition)
             if start < known.first:
                 raise RecordsExpired(known.first)
         return KeyedPage(known.records[start - known.first :], known.end)
@@ -100,7 +103,7 @@
         partition: int = 0,
     ) -> int:
         """Append records; see `KeyedStore.append`."""
-        await self._call()
+        await self._call(partition)
         known = self.topic(topic, partition)
         if self.late_appends:
             self.late_appends -= 1
@@ -128,8 +131,8 @@
         known.moved.set()
         known.moved = trio.Event()
 
-    async def _call(self) -> None:
+    async def _call(self, partition: int) -> None:
         self.calls += 1
         await trio.sleep(self.delay_s)
-        if self.down:
+        if self.down or partition in self.down_partitions:
             raise LogUnavailable("the store is down")
