--- /dev/null
+++ b/railtide/platform/tests/test_boot.py
@@ -0,0 +1,51 @@
+"""Tests of railtide.platform.boot."""
+
+from pathlib import Path
+
+import pytest
+
+from railtide.platform.boot import read_boot
+from railtide.settings import InvalidSetting
+
+GOOD = """
+node_name: "edge-1"
+ip: "10.1.0.40"
+zone: "z"
+listen: {front: "10.1.0.40:8227", ready: "10.1.0.40:8220", directory: "10.1.0.40:8224"}
+bounds: {retry_ratio: 0.3, retry_slack: 54, grace_s: 9}
+platform: {address: "10.200.1.7:8223", parts: 24}
+something_new: {a: 1}
+"""
+
+
+def write(path: Path, text: str) -> str:
+    file = path / "local.yaml"
+    file.write_text(text)
+    return str(file)
+
+
+class TestReadBoot:
+    def test_fields_are_decoded_and_unknown_ones_ignored(self, tmp_path: Path) -> None:
+        boot = read_boot(write(tmp_path, GOOD))
+        assert (boot.instance, boot.failure_domain) == ("edge-1", "z")
+        assert (boot.retry_ratio, boot.grace_s) == (0.3, 9.0)
+        assert boot.store_partitions == 24
+
+    def test_missing_field_is_named(self, tmp_path: Path) -> None:
+        text = GOOD.replace('zone: "z"\n', "")
+        with pytest.raises(InvalidSetting, match="zone"):
+            read_boot(write(tmp_path, text))
+
+    def test_wrong_nested_field_is_named(self, tmp_path: Path) -> None:
+        text = GOOD.replace("retry_slack: 54", "retry_slack: many")
+        with pytest.raises(InvalidSetting, match=r"bounds\.retry_slack"):
+            read_boot(write(tmp_path, text))
+
+    @pytest.mark.parametrize("text", ["{", "- 1", ""])
+    def test_what_is_no_settings_file_is_said_so(self, tmp_path: Path, text: str) -> None:
+        with pytest.raises(InvalidSetting):
+            read_boot(write(tmp_path, text))
+
+    def test_absent_file_is_said_so(self) -> None:
+        with pytest.raises(InvalidSetting, match="RAILTIDE_BOOT"):
+            read_boot("/nowhere/local.yaml")
--- /dev/null
+++ b/railtide/platform/tests/test_store.py
@@ -0,0 +1,94 @@
+"""Tests of railtide.platform.store, against the stand-in of the store."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from railtide.http.messages import HttpRequest
+from railtide.http.server import ConnectionLimits, Handler, HttpServer, Responder
+from railtide.http.sockets import listen
+from railtide.journal.errors import LogUnavailable, RecordsExpired
+from railtide.journal.keyed import AppendConflict
+from railtide.platform.store import PlatformStore
+from railtide.standins.keyed_store import MemoryStore
+from railtide.standins.platform import StoreServer
+from railtide.telemetry.counters import Counters
+
+
+@asynccontextmanager
+async def client_of(handler: Handler) -> AsyncIterator[PlatformStore]:
+    listener = await listen("127.0.0.1", 0)
+    port = listener.socket.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(HttpServer(handler, ConnectionLimits()).serve, listener)
+        yield PlatformStore(f"127.0.0.1:{port}", Counters())
+        nursery.cancel_scope.cancel()
+
+
+class TestCalls:
+    async def test_records_come_back_as_they_were_appended(self) -> None:
+        async with client_of(StoreServer(MemoryStore()).handle) as store:
+            assert await store.append("keyed.t", {"a": b"1", "b": b"\x00\xff"}) == 2
+            page = await store.read("keyed.t", 0, 0.0)
+            assert [(r.key, r.value, r.offset) for r in page.records] == [
+                ("a", b"1", 0),
+                ("b", b"\x00\xff", 1),
+            ]
+            assert await store.append("keyed.t", {"a": b""}, expected_end=2) == 3
+            newest = await store.newest("keyed.t")
+            assert ([r.key for r in newest.records], newest.end) == (["b"], 3)
+
+    async def test_lost_condition_and_expired_history_are_told_apart(self) -> None:
+        memory = MemoryStore()
+        async with client_of(StoreServer(memory).handle) as store:
+            await store.append("keyed.t", {"a": b"1"})
+            with pytest.raises(AppendConflict) as conflict:
+                await store.append("keyed.t", {"a": b"2"}, expected_end=0)
+            assert conflict.value.end == 1
+            memory.topic("keyed.t").forget()
+            with pytest.raises(RecordsExpired) as expired:
+                await store.read("keyed.t", 0, 0.0)
+            assert expired.value.first == 1
+
+    async def test_long_read_ends_with_the_first_record(self) -> None:
+        memory = MemoryStore()
+        async with client_of(StoreServer(memory).handle) as store:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(store.read, "keyed.t", 0, 30.0)
+                await trio.sleep(0.05)
+                memory.put("keyed.t", "a", b"1")
+
+    @pytest.mark.parametrize("status", [429, 500, 503, 507])
+    async def test_refusals_are_no_answer(self, status: int) -> None:
+        async def refuse(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(status, ())
+
+        async with client_of(refuse) as store:
+            with pytest.raises(LogUnavailable, match=str(status)):
+                await store.newest("keyed.t")
+
+    @pytest.mark.parametrize("body", [b"", b"not json", b'{"items": 3}'])
+    async def test_unreadable_answers_are_no_answer(self, body: bytes) -> None:
+        async def garble(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, (), body)
+
+        async with client_of(garble) as store:
+            with pytest.raises(LogUnavailable):
+                await store.newest("keyed.t")
+
+    async def test_cut_record_is_no_answer(self) -> None:
+        async def cut(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, (), bytes(16) + b"\x00\x00\x00\x09abc")
+
+        async with client_of(cut) as store:
+            with pytest.raises(LogUnavailable):
+                await store.read("keyed.t", 0, 0.0)
+
+    async def test_nobody_there_is_no_answer(self) -> None:
+        listener = await listen("127.0.0.1", 0)
+        port = listener.socket.getsockname()[1]
+        await listener.aclose()
+        with pytest.raises(LogUnavailable):
+            await PlatformStore(f"127.0.0.1:{port}", Counters()).newest("keyed.t")
