--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -94,9 +94,13 @@
         self._rng = rng
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
-        """Answer one request."""
-        began = trio.current_time()
+        """Answer one request; every line logged on its way carries its id."""
         trace = _Trace(request)
+        with logger.contextualize(request_id=trace.request_id):
+            await self._handle(request, responder, trace)
+
+    async def _handle(self, request: HttpRequest, responder: Responder, trace: "_Trace") -> None:
+        began = trio.current_time()
         try:
             call = self._decode(request, trace)
             trace.call = call
@@ -165,7 +169,6 @@
     def write(self, took_s: float) -> None:
         call = self.call
         logger.bind(
-            request_id=self.request_id,
             account=call.account if call else "",
             pool=call.pool if call else "",
             version=self.version,
