--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -174,11 +174,6 @@
         self._ledger = ledger
         self.loaded = True
 
-    @property
-    def ledger(self) -> Ledger:
-        """The ledger as of the last read."""
-        return self._ledger
-
     @property
     def is_waited_for(self) -> bool:
         """True while requests wait for a grant."""
@@ -186,9 +181,8 @@
 
     def is_due(self) -> bool:
         """Return whether the ledger should be changed."""
-        return self.loaded and self._wants_change()
-
-    def _wants_change(self) -> bool:
+        if not self.loaded:
+            return False
         return self._is_wanting() or self._is_report_due() or self._idle() > 0
 
     def wake(self) -> None:
@@ -242,9 +236,11 @@
     # -- sizes --------------------------------------------------------------------------------
 
     def _left(self) -> int:
+        """Return the units of the budget that nobody has reported as spent."""
         return max(0, (self.prepaid or 0) - reported_spend(self._ledger))
 
     def _target(self) -> int:
+        """Return the units that should be in hand."""
         if not self._holder.spreading or not self.prepaid:
             return 0
         now = trio.current_time()
@@ -264,8 +260,11 @@
         return not fresh and is_low(self.hand.available, self._target(), self._options)
 
     def _idle(self) -> int:
-        if self.is_returning or self._holder.leaving:
-            return self.hand.available if self._holder.leaving else 0
+        """Return the units to give back: all at a shutdown, else what the traffic needs no more."""
+        if self._holder.leaving:
+            return self.hand.available
+        if self.is_returning:
+            return 0
         keep = self._target() + sum(self._needs)
         return idle_units(self.hand.available, keep, self._traffic.typical, self._options)
 
--- a/railtide/edge/options.py
+++ b/railtide/edge/options.py
@@ -36,8 +36,6 @@
         How long after SIGTERM new requests are still served: until callers have new addresses.
     leave_s : float
         How long after SIGTERM the process ends at the latest.
-    queue_share : float
-        Share of a request's response-time goal that it may wait for a slot.
     """
 
     requests: RequestOptions = field(default_factory=RequestOptions)
@@ -52,4 +50,3 @@
     most_addresses: int = 64
     leave_accept_s: float = 2.5
     leave_s: float = 7.0
-    queue_share: float = 0.25
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -103,6 +103,8 @@
         When set, each answer asks its caller to leave the connection.
     open_requests : int
         Requests that were read and are not answered yet.
+    idle_scopes : set of trio.CancelScope
+        The waits of connections for their next request; cancelling one closes its connection.
     """
 
     def __init__(self, handler: Handler, limits: ConnectionLimits) -> None:
@@ -110,7 +112,7 @@
         self.limits = limits
         self.closing = False
         self.open_requests = 0
-        self._idle_scopes: set[trio.CancelScope] = set()
+        self.idle_scopes: set[trio.CancelScope] = set()
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Accept connections for ever."""
@@ -119,7 +121,7 @@
 
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
-        for scope in list(self._idle_scopes):
+        for scope in list(self.idle_scopes):
             scope.cancel()
 
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
@@ -134,14 +136,6 @@
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
-    async def wait_until_idle(self, scope: trio.CancelScope) -> None:
-        """Register a connection's wait for its next request (internal to the package)."""
-        self._idle_scopes.add(scope)
-
-    def leave_idle(self, scope: trio.CancelScope) -> None:
-        """Forget a connection's wait (internal to the package)."""
-        self._idle_scopes.discard(scope)
-
 
 class _Connection:
     def __init__(self, server: HttpServer, stream: trio.SocketStream) -> None:
@@ -181,11 +175,11 @@
     async def _wait_for_bytes(self) -> bool:
         """Wait idle for the first byte of a request; return False if none comes."""
         with trio.move_on_after(self.server.limits.idle_timeout_s) as scope:
-            await self.server.wait_until_idle(scope)
+            self.server.idle_scopes.add(scope)
             try:
                 data = await self.stream.receive_some(READ_BYTES)
             finally:
-                self.server.leave_idle(scope)
+                self.server.idle_scopes.discard(scope)
         if scope.cancelled_caught or not data:
             return False
         self.h11.receive_data(data)
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -37,6 +37,8 @@
 JSON = ((b"content-type", b"application/json"),)
 METRICS_PORT = 9464
 """As `deploy/system.toml` says; the port that the Prometheus exporters of OpenTelemetry use."""
+LEAVE_MARGIN_S = 1.0
+"""Left before the platform's SIGKILL to give budgets back and end."""
 RETRY_PART = 0.5
 """Part of the retries allowed to all routers that is used: they count without one another, and
 the platform counts in windows that slide."""
@@ -126,6 +128,7 @@
             most_share=settings.budget_most_share,
             spread_share=settings.budget_spread_share,
         ),
+        leave_s=max(0.0, boot.grace_s - LEAVE_MARGIN_S),
         retry_share=boot.retry_ratio * RETRY_PART,
         retry_slack=boot.retry_slack * RETRY_PART,
     )
