Mutants of the ledgers, connections and the adapter

Cause: none of the new code had mutants. Two of ten survived at first: a lower version that came between two higher ones was not seen by its test (it now notes every version in force), and a branch that no answer reaches (the mutant now strikes where cut answers are found).

--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -275,10 +275,13 @@
 
     async def test_older_version_never_comes_back(self) -> None:
         async with world(desired_state(5)) as w:
+            in_force: list[int] = []
+            w.node.on_snapshot = lambda snapshot: in_force.append(snapshot.version)
             w.store.put("keyed.op", "config", desired_state(4, keys=("old",)))
             w.store.put("keyed.op", "config", b"not a desired state")
             w.store.put("keyed.op", "config", desired_state(6))
             with trio.fail_after(5):
                 while w.node.snapshot.version < 6:
                     await trio.sleep(0.01)
+            assert in_force == [6]
             assert "old" not in w.node.snapshot.account_by_key
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -18,6 +18,9 @@
 WORKERS = 6
 FOLD = "railtide/journal/tests/test_fold.py"
 SINGLE = "tests/matrix/test_single.py"
+LEDGERS = "railtide/budgets/tests"
+PLATFORM = "railtide/platform/tests"
+HTTP = "railtide/http/tests"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -161,7 +164,7 @@
     Mutant(
         "lost-try-not-counted",
         "requests/execution.py",
-        "wasted = self._call.reserve * len(self._lost_tries)",
+        "wasted = self._cover.waste_of(len(self._lost_tries))",
         "wasted = 0",
         (SINGLE,),
     ),
@@ -214,6 +217,76 @@
         "        if False:\n            raise ClaimUnavailable(",
         (SINGLE,),
     ),
+    Mutant(
+        "killed-hand-not-written-off",
+        "budgets/ledger.py",
+        "ledger.closed += former.granted",
+        "ledger.closed += former.spent",
+        (LEDGERS,),
+    ),
+    Mutant(
+        "ledger-written-without-its-condition",
+        "budgets/ledger_partition.py",
+        "self._options.topic, values, append.expected_end, self._index",
+        "self._options.topic, values, None, self._index",
+        (LEDGERS,),
+    ),
+    Mutant(
+        "learnt-append-stands-in-for-the-ledger",
+        "budgets/account_hand.py",
+        "        self._written = change.holding\n",
+        "        self._written = change.holding\n        self._ledger = change.ledger\n",
+        (LEDGERS,),
+    ),
+    Mutant(
+        "grant-taken-before-it-is-written",
+        "budgets/account_hand.py",
+        "        own.granted += granted\n",
+        "        own.granted += granted\n        self.hand.granted += granted\n",
+        (LEDGERS,),
+    ),
+    Mutant(
+        "unreadable-ledger-taken-for-an-empty-one",
+        "budgets/ledger_partition.py",
+        "            self.hand(account).loaded = False\n",
+        "            self._unreadable.discard(account)\n",
+        (LEDGERS,),
+    ),
+    Mutant(
+        "signature-not-checked",
+        "platform/upstreams.py",
+        "if exchange.status // 100 == OK_CLASS and not sealed:",
+        "if False:",
+        (PLATFORM,),
+    ),
+    Mutant(
+        "cut-stream-ended",
+        "http/client.py",
+        '                raise ConnectionLost(f"not an answer: {err}") from err\n',
+        "                return h11.EndOfMessage()\n",
+        (HTTP, PLATFORM),
+    ),
+    Mutant(
+        "unasked-bytes-kept",
+        "http/client.py",
+        "return not self.stream.socket.is_readable()",
+        "return True",
+        (HTTP,),
+    ),
+    Mutant(
+        "caller-not-watched",
+        "http/server.py",
+        "                nursery.start_soon(self._watch_caller, nursery.cancel_scope)\n",
+        "",
+        (HTTP,),
+    ),
+    Mutant(
+        "configuration-reverts",
+        "edge/node.py",
+        "if held is not None and snapshot.version <= held:",
+        "if False:",
+        (PLATFORM,),
+    ),
 ]
 
 
