--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -143,7 +143,6 @@
         self.stream = stream
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=server.limits.head_bytes)
         self.read_ahead = 0
-        self.caller_gone = False
 
     async def run(self) -> None:
         while True:
@@ -234,7 +233,7 @@
                 await self.server.handler(request, responder)
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, CallerGone):
-            self.caller_gone = True
+            pass  # the answer is not finished, so the connection is closed
         finally:
             self.server.open_requests -= 1
 
@@ -246,7 +245,6 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
-                self.caller_gone = True
                 scope.cancel()
                 return
             self.read_ahead += len(data)
--- /dev/null
+++ b/tests/test_edge_process.py
@@ -0,0 +1,178 @@
+"""`railtide-edge` as a real process: its start, its graceful shutdown, its restart after a kill."""
+
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from subprocess import DEVNULL
+
+import msgspec
+import trio
+
+from railtide.budgets.hand_size import LedgerOptions
+from railtide.budgets.ledger import committed, ledger_from_bytes
+from railtide.http.client import Exchange, PeerPool
+from railtide.http.errors import HttpError
+from railtide.http.messages import HttpRequest
+from railtide.http.server import ConnectionLimits, Handler, HttpServer
+from railtide.http.sockets import listen
+from railtide.standins.keyed_store import MemoryStore
+from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer
+
+WAIT_S = 30
+HOST = f"127.{64 + os.getpid() // 256 % 64}.{os.getpid() % 256}.1"
+"""A loopback address of this test process alone, so that a free port stays free."""
+STATE = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h.example",
+            "path_prefix": "/s/",
+            "kind": "streaming",
+            "timeout_ms": 20_000,
+            "goal_ms": 500,
+            "service": "s",
+        }
+    ],
+    "services": [{"name": "s"}],
+    "tenants": [{"name": "t", "api_keys": ["k"], "prepaid": 10_000}],
+}
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the system gave and that are free again."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind((HOST, 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+@dataclass
+class Edge:
+    """A store, an engine, and how to start a router before them."""
+
+    store: MemoryStore
+    engine: PlatformEngine
+    settings: Path
+    calls_port: int
+    ready_port: int
+    metrics_port: int
+    nursery: trio.Nursery
+
+    async def start(self) -> trio.Process:
+        """Start a router and return its process once it is ready."""
+        env = os.environ | {
+            "RAILTIDE_BOOT": str(self.settings),
+            "RAILTIDE_EDGE_METRICS_PORT": str(self.metrics_port),
+        }
+        program = [sys.executable, "-m", "railtide.platform.program"]
+        started = await trio.lowlevel.open_process(program, env=env, stdout=DEVNULL)
+        with trio.fail_after(WAIT_S):
+            while not await self._is_ready():
+                await trio.sleep(0.05)
+        return started
+
+    async def _is_ready(self) -> bool:
+        request = HttpRequest(b"GET", b"/ready", ((b"host", b"x"),))
+        try:
+            exchange = await PeerPool(HOST, self.ready_port).send(request)
+        except HttpError:
+            return False
+        exchange.abandon()
+        return exchange.status == 200
+
+    async def ask(self, number: int) -> Exchange:
+        headers = (
+            (b"host", b"h.example"),
+            (b"x-attempt-id", b"r%d" % number),
+            (b"x-credential", b"k"),
+            (b"x-token-count", b"50,50"),
+        )
+        pool = PeerPool(HOST, self.calls_port)
+        return await pool.send(HttpRequest(b"POST", b"/s/x", headers, b"body"))
+
+    def committed(self) -> int:
+        """Return the units of the account that are spent or in a hand."""
+        newest = self.store.topic(LedgerOptions.topic).newest_by_key
+        return committed(ledger_from_bytes(newest["t"].value))
+
+
+async def serve(nursery: trio.Nursery, handler: Handler) -> int:
+    listener = await listen("127.0.0.1", 0)
+    nursery.start_soon(HttpServer(handler, ConnectionLimits()).serve, listener)
+    return listener.socket.getsockname()[1]
+
+
+@asynccontextmanager
+async def edge(folder: Path) -> AsyncIterator[Edge]:
+    store = MemoryStore()
+    engine = PlatformEngine("e1", EngineScript(events=20, gap_s=0.05))
+    store.put("keyed.op", "config", msgspec.json.encode(STATE))
+    calls, ready, lookup, metrics = free_ports(4)
+    async with trio.open_nursery() as nursery:
+        store_port = await serve(nursery, StoreServer(store).handle)
+        engine_port = await serve(nursery, engine.handle)
+        record = {"service": "s", "address": f"127.0.0.1:{engine_port}", "slots": 8}
+        store.put("keyed.servers", "e1", msgspec.json.encode(record))
+        settings = folder / "local.yaml"
+        settings.write_text(f"""
+node_name: edge-1
+ip: {HOST}
+zone: z
+listen:
+  front: "{HOST}:{calls}"
+  ready: "{HOST}:{ready}"
+  directory: "{HOST}:{lookup}"
+platform: {{address: "127.0.0.1:{store_port}", parts: 1}}
+""")
+        yield Edge(store, engine, settings, calls, ready, metrics, nursery)
+        nursery.cancel_scope.cancel()
+
+
+async def body_of(exchange: Exchange) -> bytes:
+    with trio.fail_after(WAIT_S):
+        return b"".join([chunk async for chunk in exchange.chunks()])
+
+
+class TestEdgeProcess:
+    async def test_graceful_shutdown_cuts_nothing_and_gives_budget_back(
+        self, tmp_path: Path
+    ) -> None:
+        async with edge(tmp_path) as made:
+            process = await made.start()
+            exchange = await made.ask(1)
+            process.send_signal(signal.SIGTERM)
+            assert (await body_of(exchange)).count(b"data:") == 20
+            with trio.fail_after(WAIT_S):
+                assert await process.wait() == 0
+            assert made.committed() == 50 + 20
+
+    async def test_kill_and_restart_overspend_nothing(self, tmp_path: Path) -> None:
+        async with edge(tmp_path) as made:
+            process = await made.start()
+            assert (await body_of(await made.ask(1))).count(b"data:") == 20
+            process.kill()
+            await process.wait()
+            before = made.committed()
+            again = await made.start()
+            assert (await body_of(await made.ask(2))).count(b"data:") == 20
+            assert made.committed() >= before + 70
+            again.kill()
+            await again.wait()
+
+    async def test_wrong_settings_are_named_and_end_the_process(self, tmp_path: Path) -> None:
+        wrong = tmp_path / "local.yaml"
+        wrong.write_text("node_name: edge-1\n")
+        program = [sys.executable, "-m", "railtide.platform.program"]
+        env = os.environ | {"RAILTIDE_BOOT": str(wrong)}
+        done = await trio.run_process(program, env=env, check=False, capture_stderr=True)
+        assert done.returncode == 2
+        assert b"invalid-setting" in done.stderr and b"ip" in done.stderr
