--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -9,10 +9,10 @@
 from railtide.requests.call import AnswerSink, Call, Usage, cost_of
 from railtide.requests.events import EventStream
 from railtide.requests.messages import Answer
-from railtide.requests.relay import Relay, Relayed, closing
+from railtide.requests.relay import Relay, Relayed, closing, read_answer
 from railtide.requests.services import Services
 from railtide.upstreams.client import UpstreamAnswer, UpstreamCall
-from railtide.upstreams.errors import UpstreamFailed, UpstreamLost, UpstreamRefused
+from railtide.upstreams.errors import UpstreamFailed, UpstreamRefused
 
 __all__ = ["PassThroughRelay", "pass_through_relay"]
 
@@ -72,13 +72,7 @@
             return await self._read_whole(answer)
 
     async def _read_whole(self, answer: UpstreamAnswer) -> Relayed:
-        body = bytearray()
-        async with aclosing(answer.chunks()) as chunks:
-            async for data in chunks:
-                body += data
-                if len(body) > self._services.options.most_answer_bytes:
-                    raise UpstreamLost("the answer is larger than this router takes")
-        kept = Answer(answer.status, answer.content_type, bytes(body))
+        kept = await read_answer(answer, self._services.options.most_answer_bytes)
         whole = Relayed(self.delivered_cost(), kept, kept.body, answer.headers)
         if answer.status >= SERVER_ERROR:
             raise UpstreamFailed(whole)
--- a/railtide/requests/relay.py
+++ b/railtide/requests/relay.py
@@ -15,7 +15,7 @@
 from railtide.upstreams.client import UpstreamAnswer, UpstreamCall
 from railtide.upstreams.errors import AnswerMismatch, UpstreamError, UpstreamLost
 
-__all__ = ["EngineRelay", "Relay", "Relayed", "closing", "engine_relay"]
+__all__ = ["EngineRelay", "Relay", "Relayed", "closing", "engine_relay", "read_answer"]
 
 OK_STATUS = 200
 RESUME_PAUSE_S = 0.1
@@ -106,13 +106,7 @@
     # -- whole answers ------------------------------------------------------------------------
 
     async def _read_whole(self, answer: UpstreamAnswer) -> Relayed:
-        body = bytearray()
-        async with aclosing(answer.chunks()) as chunks:
-            async for data in chunks:
-                body += data
-                if len(body) > self._services.options.most_answer_bytes:
-                    raise UpstreamLost("the answer is larger than this router takes")
-        kept = Answer(answer.status, answer.content_type, bytes(body))
+        kept = await read_answer(answer, self._services.options.most_answer_bytes)
         return Relayed(self._cost_of_whole(kept), kept, kept.body)
 
     def _cost_of_whole(self, answer: Answer) -> int:
@@ -183,6 +177,23 @@
         return Relayed(cost, kept, END_MARK)
 
 
+async def read_answer(answer: UpstreamAnswer, most_bytes: int) -> Answer:
+    """Return a whole answer.
+
+    Raises
+    ------
+    UpstreamLost
+        It broke off, or is larger than `most_bytes`.
+    """
+    body = bytearray()
+    async with aclosing(answer.chunks()) as chunks:
+        async for data in chunks:
+            body += data
+            if len(body) > most_bytes:
+                raise UpstreamLost("the answer is larger than this router takes")
+    return Answer(answer.status, answer.content_type, bytes(body))
+
+
 @asynccontextmanager
 async def closing(answer: UpstreamAnswer) -> AsyncIterator[None]:
     """Close an answer at the end of the block, also when it is cancelled."""
