A bad settings file at a reload is logged and left alone

Cause: SIGHUP with an unreadable file ended the process (found by reading; the test fails on the code before).

--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -23,7 +23,7 @@
 from railtide.platform.store import PlatformStore
 from railtide.platform.upstreams import PlatformUpstreams
 from railtide.process import new_incarnation, new_rng, relax_gc
-from railtide.settings import checked, endpoint, run_program
+from railtide.settings import InvalidSetting, checked, endpoint, run_program
 from railtide.telemetry.counters import Counters
 from railtide.telemetry.lines import set_up_lines
 from railtide.telemetry.meters import set_up_meters
@@ -201,7 +201,10 @@
     """Say at each SIGHUP that the settings were read; all that is used is fixed at the start."""
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
         async for _ in signals:
-            logger.bind(instance=read_boot().instance).info("settings-read")
+            try:
+                logger.bind(instance=read_boot().instance).info("settings-read")
+            except InvalidSetting as err:
+                logger.bind(error=err.detail).error("settings-invalid")
 
 
 def main() -> None:
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -168,6 +168,16 @@
             again.kill()
             await again.wait()
 
+    async def test_settings_that_turn_bad_are_left_alone_at_a_reload(self, tmp_path: Path) -> None:
+        async with edge(tmp_path) as made:
+            process = await made.start()
+            made.settings.write_text("node_name: edge-1\n")
+            process.send_signal(signal.SIGHUP)
+            assert (await body_of(await made.ask(1))).count(b"data:") == 20
+            assert process.poll() is None
+            process.kill()
+            await process.wait()
+
     async def test_wrong_settings_are_named_and_end_the_process(self, tmp_path: Path) -> None:
         wrong = tmp_path / "local.yaml"
         wrong.write_text("node_name: edge-1\n")
