--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -119,12 +119,6 @@
         """Keep a connection for the next request."""
         self._idle.append(kept)
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        for kept in self._idle:
-            kept.stream.socket.close()
-        self._idle.clear()
-
 
 class Exchange:
     """One request and its answer on a connection.
--- a/railtide/http/errors.py
+++ b/railtide/http/errors.py
@@ -2,7 +2,7 @@
 
 from railtide.errors import RailtideError, Run
 
-__all__ = ["CallerGone", "ConnectFailed", "ConnectionLost", "HttpError", "InvalidHead"]
+__all__ = ["CallerGone", "ConnectFailed", "ConnectionLost", "HttpError"]
 
 
 class HttpError(RailtideError):
@@ -29,11 +29,3 @@
     """The caller closed its connection before its answer was whole."""
 
     code = "caller-gone"
-
-
-class InvalidHead(HttpError):
-    """The peer sent bytes that are not HTTP/1.1."""
-
-    code = "invalid-http"
-    status = 400
-    run = Run.NOT_RUN
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -101,8 +101,6 @@
     ----------
     closing : bool
         When set, each answer asks its caller to leave the connection.
-    open_requests : int
-        Requests that were read and are not answered yet.
     idle_scopes : set of trio.CancelScope
         The waits of connections for their next request; cancelling one closes its connection.
     """
@@ -111,7 +109,6 @@
         self.handler = handler
         self.limits = limits
         self.closing = False
-        self.open_requests = 0
         self.idle_scopes: set[trio.CancelScope] = set()
 
     async def serve(self, listener: trio.SocketListener) -> None:
@@ -226,7 +223,6 @@
 
     async def _answer(self, request: HttpRequest) -> None:
         responder = _H11Responder(self)
-        self.server.open_requests += 1
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch_caller, nursery.cancel_scope)
@@ -234,8 +230,6 @@
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, CallerGone):
             pass  # the answer is not finished, so the connection is closed
-        finally:
-            self.server.open_requests -= 1
 
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller closes its side; keep what it sends ahead."""
--- a/railtide/platform/boot.py
+++ b/railtide/platform/boot.py
@@ -36,7 +36,6 @@
     node_name: str
     ip: str
     zone: str
-    region: str = ""
     listen: _Listen
     bounds: _Bounds = _Bounds()
     platform: _Platform
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -119,11 +119,6 @@
         """Raise: loads come with the answers."""
         raise UpstreamLost("loads come with the answers")
 
-    def keep_only(self, listed: set[str]) -> None:
-        """Close the kept connections of engines that are gone."""
-        for name in self._pool_by_name.keys() - listed:
-            self._pool_by_name.pop(name).close()
-
     def _pool(self, upstream: Instance) -> PeerPool:
         pool = self._pool_by_name.get(upstream.name)
         if pool is None:
