Callers are sent to few routers, and only these keep budgets in hand

Cause: callers were told of every live router, so each of 7 to 73 routers needed a part of every budget, and what lay in one hand was refused through another. At 73 routers nearly all of a budget lay in wrong hands, and the ledgers' compare-and-swaps fought one another.

Change: the roster's records carry capacity and load; all routers choose alike the fewest that carry the load, the largest of each failure domain in turn. The others beat every 3 s, read the upstreams once a second and the ledgers every 10 s, and keep nothing ahead of need. A refusal that says "spent" rests on a ledger read in the last 2 s.

--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -40,7 +40,7 @@
     instance, incarnation : str
         Of this process.
     routers : callable
-        Returns how many routers share the budgets.
+        Returns how many routers keep budgets in hand, 0 if this one is not to.
     spreading : bool
         Whether `routers` is to be relied on, so that hands are kept ahead of need.
     leaving : bool
@@ -99,6 +99,7 @@
         self._traffic = Traffic()
         self._needs: list[int] = []
         self._ledger = Ledger()
+        self._ledger_at = -math.inf
         self._written = Holding(holder.incarnation)
         self._refill_refused_at = -math.inf
         self._ask = ask
@@ -121,7 +122,7 @@
         try:
             with trio.move_on_at(until):
                 while not reserve(self.hand, amount):
-                    if self.is_spent(amount):
+                    if self._is_fresh() and self.is_spent(amount):
                         return False
                     self._ask()
                     await self._changed.wait()
@@ -137,6 +138,10 @@
         own_unreported = self.hand.spent - self._written.spent
         return self._left() - own_unreported < amount
 
+    def _is_fresh(self) -> bool:
+        """Return whether the ledger was read lately, so that a refusal may rest on it."""
+        return trio.current_time() - self._ledger_at <= 2 * self._options.read_s
+
     def set_prepaid(self, prepaid: int) -> None:
         """Take the budget in force; a lower one takes back what lies idle in the hand."""
         if self.prepaid is not None and prepaid < self.prepaid:
@@ -172,6 +177,7 @@
     def take_ledger(self, ledger: Ledger) -> None:
         """Take the ledger as it was read now."""
         self._ledger = ledger
+        self._ledger_at = trio.current_time()
         self.loaded = True
 
     @property
--- a/railtide/budgets/hand_size.py
+++ b/railtide/budgets/hand_size.py
@@ -40,6 +40,8 @@
         Share of its target that a hand reports once it was spent.
     read_s : float
         Longest time between two looks at the ledgers, for what others need.
+    idle_read_s : float
+        The same of a router that keeps nothing in hand.
     rate_window_s : float
         Over which the traffic of an account is averaged.
     tend_s : float
@@ -65,6 +67,7 @@
     least_requests: float = 1.0
     report_share: float = 0.3
     read_s: float = 1.0
+    idle_read_s: float = 10.0
     rate_window_s: float = 8.0
     tend_s: float = 0.5
     retry_s: float = 0.03
@@ -115,6 +118,8 @@
 ) -> int:
     """Return the units that should be in hand, with `left` of the budget unspent.
 
+    `routers` share the budgets; with none, this router is not among them and keeps nothing.
+
     Examples
     --------
     >>> options = LedgerOptions(spread_share=0.2)
@@ -122,7 +127,11 @@
     100
     >>> target_units(Traffic(typical=200.0), left=1000, routers=2, now=0.0, options=options)
     0
+    >>> target_units(Traffic(rate=10.0), left=1000, routers=0, now=0.0, options=options)
+    0
     """
+    if not routers:
+        return 0
     spread = left * options.spread_share / routers
     by_rate = rate_at(traffic, now, options.rate_window_s) * options.horizon_s
     target = min(max(by_rate, spread), left * options.most_share / 2)
--- a/railtide/budgets/ledger_partition.py
+++ b/railtide/budgets/ledger_partition.py
@@ -113,7 +113,9 @@
         return any(hand.is_waited_for for hand in self.hand_by_account.values())
 
     async def _tend(self) -> None:
-        stale = trio.current_time() - self._read_at > self._options.read_s
+        idle = not self._holder.routers()
+        read_s = self._options.idle_read_s if idle else self._options.read_s
+        stale = trio.current_time() - self._read_at > read_s
         hands = self.hand_by_account.values()
         if not (self._unsure or stale or any(hand.is_due() for hand in hands)):
             return
--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -60,7 +60,7 @@
     instance, incarnation : str
         Of this process.
     routers : callable
-        Returns how many routers share the budgets.
+        Returns how many routers keep budgets in hand, 0 if this one is not to.
     options : LedgerOptions
     store_reached : callable, optional
         Returns whether other calls to the store are answered now; an account without traffic
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -11,6 +11,7 @@
 from railtide.configuration.errors import InvalidObject
 from railtide.configuration.snapshot import Snapshot
 from railtide.edge.options import EdgeOptions
+from railtide.edge.request_rate import RequestRate
 from railtide.edge.sources import Sources
 from railtide.journal.feed import Feed, FeedOptions
 from railtide.journal.keyed import KeyedRecord, KeyedStore
@@ -80,13 +81,18 @@
         self._rng = rng
         self._nursery: trio.Nursery | None = None
         self._retries_by_pool: dict[str, RetryBudget] = {}
-        member = Member(identity.incarnation, identity.address, identity.failure_domain, 0)
-        self.roster = Roster(store, identity.instance, member, options.roster, rng)
+        member = Member(
+            identity.incarnation, identity.address, identity.failure_domain, 0, options.capacity
+        )
+        self._load = RequestRate()
+        self.roster = Roster(
+            store, identity.instance, member, options.roster, rng, self._load.per_second
+        )
         self.treasury = LedgerTreasury(
             store,
             identity.instance,
             identity.incarnation,
-            self._routers,
+            self._sharing_routers,
             options.ledger,
             lambda: self._upstream_feed.reachable,
         )
@@ -105,6 +111,7 @@
             rng,
             self._take_upstreams,
             self._upstream_list.keep_only,
+            self._upstream_pause_s,
         )
         services = Services(
             upstreams,
@@ -175,6 +182,7 @@
 
     async def serve(self, call: Call, sink: AnswerSink) -> None:
         """Answer a call; see `Dispatcher.serve`."""
+        self._load.note()
         self.open_calls += 1
         try:
             await self._dispatcher.serve(call, sink)
@@ -183,9 +191,10 @@
 
     def addresses(self, failure_domain: str) -> list[Entrance]:
         """Return the routers that a caller may use, those of its failure domain first."""
-        live = self.roster.live()
-        live.sort(key=lambda entrance: entrance.failure_domain != failure_domain)
-        return live[: self.options.most_addresses]
+        named = list(self.roster.named())
+        self._rng.shuffle(named)
+        named.sort(key=lambda entrance: entrance.failure_domain != failure_domain)
+        return named[: self.options.most_addresses]
 
     def take_load(self, upstream: Instance, report: LoadReport) -> None:
         """Take what an upstream said of its load with an answer."""
@@ -243,15 +252,25 @@
 
     # -- what the parts ask -------------------------------------------------------------------
 
-    def _routers(self) -> int:
-        return max(1, len(self.roster.live()))
+    def _sharing_routers(self) -> int:
+        """Return how many routers keep budgets in hand, 0 if this one is not to."""
+        return len(self.roster.named()) if self.roster.is_named() else 0
+
+    def _upstream_pause_s(self) -> float:
+        named = self.roster.is_named()
+        return self.options.upstream_pause_s if named else self.options.idle_upstream_pause_s
 
     def _retries_of(self, pool: str) -> RetryBudget:
+        """Return a pool's retry budget, with this router's part of what all may save up.
+
+        Those that are named share it, and those that are not share as much again.
+        """
+        saved = self.options.retry_slack / (self._sharing_routers() or len(self.roster.live()) or 1)
         budget = self._retries_by_pool.get(pool)
         if budget is None:
-            saved = self.options.retry_slack / self._routers()
             budget = RetryBudget(self.options.retry_share, saved, saved)
             self._retries_by_pool[pool] = budget
+        budget.most = saved
         return budget
 
     def _start_soon(self, work: Callable[[], Awaitable[None]]) -> None:
--- a/railtide/edge/options.py
+++ b/railtide/edge/options.py
@@ -22,6 +22,11 @@
     upstream_pause_s : float
         Least time between two reads of the upstreams' records. Their heartbeats come several
         times a second; a leaving upstream may be sent work for seconds.
+    idle_upstream_pause_s : float
+        The same of a router that callers are not sent to. Half of the shortest time in which the
+        users allow work for a leaving upstream.
+    capacity : float
+        Requests a second that the instance can carry.
     settle_s : float
         Time between two looks at upstreams that are about to be dropped.
     retry_share : float
@@ -43,6 +48,8 @@
     roster: RosterOptions = field(default_factory=RosterOptions)
     configuration_wait_s: float = 2.0
     upstream_pause_s: float = 0.3
+    idle_upstream_pause_s: float = 1.0
+    capacity: float = 200.0
     settle_s: float = 0.1
     retry_share: float = 0.1
     retry_slack: float = 27.0
--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -48,6 +48,8 @@
         Told of new records, in order; after a gap in the history, of the newest of each key.
     on_newest : callable, optional
         Told of all keys that exist, each time the newest records were read.
+    pause_s_of : callable, optional
+        Returns the least time between two reads now, in place of the option.
 
     Attributes
     ----------
@@ -67,6 +69,7 @@
         rng: Random,
         on_records: Callable[[list[KeyedRecord]], None],
         on_newest: Callable[[set[str]], None] | None = None,
+        pause_s_of: Callable[[], float] | None = None,
     ) -> None:
         self.reachable = False
         self.caught_up = False
@@ -78,6 +81,7 @@
         self._options = options
         self._on_records = on_records
         self._on_newest = on_newest
+        self._pause_s_of = pause_s_of or (lambda: options.pause_s)
         self._backoff = Backoff(BACKOFF_S, BACKOFF_MOST_S, rng)
 
     async def run(self) -> None:
@@ -113,7 +117,7 @@
             if page.records:
                 self._on_records(page.records)
                 self.next_offset = page.records[-1].offset + 1
-            await trio.sleep(self._options.pause_s)
+            await trio.sleep(self._pause_s_of())
 
     def _note_reachable(self) -> None:
         self._backoff.reset()
--- /dev/null
+++ b/railtide/membership/entrance_set.py
@@ -0,0 +1,95 @@
+"""Which routers of the fleet callers are sent to: as few as carry the load. Pure.
+
+Every router that callers use needs a part of each budget in its hand, so that it can serve while
+the store is away. What lies in one hand can't be spent through another. A few routers, chosen alike
+by all from the same records, leave less of each budget unused in the wrong hands, and the others
+need to ask the store for little.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from itertools import zip_longest
+
+import xxhash
+
+from railtide.membership.addresses import Entrance
+
+__all__ = ["Candidate", "EntranceSetOptions", "chosen_entrances"]
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A router that could be named to callers.
+
+    Attributes
+    ----------
+    entrance : Entrance
+    capacity : float
+        Requests a second that its instance can carry.
+    load : float
+        Requests a second that it was asked lately.
+    """
+
+    entrance: Entrance
+    capacity: float
+    load: float
+
+
+@dataclass(frozen=True)
+class EntranceSetOptions:
+    """How many routers are named.
+
+    Attributes
+    ----------
+    least : int
+        Fewest, while that many live: one in each of three failure domains, so that the loss of
+        one leaves two.
+    use : float
+        Part of the capacity of those named that the load may take. Low, since a burst doubles the
+        load and a third of them may be lost before others are named.
+    """
+
+    least: int = 3
+    use: float = 0.25
+
+
+def chosen_entrances(
+    candidates: Sequence[Candidate], options: EntranceSetOptions
+) -> list[Entrance]:
+    """Return the entrances to name: the largest of each failure domain in turn.
+
+    Notes
+    -----
+    Routers that see the same candidates choose the same ones, and a candidate that comes or goes
+    moves only its own place. Equal ones are in the order of a hash, so that each account of a
+    larger fleet does not lean on the names that sort first.
+
+    Examples
+    --------
+    >>> made = [Candidate(Entrance(n, n, n[0]), 10.0, 1.0) for n in ("a1", "a2", "b1", "b2")]
+    >>> chosen = chosen_entrances(made, EntranceSetOptions(least=2, use=0.5))
+    >>> len(chosen), {entrance.failure_domain for entrance in chosen} == {"a", "b"}
+    (2, True)
+    """
+    needed = sum(candidate.load for candidate in candidates) / options.use
+    chosen: list[Entrance] = []
+    capacity = 0.0
+    for candidate in _by_domain_in_turn(candidates):
+        if len(chosen) >= options.least and capacity >= needed:
+            break
+        chosen.append(candidate.entrance)
+        capacity += candidate.capacity
+    return chosen
+
+
+def _by_domain_in_turn(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the candidates, the best of each failure domain first, then the second ones."""
+    ordered_by_domain: dict[str, list[Candidate]] = {}
+    for candidate in sorted(candidates, key=_order):
+        ordered_by_domain.setdefault(candidate.entrance.failure_domain, []).append(candidate)
+    rounds = zip_longest(*ordered_by_domain.values())
+    return [candidate for each in rounds for candidate in each if candidate is not None]
+
+
+def _order(candidate: Candidate) -> tuple[float, int]:
+    return (-candidate.capacity, xxhash.xxh3_64_intdigest(candidate.entrance.name.encode()))
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -5,8 +5,9 @@
 is heard: a store that is away makes nobody dead.
 """
 
+import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 import msgspec
@@ -17,9 +18,14 @@
 from railtide.journal.feed import Feed, FeedOptions
 from railtide.journal.keyed import KeyedRecord, KeyedStore
 from railtide.membership.addresses import Entrance
+from railtide.membership.entrance_set import Candidate, EntranceSetOptions, chosen_entrances
 
 __all__ = ["Member", "Roster", "RosterOptions"]
 
+NAMED_AGE_S = 0.2
+"""How long a choice of routers is kept: each caller's question would else weigh them all anew, and
+records come once a second."""
+
 
 @dataclass(frozen=True)
 class RosterOptions:
@@ -32,24 +38,42 @@
         Time between two records of a router.
     dead_after_s : float
         A router whose record has not moved for so long is not named to callers. Three beats and
-        a slow answer of the store.
+        a slow answer of the store. For one that beats more slowly, as many of its own beats.
+    idle_beat_s : float
+        The same of a router that callers are not sent to. Its loss is noticed later, and costs
+        nobody an answer.
     read_pause_s : float
         Least time between two reads of the topic.
+    entrances : EntranceSetOptions
+        How many routers are named to callers.
     """
 
     topic: str = "keyed.railtide-roster"
     beat_s: float = 1.0
     dead_after_s: float = 3.5
+    idle_beat_s: float = 3.0
     read_pause_s: float = 1.0
+    entrances: EntranceSetOptions = field(default_factory=EntranceSetOptions)
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """A router's record; an empty address says that it is leaving."""
+    """A router's record; an empty address says that it is leaving.
+
+    Attributes
+    ----------
+    capacity, load : float
+        Requests a second that it can carry, and that it was asked lately.
+    beat_s : float
+        How long after this record its next one is due at the latest.
+    """
 
     incarnation: str
     address: str
     failure_domain: str
     beat: int
+    capacity: float = 1.0
+    load: float = 0.0
+    beat_s: float = 1.0
 
 
 @dataclass
@@ -70,6 +94,8 @@
         Its first record.
     options : RosterOptions
     rng : random.Random
+    load_of : callable, optional
+        Returns the requests a second that this router was asked lately.
     """
 
     def __init__(
@@ -79,6 +105,7 @@
         member: Member,
         options: RosterOptions,
         rng: Random,
+        load_of: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._instance = instance
@@ -87,6 +114,10 @@
         self._heard_by_instance: dict[str, _Heard] = {}
         feed_options = FeedOptions(wait_s=options.beat_s, pause_s=options.read_pause_s)
         self._feed = Feed(store, options.topic, feed_options, rng, self._take)
+        self._load_of = load_of
+        self._beat_at = -math.inf
+        self._named: list[Entrance] = []
+        self._named_at = -math.inf
         self._announcing = True
         self._writing = trio.Lock()
 
@@ -98,18 +129,31 @@
 
     async def _run_beats(self, is_ready: Callable[[], bool]) -> None:
         while True:
-            if is_ready():
+            if is_ready() and self._is_beat_due():
                 await self._beat()
             await trio.sleep(self._options.beat_s)
 
+    def _is_beat_due(self) -> bool:
+        since = trio.current_time() - self._beat_at
+        return since > self._interval_s() - self._options.beat_s / 2
+
+    def _interval_s(self) -> float:
+        return self._options.beat_s if self.is_named() else self._options.idle_beat_s
+
     async def _beat(self) -> None:
         async with self._writing:
             if self._announcing:
                 await self._write()
 
     async def _write(self) -> None:
-        member = msgspec.structs.replace(self._member, beat=self._member.beat + 1)
+        member = msgspec.structs.replace(
+            self._member,
+            beat=self._member.beat + 1,
+            load=round(self._load_of(), 1),
+            beat_s=self._interval_s(),
+        )
         self._member = member
+        self._beat_at = trio.current_time()
         value = msgspec.msgpack.encode(member)
         try:
             await self._store.append(self._options.topic, {self._instance: value})
@@ -150,14 +194,40 @@
         return self._feed.caught_up
 
     def live(self) -> list[Entrance]:
-        """Return the routers that callers may be sent to."""
+        """Return the routers that serve, whether callers are sent to them or not."""
+        return [candidate.entrance for candidate in self._candidates()]
+
+    def named(self) -> list[Entrance]:
+        """Return the routers that callers are sent to, as of a moment ago."""
+        now = trio.current_time()
+        if now - self._named_at > NAMED_AGE_S:
+            named = chosen_entrances(self._candidates(), self._options.entrances)
+            if named != self._named:
+                logger.bind(routers=[entrance.name for entrance in named]).info("routers-named")
+            self._named = named
+            self._named_at = now
+        return self._named
+
+    def is_named(self) -> bool:
+        """Return whether callers are sent to this router."""
+        return any(entrance.name == self._instance for entrance in self.named())
+
+    def _candidates(self) -> list[Candidate]:
         silent_since = self._silence_began()
         return [
-            Entrance(instance, heard.member.address, heard.member.failure_domain)
+            Candidate(
+                Entrance(instance, heard.member.address, heard.member.failure_domain),
+                heard.member.capacity,
+                heard.member.load,
+            )
             for instance, heard in self._heard_by_instance.items()
-            if heard.member.address and silent_since - heard.at <= self._options.dead_after_s
+            if heard.member.address and silent_since - heard.at <= self._patience_s(heard.member)
         ]
 
+    def _patience_s(self, member: Member) -> float:
+        """Return how long a member may be silent: some of its own beats."""
+        return self._options.dead_after_s * max(1.0, member.beat_s / self._options.beat_s)
+
     def _silence_began(self) -> float:
         """Return now, or the time at which the store was lost: silence counts up to there."""
         if self._feed.reachable:
--- a/railtide/platform/boot.py
+++ b/railtide/platform/boot.py
@@ -27,6 +27,14 @@
     ttl_max_s: float = 5.0
 
 
+class _MachineLimits(BaseModel):
+    """`cpu_share` is a part of a core, which is `cores` times as fast as a common one."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 class _Platform(BaseModel):
     address: str
     parts: int = 1
@@ -38,6 +46,7 @@
     zone: str
     listen: _Listen
     bounds: _Bounds = _Bounds()
+    limits: _MachineLimits = _MachineLimits()
     platform: _Platform
 
 
@@ -60,6 +69,10 @@
         Retries allowed for each request of a pool, and beyond that, for all routers together.
     grace_s : float
         From SIGTERM to SIGKILL.
+    processor : float
+        Speed of the instance's processor, in common cores.
+    link_mbps : float
+        Bandwidth of its link, megabits a second.
     """
 
     instance: str
@@ -73,6 +86,8 @@
     retry_ratio: float
     retry_slack: float
     grace_s: float
+    processor: float
+    link_mbps: float
 
 
 def read_boot(path: str | None = None) -> Boot:
@@ -104,4 +119,6 @@
         retry_ratio=file.bounds.retry_ratio,
         retry_slack=file.bounds.retry_slack,
         grace_s=file.bounds.grace_s,
+        processor=file.limits.cpu_share * file.limits.cores,
+        link_mbps=file.limits.link_mbps,
     )
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -45,6 +45,11 @@
 LEDGER_PARTITIONS = 3
 """Partitions of the ledgers. Must never change: an account's ledger would be in two places. Three
 halve the conflicts of 89 routers and cost 8 routers two more reads a second."""
+PROCESSOR_S_OF_A_REQUEST = 0.005
+"""Processor time for each request, on a common core: 20 s for 2,700 requests on a day of 7 routers,
+a third of it their starts (docs/MEASUREMENTS.md)."""
+MEGABITS_OF_A_REQUEST = 0.15
+"""Sent or received for each request: a body of up to 18 KB each way on the users' sheets."""
 ANSWER_LAST_S = 0.2
 """Left at the end of a shutdown for the last lines and closing connections."""
 
@@ -131,9 +136,17 @@
         leave_s=max(0.0, boot.grace_s - LEAVE_MARGIN_S),
         retry_share=boot.retry_ratio * RETRY_PART,
         retry_slack=boot.retry_slack * RETRY_PART,
+        capacity=_capacity(boot),
     )
 
 
+def _capacity(boot: Boot) -> float:
+    """Return the requests a second that an instance carries, by its processor and its link."""
+    by_processor = boot.processor / PROCESSOR_S_OF_A_REQUEST
+    by_link = boot.link_mbps / MEGABITS_OF_A_REQUEST
+    return min(by_processor, by_link)
+
+
 async def _leave(node: EdgeNode, ingress: Ingress, calls: HttpServer) -> None:
     """Shut down: answer what comes until callers have left, then refuse, then close."""
     calls.closing = True
--- a/railtide/requests/retry.py
+++ b/railtide/requests/retry.py
@@ -17,6 +17,11 @@
     most : float
         Most retries that can be saved up.
 
+    Attributes
+    ----------
+    most : float
+        May be changed; what is saved up beyond it goes with the next request.
+
     Examples
     --------
     >>> budget = RetryBudget(share=0.5, most=1.0, saved=0.0)
@@ -28,13 +33,13 @@
     def __init__(
         self, share: float = SHARE, most: float = MOST_SAVED, saved: float = FIRST_SAVED
     ) -> None:
+        self.most = most
         self._share = share
-        self._most = most
         self._saved = saved
 
     def earn(self) -> None:
         """Count a request."""
-        self._saved = min(self._most, self._saved + self._share)
+        self._saved = min(self.most, self._saved + self._share)
 
     def try_spend(self) -> bool:
         """Take one retry if there is one."""
