Hands follow callers that keep using a router they are not sent to

Change: an unnamed router keeps hands for accounts whose traffic is steady; one router may hold all that may be in hands; a rate that began lately is made up for.

--- a/railtide/budgets/hand_size.py
+++ b/railtide/budgets/hand_size.py
@@ -9,6 +9,11 @@
 """Weight of the latest request in the usual size of requests."""
 
 
+LEAST_WEIGHT = 0.3
+"""Least part of the window from which a rate is told: about the first three of its eight seconds
+are taken as they are, so that one early request is no rate."""
+
+
 @dataclass(frozen=True)
 class LedgerOptions:
     """How the hands are kept, in seconds and shares.
@@ -33,6 +38,9 @@
         A hand below this share of its target is refilled.
     return_share : float
         A hand above this multiple of its target returns the rest.
+    steady_requests : float
+        Typical requests within the window of averaging from which on an account's callers are
+        taken to use a router that they are not sent to. Some keep an address for the whole day.
     least_requests : float
         Typical requests that a hand must cover to be worth keeping. Below it nothing is kept
         ahead of need, so that the end of a budget does not lie in hands too small to use.
@@ -64,6 +72,7 @@
     spread_share: float = 0.15
     refill_share: float = 0.75
     return_share: float = 1.4
+    steady_requests: float = 3.0
     least_requests: float = 1.0
     report_share: float = 0.3
     read_s: float = 1.0
@@ -84,6 +93,8 @@
     ----------
     rate : float
         Units a second as of `seen_at`, exponentially weighted.
+    began_at : float
+        When the first request came.
     typical : float
         Units of a usual request, averaged.
     """
@@ -91,11 +102,16 @@
     rate: float = 0.0
     seen_at: float = 0.0
     typical: float = 0.0
+    began_at: float = -math.inf
 
 
 def rate_at(traffic: Traffic, now: float, window_s: float) -> float:
-    """Return the rate, decayed to now, units a second."""
-    return traffic.rate * math.exp(-(now - traffic.seen_at) / window_s)
+    """Return the rate, decayed to now, units a second.
+
+    An average that began lately lacks what came before; that is made up for.
+    """
+    decayed = traffic.rate * math.exp(-(now - traffic.seen_at) / window_s)
+    return decayed / max(LEAST_WEIGHT, 1 - math.exp(-(now - traffic.began_at) / window_s))
 
 
 def note_request(traffic: Traffic, amount: int, now: float, window_s: float) -> None:
@@ -108,7 +124,11 @@
     >>> traffic.rate
     10.0
     """
-    traffic.rate = rate_at(traffic, now, window_s) + amount / window_s
+    if not traffic.typical:
+        traffic.began_at = now
+        traffic.typical = amount
+    traffic.rate *= math.exp(-(now - traffic.seen_at) / window_s)
+    traffic.rate += amount / window_s
     traffic.seen_at = now
     traffic.typical += (amount - traffic.typical) * TYPICAL_WEIGHT
 
@@ -118,7 +138,8 @@
 ) -> int:
     """Return the units that should be in hand, with `left` of the budget unspent.
 
-    `routers` share the budgets; with none, this router is not among them and keeps nothing.
+    The routers that callers are sent to share the part that is spread. With `routers` 0 this is
+    another one: it keeps something only for an account whose callers use it all the same.
 
     Examples
     --------
@@ -127,14 +148,17 @@
     100
     >>> target_units(Traffic(typical=200.0), left=1000, routers=2, now=0.0, options=options)
     0
-    >>> target_units(Traffic(rate=10.0), left=1000, routers=0, now=0.0, options=options)
+    >>> target_units(Traffic(10.0, typical=50.0), 1000, routers=0, now=0.0, options=options)
     0
+    >>> target_units(Traffic(10.0, typical=5.0), 1000, routers=0, now=0.0, options=options)
+    140
     """
-    if not routers:
+    by_rate = rate_at(traffic, now, options.rate_window_s)
+    is_steady = by_rate * options.rate_window_s >= options.steady_requests * traffic.typical
+    if not routers and not is_steady:
         return 0
-    spread = left * options.spread_share / routers
-    by_rate = rate_at(traffic, now, options.rate_window_s) * options.horizon_s
-    target = min(max(by_rate, spread), left * options.most_share / 2)
+    spread = left * options.spread_share / routers if routers else 0
+    target = min(max(by_rate * options.horizon_s, spread), left * options.most_share)
     return round(target) if target >= traffic.typical * options.least_requests else 0
 
 
