--- a/railtide/budgets/hand_size.py
+++ b/railtide/budgets/hand_size.py
@@ -70,9 +70,9 @@
 
     topic: str = "keyed.railtide-ledger"
     partitions: int = 1
-    horizon_s: float = 14.0
-    most_share: float = 0.35
-    spread_share: float = 0.15
+    horizon_s: float = 10.0
+    most_share: float = 0.4
+    spread_share: float = 0.08
     refill_share: float = 0.75
     return_share: float = 1.4
     steady_requests: float = 3.0
