Hands follow where callers are: 10 s of traffic, at most 0.4 of a budget, two routers at least

Cause: with 14 s of traffic in hands a kill of all wrote off up to half a budget; with three routers and more, an account's traffic at each is a few requests in ten seconds, so its hand is now too small and now too large.

--- a/railtide/budgets/hand_size.py
+++ b/railtide/budgets/hand_size.py
@@ -31,9 +31,8 @@
         Most of what is left of a budget that lies in the hands of all routers together ahead of
         need: what a kill of all of them writes off.
     spread_share : float
-        The part of what is left that is spread over all routers alike. Callers keep their
-        connections, so an account's traffic is at few routers; the others need enough for a
-        caller that comes anew.
+        The part of what is left that is spread alike over the routers that callers are sent to,
+        for a caller that comes anew.
     refill_share : float
         A hand below this share of its target is refilled.
     return_share : float
@@ -155,7 +154,7 @@
     >>> target_units(Traffic(10.0, typical=50.0), 1000, routers=0, now=0.0, options=options)
     0
     >>> target_units(Traffic(10.0, typical=5.0), 1000, routers=0, now=0.0, options=options)
-    140
+    100
     """
     by_rate = rate_at(traffic, now, options.rate_window_s)
     is_steady = by_rate * options.rate_window_s >= options.steady_requests * traffic.typical
--- a/railtide/membership/entrance_set.py
+++ b/railtide/membership/entrance_set.py
@@ -42,11 +42,12 @@
     Attributes
     ----------
     least : int
-        Fewest, while that many live: one in each of three failure domains, so that the loss of
-        one leaves two.
+        Fewest, while that many live: two in different failure domains, so that the loss of one
+        leaves one. A third splits each account's traffic into smaller parts, whose sums in the
+        next seconds are told less surely (docs/MEASUREMENTS.md).
     use : float
         Part of the capacity of those named that the load may take. Low, since a burst doubles the
-        load and a third of them may be lost before others are named.
+        load and half of them may be lost before others are named.
     """
 
     least: int = 2
