Idle connections to an engine that is gone are closed

Ruled out: closing calls under way; these end as they would have. The whole-path test times out on the old code.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -78,6 +78,7 @@
         self.schedulers_by_pool: dict[str, PoolScheduler] = {}
         self.on_snapshot: Callable[[Snapshot], None] = lambda snapshot: None
         self._sources = sources
+        self._upstreams = upstreams
         self._rng = rng
         self._nursery: trio.Nursery | None = None
         self._retries_by_pool: dict[str, RetryBudget] = {}
@@ -248,7 +249,11 @@
         if pool not in self.schedulers_by_pool:
             choice = PrefixAffinity(TwoChoices(self._rng))
             self.schedulers_by_pool[pool] = PoolScheduler(choice, urgent_share=0, trusts_list=True)
-        self.schedulers_by_pool[pool].set_upstreams(instances)
+        scheduler = self.schedulers_by_pool[pool]
+        before = set(scheduler.by_name)
+        scheduler.set_upstreams(instances)
+        for name in before - set(scheduler.by_name):
+            self._upstreams.forget(name)
 
     # -- what the parts ask -------------------------------------------------------------------
 
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -82,6 +82,7 @@
         self._host = host
         self._port = port
         self._idle: list[_Kept] = []
+        self._closed = False
 
     async def send(self, request: HttpRequest) -> "Exchange":
         """Send a request and return its exchange once the answer's head is there.
@@ -117,7 +118,16 @@
 
     def give_back(self, kept: _Kept) -> None:
         """Keep a connection for the next request."""
-        self._idle.append(kept)
+        if self._closed:
+            kept.stream.socket.close()
+        else:
+            self._idle.append(kept)
+
+    def close(self) -> None:
+        """Close the idle connections now, and each other one at the end of its exchange."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop().stream.socket.close()
 
 
 class Exchange:
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -76,6 +76,25 @@
             await body_of(await pool.send(GET))
             assert pool.opened == 2
 
+    async def test_closed_pool_keeps_no_connection(self) -> None:
+        ended = trio.Event()
+
+        async def script(stream: trio.SocketStream) -> None:
+            for _ in range(2):
+                await stream.receive_some()
+                await stream.send_all(WHOLE)
+            assert await stream.receive_some() == b""
+            ended.set()
+
+        async with peer(script) as pool:
+            first = await pool.send(GET)
+            assert await body_of(first) == b"ok"
+            under_way = await pool.send(GET)
+            pool.close()
+            assert await body_of(under_way) == b"ok"
+            with trio.fail_after(5):
+                await ended.wait()
+
     async def test_bytes_on_an_idle_connection_drop_it(self) -> None:
         async def late(stream: trio.SocketStream) -> None:
             await stream.receive_some()
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -58,11 +58,14 @@
     pool: PeerPool
     nursery: trio.Nursery
     engine_by_name: dict[str, PlatformEngine] = field(default_factory=dict)
+    server_by_engine: dict[str, HttpServer] = field(default_factory=dict)
     ids: int = 0
 
     async def add_engine(self, name: str, **script: object) -> PlatformEngine:
         engine = PlatformEngine(name, EngineScript(**script))
-        port = await serve(self.nursery, engine.handle)
+        server = HttpServer(engine.handle, ConnectionLimits())
+        self.server_by_engine[name] = server
+        port = await listen_for(self.nursery, server)
         record = {"service": "s", "address": f"127.0.0.1:{port}", "zone": "z", "slots": 8}
         self.store.put("keyed.servers", name, msgspec.json.encode(record))
         self.engine_by_name[name] = engine
@@ -94,8 +97,12 @@
 
 
 async def serve(nursery: trio.Nursery, handler: Handler) -> int:
+    return await listen_for(nursery, HttpServer(handler, ConnectionLimits()))
+
+
+async def listen_for(nursery: trio.Nursery, server: HttpServer) -> int:
     listener = await listen("127.0.0.1", 0)
-    nursery.start_soon(HttpServer(handler, ConnectionLimits()).serve, listener)
+    nursery.start_soon(server.serve, listener)
     return listener.socket.getsockname()[1]
 
 
@@ -166,6 +173,19 @@
             assert sum(len(engine.ran) for engine in engines) == 2
 
 
+class TestLeavingEngine:
+    async def test_idle_connections_to_an_engine_that_is_gone_are_closed(self) -> None:
+        async with world() as w:
+            await w.add_engine("e1")
+            assert await body_of(await w.ask("/safe/x")) == b"ok"
+            server = w.server_by_engine["e1"]
+            assert len(server.idle_scopes) == 1
+            w.store.put("keyed.servers", "e1", b"")
+            with trio.fail_after(5):
+                while server.idle_scopes:
+                    await trio.sleep(0.01)
+
+
 class TestRepeats:
     async def test_refused_request_goes_to_another_engine(self) -> None:
         async with world() as w:
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -107,6 +107,12 @@
             report = LoadReport(int(parts[0]), int(parts[1]), False, trio.current_time())
             self.on_load(upstream, report)
 
+    def forget(self, name: str) -> None:
+        """Close the idle connections to an engine; see `UpstreamClient.forget`."""
+        pool = self._pool_by_name.pop(name, None)
+        if pool:
+            pool.close()
+
     async def past_run(self, upstream: Instance, request_id: str) -> PastRun:
         """Raise: these engines keep no outcomes."""
         raise UpstreamLost("these upstreams keep no outcomes")
--- a/railtide/upstreams/client.py
+++ b/railtide/upstreams/client.py
@@ -112,6 +112,9 @@
             It may have run.
         """
 
+    def forget(self, name: str) -> None:  # noqa: B027 - a client that keeps nothing has no work
+        """Let go of what is kept for an upstream that is gone; calls under way are not touched."""
+
     @abstractmethod
     async def past_run(self, upstream: Instance, request_id: str) -> PastRun:
         """Return what became of a request; raises `UpstreamLost` without an answer."""
