An answer that is no stream counts at its greatest size; a fault soak of railtide-edge found it

Cause: only a stream's events tell what was delivered. The whole-path test fails on the old code. The users' sites name tokens on streams only.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
 	touch $@
 
-.PHONY: run test lint bench soak mutants
+.PHONY: run test lint bench soak edge-soak mutants
 run: $(VENV)/ready
 	$(BIN)/railtide-demo
 
@@ -24,5 +24,8 @@
 soak: $(VENV)/ready
 	PYTHONHASHSEED=0 $(BIN)/python -m tests.soak $(SOAK)
 
+edge-soak: $(VENV)/ready
+	$(BIN)/python -m tests.edge_soak.run $(SOAK)
+
 mutants: $(VENV)/ready
 	$(BIN)/python -m tests.mutants
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -275,6 +275,12 @@
             refused = await w.ask("/stream/x", *self.TOKENS)
             assert refused.status == 402
 
+    async def test_answer_that_is_no_stream_counts_at_its_greatest_size(self) -> None:
+        async with world(desired_state(prepaid=750)) as w:
+            await w.add_engine("e1")
+            assert (await w.ask("/safe/x", *self.TOKENS)).status == 200
+            assert (await w.ask("/safe/x", *self.TOKENS)).status == 402
+
     async def test_request_without_a_cost_needs_no_ledger(self) -> None:
         async with world() as w:
             await w.add_engine("e1")
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -72,8 +72,10 @@
             return await self._read_whole(answer)
 
     async def _read_whole(self, answer: UpstreamAnswer) -> Relayed:
+        """Return an answer that is no stream; nothing in it tells its tokens, so all count."""
         kept = await read_answer(answer, self._services.options.most_answer_bytes)
-        whole = Relayed(self.delivered_cost(), kept, kept.body, answer.headers)
+        cost = self._call.reserve if answer.status == OK_STATUS else self.delivered_cost()
+        whole = Relayed(cost, kept, kept.body, answer.headers)
         if answer.status >= SERVER_ERROR:
             raise UpstreamFailed(whole)
         return whole
