An upstream that reads long prompts counts as busier, until their answers begin

Cause: load was counted in requests, so three cold prompts of 9,000 tokens on one engine (0.24 s of reading each) weighed as much as three short ones; answers behind them came late.

--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -16,6 +16,8 @@
     Upstream,
     is_ejected,
     is_leaving,
+    keeps_prefix,
+    note_prefix,
 )
 
 __all__ = ["PoolScheduler", "Slot", "WaitingRequest"]
@@ -57,6 +59,7 @@
         self.urgency = urgency
         self.opened_at = opened_at
         self.released = False
+        self.reading = 0.0
 
 
 class PoolScheduler:
@@ -170,10 +173,16 @@
         slot.released = True
         self._count(slot, -1)
         slot.upstream.opened_at.remove(slot.opened_at)
+        self.note_begun(slot)
         took = trio.current_time() - slot.opened_at
         self._service_s += SERVICE_WEIGHT * (took - self._service_s)
         self._serve_waiting()
 
+    def note_begun(self, slot: Slot) -> None:
+        """Take that the answer of a slot's request has begun: its prompt was read."""
+        slot.upstream.reading -= slot.reading
+        slot.reading = 0.0
+
     def expected_wait(self, urgency: Urgency) -> float:
         """Return how long a new request of a lane may wait, seconds."""
         ahead = sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
@@ -220,6 +229,7 @@
         upstream = self._choice.choose(candidates, request.affinity, now)
         self._queue.remove(request)
         request.slot = self._open(upstream, urgency, now)
+        self._note_reading(request.slot, request.affinity, now)
         request.given.set()
         return True
 
@@ -229,6 +239,16 @@
         upstream.opened_at.append(now)
         return slot
 
+    @staticmethod
+    def _note_reading(slot: Slot, affinity: Affinity, now: float) -> None:
+        """Count the reading of a prompt: all of it where its prefix is not kept."""
+        if not affinity.reading:
+            return
+        kept = keeps_prefix(slot.upstream, affinity.key, now)
+        slot.reading = affinity.reading + (0.0 if kept else affinity.worth)
+        slot.upstream.reading += slot.reading
+        note_prefix(slot.upstream, affinity.key, now)
+
     def _candidates(self, request: WaitingRequest) -> list[Upstream]:
         now = trio.current_time()
         staying = [upstream for upstream in self.by_name.values() if not is_leaving(upstream)]
--- a/railtide/lanes/tests/test_scheduler.py
+++ b/railtide/lanes/tests/test_scheduler.py
@@ -31,6 +31,43 @@
     return [await scheduler.acquire(request()) for _ in range(count)]
 
 
+def long_prompt(prefix: str = "p") -> WaitingRequest:
+    affinity = Affinity(prefix, worth=15.0, reading=7.0)
+    return WaitingRequest("a", Urgency.BULK, 1, 1, trio.current_time() + 60, affinity)
+
+
+class TestReading:
+    async def test_unread_prompts_count_as_load_until_their_answers_begin(
+        self, autojump_clock
+    ) -> None:
+        scheduler = make("a")
+        slot = await scheduler.acquire(long_prompt())
+        assert scheduler.by_name["a"].reading == 22
+        scheduler.note_begun(slot)
+        scheduler.note_begun(slot)
+        assert scheduler.by_name["a"].reading == 0
+
+    async def test_kept_prefix_is_not_read_again(self, autojump_clock) -> None:
+        scheduler = make("a")
+        scheduler.release(await scheduler.acquire(long_prompt()))
+        assert scheduler.by_name["a"].reading == 0
+        await scheduler.acquire(long_prompt())
+        assert scheduler.by_name["a"].reading == 7
+
+    async def test_prefix_is_taken_to_be_gone_after_a_while(self, autojump_clock) -> None:
+        scheduler = make("a")
+        scheduler.release(await scheduler.acquire(long_prompt()))
+        await trio.sleep(11)
+        await scheduler.acquire(long_prompt())
+        assert scheduler.by_name["a"].reading == 22
+
+    async def test_next_request_goes_where_no_long_prompt_is_read(self, autojump_clock) -> None:
+        scheduler = make("a", "b", slots=8)
+        reading = await scheduler.acquire(long_prompt())
+        others = [await scheduler.acquire(request()) for _ in range(3)]
+        assert reading.upstream not in [slot.upstream for slot in others]
+
+
 class TestPoolScheduler:
     async def test_bulk_leaves_slots_for_urgent(self, autojump_clock) -> None:
         scheduler = make("a")
--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -117,10 +117,16 @@
     value = first_header(request.headers, names.PROMPT_PARTS)
     if not value:
         return Affinity()
-    shared = [part.partition(b":") for part in value.split(b",")[:-1]]
+    parts = [part.partition(b":") for part in value.split(b",")]
+    shared, own = parts[:-1], parts[-1:]
     key = b",".join(part[0].strip() for part in shared).decode("latin-1")
-    tokens = sum(int(part[2]) for part in shared if part[2].strip().isdigit())
-    return Affinity(key, tokens / TOKENS_OF_A_REQUEST)
+    return Affinity(key, _reading_of(shared), _reading_of(own))
+
+
+def _reading_of(parts: list[tuple[bytes, bytes, bytes]]) -> float:
+    """Return the requests that the reading of some parts of a prompt counts as."""
+    tokens = sum(int(part[2]) for part in parts if part[2].strip().isdigit())
+    return tokens / TOKENS_OF_A_REQUEST
 
 
 def _tokens_per_event(snapshot: Snapshot, pool: str) -> int:
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -67,7 +67,7 @@
         self._sink = sink
         self._retries = services.retries_of(call.pool)
         self._cover = services.make_cover(call, reservation, services)
-        self._relay = services.make_relay(call, sink, services, self._cover.hold_first_byte)
+        self._relay = services.make_relay(call, sink, services, self._before_first_byte)
         self._waiting = WaitingRequest(
             call.account,
             call.urgency,
@@ -132,6 +132,10 @@
         await self._sink.write(relayed.rest)
         await self._sink.finish()
 
+    async def _before_first_byte(self) -> None:
+        self._scheduler.note_begun(self._slot)
+        await self._cover.hold_first_byte()
+
     # -- tries --------------------------------------------------------------------------------
 
     async def _run_at_upstreams(self) -> Relayed:
--- a/railtide/upstreams/choice.py
+++ b/railtide/upstreams/choice.py
@@ -25,10 +25,13 @@
         Equal for requests that share a prefix, empty for none.
     worth : float
         Requests by which an upstream with the prefix may be busier than another.
+    reading : float
+        Requests that the reading of the rest of the prompt counts as, until the answer begins.
     """
 
     key: str = ""
     worth: float = AFFINITY_WORTH
+    reading: float = 0.0
 
 
 class Choice(ABC):
--- a/railtide/upstreams/load.py
+++ b/railtide/upstreams/load.py
@@ -1,5 +1,6 @@
 """What a router believes of one upstream's load and health. Pure; times are passed in."""
 
+import math
 from dataclasses import dataclass, field
 
 from railtide.membership.instances import Instance, InstanceState
@@ -10,7 +11,9 @@
     "estimated_load",
     "is_ejected",
     "is_leaving",
+    "keeps_prefix",
     "note_failure",
+    "note_prefix",
     "note_success",
 ]
 
@@ -18,6 +21,11 @@
 EJECT_FIRST_S = 1.0
 EJECT_MOST_S = 30.0
 EJECT_AFTER = 2
+PREFIX_KEPT_S = 10.0
+"""How long an upstream is taken to keep a prefix that it was sent; the users price a part that is
+read again within 7 to 10 s of its last use."""
+MOST_PREFIXES = 512
+"""Prefixes remembered of one upstream: more than its memory of some 300,000 tokens keeps."""
 
 
 @dataclass(frozen=True)
@@ -45,6 +53,11 @@
         When those were opened, oldest first.
     leaving : bool
         Sticky for this incarnation.
+    reading : float
+        Requests that this router's prompts count as whose answers have not begun: an upstream
+        that reads long prompts makes all its others wait, and its reports say nothing of that.
+    prefix_sent_at : dict of str to float
+        When this router last sent it a prompt with a prefix.
     """
 
     instance: Instance
@@ -55,6 +68,8 @@
     leaving: bool = False
     failures: int = 0
     ejected_until: float = 0.0
+    reading: float = 0.0
+    prefix_sent_at: dict[str, float] = field(default_factory=dict)
 
     @property
     def open_requests(self) -> int:
@@ -76,12 +91,26 @@
     """Return its load in requests.
 
     A fresh report plus what this router opened since; without one, this router's own requests.
+    The prompts that it still reads for this router count on top.
     """
     report = upstream.report
     if report is None or now - report.taken_at > REPORT_MAX_AGE_S:
-        return float(upstream.open_requests)
+        return upstream.open_requests + upstream.reading
     since = sum(1 for at in upstream.opened_at if at > report.taken_at)
-    return float(report.running + report.queued + since)
+    return report.running + report.queued + since + upstream.reading
+
+
+def keeps_prefix(upstream: Upstream, key: str, now: float) -> bool:
+    """Return whether it was sent a prompt with this prefix lately."""
+    return now - upstream.prefix_sent_at.get(key, -math.inf) <= PREFIX_KEPT_S
+
+
+def note_prefix(upstream: Upstream, key: str, now: float) -> None:
+    """Remember that it was sent a prompt with this prefix; the least recent ones are forgotten."""
+    upstream.prefix_sent_at.pop(key, None)
+    upstream.prefix_sent_at[key] = now
+    if len(upstream.prefix_sent_at) > MOST_PREFIXES:
+        del upstream.prefix_sent_at[next(iter(upstream.prefix_sent_at))]
 
 
 def note_failure(upstream: Upstream, now: float) -> None:
