--- a/railtide/budgets/tests/test_ledger_treasury.py
+++ b/railtide/budgets/tests/test_ledger_treasury.py
@@ -63,6 +63,20 @@
             assert refused.value.retry_after == OPTIONS.away_retry_after_s
             nursery.cancel_scope.cancel()
 
+    async def test_ledger_read_long_ago_refuses_nobody(self, autojump_clock) -> None:
+        store = MemoryStore()
+        spent = Ledger(by_instance={"i2": Holding("i2-1", granted=1000, spent=990)})
+        store.put(OPTIONS.topic, ACCOUNT, ledger_to_bytes(spent))
+        made = treasury(store, routers=0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(1)
+            returned = Ledger(by_instance={"i2": Holding("i2-1", granted=100, spent=100)})
+            store.put(OPTIONS.topic, ACCOUNT, ledger_to_bytes(returned))
+            await trio.sleep(OPTIONS.idle_read_s / 2)
+            (await made.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)).settle(50)
+            nursery.cancel_scope.cancel()
+
     async def test_spent_budget_is_told_apart_from_one_in_other_hands(self, autojump_clock) -> None:
         store = MemoryStore()
         other = Ledger(by_instance={"i2": Holding("i2-1", granted=1000, spent=300)})
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -21,6 +21,7 @@
 LEDGERS = "railtide/budgets/tests"
 PLATFORM = "railtide/platform/tests"
 HTTP = "railtide/http/tests"
+MEMBERSHIP = "railtide/membership/tests"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -287,6 +288,55 @@
         "if False:",
         (PLATFORM,),
     ),
+    Mutant(
+        "output-of-a-plain-answer-not-billed",
+        "requests/passthrough.py",
+        "cost = self._call.reserve if answer.status == OK_STATUS else self.delivered_cost()",
+        "cost = self.delivered_cost()",
+        (PLATFORM,),
+    ),
+    Mutant(
+        "pool-of-a-gone-upstream-kept",
+        "edge/node.py",
+        "            self._upstreams.forget(name)\n",
+        "            pass\n",
+        (PLATFORM,),
+    ),
+    Mutant(
+        "load-names-nobody-more",
+        "membership/entrance_set.py",
+        "if len(chosen) >= options.least and capacity >= needed:",
+        "if len(chosen) >= options.least:",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "slow-beats-taken-for-death",
+        "membership/roster.py",
+        "return self._options.dead_after_s * max(1.0, member.beat_s / self._options.beat_s)",
+        "return self._options.dead_after_s / 3",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "unnamed-router-keeps-stray-accounts",
+        "budgets/hand_size.py",
+        "if not routers and not is_steady:",
+        "if False:",
+        (LEDGERS,),
+    ),
+    Mutant(
+        "prompt-read-for-ever",
+        "lanes/scheduler.py",
+        "        slot.upstream.reading -= slot.reading\n",
+        "",
+        ("railtide/lanes/tests",),
+    ),
+    Mutant(
+        "spent-said-from-an-old-ledger",
+        "budgets/account_hand.py",
+        "if self._is_fresh() and self.is_spent(amount):",
+        "if self.is_spent(amount):",
+        (LEDGERS,),
+    ),
 ]
 
 
