--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -8,8 +8,8 @@
 from tests.edge_soak.run import run_seed
 
 SEEDS = (5, 20, 41)
-"""5 and 41: processes are killed, leave and lose the store. 20: answers that are no stream were billed
-without their output (overspend, 12,156 of 12,000)."""
+"""5 and 41: processes are killed, leave and lose the store. 20: answers that are no stream were
+billed without their output (overspend, 12,156 of 12,000)."""
 
 
 class TestEdgeSoak:
