--- a/railtide/edge/request_rate.py
+++ b/railtide/edge/request_rate.py
@@ -1,6 +1,7 @@
 """How many requests a second a router is asked, held for a while after a peak."""
 
 import math
+from collections.abc import Callable
 
 import trio
 
@@ -17,6 +18,11 @@
 class RequestRate:
     """The rate of one router's requests.
 
+    Parameters
+    ----------
+    clock : callable
+        Returns the time, seconds.
+
     Examples
     --------
     >>> rate = RequestRate(clock=lambda: 100.0)
@@ -26,7 +32,7 @@
     2.0
     """
 
-    def __init__(self, clock=trio.current_time) -> None:
+    def __init__(self, clock: Callable[[], float] = trio.current_time) -> None:
         self._clock = clock
         self._rate = 0.0
         self._rate_at = 0.0
--- a/railtide/membership/tests/test_roster.py
+++ b/railtide/membership/tests/test_roster.py
@@ -1,5 +1,7 @@
 """Tests of railtide.membership.roster."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from random import Random
 
 import trio
@@ -8,6 +10,10 @@
 from railtide.standins.keyed_store import MemoryStore
 
 OPTIONS = RosterOptions()
+LEAST = OPTIONS.entrances.least
+FLEET = 6
+SETTLED_S = 6.0
+"""In which routers find one another and count as named or not."""
 
 
 def roster(store: MemoryStore, name: str, life: str = "1") -> Roster:
@@ -35,60 +41,54 @@
     return Roster(store, name, member, OPTIONS, Random(1), lambda: load)
 
 
+@asynccontextmanager
+async def fleet(load: float, store: MemoryStore) -> AsyncIterator[list[Roster]]:
+    """Yield the rosters of six routers of a load each, which know one another."""
+    made = [loaded(store, f"r{n}", load) for n in range(FLEET)]
+    async with trio.open_nursery() as nursery:
+        for each in made:
+            await start(nursery, each)
+        await trio.sleep(SETTLED_S)
+        yield made
+        nursery.cancel_scope.cancel()
+
+
 class TestNaming:
     async def test_all_routers_name_the_same_few(self, autojump_clock) -> None:
-        store = MemoryStore()
-        made = [loaded(store, f"r{n}", 0.0) for n in range(6)]
-        async with trio.open_nursery() as nursery:
-            for each in made:
-                await start(nursery, each)
-            await trio.sleep(6)
+        async with fleet(0.0, MemoryStore()) as made:
             chosen = {tuple(entrance.name for entrance in each.named()) for each in made}
             assert len(chosen) == 1
-            assert len(chosen.pop()) == OPTIONS.entrances.least
-            assert sum(each.is_named() for each in made) == OPTIONS.entrances.least
-            nursery.cancel_scope.cancel()
+            assert len(chosen.pop()) == LEAST
+            assert sum(each.is_named() for each in made) == LEAST
 
     async def test_load_names_more(self, autojump_clock) -> None:
-        store = MemoryStore()
-        made = [loaded(store, f"r{n}", 20.0) for n in range(6)]
-        async with trio.open_nursery() as nursery:
-            for each in made:
-                await start(nursery, each)
-            await trio.sleep(6)
+        async with fleet(20.0, MemoryStore()) as made:
             assert len(made[0].named()) == 5
-            nursery.cancel_scope.cancel()
 
     async def test_router_that_is_not_named_writes_less_often_and_counts_as_alive(
         self, autojump_clock
     ) -> None:
         store = MemoryStore()
-        made = [loaded(store, f"r{n}", 0.0) for n in range(6)]
-        async with trio.open_nursery() as nursery:
-            for each in made:
-                await start(nursery, each)
-            await trio.sleep(6)
+        async with fleet(0.0, store) as made:
             before = store.topic(OPTIONS.topic).end
             await trio.sleep(30)
             written = store.topic(OPTIONS.topic).end - before
-            least = OPTIONS.entrances.least
-            idle = 6 - least
-            assert least * 29 + idle * 8 <= written <= least * 31 + idle * 12
-            assert len(made[0].live()) == 6
-            nursery.cancel_scope.cancel()
+            idle = FLEET - LEAST
+            assert LEAST * 29 + idle * 8 <= written <= LEAST * 31 + idle * 12
+            assert len(made[0].live()) == FLEET
 
     async def test_another_is_named_in_place_of_one_that_died(self, autojump_clock) -> None:
         store = MemoryStore()
-        made = {f"r{n}": loaded(store, f"r{n}", 0.0) for n in range(5)}
+        made = {f"r{n}": loaded(store, f"r{n}", 0.0) for n in range(FLEET)}
         async with trio.open_nursery() as nursery:
             scopes = {name: await start(nursery, each) for name, each in made.items()}
-            await trio.sleep(6)
+            await trio.sleep(SETTLED_S)
             named = [entrance.name for entrance in made["r0"].named()]
             scopes[named[0]].cancel()
             await trio.sleep(OPTIONS.dead_after_s + 3)
             survivor = made[named[1]]
             assert named[0] not in [entrance.name for entrance in survivor.named()]
-            assert len(survivor.named()) == OPTIONS.entrances.least
+            assert len(survivor.named()) == LEAST
             nursery.cancel_scope.cancel()
 
 
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -15,12 +15,10 @@
 from railtide.http.client import PeerPool
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
-from railtide.http.server import ConnectionLimits, HttpServer
-from railtide.http.sockets import listen
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer
 from tests.edge_soak.proxy import Link, open_link
-from tests.test_edge_process import HOST, free_ports
+from tests.test_edge_process import HOST, free_ports, serve
 
 __all__ = ["EVENTS", "GOOD_ENGINE", "Fleet", "Router", "open_fleet", "prepaid_of", "state"]
 
@@ -150,12 +148,6 @@
         self.store.put("keyed.op", "config", state(self.version))
 
 
-async def _listen_for(nursery: trio.Nursery, server: HttpServer) -> int:
-    listener = await listen("127.0.0.1", 0)
-    nursery.start_soon(server.serve, listener)
-    return listener.socket.getsockname()[1]
-
-
 async def _router(nursery: trio.Nursery, folder: Path, name: str, store_port: int) -> Router:
     calls, ready, lookup, metrics = free_ports(4)
     store = await open_link(nursery, ("127.0.0.1", store_port))
@@ -178,13 +170,11 @@
     store = MemoryStore()
     store.put("keyed.op", "config", state(1))
     async with trio.open_nursery() as nursery:
-        store_port = await _listen_for(
-            nursery, HttpServer(StoreServer(store).handle, ConnectionLimits())
-        )
+        store_port = await serve(nursery, StoreServer(store).handle)
         fleet = Fleet(store, [], [], [])
         for number in range(ENGINES):
             engine = PlatformEngine(f"e{number}", GOOD_ENGINE)
-            port = await _listen_for(nursery, HttpServer(engine.handle, ConnectionLimits()))
+            port = await serve(nursery, engine.handle)
             link = await open_link(nursery, ("127.0.0.1", port))
             record = {"service": "s", "address": f"127.0.0.1:{link.port}", "slots": 8}
             store.put("keyed.servers", engine.name, msgspec.json.encode(record))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -16,7 +16,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 6
-FOLD = "railtide/journal/tests/test_fold.py"
+FOLD = "railtide/journal/tests"
 SINGLE = "tests/matrix/test_single.py"
 LEDGERS = "railtide/budgets/tests"
 PLATFORM = "railtide/platform/tests"
