Headers that are the routers' to set never come from a caller

Cause: all end-to-end headers of a caller but four went on to the engine, so a reserved slot, a pinned prompt, a backup or another run's memory that a caller named was acted on. Ruled out: that only some routes do it; a test with every such header, in both cases and repeated, failed on safe, unsafe, streaming and resumable routes. Change: the adapter names all headers that are the routers' to set, and drops a caller's values. An event that a caller wants to go on behind is passed on for resumable streams only.

--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -23,7 +23,6 @@
 """Longest wait for a grant: some calls of a store of 4 ms, a quarter of the least response-time
 goal of a request that has a budget."""
 ACCOUNT_SETTINGS = AccountSettings(budget_wait_s=BUDGET_WAIT_S)
-NOT_PASSED_ON = frozenset({names.API_KEY, names.ACCOUNT, names.DEADLINE_MS, names.RANK})
 QUEUE_SHARE = 0.25
 """Share of its response-time goal that a request may wait for a slot; later refusals cost more
 than they help."""
@@ -72,7 +71,7 @@
         rank=priority,
         resumable=route.resumable,
         tokens_per_event=_tokens_per_event(snapshot, pool),
-        headers=_passed_on(request, account),
+        headers=_passed_on(request, account, route.resumable),
     )
 
 
@@ -134,6 +133,11 @@
     return settings.tokens_per_event if settings else 1
 
 
-def _passed_on(request: HttpRequest, account: AccountTerms | None) -> Headers:
-    kept = tuple(h for h in without_hop_by_hop(request.headers) if h[0] not in NOT_PASSED_ON)
+def _passed_on(request: HttpRequest, account: AccountTerms | None, resumable: bool) -> Headers:
+    """Return the caller's headers that its upstream is sent, and whose request it is.
+
+    Only a stream that may be resumed goes on behind an event that the caller names.
+    """
+    dropped = names.SET_BY_ROUTERS if resumable else names.SET_BY_ROUTERS | {names.LAST_EVENT_ID}
+    kept = tuple(h for h in without_hop_by_hop(request.headers) if h[0] not in dropped)
     return (*kept, (names.ACCOUNT, account.name.encode())) if account else kept
--- a/railtide/platform/names.py
+++ b/railtide/platform/names.py
@@ -6,12 +6,19 @@
     "ATTEMPT_ID",
     "DEADLINE_MS",
     "EXPECTED_UPSTREAM",
+    "EXPECTED_WEIGHTS",
+    "KV_BACKUP",
+    "KV_FETCH",
+    "KV_FROM",
     "LAST_EVENT_ID",
     "LOAD",
     "NOT_RUN",
     "PROMPT_PARTS",
+    "PIN_MS",
     "RANK",
+    "RESERVED_SLOT",
     "SEAL",
+    "SET_BY_ROUTERS",
     "TOKENS",
 ]
 
@@ -36,3 +43,33 @@
 """The engine's word that it did not run the request."""
 LOAD = b"x-instance-load"
 """Requests running, requests waiting and slots of the engine."""
+EXPECTED_WEIGHTS = b"x-expect-version"
+"""Version of the model's weights without which the engine refuses with 421."""
+RESERVED_SLOT = b"x-hold"
+"""Id of a slot and memory that were reserved at the engine."""
+PIN_MS = b"x-pin-ms"
+"""How long the engine keeps the run's tokens in memory after its end, milliseconds."""
+KV_BACKUP = b"x-kv-backup"
+"""Address of another engine that the run's memory is copied to."""
+KV_FROM = b"kv-from"
+"""Address and handle of a run's memory that the request goes on from."""
+KV_FETCH = b"kv-fetch"
+"""Address of an engine from which kept parts of the prompt are fetched first."""
+
+SET_BY_ROUTERS = frozenset(
+    {
+        DEADLINE_MS,
+        API_KEY,
+        ACCOUNT,
+        EXPECTED_UPSTREAM,
+        RANK,
+        EXPECTED_WEIGHTS,
+        RESERVED_SLOT,
+        PIN_MS,
+        KV_BACKUP,
+        KV_FROM,
+        KV_FETCH,
+    }
+)
+"""What a caller may not choose at an engine: whose request it is, its place in the queue, memory
+beyond its run, and other engines' memory. A caller's own values never reach an engine."""
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -157,6 +157,32 @@
             await body_of(await w.ask("/open/x", (b"x-tenant", b"other")))
             assert first_header(engine.seen[0].headers, b"x-tenant") is None
 
+    @pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x", "/resume/x"])
+    async def test_client_cannot_set_what_is_the_routers_to_set(self, path: str) -> None:
+        own = [b"X-Hold", b"x-pin-ms", b"X-KV-Backup", b"Kv-From", b"kv-fetch", b"X-Expect-Version"]
+        own += [b"x-expect-instance", b"X-Request-Urgency", b"X-Tenant", b"x-deadline-ms"]
+        forged = [(name, b"forged") for name in own for _ in range(2)]
+        async with world() as w:
+            engine = await w.add_engine("e1")
+            assert (await w.ask(path, *forged)).status == 200
+            assert b"forged" not in [value for _, value in engine.seen[0].headers]
+
+    @pytest.mark.parametrize("name", [b"x-model", b"x-length-hint", b"x-prompt-prefix", b"x-other"])
+    async def test_what_a_client_may_set_is_passed_on(self, name: bytes) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1")
+            assert (await w.ask("/safe/x", (name, b"5e:7"))).status == 200
+            assert first_header(engine.seen[0].headers, name) == b"5e:7"
+
+    async def test_only_a_resumable_stream_goes_on_behind_the_clients_event(self) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1", events=3)
+            whole = await w.ask("/stream/x", (b"last-event-id", b"2"))
+            assert (await body_of(whole)).count(b"data:") == 3
+            rest = await w.ask("/resume/x", (b"last-event-id", b"2"))
+            assert (await body_of(rest)).count(b"data:") == 1
+            assert len(engine.ran) == 2
+
     async def test_unknown_key_and_route_are_refused(self) -> None:
         async with world() as w:
             engine = await w.add_engine("e1")
