A killed process writes off what it can have spent, not all that it held

Cause: of a hand's 10 s of traffic only what had been reported (0.3 of it at a time) was known to be spent, and all the rest was written off when its process died. Ruled out: a proof by the store (it gives no time with a record, a group's times stop while it is down) and by the time of day (it jumps). Change: with each report, twice a second, a process binds itself to a burst and a pace; its successor on the same machine reads the same steady clock and closes the hand at that line. Another boot id, a loss of power or another machine prove nothing, and all of the hand counts, as before.

--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -11,9 +11,11 @@
 from railtide.budgets.hand_size import (
     LedgerOptions,
     Traffic,
+    burst_units,
     idle_units,
     is_low,
     note_request,
+    pace_units,
     target_units,
 )
 from railtide.budgets.ledger import (
@@ -27,6 +29,7 @@
     ledger_to_bytes,
     reported_spend,
 )
+from railtide.budgets.spend_limit import SpendLimit, SteadyClock, most_used
 
 __all__ = ["AccountHand", "HandChange", "Holder"]
 
@@ -43,6 +46,10 @@
         Returns how many routers keep budgets in hand, 0 if this one is not to.
     spreading : bool
         Whether `routers` is to be relied on, so that hands are kept ahead of need.
+    clock : SteadyClock
+        By which the process binds itself to what it spends.
+    started_at : float
+        That clock's reading when the process began.
     leaving : bool
         Whether the process shuts down: hands are returned and nothing is asked for.
     """
@@ -51,6 +58,8 @@
     incarnation: str
     routers: Callable[[], int]
     options: LedgerOptions
+    clock: SteadyClock
+    started_at: float
     spreading: bool = False
     leaving: bool = False
 
@@ -59,12 +68,13 @@
 class HandChange:
     """A change of one account's ledger by this process.
 
-    `granted` is what it grants to the process, `lost` what it writes off of the process before.
+    `granted` is what it grants to the process, `former` the holding that it closes of the process
+    before.
     """
 
     holding: Holding
     granted: int
-    lost: int
+    former: Holding | None
     ledger: Ledger
 
 
@@ -101,6 +111,8 @@
         self._ledger = Ledger()
         self._ledger_at = -math.inf
         self._written = Holding(holder.incarnation)
+        self._limits: list[SpendLimit] = []
+        self._reported_at = -math.inf
         self._refill_refused_at = -math.inf
         self._ask = ask
         self._changed = trio.Event()
@@ -111,6 +123,24 @@
         """Count a request in the account's traffic."""
         note_request(self._traffic, amount, trio.current_time(), self._options.rate_window_s)
 
+    def try_reserve(self, amount: int) -> bool:
+        """Reserve units if they are in hand and within what the process has bound itself to."""
+        return amount <= self._headroom() and reserve(self.hand, amount)
+
+    def wait_s(self, amount: int) -> float | None:
+        """Return when the pace allows an amount that is in hand, seconds; None if it is not."""
+        if amount > self.hand.available or not self._limits:
+            return None
+        pace = min(limit.pace for limit in self._limits)
+        return (amount - self._headroom()) / pace if pace else None
+
+    def _headroom(self) -> int:
+        """Return the units that the limits leave, or that are in hand if that is less."""
+        hand = self.hand
+        clock = self._holder.clock
+        most = most_used(self._limits, hand.granted, clock.clock_id, clock.now())
+        return most - hand.spent - hand.reserved
+
     def ask_if_low(self) -> None:
         """Have the hand refilled ahead of need."""
         if is_low(self.hand.available, self._target(), self._options):
@@ -121,7 +151,7 @@
         self._needs.append(amount)
         try:
             with trio.move_on_at(until):
-                while not reserve(self.hand, amount):
+                while not self.try_reserve(amount):
                     if self._is_fresh() and self.is_spent(amount):
                         return False
                     self._ask()
@@ -165,6 +195,7 @@
             account=self.account,
             amount=amount,
             in_hand=self.hand.available,
+            headroom=self._headroom(),
             prepaid=self.prepaid,
             committed=committed(self._ledger),
             reported=reported_spend(self._ledger),
@@ -202,23 +233,54 @@
             return None
         ledger = ledger_from_bytes(ledger_to_bytes(self._ledger))
         holder = self._holder
-        lost = close_former(ledger, holder.instance, holder.incarnation)
+        former = close_former(
+            ledger, holder.instance, holder.incarnation, holder.clock, holder.started_at
+        )
         take_back(self.hand, self._idle())
         own = Holding(holder.incarnation, self.hand.granted, self.hand.spent, self.billed_requests)
         account_for(ledger, holder.instance, own)
         granted = self._grantable(ledger)
-        if not (lost or granted or self._is_report_due()):
+        if not (former or granted or self._is_report_due()):
             return None
         own.granted += granted
+        own.limit = self._next_limit()
         account_for(ledger, holder.instance, own)
-        return HandChange(own, granted, lost, ledger)
+        return HandChange(own, granted, former, ledger)
+
+    def _next_limit(self) -> SpendLimit | None:
+        """Return the limit of the next report, kept to from now on beside the one in force."""
+        clock = self._holder.clock
+        if not clock.clock_id:
+            return None
+        now = trio.current_time()
+        limit = SpendLimit(
+            clock.clock_id,
+            clock.now(),
+            self.hand.spent + self.hand.reserved,
+            burst_units(self._traffic, now, self._options) + sum(self._needs),
+            pace_units(self._traffic, now, self._options),
+        )
+        self._limits = [*self._limits[:1], limit]
+        return limit
 
     def take(self, change: HandChange) -> None:
         """Take a change that is in the ledger now."""
         self.hand.granted += change.granted
         self._written = change.holding
-        if change.lost:
-            logger.bind(account=self.account, units=change.lost).info("former-hand-written-off")
+        self._reported_at = trio.current_time()
+        self._limits = [change.holding.limit] if change.holding.limit else []
+        if change.former:
+            self._log_closed(change.former)
+
+    def _log_closed(self, former: Holding) -> None:
+        """Say what became of the hand of the process before."""
+        holder = self._holder
+        used = most_used([former.limit], former.granted, holder.clock.clock_id, holder.started_at)
+        logger.bind(
+            account=self.account,
+            units=max(former.spent, used) - former.spent,
+            returned=former.granted - max(former.spent, used),
+        ).info("former-hand-closed")
 
     def is_written(self, change: HandChange) -> bool:
         """Return whether the ledger as read has a change; only this process writes its holding."""
@@ -274,9 +336,16 @@
         keep = self._target() + sum(self._needs)
         return idle_units(self.hand.available, keep, self._traffic.typical, self._options)
 
+    def _is_held_by_limit(self) -> bool:
+        """Return whether a waiting request is in hand and beyond the limit."""
+        least = min(self._needs, default=math.inf)
+        return self._headroom() < least <= self.hand.available
+
     def _is_report_due(self) -> bool:
-        """Return whether so much was spent that others should know."""
-        if self.is_returning:
+        """Return whether others should know what was spent, or the limit is to be renewed."""
+        if self.is_returning or self._is_held_by_limit():
             return True
-        unreported = self.hand.spent - self._written.spent
-        return unreported > self._options.report_share * max(self._target(), self._traffic.typical)
+        if trio.current_time() - self._reported_at < self._options.report_s:
+            return False
+        is_growing = any(limit.pace for limit in self._limits) and self.hand.available > 0
+        return is_growing or self.hand.spent != self._written.spent
--- a/railtide/budgets/hand_size.py
+++ b/railtide/budgets/hand_size.py
@@ -3,7 +3,16 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["LedgerOptions", "Traffic", "idle_units", "is_low", "note_request", "target_units"]
+__all__ = [
+    "LedgerOptions",
+    "Traffic",
+    "burst_units",
+    "idle_units",
+    "is_low",
+    "note_request",
+    "pace_units",
+    "target_units",
+]
 
 TYPICAL_WEIGHT = 0.1
 """Weight of the latest request in the usual size of requests."""
@@ -43,8 +52,17 @@
     least_requests : float
         Typical requests that a hand must cover to be worth keeping. Below it nothing is kept
         ahead of need, so that the end of a budget does not lie in hands too small to use.
-    report_share : float
-        Share of its target that a hand reports once it was spent.
+    report_s : float
+        Least time between two reports of what was spent, which renew the limit that the process
+        binds itself to.
+    pace_share : float
+        Multiple of an account's rate at which a hand may be spent between two reports. With 1 a
+        usual swing of the traffic is refused, and each unit of it more is lost with the process
+        for the time from its last report to the start of the next process.
+    burst_s : float
+        Seconds of an account's traffic that may come at once beyond the pace.
+    burst_requests : float
+        The same in usual requests, for accounts with few.
     read_s : float
         Longest time between two looks at the ledgers, for what others need.
     idle_read_s : float
@@ -76,7 +94,10 @@
     return_share: float = 1.4
     steady_requests: float = 3.0
     least_requests: float = 1.0
-    report_share: float = 0.3
+    report_s: float = 0.5
+    pace_share: float = 2.0
+    burst_s: float = 1.0
+    burst_requests: float = 2.0
     read_s: float = 1.0
     idle_read_s: float = 10.0
     rate_window_s: float = 8.0
@@ -165,6 +186,30 @@
     return round(target) if target >= traffic.typical * options.least_requests else 0
 
 
+def pace_units(traffic: Traffic, now: float, options: LedgerOptions) -> int:
+    """Return the units a second at which a hand may be spent until the next report.
+
+    Examples
+    --------
+    >>> pace_units(Traffic(100.0, typical=50.0), 0.0, LedgerOptions(pace_share=2.0))
+    200
+    """
+    return round(rate_at(traffic, now, options.rate_window_s) * options.pace_share)
+
+
+def burst_units(traffic: Traffic, now: float, options: LedgerOptions) -> int:
+    """Return the units that may be spent at once beyond the pace.
+
+    Examples
+    --------
+    >>> options = LedgerOptions(burst_s=1.0, burst_requests=2.0)
+    >>> burst_units(Traffic(30.0, typical=50.0), 0.0, options)
+    100
+    """
+    by_rate = rate_at(traffic, now, options.rate_window_s) * options.burst_s
+    return round(max(by_rate, traffic.typical * options.burst_requests))
+
+
 def is_low(available: int, target: int, options: LedgerOptions) -> bool:
     """Return whether a hand should be refilled."""
     return available < target * options.refill_share
--- a/railtide/budgets/ledger.py
+++ b/railtide/budgets/ledger.py
@@ -3,7 +3,8 @@
 The whole ledger of an account is the value of one key and is changed by compare-and-swap alone,
 so there is no history to fold: the newest record is the state. A holder may spend what it was
 granted and nothing else, whatever it hears or does not hear of the others. So the budget is kept
-under every cut, pause and kill; what a lost holder has not returned counts as spent.
+under every cut, pause and kill; of what a lost holder has not returned, all counts as spent that
+it can have spent.
 
 References
 ----------
@@ -12,6 +13,8 @@
 
 import msgspec
 
+from railtide.budgets.spend_limit import SpendLimit, SteadyClock, most_used
+
 __all__ = [
     "Holding",
     "Ledger",
@@ -38,12 +41,15 @@
         Spent as far as the process has reported.
     requests : int
         Requests billed as far as reported.
+    limit : SpendLimit or None
+        What the process binds itself to from this report on.
     """
 
     incarnation: str
     granted: int = 0
     spent: int = 0
     requests: int = 0
+    limit: SpendLimit | None = None
 
 
 class Ledger(msgspec.Struct, array_like=True):
@@ -100,24 +106,39 @@
     return ledger.closed + sum(held.spent for held in ledger.by_instance.values())
 
 
-def close_former(ledger: Ledger, instance: str, incarnation: str) -> int:
-    """Close the holding of an instance's former process; return the units written off.
+def close_former(
+    ledger: Ledger, instance: str, incarnation: str, clock: SteadyClock, started_at: float
+) -> Holding | None:
+    """Close the holding of an instance's former process and return it; None if there is none.
+
+    What it had not reported may have been spent. It counts as spent as far as its limit allowed
+    until this process began, read from a clock that both have.
 
-    What it had not reported may have been spent, so it is counted as spent.
+    Parameters
+    ----------
+    ledger : Ledger
+        Changed in place.
+    instance, incarnation : str
+        Of this process.
+    clock : SteadyClock
+    started_at : float
+        Its reading when this process began.
 
     Examples
     --------
+    >>> from railtide.budgets.spend_limit import NO_CLOCK
     >>> ledger = Ledger(by_instance={"a": Holding("a1", granted=7, spent=2)})
-    >>> close_former(ledger, "a", "a2"), ledger.closed, ledger.billed
-    (5, 7, 2)
+    >>> close_former(ledger, "a", "a2", NO_CLOCK, 0.0).spent, ledger.closed, ledger.billed
+    (2, 7, 2)
     """
     former = ledger.by_instance.get(instance)
     if former is None or former.incarnation == incarnation:
-        return 0
+        return None
     del ledger.by_instance[instance]
-    ledger.closed += former.granted
+    used = most_used([former.limit], former.granted, clock.clock_id, started_at)
+    ledger.closed += max(former.spent, used)
     ledger.billed += former.spent
-    return former.granted - former.spent
+    return former
 
 
 def account_for(ledger: Ledger, instance: str, holding: Holding) -> None:
--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -11,10 +11,11 @@
 
 from railtide.budgets.account_hand import AccountHand, Holder
 from railtide.budgets.errors import BudgetExhausted, BudgetUnavailable
-from railtide.budgets.hand import Hand, reserve, settle_reserve
+from railtide.budgets.hand import Hand, settle_reserve
 from railtide.budgets.hand_size import LedgerOptions
 from railtide.budgets.ledger_partition import LedgerPartition
 from railtide.budgets.source import BudgetSource, Reserved
+from railtide.budgets.spend_limit import NO_CLOCK, SteadyClock
 from railtide.configuration.models import AccountSettings
 from railtide.journal.keyed import KeyedStore
 
@@ -65,6 +66,8 @@
     store_reached : callable, optional
         Returns whether other calls to the store are answered now; an account without traffic
         makes none.
+    clock : SteadyClock, optional
+        By which what a process before this one can have spent is proved.
 
     Attributes
     ----------
@@ -80,11 +83,12 @@
         routers: Callable[[], int],
         options: LedgerOptions,
         store_reached: Callable[[], bool] = lambda: True,
+        clock: SteadyClock = NO_CLOCK,
     ) -> None:
         self.refusals = 0
         self._store_reached = store_reached
         self._options = options
-        self._holder = Holder(instance, incarnation, routers, options)
+        self._holder = Holder(instance, incarnation, routers, options, clock, clock.now())
         rng = Random(incarnation)
         self.partitions = [
             LedgerPartition(store, index, self._holder, rng) for index in range(options.partitions)
@@ -121,7 +125,7 @@
             return LedgerReservation(Hand(), 0)
         known = self._account(account)
         known.note(amount)
-        if reserve(known.hand, amount):
+        if known.try_reserve(amount):
             known.ask_if_low()
             return LedgerReservation(known.hand, amount)
         now = trio.current_time()
@@ -146,12 +150,14 @@
             )
         return BudgetUnavailable(
             "no budget is in hand, and none is to be had in time",
-            retry_after=self._retry_after_s(part),
+            retry_after=self._retry_after_s(part, known, amount),
         )
 
-    def _retry_after_s(self, part: LedgerPartition) -> float:
-        away = self._is_away(part)
-        return self._options.away_retry_after_s if away else self._options.retry_after_s
+    def _retry_after_s(self, part: LedgerPartition, known: AccountHand, amount: int) -> float:
+        if not self._is_away(part):
+            return self._options.retry_after_s
+        wait_s = known.wait_s(amount)
+        return self._options.away_retry_after_s if wait_s is None else wait_s
 
     def count_bill(self, account: str) -> None:
         """Count a request as billed; one of an account without a budget costs nothing."""
--- a/railtide/budgets/tests/test_ledger_treasury.py
+++ b/railtide/budgets/tests/test_ledger_treasury.py
@@ -13,6 +13,7 @@
 from railtide.budgets.hand_size import LedgerOptions
 from railtide.budgets.ledger import Holding, Ledger, committed, ledger_from_bytes, ledger_to_bytes
 from railtide.budgets.ledger_treasury import LedgerTreasury, partition_of
+from railtide.budgets.spend_limit import SteadyClock
 from railtide.configuration.models import AccountSettings
 from railtide.standins.keyed_store import MemoryStore
 
@@ -21,9 +22,12 @@
 OPTIONS = LedgerOptions()
 
 
-def treasury(store: MemoryStore, name: str = "i1", life: str = "1", routers: int = 1):
+def treasury(
+    store: MemoryStore, name: str = "i1", life: str = "1", routers: int = 1, boot: str = ""
+):
+    clock = SteadyClock(boot, trio.current_time)
     made = LedgerTreasury(
-        store, name, f"{name}-{life}", lambda: routers, OPTIONS, lambda: not store.down
+        store, name, f"{name}-{life}", lambda: routers, OPTIONS, lambda: not store.down, clock
     )
     made.set_prepaid({ACCOUNT: 1000})
     return made
@@ -265,6 +269,84 @@
             nursery.cancel_scope.cancel()
 
 
+class TestSpendLimit:
+    """A router serves 100 units a second from a budget of 10,000 and is killed after 20 s."""
+
+    async def _serve(self, made: LedgerTreasury, seconds: float) -> int:
+        """Have 20 units reserved five times a second; return the units served."""
+        served = 0
+        for _ in range(round(seconds * 5)):
+            try:
+                (await made.reserve(ACCOUNT, SETTINGS, 20, trio.current_time() + 1)).settle(20)
+                served += 20
+            except BudgetUnavailable:
+                pass
+            await trio.sleep(0.2)
+        return served
+
+    async def _written_off(self, boots: tuple[str, str], away_s: float = 0.0) -> int:
+        """Return the units that a kill and a restart after a second write off."""
+        store = MemoryStore()
+        spent = 0
+        for life, boot in enumerate(boots):
+            made = treasury(store, life=str(life), boot=boot)
+            made.set_prepaid({ACCOUNT: 10_000})
+            made.spread()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(made.run)
+                await trio.sleep(1)
+                if not life:
+                    spent = await self._serve(made, 20)
+                    store.down = True
+                    spent += await self._serve(made, away_s)
+                nursery.cancel_scope.cancel()
+            store.down = False
+            await trio.sleep(1)
+        return ledger_of(store).closed - spent
+
+    async def test_kill_loses_seconds_of_traffic_in_place_of_the_hand(self, autojump_clock) -> None:
+        assert await self._written_off(("boot", "another boot")) > 700
+        assert 0 <= await self._written_off(("boot", "boot")) <= 400
+
+    async def test_kill_with_the_store_away_never_frees_what_was_spent(
+        self, autojump_clock
+    ) -> None:
+        for away_s in (0.3, 2.0, 6.0):
+            assert 0 <= await self._written_off(("boot", "boot"), away_s)
+
+    async def test_hand_lasts_as_long_without_the_store(self, autojump_clock) -> None:
+        store = MemoryStore()
+        served_by_boot = {}
+        for boot in ("", "boot"):
+            made = treasury(store, name=f"i{boot}", boot=boot)
+            made.set_prepaid({ACCOUNT: 10_000})
+            made.spread()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(made.run)
+                await self._serve(made, 20)
+                store.down = True
+                served_by_boot[boot] = await self._serve(made, 8)
+                nursery.cancel_scope.cancel()
+            store.down = False
+        assert served_by_boot["boot"] >= 0.95 * served_by_boot[""]
+
+    async def test_request_beyond_the_pace_is_told_when_it_fits(self, autojump_clock) -> None:
+        store = MemoryStore()
+        made = treasury(store, boot="boot")
+        made.set_prepaid({ACCOUNT: 10_000})
+        made.spread()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await self._serve(made, 20)
+            store.down = True
+            await trio.sleep(1.5)
+            with pytest.raises(BudgetUnavailable) as refused:
+                await made.reserve(ACCOUNT, SETTINGS, 700, trio.current_time() + 9)
+            await trio.sleep(refused.value.retry_after + 0.01)
+            await made.reserve(ACCOUNT, SETTINGS, 700, trio.current_time() + 9)
+            nursery.cancel_scope.cancel()
+
+
 @dataclass
 class Fleet:
     """Routers over one store, what each truly spent, and faults drawn from a seed."""
@@ -276,9 +358,11 @@
 
     async def live(self, name: str, rng: Random) -> None:
         """Be a router that is killed and started again, for ever."""
+        boots = 1
         while True:
             self.lives += 1
-            made = treasury(self.store, name, str(self.lives), routers=3)
+            boots += rng.random() < 0.3
+            made = treasury(self.store, name, str(self.lives), 3, boot=f"{name}-boot{boots}")
             if rng.random() < 0.7:
                 made.spread()
             with trio.move_on_after(rng.uniform(0.5, 8.0)):
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from railtide.budgets.ledger_treasury import LedgerTreasury
+from railtide.budgets.spend_limit import NO_CLOCK, SteadyClock
 from railtide.configuration.errors import InvalidObject
 from railtide.configuration.snapshot import Snapshot
 from railtide.edge.options import EdgeOptions
@@ -51,6 +52,8 @@
     upstreams : UpstreamClient
     options : EdgeOptions
     rng : random.Random
+    clock : SteadyClock, optional
+        See `LedgerTreasury`.
 
     Attributes
     ----------
@@ -68,6 +71,7 @@
         upstreams: UpstreamClient,
         options: EdgeOptions,
         rng: Random,
+        clock: SteadyClock = NO_CLOCK,
     ) -> None:
         self.identity = identity
         self.options = options
@@ -96,6 +100,7 @@
             self._sharing_routers,
             options.ledger,
             lambda: self._upstream_feed.reachable,
+            clock,
         )
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
         self._configuration_feed = Feed(
--- a/railtide/process.py
+++ b/railtide/process.py
@@ -2,7 +2,9 @@
 
 import gc
 import signal
+import time
 from collections.abc import Mapping
+from pathlib import Path
 from random import Random
 from uuid import uuid4
 
@@ -10,11 +12,22 @@
 import trio
 from loguru import logger
 
-__all__ = ["announce", "new_incarnation", "new_rng", "relax_gc", "wait_for_stop"]
+from railtide.budgets.spend_limit import NO_CLOCK, SteadyClock
+
+__all__ = [
+    "announce",
+    "new_incarnation",
+    "new_rng",
+    "relax_gc",
+    "steady_clock",
+    "wait_for_stop",
+]
 
 INCARNATION_LENGTH = 12
 GC_THRESHOLD = 50_000
 GC_OLDER = 20
+BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
+"""The kernel's id of this boot: its steady clock counts from there."""
 
 
 def announce(addresses: Mapping[str, str]) -> None:
@@ -38,6 +51,15 @@
     return uuid4().hex[:INCARNATION_LENGTH]
 
 
+def steady_clock(boot_id: Path = BOOT_ID) -> SteadyClock:
+    """Return the kernel's steady clock, or none where the boot can't be told from another."""
+    try:
+        return SteadyClock(boot_id.read_text().strip(), time.monotonic)
+    except OSError as err:
+        logger.bind(path=str(boot_id), error=str(err)).warning("boot-id-unreadable")
+        return NO_CLOCK
+
+
 def new_rng() -> Random:
     """Return a random number generator seeded by the system."""
     return Random()
