Callers come back by the outages that were seen; refusals are tried elsewhere; silent connections go

Cause: a fixed 4 s (half of some outages) told callers when to come back; a full engine's "not run" went to the caller at once on routes of one attempt, with most of the pool free; each kept connection that had gone silent cost a call of its own. Change: the time is what an outage is likely to last yet, by the last five and a prior, spread over a quarter; attempts count the upstreams at which a request may have run, and two refusals beyond them are tried within the retry budget; without an answer for 0.5 s on a kept connection the idle ones go.

--- a/railtide/budgets/hand_size.py
+++ b/railtide/budgets/hand_size.py
@@ -85,9 +85,9 @@
         Wait after a call that the store did not answer.
     retry_after_s : float
         When a caller refused for a budget in other hands should come back.
-    away_retry_after_s : float
-        The same while the store is away: nothing is granted before it returns. Half of the users'
-        outages of 7 to 9 s.
+    away_retry_spread : float
+        Callers refused while the store is away are told to come back when it is likely to be
+        back, each later by a part of up to this much, so that they don't come together.
     exhausted_retry_after_s : float
         The same when the budget is spent: only a top-up helps.
     """
@@ -113,7 +113,7 @@
     retry_s: float = 0.03
     away_s: float = 0.1
     retry_after_s: float = 0.5
-    away_retry_after_s: float = 4.0
+    away_retry_spread: float = 0.25
     exhausted_retry_after_s: float = 2.0
 
 
--- a/railtide/budgets/ledger_partition.py
+++ b/railtide/budgets/ledger_partition.py
@@ -15,6 +15,7 @@
 from railtide.budgets.account_hand import AccountHand, HandChange, Holder
 from railtide.budgets.hand_size import Horizon, LedgerOptions
 from railtide.budgets.ledger import Ledger, ledger_from_bytes, ledger_to_bytes
+from railtide.budgets.outages import Outages, note_reached, remaining_s
 from railtide.journal.errors import LogUnavailable
 from railtide.journal.keyed import AppendConflict, KeyedStore
 
@@ -74,6 +75,7 @@
         self._unsure: _Append | None = None
         self._read_at = -math.inf
         self._asked = trio.Event()
+        self._outages = Outages(self._options.horizon_s)
         self._horizon = Horizon(self._options.horizon_s, at=trio.current_time())
 
     def hand(self, account: str) -> AccountHand:
@@ -197,8 +199,13 @@
     def _horizon_s(self) -> float:
         return self._horizon.advance(trio.current_time(), self.reachable)
 
+    def outage_left_s(self) -> float:
+        """Return how long the store is likely to be away yet, seconds."""
+        return remaining_s(self._outages, trio.current_time())
+
     def _note_reachable(self, reachable: bool, reason: str) -> None:
         self._horizon_s()
+        note_reached(self._outages, reachable, trio.current_time())
         if reachable != self.reachable:
             self.reachable = reachable
             event = "ledgers-reached" if reachable else "ledgers-lost"
--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -89,9 +89,10 @@
         self._store_reached = store_reached
         self._options = options
         self._holder = Holder(instance, incarnation, routers, options, clock, clock.now())
-        rng = Random(incarnation)
+        self._rng = Random(incarnation)
         self.partitions = [
-            LedgerPartition(store, index, self._holder, rng) for index in range(options.partitions)
+            LedgerPartition(store, index, self._holder, self._rng)
+            for index in range(options.partitions)
         ]
         self._by_account: dict[str, AccountHand] = {}
 
@@ -162,7 +163,9 @@
         if not self._is_away(part):
             return self._options.retry_after_s
         wait_s = known.wait_s(amount)
-        return self._options.away_retry_after_s if wait_s is None else wait_s
+        if wait_s is not None:
+            return wait_s
+        return part.outage_left_s() * (1 + self._rng.uniform(0, self._options.away_retry_spread))
 
     def count_bill(self, account: str) -> None:
         """Count a request as billed; one of an account without a budget costs nothing."""
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -21,6 +21,10 @@
 """How long an idle connection is kept when the peer does not say."""
 IDLE_MARGIN_S = 1.0
 """A kept connection is dropped this long before the peer would close it."""
+SILENT_S = 0.5
+"""Without an answer for this long on a kept connection, other kept ones are not trusted either. A
+store answers in milliseconds; an engine that truly reads for so long costs new connections of 1 ms,
+and a silent one the whole wait of each request that is sent on it."""
 MOST_HEAD_BYTES = 65_536
 INFORMATIONAL_END = 200
 
@@ -96,13 +100,21 @@
         """
         kept = self._checkout() or await self._connect()
         exchange = Exchange(self, kept)
+        began = trio.current_time()
         try:
             await exchange.begin(request)
         except BaseException:
             exchange.abandon()
+            if exchange.reused and trio.current_time() - began >= SILENT_S:
+                self._drop_idle()
             raise
         return exchange
 
+    def _drop_idle(self) -> None:
+        """Close the idle connections; what made one silent may have made them all so."""
+        while self._idle:
+            self._idle.pop().stream.socket.close()
+
     def _checkout(self) -> _Kept | None:
         while self._idle:
             kept = self._idle.pop()
@@ -126,8 +138,7 @@
     def close(self) -> None:
         """Close the idle connections now, and each other one at the end of its exchange."""
         self._closed = True
-        while self._idle:
-            self._idle.pop().stream.socket.close()
+        self._drop_idle()
 
 
 class Exchange:
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from railtide.http.client import Exchange, PeerPool
+from railtide.http.client import SILENT_S, Exchange, PeerPool
 from railtide.http.errors import ConnectFailed, ConnectionLost
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
@@ -95,6 +95,30 @@
             with trio.fail_after(5):
                 await ended.wait()
 
+    async def test_kept_connections_that_fell_silent_cost_one_request(self) -> None:
+        """Four kept connections go silent for good; new ones work."""
+        opened = 0
+
+        async def script(stream: trio.SocketStream) -> None:
+            nonlocal opened
+            opened += 1
+            falls_silent = opened <= 4
+            while await stream.receive_some():
+                await stream.send_all(WHOLE)
+                if falls_silent:
+                    await trio.sleep_forever()
+
+        async with peer(script) as pool:
+            exchanges = [await pool.send(GET) for _ in range(4)]
+            for exchange in exchanges:
+                await body_of(exchange)
+            unanswered = 0
+            for _ in range(5):
+                with trio.move_on_after(2 * SILENT_S) as scope:
+                    assert await body_of(await pool.send(GET)) == b"ok"
+                unanswered += scope.cancelled_caught
+            assert unanswered == 1
+
     async def test_bytes_on_an_idle_connection_drop_it(self) -> None:
         async def late(stream: trio.SocketStream) -> None:
             await stream.receive_some()
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -220,6 +220,15 @@
             for _ in range(4):
                 assert (await w.ask("/safe/x")).status == 200
 
+    async def test_refusals_do_not_count_as_attempts(self) -> None:
+        """A route that allows one attempt, two full engines and one with room."""
+        async with world() as w:
+            full = [await w.add_engine(f"e{n}", not_run=True) for n in (1, 2)]
+            free = await w.add_engine("e3")
+            for _ in range(4):
+                assert (await w.ask("/once/x", body=b"b")).status == 200
+            assert (len(free.ran), [engine.ran for engine in full]) == (4, [[], []])
+
     async def test_request_that_may_run_once_is_not_sent_again(self) -> None:
         async with world() as w:
             engines = [await w.add_engine(f"e{n}", wrong_id=True) for n in (1, 2)]
--- a/railtide/requests/call.py
+++ b/railtide/requests/call.py
@@ -64,7 +64,7 @@
     affinity : Affinity
         Which requests of the account share a prompt prefix.
     attempts : int
-        Most upstreams that it may be sent to; 0 for the router's own bound.
+        Most upstreams at which it may run; 0 for the router's own bound.
     most_wait_s : float
         Longest wait for a slot, seconds, before it is refused.
     goal_s : float
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -238,7 +238,9 @@
         if not refused and not self._call.repeatable:
             raise OutcomeUnknown("the call may have run and is not sent again") from err
         begun = self._sink.started and not self._call.resumable
-        if begun or attempt >= (self._call.attempts or self._services.options.attempts):
+        most_runs = self._call.attempts or self._services.options.attempts
+        most_sent = most_runs + self._services.options.refusals
+        if begun or len(self._lost_tries) >= most_runs or attempt >= most_sent:
             raise err
         if not self._retries.try_spend():
             self._services.counters.add("retries_denied")
--- a/railtide/requests/options.py
+++ b/railtide/requests/options.py
@@ -20,6 +20,10 @@
         Above the heartbeat's interval, so that it holds in plain traffic.
     attempts : int
         Most times a repeatable request is sent.
+    refusals : int
+        Most upstreams beyond those attempts that a request is offered to after others said that
+        they did not run it, within the retry budget. An upstream that is full says so in a
+        millisecond, while most of its pool may be free.
     resumes : int
         Most times a broken stream is taken up again at its engine.
     most_answer_bytes : int
@@ -31,6 +35,7 @@
     commit_wait_s: float = 1.0
     dispatch_window_s: float = 6.0
     attempts: int = 3
+    refusals: int = 2
     resumes: int = 2
     most_answer_bytes: int = 16 * 1024 * 1024
     recovery_interval_s: float = 1.0
