--- a/railtide/demo/deployment.py
+++ b/railtide/demo/deployment.py
@@ -13,12 +13,13 @@
 from railtide.budgets.messages import TopUp
 from railtide.configuration.messages import Proposal
 from railtide.configuration.models import key_hash
-from railtide.journal.client import open_http_log
+from railtide.journal.http_log import open_http_log
 from railtide.keeper.assembly import KeeperParts, make_keeper
 from railtide.keeper.options import KeeperOptions
 from railtide.keeper.server import serve_tcp
+from railtide.membership.http_instance_list import open_http_instance_list
 from railtide.membership.identity import Identity, Role
-from railtide.membership.instances import Instance, open_http_instance_list
+from railtide.membership.instances import Instance
 from railtide.operators.session import open_session
 from railtide.process import new_incarnation
 from railtide.router.app import make_app
@@ -30,7 +31,7 @@
 from railtide.standins.instances import InstanceStore, make_instances_app
 from railtide.standins.log import LogStore, make_log_app
 from railtide.standins.service import PlainService, make_service_app
-from railtide.upstreams.client import HttpUpstreams
+from railtide.upstreams.http_upstreams import HttpUpstreams
 from railtide.wire.links import connect_tcp
 
 __all__ = ["Account", "Deployment", "Plan", "start_deployment"]
--- a/railtide/keeper/program.py
+++ b/railtide/keeper/program.py
@@ -5,13 +5,13 @@
 import trio
 from pydantic import BaseModel, Field
 
-from railtide.journal.client import open_http_log
+from railtide.journal.http_log import open_http_log
 from railtide.keeper.app import make_app
 from railtide.keeper.assembly import make_keeper
 from railtide.keeper.options import KeeperOptions
 from railtide.keeper.server import serve_tcp
+from railtide.membership.http_instance_list import open_http_instance_list
 from railtide.membership.identity import Identity
-from railtide.membership.instances import open_http_instance_list
 from railtide.process import announce, new_incarnation, new_rng, relax_gc, wait_for_stop
 from railtide.serving import Bind, bind_socket, serve_http
 from railtide.settings import checked, endpoint, run_program
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import trio
+from loguru import logger
 
 from railtide.lanes.errors import DeadlineTooNear, NoUpstream, QueueFull
 from railtide.lanes.queue import FairLanes, Urgency, Waiting, WaitingQueue
@@ -185,7 +186,8 @@
 
     def note_stream(self, paused: bool) -> None:
         """Take whether a stream that ended had a longer pause than its caller bears."""
-        self._choice.note_stream(paused, trio.current_time())
+        if self._choice.note_stream(paused, trio.current_time()):
+            logger.bind(upstreams=len(self.by_name)).info("long-prompts-apart")
 
     def expected_wait(self, urgency: Urgency) -> float:
         """Return how long a new request of a lane may wait, seconds."""
--- a/railtide/membership/instances.py
+++ b/railtide/membership/instances.py
@@ -4,22 +4,15 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-import httpx
 import msgspec
 
-from railtide.membership.errors import InstanceListUnavailable
-
 __all__ = [
-    "HttpInstanceList",
     "Instance",
     "InstanceList",
     "InstanceState",
     "merge_instances",
-    "open_http_instance_list",
 ]
 
-TIMEOUT_S = 2.0
-
 
 class InstanceState(StrEnum):
     """What the platform's list says of an instance."""
@@ -65,27 +58,6 @@
         """
 
 
-class HttpInstanceList(InstanceList):
-    """The instance list over HTTP and JSON."""
-
-    def __init__(self, client: httpx.AsyncClient) -> None:
-        self._client = client
-
-    async def fetch(self) -> list[Instance]:
-        """Return the list; see `InstanceList.fetch`."""
-        try:
-            answer = await self._client.get("/v1/instances")
-            answer.raise_for_status()
-            return msgspec.json.decode(answer.content, type=list[Instance])
-        except (httpx.HTTPError, msgspec.DecodeError) as err:
-            raise InstanceListUnavailable(str(err)) from err
-
-
-def open_http_instance_list(url: str) -> HttpInstanceList:
-    """Return a client of the instance list at `url`."""
-    return HttpInstanceList(httpx.AsyncClient(base_url=url, timeout=TIMEOUT_S, trust_env=False))
-
-
 @dataclass(frozen=True)
 class _Life:
     name: str
--- a/railtide/operators/program.py
+++ b/railtide/operators/program.py
@@ -17,8 +17,8 @@
 from railtide.configuration.models import key_hash as hash_of_key
 from railtide.configuration.objects import version_of
 from railtide.errors import RailtideError
-from railtide.journal.client import open_http_log
 from railtide.journal.entries import Code
+from railtide.journal.http_log import open_http_log
 from railtide.journal.state import State
 from railtide.keeper.options import KeeperOptions
 from railtide.operators.bills import bills_of
--- a/railtide/router/program.py
+++ b/railtide/router/program.py
@@ -17,7 +17,7 @@
 from railtide.telemetry.logs import set_up_logs
 from railtide.telemetry.meters import observe, set_up_meters
 from railtide.telemetry.spans import set_up_spans
-from railtide.upstreams.client import HttpUpstreams
+from railtide.upstreams.http_upstreams import HttpUpstreams
 from railtide.wire.links import connect_tcp
 
 __all__ = ["RouterSettings", "main", "router"]
--- a/railtide/upstreams/choice.py
+++ b/railtide/upstreams/choice.py
@@ -52,8 +52,15 @@
         `affinity` says which requests share a cached prefix.
         """
 
-    def note_stream(self, paused: bool, now: float) -> None:  # noqa: B027 - most have no use for it
-        """Take whether a stream that ended had a longer pause than its caller bears."""
+    def note_stream(self, paused: bool, now: float) -> bool:
+        """Take whether a stream that ended had a longer pause than its caller bears.
+
+        Returns
+        -------
+        bool
+            Whether the policy chooses otherwise from now on.
+        """
+        return False
 
 
 class RandomChoice(Choice):
--- a/railtide/upstreams/separation.py
+++ b/railtide/upstreams/separation.py
@@ -66,14 +66,17 @@
         self._streams_at = -math.inf
         self._apart_until = -math.inf
 
-    def note_stream(self, paused: bool, now: float) -> None:
+    def note_stream(self, paused: bool, now: float) -> bool:
         """Count a stream; see `Choice.note_stream`."""
         kept = math.exp((self._streams_at - now) / STREAMS_WINDOW_S)
         self._streams_at = now
         self._streams = self._streams * kept + 1
         self._paused = self._paused * kept + paused
-        if self._paused >= max(LEAST_PAUSED, self._streams * PAUSED_SHARE):
-            self._apart_until = now + HOLD_S
+        if self._paused < max(LEAST_PAUSED, self._streams * PAUSED_SHARE):
+            return False
+        was_apart = now < self._apart_until
+        self._apart_until = now + HOLD_S
+        return not was_apart
 
     def choose(self, candidates: Sequence[Upstream], affinity: Affinity, now: float) -> Upstream:
         """Return an upstream of the request's part."""
