The proof of what a dead process spent asks two clocks; nothing is kept for urgent requests

Cause: where the boot's id survives a loss of power the steady clock begins anew at any value, so the proof could hold by chance. Now the time of day must have gone on by as much (0.05 s); one clock that was set alone proves nothing. The property test begins clocks anew with the old id: without the second clock it finds overspend (mutant caught). Kept for urgent requests: removed.

--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -14,7 +14,6 @@
     burst_units,
     idle_units,
     is_low,
-    kept_for_urgent,
     note_request,
     pace_units,
     target_units,
@@ -30,7 +29,7 @@
     ledger_to_bytes,
     reported_spend,
 )
-from railtide.budgets.spend_limit import SpendLimit, SteadyClock, most_used
+from railtide.budgets.spend_limit import Clocks, Reading, SpendLimit, most_used, units_at
 
 __all__ = ["AccountHand", "HandChange", "Holder"]
 
@@ -47,10 +46,10 @@
         Returns how many routers keep budgets in hand, 0 if this one is not to.
     spreading : bool
         Whether `routers` is to be relied on, so that hands are kept ahead of need.
-    clock : SteadyClock
+    clocks : Clocks
         By which the process binds itself to what it spends.
-    started_at : float
-        That clock's reading when the process began.
+    started : Reading
+        What they said when the process began.
     leaving : bool
         Whether the process shuts down: hands are returned and nothing is asked for.
     """
@@ -59,8 +58,8 @@
     incarnation: str
     routers: Callable[[], int]
     options: LedgerOptions
-    clock: SteadyClock
-    started_at: float
+    clocks: Clocks
+    started: Reading
     spreading: bool = False
     leaving: bool = False
 
@@ -116,7 +115,6 @@
         self._holder = holder
         self._options = holder.options
         self._traffic = Traffic()
-        self._urgent = Traffic()
         self._needs: list[int] = []
         self._ledger = Ledger()
         self._ledger_at = -math.inf
@@ -130,25 +128,14 @@
 
     # -- requests -----------------------------------------------------------------------------
 
-    def note(self, amount: int, urgent: bool) -> None:
+    def note(self, amount: int) -> None:
         """Count a request in the account's traffic."""
-        now = trio.current_time()
-        note_request(self._traffic, amount, now, self._options.rate_window_s)
-        if urgent:
-            note_request(self._urgent, amount, now, self._options.rate_window_s)
+        note_request(self._traffic, amount, trio.current_time(), self._options.rate_window_s)
 
-    def try_reserve(self, amount: int, urgent: bool = True) -> bool:
+    def try_reserve(self, amount: int) -> bool:
         """Reserve units if they are in hand and within what the process has bound itself to."""
-        if amount + self._kept_from(urgent) > self.hand.available:
-            return False
         return amount <= self._headroom() and reserve(self.hand, amount)
 
-    def _kept_from(self, urgent: bool) -> int:
-        """Return the units of the hand that a request may not take."""
-        if urgent:
-            return 0
-        return kept_for_urgent(self._urgent, trio.current_time(), self._options)
-
     def wait_s(self, amount: int) -> float | None:
         """Return when the pace allows an amount that is in hand, seconds; None if it is not."""
         if amount > self.hand.available or not self._limits:
@@ -159,29 +146,28 @@
     def _headroom(self) -> int:
         """Return the units that the limits leave, or that are in hand if that is less."""
         hand = self.hand
-        clock = self._holder.clock
-        most = most_used(self._limits, hand.granted, clock.clock_id, clock.now())
-        return most - hand.spent - hand.reserved
+        now_s = self._holder.clocks.read().steady_s
+        allowed = [units_at(limit, now_s - limit.made.steady_s) for limit in self._limits]
+        return min([hand.granted, *allowed]) - hand.spent - hand.reserved
 
     def ask_if_low(self) -> None:
         """Have the hand refilled ahead of need."""
         if is_low(self.hand.available, self._target(), self._options):
             self._ask()
 
-    async def wait_for(self, amount: int, urgent: bool, until: float) -> bool:
+    async def wait_for(self, amount: int, until: float) -> bool:
         """Reserve units as soon as they are granted; return False if they are not in time."""
-        need = amount + self._kept_from(urgent)
-        self._needs.append(need)
+        self._needs.append(amount)
         try:
             with trio.move_on_at(until):
-                while not self.try_reserve(amount, urgent):
+                while not self.try_reserve(amount):
                     if self._is_fresh() and self.is_spent(amount):
                         return False
                     self._ask()
                     await self._changed.wait()
                 return True
         finally:
-            self._needs.remove(need)
+            self._needs.remove(amount)
         return False
 
     def is_spent(self, amount: int) -> bool:
@@ -256,9 +242,7 @@
             return None
         ledger = ledger_from_bytes(ledger_to_bytes(self._ledger))
         holder = self._holder
-        former = close_former(
-            ledger, holder.instance, holder.incarnation, holder.clock, holder.started_at
-        )
+        former = close_former(ledger, holder.instance, holder.incarnation, holder.started)
         take_back(self.hand, self._idle())
         own = Holding(holder.incarnation, self.hand.granted, self.hand.spent, self.billed_requests)
         account_for(ledger, holder.instance, own)
@@ -272,13 +256,12 @@
 
     def _next_limit(self) -> SpendLimit | None:
         """Return the limit of the next report, kept to from now on beside the one in force."""
-        clock = self._holder.clock
-        if not clock.clock_id:
+        made = self._holder.clocks.read()
+        if not made.boot:
             return None
         now = trio.current_time()
         limit = SpendLimit(
-            clock.clock_id,
-            clock.now(),
+            made,
             self.hand.spent + self.hand.reserved,
             burst_units(self._traffic, now, self._options) + sum(self._needs),
             pace_units(self._traffic, now, self._options),
@@ -298,7 +281,7 @@
     def _log_closed(self, former: Holding) -> None:
         """Say what became of the hand of the process before."""
         holder = self._holder
-        used = most_used([former.limit], former.granted, holder.clock.clock_id, holder.started_at)
+        used = most_used(former.limit, former.granted, holder.started)
         logger.bind(
             account=self.account,
             units=max(former.spent, used) - former.spent,
--- a/railtide/budgets/hand_size.py
+++ b/railtide/budgets/hand_size.py
@@ -10,7 +10,6 @@
     "burst_units",
     "idle_units",
     "is_low",
-    "kept_for_urgent",
     "note_request",
     "pace_units",
     "target_units",
@@ -284,22 +283,6 @@
     return round(max(by_rate, traffic.typical * options.burst_requests))
 
 
-def kept_for_urgent(urgent: Traffic, now: float, options: LedgerOptions) -> int:
-    """Return the units of a hand that only an urgent request may take.
-
-    One of its usual size, while such requests come: urgent requests are often the larger ones, and
-    the end of a hand would always be too small for them and large enough for the rest.
-
-    Examples
-    --------
-    >>> urgent = Traffic(rate=100.0, typical=500.0)
-    >>> [kept_for_urgent(urgent, now, LedgerOptions()) for now in (0.0, 60.0)]
-    [500, 0]
-    """
-    expected = rate_at(urgent, now, options.rate_window_s) * options.rate_window_s
-    return round(min(urgent.typical, expected))
-
-
 def is_low(available: int, target: int, options: LedgerOptions) -> bool:
     """Return whether a hand should be refilled."""
     return available < target * options.refill_share
--- a/railtide/budgets/ledger.py
+++ b/railtide/budgets/ledger.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from railtide.budgets.spend_limit import SpendLimit, SteadyClock, most_used
+from railtide.budgets.spend_limit import Reading, SpendLimit, most_used
 
 __all__ = [
     "Holding",
@@ -107,12 +107,12 @@
 
 
 def close_former(
-    ledger: Ledger, instance: str, incarnation: str, clock: SteadyClock, started_at: float
+    ledger: Ledger, instance: str, incarnation: str, started: Reading
 ) -> Holding | None:
     """Close the holding of an instance's former process and return it; None if there is none.
 
     What it had not reported may have been spent. It counts as spent as far as its limit allowed
-    until this process began, read from a clock that both have.
+    until this process began, read from clocks that both have.
 
     Parameters
     ----------
@@ -120,22 +120,21 @@
         Changed in place.
     instance, incarnation : str
         Of this process.
-    clock : SteadyClock
-    started_at : float
-        Its reading when this process began.
+    started : Reading
+        The clocks when this process began.
 
     Examples
     --------
-    >>> from railtide.budgets.spend_limit import NO_CLOCK
+    >>> from railtide.budgets.spend_limit import NoClocks
     >>> ledger = Ledger(by_instance={"a": Holding("a1", granted=7, spent=2)})
-    >>> close_former(ledger, "a", "a2", NO_CLOCK, 0.0).spent, ledger.closed, ledger.billed
+    >>> close_former(ledger, "a", "a2", NoClocks().read()).spent, ledger.closed, ledger.billed
     (2, 7, 2)
     """
     former = ledger.by_instance.get(instance)
     if former is None or former.incarnation == incarnation:
         return None
     del ledger.by_instance[instance]
-    used = most_used([former.limit], former.granted, clock.clock_id, started_at)
+    used = most_used(former.limit, former.granted, started)
     ledger.closed += max(former.spent, used)
     ledger.billed += former.spent
     return former
--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -15,7 +15,7 @@
 from railtide.budgets.hand_size import LedgerOptions
 from railtide.budgets.ledger_partition import LedgerPartition
 from railtide.budgets.source import BudgetSource, Reserved
-from railtide.budgets.spend_limit import NO_CLOCK, SteadyClock
+from railtide.budgets.spend_limit import Clocks, NoClocks
 from railtide.configuration.models import AccountSettings
 from railtide.journal.keyed import KeyedStore
 
@@ -66,7 +66,7 @@
     store_reached : callable, optional
         Returns whether other calls to the store are answered now; an account without traffic
         makes none.
-    clock : SteadyClock, optional
+    clocks : Clocks, optional
         By which what a process before this one can have spent is proved.
 
     Attributes
@@ -83,12 +83,13 @@
         routers: Callable[[], int],
         options: LedgerOptions,
         store_reached: Callable[[], bool] = lambda: True,
-        clock: SteadyClock = NO_CLOCK,
+        clocks: Clocks | None = None,
     ) -> None:
         self.refusals = 0
         self._store_reached = store_reached
         self._options = options
-        self._holder = Holder(instance, incarnation, routers, options, clock, clock.now())
+        clocks = clocks or NoClocks()
+        self._holder = Holder(instance, incarnation, routers, options, clocks, clocks.read())
         self._rng = Random(incarnation)
         self.partitions = [
             LedgerPartition(store, index, self._holder, self._rng)
@@ -119,25 +120,20 @@
     # -- reserving ----------------------------------------------------------------------------
 
     async def reserve(
-        self,
-        account: str,
-        settings: AccountSettings,
-        amount: int,
-        deadline: float,
-        urgent: bool = True,
+        self, account: str, settings: AccountSettings, amount: int, deadline: float
     ) -> LedgerReservation:
         """Return a reservation; see `BudgetSource.reserve`."""
         if amount == 0:
             return LedgerReservation(Hand(), 0)
         known = self._account(account)
-        known.note(amount, urgent)
-        if known.try_reserve(amount, urgent):
+        known.note(amount)
+        if known.try_reserve(amount):
             known.ask_if_low()
             return LedgerReservation(known.hand, amount)
         now = trio.current_time()
         part = self._partition(account)
         until = now if self._is_away(part) else min(deadline, now + settings.budget_wait_s)
-        if not await known.wait_for(amount, urgent, until):
+        if not await known.wait_for(amount, until):
             raise self._refusal(known, amount)
         return LedgerReservation(known.hand, amount)
 
--- a/railtide/budgets/source.py
+++ b/railtide/budgets/source.py
@@ -28,12 +28,7 @@
 
     @abstractmethod
     async def reserve(
-        self,
-        account: str,
-        settings: AccountSettings,
-        amount: int,
-        deadline: float,
-        urgent: bool = True,
+        self, account: str, settings: AccountSettings, amount: int, deadline: float
     ) -> Reserved:
         """Return a reservation.
 
@@ -45,8 +40,6 @@
             The request's greatest cost, units.
         deadline : float
             Trio time after which the request is of no use.
-        urgent : bool
-            Whether it may take what is kept for urgent requests.
 
         Raises
         ------
--- a/railtide/budgets/spend_limit.py
+++ b/railtide/budgets/spend_limit.py
@@ -1,44 +1,64 @@
-"""How much a process can have spent by the time it died, proved by a clock that outlives it. Pure.
+"""How much a process can have spent by the time it died, proved by clocks that outlive it. Pure.
 
 With each report to the ledger a process binds itself: of its grant it will have used no more than
 a burst and a pace since then, whether the store is reached or not. The process that follows on the
-same machine reads the same steady clock at its own start, when its predecessor was dead; the units
-beyond that line were never spent and go back to the budget.
+same machine reads the same clocks at its own start, when its predecessor was dead; the units beyond
+that line were never spent and go back to the budget.
 
 Notes
 -----
-The proof rests on the kernel's steady clock, which goes on over the end of a process, and on the
-id that the kernel gives each boot. After a loss of power, or on another machine, the ids differ:
-nothing is proved, and the whole grant counts as spent. A frozen process wakes up to the time that
-has passed, since it looks at the clock for each request. A report that lands late says what held
-when it was made, and still holds: while two reports are under way the process keeps to both.
+The proof rests on the kernel's steady clock, which goes on over the end of a process, and on the id
+that the kernel gives each boot. Where the id survives a loss of power, the steady clock begins
+anew, so the time of day must have gone on by as much: both must say how long ago the report was
+made, and one that was set alone proves nothing. Without a proof the whole grant counts as spent. A
+frozen process wakes up to the time that has passed, since it looks at the clock for each request. A
+report that lands late says what held when it was made, and still holds: while two reports are under
+way the process keeps to both.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from abc import ABC, abstractmethod
 
 import msgspec
 
-__all__ = ["NO_CLOCK", "SpendLimit", "SteadyClock", "most_used", "units_at"]
+__all__ = ["Clocks", "NoClocks", "Reading", "SpendLimit", "elapsed_s", "most_used", "units_at"]
 
+AGREE_S = 0.05
+"""By how much two clocks may tell a time of seconds apart. The time of day is slewed by 0.5 ms a
+second at most; when it is set, it is by more."""
 
-@dataclass(frozen=True)
-class SteadyClock:
-    """A clock that goes on over the end of a process.
+
+class Reading(msgspec.Struct, array_like=True, frozen=True):
+    """The clocks of a machine at one moment.
 
     Attributes
     ----------
-    clock_id : str
-        Equal for processes whose readings can be compared; empty if that can't be told.
-    now : callable
-        Returns the reading, seconds.
+    boot : str
+        Id of the boot that the steady clock counts from; empty if it is not known.
+    steady_s : float
+        The steady clock, seconds.
+    day_s : float
+        The time of day, seconds since the epoch.
     """
 
-    clock_id: str
-    now: Callable[[], float]
+    boot: str
+    steady_s: float
+    day_s: float
+
+
+class Clocks(ABC):
+    """The clocks of a machine."""
+
+    @abstractmethod
+    def read(self) -> Reading:
+        """Return what they say now."""
 
 
-NO_CLOCK = SteadyClock("", lambda: 0.0)
+class NoClocks(Clocks):
+    """Clocks that prove nothing."""
+
+    def read(self) -> Reading:
+        """Return a reading without a boot."""
+        return Reading("", 0.0, 0.0)
 
 
 class SpendLimit(msgspec.Struct, array_like=True, frozen=True):
@@ -46,10 +66,8 @@
 
     Attributes
     ----------
-    clock_id : str
-        Of the clock that `made_at` is read from.
-    made_at : float
-        When the limit was made, seconds.
+    made : Reading
+        When the limit was made.
     used : int
         Units spent or reserved then.
     burst : int
@@ -58,51 +76,52 @@
         Units a second that may be used beyond that.
     """
 
-    clock_id: str
-    made_at: float
+    made: Reading
     used: int
     burst: int
     pace: int
 
 
-def units_at(limit: SpendLimit, now: float) -> int:
-    """Return the units that may have been used at a reading of the limit's clock.
+def units_at(limit: SpendLimit, elapsed: float) -> int:
+    """Return the units that may have been used so many seconds after the limit was made.
 
     Examples
     --------
-    >>> units_at(SpendLimit("boot", made_at=10.0, used=100, burst=50, pace=20), now=12.5)
+    >>> units_at(SpendLimit(Reading("boot", 10.0, 0.0), used=100, burst=50, pace=20), 2.5)
     200
     """
-    return limit.used + limit.burst + int(limit.pace * max(0.0, now - limit.made_at))
+    return limit.used + limit.burst + int(limit.pace * max(0.0, elapsed))
 
 
-def most_used(
-    limits: Iterable[SpendLimit | None], granted: int, clock_id: str, dead_at: float
-) -> int:
-    """Return the units of a grant that a process can have used until it was dead.
+def elapsed_s(since: Reading, until: Reading) -> float | None:
+    """Return the seconds between two readings, or None if they don't prove them.
+
+    Examples
+    --------
+    >>> made = Reading("boot", 10.0, 1000.0)
+    >>> elapsed_s(made, Reading("boot", 12.5, 1002.5))
+    2.5
+    >>> elapsed_s(made, Reading("another boot", 12.5, 1002.5))
+    >>> elapsed_s(made, Reading("boot", 12.5, 1009.0))
+    >>> elapsed_s(made, Reading("boot", 9.0, 999.0))
+    """
+    steady = until.steady_s - since.steady_s
+    day = until.day_s - since.day_s
+    if not since.boot or since.boot != until.boot or steady < 0 or abs(steady - day) > AGREE_S:
+        return None
+    return steady
 
-    Parameters
-    ----------
-    limits : iterable of SpendLimit or None
-        All of them held; None is no limit.
-    granted : int
-    clock_id : str
-        Of the clock that `dead_at` is read from; empty for none.
-    dead_at : float
-        A reading when the process was dead.
+
+def most_used(limit: SpendLimit | None, granted: int, dead: Reading) -> int:
+    """Return the units of a grant that a process can have used until it was dead.
 
     Examples
     --------
-    >>> limit = SpendLimit("boot", made_at=10.0, used=100, burst=50, pace=20)
-    >>> most_used([limit], 1000, "boot", dead_at=12.5)
+    >>> limit = SpendLimit(Reading("boot", 10.0, 1000.0), used=100, burst=50, pace=20)
+    >>> most_used(limit, 1000, Reading("boot", 12.5, 1002.5))
     200
-    >>> most_used([limit], 1000, "another boot", dead_at=12.5)
-    1000
-    >>> most_used([limit], 1000, "boot", dead_at=9.0)
+    >>> most_used(limit, 1000, Reading("another boot", 12.5, 1002.5))
     1000
     """
-    most = granted
-    for limit in limits:
-        if limit and clock_id and limit.clock_id == clock_id and dead_at >= limit.made_at:
-            most = min(most, units_at(limit, dead_at))
-    return most
+    elapsed = elapsed_s(limit.made, dead) if limit else None
+    return granted if elapsed is None else min(granted, units_at(limit, elapsed))
--- a/railtide/budgets/treasury.py
+++ b/railtide/budgets/treasury.py
@@ -168,14 +168,9 @@
     # -- reserving ----------------------------------------------------------------------------
 
     async def reserve(
-        self,
-        account: str,
-        settings: AccountSettings,
-        amount: int,
-        deadline: float,
-        urgent: bool = True,
+        self, account: str, settings: AccountSettings, amount: int, deadline: float
     ) -> Reservation:
-        """Return a reservation, the same for all urgencies; see `BudgetSource.reserve`."""
+        """Return a reservation; see `BudgetSource.reserve`."""
         self._settings_by_account[account] = settings
         self._note_rate(account, amount)
         taken = await self._obtain(
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from railtide.budgets.ledger_treasury import LedgerTreasury
-from railtide.budgets.spend_limit import NO_CLOCK, SteadyClock
+from railtide.budgets.spend_limit import Clocks, NoClocks
 from railtide.configuration.errors import InvalidObject
 from railtide.configuration.snapshot import Snapshot
 from railtide.edge.options import EdgeOptions
@@ -53,7 +53,7 @@
     upstreams : UpstreamClient
     options : EdgeOptions
     rng : random.Random
-    clock : SteadyClock, optional
+    clocks : Clocks, optional
         See `LedgerTreasury`.
 
     Attributes
@@ -72,7 +72,7 @@
         upstreams: UpstreamClient,
         options: EdgeOptions,
         rng: Random,
-        clock: SteadyClock = NO_CLOCK,
+        clocks: Clocks | None = None,
     ) -> None:
         self.identity = identity
         self.options = options
@@ -101,7 +101,7 @@
             self._sharing_routers,
             options.ledger,
             lambda: self._upstream_feed.reachable,
-            clock,
+            clocks or NoClocks(),
         )
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
         self._configuration_feed = Feed(
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -22,7 +22,7 @@
 from railtide.platform.ingress import Ingress, addresses_body
 from railtide.platform.store import PlatformStore
 from railtide.platform.upstreams import PlatformUpstreams
-from railtide.process import new_incarnation, new_rng, relax_gc, steady_clock
+from railtide.process import kernel_clocks, new_incarnation, new_rng, relax_gc
 from railtide.settings import InvalidSetting, checked, endpoint, run_program
 from railtide.telemetry.counters import Counters
 from railtide.telemetry.lines import set_up_lines
@@ -103,8 +103,8 @@
     store = PlatformStore(boot.store, counters)
     upstreams = PlatformUpstreams()
     options = _options(boot, settings)
-    clock = steady_clock()
-    node = EdgeNode(identity, store, PlatformSources(), upstreams, options, rng, clock)
+    clocks = kernel_clocks()
+    node = EdgeNode(identity, store, PlatformSources(), upstreams, options, rng, clocks)
     upstreams.on_load = node.take_load
     limits = ConnectionLimits()
     node.on_snapshot = partial(_apply_limits, limits)
--- a/railtide/process.py
+++ b/railtide/process.py
@@ -12,14 +12,14 @@
 import trio
 from loguru import logger
 
-from railtide.budgets.spend_limit import NO_CLOCK, SteadyClock
+from railtide.budgets.spend_limit import Clocks, NoClocks, Reading
 
 __all__ = [
     "announce",
+    "kernel_clocks",
     "new_incarnation",
     "new_rng",
     "relax_gc",
-    "steady_clock",
     "wait_for_stop",
 ]
 
@@ -51,13 +51,24 @@
     return uuid4().hex[:INCARNATION_LENGTH]
 
 
-def steady_clock(boot_id: Path = BOOT_ID) -> SteadyClock:
-    """Return the kernel's steady clock, or none where the boot can't be told from another."""
+class KernelClocks(Clocks):
+    """The kernel's clocks, for a boot of a known id."""
+
+    def __init__(self, boot: str) -> None:
+        self._boot = boot
+
+    def read(self) -> Reading:
+        """Return what they say now; see `Clocks.read`."""
+        return Reading(self._boot, time.monotonic(), time.time())
+
+
+def kernel_clocks(boot_id: Path = BOOT_ID) -> Clocks:
+    """Return the kernel's clocks, or none where the boot can't be told from another."""
     try:
-        return SteadyClock(boot_id.read_text().strip(), time.monotonic)
+        return KernelClocks(boot_id.read_text().strip())
     except OSError as err:
         logger.bind(path=str(boot_id), error=str(err)).warning("boot-id-unreadable")
-        return NO_CLOCK
+        return NoClocks()
 
 
 def new_rng() -> Random:
--- a/railtide/requests/dispatcher.py
+++ b/railtide/requests/dispatcher.py
@@ -6,7 +6,6 @@
 from railtide.budgets.errors import BudgetError
 from railtide.budgets.treasury import Treasury
 from railtide.lanes.errors import LaneError, NoUpstream
-from railtide.lanes.queue import Urgency
 from railtide.lanes.scheduler import PoolScheduler
 from railtide.requests.call import AnswerSink, Call
 from railtide.requests.cover import KnownAnswer, answer_of_verdict
@@ -80,11 +79,7 @@
         if scheduler is None:
             raise NoUpstream("the pool has no upstream", retry_after=RETRY_AFTER_S)
         reservation = await self._treasury.reserve(
-            call.account,
-            call.settings,
-            call.reserve,
-            call.deadline,
-            call.urgency is Urgency.URGENT,
+            call.account, call.settings, call.reserve, call.deadline
         )
         await Execution(call, reservation, scheduler, self._services, sink).run()
 
