--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -209,7 +209,10 @@
 
     def expected_wait(self, urgency: Urgency) -> float:
         """Return how long a new request of a lane may wait, seconds."""
-        ahead = sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
+        staying = [upstream for upstream in self.by_name.values() if not is_leaving(upstream)]
+        if any(self._has_room(upstream, urgency) for upstream in staying):
+            return 0.0
+        ahead = 1 + sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
         slots = sum(self._capacity(u, urgency) for u in self.by_name.values()) or 1
         return ahead * self._service_s / slots
 
