--- a/railtide/budgets/hand_size.py
+++ b/railtide/budgets/hand_size.py
@@ -39,9 +39,9 @@
         the store, and what a loss of power writes off. Ten outlast a switch or a store that
         restarts; a setting, since it weighs refusals in a longer outage against that loss.
     swings : float
-        Standard deviations of that traffic that a hand holds besides. An account with a request a
-        second at a router, of which some are ten times as large as others, varies by half of its
-        mean within ten seconds.
+        Standard deviations of that traffic that a hand holds besides. For a request a second, one
+        in four of them nine times as large, a hand of the mean lasts through its horizon in half of
+        200 trials, one with 1.5 deviations in four of five (`test_hand_size.py`).
     most_share : float
         Most of what is left of a budget that lies in the hands of all routers together ahead of
         need: what a kill of all of them writes off.
@@ -123,7 +123,8 @@
     It grows by a second for each second in which the store is reached, and shrinks like the hands
     for each one in which it is not. So hands are small behind an outage and behind a start, when
     what failed may fail again and take routers with it, and are whole again after as long as it
-    lasted; a call that is lost now and then changes little.
+    lasted; a call that is lost now and then changes little. A loss of power 2 s behind an outage of
+    8 s costs 2 s of traffic in place of the whole horizon.
 
     Attributes
     ----------
--- a/railtide/upstreams/separation.py
+++ b/railtide/upstreams/separation.py
@@ -3,7 +3,9 @@
 An upstream reads a prompt in chunks between the tokens of its other requests, so a long prompt
 makes each stream beside it pause, and two of them at once make it pause for longer than callers
 bear. Weighing long prompts as more load does not help: with long prompts at every upstream there
-is nowhere to go.
+is nowhere to go. Of 14 streams of 4 s and 8 long prompts of 0.3 s a second at six upstreams, 16
+in 100 streams pause beside two prompts at once, and 3 in 100 with long prompts apart (a load played
+in `test_separation.py`).
 """
 
 import math
