What a dead process is charged is worked out in one place

Cause: the ledger and the line of a closed hand each had the same formula, and node and treasury the same default for missing clocks.

--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -28,8 +28,9 @@
     ledger_from_bytes,
     ledger_to_bytes,
     reported_spend,
+    units_charged,
 )
-from railtide.budgets.spend_limit import Clocks, Reading, SpendLimit, most_used, units_at
+from railtide.budgets.spend_limit import Clocks, Reading, SpendLimit, units_at
 
 __all__ = ["AccountHand", "HandChange", "Holder"]
 
@@ -280,12 +281,11 @@
 
     def _log_closed(self, former: Holding) -> None:
         """Say what became of the hand of the process before."""
-        holder = self._holder
-        used = most_used(former.limit, former.granted, holder.started)
+        charged = units_charged(former, self._holder.started)
         logger.bind(
             account=self.account,
-            units=max(former.spent, used) - former.spent,
-            returned=former.granted - max(former.spent, used),
+            units=charged - former.spent,
+            returned=former.granted - charged,
         ).info("former-hand-closed")
 
     def is_written(self, change: HandChange) -> bool:
--- a/railtide/budgets/ledger.py
+++ b/railtide/budgets/ledger.py
@@ -25,6 +25,7 @@
     "ledger_from_bytes",
     "ledger_to_bytes",
     "reported_spend",
+    "units_charged",
 ]
 
 
@@ -134,12 +135,16 @@
     if former is None or former.incarnation == incarnation:
         return None
     del ledger.by_instance[instance]
-    used = most_used(former.limit, former.granted, started)
-    ledger.closed += max(former.spent, used)
+    ledger.closed += units_charged(former, started)
     ledger.billed += former.spent
     return former
 
 
+def units_charged(former: Holding, started: Reading) -> int:
+    """Return the units of a dead process's holding that count as spent; see `close_former`."""
+    return max(former.spent, most_used(former.limit, former.granted, started))
+
+
 def account_for(ledger: Ledger, instance: str, holding: Holding) -> None:
     """Set a process's holding; an empty one of no use is left out."""
     if holding.granted or holding.spent:
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from railtide.budgets.ledger_treasury import LedgerTreasury
-from railtide.budgets.spend_limit import Clocks, NoClocks
+from railtide.budgets.spend_limit import Clocks
 from railtide.configuration.errors import InvalidObject
 from railtide.configuration.snapshot import Snapshot
 from railtide.edge.options import EdgeOptions
@@ -101,7 +101,7 @@
             self._sharing_routers,
             options.ledger,
             lambda: self._upstream_feed.reachable,
-            clocks or NoClocks(),
+            clocks,
         )
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
         self._configuration_feed = Feed(
