Lines and counters tell a write-off from units in other hands and from a slow way back

Cause: a refusal said committed and reported units only, a closed hand not why its units were kept, and nothing what a budget looked like when a new process first read it. Counters: refusals by cause, units written off, units returned.

--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -2,11 +2,19 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass, field
 
 import trio
 from loguru import logger
 
+from railtide.budgets.account_lines import (
+    AccountState,
+    LineAllowance,
+    LineSchedule,
+    cause_of,
+    proof_of,
+    state_of,
+)
 from railtide.budgets.hand import Hand, reserve, take_back
 from railtide.budgets.hand_size import (
     LedgerOptions,
@@ -31,6 +39,7 @@
     units_charged,
 )
 from railtide.budgets.spend_limit import Clocks, Reading, SpendLimit, units_at
+from railtide.telemetry.counters import Counters
 
 __all__ = ["AccountHand", "HandChange", "Holder"]
 
@@ -51,6 +60,9 @@
         By which the process binds itself to what it spends.
     started : Reading
         What they said when the process began.
+    counters : Counters
+    lines : LineAllowance
+        Lines on ledgers that the process may write.
     leaving : bool
         Whether the process shuts down: hands are returned and nothing is asked for.
     """
@@ -61,6 +73,8 @@
     options: LedgerOptions
     clocks: Clocks
     started: Reading
+    counters: Counters = field(default_factory=Counters)
+    lines: LineAllowance = field(default_factory=LineAllowance)
     spreading: bool = False
     leaving: bool = False
 
@@ -125,6 +139,7 @@
         self._refill_refused_at = -math.inf
         self._ask = ask
         self._horizon_s = horizon_s
+        self._schedule = LineSchedule(holder.lines)
         self._changed = trio.Event()
 
     # -- requests -----------------------------------------------------------------------------
@@ -187,6 +202,7 @@
         if self.prepaid is not None and prepaid < self.prepaid:
             take_back(self.hand, self.hand.available)
         self.prepaid = prepaid
+        self._log_ledger()
         self._ask()
 
     def give_back(self) -> None:
@@ -200,8 +216,12 @@
         return self.hand.granted < self._written.granted
 
     def log_refusal(self, amount: int, store_reached: bool, ledger_age_ms: int | None) -> None:
-        """Say what a refusal rests on."""
+        """Say and count what a refusal rests on."""
+        state = self._state()
+        cause = cause_of(state, amount, self.hand.available, store_reached)
+        self._holder.counters.add(f"budget_refused_{cause.replace('-', '_')}")
         logger.bind(
+            cause=cause,
             account=self.account,
             amount=amount,
             in_hand=self.hand.available,
@@ -209,10 +229,25 @@
             prepaid=self.prepaid,
             committed=committed(self._ledger),
             reported=reported_spend(self._ledger),
+            written_off=state.written_off if state else None,
             store_reached=store_reached,
             ledger_age_ms=ledger_age_ms,
         ).info("budget-refused")
 
+    def _state(self) -> AccountState | None:
+        """Return where the budget's units are, None if it or its ledger is not known."""
+        if self.prepaid is None or not self.loaded:
+            return None
+        return state_of(self._ledger, self.prepaid)
+
+    def _log_ledger(self) -> None:
+        """Say where the budget's units are, once it is known and when that has changed much."""
+        if self.prepaid is None or not self.loaded:
+            return
+        state = self._schedule.next(self._ledger, self.prepaid, trio.current_time())
+        if state:
+            logger.bind(account=self.account, **asdict(state)).info("ledger-state")
+
     # -- the ledger ---------------------------------------------------------------------------
 
     def take_ledger(self, ledger: Ledger) -> None:
@@ -220,6 +255,7 @@
         self._ledger = ledger
         self._ledger_at = trio.current_time()
         self.loaded = True
+        self._log_ledger()
 
     @property
     def is_waited_for(self) -> bool:
@@ -280,13 +316,16 @@
             self._log_closed(change.former)
 
     def _log_closed(self, former: Holding) -> None:
-        """Say what became of the hand of the process before."""
-        charged = units_charged(former, self._holder.started)
-        logger.bind(
-            account=self.account,
-            units=charged - former.spent,
-            returned=former.granted - charged,
-        ).info("former-hand-closed")
+        """Say and count what became of the hand of the process before."""
+        holder = self._holder
+        charged = units_charged(former, holder.started)
+        units, returned = charged - former.spent, former.granted - charged
+        holder.counters.add("budget_units_written_off", units)
+        holder.counters.add("budget_units_returned", returned)
+        proof = proof_of(former.limit, holder.started)
+        logger.bind(account=self.account, units=units, returned=returned, **asdict(proof)).info(
+            "former-hand-closed"
+        )
 
     def is_written(self, change: HandChange) -> bool:
         """Return whether the ledger as read has a change; only this process writes its holding."""
--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -4,10 +4,12 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import trio
 import xxhash
+from loguru import logger
 
 from railtide.budgets.account_hand import AccountHand, Holder
 from railtide.budgets.errors import BudgetExhausted, BudgetUnavailable
@@ -18,6 +20,7 @@
 from railtide.budgets.spend_limit import Clocks, NoClocks
 from railtide.configuration.models import AccountSettings
 from railtide.journal.keyed import KeyedStore
+from railtide.telemetry.counters import Counters
 
 __all__ = ["LedgerTreasury", "partition_of"]
 
@@ -39,9 +42,12 @@
 class LedgerReservation(Reserved):
     """Units of a hand kept back for one request."""
 
-    def __init__(self, hand: Hand, amount: int) -> None:
+    def __init__(
+        self, hand: Hand, amount: int, on_spent: Callable[[], None] = lambda: None
+    ) -> None:
         self.amount = amount
         self._hand = hand
+        self._on_spent = on_spent
         self._settled = False
 
     def settle(self, used: int) -> int:
@@ -49,7 +55,10 @@
         if self._settled:
             return 0
         self._settled = True
-        return settle_reserve(self._hand, self.amount, used)
+        spent = settle_reserve(self._hand, self.amount, used)
+        if spent:
+            self._on_spent()
+        return spent
 
 
 class LedgerTreasury(BudgetSource):
@@ -68,6 +77,8 @@
         makes none.
     clocks : Clocks, optional
         By which what a process before this one can have spent is proved.
+    counters : Counters, optional
+        Of refusals by cause, and of units of dead processes.
 
     Attributes
     ----------
@@ -84,12 +95,23 @@
         options: LedgerOptions,
         store_reached: Callable[[], bool] = lambda: True,
         clocks: Clocks | None = None,
+        counters: Counters | None = None,
     ) -> None:
         self.refusals = 0
+        self._began_at = trio.current_time()
+        self._has_served = False
         self._store_reached = store_reached
         self._options = options
         clocks = clocks or NoClocks()
-        self._holder = Holder(instance, incarnation, routers, options, clocks, clocks.read())
+        self._holder = Holder(
+            instance,
+            incarnation,
+            routers,
+            options,
+            clocks,
+            clocks.read(),
+            counters or Counters(),
+        )
         self._rng = Random(incarnation)
         self.partitions = [
             LedgerPartition(store, index, self._holder, self._rng)
@@ -129,13 +151,24 @@
         known.note(amount)
         if known.try_reserve(amount):
             known.ask_if_low()
-            return LedgerReservation(known.hand, amount)
+            return self._reserved(known, amount)
         now = trio.current_time()
         part = self._partition(account)
         until = now if self._is_away(part) else min(deadline, now + settings.budget_wait_s)
         if not await known.wait_for(amount, until):
             raise self._refusal(known, amount)
-        return LedgerReservation(known.hand, amount)
+        return self._reserved(known, amount)
+
+    def _reserved(self, known: AccountHand, amount: int) -> LedgerReservation:
+        return LedgerReservation(known.hand, amount, partial(self._note_spent, known.account))
+
+    def _note_spent(self, account: str) -> None:
+        """Say when the first request with a cost has ended: from then on budgets are in use."""
+        if self._has_served:
+            return
+        self._has_served = True
+        since_start_s = round(trio.current_time() - self._began_at, 3)
+        logger.bind(account=account, since_start_s=since_start_s).info("serving")
 
     def _is_away(self, part: LedgerPartition) -> bool:
         """Return whether the store would not answer a question for a grant."""
--- a/railtide/budgets/tests/test_account_lines.py
+++ b/railtide/budgets/tests/test_account_lines.py
@@ -2,7 +2,7 @@
 
 After a loss of power of all routers callers were refused, and the lines said only that units were
 "spent or written off" and how many a dead process had not reported. Whether its clocks had proved
-anything, and what a budget looked like when the new processes first read it, was nowhere to be read.
+anything, and what a budget looked like when the new processes first read it, stood nowhere.
 """
 
 from collections.abc import Iterator
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -102,6 +102,7 @@
             options.ledger,
             lambda: self._upstream_feed.reachable,
             clocks,
+            self.counters,
         )
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
         self._configuration_feed = Feed(
