--- a/bench/refusals.py
+++ b/bench/refusals.py
@@ -1,29 +1,55 @@
 """Why requests were refused for budget, by the lines that routers wrote.
 
-``python -m bench.refusals FILE...`` reads structured lines (other text before a line's first brace
-is passed over) and prints the causes with their share, three request ids each, and what dead
-processes' hands cost.
+``python -m bench.refusals [--since SECONDS] FILE...`` reads structured lines and prints the causes
+with their share and some request ids, the seconds in which they fell, where the units of each
+refused account were at its first and last refusal, what dead processes' hands cost, what callers
+were answered, and when processes were ready and served again. A time is the number that a line
+begins with, else the seconds since the file's first line.
 """
 
-import sys
+import argparse
+import statistics
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from datetime import datetime
 from pathlib import Path
 
 import msgspec
 
-__all__ = ["Summary", "cause_of", "lines_of", "summary_of"]
+from railtide.budgets.account_lines import AccountState, RefusalCause
+from railtide.budgets.account_lines import cause_of as cause_of_state
+
+__all__ = ["Summary", "cause_of", "lines_of", "since", "state_of", "summary_of"]
 
 REFUSED = "budget-refused"
 CLOSED = "former-hand-closed"
+ANSWERED = "request"
+BACK = ("ready", "serving")
 EXAMPLES = 3
 
+TEXT_BY_CAUSE = {
+    RefusalCause.SPEND_LIMIT: "the spend limit",
+    RefusalCause.LEDGER_UNREAD: "the ledger was not read yet",
+    RefusalCause.SPENT: "the budget is spent",
+    RefusalCause.WRITTEN_OFF: "the rest of the budget is written off",
+    RefusalCause.IN_LEDGER: "store reached, units left in the ledger",
+    RefusalCause.IN_LEDGER_AWAY: "store away, units left in the ledger",
+    RefusalCause.IN_OTHER_HANDS: "store reached, units in other hands",
+    RefusalCause.IN_OTHER_HANDS_AWAY: "store away, units in other hands",
+}
+
 
 class Line(msgspec.Struct):
-    """What is used of a router's line; units where nothing else is said."""
+    """What is used of a router's line; units where nothing else is said.
+
+    `at_s` is not part of it, but when it was written.
+    """
 
     event: str
+    at_s: float = 0.0
+    time: str = ""
+    service: str = ""
     request_id: str = ""
     account: str = ""
     amount: int = 0
@@ -31,19 +57,111 @@
     prepaid: int | None = None
     committed: int = 0
     reported: int = 0
+    written_off: int | None = None
     store_reached: bool = True
+    cause: RefusalCause | None = None
     units: int = 0
     returned: int = 0
+    clocks: str = "not told"
+    since_report_s: float | None = None
+    since_start_s: float = 0.0
+    code: str = ""
+    retry_after_s: float | None = None
+
+
+@dataclass
+class Closed:
+    """Hands of dead processes for which the clocks said the same."""
+
+    hands: int = 0
+    written_off: int = 0
+    returned: int = 0
+    ages_s: list[float] = field(default_factory=list)
+
+
+@dataclass
+class Refused:
+    """The refusals of one account, and its lines at the first and the last of them."""
+
+    first: Line
+    last: Line
+    count: int = 0
 
 
 @dataclass
 class Summary:
-    """Refusals by cause, with the ids of some, and units of hands that were closed."""
+    """What the lines say; see the module."""
 
     refusals_by_cause: Counter[str] = field(default_factory=Counter)
     ids_by_cause: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
-    written_off: int = 0
-    returned: int = 0
+    refusals_by_second: Counter[int] = field(default_factory=Counter)
+    refused_by_account: dict[str, Refused] = field(default_factory=dict)
+    closed_by_clocks: dict[str, Closed] = field(default_factory=lambda: defaultdict(Closed))
+    answers_by_code: Counter[str] = field(default_factory=Counter)
+    waits_by_code: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    back: list[Line] = field(default_factory=list)
+
+    @property
+    def written_off(self) -> int:
+        """Units of dead processes' hands that count as spent, beyond what was reported."""
+        return sum(closed.written_off for closed in self.closed_by_clocks.values())
+
+    @property
+    def returned(self) -> int:
+        """Units of dead processes' hands that went back to their budgets."""
+        return sum(closed.returned for closed in self.closed_by_clocks.values())
+
+
+# -- lines ------------------------------------------------------------------------------------
+
+
+def lines_of(texts: Iterable[str]) -> Iterator[Line]:
+    """Yield the lines that can be read."""
+    decoder = msgspec.json.Decoder(Line)
+    began = None
+    for text in texts:
+        before, brace, rest = text.partition("{")
+        try:
+            line = decoder.decode(brace + rest)
+        except msgspec.DecodeError:
+            continue  # another program's output between ours
+        began = began or line.time
+        line.at_s = _time_of(before, line.time, began)
+        yield line
+
+
+def _time_of(before: str, time: str, began: str) -> float:
+    """Return when a line was written, seconds."""
+    words = before.split()
+    try:
+        return float(words[0])
+    except (IndexError, ValueError):
+        pass
+    if not time:
+        return 0.0
+    return (datetime.fromisoformat(time) - datetime.fromisoformat(began)).total_seconds()
+
+
+def since(lines: Iterable[Line], at_s: float) -> Iterator[Line]:
+    """Yield the lines from a time on."""
+    return (line for line in lines if line.at_s >= at_s)
+
+
+# -- what a refusal says ------------------------------------------------------------------------
+
+
+def state_of(line: Line) -> AccountState:
+    """Return where the units of a refused account were.
+
+    Examples
+    --------
+    >>> state_of(Line(REFUSED, prepaid=100, committed=60, reported=50, written_off=20))
+    AccountState(prepaid=100, spent=30, written_off=20, in_hands=10, left=40)
+    """
+    prepaid, written_off = line.prepaid or 0, line.written_off or 0
+    in_hands = line.committed - line.reported
+    spent = line.reported - written_off
+    return AccountState(prepaid, spent, written_off, in_hands, prepaid - line.committed)
 
 
 def cause_of(line: Line) -> str:
@@ -56,53 +174,122 @@
     >>> cause_of(Line(REFUSED, amount=10, prepaid=100, committed=60, store_reached=False))
     'store away, units left in the ledger'
     """
-    if line.in_hand >= line.amount:
-        return "the spend limit"
-    prepaid = line.prepaid or 0
-    if prepaid - line.reported < line.amount:
+    cause = line.cause or cause_of_state(
+        state_of(line), line.amount, line.in_hand, line.store_reached
+    )
+    if cause is RefusalCause.SPENT and line.written_off is None:
         return "the budget is spent or written off"
-    where = "left in the ledger" if prepaid - line.committed >= line.amount else "in other hands"
-    return f"store {'reached' if line.store_reached else 'away'}, units {where}"
+    return TEXT_BY_CAUSE[cause]
 
 
-def lines_of(texts: Iterable[str]) -> Iterator[Line]:
-    """Yield the lines that can be read."""
-    decoder = msgspec.json.Decoder(Line)
-    for text in texts:
-        try:
-            yield decoder.decode(text[text.index("{") :])
-        except (ValueError, msgspec.DecodeError):
-            continue  # another program's output between ours
+# -- sums -------------------------------------------------------------------------------------
 
 
 def summary_of(lines: Iterable[Line]) -> Summary:
-    """Return the refusals and closed hands of some lines."""
+    """Return the refusals, closed hands and answers of some lines."""
     summary = Summary()
     for line in lines:
         if line.event == REFUSED:
-            cause = cause_of(line)
-            summary.refusals_by_cause[cause] += 1
-            if len(summary.ids_by_cause[cause]) < EXAMPLES:
-                summary.ids_by_cause[cause].append(line.request_id)
+            _count_refusal(summary, line)
         elif line.event == CLOSED:
-            summary.written_off += line.units
-            summary.returned += line.returned
+            _count_closed(summary.closed_by_clocks[line.clocks], line)
+        elif line.event == ANSWERED:
+            _count_answer(summary, line)
+        elif line.event in BACK:
+            summary.back.append(line)
     return summary
 
 
-def main(files: list[str]) -> None:
+def _count_refusal(summary: Summary, line: Line) -> None:
+    cause = cause_of(line)
+    summary.refusals_by_cause[cause] += 1
+    summary.refusals_by_second[int(line.at_s)] += 1
+    if len(summary.ids_by_cause[cause]) < EXAMPLES:
+        summary.ids_by_cause[cause].append(line.request_id)
+    refused = summary.refused_by_account.setdefault(line.account, Refused(line, line))
+    refused.count += 1
+    refused.last = line
+
+
+def _count_closed(closed: Closed, line: Line) -> None:
+    closed.hands += 1
+    closed.written_off += line.units
+    closed.returned += line.returned
+    if line.since_report_s is not None:
+        closed.ages_s.append(line.since_report_s)
+
+
+def _count_answer(summary: Summary, line: Line) -> None:
+    summary.answers_by_code[line.code] += 1
+    if line.retry_after_s is not None:
+        summary.waits_by_code[line.code].append(line.retry_after_s)
+
+
+# -- tables -----------------------------------------------------------------------------------
+
+
+def table_of(summary: Summary) -> Iterator[str]:
+    """Yield the lines of a summary's table."""
+    total = summary.refusals_by_cause.total()
+    for cause, count in summary.refusals_by_cause.most_common():
+        ids = " ".join(summary.ids_by_cause[cause])
+        yield f"{count:6} {count / total:5.0%}  {cause}  {ids}"
+    seconds = sorted(summary.refusals_by_second.items())
+    yield "in second: " + " ".join(f"{second}:{count}" for second, count in seconds)
+    yield from _accounts_of(summary)
+    yield from _hands_of(summary)
+    yield from _answers_of(summary)
+    for line in summary.back:
+        yield f"{line.event} {line.service} at {line.at_s:.2f}, {line.since_start_s} s from start"
+
+
+def _accounts_of(summary: Summary) -> Iterator[str]:
+    yield "account       refused      at  prepaid   spent  written off  in hands   left  (own hand)"
+    accounts = summary.refused_by_account.items()
+    for account, refused in sorted(accounts, key=lambda item: -item[1].count):
+        yield f"{account:12} {refused.count:8} {_place_of(refused.first)}"
+        yield f"{'':21} {_place_of(refused.last)}"
+
+
+def _place_of(line: Line) -> str:
+    """Return where an account's units were, as parts of its budget."""
+    state = state_of(line)
+    whole = max(1, state.prepaid)
+    shares = [state.spent, state.written_off, state.in_hands, state.left]
+    spent, written_off, in_hands, left = (f"{units / whole:.0%}" for units in shares)
+    units = f"{spent:>7} {written_off:>12} {in_hands:>9} {left:>6} {line.in_hand:>10}"
+    return f"{line.at_s:7.2f} {state.prepaid:8} {units}"
+
+
+def _hands_of(summary: Summary) -> Iterator[str]:
+    yield f"hands of dead processes: {summary.written_off} written off, {summary.returned} returned"
+    for clocks, closed in sorted(summary.closed_by_clocks.items()):
+        ages = f", reported {min(closed.ages_s)} to {max(closed.ages_s)} s before the start"
+        sums = f"{closed.written_off} written off, {closed.returned} returned"
+        yield f"  {clocks}: {closed.hands} hands, {sums}{ages if closed.ages_s else ''}"
+
+
+def _answers_of(summary: Summary) -> Iterator[str]:
+    for code, count in summary.answers_by_code.most_common():
+        waits = summary.waits_by_code[code]
+        told = f", told to come back in {statistics.median(waits):.2f} s" if waits else ""
+        most = f" (most {max(waits):.2f})" if waits else ""
+        yield f"answered {code}: {count}{told}{most}"
+
+
+def main() -> None:
     """Print a table for each file."""
-    for name in files:
-        with Path(name).open() as texts:
-            summary = summary_of(lines_of(texts))
-        total = summary.refusals_by_cause.total()
-        print(f"{name}: {total} refused for budget")
-        for cause, count in summary.refusals_by_cause.most_common():
-            ids = " ".join(summary.ids_by_cause[cause])
-            print(f"  {count:6} {count / total:5.0%}  {cause}  {ids}")
-        print(f"  hands of dead processes: {summary.written_off} written off", end="")
-        print(f", {summary.returned} returned")
+    parser = argparse.ArgumentParser(description="Why requests were refused for budget.")
+    parser.add_argument("--since", type=float, default=0.0, help="pass over what was earlier, s")
+    parser.add_argument("files", nargs="+", type=Path)
+    arguments = parser.parse_args()
+    for path in arguments.files:
+        with path.open() as texts:
+            summary = summary_of(since(lines_of(texts), arguments.since))
+        print(f"{path}: {summary.refusals_by_cause.total()} refused for budget")
+        for row in table_of(summary):
+            print(f"  {row}")
 
 
 if __name__ == "__main__":
-    main(sys.argv[1:])
+    main()
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -2,11 +2,18 @@
 
 import msgspec
 
-from bench.refusals import lines_of, summary_of
+from bench.refusals import Line, cause_of, lines_of, since, state_of, summary_of, table_of
+from railtide.budgets.account_lines import RefusalCause
+
+TIME = "2030-01-01T00:00:01.500+00:00"
 
 
 def line(event: str, **fields: object) -> str:
-    return "  12.5 i1 " + msgspec.json.encode({"event": event, **fields}).decode()
+    return "  12.5 i1 " + bare(event, **fields)
+
+
+def bare(event: str, **fields: object) -> str:
+    return msgspec.json.encode({"event": event, **fields}).decode()
 
 
 class TestSummary:
@@ -29,3 +36,71 @@
             "the budget is spent or written off": ["r4"],
         }
         assert (summary.written_off, summary.returned) == (30, 70)
+
+    def test_written_off_is_told_apart_from_spent_where_the_line_says_it(self) -> None:
+        refused = {"amount": 50, "in_hand": 10, "prepaid": 1000, "committed": 980}
+        refused |= {"reported": 980, "account": "a"}
+        texts = [
+            line("budget-refused", request_id="r1", **refused, written_off=0),
+            line("budget-refused", request_id="r2", **refused, written_off=400),
+            line("budget-refused", request_id="r3", **refused, written_off=0, cause="in-ledger"),
+        ]
+        summary = summary_of(lines_of(texts))
+        assert dict(summary.ids_by_cause) == {
+            "the budget is spent": ["r1"],
+            "the rest of the budget is written off": ["r2"],
+            "store reached, units left in the ledger": ["r3"],
+        }
+
+    def test_each_cause_of_a_router_has_a_text(self) -> None:
+        for cause in RefusalCause:
+            assert cause_of(Line("budget-refused", cause=cause, written_off=0))
+
+    def test_account_is_shown_at_its_first_and_last_refusal(self) -> None:
+        texts = [
+            "20.1 i1 " + bare("budget-refused", account="a", prepaid=100, committed=60),
+            "21.7 i2 " + bare("budget-refused", account="b", prepaid=100, committed=1),
+            "21.9 i1 " + bare("budget-refused", account="a", prepaid=100, committed=70),
+            "25.0 i1 " + bare("budget-refused", account="a", prepaid=100, committed=99),
+        ]
+        summary = summary_of(lines_of(texts))
+        refused = summary.refused_by_account["a"]
+        assert (refused.count, refused.first.at_s, refused.last.at_s) == (3, 20.1, 25.0)
+        assert (state_of(refused.first).left, state_of(refused.last).left) == (40, 1)
+        assert dict(summary.refusals_by_second) == {20: 1, 21: 2, 25: 1}
+        assert [row.split()[:2] for row in table_of(summary) if row.startswith(("a ", "b "))] == [
+            ["a", "3"],
+            ["b", "1"],
+        ]
+
+    def test_hands_are_summed_by_what_the_clocks_said(self) -> None:
+        texts = [
+            line("former-hand-closed", units=5, returned=0, clocks="another-boot"),
+            line("former-hand-closed", units=7, returned=0, clocks="another-boot"),
+            line("former-hand-closed", units=1, returned=9, clocks="proved", since_report_s=0.4),
+        ]
+        by_clocks = summary_of(lines_of(texts)).closed_by_clocks
+        assert (by_clocks["another-boot"].hands, by_clocks["another-boot"].written_off) == (2, 12)
+        assert (by_clocks["proved"].returned, by_clocks["proved"].ages_s) == (9, [0.4])
+
+    def test_answers_and_the_way_back_are_told(self) -> None:
+        texts = [
+            line("request", code="not-ready", retry_after_s=0.2),
+            line("request", code="not-ready", retry_after_s=4.0),
+            line("ready", service="i1", since_start_s=1.5),
+            line("serving", service="i1", since_start_s=2.5),
+        ]
+        table = "\n".join(table_of(summary_of(lines_of(texts))))
+        assert "answered not-ready: 2, told to come back in 2.10 s (most 4.00)" in table
+        assert "ready i1 at 12.50, 1.5 s from start" in table
+        assert "serving i1 at 12.50, 2.5 s from start" in table
+
+
+class TestTimes:
+    def test_number_before_the_line_is_its_time(self) -> None:
+        texts = [f"{at} i1 " + bare("request", time=TIME) for at in ("3.5", "9", "12.25")]
+        assert [line.at_s for line in since(lines_of(texts), 9.0)] == [9.0, 12.25]
+
+    def test_line_by_itself_counts_from_the_first_one(self) -> None:
+        texts = [bare("request", time=TIME), bare("request", time=TIME.replace(":01.", ":03."))]
+        assert [line.at_s for line in lines_of(texts)] == [0.0, 2.0]
