--- a/railtide/budgets/tests/test_account_lines.py
+++ b/railtide/budgets/tests/test_account_lines.py
@@ -5,11 +5,8 @@
 anything, and what a budget looked like when the new processes first read it, stood nowhere.
 """
 
-from collections.abc import Iterator
-
 import pytest
 import trio
-from loguru import logger
 
 from railtide.budgets.account_lines import (
     BURST_LINES,
@@ -49,18 +46,6 @@
         return Reading(self._boot, BOOT_S + now, 1e9 + now)
 
 
-@pytest.fixture
-def lines() -> Iterator[list[dict]]:
-    """Return a list that each line is added to, as its event and fields."""
-    taken: list[dict] = []
-    handler = logger.add(
-        lambda message: taken.append({"event": message.record["message"]} | message.record["extra"])
-    )
-    logger.enable("railtide")
-    yield taken
-    logger.remove(handler)
-
-
 def of(lines: list[dict], event: str) -> list[dict]:
     return [line for line in lines if line["event"] == event]
 
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -346,3 +346,32 @@
                     await trio.sleep(0.01)
             assert in_force == [6]
             assert "old" not in w.node.snapshot.account_by_key
+
+
+class TestLines:
+    """After a loss of power it could not be read when a router was ready, nor when it had told its
+    callers to come back: a slow way back looked like a budget that was gone."""
+
+    async def test_router_says_once_when_it_is_ready(self, lines: list[dict[str, object]]) -> None:
+        async with world() as w:
+            with trio.fail_after(5):
+                while not (ready := [line for line in lines if line["event"] == "ready"]):
+                    await trio.sleep(0.01)
+            assert 0 <= ready[0]["since_start_s"] < 5
+            w.node.leaving = True
+            await trio.sleep(3 * w.node.options.settle_s)
+            w.node.leaving = False
+            await trio.sleep(3 * w.node.options.settle_s)
+        assert [line["event"] for line in lines].count("ready") == 1
+
+    async def test_request_line_says_when_its_caller_may_come_back(
+        self, lines: list[dict[str, object]]
+    ) -> None:
+        async with world(desired_state(prepaid=100)) as w:
+            await w.add_engine("e1")
+            assert (await w.ask("/once/x", body=b"b")).status == 200
+            refused = await w.ask("/stream/x", *TestBudgets.TOKENS)
+            served_line, refused_line = [line for line in lines if line["event"] == "request"]
+            assert served_line["retry_after_s"] is None
+            told = first_header(refused.headers, b"retry-after")
+            assert refused_line["retry_after_s"] == pytest.approx(float(told), abs=0.01)
