--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -38,6 +38,8 @@
 __all__ = ["EdgeNode"]
 
 DRAIN_TICK_S = 0.02
+READY_TICK_S = 0.05
+"""Between two looks at whether a start is over."""
 RETURN_S = 0.5
 """Longest wait at a shutdown for the store to take back what is in hand."""
 
@@ -82,6 +84,7 @@
         self.open_calls = 0
         self.schedulers_by_pool: dict[str, PoolScheduler] = {}
         self.on_snapshot: Callable[[Snapshot], None] = lambda snapshot: None
+        self._began_at = trio.current_time()
         self._sources = sources
         self._upstreams = upstreams
         self._rng = rng
@@ -155,6 +158,7 @@
             nursery.start_soon(self._configuration_feed.run)
             nursery.start_soon(self._upstream_feed.run)
             nursery.start_soon(self._run_settling)
+            nursery.start_soon(self._say_when_ready)
             nursery.start_soon(self.treasury.run)
             nursery.start_soon(self._run_spreading)
             nursery.start_soon(partial(self.roster.run, lambda: self.ready))
@@ -181,6 +185,12 @@
         await trio.sleep(self.options.roster.dead_after_s)
         self.treasury.spread()
 
+    async def _say_when_ready(self) -> None:
+        while not self.ready:
+            await trio.sleep(READY_TICK_S)
+        since_start_s = round(trio.current_time() - self._began_at, 3)
+        logger.bind(since_start_s=since_start_s).info("ready")
+
     async def _run_settling(self) -> None:
         while True:
             await trio.sleep(self.options.settle_s)
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -125,6 +125,7 @@
         retry_after = SOON_S if err.retry_after is None and not_run else err.retry_after
         if retry_after is not None:
             headers.append((b"retry-after", f"{retry_after:.2f}".encode()))
+            trace.retry_after_s = round(retry_after, 2)
         if trace.request_id:
             headers.append((names.ATTEMPT_ID, trace.request_id.encode()))
         await responder.answer(status, tuple(headers), problem_to_bytes(problem_of(err)))
@@ -149,6 +150,7 @@
         self.status = 0
         self.code = "internal-error"
         self.detail = ""
+        self.retry_after_s: float | None = None
 
     def write(self, took_s: float) -> None:
         call = self.call
@@ -159,6 +161,7 @@
             status=self.status,
             code=self.code,
             detail=self.detail,
+            retry_after_s=self.retry_after_s,
             ms=round(took_s * 1000, 1),
         ).info("request")
 
