--- a/bench/refusals.py
+++ b/bench/refusals.py
@@ -2,9 +2,9 @@
 
 ``python -m bench.refusals [--since SECONDS] FILE...`` reads structured lines and prints the causes
 with their share and some request ids, the seconds in which they fell, where the units of each
-refused account were at its first and last refusal, what dead processes' hands cost, what callers
-were answered, and when processes were ready and served again. A time is the number that a line
-begins with, else the seconds since the file's first line.
+refused account were at the first word on its ledger and at its first and last refusal, what dead
+processes' hands cost, what callers were answered, and when processes were ready and served again.
+A time is the number that a line begins with, else the seconds since the file's first line.
 """
 
 import argparse
@@ -23,6 +23,8 @@
 __all__ = ["Summary", "cause_of", "lines_of", "since", "state_of", "summary_of"]
 
 REFUSED = "budget-refused"
+STARTED = "started"
+KNOWN = "ledger-state"
 CLOSED = "former-hand-closed"
 ANSWERED = "request"
 BACK = ("ready", "serving")
@@ -57,7 +59,10 @@
     prepaid: int | None = None
     committed: int = 0
     reported: int = 0
+    spent: int = 0
     written_off: int | None = None
+    in_hands: int = 0
+    left: int = 0
     store_reached: bool = True
     cause: RefusalCause | None = None
     units: int = 0
@@ -69,10 +74,21 @@
     retry_after_s: float | None = None
 
 
+@dataclass(frozen=True, order=True)
+class Death:
+    """A process that died, by the one after it: its instance, how many were started there, and what
+    the clocks said of its last reports."""
+
+    service: str
+    starts: int
+    clocks: str
+
+
 @dataclass
 class Closed:
-    """Hands of dead processes for which the clocks said the same."""
+    """The hands of a dead process, closed from `at_s` on."""
 
+    at_s: float = 0.0
     hands: int = 0
     written_off: int = 0
     returned: int = 0
@@ -90,13 +106,15 @@
 
 @dataclass
 class Summary:
-    """What the lines say; see the module."""
+    """What the lines say; see the module. `known_by_account` is the first word on each ledger."""
 
     refusals_by_cause: Counter[str] = field(default_factory=Counter)
     ids_by_cause: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
     refusals_by_second: Counter[int] = field(default_factory=Counter)
     refused_by_account: dict[str, Refused] = field(default_factory=dict)
-    closed_by_clocks: dict[str, Closed] = field(default_factory=lambda: defaultdict(Closed))
+    known_by_account: dict[str, Line] = field(default_factory=dict)
+    starts_by_service: Counter[str] = field(default_factory=Counter)
+    closed_by_death: dict[Death, Closed] = field(default_factory=dict)
     answers_by_code: Counter[str] = field(default_factory=Counter)
     waits_by_code: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     back: list[Line] = field(default_factory=list)
@@ -104,12 +122,12 @@
     @property
     def written_off(self) -> int:
         """Units of dead processes' hands that count as spent, beyond what was reported."""
-        return sum(closed.written_off for closed in self.closed_by_clocks.values())
+        return sum(closed.written_off for closed in self.closed_by_death.values())
 
     @property
     def returned(self) -> int:
         """Units of dead processes' hands that went back to their budgets."""
-        return sum(closed.returned for closed in self.closed_by_clocks.values())
+        return sum(closed.returned for closed in self.closed_by_death.values())
 
 
 # -- lines ------------------------------------------------------------------------------------
@@ -151,7 +169,7 @@
 
 
 def state_of(line: Line) -> AccountState:
-    """Return where the units of a refused account were.
+    """Return where the units of an account were, by a line on a refusal or on its ledger.
 
     Examples
     --------
@@ -159,6 +177,8 @@
     AccountState(prepaid=100, spent=30, written_off=20, in_hands=10, left=40)
     """
     prepaid, written_off = line.prepaid or 0, line.written_off or 0
+    if line.event == KNOWN:
+        return AccountState(prepaid, line.spent, written_off, line.in_hands, line.left)
     in_hands = line.committed - line.reported
     spent = line.reported - written_off
     return AccountState(prepaid, spent, written_off, in_hands, prepaid - line.committed)
@@ -191,8 +211,12 @@
     for line in lines:
         if line.event == REFUSED:
             _count_refusal(summary, line)
+        elif line.event == KNOWN:
+            summary.known_by_account.setdefault(line.account, line)
         elif line.event == CLOSED:
-            _count_closed(summary.closed_by_clocks[line.clocks], line)
+            _count_closed(summary, line)
+        elif line.event == STARTED:
+            summary.starts_by_service[line.service] += 1
         elif line.event == ANSWERED:
             _count_answer(summary, line)
         elif line.event in BACK:
@@ -211,7 +235,9 @@
     refused.last = line
 
 
-def _count_closed(closed: Closed, line: Line) -> None:
+def _count_closed(summary: Summary, line: Line) -> None:
+    death = Death(line.service, summary.starts_by_service[line.service], line.clocks)
+    closed = summary.closed_by_death.setdefault(death, Closed(line.at_s))
     closed.hands += 1
     closed.written_off += line.units
     closed.returned += line.returned
@@ -244,11 +270,15 @@
 
 
 def _accounts_of(summary: Summary) -> Iterator[str]:
-    yield "account       refused      at  prepaid   spent  written off  in hands   left  (own hand)"
+    yield f"{'account':12} {'refused':>8} {'at':>17}  prepaid   spent  written off  in hands   left"
     accounts = summary.refused_by_account.items()
     for account, refused in sorted(accounts, key=lambda item: -item[1].count):
-        yield f"{account:12} {refused.count:8} {_place_of(refused.first)}"
-        yield f"{'':21} {_place_of(refused.last)}"
+        yield f"{account:12} {refused.count:8}"
+        known = summary.known_by_account.get(account)
+        if known:
+            yield f"{'':12} {'first ledger':>18} {_place_of(known)}"
+        yield f"{'':12} {'first refusal':>18} {_place_of(refused.first)}"
+        yield f"{'':12} {'last refusal':>18} {_place_of(refused.last)}"
 
 
 def _place_of(line: Line) -> str:
@@ -257,16 +287,23 @@
     whole = max(1, state.prepaid)
     shares = [state.spent, state.written_off, state.in_hands, state.left]
     spent, written_off, in_hands, left = (f"{units / whole:.0%}" for units in shares)
-    units = f"{spent:>7} {written_off:>12} {in_hands:>9} {left:>6} {line.in_hand:>10}"
+    units = f"{spent:>7} {written_off:>12} {in_hands:>9} {left:>6}"
     return f"{line.at_s:7.2f} {state.prepaid:8} {units}"
 
 
 def _hands_of(summary: Summary) -> Iterator[str]:
     yield f"hands of dead processes: {summary.written_off} written off, {summary.returned} returned"
-    for clocks, closed in sorted(summary.closed_by_clocks.items()):
-        ages = f", reported {min(closed.ages_s)} to {max(closed.ages_s)} s before the start"
-        sums = f"{closed.written_off} written off, {closed.returned} returned"
-        yield f"  {clocks}: {closed.hands} hands, {sums}{ages if closed.ages_s else ''}"
+    deaths = summary.closed_by_death.items()
+    for death, closed in sorted(deaths, key=lambda item: item[1].at_s):
+        sums = f"{closed.hands} hands, {closed.written_off} written off, {closed.returned} returned"
+        yield f"  {closed.at_s:7.2f} {death.service} {death.clocks}: {sums}{_ages_of(closed)}"
+
+
+def _ages_of(closed: Closed) -> str:
+    """Return how long before the next process the dead one reported, nothing if it is not known."""
+    if not closed.ages_s:
+        return ""
+    return f", reported {min(closed.ages_s)} to {max(closed.ages_s)} s before the start"
 
 
 def _answers_of(summary: Summary) -> Iterator[str]:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from bench.refusals import Line, cause_of, lines_of, since, state_of, summary_of, table_of
-from railtide.budgets.account_lines import RefusalCause
+from bench.refusals import Death, Line, cause_of, lines_of, since, state_of, summary_of, table_of
+from railtide.budgets.account_lines import AccountState, RefusalCause
 
 TIME = "2030-01-01T00:00:01.500+00:00"
 
@@ -73,15 +73,44 @@
             ["b", "1"],
         ]
 
-    def test_hands_are_summed_by_what_the_clocks_said(self) -> None:
+    def test_ledger_of_a_refused_account_is_shown_as_it_was_first_known(self) -> None:
+        known = {"prepaid": 100, "spent": 40, "written_off": 5, "in_hands": 50, "left": 5}
         texts = [
-            line("former-hand-closed", units=5, returned=0, clocks="another-boot"),
-            line("former-hand-closed", units=7, returned=0, clocks="another-boot"),
-            line("former-hand-closed", units=1, returned=9, clocks="proved", since_report_s=0.4),
+            line("ledger-state", account="a", **known),
+            line("ledger-state", account="a", **(known | {"written_off": 55, "in_hands": 0})),
+            line("ledger-state", account="b", **known),
+            line("budget-refused", account="a", prepaid=100, committed=95, reported=95),
         ]
-        by_clocks = summary_of(lines_of(texts)).closed_by_clocks
-        assert (by_clocks["another-boot"].hands, by_clocks["another-boot"].written_off) == (2, 12)
-        assert (by_clocks["proved"].returned, by_clocks["proved"].ages_s) == (9, [0.4])
+        summary = summary_of(lines_of(texts))
+        assert state_of(summary.known_by_account["a"]) == AccountState(100, 40, 5, 50, 5)
+        rows = [row.split() for row in table_of(summary) if "first ledger" in row]
+        assert rows == [["first", "ledger", "12.50", "100", "40%", "5%", "50%", "5%"]]
+
+    def test_hands_are_summed_by_process_and_what_the_clocks_said(self) -> None:
+        unproved = {"service": "i1", "clocks": "another-boot"}
+        proved = {"service": "i1", "clocks": "proved", "since_report_s": 0.4}
+        texts = [
+            line("former-hand-closed", units=5, returned=0, **unproved),
+            line("former-hand-closed", units=7, returned=0, **unproved),
+            line("former-hand-closed", units=2, returned=0, **(unproved | {"service": "i2"})),
+            line("started", service="i1"),
+            line("former-hand-closed", units=4, returned=0, **unproved),
+            line("former-hand-closed", units=1, returned=9, **proved),
+        ]
+        summary = summary_of(lines_of(texts))
+        closed = summary.closed_by_death
+        units = {death: closed[death].written_off for death in sorted(closed)}
+        assert units == {
+            Death("i1", 0, "another-boot"): 12,
+            Death("i1", 1, "another-boot"): 4,
+            Death("i1", 1, "proved"): 1,
+            Death("i2", 0, "another-boot"): 2,
+        }
+        last = closed[Death("i1", 1, "proved")]
+        assert (last.hands, last.returned, last.ages_s) == (1, 9, [0.4])
+        table = "\n".join(table_of(summary))
+        assert "hands of dead processes: 19 written off, 9 returned" in table
+        assert "i1 another-boot: 2 hands, 12 written off, 0 returned" in table
 
     def test_answers_and_the_way_back_are_told(self) -> None:
         texts = [
