--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
-"""Settings of all tests: no log lines, Hypothesis without randomness, the known failures."""
+"""Settings of all tests: log lines only where asked for, no randomness, the known failures."""
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -39,3 +40,14 @@
     """Print the tests that are known to fail, whether they ran or not."""
     for node_id, cause in known_red().items():
         terminalreporter.write_line(f"known red: {node_id}: {cause}")
+
+
+@pytest.fixture
+def lines() -> Iterator[list[dict[str, object]]]:
+    """Yield a list that each log line is added to, as its event and fields."""
+    taken: list[dict[str, object]] = []
+    handler = logger.add(
+        lambda message: taken.append({"event": message.record["message"]} | message.record["extra"])
+    )
+    yield taken
+    logger.remove(handler)
