A second signal to a router that drains: a test that fails

Cause: a router listens to SIGTERM until the first has come; a second one (or SIGINT) while it drains meets the system's own handler. Change: the test only. SIGHUP passes, SIGTERM and SIGINT fail.

--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -11,6 +11,7 @@
 from subprocess import DEVNULL
 
 import msgspec
+import pytest
 import trio
 
 from railtide.budgets.hand_size import LedgerOptions
@@ -76,11 +77,12 @@
         program = [sys.executable, "-m", "railtide.platform.program"]
         started = await trio.lowlevel.open_process(program, env=env, stdout=DEVNULL)
         with trio.fail_after(WAIT_S):
-            while not await self._is_ready():
+            while not await self.is_ready():
                 await trio.sleep(0.05)
         return started
 
-    async def _is_ready(self) -> bool:
+    async def is_ready(self) -> bool:
+        """Return whether the router says that it serves."""
         request = HttpRequest(b"GET", b"/ready", ((b"host", b"x"),))
         try:
             exchange = await PeerPool(HOST, self.ready_port).send(request)
@@ -155,6 +157,30 @@
                 assert await process.wait() == 0
             assert made.committed() == 50 + 20
 
+    @pytest.mark.parametrize("second", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+    async def test_second_signal_while_draining_cuts_nothing(
+        self, tmp_path: Path, second: signal.Signals
+    ) -> None:
+        """Users saw answers break off that their engines finished, at routers on their way out.
+
+        A router was asked to end, drained, and was asked to end again. It listened to the first
+        signal only; the second met the system's own handler and ended it in the middle of its
+        answers, with its hands not given back. Evidence: it ended with -15 in place of 0, and 13
+        requests that an engine ran had no answer, in a soak of nothing but signals and changes.
+        """
+        async with edge(tmp_path) as made:
+            process = await made.start()
+            exchange = await made.ask(1)
+            process.send_signal(signal.SIGTERM)
+            with trio.fail_after(WAIT_S):
+                while await made.is_ready():
+                    await trio.sleep(0.01)
+            process.send_signal(second)
+            assert (await body_of(exchange)).count(b"data:") == 20
+            with trio.fail_after(WAIT_S):
+                assert await process.wait() == 0
+            assert made.committed() == 50 + 20
+
     async def test_kill_and_restart_overspend_nothing(self, tmp_path: Path) -> None:
         async with edge(tmp_path) as made:
             process = await made.start()
