A second SIGTERM or SIGINT cuts nothing off; SIGHUP ends no process at its begin or end

Cause: the receiver of SIGTERM and SIGINT was closed at the first of them, so the next one met the system's own handler in the middle of the drain. SIGHUP met it before its receiver was open and after it was closed. Change: all later ones are noted (line stopping-already); SIGHUP is ignored outside of its receiver. A SIGTERM before the receiver is open still ends the process, which then holds nothing.

--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -50,6 +50,7 @@
 a third of it their starts (docs/MEASUREMENTS.md)."""
 MEGABITS_OF_A_REQUEST = 0.15
 """Sent or received for each request: a body of up to 18 KB each way on the users' sheets."""
+STOPS = (signal.SIGTERM, signal.SIGINT)
 ANSWER_LAST_S = 0.2
 """Left at the end of a shutdown for the last lines and closing connections."""
 
@@ -91,6 +92,7 @@
         budget_most_share=budget_most_share,
         budget_spread_share=budget_spread_share,
     )
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     trio.run(_run, read_boot(), settings, log_level)
 
 
@@ -120,7 +122,7 @@
         nursery.start_soon(_serve, _page(_metrics), f"{boot.host}:{settings.metrics_port}")
         nursery.start_soon(_reload_on_signal)
         relax_gc()
-        await _wait_for_stop()
+        await nursery.start(_listen_for_stops)
         await _leave(node, ingress, calls)
         lines.flush()
         nursery.cancel_scope.cancel()
@@ -204,15 +206,31 @@
     await responder.answer(OK, headers, generate_latest())
 
 
-async def _wait_for_stop() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            logger.bind(signal=signal.Signals(number).name).info("stopping")
-            return
+async def _listen_for_stops(task_status: trio.TaskStatus) -> None:
+    """Be started at the first SIGTERM or SIGINT, and only note all others.
+
+    A second one would end the process in the middle of its answers if nothing listened: three
+    routers, each asked to end up to four times, lost 13 requests that engines had run. One that
+    comes when all is done would make the end look like a failure.
+    """
+    try:
+        with trio.open_signal_receiver(*STOPS) as signals:
+            stop = await anext(signals)
+            logger.bind(signal=signal.Signals(stop).name).info("stopping")
+            task_status.started()
+            async for again in signals:
+                logger.bind(signal=signal.Signals(again).name).info("stopping-already")
+    finally:
+        for stop in STOPS:
+            signal.signal(stop, signal.SIG_IGN)
 
 
 async def _reload_on_signal() -> None:
-    """Say at each SIGHUP that the settings were read; all that is used is fixed at the start."""
+    """Say at each SIGHUP that the settings were read; all that is used is fixed at the start.
+
+    Before and after, SIGHUP is ignored (see `edge`): by default it ends a process, as it did one
+    router of three that were at the end of their shutdown, in two seeds of the soak.
+    """
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
         async for _ in signals:
             try:
