What a router lacks is told in the ledger, and others return what their traffic leaves

Change: a holding's last field is the need of its process: the units that its waiting and refused callers lack, and a count that it raises with each report. Who reads a need that was renewed within 1.5 s returns what a second of its own traffic leaves (all, once it was silent for three usual pauses). Of two that lack, the one that lacks least goes first. Refills leave in the ledger what callers come back for. Hands, grants and closing of former processes are as they were: units leave the hand before the return is written. Ruled out: ledgers looked at more often while a need is likely (no difference in the load test: 76 and 77 refused; a hand with a pace renews its report twice a second anyway), so it is not in. Measured: load of 20 seeds, virtual clock: 219 refused of 3,200, 89 twice, before; 77 and 14 after. Property test with callers that move and needs told: no overspend.

--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -16,6 +16,7 @@
     is_low,
     note_request,
     pace_units,
+    rate_at,
     target_units,
 )
 from railtide.budgets.ledger import (
@@ -30,10 +31,29 @@
     reported_spend,
     units_charged,
 )
+from railtide.budgets.needs import (
+    Need,
+    NeedsSeen,
+    OwnNeed,
+    first_needs,
+    forget_refused,
+    is_renewal_due,
+    note_refused,
+    note_seen,
+    soon_units,
+    spare_units,
+    units_for_callers,
+    units_refused,
+    units_to_return,
+)
 from railtide.budgets.spend_limit import Clocks, Reading, SpendLimit, units_at
 
 __all__ = ["AccountHand", "HandChange", "Holder"]
 
+NEED_RETRIES = 2
+"""For how many times the wait that a refused caller is told its units are asked for: it comes over
+a network, and others look at the ledgers in their own time."""
+
 
 @dataclass
 class Holder:
@@ -117,6 +137,9 @@
         self._options = holder.options
         self._traffic = Traffic()
         self._needs: list[int] = []
+        self._own_need = OwnNeed()
+        self._needs_seen = NeedsSeen()
+        self._need_count = 0
         self._ledger = Ledger()
         self._ledger_at = -math.inf
         self._written = Holding(holder.incarnation)
@@ -135,7 +158,10 @@
 
     def try_reserve(self, amount: int) -> bool:
         """Reserve units if they are in hand and within what the process has bound itself to."""
-        return amount <= self._headroom() and reserve(self.hand, amount)
+        if amount <= self._headroom() and reserve(self.hand, amount):
+            forget_refused(self._own_need, amount)
+            return True
+        return False
 
     def wait_s(self, amount: int) -> float | None:
         """Return when the pace allows an amount that is in hand, seconds; None if it is not."""
@@ -169,8 +195,16 @@
                 return True
         finally:
             self._needs.remove(amount)
+        self._note_lack(amount)
         return False
 
+    def _note_lack(self, amount: int) -> None:
+        """Have others told that a caller comes back for units that lie in their hands."""
+        if self._is_fresh() and amount > self.hand.available and not self.is_spent(amount):
+            wait_s = self._options.retry_after_s * NEED_RETRIES
+            note_refused(self._own_need, amount, trio.current_time() + wait_s)
+            self._ask()
+
     def is_spent(self, amount: int) -> bool:
         """Return whether no hand of any router can cover an amount, as of the last read."""
         if self.prepaid is None or not self.loaded:
@@ -220,6 +254,13 @@
         self._ledger = ledger
         self._ledger_at = trio.current_time()
         self.loaded = True
+        others = ledger.by_instance.items()
+        needs = {
+            held.incarnation: held.need
+            for instance, held in others
+            if held.need and instance != self._holder.instance
+        }
+        note_seen(self._needs_seen, needs, self._ledger_at)
 
     @property
     def is_waited_for(self) -> bool:
@@ -230,7 +271,9 @@
         """Return whether the ledger should be changed."""
         if not self.loaded:
             return False
-        return self._is_wanting() or self._is_report_due() or self._idle() > 0
+        if self._is_wanting() or self._is_report_due() or self._idle() > 0:
+            return True
+        return self._is_need_due(self._lacking())
 
     def wake(self) -> None:
         """Have the waiting requests look at the hand again."""
@@ -248,13 +291,22 @@
         own = Holding(holder.incarnation, self.hand.granted, self.hand.spent, self.billed_requests)
         account_for(ledger, holder.instance, own)
         granted = self._grantable(ledger)
-        if not (former or granted or self._is_report_due()):
+        lacking = max(0, self._lacking() - granted)
+        if not (former or granted or self._is_report_due() or self._is_need_due(lacking)):
             return None
         own.granted += granted
+        own.need = self._next_need(lacking)
         own.limit = self._next_limit()
         account_for(ledger, holder.instance, own)
         return HandChange(own, granted, former, ledger)
 
+    def _next_need(self, lacking: int) -> Need | None:
+        """Return the need of the next report."""
+        if not lacking:
+            return None
+        self._need_count += 1
+        return Need(lacking, self._need_count)
+
     def _next_limit(self) -> SpendLimit | None:
         """Return the limit of the next report, kept to from now on beside the one in force."""
         made = self._holder.clocks.read()
@@ -300,7 +352,8 @@
         short = self._target() - self.hand.available - missing
         in_hands = committed(ledger) - reported_spend(ledger)
         ahead = max(0, round(self._left() * self._options.most_share) - in_hands)
-        wanted = missing + max(0, min(short, ahead))
+        free = self.prepaid - committed(ledger) - missing - self._kept_for_callers()
+        wanted = missing + max(0, min(short, ahead, free))
         least = max(0, min(self._needs) - self.hand.available) if self._needs else 0
         amount = grant(ledger, self.prepaid, wanted, least)
         if not amount:
@@ -346,7 +399,50 @@
         if self.is_returning:
             return 0
         keep = self._target() + sum(self._needs)
-        return idle_units(self.hand.available, keep, self._traffic.typical, self._options)
+        idle = idle_units(self.hand.available, keep, self._traffic.typical, self._options)
+        return max(idle, self._recalled())
+
+    # -- needs --------------------------------------------------------------------------------
+
+    def _callers(self) -> list[int]:
+        """Return the units of each request that waits, or whose caller is to come back."""
+        return self._needs + units_refused(self._own_need, trio.current_time())
+
+    def _lacking(self) -> int:
+        """Return the units that these requests lack together."""
+        if self._holder.leaving:
+            return 0
+        return max(0, sum(self._callers()) - self.hand.available)
+
+    def _kept_for_callers(self) -> int:
+        """Return the units in no hand that refused callers come back for, here or elsewhere."""
+        now = trio.current_time()
+        own = sum(units_refused(self._own_need, now))
+        return own + first_needs(self._needs_seen, now)
+
+    def _recalled(self) -> int:
+        """Return the units in hand that others lack and the traffic here does not."""
+        now = trio.current_time()
+        lacking = self._lacking()
+        own = (lacking, self._holder.incarnation) if lacking else None
+        theirs = first_needs(self._needs_seen, now, own)
+        if not theirs or self.prepaid is None:
+            return 0
+        for_callers = units_for_callers(self.hand.available, self._callers())
+        soon = 0 if own else self._soon()
+        spare = spare_units(self.hand.available, self._traffic.typical, soon, for_callers)
+        return units_to_return(theirs, self.prepaid - committed(self._ledger), spare)
+
+    def _is_need_due(self, lacking: int) -> bool:
+        """Return whether others should know what is lacking here."""
+        age_s = trio.current_time() - self._reported_at
+        return is_renewal_due(self._written.need, lacking, age_s)
+
+    def _soon(self) -> int:
+        """Return the units that the traffic here is likely to need in the next moments."""
+        traffic = self._traffic
+        rate = rate_at(traffic, traffic.seen_at, self._options.rate_window_s)
+        return soon_units(rate, traffic.typical, trio.current_time() - traffic.seen_at)
 
     def _is_held_by_limit(self) -> bool:
         """Return whether a waiting request is in hand and beyond the limit."""
--- a/railtide/budgets/ledger.py
+++ b/railtide/budgets/ledger.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from railtide.budgets.needs import Need
 from railtide.budgets.spend_limit import Reading, SpendLimit, most_used
 
 __all__ = [
@@ -44,6 +45,8 @@
         Requests billed as far as reported.
     limit : SpendLimit or None
         What the process binds itself to from this report on.
+    need : Need or None
+        What the process lacks and could not be granted.
     """
 
     incarnation: str
@@ -51,6 +54,7 @@
     spent: int = 0
     requests: int = 0
     limit: SpendLimit | None = None
+    need: Need | None = None
 
 
 class Ledger(msgspec.Struct, array_like=True):
@@ -147,7 +151,7 @@
 
 def account_for(ledger: Ledger, instance: str, holding: Holding) -> None:
     """Set a process's holding; an empty one of no use is left out."""
-    if holding.granted or holding.spent:
+    if holding.granted or holding.spent or holding.need:
         ledger.by_instance[instance] = holding
     else:
         ledger.by_instance.pop(instance, None)
--- a/railtide/budgets/tests/test_ledger_treasury.py
+++ b/railtide/budgets/tests/test_ledger_treasury.py
@@ -20,6 +20,7 @@
 ACCOUNT = "a"
 SETTINGS = AccountSettings(budget_wait_s=0.2)
 OPTIONS = LedgerOptions()
+ROUTERS = ("i1", "i2", "i3")
 
 
 @dataclass
@@ -428,8 +429,14 @@
 
 @dataclass
 class Fleet:
-    """Routers over one store, what each truly spent, and faults drawn from a seed."""
+    """Routers over one store, what each truly spent, and faults drawn from a seed.
 
+    With `shift_s` callers move on to another router after so many seconds, and some requests are
+    so large that they need what lies in other hands.
+    """
+
+    shift_s: float = 0.0
+    needs: int = 0
     store: MemoryStore = field(default_factory=MemoryStore)
     spent: int = 0
     served: int = 0
@@ -449,9 +456,28 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(made.run)
                     while True:
-                        nursery.start_soon(self._request, made, rng)
+                        if self._has_traffic(name):
+                            nursery.start_soon(self._request, made, rng)
                         await trio.sleep(rng.uniform(0.0, 0.4))
 
+    def _has_traffic(self, name: str) -> bool:
+        """Return whether callers use a router now."""
+        if not self.shift_s:
+            return True
+        turn = int(trio.current_time() / self.shift_s) % len(ROUTERS)
+        return name == ROUTERS[turn]
+
+    def _amount(self, rng: Random) -> int:
+        """Return the greatest cost of a request."""
+        if self.shift_s and rng.random() < 0.2:
+            return rng.randint(60, 300)
+        return rng.randint(1, 60)
+
+    def _note_needs(self) -> None:
+        """Count the needs that the ledger tells of."""
+        held = ledger_of(self.store).by_instance.values()
+        self.needs += sum(1 for holding in held if holding.need)
+
     @staticmethod
     def _after_power_loss(rng: Random) -> FakeClocks:
         """Return clocks that began anew, the steady one anywhere, and at times with the old id."""
@@ -459,10 +485,11 @@
         return FakeClocks(boot, trio.current_time() - rng.uniform(0.0, 40.0))
 
     async def _request(self, made: LedgerTreasury, rng: Random) -> None:
-        amount = rng.randint(1, 60)
+        amount = self._amount(rng)
         try:
             reserved = await made.reserve(ACCOUNT, SETTINGS, amount, trio.current_time() + 1)
         except BudgetError:
+            self._note_needs()
             return
         used = rng.randint(0, amount)
         self.spent += used
@@ -485,20 +512,34 @@
                 self.store.do_late()
 
 
+def play(fleet: Fleet, seed: int) -> None:
+    """Have a fleet's routers serve and die for 25 s, and check that the budget is kept."""
+
+    async def run() -> None:
+        rng = Random(seed)
+        with trio.move_on_after(25):
+            async with trio.open_nursery() as nursery:
+                for name in ROUTERS:
+                    nursery.start_soon(fleet.live, name, Random(rng.random()))
+                nursery.start_soon(fleet.break_store, rng)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert fleet.spent <= 1000
+    assert committed(ledger_of(fleet.store)) <= 1000
+    assert fleet.served
+
+
 class TestNoOverspend:
     @given(seed=st.integers(0, 10_000))
     def test_under_kills_and_a_store_that_fails_in_all_its_ways(self, seed: int) -> None:
-        fleet = Fleet()
+        play(Fleet(), seed)
 
-        async def run() -> None:
-            rng = Random(seed)
-            with trio.move_on_after(25):
-                async with trio.open_nursery() as nursery:
-                    for name in ("i1", "i2", "i3"):
-                        nursery.start_soon(fleet.live, name, Random(rng.random()))
-                    nursery.start_soon(fleet.break_store, rng)
-
-        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
-        assert fleet.spent <= 1000
-        assert committed(ledger_of(fleet.store)) <= 1000
-        assert fleet.served
+    @given(seed=st.integers(0, 10_000))
+    def test_with_needs_told_while_callers_move(self, seed: int) -> None:
+        play(Fleet(shift_s=2.0), seed)
+
+    def test_moving_callers_have_needs_told(self) -> None:
+        fleets = [Fleet(shift_s=2.0) for _ in range(10)]
+        for seed, fleet in enumerate(fleets):
+            play(fleet, seed)
+        assert sum(1 for fleet in fleets if fleet.needs) >= 5
--- a/railtide/budgets/tests/test_needs.py
+++ b/railtide/budgets/tests/test_needs.py
@@ -17,8 +17,20 @@
 
 from railtide.budgets.errors import BudgetError, BudgetUnavailable
 from railtide.budgets.hand_size import LedgerOptions
-from railtide.budgets.ledger import Ledger, ledger_to_bytes
+from railtide.budgets.ledger import Holding, Ledger, ledger_to_bytes
 from railtide.budgets.ledger_treasury import LedgerTreasury
+from railtide.budgets.needs import (
+    RENEW_S,
+    SILENT_S,
+    Need,
+    NeedsSeen,
+    OwnNeed,
+    first_needs,
+    forget_refused,
+    note_refused,
+    note_seen,
+    units_refused,
+)
 from railtide.budgets.tests.test_ledger_treasury import (
     ACCOUNT,
     SETTINGS,
@@ -70,6 +82,22 @@
             await asker.reserve(ACCOUNT, SETTINGS, amount, trio.current_time() + 9)
             nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize("offset_s", [0.0, 0.2, 0.4, 0.6])
+    async def test_router_without_traffic_looks_in_time_for_the_caller(
+        self, autojump_clock, offset_s: float
+    ) -> None:
+        store = MemoryStore()
+        async with trio.open_nursery() as nursery:
+            _, asker = await self._two_routers(nursery, store)
+            asked = await asker.reserve(ACCOUNT, SETTINGS, 200, trio.current_time() + 9)
+            await trio.sleep(1 + offset_s)
+            with pytest.raises(BudgetUnavailable) as refused:
+                await asker.reserve(ACCOUNT, SETTINGS, 195, trio.current_time() + 9)
+            await trio.sleep(refused.value.retry_after)
+            await asker.reserve(ACCOUNT, SETTINGS, 195, trio.current_time() + 9)
+            asked.settle(200)
+            nursery.cancel_scope.cancel()
+
     async def test_units_reserved_by_requests_under_way_stay(self, autojump_clock) -> None:
         store = MemoryStore()
         async with trio.open_nursery() as nursery:
@@ -142,7 +170,7 @@
             return
 
     async def play(self, rng: Random) -> None:
-        """Have ten calls a second, one in four nine times as large; all move after eight seconds."""
+        """Have ten calls a second, one in four nine times as large; all move after eight."""
         store = MemoryStore()
         store.delay_s = 0.004
         made = [treasury(store, name, routers=2, boot=name) for name in ("i1", "i2")]
@@ -160,11 +188,99 @@
             nursery.cancel_scope.cancel()
 
 
+class TestNeed:
+    def test_counts_as_long_as_it_is_renewed(self) -> None:
+        seen = NeedsSeen()
+        for number in range(4):
+            note_seen(seen, {"i2-1": Need(50, count=number)}, now=number * RENEW_S)
+        assert first_needs(seen, 3 * RENEW_S + SILENT_S) == 50
+        note_seen(seen, {"i2-1": Need(50, count=3)}, now=3 * RENEW_S + SILENT_S)
+        assert first_needs(seen, 3 * RENEW_S + SILENT_S + 0.1) == 0
+
+    def test_is_gone_once_it_is_read_no_more(self) -> None:
+        seen = NeedsSeen()
+        note_seen(seen, {"i2-1": Need(50, count=1)}, now=0.0)
+        note_seen(seen, {}, now=0.1)
+        assert first_needs(seen, now=0.1) == 0
+
+    def test_of_two_that_lack_one_gives_way(self) -> None:
+        lacks = {"i1-1": Need(50, count=1), "i2-1": Need(50, count=1), "i3-1": Need(40, count=1)}
+        given = {}
+        for reader, own in lacks.items():
+            seen = NeedsSeen()
+            note_seen(seen, {other: need for other, need in lacks.items() if other != reader}, 0.0)
+            given[reader] = first_needs(seen, 0.0, own=(own.units, reader))
+        assert given == {"i1-1": 40, "i2-1": 90, "i3-1": 0}
+
+    def test_caller_that_comes_back_is_counted_once(self) -> None:
+        own = OwnNeed()
+        for now in (0.0, 0.6):
+            note_refused(own, 30, until=now + 1.0)
+        note_refused(own, 40, until=1.6)
+        assert sorted(units_refused(own, now=0.7)) == [30, 40]
+        forget_refused(own, 30)
+        assert units_refused(own, now=0.7) == [40]
+        assert units_refused(own, now=1.6) == []
+
+
+class TestFragments:
+    async def test_two_routers_that_lack_do_not_both_keep_what_they_hold(
+        self, autojump_clock
+    ) -> None:
+        """Of 1,000 units 220 are left, half of them in two hands; callers of both ask for 180."""
+        store = MemoryStore()
+        store.put(OPTIONS.topic, ACCOUNT, ledger_to_bytes(Ledger(closed=500)))
+        made = [treasury(store, name, routers=2, boot=name) for name in ("i1", "i2")]
+        served = []
+
+        async def call(router: LedgerTreasury) -> None:
+            for _ in range(2):
+                try:
+                    await router.reserve(ACCOUNT, SETTINGS, 180, trio.current_time() + 9)
+                except BudgetError as err:
+                    await trio.sleep(err.retry_after)
+                else:
+                    served.append(router)
+                    return
+
+        async with trio.open_nursery() as nursery:
+            for each in made:
+                each.spread()
+                nursery.start_soon(each.run)
+            async with trio.open_nursery() as small:
+                for each in made:
+                    small.start_soon(serve, each, 10, 14, 1.0)
+            assert min(in_hand(store, "i1"), in_hand(store, "i2")) > 40
+            async with trio.open_nursery() as callers:
+                for each in made:
+                    callers.start_soon(call, each)
+            nursery.cancel_scope.cancel()
+        assert len(served) == 1
+
+    async def test_refill_leaves_what_refused_callers_come_back_for(self, autojump_clock) -> None:
+        """A router with traffic would fill its hand from what was returned for another's caller."""
+        store = MemoryStore()
+        need = Need(300, count=1)
+        lacking = Holding("i2-1", granted=1, need=need)
+        store.put(OPTIONS.topic, ACCOUNT, ledger_to_bytes(Ledger(700, 0, {"i2": lacking})))
+        made = treasury(store, "i1", routers=2)
+        made.spread()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(SILENT_S - 0.5)
+            await serve(made, 10, times=2, every_s=0.1)
+            assert in_hand(store, "i1") <= 20
+            await trio.sleep(SILENT_S)
+            assert in_hand(store, "i1") > 20
+            nursery.cancel_scope.cancel()
+
+
 class TestLoad:
     async def test_callers_that_moved_find_the_units_left_behind(self, autojump_clock) -> None:
-        """Twenty seeds; without needs 216 calls are refused, 86 of them twice."""
+        """Of 3,200 calls of twenty seeds 219 are refused without needs and 77 with them; 89 and 14
+        of these twice."""
         load = Shifting()
         for seed in range(20):
             await load.play(Random(seed))
-        assert load.refused <= 108
-        assert load.given_up <= 43
+        assert load.refused <= 90
+        assert load.given_up <= 22
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -221,7 +221,7 @@
     Mutant(
         "killed-hand-not-written-off",
         "budgets/ledger.py",
-        "ledger.closed += former.granted",
+        "ledger.closed += units_charged(former, started)",
         "ledger.closed += former.spent",
         (LEDGERS,),
     ),
@@ -421,6 +421,63 @@
         "if True",
         (PLATFORM,),
     ),
+    Mutant(
+        "need-of-a-dead-process-counts",
+        "budgets/needs.py",
+        "if is_first and now - since <= SILENT_S:",
+        "if is_first:",
+        (LEDGERS + "/test_needs.py",),
+    ),
+    Mutant(
+        "need-renewed-by-every-look",
+        "budgets/needs.py",
+        "known[incarnation][0].count == need.count",
+        "False",
+        (LEDGERS + "/test_needs.py",),
+    ),
+    Mutant(
+        "who-lacks-more-keeps-its-hand",
+        "budgets/needs.py",
+        "is_first = own is None or (need.units, incarnation) < own",
+        "is_first = own is None",
+        (LEDGERS + "/test_needs.py::TestFragments",),
+    ),
+    Mutant(
+        "idle-traffic-keeps-units-from-others",
+        "budgets/needs.py",
+        "return 0 if is_idle else round(rate * SOON_S)",
+        "return round(rate * SOON_S)",
+        (LEDGERS + "/test_needs.py",),
+    ),
+    Mutant(
+        "need-not-told",
+        "budgets/account_hand.py",
+        "own.need = self._next_need(lacking)",
+        "own.need = None",
+        (LEDGERS + "/test_needs.py",),
+    ),
+    Mutant(
+        "units-returned-that-requests-have-reserved",
+        "budgets/hand.py",
+        "amount = max(0, min(most, hand.available))",
+        "amount = max(0, min(most, hand.granted - hand.spent))",
+        (LEDGERS,),
+    ),
+    Mutant(
+        "refill-takes-what-callers-come-back-for",
+        "budgets/account_hand.py",
+        "max(0, min(short, ahead, free))",
+        "max(0, min(short, ahead))",
+        (LEDGERS + "/test_needs.py",),
+    ),
+    Mutant(
+        "returned-units-written-before-they-leave-the-hand",
+        "budgets/account_hand.py",
+        "        take_back(self.hand, self._idle())\n"
+        "        own = Holding(holder.incarnation, self.hand.granted,",
+        "        own = Holding(holder.incarnation, self.hand.granted - self._idle(),",
+        (LEDGERS,),
+    ),
 ]
 
 
