The mutant of returned units that requests have reserved is one that the tests can tell

Cause: the first form changed take_back, whose callers never ask for more than lies free: it survived, being no fault. Change: units that requests have reserved leave the hand at a recall.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -458,9 +458,9 @@
     ),
     Mutant(
         "units-returned-that-requests-have-reserved",
-        "budgets/hand.py",
-        "amount = max(0, min(most, hand.available))",
-        "amount = max(0, min(most, hand.granted - hand.spent))",
+        "budgets/account_hand.py",
+        "        take_back(self.hand, self._idle())\n",
+        "        self.hand.granted -= self._idle() + bool(self._recalled()) * self.hand.reserved\n",
         (LEDGERS,),
     ),
     Mutant(
