Refusals tell what requests under way at the router have reserved

Cause: "store reached, units in other hands" hid two things: units idle at other routers, and units that requests under way have reserved.

--- a/bench/refusals.py
+++ b/bench/refusals.py
@@ -28,6 +28,7 @@
     account: str = ""
     amount: int = 0
     in_hand: int = 0
+    reserved: int = 0
     prepaid: int | None = None
     committed: int = 0
     reported: int = 0
@@ -55,12 +56,16 @@
     'the spend limit'
     >>> cause_of(Line(REFUSED, amount=10, prepaid=100, committed=60, store_reached=False))
     'store away, units left in the ledger'
+    >>> cause_of(Line(REFUSED, amount=10, reserved=35, prepaid=100, committed=98, reported=60))
+    'requests under way at the router have reserved what is left'
     """
     if line.in_hand >= line.amount:
         return "the spend limit"
     prepaid = line.prepaid or 0
     if prepaid - line.reported < line.amount:
         return "the budget is spent or written off"
+    if prepaid - line.reported - line.reserved < line.amount:
+        return "requests under way at the router have reserved what is left"
     where = "left in the ledger" if prepaid - line.committed >= line.amount else "in other hands"
     return f"store {'reached' if line.store_reached else 'away'}, units {where}"
 
--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -239,6 +239,7 @@
             account=self.account,
             amount=amount,
             in_hand=self.hand.available,
+            reserved=self.hand.reserved,
             headroom=self._headroom(),
             prepaid=self.prepaid,
             committed=committed(self._ledger),
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -17,6 +17,7 @@
             line("budget-refused", request_id="r2", **(refused | {"in_hand": 60})),
             line("budget-refused", request_id="r3", **(refused | {"committed": 990})),
             line("budget-refused", request_id="r4", **(refused | {"reported": 980})),
+            line("budget-refused", request_id="r5", **(refused | {"reserved": 560})),
             line("former-hand-closed", units=30, returned=70),
             line("request", status=503),
             "not a line {",
@@ -27,5 +28,6 @@
             "the spend limit": ["r2"],
             "store reached, units in other hands": ["r3"],
             "the budget is spent or written off": ["r4"],
+            "requests under way at the router have reserved what is left": ["r5"],
         }
         assert (summary.written_off, summary.returned) == (30, 70)
