--- a/bench/refusals.py
+++ b/bench/refusals.py
@@ -35,6 +35,7 @@
     RefusalCause.LEDGER_UNREAD: "the ledger was not read yet",
     RefusalCause.SPENT: "the budget is spent",
     RefusalCause.WRITTEN_OFF: "the rest of the budget is written off",
+    RefusalCause.RESERVED: "requests under way at the router have reserved what is left",
     RefusalCause.IN_LEDGER: "store reached, units left in the ledger",
     RefusalCause.IN_LEDGER_AWAY: "store away, units left in the ledger",
     RefusalCause.IN_OTHER_HANDS: "store reached, units in other hands",
@@ -56,6 +57,7 @@
     account: str = ""
     amount: int = 0
     in_hand: int = 0
+    reserved: int = 0
     prepaid: int | None = None
     committed: int = 0
     reported: int = 0
@@ -193,9 +195,11 @@
     'the spend limit'
     >>> cause_of(Line(REFUSED, amount=10, prepaid=100, committed=60, store_reached=False))
     'store away, units left in the ledger'
+    >>> cause_of(Line(REFUSED, amount=10, reserved=35, prepaid=100, committed=98, reported=60))
+    'requests under way at the router have reserved what is left'
     """
     cause = line.cause or cause_of_state(
-        state_of(line), line.amount, line.in_hand, line.store_reached
+        state_of(line), line.amount, line.in_hand, line.store_reached, line.reserved
     )
     if cause is RefusalCause.SPENT and line.written_off is None:
         return "the budget is spent or written off"
--- a/railtide/budgets/account_lines.py
+++ b/railtide/budgets/account_lines.py
@@ -198,6 +198,7 @@
     LEDGER_UNREAD = "ledger-unread"
     SPENT = "spent"
     WRITTEN_OFF = "written-off"
+    RESERVED = "reserved"
     IN_LEDGER = "in-ledger"
     IN_LEDGER_AWAY = "in-ledger-store-away"
     IN_OTHER_HANDS = "in-other-hands"
@@ -205,7 +206,7 @@
 
 
 def cause_of(
-    state: AccountState | None, amount: int, in_hand: int, store_reached: bool
+    state: AccountState | None, amount: int, in_hand: int, store_reached: bool, reserved: int = 0
 ) -> RefusalCause:
     """Return why an amount was refused.
 
@@ -216,6 +217,8 @@
     amount, in_hand : int
         Asked for, and in the hand of this router.
     store_reached : bool
+    reserved : int
+        By requests under way at this router.
 
     Examples
     --------
@@ -232,6 +235,8 @@
         return RefusalCause.SPENT
     if unspent - state.written_off < amount:
         return RefusalCause.WRITTEN_OFF
+    if unspent - state.written_off - reserved < amount:
+        return RefusalCause.RESERVED
     if state.left >= amount - in_hand:
         return RefusalCause.IN_LEDGER if store_reached else RefusalCause.IN_LEDGER_AWAY
     return RefusalCause.IN_OTHER_HANDS if store_reached else RefusalCause.IN_OTHER_HANDS_AWAY
