--- a/railtide/budgets/tests/test_ledger.py
+++ b/railtide/budgets/tests/test_ledger.py
@@ -1,5 +1,7 @@
 """Tests of railtide.budgets.ledger."""
 
+import msgspec
+
 from railtide.budgets.ledger import (
     Holding,
     Ledger,
@@ -11,6 +13,7 @@
     ledger_to_bytes,
     reported_spend,
 )
+from railtide.budgets.needs import Need
 from railtide.budgets.spend_limit import NoClocks, Reading, SpendLimit
 
 
@@ -64,5 +67,15 @@
 
     def test_encoding_keeps_all(self) -> None:
         limit = SpendLimit(Reading("boot", 1.5, 9.5), 2, 1, 1)
-        ledger = Ledger(5, 4, {"a": Holding("a1", 3, 2, 1, limit), "b": Holding("b1")})
+        held = Holding("a1", 3, 2, 1, limit, Need(7, count=1))
+        ledger = Ledger(5, 4, {"a": held, "b": Holding("b1")})
         assert ledger_from_bytes(ledger_to_bytes(ledger)) == ledger
+
+    def test_holding_that_a_process_without_needs_wrote_is_read(self) -> None:
+        older = msgspec.msgpack.encode([5, 4, {"a": ["a1", 3, 2, 1, None]}])
+        assert ledger_from_bytes(older) == Ledger(5, 4, {"a": Holding("a1", 3, 2, 1)})
+
+    def test_holding_with_nothing_but_a_need_is_kept(self) -> None:
+        ledger = Ledger()
+        account_for(ledger, "a", Holding("a1", need=Need(7, count=1)))
+        assert ledger.by_instance["a"].need == Need(7, count=1)
