Stand-ins: an engine's answer in each way in which it can be framed and end

In chunks, with a length or to the close; broken off behind any event, in the middle of one, in the middle of a plain answer; by a close or a reset; with the answer once more behind it; a resumed run that leaves events out. A handler may take its connection over (Responder.hijack), as net/http calls it.

--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -72,6 +72,10 @@
     async def finish(self) -> None:
         """End the answer; one that is not finished is cut off and so looks broken."""
 
+    @abstractmethod
+    def hijack(self) -> trio.SocketStream:
+        """Return the connection, to be written by the handler alone and closed behind it."""
+
     async def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a whole answer."""
         await self.start(status, headers, len(body))
@@ -286,6 +290,11 @@
         end = self._connection.h11.send(h11.EndOfMessage())
         await self._send(self._take_head() + end)
 
+    def hijack(self) -> trio.SocketStream:
+        """Return the connection; see `Responder.hijack`."""
+        self.started = True
+        return self._connection.stream
+
     async def _send(self, data: bytes) -> None:
         if not data:
             return
--- /dev/null
+++ b/railtide/standins/answers.py
@@ -0,0 +1,68 @@
+"""Answers written byte by byte, with each way in which they can be framed and end."""
+
+import struct
+from enum import StrEnum
+
+import trio
+
+from railtide.http.messages import Headers
+
+__all__ = ["Framing", "RawAnswer"]
+
+ARRIVAL_S = 0.02
+"""Pause before a reset, so that what was sent before it has been read."""
+LINGER_NOT = struct.pack("ii", 1, 0)
+"""Makes a close a reset."""
+
+
+class Framing(StrEnum):
+    """What tells the end of a body."""
+
+    CHUNKED = "chunked"
+    LENGTH = "length"
+    CLOSE = "close"
+
+
+class RawAnswer:
+    """An answer on a connection that is closed behind it.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+    framing : Framing
+    length : int
+        Of the whole body, also where less of it is sent.
+    """
+
+    def __init__(self, stream: trio.SocketStream, framing: Framing, length: int) -> None:
+        self._stream = stream
+        self._framing = framing
+        self._length = length
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head."""
+        framing: Headers = ()
+        if self._framing is Framing.CHUNKED:
+            framing = ((b"transfer-encoding", b"chunked"),)
+        elif self._framing is Framing.LENGTH:
+            framing = ((b"content-length", b"%d" % self._length),)
+        lines = (*headers, *framing, (b"connection", b"close"))
+        head = b"".join(b"%s: %s\r\n" % line for line in lines)
+        await self._stream.send_all(b"HTTP/1.1 %d -\r\n%s\r\n" % (status, head))
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body."""
+        if data and self._framing is Framing.CHUNKED:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        await self._stream.send_all(data)
+
+    async def finish(self) -> None:
+        """Send what tells the body's end, if anything does but the close."""
+        if self._framing is Framing.CHUNKED:
+            await self._stream.send_all(b"0\r\n\r\n")
+
+    async def reset(self) -> None:
+        """Reset the connection."""
+        await trio.sleep(ARRIVAL_S)
+        self._stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, LINGER_NOT)
+        self._stream.socket.close()
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -2,16 +2,17 @@
 
 from base64 import b64encode
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 import trio
 
-from railtide.http.messages import HttpRequest, first_header
+from railtide.http.messages import Headers, HttpRequest, first_header
 from railtide.http.server import Responder
 from railtide.journal.errors import LogUnavailable, RecordsExpired
 from railtide.journal.keyed import AppendConflict, KeyedRecord
+from railtide.standins.answers import Framing, RawAnswer
 from railtide.standins.keyed_store import MemoryStore
 
 __all__ = ["EngineScript", "PlatformEngine", "StoreServer"]
@@ -102,7 +103,17 @@
     not_run : bool
         Refuse, and say that the request did not run.
     break_after : int
-        Cut a stream off in the middle of the event behind this many; -1 for not.
+        Events of a stream, or bytes of a plain answer, behind which it breaks off; -1 for not.
+    half_bytes : int
+        Bytes of the next event that a stream which breaks off still sends.
+    framing : Framing
+        What tells the end of a stream, and of a plain answer that is not sound.
+    reset : bool
+        End by a reset of the connection instead of a close.
+    extra : bool
+        Send the answer once more behind its end.
+    skip : int
+        Events that a resumed run leaves out.
     wrong_id, unsigned : bool
         Answer with another request's id, or without a signature.
     gap_s : float
@@ -114,17 +125,46 @@
     events: int = 0
     not_run: bool = False
     break_after: int = -1
+    half_bytes: int = 5
+    framing: Framing = Framing.CHUNKED
+    reset: bool = False
+    extra: bool = False
+    skip: int = 0
     wrong_id: bool = False
     unsigned: bool = False
     gap_s: float = 0.0
 
+    @property
+    def sound(self) -> bool:
+        """Whether an answer comes whole, alone and framed as most are."""
+        broken = self.break_after >= 0 or self.reset or self.extra
+        return not broken and self.framing is Framing.CHUNKED
+
+    def parts(self, last: int) -> list[bytes]:
+        """Return the body as it is sent, an event each, behind the event that is named."""
+        if not self.events:
+            return [self.body if self.break_after < 0 else self.body[: self.break_after]]
+        first = last + 1 + (self.skip if last else 0)
+        whole = [_event(number) for number in range(first, self.events + 1)]
+        if self.break_after < 0:
+            return whole
+        passed = max(0, self.break_after + 1 - first)
+        return [*whole[:passed], *(half[: self.half_bytes] for half in whole[passed : passed + 1])]
+
 
 @dataclass
 class PlatformEngine:
-    """An engine that answers by its script and remembers what it ran."""
+    """An engine that answers by its script and remembers what it ran.
+
+    Attributes
+    ----------
+    next_scripts : list of EngineScript
+        Scripts of the next runs, one each, before `script` holds again. Engines may share it.
+    """
 
     name: str
     script: EngineScript = field(default_factory=EngineScript)
+    next_scripts: list[EngineScript] = field(default_factory=list)
     seen: list[HttpRequest] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     stopped: int = 0
@@ -136,35 +176,56 @@
         if expected is not None and expected.decode() != self.name:
             await responder.answer(421, ((b"x-instance-id", self.name.encode()),))
             return
-        if self.script.not_run:
+        script = self.next_scripts.pop(0) if self.next_scripts else self.script
+        if script.not_run:
             await responder.answer(503, ((b"x-not-executed", b"1"),))
             return
         self.ran.append(_id_of(request))
         try:
-            await self._answer(request, responder)
+            await self._answer(script, request, responder)
         except trio.Cancelled:
             self.stopped += 1
             raise
 
-    async def _answer(self, request: HttpRequest, responder: Responder) -> None:
-        script = self.script
+    async def _answer(
+        self, script: EngineScript, request: HttpRequest, responder: Responder
+    ) -> None:
         seal = () if script.unsigned else ((b"x-response-seal", self.name.encode()),)
         own_id = b"other" if script.wrong_id else _id_of(request).encode()
         headers = ((ID, own_id), *seal, (b"x-instance-load", b"1,0,8"))
-        if not script.events:
-            await trio.sleep(script.gap_s)
-            await responder.answer(script.status, headers, script.body)
-            return
-        await responder.start(200, headers, None)
         last = int(first_header(request.headers, b"last-event-id") or 0)
-        for number in range(last + 1, script.events + 1):
+        if not script.sound:
+            await self._answer_raw(script, headers, last, responder)
+        elif script.events:
+            await responder.start(200, headers, None)
+            for event in script.parts(last):
+                await trio.sleep(script.gap_s)
+                await responder.write(event)
+            await responder.finish()
+        else:
             await trio.sleep(script.gap_s)
-            event = b"id: %d\ndata: x%d\n\n" % (number, number)
-            if number > script.break_after >= 0:
-                await responder.write(event[:5])
-                return
-            await responder.write(event)
-        await responder.finish()
+            await responder.answer(script.status, headers, script.body)
+
+    @staticmethod
+    async def _answer_raw(
+        script: EngineScript, headers: Headers, last: int, responder: Responder
+    ) -> None:
+        length = len(b"".join(replace(script, break_after=-1).parts(last)))
+        stream = responder.hijack()
+        for _ in range(2 if script.extra else 1):
+            answer = RawAnswer(stream, script.framing, length)
+            await answer.start(script.status, headers)
+            for part in script.parts(last):
+                await trio.sleep(script.gap_s)
+                await answer.write(part)
+            if script.break_after < 0:
+                await answer.finish()
+        if script.reset:
+            await answer.reset()
+
+
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: x%d\n\n" % (number, number)
 
 
 def _id_of(request: HttpRequest) -> str:
