--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -58,6 +58,23 @@
     return script
 
 
+class ResetWhileSending:
+    """A stream whose sending hears of a reset, behind which its reading finds some bytes."""
+
+    def __init__(self, came: bytes) -> None:
+        self.socket = trio.socket.socket()
+        self.parts = [came, b""]
+        self.heard = trio.Event()
+
+    async def send_all(self, data: bytes) -> None:
+        self.heard.set()
+        raise trio.BrokenResourceError
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        await self.heard.wait()
+        return self.parts.pop(0)
+
+
 async def body_of(exchange: Exchange) -> bytes:
     return b"".join([chunk async for chunk in exchange.chunks()])
 
@@ -171,6 +188,21 @@
             with pytest.raises(ConnectionLost):
                 await body_of(exchange)
 
+    async def test_reset_that_the_sending_met_is_not_an_end(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The system tells of a reset once. If the sending of a long body hears of it, the reading
+        finds what came before and then what looks like an orderly end.
+        """
+
+        async def connect(host: str, port: int) -> ResetWhileSending:
+            return ResetWhileSending(HEAD + b"\r\nok")
+
+        monkeypatch.setattr("railtide.http.client.connect_tcp_stream", connect)
+        exchange = await PeerPool("127.0.0.1", 1).send(GET)
+        with pytest.raises(ConnectionLost):
+            await body_of(exchange)
+
     async def test_garbage_is_no_answer(self) -> None:
         async with peer(answers(b"\x00\x01garbage\r\n\r\n")) as pool:
             with pytest.raises(ConnectionLost):
--- a/railtide/platform/tests/test_answer_ends.py
+++ b/railtide/platform/tests/test_answer_ends.py
@@ -1,10 +1,22 @@
 """Tests of how an answer ends: what its caller is sent for each way in which an engine's ends."""
 
+from functools import partial
+
+import msgspec
 import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from railtide.http.client import Exchange
 from railtide.http.errors import ConnectionLost
-from railtide.platform.tests.test_whole_path import World, body_of, world
+from railtide.platform.tests.test_whole_path import (
+    ROUTE,
+    World,
+    body_of,
+    desired_state,
+    world,
+)
 from railtide.standins.answers import Framing
 from railtide.standins.platform import EngineScript
 
@@ -29,8 +41,10 @@
 async def add_engines(w: World, *scripts: EngineScript, count: int = 2) -> list[EngineScript]:
     """Add engines whose next runs, whoever has them, go by the scripts in their order."""
     left = list(scripts)
-    for number in range(count):
-        engine = await w.add_engine(f"e{number}", events=EVENTS)
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(partial(w.add_engine, f"e{number}", events=EVENTS))
+    for engine in w.engine_by_name.values():
         engine.next_scripts = left
     return left
 
@@ -53,6 +67,19 @@
                 assert await read(await w.ask("/resume/x")) == (events(2), False)
                 assert left == []
 
+    async def test_run_that_leaves_an_event_out_is_not_joined(self) -> None:
+        async with world() as w:
+            cut = EngineScript(events=EVENTS, break_after=2)
+            await add_engines(w, cut, EngineScript(events=EVENTS, skip=1))
+            assert await read(await w.ask("/resume/x")) == (events(2), False)
+
+    async def test_stream_without_ids_is_not_repeated_from_its_start(self) -> None:
+        async with world() as w:
+            cut = EngineScript(events=EVENTS, break_after=2, numbered=False)
+            left = await add_engines(w, cut, EngineScript(events=EVENTS, numbered=False))
+            assert await read(await w.ask("/resume/x")) == (b"data: x1\n\ndata: x2\n\n", False)
+            assert len(left) == 1
+
 
 class TestUnframedStream:
     """An engine's answer may have neither a length nor chunks and end with its connection. One that
@@ -97,3 +124,79 @@
             await add_engines(w, cut, EngineScript(body=b"ok"))
             told = framing is not Framing.CLOSE or reset
             assert await body_of(await w.ask("/safe/x")) == (b"ok" if told else b"o")
+
+
+MOST_RUNS = 3
+SOUND = EngineScript(events=EVENTS)
+STREAMS = st.builds(
+    EngineScript,
+    events=st.just(EVENTS),
+    break_after=st.integers(-1, EVENTS),
+    half_bytes=st.sampled_from([0, 4, 6, 15]),
+    framing=st.sampled_from(list(Framing)),
+    reset=st.booleans(),
+)
+DOUBLED = st.builds(
+    EngineScript,
+    events=st.just(EVENTS),
+    framing=st.sampled_from(list(Framing)),
+    extra=st.just(True),
+)
+FAILURES = st.builds(
+    EngineScript, status=st.sampled_from([400, 404, 500, 504]), body=st.just(b"bad\n\n")
+)
+RUNS = st.lists(st.one_of(STREAMS, DOUBLED, FAILURES), min_size=1, max_size=MOST_RUNS)
+
+
+def long_route() -> bytes:
+    """Return a desired state with a route whose streams may be run three times."""
+    state = msgspec.json.decode(desired_state())
+    route = {"name": "long", "path_prefix": "/long/", "kind": "streaming", "resumable": True}
+    state["routes"].append(ROUTE | route | {"max_attempts": MOST_RUNS})
+    return msgspec.json.encode(state)
+
+
+def proves_its_end(run: EngineScript, began_behind: int) -> bool:
+    """Return whether the end of a run's stream looks whole, by the bytes that tell it."""
+    all_sent = run.break_after < 0 or max(run.break_after, began_behind) >= EVENTS
+    if run.framing is Framing.CHUNKED:
+        return run.break_after < 0
+    if run.framing is Framing.LENGTH:
+        return all_sent
+    sent = (EVENTS if all_sent else run.break_after) - began_behind
+    return not run.reset and sent > 0 and (all_sent or not run.half_bytes)
+
+
+def expected(runs: list[EngineScript]) -> tuple[int, bool]:
+    """Return how many events a caller gets, and whether its answer looks whole."""
+    passed = 0
+    for run in runs:
+        if not run.events:
+            if not passed and run.status < 500:
+                return 0, False
+            continue
+        began_behind = passed
+        passed = max(passed, EVENTS if run.break_after < 0 else run.break_after)
+        if proves_its_end(run, began_behind):
+            return passed, True
+    return passed, False
+
+
+class TestAllEnds:
+    @settings(max_examples=100)
+    @given(runs=RUNS)
+    async def test_caller_is_sent_what_the_runs_prove(self, runs: list[EngineScript]) -> None:
+        """All that stays unproved is an orderly close behind an event, with nothing to tell the
+        end: it looks whole, as the model says. Whatever else ends early looks broken.
+        """
+        runs = [*runs, *[SOUND] * (MOST_RUNS - len(runs))]
+        async with world(long_route()) as w:
+            await add_engines(w, *runs, count=MOST_RUNS)
+            answer = await w.ask("/long/x")
+            body, whole = await read(answer)
+            seen = [(e.name, len(e.seen), e.ran) for e in w.engine_by_name.values()]
+        passed, looks_whole = expected(runs)
+        if passed == 0 and not looks_whole:
+            assert answer.status != 200, (body, whole, seen)
+        else:
+            assert (body, whole) == (events(passed), looks_whole), seen
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -114,6 +114,8 @@
         Send the answer once more behind its end.
     skip : int
         Events that a resumed run leaves out.
+    numbered : bool
+        Whether the events have ids.
     wrong_id, unsigned : bool
         Answer with another request's id, or without a signature.
     gap_s : float
@@ -130,6 +132,7 @@
     reset: bool = False
     extra: bool = False
     skip: int = 0
+    numbered: bool = True
     wrong_id: bool = False
     unsigned: bool = False
     gap_s: float = 0.0
@@ -145,12 +148,16 @@
         if not self.events:
             return [self.body if self.break_after < 0 else self.body[: self.break_after]]
         first = last + 1 + (self.skip if last else 0)
-        whole = [_event(number) for number in range(first, self.events + 1)]
+        whole = [self._event(number) for number in range(first, self.events + 1)]
         if self.break_after < 0:
             return whole
         passed = max(0, self.break_after + 1 - first)
         return [*whole[:passed], *(half[: self.half_bytes] for half in whole[passed : passed + 1])]
 
+    def _event(self, number: int) -> bytes:
+        place = b"id: %d\n" % number if self.numbered else b""
+        return place + b"data: x%d\n\n" % number
+
 
 @dataclass
 class PlatformEngine:
@@ -224,9 +231,5 @@
             await answer.reset()
 
 
-def _event(number: int) -> bytes:
-    return b"id: %d\ndata: x%d\n\n" % (number, number)
-
-
 def _id_of(request: HttpRequest) -> str:
     return (first_header(request.headers, ID) or b"").decode()
