Runs are joined only where nothing is missing; what proves a body whole is asked of each peer

Cause, read in the code and shown by tests that failed: a second run that began behind a missing event was joined to the first; a stream whose events have no ids was resumed from its start, so that they came twice; a reset that the sending heard of first left an orderly end for the reading of a body without length; a page of the store cut within its head read as empty, with its end at 0; a body priced by the call without length was billed and kept for its key.

Change: where runs meet, ids that counted up by one must go on so; an event without id ends what can be resumed; the sending's reset, a short page and an unframed body priced by the call are lost answers. Ids within one run need only increase, as before.

--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -163,6 +163,7 @@
         self._kept = kept
         self._over = False
         self._all_sent = False
+        self._sending_broke = False
 
     async def begin(self, request: HttpRequest) -> None:
         """Send the request while waiting for the head; an early answer ends the sending.
@@ -200,7 +201,7 @@
             await self._kept.stream.send_all(data)
             self._all_sent = True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass  # the reading side finds the early answer, or that there is none
+            self._sending_broke = True  # the reading finds the early answer, or that there is none
 
     async def _read_head_or_lose(self) -> h11.Response | None:
         try:
@@ -229,6 +230,7 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                self._check_end()
                 self._finish()
                 return
             else:
@@ -247,6 +249,14 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
                 raise ConnectionLost("the connection was reset") from err
 
+    def _check_end(self) -> None:
+        """Raise if the close that ends the body may have been a reset.
+
+        The system tells of a reset once, and the sending may have been who was told.
+        """
+        if self._sending_broke and not self.framed:
+            raise ConnectionLost("the connection was reset")
+
     def _finish(self) -> None:
         """Keep the connection if nothing speaks against it."""
         self._over = True
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -144,6 +144,8 @@
 
 def _page_of(data: bytes, start: int) -> KeyedPage:
     """Return the page in an answer: the end, the first kept offset, then records from `start`."""
+    if len(data) < 2 * OFFSET_BYTES:
+        raise LogUnavailable("the store's answer is cut short")
     end = int.from_bytes(data[:OFFSET_BYTES], "big")
     records = []
     at = 2 * OFFSET_BYTES
--- a/railtide/platform/tests/test_store.py
+++ b/railtide/platform/tests/test_store.py
@@ -86,6 +86,17 @@
             with pytest.raises(LogUnavailable):
                 await store.read("keyed.t", 0, 0.0)
 
+    @pytest.mark.parametrize("length", [0, 8, 15])
+    async def test_cut_head_of_a_page_is_no_answer(self, length: int) -> None:
+        """An answer without a length that was cut off looked like an empty page that ends at 0."""
+
+        async def cut(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, (), bytes(length))
+
+        async with client_of(cut) as store:
+            with pytest.raises(LogUnavailable):
+                await store.read("keyed.t", 0, 0.0)
+
     async def test_nobody_there_is_no_answer(self) -> None:
         listener = await listen("127.0.0.1", 0)
         port = listener.socket.getsockname()[1]
--- a/railtide/requests/events.py
+++ b/railtide/requests/events.py
@@ -1,9 +1,12 @@
 """Server-sent events of a stream that is passed on unchanged. Pure."""
 
+from railtide.upstreams.errors import UpstreamLost
+
 __all__ = ["EventStream"]
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT = b":"
 
 
 class EventStream:
@@ -15,6 +18,8 @@
         Id of the last event passed, for the ``Last-Event-Id`` of a resumed stream.
     events : int
         Events passed.
+    resumable : bool
+        Whether the last event passed has an id, without which another run would begin anew.
     at_event_end : bool
         Whether the run's last bytes so far were the end of an event.
 
@@ -31,16 +36,26 @@
     def __init__(self) -> None:
         self.last_id = ""
         self.events = 0
+        self.resumable = True
         self.at_event_end = False
         self._rest = b""
+        self._counts_up = True
+        self._joins = False
 
     def restart(self) -> None:
         """Begin with another run of the stream; a half event of the one before is dropped."""
         self._rest = b""
         self.at_event_end = False
+        self._joins = bool(self.last_id)
 
     def feed(self, data: bytes) -> bytes:
-        """Take bytes as they were read and return the whole new events in them."""
+        """Take bytes as they were read and return the whole new events in them.
+
+        Raises
+        ------
+        UpstreamLost
+            An event is missing between two runs.
+        """
         data = self._rest + data
         end = data.rfind(EVENT_END) + len(EVENT_END)
         if end < len(EVENT_END):
@@ -64,10 +79,25 @@
         event_id = _id_of(event)
         if self.last_id and _not_after(event_id, self.last_id):
             return False
+        if event_id:
+            self._check_join(event_id)
+            self.last_id = event_id
+        if not event.startswith(COMMENT):
+            self.resumable = bool(event_id)
         self.events += 1
-        self.last_id = event_id or self.last_id
         return True
 
+    def _check_join(self, event_id: str) -> None:
+        """Raise if ids that counted up by one so far skip one where one run follows another.
+
+        Within a run ids need only increase: what an upstream sends there is its own whole answer.
+        """
+        follows = not self.last_id or _follows(event_id, self.last_id)
+        if self._joins and self._counts_up and not follows:
+            raise UpstreamLost("an event is missing between two runs of the stream")
+        self._joins = False
+        self._counts_up = self._counts_up and follows
+
 
 def _id_of(event: bytes) -> str:
     for line in event.split(b"\n"):
@@ -78,3 +108,7 @@
 
 def _not_after(event_id: str, last_id: str) -> bool:
     return event_id.isdigit() and last_id.isdigit() and int(event_id) <= int(last_id)
+
+
+def _follows(event_id: str, last_id: str) -> bool:
+    return event_id.isdigit() and last_id.isdigit() and int(event_id) == int(last_id) + 1
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -240,7 +240,8 @@
         refused = isinstance(err, UpstreamRefused)
         if not refused and not self._call.repeatable:
             raise OutcomeUnknown("the call may have run and is not sent again") from err
-        begun = self._sink.started and not self._call.resumable
+        resumable = self._call.resumable and self._relay.resumable
+        begun = self._sink.started and not resumable
         most_runs = self._call.attempts or self._services.options.attempts
         most_sent = most_runs + self._services.options.refusals
         if begun or len(self._lost_tries) >= most_runs or attempt >= most_sent:
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -60,6 +60,11 @@
         usage = Usage(self._call.prompt_tokens, output)
         return min(self._call.reserve, cost_of(self._call.prices, usage))
 
+    @property
+    def resumable(self) -> bool:
+        """Whether the last event that was passed on has an id; see `Relay.resumable`."""
+        return self._events.resumable
+
     async def relay(self, upstream: Instance, sent: UpstreamCall) -> Relayed:
         """Send the call and pass its answer on; see `Relay.relay`."""
         ran_before, self._ran = self._ran, True
--- a/railtide/requests/relay.py
+++ b/railtide/requests/relay.py
@@ -46,6 +46,11 @@
 
     longest_pause_s = 0.0
 
+    @property
+    def resumable(self) -> bool:
+        """Whether another run can go on behind what the caller was sent."""
+        return True
+
     @abstractmethod
     async def relay(self, upstream: Instance, sent: UpstreamCall) -> Relayed:
         """Send the call and pass its answer on, up to its end.
@@ -115,13 +120,16 @@
 
     async def _read_whole(self, answer: UpstreamAnswer) -> Relayed:
         kept = await read_answer(answer, self._services.options.most_answer_bytes)
-        return Relayed(self._cost_of_whole(kept), kept, kept.body)
+        return Relayed(self._cost_of_whole(kept, answer.framed), kept, kept.body)
 
-    def _cost_of_whole(self, answer: Answer) -> int:
+    def _cost_of_whole(self, answer: Answer, framed: bool) -> int:
+        """Return the cost of an answer that is whole by its framing or by its own usage."""
         prices = self._call.prices
         if answer.status != OK_STATUS:
             return 0
         if prices.call:
+            if not framed:
+                raise UpstreamLost("nothing but its connection told the end of the answer")
             return prices.call
         return cost_of(prices, usage_of_body(answer.body, self._call.request_id))
 
--- a/railtide/requests/tests/test_events.py
+++ b/railtide/requests/tests/test_events.py
@@ -1,9 +1,11 @@
 """Tests of railtide.requests.events."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from railtide.requests.events import EventStream
+from railtide.upstreams.errors import UpstreamLost
 
 
 def event(number: int) -> bytes:
@@ -30,3 +32,28 @@
         stream = EventStream()
         stream.feed(event(1) + b"tail")
         assert stream.end() == b"tail"
+
+    def test_event_missing_between_two_runs_breaks_the_stream(self) -> None:
+        stream = EventStream()
+        stream.feed(event(1) + event(2))
+        stream.restart()
+        with pytest.raises(UpstreamLost):
+            stream.feed(event(4))
+        stream.restart()
+        assert stream.feed(event(3)) == event(3)
+
+    def test_ids_need_not_count_up_by_one(self) -> None:
+        stream = EventStream()
+        assert stream.feed(event(1) + event(5)) == event(1) + event(5)
+        stream.restart()
+        assert stream.feed(event(9)) == event(9)
+
+    def test_stream_goes_on_only_behind_an_event_with_an_id(self) -> None:
+        stream = EventStream()
+        assert stream.resumable
+        stream.feed(event(1))
+        assert stream.resumable
+        stream.feed(b"data: x\n\n")
+        assert not stream.resumable
+        stream.feed(event(2) + b": ping\n\n")
+        assert stream.resumable
--- a/railtide/upstreams/http_upstreams.py
+++ b/railtide/upstreams/http_upstreams.py
@@ -21,6 +21,7 @@
 IDLE_CONNECTIONS = 8
 SERVER_ERROR = 500
 REFUSALS = (429, 503)
+FRAMING = ("content-length", "transfer-encoding")
 
 
 class _WireLoad(msgspec.Struct):
@@ -33,6 +34,7 @@
     def __init__(self, response: httpx.Response) -> None:
         self._response = response
         self.status = response.status_code
+        self.framed = any(name in response.headers for name in FRAMING)
         self.content_type = response.headers.get("content-type", "application/octet-stream")
         self.request_id = response.headers.get(REQUEST_ID, "")
 
