How an answer ends: pages, eleven mutants, the soak's new ends, callers that stay

The soak's engines answer with a length, to the close, with a reset behind an event, and doubled; some callers keep to one router until a connection to it fails. The soak with these changes has not been run yet at this commit.

--- a/railtide/platform/tests/test_answer_ends.py
+++ b/railtide/platform/tests/test_answer_ends.py
@@ -95,6 +95,15 @@
             assert await read(await w.ask("/stream/x")) == (events(2), False)
             assert await read(await w.ask("/resume/x")) == (events(EVENTS), True)
 
+    async def test_run_without_an_event_is_not_whole(self) -> None:
+        """Nothing tells it from one whose engine was lost behind the head."""
+        empty = EngineScript(events=EVENTS, break_after=0, half_bytes=0, framing=Framing.CLOSE)
+        async with world() as w:
+            cut = EngineScript(events=EVENTS, break_after=2)
+            await add_engines(w, empty, cut, empty)
+            assert (await w.ask("/stream/x")).status == 502
+            assert await read(await w.ask("/resume/x")) == (events(2), False)
+
     async def test_end_behind_an_event_is_whole(self) -> None:
         async with world() as w:
             await add_engines(w, EngineScript(events=EVENTS, framing=Framing.CLOSE))
--- a/tests/edge_soak/callers.py
+++ b/tests/edge_soak/callers.py
@@ -20,6 +20,8 @@
 GIVE_UP_S = 4.0
 LEAVE_SHARE = 0.05
 """Callers that leave in the middle of an answer."""
+STAY_SHARE = 0.3
+"""Callers that keep to one router, whatever they are told, until a connection to it fails."""
 
 
 @dataclass
@@ -66,10 +68,14 @@
     async def run(self) -> None:
         """Call for ever, one request after another on kept connections."""
         pool_by_router: dict[str, PeerPool] = {}
+        stays = self.rng.random() < STAY_SHARE
+        router: Router | None = None
         while True:
-            router = await self._choose()
+            if router is None or not stays:
+                router = await self._choose()
             pool = pool_by_router.setdefault(router.name, PeerPool("127.0.0.1", router.calls.port))
-            await self.ask(router, pool, self.rng.choice(KINDS))
+            attempt = await self.ask(router, pool, self.rng.choice(KINDS))
+            router = router if attempt.status else None
             await trio.sleep(self.rng.uniform(0, 0.1))
 
     async def _choose(self) -> Router:
--- a/tests/edge_soak/faults.py
+++ b/tests/edge_soak/faults.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from railtide.standins.answers import Framing
 from railtide.standins.platform import EngineScript
 from tests.edge_soak.fleet import EVENTS, GOOD_ENGINE, Fleet, Router
 from tests.edge_soak.proxy import Link, LinkFault
@@ -23,7 +24,14 @@
     EngineScript(events=EVENTS, gap_s=0.03, wrong_id=True),
     EngineScript(events=EVENTS, gap_s=0.03, unsigned=True),
     EngineScript(events=EVENTS, gap_s=0.6),
+    EngineScript(events=EVENTS, gap_s=0.03, break_after=3, framing=Framing.LENGTH),
+    EngineScript(events=EVENTS, gap_s=0.03, break_after=3, half_bytes=0, reset=True),
+    EngineScript(events=EVENTS, gap_s=0.03, framing=Framing.CLOSE),
+    EngineScript(events=EVENTS, gap_s=0.03, extra=True),
+    EngineScript(events=EVENTS, gap_s=0.03, framing=Framing.CLOSE, extra=True),
 )
+"""How an engine answers for a while. None cuts a body without length: the links make an orderly
+close of an engine's reset, behind which a plain answer that is cut looks whole to anyone."""
 
 
 @dataclass(frozen=True)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -20,6 +20,7 @@
 SINGLE = "tests/matrix/test_single.py"
 LEDGERS = "railtide/budgets/tests"
 PLATFORM = "railtide/platform/tests"
+ENDS = "railtide/platform/tests/test_answer_ends.py"
 HTTP = "railtide/http/tests"
 MEMBERSHIP = "railtide/membership/tests"
 TIMEOUT_S = 150
@@ -421,6 +422,83 @@
         "if True",
         (PLATFORM,),
     ),
+    Mutant(
+        "failure-passed-on-behind-a-begun-stream",
+        "requests/passthrough.py",
+        "if self._sink.started:\n            # Passed",
+        "if False:\n            # Passed",
+        (ENDS,),
+    ),
+    Mutant(
+        "half-event-taken-for-the-end",
+        "requests/passthrough.py",
+        "if not answer.framed and not self._events.at_event_end:",
+        "if False:",
+        (ENDS,),
+    ),
+    Mutant(
+        "every-body-taken-for-framed",
+        "http/client.py",
+        "self.framed = any(name in FRAMING for name, _ in self.headers)",
+        "self.framed = True",
+        (ENDS,),
+    ),
+    Mutant(
+        "run-without-an-event-taken-for-whole",
+        "requests/events.py",
+        '        self._rest = b""\n        self.at_event_end = False',
+        '        self._rest = b""\n        self.at_event_end = True',
+        (ENDS,),
+    ),
+    Mutant(
+        "runs-joined-over-a-missing-event",
+        "requests/events.py",
+        "if self._joins and self._counts_up and not follows:",
+        "if False:",
+        ("railtide/requests/tests", ENDS),
+    ),
+    Mutant(
+        "ids-held-to-count-up-within-a-run",
+        "requests/events.py",
+        "if self._joins and self._counts_up and not follows:",
+        "if not follows:",
+        ("railtide/requests/tests",),
+    ),
+    Mutant(
+        "stream-without-ids-resumed",
+        "requests/execution.py",
+        "self._call.resumable and self._relay.resumable",
+        "self._call.resumable",
+        (ENDS,),
+    ),
+    Mutant(
+        "end-that-was-not-sent-counts-as-sent",
+        "http/server.py",
+        "        return responder.finished",
+        "        return self.h11.our_state is h11.DONE",
+        (HTTP,),
+    ),
+    Mutant(
+        "reset-met-by-the-sending-forgotten",
+        "http/client.py",
+        "if self._sending_broke and not self.framed:",
+        "if False:",
+        (HTTP,),
+    ),
+    Mutant(
+        "cut-page-taken-for-an-empty-one",
+        "platform/store.py",
+        "if len(data) < 2 * OFFSET_BYTES:",
+        "if False:",
+        (PLATFORM,),
+    ),
+    Mutant(
+        "unframed-answer-billed-by-the-call",
+        "requests/relay.py",
+        "            if not framed:",
+        "            if False:",
+        ("railtide/requests/tests",),
+    ),
 ]
 
 
