--- a/conftest.py
+++ b/conftest.py
@@ -17,29 +17,35 @@
 settings.load_profile("railtide")
 
 
-KNOWN_RED = Path(__file__).with_name("KNOWN-RED.txt")
+KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
+MOST_KNOWN_RED = 3
 
 
 def known_red() -> dict[str, str]:
     """Return the cause of each test that is known to fail, by its node id."""
-    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
-    parts = [line.split("|") for line in lines if line.strip() and not line.startswith("#")]
-    return {part[0].strip(): "|".join(part[1:]).strip() for part in parts}
+    if not KNOWN_RED.exists():
+        return {}
+    lines = [line.strip() for line in KNOWN_RED.read_text().splitlines()]
+    listed = [line.split(" | ") for line in lines if line and not line.startswith("#")]
+    if len(listed) > MOST_KNOWN_RED or any(len(parts) != 3 for parts in listed):
+        raise pytest.UsageError(
+            f"{KNOWN_RED.name}: {MOST_KNOWN_RED} of test | cause | issue at most"
+        )
+    return {test: f"{cause} ({issue})" for test, cause, issue in listed}
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Expect the tests that are known to fail to fail: one that passes is to be taken off."""
-    cause_by_id = known_red()
+    """Expect the listed tests to fail, and only these; one that passes must leave the list."""
+    cause_by_test = known_red()
     for item in items:
-        cause = cause_by_id.get(item.nodeid)
-        if cause is not None:
-            item.add_marker(pytest.mark.xfail(reason=cause, strict=True))
+        if item.nodeid in cause_by_test:
+            item.add_marker(pytest.mark.xfail(reason=cause_by_test[item.nodeid], strict=True))
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Print the tests that are known to fail, whether they ran or not."""
-    for node_id, cause in known_red().items():
-        terminalreporter.write_line(f"known red: {node_id}: {cause}")
+    """Print the listed tests."""
+    for test, cause in known_red().items():
+        terminalreporter.write_line(f"known red: {test}: {cause}")
 
 
 @pytest.fixture
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -26,7 +26,7 @@
 store answers in milliseconds; an engine that truly reads for so long costs new connections of 1 ms,
 and a silent one the whole wait of each request that is sent on it."""
 MOST_HEAD_BYTES = 65_536
-INFORMATIONAL_END = 200
+FRAMING = (b"content-length", b"transfer-encoding")
 
 
 async def connect_tcp_stream(host: str, port: int) -> trio.SocketStream:
@@ -148,6 +148,8 @@
     ----------
     status : int
     headers : Headers
+    framed : bool
+        Whether a length or a last chunk tells the end of the body; else the close does.
     reused : bool
         Whether the connection had carried a request before.
     """
@@ -155,11 +157,13 @@
     def __init__(self, pool: PeerPool, kept: _Kept) -> None:
         self.status = 0
         self.headers: Headers = ()
+        self.framed = False
         self.reused = kept.exchanges > 0
         self._pool = pool
         self._kept = kept
         self._over = False
         self._all_sent = False
+        self._sending_broke = False
 
     async def begin(self, request: HttpRequest) -> None:
         """Send the request while waiting for the head; an early answer ends the sending.
@@ -176,6 +180,7 @@
             raise ConnectionLost("the connection ended before the answer began")
         self.status = head.status_code
         self.headers = tuple(head.headers)
+        self.framed = any(name in FRAMING for name, _ in self.headers)
 
     def _encode(self, request: HttpRequest) -> bytes:
         headers = list(request.headers)
@@ -196,7 +201,7 @@
             await self._kept.stream.send_all(data)
             self._all_sent = True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass  # the reading side finds the early answer, or that there is none
+            self._sending_broke = True  # the reading finds the early answer, or that there is none
 
     async def _read_head_or_lose(self) -> h11.Response | None:
         try:
@@ -225,6 +230,7 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                self._check_end()
                 self._finish()
                 return
             else:
@@ -243,6 +249,14 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
                 raise ConnectionLost("the connection was reset") from err
 
+    def _check_end(self) -> None:
+        """Raise if the close that ends the body may have been a reset.
+
+        The system tells of a reset once, and the sending may have been who was told.
+        """
+        if self._sending_broke and not self.framed:
+            raise ConnectionLost("the connection was reset")
+
     def _finish(self) -> None:
         """Keep the connection if nothing speaks against it."""
         self._over = True
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -58,6 +58,23 @@
     return script
 
 
+class ResetWhileSending:
+    """A stream whose sending hears of a reset, behind which its reading finds some bytes."""
+
+    def __init__(self, came: bytes) -> None:
+        self.socket = trio.socket.socket()
+        self.parts = [came, b""]
+        self.heard = trio.Event()
+
+    async def send_all(self, data: bytes) -> None:
+        self.heard.set()
+        raise trio.BrokenResourceError
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        await self.heard.wait()
+        return self.parts.pop(0)
+
+
 async def body_of(exchange: Exchange) -> bytes:
     return b"".join([chunk async for chunk in exchange.chunks()])
 
@@ -171,6 +188,21 @@
             with pytest.raises(ConnectionLost):
                 await body_of(exchange)
 
+    async def test_reset_that_the_sending_met_is_not_an_end(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The system tells of a reset once. If the sending of a long body hears of it, the reading
+        finds what came before and then what looks like an orderly end.
+        """
+
+        async def connect(host: str, port: int) -> ResetWhileSending:
+            return ResetWhileSending(HEAD + b"\r\nok")
+
+        monkeypatch.setattr("railtide.http.client.connect_tcp_stream", connect)
+        exchange = await PeerPool("127.0.0.1", 1).send(GET)
+        with pytest.raises(ConnectionLost):
+            await body_of(exchange)
+
     async def test_garbage_is_no_answer(self) -> None:
         async with peer(answers(b"\x00\x01garbage\r\n\r\n")) as pool:
             with pytest.raises(ConnectionLost):
@@ -231,6 +263,25 @@
             with pytest.raises(ConnectionLost):
                 await body_of(exchange)
 
+    async def test_answer_whose_end_was_not_sent_ends_its_connection(self) -> None:
+        """A deadline that passes as an answer ends takes its last chunk back before it is sent. The
+        connection stood open then, its caller waited for the end, and the next answer on it would
+        have been read as part of this one: the state of the protocol says "done" once the bytes
+        are made, not once they are sent.
+        """
+
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.start(200, (), None)
+            await responder.write(b"a")
+            with trio.CancelScope() as passed:
+                passed.cancel()
+                await responder.finish()
+
+        async with server(handler) as made:
+            exchange = await PeerPool("127.0.0.1", made.port).send(GET)
+            with trio.fail_after(5), pytest.raises(ConnectionLost):
+                await body_of(exchange)
+
     @pytest.mark.parametrize("half", [True, False])
     async def test_caller_that_leaves_cancels_its_handler(self, half: bool) -> None:
         cancelled = trio.Event()
