Tests of losses tell the range of their figures

Cause: two figures differ from run to run, since the order in which tasks run does. Change: the docstrings give the range over ten runs of each, and the units lost by young traffic now.

--- a/railtide/budgets/tests/test_losses.py
+++ b/railtide/budgets/tests/test_losses.py
@@ -124,7 +124,8 @@
     async def test_service_is_back_behind_five_losses_of_all_routers(self, autojump_clock) -> None:
         """A budget of one and a half times what its callers ask for in all.
 
-        Before, 5% of the last requests were served; 71% now.
+        Before, 5% of the last requests were served; 68 to 71% now, in ten runs, which differ
+        by the order of tasks.
         """
         machines = Machines(budget=16_000)
         for _ in range(5):
@@ -134,7 +135,7 @@
     async def test_account_whose_traffic_began_seconds_ago_loses_seconds_of_it(
         self, autojump_clock
     ) -> None:
-        """Routers that have run for long, callers since 2.5 s: before, 2,216 units were lost."""
+        """Routers that have run for long, callers since 2.5 s: 2,216 units lost before, 795 now."""
         machines = Machines(budget=21_000)
         await machines.live(22.5, idle_s=20.0)
         await machines.live(1.0)
--- a/railtide/budgets/tests/test_peer_reports.py
+++ b/railtide/budgets/tests/test_peer_reports.py
@@ -168,7 +168,7 @@
 
 class TestLossOfPowerBesideALivingPeer:
     async def test_takes_seconds_of_traffic_in_place_of_the_hand(self, autojump_clock) -> None:
-        """Before, 969 units were lost, all of the hand; 487 now."""
+        """Before, 969 units were lost, all of the hand; 487 to 589 now, in ten runs."""
         lost = await Pair().lost_in_seconds(away_s=2.0, cut_s=0.0)
         assert -2 * AMOUNT <= lost <= 700
 
