A peer returns a hand only for the next process at the same address; a report is told by what all know

Change: a holding carries its process's address; reports are told by incarnation, sums and the time they were made; an append by its holdings that are not empty; a peer's time is stretched by the rate at which clocks may differ; a process listens before it reads a ledger, and ends with code 3 if another one listens there.

--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -35,6 +35,7 @@
     close_former,
     committed,
     grant,
+    is_same_report,
     ledger_from_bytes,
     ledger_to_bytes,
     reported_spend,
@@ -96,6 +97,8 @@
         Lines on ledgers that the process may write.
     leaving : bool
         Whether the process shuts down: hands are returned and nothing is asked for.
+    address : str
+        Where the process listens.
     """
 
     instance: str
@@ -108,6 +111,7 @@
     lines: LineAllowance = field(default_factory=LineAllowance)
     spreading: bool = False
     leaving: bool = False
+    address: str = ""
 
 
 @dataclass(frozen=True)
@@ -343,9 +347,17 @@
             return None
         ledger = ledger_from_bytes(ledger_to_bytes(self._ledger))
         holder = self._holder
-        former = close_former(ledger, holder.instance, holder.incarnation, holder.started)
+        former = close_former(
+            ledger, holder.instance, holder.incarnation, holder.started, holder.address
+        )
         take_back(self.hand, self._idle())
-        own = Holding(holder.incarnation, self.hand.granted, self.hand.spent, self.billed_requests)
+        own = Holding(
+            holder.incarnation,
+            self.hand.granted,
+            self.hand.spent,
+            self.billed_requests,
+            address=holder.address,
+        )
         account_for(ledger, holder.instance, own)
         returned = {
             name: return_unproved(ledger, name, used)
@@ -424,7 +436,7 @@
 
     def is_written(self, change: HandChange) -> bool:
         """Return whether the ledger as read has a change; only this process writes its holding."""
-        return self._ledger.by_instance.get(self._holder.instance) == change.holding
+        return is_same_report(self._ledger.by_instance.get(self._holder.instance), change.holding)
 
     def _grantable(self, ledger: Ledger) -> int:
         """Return the units that the ledger can grant of those wanted."""
--- a/railtide/budgets/ledger.py
+++ b/railtide/budgets/ledger.py
@@ -23,6 +23,7 @@
     "close_former",
     "committed",
     "grant",
+    "is_same_report",
     "ledger_from_bytes",
     "ledger_to_bytes",
     "reported_spend",
@@ -49,6 +50,8 @@
         What the process binds itself to from this report on.
     need : Need or None
         What the process lacks and could not be granted.
+    address : str
+        Where the process listens; empty if it is not known.
     """
 
     incarnation: str
@@ -57,6 +60,7 @@
     requests: int = 0
     limit: SpendLimit | None = None
     need: Need | None = None
+    address: str = ""
 
 
 class Ledger(msgspec.Struct, array_like=True):
@@ -132,12 +136,15 @@
 
 
 def close_former(
-    ledger: Ledger, instance: str, incarnation: str, started: Reading
+    ledger: Ledger, instance: str, incarnation: str, started: Reading, address: str = ""
 ) -> Holding | None:
     """Close the holding of an instance's former process and return it; None if there is none.
 
     What it had not reported may have been spent. It counts as spent as far as its limit allowed
-    until this process began, read from clocks that both have.
+    until this process began, read from clocks that both have. Where these prove nothing it is kept
+    in `Ledger.unproved` for a peer, but only if both listened at one address: whoever listens there
+    proves that the former process is gone, and another machine of the name, beside one that is cut
+    off and lives, has another address.
 
     Parameters
     ----------
@@ -147,6 +154,8 @@
         Of this process.
     started : Reading
         The clocks when this process began.
+    address : str, optional
+        Where this process listens.
 
     Examples
     --------
@@ -163,7 +172,8 @@
     ledger.closed += charged
     ledger.billed += former.spent
     ledger.unproved.pop(instance, None)
-    if former.limit and charged == former.granted > former.spent:
+    is_same_machine = bool(address) and former.address == address
+    if is_same_machine and former.limit and charged == former.granted > former.spent:
         ledger.unproved[instance] = former
     return former
 
@@ -197,6 +207,28 @@
     return max(former.spent, most_used(former.limit, former.granted, started))
 
 
+def is_same_report(one: Holding | None, other: Holding | None) -> bool:
+    """Return whether two holdings are one report of one process.
+
+    Others carry a report on, and an earlier release drops the fields that it does not know.
+
+    Examples
+    --------
+    >>> is_same_report(Holding("a1", 7, 2), Holding("a1", 7, 2, address="i1:80"))
+    True
+    >>> is_same_report(Holding("a1", 7, 2), Holding("a1", 7, 3))
+    False
+    """
+    if one is None or other is None:
+        return False
+    return _report_of(one) == _report_of(other)
+
+
+def _report_of(holding: Holding) -> tuple[str, int, int, int, Reading | None]:
+    made = holding.limit.made if holding.limit else None
+    return holding.incarnation, holding.granted, holding.spent, holding.requests, made
+
+
 def account_for(ledger: Ledger, instance: str, holding: Holding) -> None:
     """Set a process's holding; an empty one of no use is left out."""
     if holding.granted or holding.spent or holding.need:
--- a/railtide/budgets/ledger_partition.py
+++ b/railtide/budgets/ledger_partition.py
@@ -173,8 +173,13 @@
         if append is None or self._end <= append.expected_end:
             return
         self._unsure = None
-        changes = append.change_by_account.items()
-        if all(self.hand_by_account[account].is_written(change) for account, change in changes):
+        # An account in which this process holds nothing has no holding to tell it by.
+        told = [
+            self.hand_by_account[account].is_written(change)
+            for account, change in append.change_by_account.items()
+            if change.holding.granted or change.holding.spent
+        ]
+        if told and all(told):
             self._take(append)
 
     async def _write(self, append: _Append) -> None:
--- a/railtide/budgets/ledger_treasury.py
+++ b/railtide/budgets/ledger_treasury.py
@@ -79,6 +79,8 @@
         By which what a process before this one can have spent is proved.
     counters : Counters, optional
         Of refusals by cause, and of units of dead processes.
+    address : str, optional
+        Where this process listens already; see `close_former`.
 
     Attributes
     ----------
@@ -96,6 +98,7 @@
         store_reached: Callable[[], bool] = lambda: True,
         clocks: Clocks | None = None,
         counters: Counters | None = None,
+        address: str = "",
     ) -> None:
         self.refusals = 0
         self._began_at = trio.current_time()
@@ -111,6 +114,7 @@
             clocks,
             clocks.read(),
             counters or Counters(),
+            address=address,
         )
         self._rng = Random(incarnation)
         self.partitions = [
--- a/railtide/budgets/peer_reports.py
+++ b/railtide/budgets/peer_reports.py
@@ -15,16 +15,20 @@
 request when it wakes. A peer that starts has no append of its own behind it and proves nothing; nor
 does one whose clocks disagree, as when its machine was suspended or the time of day was set. A
 one-way cut only delays what the peer sees, so that its bound grows. When nobody lived, nothing is
-proved.
+proved. What it rests on: a steady clock goes on while its machine runs, and one address belongs to
+one machine, whose next process could not listen there while the former lived.
 """
 
 from dataclasses import dataclass
 
-from railtide.budgets.ledger import Holding, Ledger
+from railtide.budgets.ledger import Holding, Ledger, is_same_report
 from railtide.budgets.spend_limit import NO_READING, Reading, elapsed_s, most_used_within
 
 __all__ = ["PeerReports"]
 
+RATE_MARGIN = 0.001
+"""By how much the clocks of two machines may differ in rate: each is slewed by 0.5 ms a second."""
+
 
 @dataclass(frozen=True)
 class _Report:
@@ -90,8 +94,10 @@
         known = self._used_by_incarnation.get(dead.incarnation)
         if known is not None:
             return known
-        after = self._report_by_incarnation[dead.incarnation].after
-        return most_used_within(dead.limit, dead.granted, elapsed_s(after, now))
+        elapsed = elapsed_s(self._report_by_incarnation[dead.incarnation].after, now)
+        if elapsed is not None:
+            elapsed *= 1 + RATE_MARGIN
+        return most_used_within(dead.limit, dead.granted, elapsed)
 
     def used_at_most(self, incarnation: str) -> int | None:
         """Return the units that a dead process can have used, or None if it is not known."""
@@ -100,4 +106,6 @@
 
 def _known_or_new(known: _Report | None, holding: Holding, after: Reading) -> _Report:
     """Return what is known of a report, or the new one."""
-    return known if known and known.holding == holding else _Report(holding, after)
+    if known and is_same_report(known.holding, holding):
+        return known
+    return _Report(holding, after)
--- a/railtide/budgets/tests/test_ledger_treasury.py
+++ b/railtide/budgets/tests/test_ledger_treasury.py
@@ -42,9 +42,18 @@
     return treasury_with(store, name, life, routers, FakeClocks(boot))
 
 
-def treasury_with(store: MemoryStore, name: str, life: str, routers: int, clocks: Clocks):
+def treasury_with(
+    store: MemoryStore, name: str, life: str, routers: int, clocks: Clocks, address: str = ""
+):
     made = LedgerTreasury(
-        store, name, f"{name}-{life}", lambda: routers, OPTIONS, lambda: not store.down, clocks
+        store,
+        name,
+        f"{name}-{life}",
+        lambda: routers,
+        OPTIONS,
+        lambda: not store.down,
+        clocks,
+        address=address or f"{name}:1",
     )
     made.set_prepaid({ACCOUNT: 1000})
     return made
--- a/railtide/budgets/tests/test_peer_reports.py
+++ b/railtide/budgets/tests/test_peer_reports.py
@@ -38,6 +38,7 @@
 BUDGET = 20_000
 AMOUNT = 20
 RATE = 100
+ADDRESS = "b:1"
 LIMIT = SpendLimit(Reading("theirs", 70.0, 70.0), used=100, burst=50, pace=20)
 
 
@@ -48,13 +49,13 @@
 
 def dead(spent: int = 100) -> Holding:
     """Return the last holding of a process that reported `LIMIT`."""
-    return Holding("b1", granted=1000, spent=spent, limit=LIMIT)
+    return Holding("b1", granted=1000, spent=spent, limit=LIMIT, address=ADDRESS)
 
 
 def closed(former: Holding) -> Ledger:
     """Return a ledger in which the next process has closed the holding without a proof."""
     ledger = Ledger(by_instance={"b": former})
-    close_former(ledger, "b", "b2", NO_READING)
+    close_former(ledger, "b", "b2", NO_READING, ADDRESS)
     return ledger
 
 
@@ -110,10 +111,15 @@
         ledger = closed(dead(spent=300))
         assert return_unproved(ledger, "b", 250) == 700
 
+    def test_is_not_made_for_a_machine_at_another_address(self) -> None:
+        ledger = Ledger(by_instance={"b": dead()})
+        close_former(ledger, "b", "b2", NO_READING, "elsewhere:1")
+        assert (ledger.closed, ledger.unproved) == (1000, {})
+
     def test_older_holding_of_an_instance_stays_closed(self) -> None:
         ledger = closed(dead())
-        ledger.by_instance["b"] = Holding("b2", granted=500, spent=1, limit=LIMIT)
-        close_former(ledger, "b", "b3", NO_READING)
+        ledger.by_instance["b"] = Holding("b2", granted=500, spent=1, limit=LIMIT, address=ADDRESS)
+        close_former(ledger, "b", "b3", NO_READING, ADDRESS)
         assert ledger.unproved["b"].incarnation == "b2"
         assert ledger.closed == 1500
 
@@ -183,7 +189,7 @@
     @staticmethod
     def _dead(made_at: float) -> Holding:
         limit = SpendLimit(Reading("theirs", made_at, made_at), used=0, burst=0, pace=RATE)
-        return Holding("i2-1", granted=900, spent=0, limit=limit)
+        return Holding("i2-1", granted=900, spent=0, limit=limit, address="i2:1")
 
     def _put(self, store: MemoryStore, ledger: Ledger) -> None:
         held = ledger_of(store).by_instance.get("i1")
@@ -208,7 +214,7 @@
             store.late_appends = 0
             await trio.sleep(2)
             ledger = ledger_of(store)
-            close_former(ledger, "i2", "i2-2", NO_READING)
+            close_former(ledger, "i2", "i2-2", NO_READING, "i2:1")
             closed_at = trio.current_time()
             self._put(store, ledger)
             await trio.sleep(2)
--- a/railtide/budgets/tests/test_report_identity.py
+++ b/railtide/budgets/tests/test_report_identity.py
@@ -98,7 +98,7 @@
         way = CutStore(store)
         peer = treasury_with(store, "i1", "1", 2, FakeClocks("own"))
         cut = treasury_with(way, "i2", "1", 2, FakeClocks("b1"))
-        second = treasury_with(store, "i2", "2", 2, FakeClocks("b2"))
+        second = treasury_with(store, "i2", "2", 2, FakeClocks("b2"), address="elsewhere:1")
         at_peer, at_cut, at_second = Spender(peer), Spender(cut), Spender(second)
         async with trio.open_nursery() as nursery:
             for made in (peer, cut):
@@ -154,8 +154,7 @@
         limit = SpendLimit(Reading("theirs", 70.0, 70.0), 100, 50, pace=20, pace_after_s=0.5)
         reported = Ledger(by_instance={"b": Holding("b1", 1000, 100, limit=limit)})
         carried = rewritten(reported)
-        closed = rewritten(reported)
-        close_former(closed, "b", "b2", NO_READING)
+        closed = Ledger(closed=1000, billed=100, unproved=carried.by_instance)
         peers = PeerReports()
         peers.observe(Ledger(), NO_READING, self._at(0.0))
         peers.observe(reported, self._at(1.0), self._at(2.0))
@@ -200,13 +199,13 @@
     @staticmethod
     def _put_dead_peer(store: MemoryStore) -> None:
         limit = SpendLimit(Reading("theirs", 1.0, 1.0), used=0, burst=5, pace=1)
-        dead = Holding("i2-1", granted=100, spent=1, limit=limit)
+        dead = Holding("i2-1", granted=100, spent=1, limit=limit, address="i2:1")
         store.put(OPTIONS.topic, ACCOUNT, ledger_to_bytes(Ledger(by_instance={"i2": dead})))
 
     @staticmethod
     async def _lose_the_answer_to_its_return(store: MemoryStore, callers: Spender) -> None:
         ledger = ledger_of(store)
-        close_former(ledger, "i2", "i2-2", NO_READING)
+        close_former(ledger, "i2", "i2-2", NO_READING, "i2:1")
         store.lose_answers = 1
         store.put(OPTIONS.topic, ACCOUNT, ledger_to_bytes(ledger))
         async with trio.open_nursery() as nursery:
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -106,6 +106,7 @@
             lambda: self._upstream_feed.reachable,
             clocks,
             self.counters,
+            identity.address,
         )
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
         self._configuration_feed = Feed(
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -25,13 +25,15 @@
 from railtide.process import kernel_clocks, new_incarnation, new_rng, relax_gc
 from railtide.settings import InvalidSetting, checked, endpoint, run_program
 from railtide.telemetry.counters import Counters
-from railtide.telemetry.lines import set_up_lines
+from railtide.telemetry.lines import LineBuffer, set_up_lines
 from railtide.telemetry.meters import set_up_meters
 
 __all__ = ["edge", "main"]
 
 PREFIX = "RAILTIDE_EDGE"
 OK = 200
+ADDRESS_TAKEN = 3
+"""Exit code of a process whose address another one has."""
 UNAVAILABLE = 503
 NOT_FOUND = 404
 JSON = ((b"content-type", b"application/json"),)
@@ -112,11 +114,12 @@
     node.on_snapshot = partial(_apply_limits, limits)
     ingress = Ingress(node, rng)
     calls = HttpServer(ingress.handle, limits)
+    entrance = await _listen_or_end(boot.calls, lines)
     logger.bind(incarnation=identity.incarnation, address=boot.calls).info("started")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lines.run)
         nursery.start_soon(node.run)
-        nursery.start_soon(_serve, calls, boot.calls)
+        nursery.start_soon(calls.serve, entrance)
         nursery.start_soon(_serve, _page(partial(_readiness, node)), boot.readiness)
         nursery.start_soon(_serve, _page(partial(_lookup, node)), boot.lookup)
         nursery.start_soon(_serve, _page(_metrics), f"{boot.host}:{settings.metrics_port}")
@@ -169,6 +172,20 @@
         limits.idle_timeout_s = snapshot.limits.idle_timeout_s
 
 
+async def _listen_or_end(address: str, lines: LineBuffer) -> trio.SocketListener:
+    """Return a listener for callers, or end the process if another one listens there.
+
+    It comes before the ledgers are read: there this process is taken for a proof that the one
+    before it is dead, and what that one held is given out again.
+    """
+    try:
+        return await listen(*endpoint(address))
+    except OSError as err:
+        logger.bind(address=address, error=str(err)).error("cannot-listen")
+        lines.flush()
+        raise SystemExit(ADDRESS_TAKEN) from err
+
+
 async def _serve(server: HttpServer, address: str) -> None:
     host, port = endpoint(address)
     try:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -478,6 +478,27 @@
         "if True",
         (PLATFORM,),
     ),
+    Mutant(
+        "hand-returned-for-another-machine-of-the-name",
+        "budgets/ledger.py",
+        "is_same_machine = bool(address) and former.address == address",
+        "is_same_machine = True",
+        (LEDGERS,),
+    ),
+    Mutant(
+        "report-told-by-fields-that-others-drop",
+        "budgets/peer_reports.py",
+        "if known and is_same_report(known.holding, holding):",
+        "if known and known.holding == holding:",
+        (LEDGERS,),
+    ),
+    Mutant(
+        "append-told-by-an-empty-holding",
+        "budgets/ledger_partition.py",
+        "            if change.holding.granted or change.holding.spent\n",
+        "",
+        (LEDGERS,),
+    ),
     Mutant(
         "need-of-a-dead-process-counts",
         "budgets/needs.py",
