--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -21,6 +21,7 @@
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, Handler, HttpServer
 from railtide.http.sockets import listen
+from railtide.platform.program import ADDRESS_TAKEN
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer
 
@@ -68,14 +69,18 @@
     metrics_port: int
     nursery: trio.Nursery
 
-    async def start(self) -> trio.Process:
-        """Start a router and return its process once it is ready."""
+    async def launch(self) -> trio.Process:
+        """Start a router and return its process."""
         env = os.environ | {
             "RAILTIDE_BOOT": str(self.settings),
             "RAILTIDE_EDGE_METRICS_PORT": str(self.metrics_port),
         }
         program = [sys.executable, "-m", "railtide.platform.program"]
-        started = await trio.lowlevel.open_process(program, env=env, stdout=DEVNULL)
+        return await trio.lowlevel.open_process(program, env=env, stdout=DEVNULL)
+
+    async def start(self) -> trio.Process:
+        """Start a router and return its process once it is ready."""
+        started = await self.launch()
         with trio.fail_after(WAIT_S):
             while not await self.is_ready():
                 await trio.sleep(0.05)
@@ -194,6 +199,23 @@
             again.kill()
             await again.wait()
 
+    async def test_second_process_beside_a_living_one_ends_and_takes_no_hand(
+        self, tmp_path: Path
+    ) -> None:
+        """It would be taken for a proof that the first is dead, and what that one holds be spent
+        twice."""
+        async with edge(tmp_path) as made:
+            first = await made.start()
+            assert (await body_of(await made.ask(1))).count(b"data:") == 20
+            second = await made.launch()
+            with trio.fail_after(WAIT_S):
+                assert await second.wait() == ADDRESS_TAKEN
+            assert (await body_of(await made.ask(2))).count(b"data:") == 20
+            newest = made.store.topic(LedgerOptions.topic).newest_by_key
+            assert ledger_from_bytes(newest["t"].value).closed == 0
+            first.kill()
+            await first.wait()
+
     async def test_settings_that_turn_bad_are_left_alone_at_a_reload(self, tmp_path: Path) -> None:
         async with edge(tmp_path) as made:
             process = await made.start()
