Tests of the whole path have a loopback address of their process alone

Cause: suspected for a test that gave 200 where 404 was due, once in nine runs beside others: a request of another process's test at a port that was free again. All tests name their engines alike, so such an engine answers. Change: the address that the tests of processes have, in one place. Measured: railtide/platform and tests/test_edge_process.py pass. That it was the cause is not shown.

--- a/railtide/platform/tests/test_store.py
+++ b/railtide/platform/tests/test_store.py
@@ -12,6 +12,7 @@
 from railtide.journal.errors import LogUnavailable, RecordsExpired
 from railtide.journal.keyed import AppendConflict
 from railtide.platform.store import PlatformStore
+from railtide.platform.tests.hosts import HOST
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import StoreServer
 from railtide.telemetry.counters import Counters
@@ -19,11 +20,11 @@
 
 @asynccontextmanager
 async def client_of(handler: Handler) -> AsyncIterator[PlatformStore]:
-    listener = await listen("127.0.0.1", 0)
+    listener = await listen(HOST, 0)
     port = listener.socket.getsockname()[1]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(HttpServer(handler, ConnectionLimits()).serve, listener)
-        yield PlatformStore(f"127.0.0.1:{port}", Counters())
+        yield PlatformStore(f"{HOST}:{port}", Counters())
         nursery.cancel_scope.cancel()
 
 
@@ -98,8 +99,8 @@
                 await store.read("keyed.t", 0, 0.0)
 
     async def test_nobody_there_is_no_answer(self) -> None:
-        listener = await listen("127.0.0.1", 0)
+        listener = await listen(HOST, 0)
         port = listener.socket.getsockname()[1]
         await listener.aclose()
         with pytest.raises(LogUnavailable):
-            await PlatformStore(f"127.0.0.1:{port}", Counters()).newest("keyed.t")
+            await PlatformStore(f"{HOST}:{port}", Counters()).newest("keyed.t")
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -20,6 +20,7 @@
 from railtide.platform.desired_state import PlatformSources
 from railtide.platform.ingress import Ingress
 from railtide.platform.store import PlatformStore
+from railtide.platform.tests.hosts import HOST
 from railtide.platform.upstreams import PlatformUpstreams
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer
@@ -66,7 +67,7 @@
         server = HttpServer(engine.handle, ConnectionLimits())
         self.server_by_engine[name] = server
         port = await listen_for(self.nursery, server)
-        record = {"service": "s", "address": f"127.0.0.1:{port}", "zone": "z", "slots": 8}
+        record = {"service": "s", "address": f"{HOST}:{port}", "zone": "z", "slots": 8}
         self.store.put("keyed.servers", name, msgspec.json.encode(record))
         self.engine_by_name[name] = engine
         with trio.fail_after(5):
@@ -101,7 +102,7 @@
 
 
 async def listen_for(nursery: trio.Nursery, server: HttpServer) -> int:
-    listener = await listen("127.0.0.1", 0)
+    listener = await listen(HOST, 0)
     nursery.start_soon(server.serve, listener)
     return listener.socket.getsockname()[1]
 
@@ -114,8 +115,8 @@
         store_port = await serve(nursery, StoreServer(store).handle)
         upstreams = PlatformUpstreams()
         node = EdgeNode(
-            Identity("i1", "z", "127.0.0.1:1", "life"),
-            PlatformStore(f"127.0.0.1:{store_port}", Counters()),
+            Identity("i1", "z", f"{HOST}:1", "life"),
+            PlatformStore(f"{HOST}:{store_port}", Counters()),
             PlatformSources(),
             upstreams,
             EdgeOptions(),
@@ -127,7 +128,7 @@
         with trio.fail_after(5):
             while not node.ready:
                 await trio.sleep(0.01)
-        yield World(store, node, PeerPool("127.0.0.1", port), nursery)
+        yield World(store, node, PeerPool(HOST, port), nursery)
         nursery.cancel_scope.cancel()
 
 
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -22,12 +22,11 @@
 from railtide.http.server import ConnectionLimits, Handler, HttpServer
 from railtide.http.sockets import listen
 from railtide.platform.program import ADDRESS_TAKEN
+from railtide.platform.tests.hosts import HOST
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer
 
 WAIT_S = 30
-HOST = f"127.{64 + os.getpid() // 256 % 64}.{os.getpid() % 256}.1"
-"""A loopback address of this test process alone, so that a free port stays free."""
 STATE = {
     "version": 1,
     "routes": [
