--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -236,8 +236,8 @@
     def _note_lack(self, amount: int) -> None:
         """Have others told that a caller comes back for units that lie in their hands."""
         if self._is_fresh() and amount > self.hand.available and not self.is_spent(amount):
-            wait_s = self._options.retry_after_s * NEED_RETRIES
-            note_refused(self._own_need, amount, trio.current_time() + wait_s)
+            again_s = self._options.retry_after_s * NEED_RETRIES
+            note_refused(self._own_need, amount, trio.current_time() + again_s)
             self._ask()
 
     def is_spent(self, amount: int) -> bool:
