--- a/railtide/platform/tests/test_answer_ends.py
+++ b/railtide/platform/tests/test_answer_ends.py
@@ -209,3 +209,31 @@
             assert answer.status != 200, (body, whole, seen)
         else:
             assert (body, whole) == (events(passed), looks_whole), seen
+
+
+class TestExtraResponse:
+    """A second response stood behind an answer of which only the close tells the end. Callers got
+    both as one whole body: nothing but the response's own head tells where the first ends. Found by
+    the soak (series, seed 2031), with engines that answer so for seconds.
+    """
+
+    SCRIPT = EngineScript(body=b"ok", framing=Framing.CLOSE, extra=True)
+
+    async def test_is_never_part_of_an_answer(self) -> None:
+        async with world() as w:
+            await add_engines(w, self.SCRIPT)
+            answer = await w.ask("/once/x", body=b"b")
+            assert answer.status == 502
+
+    async def test_request_that_may_be_repeated_is_answered_elsewhere(self) -> None:
+        async with world() as w:
+            await add_engines(w, self.SCRIPT, EngineScript(body=b"ok"))
+            answer = await w.ask("/safe/x")
+            assert (answer.status, await read(answer)) == (200, (b"ok", True))
+
+    async def test_body_that_speaks_of_responses_is_passed_on(self) -> None:
+        body = b"HTTP/1.1 200 OK\r\nx-attempt-id: another\r\n\r\n"
+        async with world() as w:
+            await add_engines(w, EngineScript(body=body, framing=Framing.CLOSE))
+            answer = await w.ask("/once/x", body=b"b")
+            assert (answer.status, await read(answer)) == (200, (body, True))
