Two answers in a body that only the close ends are never passed on as one

Cause: see the failing tests before: where neither length nor chunks tell the end, an extra response is read as part of the body. Change: an answer that is no stream, ended by its close, in which a response's head with the request's own id stands is a lost try: made elsewhere if it may be repeated, 502 if not. Streams were safe: their events are known by ids.

--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -1,5 +1,6 @@
 """Calls to the platform's engines: heads and codes translated, nothing decided."""
 
+import re
 from collections.abc import AsyncIterator, Callable
 
 import trio
@@ -41,6 +42,14 @@
         except HttpError as err:
             raise UpstreamLost(err.detail) from err
 
+    def holds_another(self, body: bytes) -> bool:
+        """Tell it by a response's head with this request's id; see `UpstreamAnswer`."""
+        if self.framed or not self.request_id:
+            return False
+        told_by = rb"^%s:[ \t]*%s\r$" % (names.ATTEMPT_ID, re.escape(self.request_id.encode()))
+        heads = (part.partition(b"\r\n\r\n")[0] for part in body.split(b"HTTP/1.1 ")[1:])
+        return any(re.search(told_by, head + b"\r", re.I | re.M) for head in heads)
+
     async def aclose(self) -> None:
         self._exchange.abandon()
 
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -82,6 +82,9 @@
     async def _read_whole(self, answer: UpstreamAnswer) -> Relayed:
         """Return an answer that is no stream; nothing in it tells its tokens, so all count."""
         kept = await read_answer(answer, self._services.options.most_answer_bytes)
+        if answer.holds_another(kept.body):
+            # Five callers of one seed of the soak got two answers as one body.
+            raise UpstreamLost("another answer follows in a body that only the close ends")
         if self._sink.started:
             # Passed on behind the events of a run before, a failure looked like a whole answer to
             # four callers in two days of 34 s with crashes beside failing upstreams; now to none.
--- a/railtide/upstreams/client.py
+++ b/railtide/upstreams/client.py
@@ -55,6 +55,10 @@
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it is read; raises `UpstreamLost` if it breaks off."""
 
+    def holds_another(self, body: bytes) -> bool:
+        """Return whether another answer to this request stands in a body that the close ended."""
+        return False
+
     @abstractmethod
     async def aclose(self) -> None:
         """Let go of the connection."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -563,6 +563,13 @@
         "if False:\n            # Passed",
         (ENDS,),
     ),
+    Mutant(
+        "extra-response-taken-for-the-body",
+        "platform/upstreams.py",
+        "        if self.framed or not self.request_id:\n",
+        "        if True:\n",
+        (ENDS,),
+    ),
     Mutant(
         "half-event-taken-for-the-end",
         "requests/passthrough.py",
