Failing: an engine born anew stays leaving, and records of other writers end or stall a router

Cause, by the tests: a life is told by the id alone; a record that can't be read ends the process (key that is no text, value that is no base64), stalls the list (empty record) or counts as an engine's removal or as an engine; a router's record with an address or figures of no use is named to callers; a ledger with negative or endless figures frees units. The stand-in of the store takes raw records. The page's reader is only renamed.

--- a/railtide/budgets/tests/test_ledger.py
+++ b/railtide/budgets/tests/test_ledger.py
@@ -1,6 +1,11 @@
 """Tests of railtide.budgets.ledger."""
 
+import math
+
 import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from railtide.budgets.ledger import (
     Holding,
@@ -79,3 +84,51 @@
         ledger = Ledger()
         account_for(ledger, "a", Holding("a1", need=Need(7, count=1)))
         assert ledger.by_instance["a"].need == Need(7, count=1)
+
+
+READING = ["boot", 1.0, 1.0]
+LIMIT = [READING, 1, 1, 1, 0.5]
+HELD = ["a1", 7, 2, 1, LIMIT, [3, 1], "a:1"]
+
+
+def with_item(record: list, index: int, value: object) -> list:
+    return [*record[:index], value, *record[index + 1 :]]
+
+
+class TestForeignLedgers:
+    """A ledger of another writer frees nothing: one that no process of ours writes is unreadable."""
+
+    @pytest.mark.parametrize("number", [-1, math.nan, 1.5, "7", None])
+    @pytest.mark.parametrize("index", [0, 1])
+    def test_sums_are_whole_and_not_negative(self, index: int, number: object) -> None:
+        self._check_unreadable(with_item([5, 4, {"a": HELD}, {}], index, number))
+
+    @pytest.mark.parametrize("number", [-1, math.nan, 1.5, "7", None])
+    @pytest.mark.parametrize("index", [1, 2, 3])
+    def test_holdings_are_whole_and_not_negative(self, index: int, number: object) -> None:
+        self._check_unreadable([5, 4, {"a": with_item(HELD, index, number)}])
+        self._check_unreadable([5, 4, {}, {"a": with_item(HELD, index, number)}])
+
+    @pytest.mark.parametrize("number", [-1, math.nan, math.inf, "7", None])
+    @pytest.mark.parametrize("index", [1, 2, 3, 4])
+    def test_limits_are_finite_and_not_negative(self, index: int, number: object) -> None:
+        self._check_unreadable([5, 4, {"a": with_item(HELD, 4, with_item(LIMIT, index, number))}])
+
+    @pytest.mark.parametrize("number", [math.nan, math.inf, -math.inf, "7", None])
+    @pytest.mark.parametrize("index", [1, 2])
+    def test_readings_are_finite(self, index: int, number: object) -> None:
+        limit = with_item(LIMIT, 0, with_item(READING, index, number))
+        self._check_unreadable([5, 4, {"a": with_item(HELD, 4, limit)}])
+
+    @given(st.binary(max_size=40))
+    def test_any_bytes_are_a_ledger_or_unreadable(self, value: bytes) -> None:
+        try:
+            ledger = ledger_from_bytes(value)
+        except msgspec.DecodeError:
+            return
+        assert committed(ledger) >= 0
+
+    @staticmethod
+    def _check_unreadable(record: list) -> None:
+        with pytest.raises(msgspec.DecodeError):
+            ledger_from_bytes(msgspec.msgpack.encode(record))
--- a/railtide/membership/tests/test_roster.py
+++ b/railtide/membership/tests/test_roster.py
@@ -4,6 +4,8 @@
 from contextlib import asynccontextmanager
 from random import Random
 
+import msgspec
+import pytest
 import trio
 
 from railtide.membership.roster import Member, Roster, RosterOptions
@@ -166,3 +168,59 @@
             await trio.sleep(3)
             assert names(made) == ["a"]
             nursery.cancel_scope.cancel()
+
+
+SOUND = ["x-1", "x:1", "z", 1, 10.0, 0.0, 1.0]
+NAN, INF = float("nan"), float("inf")
+
+
+def changed(index: int, value: object) -> list[object]:
+    return [*SOUND[:index], value, *SOUND[index + 1 :]]
+
+
+class TestForeignRecords:
+    @pytest.mark.parametrize(
+        "member",
+        [
+            changed(1, "nonsense"),
+            changed(1, "x:99999"),
+            changed(1, "x:0"),
+            changed(1, 7),
+            changed(4, NAN),
+            changed(4, INF),
+            changed(4, -1.0),
+            changed(5, NAN),
+            changed(5, -1.0),
+            changed(5, INF),
+            changed(6, NAN),
+            changed(6, 0.0),
+            changed(6, 1e9),
+            SOUND[:3],
+            {"address": "x:1"},
+            7,
+        ],
+    )
+    async def test_record_of_another_writer_names_no_router(self, member, autojump_clock, lines):
+        store = MemoryStore()
+        async with trio.open_nursery() as nursery:
+            made = roster(store, "a")
+            await start(nursery, made)
+            await trio.sleep(2)
+            for _ in range(3):
+                store.put(OPTIONS.topic, "x", msgspec.msgpack.encode(member))
+                await trio.sleep(1.5)
+            assert names(made) == ["a"]
+            unreadable = [line for line in lines if line["event"] == "member-unreadable"]
+            assert len(unreadable) == 1
+            nursery.cancel_scope.cancel()
+
+    async def test_sound_record_names_a_router(self, autojump_clock) -> None:
+        store = MemoryStore()
+        async with trio.open_nursery() as nursery:
+            made = roster(store, "a")
+            await start(nursery, made)
+            await trio.sleep(2)
+            store.put(OPTIONS.topic, "x", msgspec.msgpack.encode([*SOUND, "of a later version"]))
+            await trio.sleep(1.5)
+            assert names(made) == ["a", "x"]
+            nursery.cancel_scope.cancel()
--- a/railtide/membership/tests/test_upstream_list.py
+++ b/railtide/membership/tests/test_upstream_list.py
@@ -7,8 +7,13 @@
 from railtide.membership.upstream_list import UpstreamList
 
 
-def engine(name: str, pool: str = "p") -> Instance:
-    return Instance(name, name, f"{name}:1", "z", "engine", pool)
+def engine(name: str, pool: str = "p", born: int = 0) -> Instance:
+    incarnation = f"{name}/{born}" if born else name
+    return Instance(name, incarnation, f"{name}:1", "z", "engine", pool, born=born)
+
+
+LEAVING = InstanceState.LEAVING
+LIVE = InstanceState.LIVE
 
 
 class Case:
@@ -58,3 +63,82 @@
         case.listed.put(engine("a"))
         case.listed.settle()
         assert case.states == {"a": InstanceState.LEAVING}
+
+
+class TestLives:
+    async def test_new_life_serves_though_the_former_one_left(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(replace(engine("a", born=5), state=LEAVING))
+        case.listed.put(engine("a", born=6))
+        case.listed.settle()
+        assert case.states == {"a": LIVE}
+
+    async def test_late_record_of_a_former_life_changes_nothing(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(engine("a", born=6))
+        case.listed.put(replace(engine("a", born=5), state=LEAVING))
+        case.listed.settle()
+        assert case.states == {"a": LIVE}
+
+    async def test_record_without_the_birth_that_its_id_tells_names_none(self, autojump_clock):
+        case = Case()
+        case.listed.put(engine("a", born=6))
+        case.listed.put(engine("a"))
+        case.listed.settle()
+        assert case.states == {"a": LEAVING}
+        case.listed.put(engine("a", born=6))
+        case.listed.settle()
+        assert case.states == {"a": LIVE}
+
+    async def test_first_told_birth_is_a_new_life(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(replace(engine("a"), state=LEAVING))
+        case.listed.put(engine("a", born=6))
+        case.listed.settle()
+        assert case.states == {"a": LIVE}
+
+
+class TestUnreadable:
+    async def test_id_is_not_used_until_its_next_own_entry(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(engine("a"))
+        case.listed.put(engine("b"))
+        case.listed.put_unreadable("a", "no json")
+        case.listed.settle()
+        assert case.states == {"a": LEAVING, "b": LIVE}
+        case.listed.put(engine("a"))
+        case.listed.settle()
+        assert case.states == {"a": LIVE, "b": LIVE}
+
+    async def test_leaving_outlasts_an_unreadable_entry(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(replace(engine("a"), state=LEAVING))
+        case.listed.put_unreadable("a", "no json")
+        case.listed.put(engine("a"))
+        case.listed.settle()
+        assert case.states == {"a": LEAVING}
+
+    async def test_unknown_id_stays_unknown(self, autojump_clock, lines) -> None:
+        case = Case()
+        for _ in range(3):
+            case.listed.put_unreadable("a", "no json")
+        case.listed.settle()
+        assert case.names_by_pool == {}
+        assert [line["event"] for line in lines] == ["upstream-unreadable"]
+
+    async def test_leaving_of_one_pool_is_none_of_another(self, autojump_clock) -> None:
+        """A foreign entry under an id can't make its engine's leaving sticky."""
+        case = Case()
+        case.listed.put(engine("a"))
+        case.listed.put(replace(engine("a", pool="foreign"), state=LEAVING))
+        case.listed.put(engine("a"))
+        case.listed.settle()
+        assert (case.states, case.names_by_pool) == ({"a": LIVE}, {"p": ["a"], "foreign": []})
+
+    async def test_leaving_outlasts_an_entry_of_another_pool(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(replace(engine("a"), state=LEAVING))
+        case.listed.put(engine("a", pool="foreign"))
+        case.listed.put(engine("a"))
+        case.listed.settle()
+        assert case.states == {"a": LEAVING}
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -12,7 +12,7 @@
 from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord, KeyedStore
 from railtide.telemetry.counters import Counters
 
-__all__ = ["PlatformStore"]
+__all__ = ["PlatformStore", "page_of"]
 
 ANSWER_S = 1.0
 """Longest wait for an answer, beyond what a read asks for. The store answers in 4 ms, 240 ms when
@@ -78,7 +78,7 @@
         wait_ms = round(wait_s * 1000)
         target = f"/log-read?topic={topic}&part={partition}&from={start}&wait_ms={wait_ms}"
         data = await self._call(b"GET", target, b"", ANSWER_S + wait_s)
-        return _page_of(data, start)
+        return page_of(data, start)
 
     async def append(
         self,
@@ -142,7 +142,7 @@
     return len(content).to_bytes(LENGTH_BYTES, "big") + content
 
 
-def _page_of(data: bytes, start: int) -> KeyedPage:
+def page_of(data: bytes, start: int) -> KeyedPage:
     """Return the page in an answer: the end, the first kept offset, then records from `start`."""
     if len(data) < 2 * OFFSET_BYTES:
         raise LogUnavailable("the store's answer is cut short")
--- /dev/null
+++ b/railtide/platform/tests/test_foreign_records.py
@@ -0,0 +1,266 @@
+"""Records that this router cannot use: of other writers, or of an engine's former life.
+
+Users saw an engine that was never used again after it had drained and started anew under its id,
+and routers that ended, or whose list of engines stood still, at the first record in the topic that
+no router could read. A life was told by the id alone; a record was taken to be readable because it
+was there. Evidence: the tests below, each of which failed with that outcome.
+"""
+
+from base64 import b64encode
+from collections.abc import Callable
+
+import msgspec
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from railtide.configuration.errors import InvalidObject
+from railtide.http.messages import HttpRequest
+from railtide.http.server import Responder
+from railtide.journal.errors import LogUnavailable
+from railtide.journal.keyed import KeyedRecord
+from railtide.membership.instances import Instance, InstanceState
+from railtide.platform.desired_state import PlatformSources
+from railtide.platform.store import page_of
+from railtide.platform.tests.test_store import client_of
+from railtide.platform.tests.test_whole_path import World, body_of, engine_record, world
+
+GOOD = engine_record("10.0.0.9:8080")
+BORN_MS = 1_790_000_000_000
+
+
+def upstream_of(entry: object, key: str = "i-1") -> Instance:
+    value = entry if isinstance(entry, bytes) else msgspec.json.encode(entry)
+    return PlatformSources().upstream_of(KeyedRecord(key, value, 0))
+
+
+class TestEngineRecords:
+    def test_life_is_id_and_birth(self) -> None:
+        first, second = upstream_of(GOOD | {"born": 5}), upstream_of(GOOD | {"born": 6})
+        assert (first.name, second.name) == ("i-1", "i-1")
+        assert first.incarnation != second.incarnation
+        assert (first.born, second.born, upstream_of(GOOD).born) == (5, 6, 0)
+
+    def test_draining_is_leaving(self) -> None:
+        assert upstream_of(GOOD | {"state": "draining"}).state is InstanceState.LEAVING
+
+    @pytest.mark.parametrize("field", sorted(GOOD))
+    def test_entry_without_a_field_names_no_engine(self, field: str) -> None:
+        with pytest.raises(InvalidObject):
+            upstream_of({name: value for name, value in GOOD.items() if name != field})
+
+    @pytest.mark.parametrize("field", sorted([*GOOD, "born"]))
+    @pytest.mark.parametrize("value", [None, [], {"a": 1}, True, 1.5])
+    def test_field_of_another_type_names_no_engine(self, field: str, value: object) -> None:
+        if field == "warmup_left_ms" and value == 1.5:
+            return  # a time, which need not be whole
+        with pytest.raises(InvalidObject):
+            upstream_of(GOOD | {field: value})
+
+    @pytest.mark.parametrize(
+        "entry",
+        [
+            GOOD | {"address": "nonsense"},
+            GOOD | {"address": "h:99999999"},
+            GOOD | {"address": "10.0.0.9:0"},
+            GOOD | {"address": "10.0.0.9:-1"},
+            GOOD | {"address": ":80"},
+            GOOD | {"address": "10.0.0.9:8080/x"},
+            GOOD | {"slots": -3},
+            GOOD | {"slots": 0},
+            GOOD | {"state": "confused"},
+            GOOD | {"state": ""},
+            GOOD | {"service": ""},
+            GOOD | {"born": -1},
+            GOOD | {"born": "1790000000000"},
+            [],
+            b"no json",
+            b"\xff\xfe",
+            b"[" * 100_000,
+        ],
+    )
+    def test_entry_of_another_writer_names_no_engine(self, entry: object) -> None:
+        with pytest.raises(InvalidObject):
+            upstream_of(entry)
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_an_engine_or_invalid(self, value: bytes) -> None:
+        with pytest.raises(InvalidObject):
+            upstream_of(value)
+
+    def test_key_that_no_header_can_carry_names_no_engine(self) -> None:
+        with pytest.raises(InvalidObject):
+            upstream_of(GOOD, key="i-1\r\nx-tenant: other")
+
+
+CUT = 5
+
+
+def content(key: bytes, value: bytes = b"v") -> bytes:
+    return bytes([len(key)]) + key + value
+
+
+def page(*contents: bytes) -> bytes:
+    records = b"".join(len(part).to_bytes(4, "big") + part for part in contents)
+    return (9).to_bytes(8, "big") + bytes(8) + records
+
+
+UNREADABLE = {
+    "empty": b"",
+    "key beyond the record": b"\x09abc",
+    "key that is no text": content(b"\xff\xfe"),
+}
+
+
+class TestPages:
+    @pytest.mark.parametrize("unreadable", UNREADABLE.values(), ids=UNREADABLE.keys())
+    def test_unreadable_record_is_passed_over(self, unreadable: bytes) -> None:
+        read = page_of(page(content(b"a"), unreadable, content(b"b")), start=4)
+        assert [(r.key, r.offset) for r in read.records] == [("a", 4), ("b", 6)]
+        assert (read.next_offset, read.unreadable, read.end) == (7, 1, 9)
+
+    def test_page_of_unreadable_records_is_read_once(self) -> None:
+        read = page_of(page(*UNREADABLE.values()), start=4)
+        assert (read.records, read.next_offset) == ([], 7)
+
+    @pytest.mark.parametrize("dropped", [1, 2, 3, 4, CUT])
+    def test_page_cut_short_is_no_answer(self, dropped: int) -> None:
+        with pytest.raises(LogUnavailable):
+            page_of(page(content(b"a"), content(b"b"))[:-dropped], start=0)
+
+    @given(st.lists(st.binary(max_size=12)), st.integers(0, 40))
+    def test_page_is_whole_or_no_answer(self, contents: list[bytes], dropped: int) -> None:
+        whole = page(*contents)
+        data = whole[: len(whole) - dropped]
+        try:
+            read = page_of(data, start=3)
+        except LogUnavailable:
+            assert dropped
+            return
+        assert read.next_offset == 3 + len(read.records) + read.unreadable
+
+
+def items_of(*items: bytes) -> Callable:
+    """Return a handler whose newest records are these, as they are written in JSON."""
+
+    async def answer(request: HttpRequest, responder: Responder) -> None:
+        body = b'{"items":[' + b",".join(items) + b'],"has_more":false,"end_offset":3}'
+        await responder.answer(200, (), body)
+
+    return answer
+
+
+GOOD_ITEM = b'{"key":"a","value":"%s","offset":2}' % b64encode(b"v")
+
+
+class TestNewest:
+    @pytest.mark.parametrize(
+        "item",
+        [
+            b'{"key":"b","value":"no base64!","offset":1}',
+            b'{"key":"b","value":"YQ","offset":1}',
+            b'{"key":"b","value":3,"offset":1}',
+            b'{"key":"\xff\xfe","value":"YQ==","offset":1}',
+            b'{"key":7,"value":"YQ==","offset":1}',
+            b'{"value":"YQ==","offset":1}',
+            b"17",
+        ],
+    )
+    async def test_unreadable_record_is_passed_over(self, item: bytes) -> None:
+        async with client_of(items_of(item, GOOD_ITEM)) as store:
+            newest = await store.newest("keyed.t")
+            assert [(r.key, r.value, r.offset) for r in newest.records] == [("a", b"v", 2)]
+            assert (newest.end, newest.unreadable) == (3, 1)
+
+    async def test_next_page_is_asked_for_by_any_key(self) -> None:
+        """A key with a character that ends a query's value began the same page anew, for ever."""
+        targets: list[bytes] = []
+
+        async def answer(request: HttpRequest, responder: Responder) -> None:
+            targets.append(request.target)
+            has_more = b"true" if len(targets) == 1 else b"false"
+            item = b'{"key":"a&b c","value":"YQ==","offset":1}'
+            body = b'{"items":[%s],"has_more":%s,"end_offset":3}' % (item, has_more)
+            await responder.answer(200, (), body)
+
+        async with client_of(answer) as store:
+            await store.newest("keyed.t")
+        assert targets[1].endswith(b"&after=a%26b%20c")
+
+    async def test_pages_without_any_readable_key_end(self) -> None:
+        async def answer(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, (), b'{"items":[17],"has_more":true,"end_offset":3}')
+
+        async with client_of(answer) as store:
+            with trio.fail_after(5), pytest.raises(LogUnavailable):
+                await store.newest("keyed.t")
+
+
+async def settle() -> None:
+    """Let the router read what was appended: its list is read once in 0.2 s at most."""
+    await trio.sleep(0.6)
+
+
+async def ask(w: World) -> int:
+    answer = await w.ask("/safe/x")
+    await body_of(answer)
+    return answer.status
+
+
+class TestRouter:
+    @pytest.mark.parametrize("topic", ["keyed.servers", "keyed.op", "keyed.railtide-roster"])
+    @pytest.mark.parametrize("unreadable", UNREADABLE.values(), ids=UNREADABLE.keys())
+    async def test_unreadable_record_changes_nothing(self, topic: str, unreadable: bytes) -> None:
+        async with world() as w:
+            await w.add_engine("e1")
+            w.store.put_raw(topic, unreadable)
+            await settle()
+            await w.add_engine("e2")
+            assert await ask(w) == 200
+
+    async def test_known_id_with_an_unreadable_newest_entry_names_no_engine(self) -> None:
+        async with world() as w:
+            first = await w.add_engine("e1")
+            await w.add_engine("e2")
+            own = w.record_of("e1")
+            w.store.put("keyed.servers", "e1", b"not json")
+            await settle()
+            assert [await ask(w) for _ in range(8)] == [200] * 8
+            assert first.ran == []
+            w.store.put("keyed.servers", "e1", own)
+            w.store.put("keyed.servers", "e2", b"")
+            await settle()
+            assert await ask(w) == 200
+            assert len(first.ran) == 1
+
+    async def test_engine_that_drained_serves_again_when_it_is_born_anew(self) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1", born=BORN_MS)
+            w.put_engine("e1", state="draining", born=BORN_MS)
+            await settle()
+            assert await ask(w) == 503
+            w.put_engine("e1", state="ready", born=BORN_MS)
+            await settle()
+            assert await ask(w) == 503
+            w.put_engine("e1", state="ready", born=BORN_MS + 1)
+            await settle()
+            assert await ask(w) == 200
+            assert len(engine.ran) == 1
+
+    async def test_late_record_of_the_former_life_takes_nothing_away(self) -> None:
+        async with world() as w:
+            await w.add_engine("e1", born=BORN_MS)
+            w.put_engine("e1", born=BORN_MS + 1)
+            w.put_engine("e1", state="draining", born=BORN_MS)
+            await settle()
+            assert await ask(w) == 200
+
+    async def test_foreign_entry_does_not_make_leaving_sticky(self) -> None:
+        async with world() as w:
+            await w.add_engine("e1", born=BORN_MS)
+            w.put_engine("e1", service="unknown", state="draining", born=BORN_MS)
+            await settle()
+            w.put_engine("e1", born=BORN_MS)
+            await settle()
+            assert await ask(w) == 200
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -50,6 +50,20 @@
     return msgspec.json.encode(state)
 
 
+def engine_record(address: str) -> dict[str, object]:
+    """Return what a ready engine says of itself."""
+    return {
+        "service": "s",
+        "address": address,
+        "zone": "z",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "seq": 1,
+    }
+
+
 @dataclass
 class World:
     """One router before its engines, and a client's pool of connections to it."""
@@ -61,20 +75,28 @@
     engine_by_name: dict[str, PlatformEngine] = field(default_factory=dict)
     server_by_engine: dict[str, HttpServer] = field(default_factory=dict)
     ids: int = 0
+    address_by_engine: dict[str, str] = field(default_factory=dict)
 
-    async def add_engine(self, name: str, **script: object) -> PlatformEngine:
+    async def add_engine(self, name: str, born: int = 0, **script: object) -> PlatformEngine:
         engine = PlatformEngine(name, EngineScript(**script))
         server = HttpServer(engine.handle, ConnectionLimits())
         self.server_by_engine[name] = server
         port = await listen_for(self.nursery, server)
-        record = {"service": "s", "address": f"{HOST}:{port}", "zone": "z", "slots": 8}
-        self.store.put("keyed.servers", name, msgspec.json.encode(record))
+        self.address_by_engine[name] = f"{HOST}:{port}"
+        self.put_engine(name, **({"born": born} if born else {}))
         self.engine_by_name[name] = engine
         with trio.fail_after(5):
             while not self._knows(name):
                 await trio.sleep(0.01)
         return engine
 
+    def put_engine(self, name: str, **fields: object) -> None:
+        record = engine_record(self.address_by_engine[name]) | fields
+        self.store.put("keyed.servers", name, msgspec.json.encode(record))
+
+    def record_of(self, name: str) -> bytes:
+        return self.store.topic("keyed.servers").newest_by_key[name].value
+
     def _knows(self, name: str) -> bool:
         scheduler = self.node.schedulers_by_pool.get("s")
         return scheduler is not None and name in scheduler.by_name
--- a/railtide/standins/keyed_store.py
+++ b/railtide/standins/keyed_store.py
@@ -12,11 +12,18 @@
 
 @dataclass
 class MemoryTopic:
-    """The records of one topic from `first` on, and the newest of each key."""
+    """The records of one topic from `first` on, and the newest of each key.
+
+    Attributes
+    ----------
+    raw_by_offset : dict of int to bytes
+        What stands on the wire in place of a record that no reader can read.
+    """
 
     first: int = 0
     records: list[KeyedRecord] = field(default_factory=list)
     newest_by_key: dict[str, KeyedRecord] = field(default_factory=dict)
+    raw_by_offset: dict[int, bytes] = field(default_factory=dict)
     moved: trio.Event = field(default_factory=trio.Event)
 
     @property
@@ -33,6 +40,11 @@
         else:
             self.newest_by_key.pop(key, None)
 
+    def add_raw(self, content: bytes) -> None:
+        """Append a record as another writer may, its content as it is."""
+        self.raw_by_offset[self.end] = content
+        self.records.append(KeyedRecord("", b"", self.end))
+
     def forget(self) -> None:
         """Drop the history; the newest records stay."""
         self.first = self.end
@@ -74,6 +86,12 @@
         """Append a record as others would."""
         self._write(topic, 0, {key: value})
 
+    def put_raw(self, topic: str, content: bytes, partition: int = 0) -> None:
+        """Append a record that need not be one that can be read."""
+        known = self.topic(topic, partition)
+        known.add_raw(content)
+        self._wake(known)
+
     async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
         """Return the newest records; see `KeyedStore.newest`."""
         await self._call(partition)
@@ -128,6 +146,10 @@
         known = self.topic(topic, partition)
         for key, value in values_by_key.items():
             known.add(key, value)
+        self._wake(known)
+
+    @staticmethod
+    def _wake(known: MemoryTopic) -> None:
         known.moved.set()
         known.moved = trio.Event()
 
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -65,7 +65,9 @@
             wait_s = int(query["wait_ms"]) / 1000
             page = await self._store.read(topic, int(query["from"]), wait_s, part)
             head = page.end.to_bytes(8, "big") + bytes(8)
-            await responder.answer(200, (), head + b"".join(map(_bytes_of, page.records)))
+            raw = self._store.topic(topic, part).raw_by_offset
+            contents = [raw.get(r.offset, _content_of(r)) for r in page.records]
+            await responder.answer(200, (), head + b"".join(map(_framed, contents)))
 
     @staticmethod
     async def _json(responder: Responder, status: int, body: object) -> None:
@@ -84,9 +86,12 @@
     return values
 
 
-def _bytes_of(record: KeyedRecord) -> bytes:
+def _content_of(record: KeyedRecord) -> bytes:
     name = record.key.encode()
-    content = bytes([len(name)]) + name + record.value
+    return bytes([len(name)]) + name + record.value
+
+
+def _framed(content: bytes) -> bytes:
     return len(content).to_bytes(4, "big") + content
 
 
