An engine's life is id and birth; records of other writers name nothing and stop nobody

Cause: a life was told by the id alone, so leaving stuck to an engine that started again under it; records were taken to be readable because they were there. Change: Instance.born and an incarnation of id and birth; leaving sticks to a life in its pool, a late record of a former life changes nothing, an unreadable newest entry keeps its id out of use until the engine tells again; connections, loads and ejections go with the life. A record without key and value is passed over, counted, and logged once a topic; a page cut short is still no answer. Entries need all fields that the platform names, with their types; a router's record needs an address and finite figures; a ledger's figures are whole, finite and not negative. Where no entry of an id ever told its birth, the id alone names the life, as before. The soak draws foreign records, spoilt entries and engines born anew from seed 4000 on.

--- a/railtide/budgets/ledger.py
+++ b/railtide/budgets/ledger.py
@@ -11,10 +11,12 @@
 P. O'Neil, "The escrow transactional method", ACM TODS 11(4), 1986.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from railtide.budgets.needs import Need
-from railtide.budgets.spend_limit import Reading, SpendLimit, most_used
+from railtide.budgets.spend_limit import COUNT, Reading, SpendLimit, most_used
 
 __all__ = [
     "Holding",
@@ -55,9 +57,9 @@
     """
 
     incarnation: str
-    granted: int = 0
-    spent: int = 0
-    requests: int = 0
+    granted: Annotated[int, COUNT] = 0
+    spent: Annotated[int, COUNT] = 0
+    requests: Annotated[int, COUNT] = 0
     limit: SpendLimit | None = None
     need: Need | None = None
     address: str = ""
@@ -80,8 +82,8 @@
         not know this field, and drops it, only leaves it there.
     """
 
-    closed: int = 0
-    billed: int = 0
+    closed: Annotated[int, COUNT] = 0
+    billed: Annotated[int, COUNT] = 0
     by_instance: dict[str, Holding] = {}
     unproved: dict[str, Holding] = {}
 
@@ -98,12 +100,17 @@
 def ledger_from_bytes(data: bytes) -> Ledger:
     """Return a ledger from its encoding; raises `msgspec.DecodeError`.
 
+    That is raised also for figures that no router writes: a negative one would free units.
+
     Examples
     --------
     >>> ledger_from_bytes(ledger_to_bytes(Ledger(closed=3))).closed
     3
     """
-    return _decoder.decode(data)
+    try:
+        return _decoder.decode(data)
+    except RecursionError as err:
+        raise msgspec.DecodeError("nested too deeply") from err
 
 
 def committed(ledger: Ledger) -> int:
--- a/railtide/budgets/spend_limit.py
+++ b/railtide/budgets/spend_limit.py
@@ -20,6 +20,7 @@
 
 import math
 from abc import ABC, abstractmethod
+from typing import Annotated
 
 import msgspec
 
@@ -36,6 +37,10 @@
     "wait_s",
 ]
 
+MOST_S = 1e15
+"""Seconds that no clock tells. A record with more, or with no number, is none of a router's."""
+COUNT = msgspec.Meta(ge=0)
+FINITE = msgspec.Meta(ge=-MOST_S, le=MOST_S)
 AGREE_S = 0.05
 """By how much two clocks may tell a time of seconds apart. The time of day is slewed by 0.5 ms a
 second at most; when it is set, it is by more."""
@@ -55,8 +60,8 @@
     """
 
     boot: str
-    steady_s: float
-    day_s: float
+    steady_s: Annotated[float, FINITE]
+    day_s: Annotated[float, FINITE]
 
 
 NO_READING = Reading("", 0.0, 0.0)
@@ -97,10 +102,10 @@
     """
 
     made: Reading
-    used: int
-    burst: int
-    pace: int
-    pace_after_s: float = 0.0
+    used: Annotated[int, COUNT]
+    burst: Annotated[int, COUNT]
+    pace: Annotated[int, COUNT]
+    pace_after_s: Annotated[float, msgspec.Meta(ge=0, le=MOST_S)] = 0.0
 
 
 def units_at(limit: SpendLimit, elapsed: float) -> int:
--- a/railtide/budgets/tests/test_ledger.py
+++ b/railtide/budgets/tests/test_ledger.py
@@ -96,7 +96,7 @@
 
 
 class TestForeignLedgers:
-    """A ledger of another writer frees nothing: one that no process of ours writes is unreadable."""
+    """A ledger that no process of ours writes is unreadable, and frees nothing."""
 
     @pytest.mark.parametrize("number", [-1, math.nan, 1.5, "7", None])
     @pytest.mark.parametrize("index", [0, 1])
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -216,9 +216,10 @@
         return named[: self.options.most_addresses]
 
     def take_load(self, upstream: Instance, report: LoadReport) -> None:
-        """Take what an upstream said of its load with an answer."""
+        """Take what an upstream said of its load with an answer; a former life tells of none."""
         scheduler = self.schedulers_by_pool.get(upstream.pool)
-        if scheduler:
+        known = scheduler.by_name.get(upstream.name) if scheduler else None
+        if known and known.instance.incarnation == upstream.incarnation:
             scheduler.take_report(upstream.name, report)
 
     # -- what the store says ------------------------------------------------------------------
@@ -251,7 +252,7 @@
             try:
                 self._upstream_list.put(self._sources.upstream_of(record))
             except InvalidObject as err:
-                logger.bind(upstream=record.key, error=err.detail).error("upstream-invalid")
+                self._upstream_list.put_unreadable(record.key, err.detail)
         self._upstream_list.settle()
 
     def _lapse_until(self) -> float:
@@ -268,10 +269,10 @@
             choice = Separation(PrefixAffinity(TwoChoices(self._rng)))
             self.schedulers_by_pool[pool] = PoolScheduler(choice, urgent_share=0, trusts_list=True)
         scheduler = self.schedulers_by_pool[pool]
-        before = set(scheduler.by_name)
+        before = _by_incarnation(scheduler)
         scheduler.set_upstreams(instances)
-        for name in before - set(scheduler.by_name):
-            self._upstreams.forget(name)
+        for incarnation in before.keys() - _by_incarnation(scheduler).keys():
+            self._upstreams.forget(before[incarnation])
 
     # -- what the parts ask -------------------------------------------------------------------
 
@@ -299,3 +300,9 @@
     def _start_soon(self, work: Callable[[], Awaitable[None]]) -> None:
         if self._nursery:
             self._nursery.start_soon(work)
+
+
+def _by_incarnation(scheduler: PoolScheduler) -> dict[str, Instance]:
+    """Return the lives of a pool's upstreams."""
+    known = [upstream.instance for upstream in scheduler.by_name.values()]
+    return {instance.incarnation: instance for instance in known}
--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -116,7 +116,7 @@
             self._note_reachable()
             if page.records:
                 self._on_records(page.records)
-                self.next_offset = page.records[-1].offset + 1
+            self.next_offset = max(self.next_offset, page.next_offset)
             await trio.sleep(self._pause_s_of())
 
     def _note_reachable(self) -> None:
--- a/railtide/journal/keyed.py
+++ b/railtide/journal/keyed.py
@@ -39,10 +39,22 @@
 
 @dataclass(frozen=True)
 class KeyedPage:
-    """Records in the order of their offsets, and where the partition ended."""
+    """Records in the order of their offsets.
+
+    Attributes
+    ----------
+    end : int
+        Where the partition ended.
+    next_offset : int
+        Behind the last record that was read, whether it is among `records` or unreadable.
+    unreadable : int
+        Records that another writer left and that are no key and value; they are passed over.
+    """
 
     records: list[KeyedRecord]
     end: int
+    next_offset: int = 0
+    unreadable: int = 0
 
 
 class KeyedStore(ABC):
--- a/railtide/membership/addresses.py
+++ b/railtide/membership/addresses.py
@@ -1,11 +1,15 @@
 """Which instances a caller of an account is told to use. Pure."""
 
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 import xxhash
 
-__all__ = ["Entrance", "addresses_for", "rendezvous_order"]
+__all__ = ["Entrance", "addresses_for", "is_address", "rendezvous_order"]
+
+ADDRESS = re.compile(r"[A-Za-z0-9._-]+:(\d{1,5})", re.ASCII)
+MOST_PORT = 65_535
 
 
 @dataclass(frozen=True)
@@ -17,6 +21,18 @@
     failure_domain: str
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is host:port, as a process can be reached at.
+
+    Examples
+    --------
+    >>> [is_address(text) for text in ("10.0.0.9:80", "nonsense", "h:99999999", ":80", "h:0")]
+    [True, False, False, False, False]
+    """
+    found = ADDRESS.fullmatch(text)
+    return found is not None and 0 < int(found[1]) <= MOST_PORT
+
+
 def rendezvous_order(key: str, names: Sequence[str]) -> list[str]:
     """Return the names by their highest random weight for `key`, the best first.
 
--- a/railtide/membership/instances.py
+++ b/railtide/membership/instances.py
@@ -32,6 +32,8 @@
         For an upstream, the pool (of one model or service) that it belongs to.
     slots : int
         For an upstream, how many requests one router may have open on it.
+    born : int
+        When this life began, Unix milliseconds; 0 if it is not told.
     """
 
     name: str
@@ -42,6 +44,7 @@
     pool: str = ""
     slots: int = 16
     state: InstanceState = InstanceState.LIVE
+    born: int = 0
 
 
 class InstanceList(ABC):
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import Annotated
 
 import msgspec
 import trio
@@ -17,11 +18,15 @@
 from railtide.journal.errors import LogUnavailable
 from railtide.journal.feed import Feed, FeedOptions
 from railtide.journal.keyed import KeyedRecord, KeyedStore
-from railtide.membership.addresses import Entrance
+from railtide.membership.addresses import Entrance, is_address
 from railtide.membership.entrance_set import Candidate, EntranceSetOptions, chosen_entrances
 
 __all__ = ["Member", "Roster", "RosterOptions"]
 
+MOST_RATE = 1e9
+"""Requests a second beyond which a router's figures are no router's."""
+MOST_BEAT_S = 3600.0
+"""Time between two records beyond which nobody could tell whether their writer lives."""
 NAMED_AGE_S = 0.2
 """How long a choice of routers is kept: each caller's question would else weigh them all anew, and
 records come once a second."""
@@ -71,9 +76,23 @@
     address: str
     failure_domain: str
     beat: int
-    capacity: float = 1.0
-    load: float = 0.0
-    beat_s: float = 1.0
+    capacity: Annotated[float, msgspec.Meta(gt=0, le=MOST_RATE)] = 1.0
+    load: Annotated[float, msgspec.Meta(ge=0, le=MOST_RATE)] = 0.0
+    beat_s: Annotated[float, msgspec.Meta(gt=0, le=MOST_BEAT_S)] = 1.0
+
+
+def _member_of(value: bytes) -> Member:
+    """Return the member in a record.
+
+    Raises
+    ------
+    msgspec.DecodeError, RecursionError
+        Another writer's, which names no router.
+    """
+    member = msgspec.msgpack.decode(value, type=Member)
+    if member.address and not is_address(member.address):
+        raise msgspec.ValidationError(f"no address: {member.address!r}")
+    return member
 
 
 @dataclass
@@ -112,6 +131,7 @@
         self._member = member
         self._options = options
         self._heard_by_instance: dict[str, _Heard] = {}
+        self._unreadable: set[str] = set()
         feed_options = FeedOptions(wait_s=options.beat_s, pause_s=options.read_pause_s)
         self._feed = Feed(store, options.topic, feed_options, rng, self._take)
         self._load_of = load_of
@@ -174,12 +194,19 @@
                 self._heard_by_instance.pop(record.key, None)
                 continue
             try:
-                member = msgspec.msgpack.decode(record.value, type=Member)
-            except msgspec.DecodeError as err:
-                logger.bind(instance=record.key, error=str(err)).error("member-unreadable")
+                member = _member_of(record.value)
+            except (msgspec.DecodeError, RecursionError) as err:
+                self._tell_unreadable(record.key, str(err))
                 continue
+            self._unreadable.discard(record.key)
             self._hear(record.key, member, now)
 
+    def _tell_unreadable(self, instance: str, error: str) -> None:
+        """Say once of an instance that its record names no router."""
+        if instance not in self._unreadable:
+            self._unreadable.add(instance)
+            logger.bind(instance=instance, error=error).error("member-unreadable")
+
     def _hear(self, instance: str, member: Member, now: float) -> None:
         known = self._heard_by_instance.get(instance)
         if known is None or known.member.incarnation != member.incarnation:
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -1,6 +1,13 @@
-"""The upstreams as the platform lists them, by pool, with the lag and the gaps of that list."""
+"""The upstreams as the platform lists them, by pool, with the lag and the gaps of that list.
+
+An upstream may start again under its name. The new life is told by the time of its birth and owes
+nothing to the former one, which may have left; a record of the former one that comes late changes
+nothing. A record that can't be read names no upstream: one that is known by that name is not used
+until it says of itself again what it is.
+"""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 from loguru import logger
@@ -17,6 +24,14 @@
 """A store whose loss was noticed no longer ago than this may have lost records before."""
 
 
+@dataclass(frozen=True)
+class _Service:
+    """The service of one life of an upstream in one pool."""
+
+    incarnation: str
+    pool: str
+
+
 class UpstreamList:
     """Keeps what is listed and tells each pool's upstreams when they change.
 
@@ -37,15 +52,23 @@
         self._lapse_until = lapse_until
         self._by_name: dict[str, Instance] = {}
         self._missing_by_name: dict[str, float] = {}
+        self._unreadable: set[str] = set()
+        self._left_by_name: dict[str, set[_Service]] = {}
         self._dirty: set[str] = set()
 
     def put(self, instance: Instance) -> None:
-        """Take a record. Leaving is sticky."""
-        self._missing_by_name.pop(instance.name, None)
+        """Take a record. Leaving is sticky for a life in its pool."""
         known = self._by_name.get(instance.name)
-        if known and known.state is InstanceState.LEAVING:
-            instance = replace(instance, state=InstanceState.LEAVING)
-        if known == instance:
+        if known and known.born and not instance.born:
+            self.put_unreadable(instance.name, "the birth that this upstream tells is missing")
+            return
+        if known and instance.born < known.born:
+            return
+        self._missing_by_name.pop(instance.name, None)
+        instance = self._with_sticky_leaving(instance)
+        was_unreadable = instance.name in self._unreadable
+        self._unreadable.discard(instance.name)
+        if known == instance and not was_unreadable:
             return
         logger.bind(
             upstream=instance.name,
@@ -58,9 +81,32 @@
         if known:
             self._dirty.add(known.pool)
 
+    def _with_sticky_leaving(self, instance: Instance) -> Instance:
+        """Return the instance as leaving if this life of it has left this pool.
+
+        Another writer's record under its name, of a pool of its own, makes neither leave nor stay.
+        """
+        service = _Service(instance.incarnation, instance.pool)
+        left = self._left_by_name.setdefault(instance.name, set())
+        if instance.state is InstanceState.LEAVING:
+            left.add(service)
+        return replace(instance, state=InstanceState.LEAVING) if service in left else instance
+
+    def put_unreadable(self, name: str, error: str) -> None:
+        """Take a record that names no upstream, though its key is the name of one."""
+        if name in self._unreadable:
+            return
+        self._unreadable.add(name)
+        logger.bind(upstream=name, error=error).error("upstream-unreadable")
+        known = self._by_name.get(name)
+        if known:
+            self._dirty.add(known.pool)
+
     def remove(self, name: str) -> None:
         """Take the removal of a record: at once, or when it can't have lapsed only."""
-        if name in self._by_name and name not in self._missing_by_name:
+        if name not in self._by_name:
+            self._unreadable.discard(name)
+        elif name not in self._missing_by_name:
             self._missing_by_name[name] = self._lapse_until()
 
     def keep_only(self, names: set[str]) -> None:
@@ -75,9 +121,17 @@
             if now >= until:
                 del self._missing_by_name[name]
                 gone = self._by_name.pop(name)
+                self._unreadable.discard(name)
+                self._left_by_name.pop(name, None)
                 self._dirty.add(gone.pool)
                 logger.bind(upstream=name, pool=gone.pool).info("upstream-gone")
         for pool in sorted(self._dirty):
-            listed = [i for i in self._by_name.values() if i.pool == pool]
+            listed = [self._usable(i) for i in self._by_name.values() if i.pool == pool]
             self._on_change(pool, listed)
         self._dirty.clear()
+
+    def _usable(self, instance: Instance) -> Instance:
+        """Return the instance; one whose newest record is unreadable takes no new work."""
+        if instance.name in self._unreadable:
+            return replace(instance, state=InstanceState.LEAVING)
+        return instance
--- a/railtide/platform/desired_state.py
+++ b/railtide/platform/desired_state.py
@@ -1,6 +1,10 @@
 """The operator's desired state and the engines' records, decoded into the product's own types."""
 
+import re
+from typing import Annotated
+
 import msgspec
+from msgspec import UNSET, Meta, UnsetType
 
 from railtide.configuration.errors import InvalidObject
 from railtide.configuration.routes import PoolSettings, Route, RouteTable, Share
@@ -13,6 +17,7 @@
 )
 from railtide.edge.sources import Sources
 from railtide.journal.keyed import KeyedRecord
+from railtide.membership.addresses import is_address
 from railtide.membership.identity import Role
 from railtide.membership.instances import Instance, InstanceState
 
@@ -21,7 +26,9 @@
 CONFIG_KEY = "config"
 STREAMING = "streaming"
 SAFE = "safe"
-READY = "ready"
+STATE_BY_WORD = {"ready": InstanceState.LIVE, "draining": InstanceState.LEAVING}
+ENGINE_ID = re.compile(r"[!-~]+", re.ASCII)
+"""An engine's id is sent to it in a header: letters that are printed, and no spaces."""
 MS = 1000.0
 
 
@@ -88,11 +95,19 @@
 
 
 class _Server(msgspec.Struct):
-    service: str
+    """An engine's entry, with all that the page says an engine writes: an entry that lacks a field,
+    or has it of another type, is another writer's. `born` is when its life began, Unix
+    milliseconds; it is newer than the rest and may be left out."""
+
+    service: Annotated[str, Meta(min_length=1)]
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = READY
+    zone: str
+    version: str
+    slots: Annotated[int, Meta(ge=1)]
+    state: str
+    warmup_left_ms: float
+    seq: int
+    born: Annotated[int, Meta(ge=0)] | UnsetType = UNSET
 
 
 _state_decoder = msgspec.json.Decoder(_DesiredState)
@@ -111,27 +126,39 @@
             return None
         try:
             return _snapshot(_state_decoder.decode(record.value))
-        except msgspec.DecodeError as err:
+        except (msgspec.DecodeError, RecursionError) as err:
             raise InvalidObject(str(err)) from err
 
     def upstream_of(self, record: KeyedRecord) -> Instance:
         """Return the engine in a record; see `Sources.upstream_of`."""
         try:
             server = _server_decoder.decode(record.value)
-        except msgspec.DecodeError as err:
+        except (msgspec.DecodeError, RecursionError) as err:
             raise InvalidObject(str(err)) from err
+        _check_server(record.key, server)
+        born = server.born or 0
         return Instance(
             name=record.key,
-            incarnation=record.key,
+            incarnation=f"{record.key}/{born}" if born else record.key,
             address=server.address,
             failure_domain=server.zone,
             role=Role.ENGINE,
             pool=server.service,
-            slots=max(1, server.slots),
-            state=InstanceState.LIVE if server.state == READY else InstanceState.LEAVING,
+            slots=server.slots,
+            state=STATE_BY_WORD[server.state],
+            born=born,
         )
 
 
+def _check_server(key: str, server: _Server) -> None:
+    if not ENGINE_ID.fullmatch(key):
+        raise InvalidObject("the id can't be sent in a header")
+    if server.state not in STATE_BY_WORD:
+        raise InvalidObject(f"unknown state: {server.state!r}")
+    if not is_address(server.address):
+        raise InvalidObject(f"no address: {server.address!r}")
+
+
 def _snapshot(state: _DesiredState) -> Snapshot:
     accounts = [
         AccountTerms(t.name, tuple(t.api_keys), t.priority, t.prepaid) for t in state.tenants or []
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -1,9 +1,11 @@
 """The client of the platform's store: keyed topics over HTTP."""
 
 from base64 import b64decode
+from urllib.parse import quote
 
 import msgspec
 import trio
+from loguru import logger
 
 from railtide.http.client import Exchange, PeerPool
 from railtide.http.errors import HttpError
@@ -28,7 +30,9 @@
 
 
 class _Newest(msgspec.Struct):
-    items: list[_Item]
+    """Each item is decoded by itself: one that can't be read does not take the others with it."""
+
+    items: list[msgspec.Raw]
     has_more: bool = False
     end_offset: int = 0
 
@@ -57,28 +61,48 @@
         self._pool = PeerPool(host, int(port))
         self._host = address.encode()
         self._counters = counters
+        self._told_unreadable: set[str] = set()
 
     async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
         """Return the newest records; see `KeyedStore.newest`."""
         records: list[KeyedRecord] = []
         end: int | None = None
+        items = 0
         after = ""
         while True:
             target = f"/log-newest?topic={topic}&part={partition}" + after
             page = _decode(await self._call(b"GET", target, b"", ANSWER_S), _Newest)
             end = page.end_offset if end is None else end
-            records += [KeyedRecord(i.key, b64decode(i.value), i.offset) for i in page.items]
+            items += len(page.items)
+            known = len(records)
+            records += [record for item in page.items if (record := _record_of(item))]
             if not page.has_more:
                 break
-            after = f"&after={page.items[-1].key}"
-        return KeyedPage(sorted(records, key=lambda record: record.offset), end)
+            if len(records) == known:
+                raise LogUnavailable("a whole page of the newest records is unreadable")
+            after = f"&after={quote(records[-1].key, safe='')}"
+        unreadable = items - len(records)
+        self._tell_unreadable(topic, unreadable)
+        ordered = sorted(records, key=lambda record: record.offset)
+        return KeyedPage(ordered, end, end, unreadable)
 
     async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
         """Return records; see `KeyedStore.read`."""
         wait_ms = round(wait_s * 1000)
         target = f"/log-read?topic={topic}&part={partition}&from={start}&wait_ms={wait_ms}"
         data = await self._call(b"GET", target, b"", ANSWER_S + wait_s)
-        return page_of(data, start)
+        page = page_of(data, start)
+        self._tell_unreadable(topic, page.unreadable)
+        return page
+
+    def _tell_unreadable(self, topic: str, count: int) -> None:
+        """Count records that can't be read, and say so once for a topic."""
+        if not count:
+            return
+        self._counters.add("store_records_unreadable", count)
+        if topic not in self._told_unreadable:
+            self._told_unreadable.add(topic)
+            logger.bind(topic=topic, records=count).error("records-unreadable")
 
     async def append(
         self,
@@ -131,10 +155,19 @@
 def _decode(body: bytes, kind: type) -> msgspec.Struct:
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as err:
+    except (msgspec.DecodeError, RecursionError) as err:
         raise LogUnavailable(f"the store's answer is unreadable: {err}") from err
 
 
+def _record_of(item: msgspec.Raw) -> KeyedRecord | None:
+    """Return one of the newest records, None for one that can't be read."""
+    try:
+        read = msgspec.json.decode(item, type=_Item)
+        return KeyedRecord(read.key, b64decode(read.value, validate=True), read.offset)
+    except ValueError:
+        return None
+
+
 def _record_bytes(key: str, value: bytes) -> bytes:
     """Return a record: its length, the key's length and the key, then the value."""
     name = key.encode()
@@ -143,7 +176,16 @@
 
 
 def page_of(data: bytes, start: int) -> KeyedPage:
-    """Return the page in an answer: the end, the first kept offset, then records from `start`."""
+    """Return the page in an answer: the end, the first kept offset, then records from `start`.
+
+    A page that was cut short is no answer. A whole record without a key and a value is another
+    writer's, and is passed over: read again, it would be the same for ever.
+
+    Raises
+    ------
+    LogUnavailable
+        The page was cut short.
+    """
     if len(data) < 2 * OFFSET_BYTES:
         raise LogUnavailable("the store's answer is cut short")
     end = int.from_bytes(data[:OFFSET_BYTES], "big")
@@ -151,12 +193,23 @@
     at = 2 * OFFSET_BYTES
     offset = start
     while at < len(data):
-        length = int.from_bytes(data[at : at + LENGTH_BYTES], "big")
-        content = data[at + LENGTH_BYTES : at + LENGTH_BYTES + length]
-        if len(content) < length or not content:
+        body_at = at + LENGTH_BYTES
+        at = body_at + int.from_bytes(data[at:body_at], "big")
+        if len(data) < max(at, body_at):
             raise LogUnavailable("the store's answer is cut short")
-        name_end = 1 + content[0]
-        records.append(KeyedRecord(content[1:name_end].decode(), content[name_end:], offset))
+        record = _keyed_record(data[body_at:at], offset)
+        if record:
+            records.append(record)
         offset += 1
-        at += LENGTH_BYTES + length
-    return KeyedPage(records, end)
+    return KeyedPage(records, end, offset, offset - start - len(records))
+
+
+def _keyed_record(content: bytes, offset: int) -> KeyedRecord | None:
+    """Return the key and value in a record's content, None where it holds none."""
+    name_end = 1 + content[0] if content else 1
+    if len(content) < name_end:
+        return None
+    try:
+        return KeyedRecord(content[1:name_end].decode(), content[name_end:], offset)
+    except UnicodeDecodeError:
+        return None
--- a/railtide/platform/tests/test_foreign_records.py
+++ b/railtide/platform/tests/test_foreign_records.py
@@ -24,9 +24,11 @@
 from railtide.platform.desired_state import PlatformSources
 from railtide.platform.store import page_of
 from railtide.platform.tests.test_store import client_of
-from railtide.platform.tests.test_whole_path import World, body_of, engine_record, world
+from railtide.platform.tests.test_whole_path import World, body_of, world
+from railtide.standins.platform import engine_entry
+from railtide.upstreams.load import LoadReport
 
-GOOD = engine_record("10.0.0.9:8080")
+GOOD = engine_entry("10.0.0.9:8080")
 BORN_MS = 1_790_000_000_000
 
 
@@ -197,9 +199,14 @@
                 await store.newest("keyed.t")
 
 
-async def settle() -> None:
-    """Let the router read what was appended: its list is read once in 0.2 s at most."""
-    await trio.sleep(0.6)
+async def settle(w: World) -> None:
+    """Let the router read what was appended: up to a record of a pool that is told from others."""
+    marker = f"marker-{w.store.topic('keyed.servers').end}"
+    entry = engine_entry("10.0.0.9:1", marker)
+    w.store.put("keyed.servers", marker, msgspec.json.encode(entry))
+    with trio.fail_after(10):
+        while marker not in w.node.schedulers_by_pool:
+            await trio.sleep(0.01)
 
 
 async def ask(w: World) -> int:
@@ -215,7 +222,7 @@
         async with world() as w:
             await w.add_engine("e1")
             w.store.put_raw(topic, unreadable)
-            await settle()
+            await settle(w)
             await w.add_engine("e2")
             assert await ask(w) == 200
 
@@ -225,12 +232,12 @@
             await w.add_engine("e2")
             own = w.record_of("e1")
             w.store.put("keyed.servers", "e1", b"not json")
-            await settle()
+            await settle(w)
             assert [await ask(w) for _ in range(8)] == [200] * 8
             assert first.ran == []
             w.store.put("keyed.servers", "e1", own)
             w.store.put("keyed.servers", "e2", b"")
-            await settle()
+            await settle(w)
             assert await ask(w) == 200
             assert len(first.ran) == 1
 
@@ -238,13 +245,13 @@
         async with world() as w:
             engine = await w.add_engine("e1", born=BORN_MS)
             w.put_engine("e1", state="draining", born=BORN_MS)
-            await settle()
+            await settle(w)
             assert await ask(w) == 503
             w.put_engine("e1", state="ready", born=BORN_MS)
-            await settle()
+            await settle(w)
             assert await ask(w) == 503
             w.put_engine("e1", state="ready", born=BORN_MS + 1)
-            await settle()
+            await settle(w)
             assert await ask(w) == 200
             assert len(engine.ran) == 1
 
@@ -253,14 +260,29 @@
             await w.add_engine("e1", born=BORN_MS)
             w.put_engine("e1", born=BORN_MS + 1)
             w.put_engine("e1", state="draining", born=BORN_MS)
-            await settle()
+            await settle(w)
             assert await ask(w) == 200
 
     async def test_foreign_entry_does_not_make_leaving_sticky(self) -> None:
         async with world() as w:
             await w.add_engine("e1", born=BORN_MS)
             w.put_engine("e1", service="unknown", state="draining", born=BORN_MS)
-            await settle()
+            await settle(w)
             w.put_engine("e1", born=BORN_MS)
-            await settle()
+            await settle(w)
+            assert await ask(w) == 200
+
+    async def test_nothing_of_the_former_life_is_kept(self) -> None:
+        async with world() as w:
+            await w.add_engine("e1", born=BORN_MS)
+            assert await ask(w) == 200
+            by_name = w.node.schedulers_by_pool["s"].by_name
+            former = by_name["e1"]
+            former.failures, former.ejected_until = 5, trio.current_time() + 60
+            w.put_engine("e1", born=BORN_MS + 1)
+            await settle(w)
+            by_name = w.node.schedulers_by_pool["s"].by_name
+            w.node.take_load(former.instance, LoadReport(8, 90, False, trio.current_time()))
+            assert by_name["e1"].report is None
+            assert (by_name["e1"].failures, by_name["e1"].open_requests) == (0, 0)
             assert await ask(w) == 200
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -23,7 +23,7 @@
 from railtide.platform.tests.hosts import HOST
 from railtide.platform.upstreams import PlatformUpstreams
 from railtide.standins.keyed_store import MemoryStore
-from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer
+from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer, engine_entry
 from railtide.telemetry.counters import Counters
 
 ROUTE = {"host": "h.example", "service": "s", "timeout_ms": 3000, "goal_ms": 500}
@@ -50,20 +50,6 @@
     return msgspec.json.encode(state)
 
 
-def engine_record(address: str) -> dict[str, object]:
-    """Return what a ready engine says of itself."""
-    return {
-        "service": "s",
-        "address": address,
-        "zone": "z",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "warmup_left_ms": 0,
-        "seq": 1,
-    }
-
-
 @dataclass
 class World:
     """One router before its engines, and a client's pool of connections to it."""
@@ -91,7 +77,7 @@
         return engine
 
     def put_engine(self, name: str, **fields: object) -> None:
-        record = engine_record(self.address_by_engine[name]) | fields
+        record = engine_entry(self.address_by_engine[name]) | fields
         self.store.put("keyed.servers", name, msgspec.json.encode(record))
 
     def record_of(self, name: str) -> bytes:
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -65,7 +65,7 @@
 
     def __init__(self) -> None:
         self.on_load: Callable[[Instance, LoadReport], None] = lambda upstream, report: None
-        self._pool_by_name: dict[str, PeerPool] = {}
+        self._pool_by_incarnation: dict[str, PeerPool] = {}
 
     async def open(self, upstream: Instance, call: UpstreamCall) -> UpstreamAnswer:
         """Send a call; see `UpstreamClient.open`."""
@@ -117,9 +117,9 @@
             report = LoadReport(int(parts[0]), int(parts[1]), False, trio.current_time())
             self.on_load(upstream, report)
 
-    def forget(self, name: str) -> None:
+    def forget(self, upstream: Instance) -> None:
         """Close the idle connections to an engine; see `UpstreamClient.forget`."""
-        pool = self._pool_by_name.pop(name, None)
+        pool = self._pool_by_incarnation.pop(upstream.incarnation, None)
         if pool:
             pool.close()
 
@@ -136,18 +136,18 @@
         raise UpstreamLost("loads come with the answers")
 
     def _pool(self, upstream: Instance) -> PeerPool:
-        pool = self._pool_by_name.get(upstream.name)
+        pool = self._pool_by_incarnation.get(upstream.incarnation)
         if pool is None:
             host, _, port = upstream.address.rpartition(":")
             pool = PeerPool(host, int(port))
-            self._pool_by_name[upstream.name] = pool
+            self._pool_by_incarnation[upstream.incarnation] = pool
         return pool
 
 
 def _headers(upstream: Instance, call: UpstreamCall) -> Headers:
     own = [
         (names.DEADLINE_MS, str(max(1, int(call.timeout_s * 1000))).encode()),
-        (names.EXPECTED_UPSTREAM, upstream.incarnation.encode()),
+        (names.EXPECTED_UPSTREAM, upstream.name.encode()),
         (names.RANK, str(min(call.rank, HIGHEST_RANK)).encode()),
     ]
     if call.resume_after:
--- a/railtide/standins/keyed_store.py
+++ b/railtide/standins/keyed_store.py
@@ -111,7 +111,7 @@
             await self._call(partition)
             if start < known.first:
                 raise RecordsExpired(known.first)
-        return KeyedPage(known.records[start - known.first :], known.end)
+        return KeyedPage(known.records[start - known.first :], known.end, known.end)
 
     async def append(
         self,
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -15,11 +15,25 @@
 from railtide.standins.answers import Framing, RawAnswer
 from railtide.standins.keyed_store import MemoryStore
 
-__all__ = ["EngineScript", "PlatformEngine", "StoreServer"]
+__all__ = ["EngineScript", "PlatformEngine", "StoreServer", "engine_entry"]
 
 ID = b"x-attempt-id"
 
 
+def engine_entry(address: str, service: str = "s") -> dict[str, object]:
+    """Return what a ready engine writes of itself into the store."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "z",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "seq": 1,
+    }
+
+
 class StoreServer:
     """Answers the store's calls from a `MemoryStore`.
 
--- a/railtide/upstreams/client.py
+++ b/railtide/upstreams/client.py
@@ -105,8 +105,8 @@
             It may have run.
         """
 
-    def forget(self, name: str) -> None:  # noqa: B027 - a client that keeps nothing has no work
-        """Let go of what is kept for an upstream that is gone; calls under way are not touched."""
+    def forget(self, upstream: Instance) -> None:  # noqa: B027 - one that keeps nothing has no work
+        """Let go of what is kept for a life of an upstream that is gone; calls go on."""
 
     @abstractmethod
     async def past_run(self, upstream: Instance, request_id: str) -> PastRun:
--- a/tests/edge_soak/faults.py
+++ b/tests/edge_soak/faults.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
+import msgspec
 import trio
 
 from railtide.standins.answers import Framing
@@ -11,12 +12,24 @@
 from tests.edge_soak.fleet import EVENTS, GOOD_ENGINE, Fleet, Router
 from tests.edge_soak.proxy import Link, LinkFault
 
-__all__ = ["FAULTS", "Planned", "heal", "plan_of"]
+__all__ = ["FAULTS", "FIRST_WITH_LATER_FAULTS", "LATER_FAULTS", "Planned", "heal", "plan_of"]
 
 LENGTH_S = 8.0
 """Time in which faults begin."""
 LEAST_FAULTS = 5
 MOST_FAULTS = 16
+FIRST_WITH_LATER_FAULTS = 4000
+"""Seeds below it were played before some faults were known, and stay what they were."""
+MOST_LATER_FAULTS = 4
+FOREIGN_CONTENTS = (
+    b"",
+    b"\x09abc",
+    b"\x02\xff\xfev",
+    b"\x02xxnot json",
+    b'\x02xx{"service": "s", "state": "confused"}',
+)
+"""What another writer leaves in a topic: no key, a key beyond the record, one that is no text, and
+values that are no entry."""
 BAD_SCRIPTS = (
     EngineScript(status=500),
     EngineScript(not_run=True),
@@ -57,9 +70,25 @@
         )
         for _ in range(count)
     ]
+    if seed >= FIRST_WITH_LATER_FAULTS:
+        made += _later_plan_of(seed)
     return sorted(made, key=lambda planned: planned.at)
 
 
+def _later_plan_of(seed: int) -> list[Planned]:
+    """Return the faults that came to the soak later, of a draw of their own."""
+    rng = Random(f"later {seed}")
+    return [
+        Planned(
+            rng.choice(sorted(LATER_FAULTS)),
+            round(rng.uniform(0, LENGTH_S), 2),
+            round(rng.uniform(0.2, 3.0), 2),
+            rng.randrange(1 << 30),
+        )
+        for _ in range(rng.randint(1, MOST_LATER_FAULTS))
+    ]
+
+
 async def _replace(router: Router, end: Callable[[], Awaitable[None]], length: float) -> None:
     """End a router's process and start another, unless that is under way already."""
     if router.changing.locked():
@@ -186,6 +215,54 @@
 }
 
 
+async def _foreign_records(fleet: Fleet, rng: Random, length: float) -> None:
+    """Leave records that no router can use in every topic that routers read."""
+    for _ in range(rng.randint(1, 6)):
+        topic = rng.choice(["keyed.op", "keyed.servers", "keyed.railtide-roster"])
+        fleet.store.put_raw(topic, rng.choice(FOREIGN_CONTENTS))
+        await trio.sleep(rng.uniform(0, 0.3))
+
+
+async def _spoil_entry(fleet: Fleet, rng: Random, length: float) -> None:
+    """Write what can't be read over an engine's entry, until it tells again."""
+    name = rng.choice(fleet.engines).name
+    record = fleet.store.topic("keyed.servers").newest_by_key.get(name)
+    if record is None:
+        return
+    fleet.store.put("keyed.servers", name, b"[]")
+    await trio.sleep(length)
+    fleet.store.put("keyed.servers", name, record.value)
+
+
+async def _bear_anew(fleet: Fleet, rng: Random, length: float) -> None:
+    """Have an engine drain and start again under its id."""
+    name = rng.choice(fleet.engines).name
+    record = fleet.store.topic("keyed.servers").newest_by_key.get(name)
+    entry = _entry_of(record.value) if record else None
+    if not entry:
+        return
+    born = entry.get("born", 0)
+    leaving = entry | {"state": "draining"}
+    fleet.store.put("keyed.servers", name, msgspec.json.encode(leaving))
+    await trio.sleep(length)
+    reborn = entry | {"state": "ready", "born": born + 1}
+    fleet.store.put("keyed.servers", name, msgspec.json.encode(reborn))
+    fleet.store.put("keyed.servers", name, msgspec.json.encode(leaving))
+    fleet.store.put("keyed.servers", name, msgspec.json.encode(reborn))
+
+
+def _entry_of(value: bytes) -> dict[str, object] | None:
+    entry = msgspec.json.decode(value)
+    return entry if isinstance(entry, dict) else None
+
+
+LATER_FAULTS: dict[str, Callable[[Fleet, Random, float], Awaitable[None]]] = {
+    "foreign-records": _foreign_records,
+    "spoilt-entry": _spoil_entry,
+    "born-anew": _bear_anew,
+}
+
+
 def heal(fleet: Fleet) -> None:
     """Take back what may still be in force when all faults have ended."""
     fleet.store.lose_answers = 0
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -16,7 +16,7 @@
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
 from railtide.standins.keyed_store import MemoryStore
-from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer
+from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer, engine_entry
 from tests.edge_soak.proxy import Link, open_link
 from tests.test_edge_process import HOST, free_ports, serve
 
@@ -271,8 +271,8 @@
             engine = PlatformEngine(f"e{number}", GOOD_ENGINE)
             port = await serve(nursery, engine.handle)
             link = await open_link(nursery, ("127.0.0.1", port))
-            record = {"service": "s", "address": f"127.0.0.1:{link.port}", "slots": 8}
-            store.put("keyed.servers", engine.name, msgspec.json.encode(record))
+            entry = engine_entry(f"127.0.0.1:{link.port}")
+            store.put("keyed.servers", engine.name, msgspec.json.encode(entry))
             fleet.engines.append(engine)
             fleet.engine_links.append(link)
         ports = free_ports(PORTS * world.routers)
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -25,7 +25,7 @@
 from railtide.http.client import PeerPool
 from tests.edge_soak.callers import GIVE_UP_S, Callers
 from tests.edge_soak.checks import OK, broken_promises, lost_answers, poor_return, spent
-from tests.edge_soak.faults import FAULTS, Planned, heal, plan_of
+from tests.edge_soak.faults import FAULTS, LATER_FAULTS, Planned, heal, plan_of
 from tests.edge_soak.fleet import Fleet, Router, World, open_fleet
 from tests.edge_soak.series import SERIES, is_calm, keep_up, series_of, world_of
 
@@ -49,7 +49,7 @@
 """In which the calls that are served after a return are counted."""
 
 
-STRIKES = FAULTS | SERIES
+STRIKES = FAULTS | LATER_FAULTS | SERIES
 
 
 class Kind(StrEnum):
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -7,14 +7,15 @@
 
 from tests.edge_soak.callers import Attempt
 from tests.edge_soak.checks import is_good_end, poor_return
-from tests.edge_soak.faults import FAULTS, plan_of
+from tests.edge_soak.faults import FAULTS, FIRST_WITH_LATER_FAULTS, LATER_FAULTS, plan_of
 from tests.edge_soak.fleet import ProcessEnd
 from tests.edge_soak.run import Kind, run_seed
 from tests.edge_soak.series import CALM, SERIES, is_calm, series_of
 
-SEEDS = (5, 20, 41)
+SEEDS = (5, 20, 41, FIRST_WITH_LATER_FAULTS)
 """5 and 41: processes are killed, leave and lose the store. 20: answers that are no stream were
-billed without their output (overspend, 12,156 of 12,000)."""
+billed without their output (overspend, 12,156 of 12,000). The last one is the first with records
+of other writers and engines born anew."""
 
 
 class TestEdgeSoak:
@@ -26,6 +27,11 @@
         drawn = {planned.name for seed in range(50) for planned in plan_of(seed)}
         assert drawn == set(FAULTS)
 
+    def test_every_later_fault_is_drawn(self) -> None:
+        seeds = range(FIRST_WITH_LATER_FAULTS, FIRST_WITH_LATER_FAULTS + 50)
+        drawn = {planned.name for seed in seeds for planned in plan_of(seed)}
+        assert drawn == set(FAULTS) | set(LATER_FAULTS)
+
 
 SERIES_SEEDS = (1000, 1004, 2031)
 """1000: a second SIGTERM ended routers that drained, in the middle of their answers; SIGHUP ended
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -24,7 +24,7 @@
 from railtide.platform.program import ADDRESS_TAKEN
 from railtide.platform.tests.hosts import HOST
 from railtide.standins.keyed_store import MemoryStore
-from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer
+from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer, engine_entry
 
 WAIT_S = 30
 STATE = {
@@ -126,8 +126,8 @@
     async with trio.open_nursery() as nursery:
         store_port = await serve(nursery, StoreServer(store).handle)
         engine_port = await serve(nursery, engine.handle)
-        record = {"service": "s", "address": f"127.0.0.1:{engine_port}", "slots": 8}
-        store.put("keyed.servers", "e1", msgspec.json.encode(record))
+        entry = engine_entry(f"127.0.0.1:{engine_port}")
+        store.put("keyed.servers", "e1", msgspec.json.encode(entry))
         settings = folder / "local.yaml"
         settings.write_text(f"""
 node_name: edge-1
