A store that is back is noticed without a record; lines say why a try was the last

Reads don't wait until one is answered. Ruled out: counting from another topic's answer, which would drop upstreams that live where one partition is down. Lines: not-tried-again with its reason; upstream-listed with the incarnation.

--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -112,13 +112,22 @@
 
     async def _follow(self) -> None:
         while True:
-            page = await self._store.read(self._topic, self.next_offset, self._options.wait_s)
+            page = await self._store.read(self._topic, self.next_offset, self._wait_s())
             self._note_reachable()
             if page.records:
                 self._on_records(page.records)
             self.next_offset = max(self.next_offset, page.next_offset)
             await trio.sleep(self._pause_s_of())
 
+    def _wait_s(self) -> float:
+        """Return how long a read waits for a record: not at all while the store counts as away.
+
+        What was removed behind its return is then told from what lapsed before it: the return was
+        noticed up to 2.3 s late where no record came (an upstream was sent work for so much longer
+        than it may be).
+        """
+        return self._options.wait_s if self.reachable else 0.0
+
     def _note_reachable(self) -> None:
         self._backoff.reset()
         if not self.reachable:
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -72,6 +72,7 @@
             return
         logger.bind(
             upstream=instance.name,
+            incarnation=instance.incarnation,
             pool=instance.pool,
             address=instance.address,
             state=str(instance.state),
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -384,3 +384,16 @@
             assert served_line["retry_after_s"] is None
             told = first_header(refused.headers, b"retry-after")
             assert refused_line["retry_after_s"] == pytest.approx(float(told), abs=0.01)
+
+
+class TestEndOfTries:
+    @pytest.mark.parametrize(
+        ("path", "reason"), [("/safe/x", "tries-used"), ("/once/x", "once-only")]
+    )
+    async def test_line_says_why_a_request_is_not_sent_again(self, path, reason, lines) -> None:
+        async with world() as w:
+            await w.add_engine("e1", status=500)
+            await w.add_engine("e2", status=500)
+            assert (await w.ask(path)).status >= 500
+            ends = [line for line in lines if line["event"] == "not-tried-again"]
+            assert [(line["request_id"], line["reason"]) for line in ends] == [("r1", reason)]
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -239,19 +239,27 @@
         """Raise unless the request may be sent again, with budget for another run."""
         refused = isinstance(err, UpstreamRefused)
         if not refused and not self._call.repeatable:
+            self._log_end_of_tries("once-only")
             raise OutcomeUnknown("the call may have run and is not sent again") from err
         resumable = self._call.resumable and self._relay.resumable
         begun = self._sink.started and not resumable
         most_runs = self._call.attempts or self._services.options.attempts
         most_sent = most_runs + self._services.options.refusals
         if begun or len(self._lost_tries) >= most_runs or attempt >= most_sent:
+            self._log_end_of_tries("answer-begun" if begun else "tries-used")
             raise err
         if not self._retries.try_spend():
             self._services.counters.add("retries_denied")
+            self._log_end_of_tries("retry-budget")
             raise err
         if not refused and not await self._cover.extend(self._call.reserve):
+            self._log_end_of_tries("account-budget")
             raise err
 
+    def _log_end_of_tries(self, reason: str) -> None:
+        """Say why a request whose try failed is not sent again."""
+        logger.bind(request_id=self._call.request_id, reason=reason).info("not-tried-again")
+
     # -- the bill -----------------------------------------------------------------------------
 
     def _settle(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -303,6 +303,13 @@
         "            pass\n",
         (PLATFORM,),
     ),
+    Mutant(
+        "return-of-the-store-told-by-a-record-only",
+        "journal/feed.py",
+        "return self._options.wait_s if self.reachable else 0.0",
+        "return self._options.wait_s",
+        ("railtide/journal/tests/test_feed.py",),
+    ),
     Mutant(
         "leaving-of-a-former-life-sticks",
         "membership/upstream_list.py",
