--- a/bench/refusals.py
+++ b/bench/refusals.py
@@ -20,7 +20,7 @@
 from railtide.budgets.account_lines import AccountState, RefusalCause
 from railtide.budgets.account_lines import cause_of as cause_of_state
 
-__all__ = ["Summary", "cause_of", "lines_of", "since", "state_of", "summary_of"]
+__all__ = ["Summary", "cause_of", "lines_of", "since", "state_of", "summary_of", "time_of"]
 
 REFUSED = "budget-refused"
 STARTED = "started"
@@ -146,11 +146,11 @@
         except msgspec.DecodeError:
             continue  # another program's output between ours
         began = began or line.time
-        line.at_s = _time_of(before, line.time, began)
+        line.at_s = time_of(before, line.time, began)
         yield line
 
 
-def _time_of(before: str, time: str, began: str) -> float:
+def time_of(before: str, time: str, began: str) -> float:
     """Return when a line was written, seconds."""
     words = before.split()
     try:
