--- a/railtide/process.py
+++ b/railtide/process.py
@@ -39,11 +39,12 @@
     """Collect cyclic garbage less often, and never look again at what the start-up made.
 
     A relay makes many short-lived objects and few cycles; the default thresholds spend a
-    noticeable share of its time on scans.
+    noticeable share of its time on scans. What the start-up left as garbage stays too: to look for
+    it takes 0.09 s of processor time and frees 2,500 small objects.
     """
-    gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, GC_OLDER, GC_OLDER)
+    gc.enable()
 
 
 def new_incarnation() -> str:
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -148,7 +148,7 @@
             "RAILTIDE_EDGE_METRICS_PORT": str(self.metrics_port),
             "RAILTIDE_EDGE_LOG_LEVEL": "INFO",
         }
-        program = [sys.executable, "-m", "railtide.platform.program"]
+        program = [sys.executable, "-m", "railtide.platform.start"]
         self._note_end()
         with self._log.open("ab") as log:
             self._log_begin = log.tell()
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -74,7 +74,7 @@
             "RAILTIDE_BOOT": str(self.settings),
             "RAILTIDE_EDGE_METRICS_PORT": str(self.metrics_port),
         }
-        program = [sys.executable, "-m", "railtide.platform.program"]
+        program = [sys.executable, "-m", "railtide.platform.start"]
         return await trio.lowlevel.open_process(program, env=env, stdout=DEVNULL)
 
     async def start(self) -> trio.Process:
@@ -228,7 +228,7 @@
     async def test_wrong_settings_are_named_and_end_the_process(self, tmp_path: Path) -> None:
         wrong = tmp_path / "local.yaml"
         wrong.write_text("node_name: edge-1\n")
-        program = [sys.executable, "-m", "railtide.platform.program"]
+        program = [sys.executable, "-m", "railtide.platform.start"]
         env = os.environ | {"RAILTIDE_BOOT": str(wrong)}
         done = await trio.run_process(program, env=env, check=False, capture_stderr=True)
         assert done.returncode == 2
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,10 +1,13 @@
 """Tests of railtide.settings: flags, environment, and a start without either."""
 
+import gc
 import subprocess
 import sys
 
 import pytest
 
+from railtide.platform import program, start
+from railtide.process import relax_gc
 from railtide.settings import EXIT_SETTINGS, InvalidSetting, run_program
 
 NEEDLESS_AT_A_START = (
@@ -66,3 +69,16 @@
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
         loaded = set(done.stdout.decode().split())
         assert loaded.isdisjoint(NEEDLESS_AT_A_START)
+
+    def test_collector_rests_while_parts_are_loaded(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        seen: list[bool] = []
+        thresholds = gc.get_threshold()
+        monkeypatch.setattr(program, "main", lambda: seen.append(gc.isenabled()))
+        try:
+            start.main()
+            relax_gc()
+            assert (seen, gc.isenabled()) == ([False], True)
+        finally:
+            gc.enable()
+            gc.set_threshold(*thresholds)
+            gc.unfreeze()
