--- a/tests/edge_soak/faults.py
+++ b/tests/edge_soak/faults.py
@@ -61,15 +61,7 @@
     """Return the faults of a seed in the order of their begin."""
     rng = Random(seed)
     count = rng.randint(LEAST_FAULTS, MOST_FAULTS)
-    made = [
-        Planned(
-            rng.choice(sorted(FAULTS)),
-            round(rng.uniform(0, LENGTH_S), 2),
-            round(rng.uniform(0.2, 3.0), 2),
-            rng.randrange(1 << 30),
-        )
-        for _ in range(count)
-    ]
+    made = [_drawn(rng, sorted(FAULTS)) for _ in range(count)]
     if seed >= FIRST_WITH_LATER_FAULTS:
         made += _later_plan_of(seed)
     return sorted(made, key=lambda planned: planned.at)
@@ -78,15 +70,17 @@
 def _later_plan_of(seed: int) -> list[Planned]:
     """Return the faults that came to the soak later, of a draw of their own."""
     rng = Random(f"later {seed}")
-    return [
-        Planned(
-            rng.choice(sorted(LATER_FAULTS)),
-            round(rng.uniform(0, LENGTH_S), 2),
-            round(rng.uniform(0.2, 3.0), 2),
-            rng.randrange(1 << 30),
-        )
-        for _ in range(rng.randint(1, MOST_LATER_FAULTS))
-    ]
+    return [_drawn(rng, sorted(LATER_FAULTS)) for _ in range(rng.randint(1, MOST_LATER_FAULTS))]
+
+
+def _drawn(rng: Random, names: list[str]) -> Planned:
+    """Return a fault of one of the names; the order of the draws is that of all seeds before."""
+    return Planned(
+        rng.choice(names),
+        round(rng.uniform(0, LENGTH_S), 2),
+        round(rng.uniform(0.2, 3.0), 2),
+        rng.randrange(1 << 30),
+    )
 
 
 async def _replace(router: Router, end: Callable[[], Awaitable[None]], length: float) -> None:
@@ -153,11 +147,16 @@
 
 async def _unlist_engine(fleet: Fleet, rng: Random, length: float) -> None:
     """Remove an engine's record and bring it back, as when it lapses."""
+    await _overwrite_entry(fleet, rng, length, b"")
+
+
+async def _overwrite_entry(fleet: Fleet, rng: Random, length: float, value: bytes) -> None:
+    """Write over an engine's record for a while."""
     name = rng.choice(fleet.engines).name
     record = fleet.store.topic("keyed.servers").newest_by_key.get(name)
     if record is None:
         return
-    fleet.store.put("keyed.servers", name, b"")
+    fleet.store.put("keyed.servers", name, value)
     await trio.sleep(length)
     fleet.store.put("keyed.servers", name, record.value)
 
@@ -225,13 +224,7 @@
 
 async def _spoil_entry(fleet: Fleet, rng: Random, length: float) -> None:
     """Write what can't be read over an engine's entry, until it tells again."""
-    name = rng.choice(fleet.engines).name
-    record = fleet.store.topic("keyed.servers").newest_by_key.get(name)
-    if record is None:
-        return
-    fleet.store.put("keyed.servers", name, b"[]")
-    await trio.sleep(length)
-    fleet.store.put("keyed.servers", name, record.value)
+    await _overwrite_entry(fleet, rng, length, b"[]")
 
 
 async def _bear_anew(fleet: Fleet, rng: Random, length: float) -> None:
