--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -5,6 +5,7 @@
 from railtide.configuration.models import AccountSettings
 from railtide.configuration.routes import Route, choose_pool
 from railtide.configuration.snapshot import AccountTerms, Snapshot
+from railtide.containment.content import content_digest
 from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
 from railtide.lanes.queue import Urgency
 from railtide.platform import names
@@ -71,6 +72,7 @@
         resumable=route.resumable,
         tokens_per_event=_tokens_per_event(snapshot, pool),
         headers=_passed_on(request, account, route.resumable),
+        content=content_digest(account.name if account else "", target, request.body),
     )
 
 
--- a/railtide/requests/call.py
+++ b/railtide/requests/call.py
@@ -76,6 +76,8 @@
         Output tokens that one event of its stream holds at most.
     headers : Headers
         End-to-end headers that its upstream is sent unchanged.
+    content : str
+        Digest of what it asks for; the same when it comes again. Empty where nobody asks.
     """
 
     request_id: str
@@ -104,6 +106,7 @@
     resumable: bool = False
     tokens_per_event: int = 1
     headers: Headers = ()
+    content: str = ""
 
 
 class AnswerSink(ABC):
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -186,6 +186,7 @@
             own_open=upstream.open_requests,
             load=estimated_load(upstream, now),
             load_age_ms=round((now - report.taken_at) * 1000) if report else None,
+            content=self._call.content,
         ).info("request-sent")
 
     async def _try(self, upstream: Instance) -> Relayed:
@@ -233,6 +234,7 @@
             run=err.run,
             detail=err.detail,
             failures=upstream.failures,
+            content=self._call.content,
         ).info("attempt-failed")
 
     async def _prepare_retry(self, err: UpstreamError, attempt: int) -> None:
