A suspension counts: clocks since boot for all of a router, and what was believed is read anew on waking

Cause: the kernel's steady clock and trio's, which is the same, stand still while a machine is suspended, so leases, ages, deadlines and time proofs did. Change: the edge router runs trio on CLOCK_BOOTTIME, waits at most 0.5 s at once, and reads it for its proofs; it notices a suspension at each request and each 0.25 s, writes one line, reads desired state, upstreams and marks anew, and its next requests wait for that up to 0.3 s. A loss of power that keeps the boot id is told by the time of day as before.

--- a/railtide/budgets/spend_limit.py
+++ b/railtide/budgets/spend_limit.py
@@ -9,13 +9,13 @@
 
 Notes
 -----
-The proof rests on the kernel's steady clock, which goes on over the end of a process, and on the id
-that the kernel gives each boot. Where the id survives a loss of power, the steady clock begins
-anew, so the time of day must have gone on by as much: both must say how long ago the report was
-made, and one that was set alone proves nothing. Without a proof the whole grant counts as spent. A
-frozen process wakes up to the time that has passed, since it looks at the clock for each request. A
-report that lands late says what held when it was made, and still holds: while two reports are under
-way the process keeps to both.
+The proof rests on the kernel's clock since boot, which goes on over the end of a process and over a
+suspension, and on the id that the kernel gives each boot. Where the id survives a loss of power,
+that clock begins anew, so the time of day must have gone on by as much: both must say how long ago
+the report was made, and one that was set alone proves nothing. Without a proof the whole grant
+counts as spent. A frozen process wakes up to the time that has passed, since it looks at the clock
+for each request. A report that lands late says what held when it was made, and still holds: while
+two reports are under way the process keeps to both.
 """
 
 import math
@@ -54,7 +54,7 @@
     boot : str
         Id of the boot that the steady clock counts from; empty if it is not known.
     steady_s : float
-        The steady clock, seconds.
+        The clock since boot, seconds; suspensions count in it.
     day_s : float
         The time of day, seconds since the epoch.
     """
--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -104,6 +104,10 @@
             nursery.start_soon(self._run_writes)
             nursery.start_soon(self._run_tending)
 
+    def refresh(self) -> trio.Event:
+        """Read what is there now; see `Feed.refresh`."""
+        return self._feed.refresh()
+
     # -- what requests ask --------------------------------------------------------------------
 
     def refusal_of(self, content: str, under_way: bool = False) -> ContentHeld | None:
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -9,6 +9,7 @@
 
 from railtide.budgets.ledger_treasury import LedgerTreasury
 from railtide.budgets.spend_limit import Clocks
+from railtide.clocks import Suspensions
 from railtide.configuration.errors import InvalidObject
 from railtide.configuration.snapshot import Snapshot
 from railtide.containment.ends import EndWatch
@@ -44,6 +45,11 @@
 DRAIN_TICK_S = 0.02
 READY_TICK_S = 0.05
 """Between two looks at whether a start is over."""
+WAKE_TICK_S = 0.25
+"""Between two looks for a suspension; each request looks as well."""
+REREAD_S = 0.3
+"""Longest wait of a request, behind a suspension, for what is read anew: four reads of a store that
+answers in milliseconds, with a lost opening packet of a connection of some milliseconds."""
 RETURN_S = 0.5
 """Longest wait at a shutdown for the store to take back what is in hand."""
 
@@ -61,6 +67,8 @@
     rng : random.Random
     clocks : Clocks, optional
         See `LedgerTreasury`.
+    suspensions : Suspensions, optional
+        The machine's own unless given.
 
     Attributes
     ----------
@@ -79,6 +87,7 @@
         options: EdgeOptions,
         rng: Random,
         clocks: Clocks | None = None,
+        suspensions: Suspensions | None = None,
     ) -> None:
         self.identity = identity
         self.options = options
@@ -93,6 +102,9 @@
         self._upstreams = upstreams
         self._rng = rng
         self._nursery: trio.Nursery | None = None
+        self._suspensions = suspensions or Suspensions()
+        self._rereads: list[trio.Event] = []
+        self._reread_until = 0.0
         self._retries_by_pool: dict[str, RetryBudget] = {}
         member = Member(
             identity.incarnation, identity.address, identity.failure_domain, 0, options.capacity
@@ -170,6 +182,7 @@
             nursery.start_soon(self._upstream_feed.run)
             nursery.start_soon(self._run_settling)
             nursery.start_soon(self._crashes.run)
+            nursery.start_soon(self._run_waking)
             nursery.start_soon(self._say_when_ready)
             nursery.start_soon(self.treasury.run)
             nursery.start_soon(self._run_spreading)
@@ -208,6 +221,37 @@
             await trio.sleep(self.options.settle_s)
             self._upstream_list.settle()
 
+    # -- waking from a suspension -------------------------------------------------------------
+
+    async def _run_waking(self) -> None:
+        while True:
+            self._look_for_suspension()
+            await trio.sleep(WAKE_TICK_S)
+
+    def _look_for_suspension(self) -> None:
+        """Read anew what was believed before a suspension, and say so."""
+        suspended_s = self._suspensions.look()
+        if not suspended_s:
+            return
+        logger.bind(for_s=round(suspended_s, 3)).warning("woken")
+        self.counters.add("suspensions")
+        feeds = (self._configuration_feed, self._upstream_feed, self._crashes)
+        self._rereads = [feed.refresh() for feed in feeds]
+        self._reread_until = trio.current_time() + REREAD_S
+
+    async def until_current(self) -> None:
+        """Wait for what is read anew; a store that is away is not waited for long.
+
+        Without, the first requests behind a suspension go where routes and upstreams were before.
+        """
+        self._look_for_suspension()
+        if not self._rereads:
+            return
+        with trio.move_on_at(self._reread_until):
+            for reread in self._rereads:
+                await reread.wait()
+        self._rereads = []
+
     # -- serving ------------------------------------------------------------------------------
 
     async def serve(self, call: Call, sink: AnswerSink) -> None:
--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -83,6 +83,19 @@
         self._on_newest = on_newest
         self._pause_s_of = pause_s_of or (lambda: options.pause_s)
         self._backoff = Backoff(BACKOFF_S, BACKOFF_MOST_S, rng)
+        self._reading: trio.CancelScope | None = None
+        self._fresh: trio.Event | None = None
+
+    def refresh(self) -> trio.Event:
+        """Read what is there now, on a new connection, and return an event set once it is taken.
+
+        A read that has waited since before is given up: what it waits on may be gone.
+        """
+        if self._fresh is None:
+            self._fresh = trio.Event()
+        if self._reading:
+            self._reading.cancel()
+        return self._fresh
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -112,12 +125,24 @@
 
     async def _follow(self) -> None:
         while True:
-            page = await self._store.read(self._topic, self.next_offset, self._wait_s())
+            fresh = self._fresh
+            with trio.CancelScope() as self._reading:
+                page = await self._store.read(self._topic, self.next_offset, self._wait_s())
+            if self._reading.cancelled_caught:
+                continue
             self._note_reachable()
             if page.records:
                 self._on_records(page.records)
             self.next_offset = max(self.next_offset, page.next_offset)
-            await trio.sleep(self._pause_s_of())
+            if fresh is not None and page.next_offset >= page.end:
+                self._note_fresh(fresh)
+            with trio.CancelScope() as self._reading:
+                await trio.sleep(self._pause_s_of())
+
+    def _note_fresh(self, fresh: trio.Event) -> None:
+        fresh.set()
+        if self._fresh is fresh:
+            self._fresh = None
 
     def _wait_s(self) -> float:
         """Return how long a read waits for a record: not at all while the store counts as away.
@@ -126,7 +151,7 @@
         noticed up to 2.3 s late where no record came (an upstream was sent work for so much longer
         than it may be).
         """
-        return self._options.wait_s if self.reachable else 0.0
+        return self._options.wait_s if self.reachable and self._fresh is None else 0.0
 
     def _note_reachable(self) -> None:
         self._backoff.reset()
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -86,6 +86,7 @@
     async def _handle(self, request: HttpRequest, responder: Responder, trace: "_Trace") -> None:
         began = trio.current_time()
         try:
+            await self._node.until_current()
             call = self._decode(request, trace)
             trace.call = call
             trace.sink = sink = _Sink(responder, call.stream)
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -10,6 +10,7 @@
 from pydantic import BaseModel, Field
 
 from railtide.budgets.hand_size import LedgerOptions
+from railtide.clocks import BootTimeClock
 from railtide.configuration.snapshot import Snapshot
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
@@ -95,7 +96,7 @@
         budget_spread_share=budget_spread_share,
     )
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    trio.run(_run, read_boot(), settings, log_level)
+    trio.run(_run, read_boot(), settings, log_level, clock=BootTimeClock())
 
 
 async def _run(boot: Boot, settings: EdgeSettings, log_level: str) -> None:
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from railtide.clocks import Suspensions
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
 from railtide.http.client import Exchange, PeerPool
@@ -116,7 +117,9 @@
 
 
 @asynccontextmanager
-async def world(state: bytes | None = None) -> AsyncIterator[World]:
+async def world(
+    state: bytes | None = None, suspensions: Suspensions | None = None
+) -> AsyncIterator[World]:
     store = MemoryStore()
     store.put("keyed.op", "config", state or desired_state())
     async with trio.open_nursery() as nursery:
@@ -129,6 +132,7 @@
             upstreams,
             EdgeOptions(),
             Random(1),
+            suspensions=suspensions,
         )
         upstreams.on_load = node.take_load
         nursery.start_soon(node.run)
--- a/railtide/process.py
+++ b/railtide/process.py
@@ -53,14 +53,19 @@
 
 
 class KernelClocks(Clocks):
-    """The kernel's clocks, for a boot of a known id."""
+    """The kernel's clocks, for a boot of a known id.
+
+    The steady one is the time since boot. The kernel's monotonic clock leaves a suspension out, and
+    would agree with a time of day that was set back by as much on a time that is too short: a peer
+    would give out again what a dead router had ten seconds more to spend.
+    """
 
     def __init__(self, boot: str) -> None:
         self._boot = boot
 
     def read(self) -> Reading:
         """Return what they say now; see `Clocks.read`."""
-        return Reading(self._boot, time.monotonic(), time.time())
+        return Reading(self._boot, time.clock_gettime(time.CLOCK_BOOTTIME), time.time())
 
 
 def kernel_clocks(boot_id: Path = BOOT_ID) -> Clocks:
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -13,9 +13,12 @@
 from dataclasses import dataclass
 
 import pytest
+import trio
 
 from railtide import process
 from railtide.budgets.spend_limit import elapsed_s
+from railtide.clocks import MOST_SLEEP_S, BootTimeClock, Suspensions
+from railtide.platform import program
 
 REPORTED_S = 2.0
 SUSPENDED_S = 10.0
@@ -80,3 +83,60 @@
         assert elapsed_s(made, clocks.read()) is None
         machine.since_boot_s = 1500.0
         assert elapsed_s(made, clocks.read()) is None
+
+
+class TestBootTimeClock:
+    def test_wait_that_a_suspension_outlasts_ends_on_waking(self) -> None:
+        asleep_s = 0.0
+
+        def read() -> float:
+            return real_time.monotonic() + asleep_s
+
+        async def scenario() -> float:
+            nonlocal asleep_s
+            began = real_time.monotonic()
+            with trio.move_on_after(60) as scope:
+                trio.lowlevel.spawn_system_task(trio.sleep, 0.01)
+                asleep_s = 60.0
+                await trio.sleep(120)
+            assert scope.cancelled_caught
+            return real_time.monotonic() - began
+
+        assert trio.run(scenario, clock=BootTimeClock(read)) <= 2 * MOST_SLEEP_S
+
+    def test_ages_count_the_suspension(self) -> None:
+        asleep_s = 0.0
+
+        async def scenario() -> float:
+            nonlocal asleep_s
+            heard_at = trio.current_time()
+            asleep_s = 7.0
+            return trio.current_time() - heard_at
+
+        clock = BootTimeClock(lambda: real_time.monotonic() + asleep_s)
+        assert trio.run(scenario, clock=clock) >= 7.0
+
+    def test_edge_router_runs_on_it(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        ran: list[object] = []
+        monkeypatch.setattr(program, "read_boot", lambda: None)
+        monkeypatch.setattr(program.trio, "run", lambda *args, **options: ran.append(options))
+        program.edge()
+        (options,) = ran
+        assert isinstance(options["clock"], BootTimeClock)
+
+
+class TestSuspensions:
+    def test_freeze_is_none(self) -> None:
+        now_s = 100.0
+        suspensions = Suspensions(lambda: now_s, lambda: now_s - 40.0)
+        now_s += 30.0
+        assert suspensions.look() == 0.0
+
+    def test_each_one_is_told_once(self) -> None:
+        machine = Machine()
+        suspensions = Suspensions(lambda: machine.since_boot_s, machine.monotonic)
+        machine.suspend(3.0)
+        assert (suspensions.look(), suspensions.look()) == (3.0, 0.0)
+        machine.go_on(5.0)
+        machine.suspend(0.5)
+        assert suspensions.look() == 0.5
