Tests of containment: blame, marks, ends, placement, the fleet, and interleavings of both promises

Change: a router that starts reads the marks before it serves (3 s at most), found by the property test: one that had just started sent what all others held. Tests on real connections over routes, births, restarts, an outage, lost and late writes, identical reads, killed engines, broken answers of engines that live; a property test with real registries and a store with faults over 300 interleavings.

--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -108,6 +108,16 @@
         """Read what is there now; see `Feed.refresh`."""
         return self._feed.refresh()
 
+    @property
+    def caught_up(self) -> bool:
+        """True once the marks of all routers were read to their end."""
+        return self._feed.caught_up
+
+    @property
+    def held(self) -> frozenset[str]:
+        """The contents that are held, or tried again."""
+        return frozenset(self._blame.held)
+
     # -- what requests ask --------------------------------------------------------------------
 
     def refusal_of(self, content: str, under_way: bool = False) -> ContentHeld | None:
--- /dev/null
+++ b/railtide/containment/tests/test_blame.py
@@ -0,0 +1,67 @@
+"""Whose fault the ends of upstreams are."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from railtide.containment.blame import ENDS_TO_HOLD, blamed
+
+LIVES = st.frozensets(st.integers(0, 7), max_size=6)
+
+
+def lives(*numbers: int) -> frozenset[str]:
+    return frozenset(f"life {number}" for number in numbers)
+
+
+class TestBlame:
+    def test_nobody_is_held_below_three_ends(self) -> None:
+        blame = blamed({"a": lives(1, 2), "b": lives(2)})
+        assert blame.held == {}
+        assert blame.strikes_by_content == {"a": 2, "b": 1}
+
+    def test_third_end_holds(self) -> None:
+        assert blamed({"a": lives(1, 2, 3)}).held == {"a": lives(1, 2, 3)}
+
+    def test_ends_that_a_held_one_explains_count_against_nobody_else(self) -> None:
+        beside = {f"innocent {n}": lives(*{1 + n % 3, 1 + (n + 1) % 3}) for n in range(40)}
+        blame = blamed({"bad": lives(1, 2, 3)} | beside)
+        assert set(blame.held) == {"bad"}
+        assert blame.strikes_by_content == {}
+
+    def test_one_with_an_end_of_its_own_keeps_that(self) -> None:
+        blame = blamed({"bad": lives(1, 2, 3), "other": lives(3, 4)})
+        assert blame.strikes_by_content == {"other": 1}
+
+    def test_most_ends_are_blamed_first(self) -> None:
+        blame = blamed({"bad": lives(1, 2, 3, 4), "beside": lives(1, 2, 4)})
+        assert set(blame.held) == {"bad"}
+
+    def test_two_that_share_all_three_ends_are_not_held_yet(self) -> None:
+        blame = blamed({"one": lives(1, 2, 3), "other": lives(1, 2, 3)})
+        assert blame.held == {}
+        assert blame.strikes_by_content == {"one": 3, "other": 3}
+
+    def test_fourth_end_tells_them_apart(self) -> None:
+        blame = blamed({"one": lives(1, 2, 3, 4), "other": lives(1, 2, 3)})
+        assert set(blame.held) == {"one"}
+        assert blame.strikes_by_content == {}
+
+    def test_two_that_share_four_ends_are_held(self) -> None:
+        assert set(blamed({"one": lives(1, 2, 3, 4), "other": lives(1, 2, 3, 4)}).held) == {
+            "one",
+            "other",
+        }
+
+    def test_two_bad_ones_are_both_held(self) -> None:
+        blame = blamed({"a": lives(1, 2, 3), "b": lives(3, 4, 5, 6)})
+        assert set(blame.held) == {"a", "b"} or blame.strikes_by_content == {"a": 2}
+
+    @given(LIVES.filter(lambda found: len(found) >= ENDS_TO_HOLD), st.lists(LIVES, max_size=5))
+    def test_one_that_is_in_every_end_is_held_and_nobody_else(
+        self, bad: frozenset[int], beside: list[frozenset[int]]
+    ) -> None:
+        ends = {f"innocent {n}": seen & bad for n, seen in enumerate(beside)}
+        blame = blamed({"bad": bad} | ends)
+        if any(seen == bad for seen in ends.values()):
+            return  # whoever was at each end can't be told from it
+        assert set(blame.held) == {"bad"}
+        assert blame.strikes_by_content == {}
--- /dev/null
+++ b/railtide/containment/tests/test_ends.py
@@ -0,0 +1,152 @@
+"""An upstream's end, told from an answer that broke off while it lives."""
+
+import pytest
+import trio
+import trio.testing
+
+from railtide.containment.ends import BREAK_KEPT_S, EndSign, EndWatch, ProbeResult
+from railtide.membership.instances import Instance
+
+
+def instance(name: str = "i-1", address: str = "h:1", born: int = 0) -> Instance:
+    life = f"{name}/{born}" if born else name
+    return Instance(name, life, address, "z", "engine", "s", born=born)
+
+
+ONE = instance()
+
+
+class Bench:
+    """A watch whose probes find what a test says, once the test lets them."""
+
+    def __init__(self, nursery: trio.Nursery, found: ProbeResult) -> None:
+        self.found = found
+        self.probes = 0
+        self.may_answer = trio.Event()
+        self.ended: list[tuple[str, list[str]]] = []
+        self.watch = EndWatch(self._probe, self._take, nursery.start_soon)
+
+    async def _probe(self, upstream: Instance) -> ProbeResult:
+        self.probes += 1
+        await self.may_answer.wait()
+        return self.found
+
+    def _take(self, upstream: Instance, contents: list[str]) -> None:
+        self.ended.append((upstream.incarnation, sorted(contents)))
+
+    async def answer(self) -> None:
+        self.may_answer.set()
+        await trio.testing.wait_all_tasks_blocked()
+
+
+class TestProbe:
+    async def test_nobody_listens_means_that_it_ended(self, nursery) -> None:
+        bench = Bench(nursery, ProbeResult.REFUSED)
+        bench.watch.note_broken(ONE, "a")
+        bench.watch.note_broken(ONE, "b")
+        await bench.answer()
+        assert bench.ended == [("i-1", ["a", "b"])]
+
+    async def test_one_probe_serves_all_that_broke(self, nursery) -> None:
+        bench = Bench(nursery, ProbeResult.REFUSED)
+        for number in range(9):
+            bench.watch.note_broken(ONE, f"c{number}")
+        await bench.answer()
+        assert bench.probes == 1
+
+    @pytest.mark.parametrize("found", [ProbeResult.CONNECTED, ProbeResult.UNKNOWN])
+    async def test_broken_answer_of_one_that_lives_or_is_cut_off_is_no_end(
+        self, nursery, found: ProbeResult
+    ) -> None:
+        bench = Bench(nursery, found)
+        bench.watch.note_broken(ONE, "a")
+        await bench.answer()
+        assert bench.ended == []
+
+    async def test_break_that_is_noticed_behind_the_end_counts(self, nursery) -> None:
+        bench = Bench(nursery, ProbeResult.REFUSED)
+        bench.watch.note_broken(ONE, "a")
+        await bench.answer()
+        bench.watch.note_broken(ONE, "late")
+        assert bench.ended[-1] == ("i-1", ["late"])
+
+    async def test_second_try_waits_for_the_word_on_its_first(self, nursery) -> None:
+        bench = Bench(nursery, ProbeResult.REFUSED)
+        bench.watch.note_broken(ONE, "a")
+        nursery.start_soon(bench.answer)
+        await bench.watch.settled(ONE)
+        assert bench.ended == [("i-1", ["a"])]
+
+    async def test_silent_upstream_is_not_waited_for(self, nursery, autojump_clock) -> None:
+        bench = Bench(nursery, ProbeResult.UNKNOWN)
+        bench.watch.note_broken(ONE, "a")
+        began = trio.current_time()
+        await bench.watch.settled(ONE)
+        assert trio.current_time() - began <= 0.1
+
+
+class TestLaterSigns:
+    async def test_refused_connection_explains_an_earlier_break(self, nursery) -> None:
+        bench = Bench(nursery, ProbeResult.UNKNOWN)
+        bench.watch.note_broken(ONE, "a")
+        bench.watch.note_ended(ONE, EndSign.REFUSED)
+        assert bench.ended == [("i-1", ["a"])]
+
+    async def test_refused_connection_alone_blames_nobody(self, nursery) -> None:
+        bench = Bench(nursery, ProbeResult.UNKNOWN)
+        bench.watch.note_ended(ONE, EndSign.REFUSED)
+        assert bench.ended == []
+
+    async def test_break_long_before_the_end_is_not_its_cause(
+        self, nursery, autojump_clock
+    ) -> None:
+        bench = Bench(nursery, ProbeResult.CONNECTED)
+        bench.watch.note_broken(ONE, "a")
+        await bench.answer()
+        await trio.sleep(BREAK_KEPT_S + 1)
+        bench.watch.note_ended(ONE, EndSign.REFUSED)
+        assert bench.ended == []
+
+    async def test_later_answer_shows_that_it_lives(self, nursery, autojump_clock) -> None:
+        bench = Bench(nursery, ProbeResult.CONNECTED)
+        bench.watch.note_broken(ONE, "a")
+        await trio.sleep(0.5)
+        bench.watch.note_alive(ONE, sent_at=trio.current_time())
+        bench.watch.note_ended(ONE, EndSign.REFUSED)
+        assert bench.ended == []
+
+    async def test_answer_to_what_was_sent_before_the_break_shows_nothing(
+        self, nursery, autojump_clock
+    ) -> None:
+        bench = Bench(nursery, ProbeResult.CONNECTED)
+        sent_at = trio.current_time()
+        await trio.sleep(0.5)
+        bench.watch.note_broken(ONE, "a")
+        bench.watch.note_alive(ONE, sent_at)
+        bench.watch.note_ended(ONE, EndSign.MOVED)
+        assert bench.ended == [("i-1", ["a"])]
+
+    @pytest.mark.parametrize(
+        ("former", "new"),
+        [
+            (ONE, instance("i-2", "h:1")),
+            (instance(born=5), instance(born=6, address="h:2")),
+        ],
+    )
+    async def test_new_life_in_its_place_means_that_it_ended(
+        self, nursery, former: Instance, new: Instance
+    ) -> None:
+        bench = Bench(nursery, ProbeResult.CONNECTED)
+        bench.watch.note_broken(former, "a")
+        bench.watch.note_listed([new])
+        assert bench.ended == [(former.incarnation, ["a"])]
+
+    @pytest.mark.parametrize(
+        "listed", [ONE, instance("i-2", "h:2"), instance(born=4, address="h:1")]
+    )
+    async def test_other_records_tell_nothing(self, nursery, listed: Instance) -> None:
+        bench = Bench(nursery, ProbeResult.CONNECTED)
+        watched = instance(born=5) if listed.born else ONE
+        bench.watch.note_broken(watched, "a")
+        bench.watch.note_listed([listed])
+        assert bench.ended == []
--- /dev/null
+++ b/railtide/containment/tests/test_evidence.py
@@ -0,0 +1,68 @@
+"""Marks are a union, whatever becomes of their writes."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from railtide.containment.evidence import Evidence, Mark
+from railtide.containment.holding import HOLD_S, KEEP_S, held_until, surplus
+
+MARKS = st.builds(
+    Mark,
+    content=st.sampled_from("ab"),
+    life=st.sampled_from("123"),
+    at=st.just(1.0),
+    cleared=st.booleans(),
+)
+
+
+def taken(marks: list[Mark]) -> dict[str, frozenset[str]]:
+    evidence = Evidence()
+    for mark in marks:
+        evidence.add(mark)
+    return evidence.lives_by_content()
+
+
+class TestEvidence:
+    @given(st.lists(MARKS, max_size=8), st.randoms(use_true_random=False))
+    def test_order_and_repeats_change_nothing(self, marks: list[Mark], rng) -> None:
+        shuffled = [*marks, *marks[: len(marks) // 2]]
+        rng.shuffle(shuffled)
+        assert taken(shuffled) == taken(marks)
+
+    def test_one_life_counts_once_whoever_saw_it(self) -> None:
+        assert taken([Mark("a", "1", 1.0), Mark("a", "1", 1.2)]) == {"a": {"1"}}
+
+    def test_cleared_mark_stays_cleared(self) -> None:
+        cleared = Mark("a", "1", 1.0, cleared=True)
+        assert taken([cleared, Mark("a", "1", 1.0), Mark("a", "2", 1.0)]) == {"a": {"2"}}
+
+    def test_forgotten_mark_is_gone(self) -> None:
+        evidence = Evidence()
+        evidence.add(Mark("a", "1", 1.0))
+        evidence.drop(Mark("a", "1", 1.0))
+        assert "a" not in evidence
+        assert len(evidence) == 0
+
+
+class TestHolding:
+    def test_each_trial_waits_longer_and_the_third_is_the_last(self) -> None:
+        waits = [held_until([0.0] * ends) for ends in range(3, 8)]
+        assert waits == [HOLD_S, 4 * HOLD_S, 16 * HOLD_S, KEEP_S, KEEP_S]
+
+    def test_marks_live_long_enough_for_the_trials(self) -> None:
+        assert sum(held_until([0.0] * ends) for ends in (3, 4, 5)) <= KEEP_S
+
+    def test_beyond_the_bound_those_that_say_least_go(self) -> None:
+        evidence = Evidence()
+        for number in range(10):
+            evidence.add(Mark(f"once {number}", "1", float(number)))
+        for life in "123":
+            evidence.add(Mark("bad", life, 0.0))
+        forgotten = {mark.content for mark in surplus(evidence, now=10.0, most=4)}
+        assert forgotten == {f"once {number}" for number in range(7)}
+
+    def test_cleared_ones_go_first(self) -> None:
+        evidence = Evidence()
+        evidence.add(Mark("cleared", "1", 5.0, cleared=True))
+        evidence.add(Mark("suspect", "1", 1.0))
+        assert [mark.content for mark in surplus(evidence, 6.0, most=1)] == ["cleared"]
--- /dev/null
+++ b/railtide/containment/tests/test_interleavings.py
@@ -0,0 +1,222 @@
+"""Both promises over interleavings of ends, sound answers, lost writes, restarts and outages.
+
+A bad content ends each upstream that begins it; others share its upstreams and come again when they
+were broken off. The registries are real, with a store that loses answers, is late or away; the
+upstreams are modelled. Checked: once routers have heard of the third end no upstream gets the bad
+content any more, and never is another content held.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from railtide.containment.blame import ENDS_TO_HOLD
+from railtide.containment.placement import preferred
+from railtide.containment.registry import CrashRegistry
+from railtide.standins.keyed_store import MemoryStore
+from railtide.telemetry.counters import Counters
+
+ROUTERS = 3
+UPSTREAMS = 5
+BAD = "b" * 32
+HEARD_S = 3.0
+START_S = 0.1
+"""A start reads the marks before it serves."""
+MOST_TIMES = 3
+"""That an innocent content comes: its first time, a second try, and its caller's own."""
+
+STEPS = st.one_of(
+    st.tuples(st.just("bad"), st.integers(0, ROUTERS - 1)),
+    st.tuples(st.just("innocent"), st.integers(0, ROUTERS - 1)),
+    st.tuples(st.just("again"), st.integers(0, ROUTERS - 1)),
+    st.tuples(
+        st.sampled_from(["finish", "hear", "lose", "late", "land", "away", "back"]), st.just(0)
+    ),
+    st.tuples(st.just("restart"), st.integers(0, ROUTERS - 1)),
+)
+
+
+@dataclass
+class Run:
+    """A content under way at a router and a life of an upstream."""
+
+    content: str
+    router: int
+    upstream: str
+
+
+@dataclass
+class Model:
+    """Routers with real registries before upstreams that end under the bad content."""
+
+    nursery: trio.Nursery
+    store: MemoryStore = field(default_factory=MemoryStore)
+    registries: list[CrashRegistry] = field(default_factory=list)
+    scopes: list[trio.CancelScope] = field(default_factory=list)
+    life_by_upstream: dict[str, int] = field(
+        default_factory=lambda: {f"e{number}": 1 for number in range(UPSTREAMS)}
+    )
+    runs: list[Run] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    times_by_content: dict[str, int] = field(default_factory=dict)
+    ends: int = 0
+    heard: bool = True
+    numbers: Iterator[int] = field(default_factory=count)
+
+    def start(self, router: int) -> None:
+        registry = CrashRegistry(self.store, f"r{router}", Random(1), Counters())
+        scope = trio.CancelScope()
+        if router < len(self.registries):
+            self.scopes[router].cancel()
+            self.registries[router], self.scopes[router] = registry, scope
+        else:
+            self.registries.append(registry)
+            self.scopes.append(scope)
+        self.nursery.start_soon(self._run, registry, scope)
+
+    @staticmethod
+    async def _run(registry: CrashRegistry, scope: trio.CancelScope) -> None:
+        with scope:
+            await registry.run()
+
+    def _life(self, upstream: str) -> str:
+        return f"{upstream}/{self.life_by_upstream[upstream]}"
+
+    def _place(self, router: int, content: str) -> str:
+        names = sorted(self.life_by_upstream)
+        strikes = self.registries[router].strikes_by_content(content)
+        chosen = sorted(preferred(content, strikes, names)) if strikes else names
+        return chosen[next(self.numbers) % len(chosen)]
+
+    def bad(self, router: int) -> None:
+        """Send the bad content from a router, unless it is refused there."""
+        if self.registries[router].refusal_of(BAD):
+            return
+        assert not (self.heard and self.ends >= ENDS_TO_HOLD), "sent on though all had heard"
+        upstream = self._place(router, BAD)
+        self._end(upstream, Run(BAD, router, upstream))
+
+    def _end(self, upstream: str, cause: Run) -> None:
+        under_way = [run for run in self.runs if run.upstream == upstream] + [cause]
+        self.runs = [run for run in self.runs if run.upstream != upstream]
+        for router, registry in enumerate(self.registries):
+            contents = [run.content for run in under_way if run.router == router]
+            if contents:
+                registry.note_end(self._life(upstream), upstream, contents)
+        self.broken += [run.content for run in under_way if run is not cause]
+        self.life_by_upstream[upstream] += 1
+        self.ends += 1
+        self.heard = False
+
+    def innocent(self, router: int, content: str = "") -> None:
+        """Begin another content at a router."""
+        content = content or f"{next(self.numbers):032x}"
+        times = self.times_by_content.get(content, 0)
+        if times >= MOST_TIMES:
+            return
+        self.times_by_content[content] = times + 1
+        assert not self.registries[router].refusal_of(content), "an innocent content is refused"
+        self.runs.append(Run(content, router, self._place(router, content)))
+
+    def again(self, router: int) -> None:
+        """Have a content that was broken off come again."""
+        if self.broken:
+            self.innocent(router, self.broken.pop(0))
+
+    def finish(self, _: int) -> None:
+        """Answer soundly all that is under way."""
+        for run in self.runs:
+            self.registries[run.router].note_sound(run.content)
+        self.runs.clear()
+
+    async def restart(self, router: int) -> None:
+        """Kill a router and start another: what it had under way and not written is lost."""
+        if not self.heard:
+            return
+        self.runs = [run for run in self.runs if run.router != router]
+        self.start(router)
+        await trio.sleep(START_S)
+        self.heard = not self.store.down
+
+    async def hear(self, _: int = 0) -> None:
+        """Let some time pass, in which routers hear of each other if the store is there."""
+        await trio.sleep(HEARD_S)
+        self.heard = self.heard or not (self.store.down or self.store.late_appends)
+
+    async def step(self, name: str, router: int) -> None:
+        if name == "hear":
+            await self.hear()
+        elif name == "restart":
+            await self.restart(router)
+        elif name == "lose":
+            self.store.lose_answers += 1
+        elif name == "late":
+            self.store.late_appends += 1
+        elif name == "land":
+            self.store.do_late()
+        elif name in ("away", "back"):
+            self.store.down = name == "away"
+        else:
+            getattr(self, name)(router)
+
+    def check(self) -> None:
+        for registry in self.registries:
+            assert registry.held <= {BAD}, "an innocent content is held"
+
+
+def play(steps: list[tuple[str, int]], hears_each: bool = False) -> Model:
+    """Play steps and return what the model is then."""
+    played: list[Model] = []
+
+    async def scenario() -> None:
+        async with trio.open_nursery() as nursery:
+            model = Model(nursery)
+            for router in range(ROUTERS):
+                model.start(router)
+            await trio.sleep(0.1)
+            for name, router in steps:
+                await model.step(name, router)
+                if hears_each:
+                    await model.hear()
+                model.check()
+            model.store.down = False
+            model.store.late_appends = 0
+            await model.hear()
+            model.check()
+            for router in range(ROUTERS):
+                model.bad(router)
+                await model.hear()
+            played.append(model)
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+    return played[0]
+
+
+class TestInterleavings:
+    @settings(max_examples=300)
+    @given(st.lists(STEPS, min_size=4, max_size=30))
+    def test_both_promises_hold(self, steps: list[tuple[str, int]]) -> None:
+        play(steps)
+
+    @settings(max_examples=100)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["bad", "innocent", "again", "finish"]),
+                st.integers(0, ROUTERS - 1),
+            ),
+            min_size=4,
+            max_size=30,
+        )
+    )
+    def test_three_ends_and_no_more_where_each_is_heard_of(
+        self, steps: list[tuple[str, int]]
+    ) -> None:
+        assert play(steps, hears_each=True).ends <= ENDS_TO_HOLD
--- /dev/null
+++ b/railtide/containment/tests/test_registry.py
@@ -0,0 +1,266 @@
+"""How all routers come to know of contents that end upstreams, whatever the store does."""
+
+from collections.abc import Callable
+from random import Random
+
+import trio
+
+from railtide.containment.evidence import Mark
+from railtide.containment.holding import HOLD_S, KEEP_S
+from railtide.containment.records import record_key, record_value
+from railtide.containment.registry import TOPIC, CrashRegistry
+from railtide.standins.keyed_store import MemoryStore
+from railtide.telemetry.counters import Counters
+
+BAD = "b" * 32
+GOOD = "a" * 32
+KNOWN_S = 3.0
+
+
+class Fleet:
+    """Registries that share a store."""
+
+    def __init__(self, nursery: trio.Nursery, routers: int = 2) -> None:
+        self.store = MemoryStore()
+        self.nursery = nursery
+        self.day_s = 1_790_000_000.0
+        self.owner = "r0"
+        self.registries = [self.start(f"r{number}") for number in range(routers)]
+
+    def start(self, name: str) -> CrashRegistry:
+        """Return a registry that follows the topic."""
+        registry = CrashRegistry(
+            self.store,
+            name,
+            Random(1),
+            Counters(),
+            lambda content: name == self.owner,
+            lambda: self.day_s + trio.current_time(),
+        )
+        self.nursery.start_soon(registry.run)
+        return registry
+
+    async def end(self, life: str, *contents: str, seen_by: int = 0) -> None:
+        """Have a router see the end of a life and let all know."""
+        self.registries[seen_by].note_end(life, life, list(contents))
+        await trio.sleep(KNOWN_S)
+
+    def refused(self, content: str) -> list[bool]:
+        return [registry.refusal_of(content) is not None for registry in self.registries]
+
+
+async def until(done: Callable[[], bool]) -> None:
+    with trio.fail_after(30):
+        while not done():
+            await trio.sleep(0.05)
+
+
+class TestAllRouters:
+    async def test_third_end_holds_at_all_whoever_saw_which(
+        self, nursery, autojump_clock, lines
+    ) -> None:
+        fleet = Fleet(nursery, routers=3)
+        for number in range(3):
+            assert not any(fleet.refused(BAD))
+            await fleet.end(f"i-{number}", BAD, seen_by=number)
+        assert all(fleet.refused(BAD))
+        held = [line for line in lines if line["event"] == "content-held"]
+        assert [(line["content"], line["ends"]) for line in held] == [(BAD, 3)] * 3
+
+    async def test_one_that_starts_later_knows(self, nursery, autojump_clock) -> None:
+        fleet = Fleet(nursery)
+        for number in range(3):
+            await fleet.end(f"i-{number}", BAD)
+        later = fleet.start("r9")
+        await trio.sleep(KNOWN_S)
+        assert later.refusal_of(BAD)
+
+    async def test_dropped_history_changes_nothing(self, nursery, autojump_clock) -> None:
+        fleet = Fleet(nursery)
+        for number in range(3):
+            await fleet.end(f"i-{number}", BAD)
+            fleet.store.topic(TOPIC).forget()
+        later = fleet.start("r9")
+        await trio.sleep(KNOWN_S)
+        assert later.refusal_of(BAD)
+        assert all(fleet.refused(BAD))
+
+    async def test_lost_answers_are_written_again(self, nursery, autojump_clock) -> None:
+        fleet = Fleet(nursery)
+        fleet.store.lose_answers = 5
+        for number in range(3):
+            await fleet.end(f"i-{number}", BAD, seen_by=number % 2)
+        assert all(fleet.refused(BAD))
+
+    async def test_late_writes_count_once(self, nursery, autojump_clock) -> None:
+        fleet = Fleet(nursery)
+        fleet.store.late_appends = 2
+        await fleet.end("i-1", BAD)
+        await fleet.end("i-2", BAD, seen_by=1)
+        fleet.store.do_late()
+        await trio.sleep(KNOWN_S)
+        assert not any(fleet.refused(BAD))
+
+    async def test_own_ends_hold_while_the_store_is_away_and_all_know_after(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        fleet.store.down = True
+        for number in range(3):
+            await fleet.end(f"i-{number}", BAD)
+        assert fleet.refused(BAD) == [True, False]
+        fleet.store.down = False
+        await trio.sleep(KNOWN_S)
+        assert all(fleet.refused(BAD))
+
+    async def test_request_that_was_near_no_end_costs_no_write(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        await trio.sleep(KNOWN_S)
+        end = fleet.store.topic(TOPIC).end
+        for number in range(100):
+            content = f"{number:032x}"
+            assert fleet.registries[0].refusal_of(content) is None
+            fleet.registries[0].note_sound(content)
+        await trio.sleep(KNOWN_S)
+        assert fleet.store.topic(TOPIC).end == end
+
+    async def test_foreign_records_are_passed_over(self, nursery, autojump_clock, lines) -> None:
+        fleet = Fleet(nursery)
+        for key, value in [("x", b"y"), (f"{BAD}/{'0' * 16}", b"\xff"), (f"{BAD}/zz", b"")]:
+            fleet.store.put(TOPIC, key, value)
+        for number in range(3):
+            await fleet.end(f"i-{number}", BAD)
+        assert all(fleet.refused(BAD))
+        assert [line["event"] for line in lines].count("mark-unreadable") == 2
+
+
+class TestClearing:
+    async def test_sound_answer_clears_at_all(self, nursery, autojump_clock) -> None:
+        fleet = Fleet(nursery)
+        for number in range(2):
+            await fleet.end(f"i-{number}", GOOD, seen_by=number)
+        fleet.registries[1].note_sound(GOOD)
+        await trio.sleep(KNOWN_S)
+        assert [r.strikes_by_content(GOOD) for r in fleet.registries] == [{}, {}]
+        for number in range(2, 4):
+            await fleet.end(f"i-{number}", GOOD, seen_by=number % 2)
+        assert not any(fleet.refused(GOOD))
+
+    async def test_sound_answer_clears_a_mark_that_was_on_its_way(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        fleet.registries[1].note_sound(GOOD)
+        await fleet.end("i-1", GOOD)
+        assert fleet.registries[0].strikes_by_content(GOOD) == {}
+
+    async def test_identical_reads_that_others_answer_are_not_marked(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        await trio.sleep(KNOWN_S)
+        end = fleet.store.topic(TOPIC).end
+        for number in range(5):
+            fleet.registries[0].note_sound(GOOD)
+            await fleet.end(f"i-{number}", GOOD)
+        assert not any(fleet.refused(GOOD))
+        assert fleet.store.topic(TOPIC).end == end
+
+    async def test_mark_that_lands_behind_its_clearing_is_cleared_again(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        fleet.store.late_appends = 1
+        await fleet.end("i-1", GOOD)
+        fleet.registries[0].note_sound(GOOD)
+        await trio.sleep(KNOWN_S)
+        fleet.store.do_late()
+        await trio.sleep(KNOWN_S)
+        later = fleet.start("r9")
+        await trio.sleep(KNOWN_S)
+        assert later.strikes_by_content(GOOD) == {}
+
+    async def test_ends_of_a_content_that_is_held_explain_those_beside_it(
+        self, nursery, autojump_clock, lines
+    ) -> None:
+        fleet = Fleet(nursery)
+        await fleet.end("i-1", GOOD, BAD)
+        await fleet.end("i-2", GOOD, BAD)
+        assert fleet.registries[1].strikes_by_content(GOOD) == {GOOD: 2, BAD: 2}
+        await fleet.end("i-3", BAD)
+        assert all(fleet.refused(BAD))
+        assert not any(fleet.refused(GOOD))
+        assert fleet.registries[1].strikes_by_content(GOOD) == {}
+
+
+class TestTrials:
+    async def test_refusal_says_when_it_may_be_tried(self, nursery, autojump_clock) -> None:
+        fleet = Fleet(nursery)
+        for number in range(3):
+            await fleet.end(f"i-{number}", BAD)
+        refusal = fleet.registries[1].refusal_of(BAD)
+        assert HOLD_S - 2 * KNOWN_S <= refusal.retry_after <= HOLD_S
+
+    async def test_one_router_tries_one_at_a_time(self, nursery, autojump_clock) -> None:
+        fleet = Fleet(nursery)
+        for number in range(3):
+            await fleet.end(f"i-{number}", BAD)
+        fleet.day_s += HOLD_S
+        assert fleet.refused(BAD) == [False, True]
+        assert fleet.registries[0].refusal_of(BAD, under_way=True)
+
+    async def test_trial_that_ends_an_upstream_holds_for_longer(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        for number in range(3):
+            await fleet.end(f"i-{number}", BAD)
+        for number in range(3, 6):
+            fleet.day_s += HOLD_S * 4 ** (number - 3)
+            assert fleet.refused(BAD) == [False, True]
+            await fleet.end(f"i-{number}", BAD)
+        fleet.day_s += HOLD_S * 16
+        assert all(fleet.refused(BAD)), "three trials in all"
+
+    async def test_trial_that_is_sound_frees(self, nursery, autojump_clock, lines) -> None:
+        fleet = Fleet(nursery)
+        for number in range(3):
+            await fleet.end(f"i-{number}", BAD)
+        fleet.day_s += HOLD_S
+        fleet.registries[0].note_sound(BAD)
+        await trio.sleep(KNOWN_S)
+        assert not any(fleet.refused(BAD))
+        assert [line["event"] for line in lines].count("content-released") == 2
+
+
+class TestForgetting:
+    async def test_owner_takes_old_marks_out_of_the_store(self, nursery, autojump_clock) -> None:
+        fleet = Fleet(nursery)
+        await fleet.end("i-1", GOOD)
+        fleet.day_s += KEEP_S + 1
+        for registry in fleet.registries:
+            registry.forget_surplus()
+        await until(lambda: not fleet.store.topic(TOPIC).newest_by_key)
+        assert [r.strikes_by_content(GOOD) for r in fleet.registries] == [{}, {}]
+
+    async def test_new_content_with_each_end_stays_within_the_bound(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery, routers=1)
+        for number in range(40):
+            await fleet.end(f"i-{number}", f"{number:032x}")
+        fleet.registries[0].forget_surplus(most=10)
+        await until(lambda: len(fleet.store.topic(TOPIC).newest_by_key) == 10)
+
+    async def test_mark_of_a_clock_that_is_ahead_holds_no_longer(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        await trio.sleep(KNOWN_S)
+        for number in range(3):
+            mark = Mark(BAD, f"{number:016x}", fleet.day_s + 10 * KEEP_S)
+            fleet.store.put(TOPIC, record_key(mark), record_value(mark, "i", "r"))
+        await trio.sleep(KNOWN_S)
+        assert fleet.registries[0].refusal_of(BAD).retry_after <= HOLD_S
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -45,6 +45,9 @@
 DRAIN_TICK_S = 0.02
 READY_TICK_S = 0.05
 """Between two looks at whether a start is over."""
+MARKS_WAIT_S = 3.0
+"""From the start until a router serves without the marks of contents that end upstreams: their
+topic may be away alone. Other reads of a start take 0.1 to 1 s."""
 WAKE_TICK_S = 0.25
 """Between two looks for a suspension; each request looks as well."""
 REREAD_S = 0.3
@@ -167,7 +170,14 @@
     def ready(self) -> bool:
         """True once configuration, upstreams and budgets are known, until the shutdown."""
         known = self.snapshot is not None and self.upstreams_known
-        return known and self.treasury.ready and not self.leaving
+        return known and self.treasury.ready and self._marks_known() and not self.leaving
+
+    def _marks_known(self) -> bool:
+        """Return whether it is known which contents end upstreams, or that can't be read now.
+
+        Without, a router that starts sends what all others hold to one more upstream.
+        """
+        return self._crashes.caught_up or trio.current_time() - self._began_at >= MARKS_WAIT_S
 
     @property
     def upstreams_known(self) -> bool:
--- a/railtide/platform/tests/test_crashing_requests.py
+++ b/railtide/platform/tests/test_crashing_requests.py
@@ -18,11 +18,14 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
+import msgspec
+import pytest
 import trio
 
+from railtide.containment.registry import TOPIC
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
 from railtide.http.client import PeerPool
@@ -63,6 +66,7 @@
     scopes: list[trio.CancelScope] = field(default_factory=list)
     ports: list[int] = field(default_factory=list)
     statuses_by_body: dict[bytes, list[int]] = field(default_factory=dict)
+    refusals_by_body: dict[bytes, list[str]] = field(default_factory=dict)
     ids: int = 0
 
     async def add_router(self) -> None:
@@ -105,8 +109,11 @@
         with trio.move_on_after(4):
             try:
                 exchange = await pool.send(HttpRequest(b"POST", path.encode(), headers, body))
-                _ = [chunk async for chunk in exchange.chunks()]
+                answer = b"".join([chunk async for chunk in exchange.chunks()])
                 status = exchange.status
+                if status == 503:
+                    code = msgspec.json.decode(answer)["code"]
+                    self.refusals_by_body.setdefault(body, []).append(code)
             except HttpError:
                 status = 0
         pool.close()
@@ -168,3 +175,105 @@
                 assert served >= LEAST_SERVED * len(others), f"{served} of {len(others)}"
 
         trio.run(scenario)
+
+
+async def bad_at_each(made: Site, times: int, path: str = "/resume/x") -> None:
+    """Have the content come at the routers in turn, one after another."""
+    for number in range(times):
+        await made.ask(number % ROUTERS, BAD, path)
+
+
+class TestKindsOfRequests:
+    @pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x", "/resume/x", "/open/x"])
+    @pytest.mark.parametrize("begins", [True, False])
+    async def test_three_engines_end_on_any_route(self, path: str, begins: bool) -> None:
+        async with site(begins=begins) as made:
+            await bad_at_each(made, 9, path)
+            assert len(made.ends()) == MOST_ENDS
+            assert made.statuses_by_body[BAD][-1] == 503
+
+    async def test_reborn_under_the_same_id_is_another_life(self) -> None:
+        async with site(keeps_id=True, down_s=0.05) as made:
+            await bad_at_each(made, 9)
+            assert len(made.ends()) == MOST_ENDS
+
+    async def test_engine_that_is_back_at_once_has_ended_all_the_same(self) -> None:
+        async with site(down_s=0.0) as made:
+            for number in range(9):
+                await made.ask(number % ROUTERS, BAD)
+                await trio.sleep(0.5)
+            assert len(made.ends()) <= MOST_ENDS + 1
+
+    async def test_copies_in_flight_at_several_routers_end_one_engine_together(self) -> None:
+        async with site() as made:
+            await bad_at_each(made, 1, "/once/x")
+            await bad_at_each(made, 1, "/once/x")
+            await trio.sleep(0.3)
+            async with trio.open_nursery() as nursery:
+                for router in range(ROUTERS):
+                    nursery.start_soon(made.ask, router, BAD, "/once/x")
+            assert len(made.ends()) == MOST_ENDS
+
+
+class TestFleet:
+    async def test_router_that_starts_later_and_one_that_was_killed_know(self) -> None:
+        async with site() as made:
+            await bad_at_each(made, 6)
+            made.scopes[0].cancel()
+            await made.add_router()
+            assert await made.ask(ROUTERS, BAD) == 503
+            assert len(made.ends()) == MOST_ENDS
+
+    async def test_outage_of_the_store_in_between(self) -> None:
+        async with site() as made:
+            await bad_at_each(made, 1, "/once/x")
+            made.store.down = True
+            await made.ask(1, BAD, "/once/x")
+            await trio.sleep(0.5)
+            made.store.down = False
+            await trio.sleep(1.5)
+            await bad_at_each(made, 6, "/once/x")
+            assert len(made.ends()) == MOST_ENDS
+
+    async def test_lost_and_late_writes(self) -> None:
+        async with site() as made:
+            made.store.lose_answers = 2
+            made.store.late_appends = 1
+            for number in range(9):
+                await made.ask(number % ROUTERS, BAD, "/once/x")
+                await trio.sleep(0.2)
+            made.store.do_late()
+            assert len(made.ends()) == MOST_ENDS
+
+
+class TestInnocent:
+    async def test_identical_reads_beside_it_are_served(self) -> None:
+        async with site() as made:
+            async with trio.open_nursery() as nursery:
+                for number in range(60):
+                    nursery.start_soon(made.ask, number % ROUTERS, b"same", "/safe/x")
+                    if number % 6 == 0:
+                        nursery.start_soon(made.ask, number % ROUTERS, BAD, "/safe/x")
+                    await trio.sleep(0.1)
+            assert len(made.ends()) == MOST_ENDS
+            assert 503 not in made.statuses_by_body[b"same"]
+
+    async def test_engines_that_are_killed_blame_nobody_who_is_served(self) -> None:
+        async with site() as made:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(innocents, made, 5.0, 0.03)
+                for number in range(8):
+                    await trio.sleep(0.6)
+                    made.engines[number % ENGINES].end()
+            codes = [code for codes in made.refusals_by_body.values() for code in codes]
+            assert "content-held" not in codes
+
+    async def test_broken_answers_of_engines_that_live_mark_nothing(self) -> None:
+        async with site() as made:
+            for engine in made.engines:
+                engine.script = replace(GOOD, break_after=2)
+            for number in range(30):
+                await made.ask(number % ROUTERS, b"same each time")
+            await trio.sleep(0.3)
+            assert made.store.topic(TOPIC).end == 0
+            assert 503 not in made.statuses_by_body[b"same each time"]
