--- a/railtide/platform/tests/test_crashing_requests.py
+++ b/railtide/platform/tests/test_crashing_requests.py
@@ -25,6 +25,7 @@
 import pytest
 import trio
 
+from railtide.containment.ends import ProbeResult
 from railtide.containment.registry import TOPIC
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
@@ -32,15 +33,17 @@
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
 from railtide.membership.identity import Identity
+from railtide.membership.instances import Instance
 from railtide.platform.desired_state import PlatformSources
 from railtide.platform.ingress import Ingress
 from railtide.platform.store import PlatformStore
 from railtide.platform.tests.hosts import HOST
 from railtide.platform.tests.test_whole_path import desired_state, serve
 from railtide.platform.upstreams import PlatformUpstreams
+from railtide.standins.answers import Framing
 from railtide.standins.crashing_engine import CRASH_MARK, CrashingEngine
 from railtide.standins.keyed_store import MemoryStore
-from railtide.standins.platform import EngineScript, StoreServer
+from railtide.standins.platform import EngineScript, StoreServer, engine_entry
 from railtide.telemetry.counters import Counters
 
 ROUTERS = 3
@@ -215,6 +218,21 @@
             assert len(made.ends()) == MOST_ENDS
 
 
+class TestSecondTry:
+    async def test_word_on_the_first_is_waited_for(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        probe = PlatformUpstreams.probe
+
+        async def probe_far_away(upstreams: PlatformUpstreams, upstream: Instance) -> ProbeResult:
+            await trio.sleep(0.02)
+            return await probe(upstreams, upstream)
+
+        monkeypatch.setattr(PlatformUpstreams, "probe", probe_far_away)
+        async with site() as made:
+            for _ in range(3):
+                await made.ask(0, BAD, "/safe/x")
+            assert len(made.ends()) == MOST_ENDS
+
+
 class TestFleet:
     async def test_router_that_starts_later_and_one_that_was_killed_know(self) -> None:
         async with site() as made:
@@ -279,6 +297,40 @@
             assert 503 not in made.statuses_by_body[b"same each time"]
 
 
+class TestWhatTells:
+    async def test_answer_whose_end_only_the_close_tells_clears_nothing(self) -> None:
+        async with site() as made:
+            await made.ask(0, BAD, "/safe/x")
+            marks = made.store.topic(TOPIC)
+            with trio.fail_after(5):
+                while marks.end < 2:
+                    await trio.sleep(0.01)
+            for framing, cleared in [(Framing.CLOSE, 0), (Framing.CHUNKED, 2)]:
+                for engine in made.engines:
+                    engine.script = EngineScript(framing=framing)
+                    engine.crash_after_s = -1.0
+                assert await made.ask(0, BAD, "/safe/x") == 200
+                await trio.sleep(0.3)
+                assert marks.end == 2 + cleared
+
+    async def test_end_of_an_engine_that_leaves_tells_nothing(self) -> None:
+        async with site() as made:
+            for engine in made.engines:
+                engine.script = replace(GOOD, gap_s=0.2)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(made.ask, 0, b"under way")
+                with trio.fail_after(5):
+                    while not any(engine.arrivals for engine in made.engines):
+                        await trio.sleep(0.01)
+                (busy,) = [engine for engine in made.engines if engine.arrivals]
+                entry = engine_entry(f"{HOST}:{busy.port}") | {"state": "draining"}
+                made.store.put("keyed.servers", busy.life, msgspec.json.encode(entry))
+                await trio.sleep(0.5)
+                busy.end()
+            await trio.sleep(0.3)
+            assert made.store.topic(TOPIC).end == 0
+
+
 class TestEndedEngine:
     async def test_address_where_nobody_listens_is_tried_once_while_it_is_listed(self) -> None:
         async with site(down_s=60.0) as made:
--- a/railtide/platform/tests/test_waking.py
+++ b/railtide/platform/tests/test_waking.py
@@ -5,8 +5,12 @@
 """
 
 import msgspec
+import pytest
+import trio
 
 from railtide.clocks import Suspensions
+from railtide.containment.registry import CrashRegistry
+from railtide.edge.node import MARKS_WAIT_S
 from railtide.platform.tests.test_whole_path import World, desired_state, world
 
 GONE_ROUTES = {"version": 2, "routes": [], "services": [{"name": "s"}], "tenants": []}
@@ -66,3 +70,15 @@
             await w.add_engine("e")
             write_unheard(w, "keyed.op", "config", desired_state(version=2, keys=("other",)))
             assert (await w.ask("/safe/x")).status == 200
+
+
+class TestStart:
+    async def test_marks_are_read_before_a_router_serves_unless_they_are_away(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(CrashRegistry, "caught_up", False)
+        began = trio.current_time()
+        async with world() as w:
+            assert trio.current_time() - began >= MARKS_WAIT_S
+            await w.add_engine("e")
+            assert (await w.ask("/safe/x")).status == 200
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -15,6 +15,7 @@
 from railtide.http.client import PeerPool
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
+from railtide.standins.crashing_engine import CrashingEngine
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer, engine_entry
 from tests.edge_soak.proxy import Link, open_link
@@ -58,6 +59,8 @@
         Those that keep to a connection of their own until it is gone.
     pause_s : float
         Longest pause of a stayer between two requests.
+    crashing : int
+        Engines that end under marked bodies, before which there are no links.
     prepaid : int
         Budget before the top-ups that each version of the desired state brings.
     """
@@ -68,6 +71,7 @@
     stayers: int = 0
     pause_s: float = 0.1
     prepaid: int = 8_000
+    crashing: int = 0
 
 
 @dataclass(frozen=True)
@@ -225,6 +229,7 @@
     engines: list[PlatformEngine]
     engine_links: list[Link]
     version: int = 1
+    crashing: list[CrashingEngine] = field(default_factory=list)
 
     @property
     def prepaid(self) -> int:
@@ -275,6 +280,10 @@
             store.put("keyed.servers", engine.name, msgspec.json.encode(entry))
             fleet.engines.append(engine)
             fleet.engine_links.append(link)
+        for number in range(world.crashing):
+            crashing = CrashingEngine(store, f"c{number}", HOST, GOOD_ENGINE)
+            await nursery.start(crashing.run)
+            fleet.crashing.append(crashing)
         ports = free_ports(PORTS * world.routers)
         for number in range(world.routers):
             own = ports[PORTS * number : PORTS * (number + 1)]
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -7,6 +7,7 @@
 
 from tests.edge_soak.callers import Attempt
 from tests.edge_soak.checks import is_good_end, poor_return
+from tests.edge_soak.crashes import crashes_of, is_calm_crash
 from tests.edge_soak.faults import FAULTS, FIRST_WITH_LATER_FAULTS, LATER_FAULTS, plan_of
 from tests.edge_soak.fleet import ProcessEnd
 from tests.edge_soak.run import Kind, run_seed
@@ -54,6 +55,20 @@
         assert {planned.name for seed in calm for planned in series_of(seed)} <= set(CALM)
 
 
+CRASH_SEEDS = (5000, 5003)
+"""5000 has routers that are killed or leave and nothing else; 5003 has faults of the store too."""
+
+
+class TestCrashes:
+    @pytest.mark.parametrize("seed", CRASH_SEEDS)
+    def test_promises_hold(self, seed: int, tmp_path: Path) -> None:
+        assert run_seed(seed, str(tmp_path), Kind.CRASHES) == []
+
+    def test_calm_seeds_lose_no_mark(self) -> None:
+        calm = [seed for seed in range(50) if is_calm_crash(seed)]
+        assert {planned.name for seed in calm for planned in crashes_of(seed)} == {"kill", "leave"}
+
+
 def ended(code: int, *signals: Signals, early: tuple[Signals, ...] = ()) -> ProcessEnd:
     return ProcessEnd(1, code, frozenset(signals + early), frozenset(early))
 
