The mutant without the wait for the word on a first try is caught

Change: the test's engines end 5 ms after they begin. Result: caught; the test passes on the code as it is.

--- a/railtide/platform/tests/test_crashing_requests.py
+++ b/railtide/platform/tests/test_crashing_requests.py
@@ -227,7 +227,7 @@
             return await probe(upstreams, upstream)
 
         monkeypatch.setattr(PlatformUpstreams, "probe", probe_far_away)
-        async with site() as made:
+        async with site(crash_after_s=0.005) as made:
             for _ in range(3):
                 await made.ask(0, BAD, "/safe/x")
             assert len(made.ends()) == MOST_ENDS
