--- a/railtide/containment/records.py
+++ b/railtide/containment/records.py
@@ -10,7 +10,7 @@
 from railtide.containment.evidence import Mark
 from railtide.journal.keyed import KeyedRecord
 
-__all__ = ["life_digest", "mark_of", "record_key", "record_value"]
+__all__ = ["life_digest", "mark_of", "record_key", "record_value", "said_by"]
 
 LIFE_BYTES = 8
 PURPOSE = b"life"
@@ -62,6 +62,12 @@
     return msgspec.msgpack.encode(value)
 
 
+def said_by(record: KeyedRecord) -> tuple[str, str]:
+    """Return the upstream that ended and the router that saw it, of a mark's record."""
+    value = _decoder.decode(record.value)
+    return value.upstream, value.router
+
+
 def mark_of(record: KeyedRecord) -> Mark:
     """Return the mark in a record.
 
--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -134,9 +134,9 @@
         now = self._day_s()
         left_s = held_until([mark.at for mark in self._evidence.marks_of(content)]) - now
         if left_s > 0:
-            return ContentHeld("upstreams end under this request", retry_after=left_s)
+            return ContentHeld(f"upstreams end under content {content}", retry_after=left_s)
         if under_way or not self._is_owner(content):
-            return ContentHeld("this request is tried elsewhere", retry_after=ELSEWHERE_S)
+            return ContentHeld(f"content {content} is tried elsewhere", retry_after=ELSEWHERE_S)
         return None
 
     def strikes_by_content(self, content: str) -> dict[str, int]:
