A probe that found an engine alive keeps an earlier break from a later end

Cause: read in the code: an answer that was spoilt waited 5 s for an end to explain it, so an engine that lived on and ended 3 s later was blamed on it. Change: behind a probe that connected only a new life that is listed within 1.5 s counts.

--- a/railtide/containment/ends.py
+++ b/railtide/containment/ends.py
@@ -21,6 +21,9 @@
 BREAK_KEPT_S = 5.0
 """How long a break waits to be explained. Above the 3.6 s after which the record of a silent
 upstream goes; a later end has another cause."""
+RESTART_S = 1.5
+"""Within which a new life that a probe has found is listed: it writes of itself when it starts, and
+a router reads that within a second."""
 MOST_ENDED = 256
 """Ended lives that are remembered, for breaks that are noticed behind the end."""
 PROBE_WAIT_S = 0.05
@@ -52,12 +55,15 @@
     ----------
     broken_at_by_content : dict of str to float
         Trio times.
+    connected_at : float
+        When a probe last found somebody at its address: itself, or a new life.
     probe : trio.Event or None
         Set when the probe that is under way is over.
     """
 
     instance: Instance
     broken_at_by_content: dict[str, float] = field(default_factory=dict)
+    connected_at: float = -math.inf
     probe: trio.Event | None = None
 
 
@@ -101,9 +107,13 @@
             self._start_soon(self._ask, watched, watched.probe)
 
     async def _ask(self, watched: _Watched, over: trio.Event) -> None:
+        began = trio.current_time()
         try:
-            if await self._probe(watched.instance) is ProbeResult.REFUSED:
+            found = await self._probe(watched.instance)
+            if found is ProbeResult.REFUSED:
                 self.note_ended(watched.instance, EndSign.REFUSED)
+            elif found is ProbeResult.CONNECTED:
+                watched.connected_at = began
         finally:
             watched.probe = None
             over.set()
@@ -145,8 +155,8 @@
         if not watched:
             return
         now = trio.current_time()
-        broken = watched.broken_at_by_content
-        contents = [content for content, at in broken.items() if now - at <= BREAK_KEPT_S]
+        broken = watched.broken_at_by_content.items()
+        contents = [content for content, at in broken if _explains(watched, sign, at, now)]
         if not contents:
             return
         self._ended_at_by_life[instance.incarnation] = now
@@ -161,6 +171,17 @@
         self._on_end(instance, contents)
 
 
+def _explains(watched: _Watched, sign: EndSign, broken_at: float, now: float) -> bool:
+    """Return whether a sign that a life has ended explains an answer that broke off before.
+
+    A probe that connected behind the break found that life, or a new one in its place. If it was a
+    new one, that is listed soon; what shows itself later is the end of one that lived on.
+    """
+    if broken_at > watched.connected_at:
+        return now - broken_at <= BREAK_KEPT_S
+    return sign is not EndSign.REFUSED and now - broken_at <= RESTART_S
+
+
 def _replaces(instance: Instance, former: Instance) -> bool:
     """Return whether an upstream can only be there because the former one is not."""
     if instance.incarnation == former.incarnation or instance.born < former.born:
--- a/railtide/containment/tests/test_ends.py
+++ b/railtide/containment/tests/test_ends.py
@@ -4,7 +4,7 @@
 import trio
 import trio.testing
 
-from railtide.containment.ends import BREAK_KEPT_S, EndSign, EndWatch, ProbeResult
+from railtide.containment.ends import BREAK_KEPT_S, RESTART_S, EndSign, EndWatch, ProbeResult
 from railtide.membership.instances import Instance
 
 
@@ -107,6 +107,37 @@
         bench.watch.note_ended(ONE, EndSign.REFUSED)
         assert bench.ended == []
 
+    async def test_end_behind_a_probe_that_found_it_alive_is_a_later_one(
+        self, nursery, autojump_clock
+    ) -> None:
+        bench = Bench(nursery, ProbeResult.CONNECTED)
+        bench.watch.note_broken(ONE, "a")
+        await bench.answer()
+        await trio.sleep(0.5)
+        bench.watch.note_broken(ONE, "b")
+        bench.watch.note_ended(ONE, EndSign.REFUSED)
+        assert bench.ended == [("i-1", ["b"])]
+
+    async def test_probe_that_found_a_new_life_does_not_hide_the_end(
+        self, nursery, autojump_clock
+    ) -> None:
+        bench = Bench(nursery, ProbeResult.CONNECTED)
+        bench.watch.note_broken(ONE, "a")
+        await bench.answer()
+        await trio.sleep(RESTART_S / 2)
+        bench.watch.note_listed([instance("i-2", "h:1")])
+        assert bench.ended == [("i-1", ["a"])]
+
+    async def test_new_life_long_behind_such_a_probe_had_a_later_end_before_it(
+        self, nursery, autojump_clock
+    ) -> None:
+        bench = Bench(nursery, ProbeResult.CONNECTED)
+        bench.watch.note_broken(ONE, "a")
+        await bench.answer()
+        await trio.sleep(RESTART_S * 1.1)
+        bench.watch.note_listed([instance("i-2", "h:1")])
+        assert bench.ended == []
+
     async def test_later_answer_shows_that_it_lives(self, nursery, autojump_clock) -> None:
         bench = Bench(nursery, ProbeResult.CONNECTED)
         bench.watch.note_broken(ONE, "a")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -745,15 +745,29 @@
     Mutant(
         "broken-answer-of-one-that-lives-is-an-end",
         "containment/ends.py",
-        "if await self._probe(watched.instance) is ProbeResult.REFUSED:",
-        "if await self._probe(watched.instance):",
+        "if found is ProbeResult.REFUSED:",
+        "if found:",
         (CONTAINMENT,),
     ),
     Mutant(
         "old-break-is-blamed-for-a-later-end",
         "containment/ends.py",
-        "for content, at in broken.items() if now - at <= BREAK_KEPT_S]",
-        "for content, at in broken.items()]",
+        "return now - broken_at <= BREAK_KEPT_S",
+        "return True",
+        (CONTAINMENT,),
+    ),
+    Mutant(
+        "probe-that-found-it-alive-is-forgotten",
+        "containment/ends.py",
+        "                watched.connected_at = began\n",
+        "                pass\n",
+        (CONTAINMENT,),
+    ),
+    Mutant(
+        "new-life-at-the-address-hides-the-end",
+        "containment/ends.py",
+        "return sign is not EndSign.REFUSED and now - broken_at <= RESTART_S",
+        "return False",
         (CONTAINMENT,),
     ),
     Mutant(
