--- a/railtide/operators/codes.py
+++ b/railtide/operators/codes.py
@@ -24,11 +24,12 @@
 
 
 def all_codes() -> list[CodeInfo]:
-    """Return every code that an error is raised with, sorted."""
+    """Return every code that an error is raised with, sorted; a base's word goes for its kinds."""
     for module in pkgutil.walk_packages(railtide.__path__, "railtide."):
         if module.name.endswith(".errors"):
             importlib.import_module(module.name)
-    by_code = {error.code: CodeInfo(error) for error in _subclasses(RailtideError)}
+    from_the_leaves = reversed(_subclasses(RailtideError))
+    by_code = {error.code: CodeInfo(error) for error in from_the_leaves}
     infos = [by_code[code] for code in sorted(by_code)]
     return [info for info in infos if not info.meaning.startswith(BASE)]
 
--- a/railtide/operators/tests/test_program.py
+++ b/railtide/operators/tests/test_program.py
@@ -50,6 +50,11 @@
         assert len({info.code for info in codes}) == len(codes) > 30
         assert all(info.meaning.endswith(".") or ";" in info.meaning for info in codes)
 
+    def test_kinds_of_an_error_leave_its_meaning(self) -> None:
+        meaning_by_code = {info.code: info.meaning for info in all_codes()}
+        assert meaning_by_code["upstream-refused"].startswith("The call certainly did not run")
+        assert meaning_by_code["upstream-lost"].startswith("Bytes left for the upstream")
+
     def test_explain_names_unknown_codes(self, monkeypatch, capsys) -> None:
         assert run(monkeypatch, ctl_main, "explain", "nonsense") == 1
         assert "unknown-code" in capsys.readouterr().err
