A router looks for a suspension in the tick it has; lives without marks are not remembered

Cause: read once more: a wake of its own four times a second for each process, and a set of ended lives that grew where all marks were cleared at once. Result: tests of waking, containment and crashing requests pass.

--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -283,6 +283,6 @@
             self._cleared_here.pop(record_key(mark), None)
             if self._is_owner(mark.content):
                 self._write(record_key(mark), b"")
+        self._known_lives = {mark.life for mark in self._evidence.marks()}
         if forgotten:
-            self._known_lives = {mark.life for mark in self._evidence.marks()}
             self._judge()
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -48,8 +48,6 @@
 MARKS_WAIT_S = 3.0
 """From the start until a router serves without the marks of contents that end upstreams: their
 topic may be away alone. Other reads of a start take 0.1 to 1 s."""
-WAKE_TICK_S = 0.25
-"""Between two looks for a suspension; each request looks as well."""
 REREAD_S = 0.3
 """Longest wait of a request, behind a suspension, for what is read anew: four reads of a store that
 answers in milliseconds, with a lost opening packet of a connection of some milliseconds."""
@@ -192,7 +190,6 @@
             nursery.start_soon(self._upstream_feed.run)
             nursery.start_soon(self._run_settling)
             nursery.start_soon(self._crashes.run)
-            nursery.start_soon(self._run_waking)
             nursery.start_soon(self._say_when_ready)
             nursery.start_soon(self.treasury.run)
             nursery.start_soon(self._run_spreading)
@@ -229,15 +226,11 @@
     async def _run_settling(self) -> None:
         while True:
             await trio.sleep(self.options.settle_s)
+            self._look_for_suspension()
             self._upstream_list.settle()
 
     # -- waking from a suspension -------------------------------------------------------------
 
-    async def _run_waking(self) -> None:
-        while True:
-            self._look_for_suspension()
-            await trio.sleep(WAKE_TICK_S)
-
     def _look_for_suspension(self) -> None:
         """Read anew what was believed before a suspension, and say so."""
         suspended_s = self._suspensions.look()
