Upstreams that end for reasons of their own hold no content; a run that survives frees one

Change: ends at one moment of runs that were there together are one; an end over 1 s behind the begin, or within a round trip of the sending, counts three fifths; runs that an upstream has had for 0.15 s go on when their content is held. A first hold lasts 10 minutes. A probe that does not last is made again: a process may close its connections before it stops to listen, and with that an end was missed.

--- a/railtide/containment/ends.py
+++ b/railtide/containment/ends.py
@@ -16,7 +16,7 @@
 
 from railtide.membership.instances import Instance
 
-__all__ = ["EndSign", "EndWatch", "ProbeResult"]
+__all__ = ["Break", "EndSign", "EndWatch", "ProbeResult", "UpstreamRun"]
 
 BREAK_KEPT_S = 5.0
 """How long a break waits to be explained. Above the 3.6 s after which the record of a silent
@@ -47,14 +47,40 @@
     REPLACED = "replaced"
 
 
+@dataclass(frozen=True)
+class UpstreamRun:
+    """One run of a content at an upstream.
+
+    Attributes
+    ----------
+    content : str
+    sent_at : float
+        Trio time.
+    head_at : float or None
+        When the head of its answer came.
+    """
+
+    content: str
+    sent_at: float
+    head_at: float | None = None
+
+
+@dataclass(frozen=True)
+class Break:
+    """A run whose answer broke off at a trio time."""
+
+    run: UpstreamRun
+    at: float
+
+
 @dataclass
 class _Watched:
     """A life some of whose answers broke off lately.
 
     Attributes
     ----------
-    broken_at_by_content : dict of str to float
-        Trio times.
+    break_by_content : dict of str to Break
+        The latest of each.
     connected_at : float
         When a probe last found somebody at its address: itself, or a new life.
     probe : trio.Event or None
@@ -62,7 +88,7 @@
     """
 
     instance: Instance
-    broken_at_by_content: dict[str, float] = field(default_factory=dict)
+    break_by_content: dict[str, Break] = field(default_factory=dict)
     connected_at: float = -math.inf
     probe: trio.Event | None = None
 
@@ -75,8 +101,8 @@
     probe : callable
         Connects to an upstream's address and returns what it found.
     on_end : callable
-        Told of a life that ended and of the contents that were under way; called again for those
-        that are noticed later.
+        Told of a life that ended and of the runs that it broke off; called again for those that
+        are noticed later.
     start_soon : callable
         Runs an async function in the background.
     """
@@ -84,7 +110,7 @@
     def __init__(
         self,
         probe: Callable[[Instance], Awaitable[ProbeResult]],
-        on_end: Callable[[Instance, list[str]], None],
+        on_end: Callable[[Instance, list[Break]], None],
         start_soon: Callable[..., None],
     ) -> None:
         self._probe = probe
@@ -93,15 +119,15 @@
         self._watched_by_life: dict[str, _Watched] = {}
         self._ended_at_by_life: dict[str, float] = {}
 
-    def note_broken(self, instance: Instance, content: str) -> None:
+    def note_broken(self, instance: Instance, run: UpstreamRun) -> None:
         """Take that an answer of an upstream broke off; ask whether it lives."""
         now = trio.current_time()
         life = instance.incarnation
         if now - self._ended_at_by_life.get(life, -math.inf) <= BREAK_KEPT_S:
-            self._on_end(instance, [content])
+            self._on_end(instance, [Break(run, now)])
             return
         watched = self._watched_by_life.setdefault(life, _Watched(instance))
-        watched.broken_at_by_content[content] = now
+        watched.break_by_content[run.content] = Break(run, now)
         if watched.probe is None:
             watched.probe = trio.Event()
             self._start_soon(self._ask, watched, watched.probe)
@@ -130,8 +156,8 @@
         watched = self._watched_by_life.get(instance.incarnation)
         if not watched:
             return
-        kept = {c: at for c, at in watched.broken_at_by_content.items() if at >= sent_at}
-        watched.broken_at_by_content = kept
+        kept = {c: one for c, one in watched.break_by_content.items() if one.at >= sent_at}
+        watched.break_by_content = kept
         if not kept:
             del self._watched_by_life[instance.incarnation]
 
@@ -146,7 +172,7 @@
         """Forget the breaks that no end can explain any more."""
         old = trio.current_time() - BREAK_KEPT_S
         for life, watched in list(self._watched_by_life.items()):
-            if max(watched.broken_at_by_content.values(), default=-math.inf) < old:
+            if all(one.at < old for one in watched.break_by_content.values()):
                 del self._watched_by_life[life]
 
     def note_ended(self, instance: Instance, sign: EndSign) -> None:
@@ -155,9 +181,9 @@
         if not watched:
             return
         now = trio.current_time()
-        broken = watched.broken_at_by_content.items()
-        contents = [content for content, at in broken if _explains(watched, sign, at, now)]
-        if not contents:
+        broken = watched.break_by_content.values()
+        breaks = [one for one in broken if _explains(watched, sign, one.at, now)]
+        if not breaks:
             return
         self._ended_at_by_life[instance.incarnation] = now
         if len(self._ended_at_by_life) > MOST_ENDED:
@@ -166,9 +192,9 @@
             upstream=instance.name,
             incarnation=instance.incarnation,
             sign=str(sign),
-            under_way=len(contents),
+            under_way=len(breaks),
         ).info("upstream-ended")
-        self._on_end(instance, contents)
+        self._on_end(instance, breaks)
 
 
 def _explains(watched: _Watched, sign: EndSign, broken_at: float, now: float) -> bool:
--- a/railtide/containment/evidence.py
+++ b/railtide/containment/evidence.py
@@ -21,6 +21,11 @@
         Digests.
     at : float
         When, Unix seconds by the clock of the router that saw it.
+    ran_s : float
+        For how long it had been there by then, seconds.
+    weak : bool
+        Whether the end is hardly its fault: the upstream had begun it long before, or had ended
+        already when it came.
     cleared : bool
         Whether the content was answered soundly since: it is not why that life ended.
     """
@@ -29,6 +34,8 @@
     life: str
     at: float
     cleared: bool = False
+    ran_s: float = 0.0
+    weak: bool = False
 
 
 class Evidence:
@@ -57,10 +64,13 @@
         return len(self._marks_by_content)
 
     def add(self, mark: Mark) -> bool:
-        """Take a mark and return whether it says anything new; a cleared one stays so."""
+        """Take a mark and return whether it says anything new.
+
+        A cleared one stays so, and one that is not weak stays that.
+        """
         marks = self._marks_by_content.setdefault(mark.content, {})
         known = marks.get(mark.life)
-        if known and (known.cleared or not mark.cleared):
+        if known and _rank(known) >= _rank(mark):
             return False
         marks[mark.life] = mark
         return True
@@ -85,7 +95,14 @@
         """Return the lives that ended with a content under way and not cleared of it."""
         return frozenset(mark.life for mark in self.marks_of(content))
 
-    def lives_by_content(self) -> dict[str, frozenset[str]]:
-        """Return them for each content that has any."""
-        found = {content: self.lives(content) for content in self._marks_by_content}
-        return {content: lives for content, lives in found.items() if lives}
+    def marks_by_content(self) -> dict[str, list[Mark]]:
+        """Return the marks that are not cleared of each content that has any."""
+        found = {content: self.marks_of(content) for content in self._marks_by_content}
+        return {content: marks for content, marks in found.items() if marks}
+
+
+def _rank(mark: Mark) -> int:
+    """Return which of two marks of one content and life goes before the other."""
+    if mark.cleared:
+        return 2
+    return 0 if mark.weak else 1
--- a/railtide/containment/guard.py
+++ b/railtide/containment/guard.py
@@ -3,10 +3,11 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import AbstractContextManager, contextmanager
+from dataclasses import dataclass
 
 import trio
 
-from railtide.containment.ends import EndSign, EndWatch
+from railtide.containment.ends import EndSign, EndWatch, UpstreamRun
 from railtide.containment.placement import preferred
 from railtide.containment.registry import CrashRegistry
 from railtide.membership.instances import Instance
@@ -24,6 +25,11 @@
 """Returns, of the names of upstreams, those at which a request had best run."""
 
 
+SURVIVED_S = 0.15
+"""An upstream that has run a request for so long is not ended by it: those that are end within some
+0.1 s of the begin."""
+
+
 class ContentGuard(ABC):
     """Keeps contents that end upstreams away from them."""
 
@@ -36,18 +42,25 @@
         """Return where a content had best run, None for one that is no suspect."""
 
     @abstractmethod
-    def running(self, content: str) -> AbstractContextManager[trio.CancelScope]:
-        """Return a scope for one run of a content, cancelled once the content is held."""
+    def running(
+        self, content: str, head_at: Callable[[], float | None]
+    ) -> AbstractContextManager[trio.CancelScope]:
+        """Return a scope for one run, which is cancelled if the content comes to be held.
+
+        Parameters
+        ----------
+        content : str
+        head_at : callable
+            Returns the trio time at which the head of the answer came, None before.
+        """
 
     @abstractmethod
-    async def note_failure(
-        self, instance: Instance, content: str, sent_at: float, err: UpstreamError
-    ) -> None:
+    async def note_failure(self, instance: Instance, run: UpstreamRun, err: UpstreamError) -> None:
         """Take how a try failed; returns once it is known whether its upstream lives, or soon."""
 
     @abstractmethod
-    def note_answer(self, instance: Instance, content: str, sent_at: float, sound: bool) -> None:
-        """Take that an upstream answered whole what it was sent at a trio time.
+    def note_answer(self, instance: Instance, run: UpstreamRun, sound: bool) -> None:
+        """Take that an upstream answered a run whole.
 
         `sound` is whether the answer shows that the content was run to its end.
         """
@@ -63,19 +76,27 @@
         """Return None; see `ContentGuard.preference_of`."""
         return None
 
-    def running(self, content: str) -> AbstractContextManager[trio.CancelScope]:
+    def running(
+        self, content: str, head_at: Callable[[], float | None]
+    ) -> AbstractContextManager[trio.CancelScope]:
         """Return a scope that nothing cancels; see `ContentGuard.running`."""
         return trio.CancelScope()
 
-    async def note_failure(
-        self, instance: Instance, content: str, sent_at: float, err: UpstreamError
-    ) -> None:
+    async def note_failure(self, instance: Instance, run: UpstreamRun, err: UpstreamError) -> None:
         """Learn nothing; see `ContentGuard.note_failure`."""
 
-    def note_answer(self, instance: Instance, content: str, sent_at: float, sound: bool) -> None:
+    def note_answer(self, instance: Instance, run: UpstreamRun, sound: bool) -> None:
         """Learn nothing; see `ContentGuard.note_answer`."""
 
 
+@dataclass(eq=False)
+class _Running:
+    """A run that is under way."""
+
+    scope: trio.CancelScope
+    head_at: Callable[[], float | None]
+
+
 class CrashGuard(ContentGuard):
     """Judges by the ends of upstreams that all routers saw.
 
@@ -88,12 +109,12 @@
     def __init__(self, registry: CrashRegistry, watch: EndWatch) -> None:
         self._registry = registry
         self._watch = watch
-        self._scopes_by_content: dict[str, set[trio.CancelScope]] = {}
+        self._runs_by_content: dict[str, list[_Running]] = {}
         registry.on_held = self._stop
 
     def check(self, content: str) -> None:
         """Raise if it is held; see `ContentGuard.check`."""
-        refusal = self._registry.refusal_of(content, self._is_running(content))
+        refusal = self._registry.refusal_of(content, content in self._runs_by_content)
         if refusal:
             raise refusal
 
@@ -105,44 +126,46 @@
         return lambda names: preferred(content, strikes, names)
 
     @contextmanager
-    def running(self, content: str) -> Iterator[trio.CancelScope]:
-        """Yield a scope for the run; see `ContentGuard.running`.
-
-        An upstream that has not begun the request yet is saved by it.
-        """
-        scopes = self._scopes_by_content.setdefault(content, set())
+    def running(
+        self, content: str, head_at: Callable[[], float | None]
+    ) -> Iterator[trio.CancelScope]:
+        """Yield a scope for the run; see `ContentGuard.running`."""
+        runs = self._runs_by_content.setdefault(content, [])
         with trio.CancelScope() as scope:
-            scopes.add(scope)
+            run = _Running(scope, head_at)
+            runs.append(run)
             try:
                 yield scope
             finally:
-                scopes.discard(scope)
-                if not scopes:
-                    self._scopes_by_content.pop(content, None)
-
-    def _is_running(self, content: str) -> bool:
-        return content in self._scopes_by_content
+                runs.remove(run)
+                if not runs:
+                    del self._runs_by_content[content]
 
     def _stop(self, content: str) -> None:
-        for scope in self._scopes_by_content.get(content, ()):
-            scope.cancel()
+        """Stop the runs of a content that is held, and so save upstreams that have not begun it.
+
+        One that an upstream has run for a while goes on: if it ends soundly, the content is free.
+        """
+        now = trio.current_time()
+        for run in self._runs_by_content.get(content, ()):
+            head_at = run.head_at()
+            if head_at is None or now - head_at < SURVIVED_S:
+                run.scope.cancel()
 
-    async def note_failure(
-        self, instance: Instance, content: str, sent_at: float, err: UpstreamError
-    ) -> None:
+    async def note_failure(self, instance: Instance, run: UpstreamRun, err: UpstreamError) -> None:
         """Take a try that failed; see `ContentGuard.note_failure`."""
         if isinstance(err, UpstreamAbsent):
             self._watch.note_ended(instance, EndSign.REFUSED)
         elif isinstance(err, UpstreamMoved):
             self._watch.note_ended(instance, EndSign.MOVED)
         elif isinstance(err, UpstreamFailed):
-            self._watch.note_alive(instance, sent_at)
+            self._watch.note_alive(instance, run.sent_at)
         elif isinstance(err, UpstreamBroken):
-            self._watch.note_broken(instance, content)
+            self._watch.note_broken(instance, run)
             await self._watch.settled(instance)
 
-    def note_answer(self, instance: Instance, content: str, sent_at: float, sound: bool) -> None:
+    def note_answer(self, instance: Instance, run: UpstreamRun, sound: bool) -> None:
         """Take an answer; see `ContentGuard.note_answer`."""
-        self._watch.note_alive(instance, sent_at)
+        self._watch.note_alive(instance, run.sent_at)
         if sound:
-            self._registry.note_sound(content)
+            self._registry.note_sound(run.content)
--- a/railtide/containment/holding.py
+++ b/railtide/containment/holding.py
@@ -1,40 +1,40 @@
 """How long a content is held, and how much is remembered of contents. Pure."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
-from railtide.containment.blame import ENDS_TO_HOLD
+from railtide.containment.blame import HOLD_WEIGHT, STRONG, weight_of
 from railtide.containment.evidence import Evidence, Mark
 
 __all__ = ["KEEP_S", "MOST_CONTENTS", "held_until", "surplus"]
 
-HOLD_S = 3600.0
-"""From the third end until the content may be tried again; an upstream that was mended is found by
-it within the hour."""
+HOLD_S = 600.0
+"""From the end that holds a content until it may be tried again: upstreams that were mended are
+found within minutes, and so is a content that was held though it was innocent."""
 HOLD_GROWTH = 4.0
-MOST_TRIALS = 3
-"""Upstreams that trials may cost in all; users allow as many retries. Then it is held until its
-marks are forgotten or lifted by hand."""
+MOST_ENDS = 6
+"""Upstreams that may end under one content in all: three, and three retries, as users allow. Then
+it is held until its marks are forgotten or lifted by hand."""
 KEEP_S = 86_400.0
-"""How long a mark is kept: above 1 + 4 + 16 hours, in which the three trials fall."""
+"""How long a mark is kept: above 10 + 40 + 160 minutes, in which the trials fall."""
 MOST_CONTENTS = 4_096
 """Contents that are remembered; those that say least are forgotten first. A mark is some 130 bytes
 in the store, so that a start reads half a megabyte where each has one."""
 
 
-def held_until(ends: list[float]) -> float:
-    """Return until when a content is held by the times of the ends under it, Unix seconds.
+def held_until(marks: Sequence[Mark]) -> float:
+    """Return until when a content is held by its marks, Unix seconds.
 
     Examples
     --------
-    >>> held_until([0.0, 5.0, 10.0]), held_until([0.0, 5.0, 10.0, 4000.0])
-    (3610.0, 18400.0)
-    >>> held_until([0.0] * 6)
-    86400.0
+    >>> marks = [Mark("c", str(life), at=10.0 * life) for life in range(6)]
+    >>> held_until(marks[:3]), held_until(marks[:4]), held_until(marks)
+    (620.0, 2430.0, 86450.0)
     """
-    trials = len(ends) - ENDS_TO_HOLD
-    if trials >= MOST_TRIALS:
-        return max(ends) + KEEP_S
-    return max(ends) + HOLD_S * HOLD_GROWTH ** max(0, trials)
+    last = max(mark.at for mark in marks)
+    if len(marks) >= MOST_ENDS:
+        return last + KEEP_S
+    beyond = max(0, weight_of(marks) - HOLD_WEIGHT) // STRONG
+    return last + HOLD_S * HOLD_GROWTH**beyond
 
 
 def surplus(evidence: Evidence, now: float, most: int = MOST_CONTENTS) -> list[Mark]:
--- a/railtide/containment/records.py
+++ b/railtide/containment/records.py
@@ -28,13 +28,16 @@
         Unix seconds.
     upstream, router : str
         The upstream that ended, and who saw it, for people.
-    cleared : bool
+    cleared, ran_s, weak
+        See `Mark`.
     """
 
     at: Annotated[float, msgspec.Meta(ge=0, le=MOST_UNIX_S)]
     upstream: Annotated[str, msgspec.Meta(max_length=MOST_NAME)]
     router: Annotated[str, msgspec.Meta(max_length=MOST_NAME)]
     cleared: bool = False
+    ran_s: Annotated[float, msgspec.Meta(ge=0, le=MOST_UNIX_S)] = 0.0
+    weak: bool = False
 
 
 _decoder = msgspec.msgpack.Decoder(_Value)
@@ -58,7 +61,8 @@
 
 def record_value(mark: Mark, upstream: str, router: str) -> bytes:
     """Return what stands under it."""
-    value = _Value(mark.at, upstream[:MOST_NAME], router[:MOST_NAME], mark.cleared)
+    names = upstream[:MOST_NAME], router[:MOST_NAME]
+    value = _Value(mark.at, *names, mark.cleared, mark.ran_s, mark.weak)
     return msgspec.msgpack.encode(value)
 
 
@@ -89,4 +93,4 @@
         value = _decoder.decode(record.value)
     except (msgspec.DecodeError, RecursionError) as err:
         raise InvalidObject(str(err)) from err
-    return Mark(found[1], found[2], value.at, value.cleared)
+    return Mark(found[1], found[2], value.at, value.cleared, value.ran_s, value.weak)
--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -16,6 +16,7 @@
 
 from railtide.configuration.errors import InvalidObject
 from railtide.containment.blame import Blame, blamed
+from railtide.containment.ends import Break
 from railtide.containment.errors import ContentHeld
 from railtide.containment.evidence import Evidence, Mark
 from railtide.containment.holding import MOST_CONTENTS, held_until, surplus
@@ -40,6 +41,12 @@
 """Marks that wait for a store that is away."""
 TEND_S = 60.0
 """Between two looks for marks that are to be forgotten."""
+BEGUN_S = 1.0
+"""An upstream that ends so long behind the begin of a request is hardly ended by it: those that are
+end within some 0.1 s."""
+ROUND_TRIP_S = 0.003
+"""An answer that breaks off within this time of the sending comes from an upstream that had ended
+already: a round trip within a region is 1 ms."""
 SOUND_FRESH_S = 1.0
 """How old a sound answer may be that still clears a mark which was on its way meanwhile."""
 MOST_SOUND = 1_024
@@ -64,10 +71,10 @@
 
     Attributes
     ----------
-    on_life_ended : callable
-        Told of an upstream's name and of the digest of a life that ended.
     on_held : callable
         Told of a content that is held from now on.
+    on_life_ended : callable
+        Told of an upstream's name and of the digest of a life that ended.
     """
 
     def __init__(
@@ -132,7 +139,7 @@
         if content not in self._blame.held:
             return None
         now = self._day_s()
-        left_s = held_until([mark.at for mark in self._evidence.marks_of(content)]) - now
+        left_s = held_until(self._evidence.marks_of(content)) - now
         if left_s > 0:
             return ContentHeld(f"upstreams end under content {content}", retry_after=left_s)
         if under_way or not self._is_owner(content):
@@ -151,20 +158,27 @@
 
     # -- what this router saw -----------------------------------------------------------------
 
-    def note_end(self, incarnation: str, upstream: str, contents: list[str]) -> None:
-        """Take that a life of an upstream ended with contents under way."""
-        now = self._day_s()
+    def note_end(self, incarnation: str, upstream: str, breaks: list[Break]) -> None:
+        """Take that a life of an upstream ended and broke runs off."""
         life = life_digest(incarnation)
         self._note_life(life)
-        for content in contents:
-            if self._was_sound_lately(content):
+        for broken in breaks:
+            if self._was_sound_lately(broken.run.content):
                 continue
-            mark = Mark(content, life, now)
+            mark = self._mark(life, broken)
             if self._evidence.add(mark):
                 self._counters.add("contents_marked")
                 self._write(record_key(mark), record_value(mark, upstream, self._router))
         self._judge()
 
+    def _mark(self, life: str, broken: Break) -> Mark:
+        run = broken.run
+        at = self._day_s() - (trio.current_time() - broken.at)
+        ran_s = broken.at - run.sent_at
+        begun_s = broken.at - (run.sent_at if run.head_at is None else run.head_at)
+        weak = begun_s > BEGUN_S or ran_s < ROUND_TRIP_S
+        return Mark(run.content, life, at, ran_s=ran_s, weak=weak)
+
     def note_sound(self, content: str) -> None:
         """Take that a content was answered soundly: it is not why anything ended."""
         self._sound_at.pop(content, None)
@@ -233,9 +247,9 @@
     def _judge(self) -> None:
         """Work out whose fault the ends are, and say what has changed."""
         before = self._blame.held.keys()
-        self._blame = blamed(self._evidence.lives_by_content())
+        self._blame = blamed(self._evidence.marks_by_content())
         for content in self._blame.held.keys() - before:
-            left_s = held_until([m.at for m in self._evidence.marks_of(content)]) - self._day_s()
+            left_s = held_until(self._evidence.marks_of(content)) - self._day_s()
             ends = len(self._blame.held[content])
             logger.bind(content=content, ends=ends, for_s=round(left_s)).warning("content-held")
             self._counters.add("contents_held")
--- a/railtide/containment/tests/test_blame.py
+++ b/railtide/containment/tests/test_blame.py
@@ -3,8 +3,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from railtide.containment.blame import ENDS_TO_HOLD, blamed
+from railtide.containment.blame import HOLD_WEIGHT, STRONG, Blame, weight_of
+from railtide.containment.blame import blamed as judged
+from railtide.containment.evidence import Mark
 
+ENDS_TO_HOLD = HOLD_WEIGHT // STRONG
 LIVES = st.frozensets(st.integers(0, 7), max_size=6)
 
 
@@ -12,6 +15,21 @@
     return frozenset(f"life {number}" for number in numbers)
 
 
+def mark(life: object, at: float, **fields: object) -> Mark:
+    return Mark("c", str(life), at, **fields)
+
+
+def blamed(lives_by_content: dict[str, frozenset]) -> Blame:
+    """Judge by ends of which each comes long behind the one before."""
+    order = sorted({str(life) for ends in lives_by_content.values() for life in ends})
+    at_by_life = {life: 10.0 * number for number, life in enumerate(order)}
+    marks = {
+        content: [mark(life, at_by_life[str(life)]) for life in ends]
+        for content, ends in lives_by_content.items()
+    }
+    return judged(marks)
+
+
 class TestBlame:
     def test_nobody_is_held_below_three_ends(self) -> None:
         blame = blamed({"a": lives(1, 2), "b": lives(2)})
@@ -65,3 +83,26 @@
             return  # whoever was at each end can't be told from it
         assert set(blame.held) == {"bad"}
         assert blame.strikes_by_content == {}
+
+
+class TestWeight:
+    def test_ends_at_one_moment_count_once(self) -> None:
+        """A content that is read by many is under way wherever upstreams are killed together."""
+        together = [mark(life, 10.0 + life / 1000, ran_s=0.5) for life in range(4)]
+        assert weight_of(together) == STRONG
+        assert judged({"c": together}).strikes_by_content == {"c": 1}
+
+    def test_second_try_that_ends_the_next_at_once_counts_by_itself(self) -> None:
+        tries = [mark(n, 10.0 + n / 100, ran_s=0.01) for n in range(3)]
+        assert set(judged({"c": tries}).held) == {"c"}
+
+    def test_long_streams_that_were_begun_long_before_are_not_held_by_three(self) -> None:
+        weak = [mark(n, 10.0 * n, ran_s=2.0, weak=True) for n in range(5)]
+        assert judged({"c": weak[:3]}).held == {}
+        assert judged({"c": [mark(9, 1.0), *weak[:3]]}).held == {}
+        assert set(judged({"c": weak}).held) == {"c"}
+
+    def test_fast_and_slow_ends_add_up(self) -> None:
+        marks = [mark(1, 1.0), mark(2, 11.0), mark(3, 21.0, weak=True), mark(4, 31.0, weak=True)]
+        assert judged({"c": marks[:3]}).held == {}
+        assert set(judged({"c": marks}).held) == {"c"}
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -12,7 +12,7 @@
 from railtide.clocks import Suspensions
 from railtide.configuration.errors import InvalidObject
 from railtide.configuration.snapshot import Snapshot
-from railtide.containment.ends import EndWatch
+from railtide.containment.ends import Break, EndWatch
 from railtide.containment.guard import CrashGuard
 from railtide.containment.records import life_digest
 from railtide.containment.registry import CrashRegistry
@@ -336,8 +336,8 @@
 
     # -- upstreams that end -------------------------------------------------------------------
 
-    def _note_end(self, instance: Instance, contents: list[str]) -> None:
-        self._crashes.note_end(instance.incarnation, instance.name, contents)
+    def _note_end(self, instance: Instance, breaks: list[Break]) -> None:
+        self._crashes.note_end(instance.incarnation, instance.name, breaks)
 
     def _eject_life(self, life: str) -> None:
         """Use a life that ended no more, whichever router saw its end."""
--- a/railtide/platform/tests/test_crashing_requests.py
+++ b/railtide/platform/tests/test_crashing_requests.py
@@ -16,6 +16,8 @@
 engine that ended from an answer that broke off.
 """
 
+import socket
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -32,6 +34,7 @@
 from railtide.http.client import PeerPool
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
+from railtide.http.sockets import listen
 from railtide.membership.identity import Identity
 from railtide.membership.instances import Instance
 from railtide.platform.desired_state import PlatformSources
@@ -340,3 +343,39 @@
             counted = made.nodes[0].counters.value("attempts_failed_upstream_refused")
             assert counted <= 1
             assert not made.refusals_by_body
+
+
+class TestProbe:
+    """What a connection to an engine's address tells of it."""
+
+    @staticmethod
+    async def probe(port: int) -> ProbeResult:
+        engine = Instance("e", "e", f"{HOST}:{port}", "z", "engine")
+        return await PlatformUpstreams().probe(engine)
+
+    async def test_engine_that_stops_to_listen_behind_its_connections_has_ended(
+        self, nursery
+    ) -> None:
+        listener = await listen(HOST, 0)
+        port = listener.socket.getsockname()[1]
+
+        async def end() -> None:
+            await trio.sleep(0.005)
+            await listener.aclose()
+
+        nursery.start_soon(end)
+        assert await self.probe(port) is ProbeResult.REFUSED
+
+    async def test_engine_that_resets_what_it_has_no_room_for_lives(self, nursery) -> None:
+        listener = await listen(HOST, 0)
+
+        async def reset(stream: trio.SocketStream) -> None:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            stream.socket.close()
+
+        nursery.start_soon(trio.serve_listeners, reset, [listener])
+        assert await self.probe(listener.socket.getsockname()[1]) is ProbeResult.CONNECTED
+
+    async def test_engine_that_is_silent_lives(self, nursery) -> None:
+        listener = await listen(HOST, 0)
+        assert await self.probe(listener.socket.getsockname()[1]) is ProbeResult.CONNECTED
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -27,6 +27,9 @@
 MISDIRECTED = 421
 OK_CLASS = 2
 HIGHEST_RANK = 9
+PROBE_LASTS_S = 0.02
+"""How long a connection must stay for its engine to live: a process closes what it had open within
+milliseconds of its end."""
 
 
 class _Answer(UpstreamAnswer):
@@ -129,15 +132,19 @@
             pool.close()
 
     async def probe(self, upstream: Instance) -> ProbeResult:
-        """Return whether anything listens at an engine's address; nothing is sent there."""
+        """Return whether anything listens at an engine's address; nothing is sent there.
+
+        A process that ends may close its connections before it stops to listen, and an engine that
+        has too many connections resets a new one. So one that does not last is made once more.
+        """
         host, _, port = upstream.address.rpartition(":")
         try:
-            stream = await connect_tcp_stream(host, int(port))
+            if not await _lasts(await connect_tcp_stream(host, int(port))):
+                await _lasts(await connect_tcp_stream(host, int(port)))
         except ConnectRefused:
             return ProbeResult.REFUSED
         except ConnectFailed:
             return ProbeResult.UNKNOWN
-        stream.socket.close()
         return ProbeResult.CONNECTED
 
     async def past_run(self, upstream: Instance, request_id: str) -> PastRun:
@@ -161,6 +168,17 @@
         return pool
 
 
+async def _lasts(stream: trio.SocketStream) -> bool:
+    """Return whether a connection is still there a moment after it was made, and close it."""
+    with trio.move_on_after(PROBE_LASTS_S) as scope:
+        try:
+            await stream.receive_some(1)
+        except trio.BrokenResourceError:
+            pass  # reset, which the return value tells
+    stream.socket.close()
+    return scope.cancelled_caught
+
+
 def _headers(upstream: Instance, call: UpstreamCall) -> Headers:
     own = [
         (names.DEADLINE_MS, str(max(1, int(call.timeout_s * 1000))).encode()),
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -1,6 +1,7 @@
 """One request from its slot to its bill: tries, retries, and what is billed if no answer comes."""
 
 import math
+from contextlib import AbstractContextManager
 
 import trio
 from loguru import logger
@@ -8,6 +9,7 @@
 
 from railtide.budgets.messages import Waste
 from railtide.budgets.treasury import Reservation
+from railtide.containment.ends import UpstreamRun
 from railtide.containment.errors import ContentHeld
 from railtide.errors import RailtideError, Run
 from railtide.journal.entries import Code, Verdict
@@ -211,7 +213,7 @@
             self._services.guard.check(self._call.content)
             self._sent_to = upstream
             self._sent_at = trio.current_time()
-            with self._services.guard.running(self._call.content) as scope:
+            with self._running() as scope:
                 sent = self._upstream_call(traceparent_of(span))
                 relayed = await self._relay.relay(upstream, sent)
             if scope.cancelled_caught:
@@ -222,7 +224,13 @@
     def _note_answer(self, upstream: Instance, relayed: Relayed) -> None:
         """Tell the guard of a whole answer; only one that is framed proves that it is whole."""
         sound = relayed.framed and relayed.answer.status == OK_STATUS
-        self._services.guard.note_answer(upstream, self._call.content, self._sent_at, sound)
+        self._services.guard.note_answer(upstream, self._last_run(), sound)
+
+    def _running(self) -> AbstractContextManager[trio.CancelScope]:
+        return self._services.guard.running(self._call.content, lambda: self._relay.head_at)
+
+    def _last_run(self) -> UpstreamRun:
+        return UpstreamRun(self._call.content, self._sent_at, self._relay.head_at)
 
     async def _note_end(self, upstream: Upstream, err: UpstreamError) -> None:
         """Tell the guard of a try that failed; one at an upstream that is leaving tells nothing.
@@ -233,7 +241,7 @@
         if is_leaving(upstream) and not isinstance(err, UpstreamMoved):
             return
         guard = self._services.guard
-        await guard.note_failure(upstream.instance, self._call.content, self._sent_at, err)
+        await guard.note_failure(upstream.instance, self._last_run(), err)
         self._waiting.preference = guard.preference_of(self._call.content)
 
     def _note_pauses(self) -> None:
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -73,12 +73,14 @@
     async def relay(self, upstream: Instance, sent: UpstreamCall) -> Relayed:
         """Send the call and pass its answer on; see `Relay.relay`."""
         ran_before, self._ran = self._ran, True
+        self.head_at = None
         sent = replace(sent, resume_after=self._events.last_id)
         try:
             answer = await self._services.upstreams.open(upstream, sent)
         except UpstreamRefused:
             self._ran = ran_before
             raise
+        self.head_at = trio.current_time()
         async with closing(answer):
             if self._call.stream and answer.status == OK_STATUS:
                 return await self._pass_stream(answer)
--- a/railtide/requests/relay.py
+++ b/railtide/requests/relay.py
@@ -51,9 +51,12 @@
     ----------
     longest_pause_s : float
         Between two events of a stream at one upstream, as far as it is measured.
+    head_at : float or None
+        Trio time at which the head of the latest run's answer came, as far as it is measured.
     """
 
     longest_pause_s = 0.0
+    head_at: float | None = None
 
     @property
     def resumable(self) -> bool:
