--- a/railtide/containment/tests/test_ends.py
+++ b/railtide/containment/tests/test_ends.py
@@ -109,10 +109,11 @@
         bench.watch.note_ended(ONE, EndSign.REFUSED)
         assert bench.ended == []
 
+    @pytest.mark.parametrize("found", [ProbeResult.CONNECTED, ProbeResult.UNKNOWN])
     async def test_break_long_before_the_end_is_not_its_cause(
-        self, nursery, autojump_clock
+        self, nursery, autojump_clock, found: ProbeResult
     ) -> None:
-        bench = Bench(nursery, ProbeResult.CONNECTED)
+        bench = Bench(nursery, found)
         bench.watch.note_broken(ONE, run_of("a"))
         await bench.answer()
         await trio.sleep(BREAK_KEPT_S + 1)
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -57,9 +57,8 @@
 
 CRASH_SEEDS = (5000, 5003, 6027)
 """5000 has routers that are killed or leave and nothing else; 5003 has faults of the store too. In
-6027
-an engine was killed and two ended under the bad content within 0.12 s of the start, and a read that
-all callers make, under way at each of them, was held for good: its own runs were stopped with it."""
+6027 an engine was killed and two ended under the bad content within 0.12 s of the start, and a read
+of all callers, under way at each of them, was held for good: its own runs were stopped with it."""
 
 
 class TestCrashes:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -816,14 +816,14 @@
     Mutant(
         "later-answer-does-not-show-that-it-lives",
         "containment/ends.py",
-        "if at >= sent_at}",
+        "if one.at >= sent_at}",
         "if True}",
         (CONTAINMENT,),
     ),
     Mutant(
         "break-behind-the-end-is-not-counted",
         "containment/ends.py",
-        "            self._on_end(instance, [content])\n            return\n",
+        "            self._on_end(instance, [Break(run, now)])\n            return\n",
         "            return\n",
         (CONTAINMENT,),
     ),
