Moments of ends are told by one router's clock; a clock that is behind hides no end

Cause: read in the code. Ends were compared by the times of two routers, whose clocks may differ by more than the 70 ms between a bad content's ends, so that two counted as one; and a router whose clock was behind by seconds took all marks to be of now, so that three counted as one. Change: two ends are one only where one router saw both; a clock that is ahead is allowed for when it is asked how long a content is held.

--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -12,12 +12,21 @@
 which two in five engines ended every two seconds held three contents that ended none; with it none.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from railtide.containment.evidence import Mark
 
-__all__ = ["HOLD_WEIGHT", "STRONG", "Blame", "blamed", "ends_of", "weight_of"]
+__all__ = [
+    "HOLD_WEIGHT",
+    "STRONG",
+    "Blame",
+    "Moments",
+    "blamed",
+    "ends_of",
+    "moments_of",
+    "weight_of",
+]
 
 STRONG = 5
 WEAK = 3
@@ -27,8 +36,15 @@
 more than the third are within what users allow."""
 LEAST_MARKS = HOLD_WEIGHT // STRONG
 SAME_MOMENT_S = 0.03
-"""Ends no further apart are one if the content was under way at both: processes that are killed
-together are noticed within milliseconds of each other."""
+"""Ends no further apart, by the clock of one router that saw both, are one if the content was under
+way at both: processes that are killed together are noticed within milliseconds of each other. The
+clocks of two routers may be further apart than a bad content's ends."""
+
+OVERLAP_S = 0.0005
+"""For which two runs were there together at least; times are kept to the microsecond."""
+
+Moments = Mapping[str, Mapping[str, float]]
+"""By life and router, when a router saw that life's end, by its own clock."""
 
 
 @dataclass(frozen=True)
@@ -47,13 +63,8 @@
     strikes_by_content: dict[str, int] = field(default_factory=dict)
 
 
-def blamed(marks_by_content: Mapping[str, Sequence[Mark]]) -> Blame:
-    """Return who is to blame.
-
-    Parameters
-    ----------
-    marks_by_content : mapping of str to sequence of Mark
-        Those that are not cleared.
+def blamed(marks: Iterable[Mark]) -> Blame:
+    """Return who is to blame by all marks; those that are cleared tell moments only.
 
     Notes
     -----
@@ -65,62 +76,84 @@
     --------
     >>> def at(content, *lives):
     ...     return [Mark(content, str(life), at=10.0 * life) for life in lives]
-    >>> blame = blamed({"bad": at("bad", 1, 2, 3), "by": at("by", 2, 3), "one": at("one", 9)})
+    >>> blame = blamed([*at("bad", 1, 2, 3), *at("beside", 2, 3), *at("once", 9)])
     >>> sorted(blame.held), blame.strikes_by_content
-    (['bad'], {'one': 1})
-    >>> blamed({"one": at("one", 1, 2, 3), "other": at("other", 1, 2, 3)}).held
+    (['bad'], {'once': 1})
+    >>> blamed([*at("one", 1, 2, 3), *at("other", 1, 2, 3)]).held
     {}
     """
-    left = {content: list(marks) for content, marks in marks_by_content.items()}
+    every = list(marks)
+    moments = moments_of(every)
+    left: dict[str, list[Mark]] = {}
+    for mark in every:
+        if not mark.cleared:
+            left.setdefault(mark.content, []).append(mark)
     held: dict[str, frozenset[str]] = {}
-    while sure := _surely_worst(left):
+    while sure := _surely_worst(left, moments):
         for content in sure:
             held[content] = _lives(left.pop(content))
         explained = frozenset().union(*(held[content] for content in sure))
         left = {
-            content: [mark for mark in marks if mark.life not in explained]
-            for content, marks in left.items()
+            content: [mark for mark in marks_of if mark.life not in explained]
+            for content, marks_of in left.items()
         }
-    strikes = {content: len(ends_of(marks)) for content, marks in left.items() if marks}
+    strikes = {content: len(ends_of(found, moments)) for content, found in left.items() if found}
     return Blame(held, strikes)
 
 
-def ends_of(marks: Sequence[Mark]) -> list[list[Mark]]:
+def moments_of(marks: Iterable[Mark]) -> Moments:
+    """Return when which router saw the end of each life."""
+    moments: dict[str, dict[str, float]] = {}
+    for mark in marks:
+        moments.setdefault(mark.life, {})[mark.router] = mark.at
+    return moments
+
+
+def ends_of(marks: Sequence[Mark], moments: Moments) -> list[list[Mark]]:
     """Return the marks of one content by the ends that they stand for, in the order of time.
 
     Examples
     --------
     >>> together = [Mark("c", "1", 10.0, ran_s=0.5), Mark("c", "2", 10.01, ran_s=0.4)]
-    >>> one_after_the_other = [Mark("c", "1", 10.0, ran_s=0.5), Mark("c", "2", 10.02, ran_s=0.02)]
-    >>> len(ends_of(together)), len(ends_of(one_after_the_other))
-    (1, 2)
+    >>> in_turn = [Mark("c", "1", 10.0, ran_s=0.5), Mark("c", "2", 10.02, ran_s=0.02)]
+    >>> [len(ends_of(marks, moments_of(marks))) for marks in (together, in_turn)]
+    [1, 2]
     """
     ends: list[list[Mark]] = []
     for mark in sorted(marks, key=lambda one: one.at):
-        if ends and _is_same_end(ends[-1], mark):
-            ends[-1].append(mark)
+        for end in ends:
+            if any(_is_same_end(mark, other, moments) for other in end):
+                end.append(mark)
+                break
         else:
             ends.append([mark])
     return ends
 
 
-def _is_same_end(end: Sequence[Mark], mark: Mark) -> bool:
-    was_there = mark.at - mark.ran_s < end[0].at
-    return was_there and mark.at - end[-1].at <= SAME_MOMENT_S
+def _is_same_end(one: Mark, other: Mark, moments: Moments) -> bool:
+    """Return whether a router saw both ends at one moment, at which both runs were there."""
+    for router in moments[one.life].keys() & moments[other.life].keys():
+        gap_s = moments[one.life][router] - moments[other.life][router]
+        both_ran = -other.ran_s < gap_s - OVERLAP_S and gap_s + OVERLAP_S < one.ran_s
+        if both_ran and abs(gap_s) <= SAME_MOMENT_S:
+            return True
+    return False
 
 
-def weight_of(marks: Sequence[Mark]) -> int:
+def weight_of(marks: Sequence[Mark], moments: Moments) -> int:
     """Return how much the marks of one content speak against it."""
-    return sum(max(WEAK if mark.weak else STRONG for mark in end) for end in ends_of(marks))
+    ends = ends_of(marks, moments)
+    return sum(max(WEAK if mark.weak else STRONG for mark in end) for end in ends)
 
 
 def _lives(marks: Sequence[Mark]) -> frozenset[str]:
     return frozenset(mark.life for mark in marks)
 
 
-def _surely_worst(left: Mapping[str, Sequence[Mark]]) -> list[str]:
+def _surely_worst(left: Mapping[str, Sequence[Mark]], moments: Moments) -> list[str]:
     """Return the contents that weigh most, if that is enough and tells them from others."""
-    weights = {c: weight_of(marks) for c, marks in left.items() if len(marks) >= LEAST_MARKS}
+    enough = {content: marks for content, marks in left.items() if len(marks) >= LEAST_MARKS}
+    weights = {content: weight_of(marks, moments) for content, marks in enough.items()}
     most = max(weights.values(), default=0)
     if most < HOLD_WEIGHT:
         return []
--- a/railtide/containment/evidence.py
+++ b/railtide/containment/evidence.py
@@ -21,6 +21,8 @@
         Digests.
     at : float
         When, Unix seconds by the clock of the router that saw it.
+    router : str
+        That router.
     ran_s : float
         For how long it had been there by then, seconds.
     weak : bool
@@ -36,6 +38,7 @@
     cleared: bool = False
     ran_s: float = 0.0
     weak: bool = False
+    router: str = ""
 
 
 class Evidence:
@@ -95,11 +98,6 @@
         """Return the lives that ended with a content under way and not cleared of it."""
         return frozenset(mark.life for mark in self.marks_of(content))
 
-    def marks_by_content(self) -> dict[str, list[Mark]]:
-        """Return the marks that are not cleared of each content that has any."""
-        found = {content: self.marks_of(content) for content in self._marks_by_content}
-        return {content: marks for content, marks in found.items() if marks}
-
 
 def _rank(mark: Mark) -> int:
     """Return which of two marks of one content and life goes before the other."""
--- a/railtide/containment/holding.py
+++ b/railtide/containment/holding.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from railtide.containment.blame import HOLD_WEIGHT, STRONG, weight_of
+from railtide.containment.blame import HOLD_WEIGHT, STRONG, moments_of, weight_of
 from railtide.containment.evidence import Evidence, Mark
 
 __all__ = ["KEEP_S", "MOST_CONTENTS", "held_until", "surplus"]
@@ -21,19 +21,21 @@
 in the store, so that a start reads half a megabyte where each has one."""
 
 
-def held_until(marks: Sequence[Mark]) -> float:
+def held_until(marks: Sequence[Mark], now: float) -> float:
     """Return until when a content is held by its marks, Unix seconds.
 
+    A mark of a clock that is ahead counts as one of now.
+
     Examples
     --------
     >>> marks = [Mark("c", str(life), at=10.0 * life) for life in range(6)]
-    >>> held_until(marks[:3]), held_until(marks[:4]), held_until(marks)
-    (620.0, 2430.0, 86450.0)
+    >>> [held_until(seen, now=60.0) for seen in (marks[:3], marks[:4], marks)]
+    [620.0, 2430.0, 86450.0]
     """
-    last = max(mark.at for mark in marks)
+    last = min(now, max(mark.at for mark in marks))
     if len(marks) >= MOST_ENDS:
         return last + KEEP_S
-    beyond = max(0, weight_of(marks) - HOLD_WEIGHT) // STRONG
+    beyond = max(0, weight_of(marks, moments_of(marks)) - HOLD_WEIGHT) // STRONG
     return last + HOLD_S * HOLD_GROWTH**beyond
 
 
--- a/railtide/containment/operating.py
+++ b/railtide/containment/operating.py
@@ -58,7 +58,7 @@
     evidence = Evidence()
     for mark in record_by_mark:
         evidence.add(mark)
-    blame = blamed(evidence.marks_by_content())
+    blame = blamed(evidence.marks())
     ends = {content: len(lives) for content, lives in blame.held.items()}
     states = [
         _state(content, count, evidence.marks_of(content), record_by_mark, content in ends, now)
@@ -86,7 +86,7 @@
     now: float,
 ) -> ContentState:
     said = [said_by(record_by_mark[mark]) for mark in marks]
-    left_s = held_until(marks) - now if held else 0.0
+    left_s = held_until(marks, now) - now if held else 0.0
     return ContentState(
         content,
         held,
@@ -111,8 +111,8 @@
         for mark in _record_by_mark(page.records)
         if mark.content == content and not mark.cleared
     ]
-    cleared = [replace(mark, cleared=True) for mark in marks]
+    cleared = [replace(mark, cleared=True, router=operator) for mark in marks]
     if cleared:
-        values = {record_key(mark): record_value(mark, "", operator) for mark in cleared}
+        values = {record_key(mark): record_value(mark, "") for mark in cleared}
         await store.append(TOPIC, values)
     return len(cleared)
--- a/railtide/containment/records.py
+++ b/railtide/containment/records.py
@@ -59,9 +59,9 @@
     return f"{mark.content}/{mark.life}"
 
 
-def record_value(mark: Mark, upstream: str, router: str) -> bytes:
+def record_value(mark: Mark, upstream: str) -> bytes:
     """Return what stands under it."""
-    names = upstream[:MOST_NAME], router[:MOST_NAME]
+    names = upstream[:MOST_NAME], mark.router[:MOST_NAME]
     value = _Value(mark.at, *names, mark.cleared, mark.ran_s, mark.weak)
     return msgspec.msgpack.encode(value)
 
@@ -82,8 +82,8 @@
 
     Examples
     --------
-    >>> mark = Mark("c" * 32, "a" * 16, at=5.0)
-    >>> mark_of(KeyedRecord(record_key(mark), record_value(mark, "i-1", "r1"), 0)) == mark
+    >>> mark = Mark("c" * 32, "a" * 16, at=5.0, router="r1")
+    >>> mark_of(KeyedRecord(record_key(mark), record_value(mark, "i-1"), 0)) == mark
     True
     """
     found = KEY.fullmatch(record.key)
@@ -93,4 +93,5 @@
         value = _decoder.decode(record.value)
     except (msgspec.DecodeError, RecursionError) as err:
         raise InvalidObject(str(err)) from err
-    return Mark(found[1], found[2], value.at, value.cleared, value.ran_s, value.weak)
+    seen = value.at, value.cleared, value.ran_s, value.weak, value.router
+    return Mark(found[1], found[2], *seen)
--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -47,6 +47,9 @@
 ROUND_TRIP_S = 0.003
 """An answer that breaks off within this time of the sending comes from an upstream that had ended
 already: a round trip within a region is 1 ms."""
+AHEAD_S = 60.0
+"""By how much another router's time of day may be ahead; a mark from further on would be kept for
+as much longer."""
 SOUND_FRESH_S = 1.0
 """How old a sound answer may be that still clears a mark which was on its way meanwhile."""
 MOST_SOUND = 1_024
@@ -139,7 +142,7 @@
         if content not in self._blame.held:
             return None
         now = self._day_s()
-        left_s = held_until(self._evidence.marks_of(content)) - now
+        left_s = held_until(self._evidence.marks_of(content), now) - now
         if left_s > 0:
             return ContentHeld(f"upstreams end under content {content}", retry_after=left_s)
         if under_way or not self._is_owner(content):
@@ -168,7 +171,7 @@
             mark = self._mark(life, broken)
             if self._evidence.add(mark):
                 self._counters.add("contents_marked")
-                self._write(record_key(mark), record_value(mark, upstream, self._router))
+                self._write(record_key(mark), record_value(mark, upstream))
         self._judge()
 
     def _mark(self, life: str, broken: Break) -> Mark:
@@ -177,7 +180,7 @@
         ran_s = broken.at - run.sent_at
         begun_s = broken.at - (run.sent_at if run.head_at is None else run.head_at)
         weak = begun_s > BEGUN_S or ran_s < ROUND_TRIP_S
-        return Mark(run.content, life, at, ran_s=ran_s, weak=weak)
+        return Mark(run.content, life, at, ran_s=ran_s, weak=weak, router=self._router)
 
     def note_sound(self, content: str) -> None:
         """Take that a content was answered soundly: it is not why anything ended."""
@@ -198,7 +201,7 @@
         for mark in marks:
             cleared = replace(mark, cleared=True)
             self._evidence.add(cleared)
-            key, value = record_key(mark), record_value(cleared, "", self._router)
+            key, value = record_key(mark), record_value(cleared, "")
             self._cleared_here[key] = value
             if len(self._cleared_here) > MOST_SOUND:
                 del self._cleared_here[next(iter(self._cleared_here))]
@@ -220,7 +223,7 @@
             except InvalidObject as err:
                 self._tell_unreadable(record.key, err.detail)
                 continue
-            self._take_mark(replace(mark, at=min(mark.at, now)), record.key)
+            self._take_mark(replace(mark, at=min(mark.at, now + AHEAD_S)), record.key)
         self._judge()
 
     def _take_mark(self, mark: Mark, key: str) -> None:
@@ -247,9 +250,10 @@
     def _judge(self) -> None:
         """Work out whose fault the ends are, and say what has changed."""
         before = self._blame.held.keys()
-        self._blame = blamed(self._evidence.marks_by_content())
+        self._blame = blamed(self._evidence.marks())
         for content in self._blame.held.keys() - before:
-            left_s = held_until(self._evidence.marks_of(content)) - self._day_s()
+            now = self._day_s()
+            left_s = held_until(self._evidence.marks_of(content), now) - now
             ends = len(self._blame.held[content])
             logger.bind(content=content, ends=ends, for_s=round(left_s)).warning("content-held")
             self._counters.add("contents_held")
--- a/railtide/containment/tests/test_blame.py
+++ b/railtide/containment/tests/test_blame.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from railtide.containment.blame import HOLD_WEIGHT, STRONG, Blame, weight_of
+from railtide.containment.blame import HOLD_WEIGHT, STRONG, Blame, moments_of, weight_of
 from railtide.containment.blame import blamed as judged
 from railtide.containment.evidence import Mark
 
@@ -15,19 +15,19 @@
     return frozenset(f"life {number}" for number in numbers)
 
 
-def mark(life: object, at: float, **fields: object) -> Mark:
-    return Mark("c", str(life), at, **fields)
+def mark(life: object, at: float, content: str = "c", **fields: object) -> Mark:
+    return Mark(content, str(life), at, **fields)
 
 
 def blamed(lives_by_content: dict[str, frozenset]) -> Blame:
     """Judge by ends of which each comes long behind the one before."""
     order = sorted({str(life) for ends in lives_by_content.values() for life in ends})
     at_by_life = {life: 10.0 * number for number, life in enumerate(order)}
-    marks = {
-        content: [mark(life, at_by_life[str(life)]) for life in ends]
+    return judged(
+        mark(life, at_by_life[str(life)], content)
         for content, ends in lives_by_content.items()
-    }
-    return judged(marks)
+        for life in ends
+    )
 
 
 class TestBlame:
@@ -89,20 +89,36 @@
     def test_ends_at_one_moment_count_once(self) -> None:
         """A content that is read by many is under way wherever upstreams are killed together."""
         together = [mark(life, 10.0 + life / 1000, ran_s=0.5) for life in range(4)]
-        assert weight_of(together) == STRONG
-        assert judged({"c": together}).strikes_by_content == {"c": 1}
+        assert weight_of(together, moments_of(together)) == STRONG
+        assert judged(together).strikes_by_content == {"c": 1}
 
     def test_second_try_that_ends_the_next_at_once_counts_by_itself(self) -> None:
         tries = [mark(n, 10.0 + n / 100, ran_s=0.01) for n in range(3)]
-        assert set(judged({"c": tries}).held) == {"c"}
+        assert set(judged(tries).held) == {"c"}
 
     def test_long_streams_that_were_begun_long_before_are_not_held_by_three(self) -> None:
         weak = [mark(n, 10.0 * n, ran_s=2.0, weak=True) for n in range(5)]
-        assert judged({"c": weak[:3]}).held == {}
-        assert judged({"c": [mark(9, 1.0), *weak[:3]]}).held == {}
-        assert set(judged({"c": weak}).held) == {"c"}
+        assert judged(weak[:3]).held == {}
+        assert judged([mark(9, 1.0), *weak[:3]]).held == {}
+        assert set(judged(weak).held) == {"c"}
 
     def test_fast_and_slow_ends_add_up(self) -> None:
         marks = [mark(1, 1.0), mark(2, 11.0), mark(3, 21.0, weak=True), mark(4, 31.0, weak=True)]
-        assert judged({"c": marks[:3]}).held == {}
-        assert set(judged({"c": marks}).held) == {"c"}
+        assert judged(marks[:3]).held == {}
+        assert set(judged(marks).held) == {"c"}
+
+    def test_routers_whose_clocks_differ_see_two_ends_as_two(self) -> None:
+        """The clock of one is ahead by about the time between a bad content's ends."""
+        marks = [
+            mark(1, 10.07, ran_s=0.06, router="ahead"),
+            mark(2, 10.07, ran_s=0.06, router="right"),
+            mark(3, 10.14, ran_s=0.06, router="right"),
+        ]
+        assert set(judged(marks).held) == {"c"}
+
+    def test_one_router_that_saw_both_tells_that_they_were_one(self) -> None:
+        """Each of three saw the content at one upstream; one saw all of them end at once."""
+        marks = [mark(n, 10.0 + n, ran_s=0.5, router=f"r{n}") for n in range(3)]
+        seen = [mark(n, 20.0 + n / 1000, f"other {n}", cleared=True, router="s") for n in range(3)]
+        assert set(judged(marks).held) == {"c"}
+        assert judged(marks + seen).held == {}
--- a/railtide/containment/tests/test_evidence.py
+++ b/railtide/containment/tests/test_evidence.py
@@ -19,10 +19,8 @@
     evidence = Evidence()
     for mark in marks:
         evidence.add(mark)
-    marks_by_content = evidence.marks_by_content()
-    return {
-        content: frozenset(m.life for m in found) for content, found in marks_by_content.items()
-    }
+    contents = {mark.content for mark in evidence.marks()}
+    return {content: evidence.lives(content) for content in contents if evidence.lives(content)}
 
 
 class TestEvidence:
@@ -58,12 +56,12 @@
 class TestHolding:
     def test_each_trial_waits_longer_and_the_third_is_the_last(self) -> None:
         marks = [Mark("c", str(number), 10.0 * number) for number in range(7)]
-        waits = [held_until(marks[:ends]) - marks[ends - 1].at for ends in range(3, 8)]
+        waits = [held_until(marks[:ends], now=60.0) - marks[ends - 1].at for ends in range(3, 8)]
         assert waits == [HOLD_S, 4 * HOLD_S, 16 * HOLD_S, KEEP_S, KEEP_S]
 
     def test_marks_live_long_enough_for_the_trials(self) -> None:
         marks = [Mark("c", str(number), 0.0) for number in range(5)]
-        assert sum(held_until(marks[:ends]) for ends in (3, 4, 5)) <= KEEP_S
+        assert sum(held_until(marks[:ends], now=0.0) for ends in (3, 4, 5)) <= KEEP_S
 
     def test_beyond_the_bound_those_that_say_least_go(self) -> None:
         evidence = Evidence()
--- a/railtide/containment/tests/test_registry.py
+++ b/railtide/containment/tests/test_registry.py
@@ -9,7 +9,7 @@
 from railtide.containment.evidence import Mark
 from railtide.containment.holding import HOLD_S, KEEP_S
 from railtide.containment.records import record_key, record_value
-from railtide.containment.registry import TOPIC, CrashRegistry
+from railtide.containment.registry import AHEAD_S, TOPIC, CrashRegistry
 from railtide.standins.keyed_store import MemoryStore
 from railtide.telemetry.counters import Counters
 
@@ -306,6 +306,16 @@
         await trio.sleep(KNOWN_S)
         for number in range(3):
             mark = Mark(BAD, f"{number:016x}", fleet.day_s + 10 * KEEP_S)
-            fleet.store.put(TOPIC, record_key(mark), record_value(mark, "i", "r"))
+            fleet.store.put(TOPIC, record_key(mark), record_value(mark, "i"))
         await trio.sleep(KNOWN_S)
         assert fleet.registries[0].refusal_of(BAD).retry_after <= HOLD_S
+
+    async def test_mark_of_such_a_clock_is_kept_no_longer(self, nursery, autojump_clock) -> None:
+        fleet = Fleet(nursery)
+        await trio.sleep(KNOWN_S)
+        mark = Mark(GOOD, f"{1:016x}", fleet.day_s + 10 * KEEP_S)
+        fleet.store.put(TOPIC, record_key(mark), record_value(mark, "i"))
+        await trio.sleep(KNOWN_S)
+        fleet.day_s += KEEP_S + 2 * AHEAD_S
+        fleet.registries[0].forget_surplus()
+        assert fleet.registries[0].strikes_by_content(GOOD) == {}
--- a/railtide/platform/tests/test_contents.py
+++ b/railtide/platform/tests/test_contents.py
@@ -27,7 +27,7 @@
         store = MemoryStore()
         for number in range(3):
             mark = Mark(CONTENT, f"{number:016x}", at=1.0)
-            store.put(TOPIC, record_key(mark), record_value(mark, f"i-{number}", "r1"))
+            store.put(TOPIC, record_key(mark), record_value(mark, f"i-{number}"))
         address = f"{HOST}:{await serve(nursery, StoreServer(store).handle)}"
         (shown,) = await run("show", "--store", address)
         assert (shown["content"], shown["held"], shown["ends"]) == (CONTENT, True, 3)
