A fresh verdict is waited out, and two contents that share two of three ends are not held yet

Change: a request of a content that has been held for less than 50 ms waits that long and asks again; of two contents that weigh the same and share two ends neither is held, as was so for three.

--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -69,7 +69,7 @@
 
     Notes
     -----
-    Two contents that were under way at the same three ends can't be told apart. Neither is held
+    Two contents of three ends that share two or all of them can't be told apart. Neither is held
     then; they are placed apart, and the next end tells which one it is. With more than three all of
     them are held.
 
@@ -183,5 +183,7 @@
 
 
 def _has_twin(content: str, worst: Sequence[str], left: Mapping[str, Sequence[Mark]]) -> bool:
+    """Return whether another content that weighs as much was at most of the same ends."""
     lives = _lives(left[content])
-    return any(other != content and _lives(left[other]) == lives for other in worst)
+    shared = (_lives(left[other]) & lives for other in worst if other != content)
+    return any(len(ends) >= LEAST_MARKS - 1 for ends in shared)
--- a/railtide/containment/guard.py
+++ b/railtide/containment/guard.py
@@ -8,6 +8,7 @@
 import trio
 
 from railtide.containment.ends import EndSign, EndWatch, UpstreamRun
+from railtide.containment.errors import ContentHeld
 from railtide.containment.placement import preferred
 from railtide.containment.registry import CrashRegistry
 from railtide.membership.instances import Instance
@@ -25,6 +26,10 @@
 """Returns, of the names of upstreams, those at which a request had best run."""
 
 
+JUDGED_S = 0.05
+"""How long the marks of one end take to come from all routers that saw it: two answers of a store
+of 4 ms and the probes before, with some to spare. Without this wait an innocent content was refused
+in the 6 ms between its own mark and another router's."""
 SURVIVED_S = 0.15
 """An upstream that has run a request for so long is not ended by it: those that are end within some
 0.1 s of the begin."""
@@ -34,7 +39,7 @@
     """Keeps contents that end upstreams away from them."""
 
     @abstractmethod
-    def check(self, content: str) -> None:
+    async def check(self, content: str) -> None:
         """Raise `ContentHeld` if a content is not to be sent."""
 
     @abstractmethod
@@ -69,7 +74,7 @@
 class NoGuard(ContentGuard):
     """Lets everything run anywhere."""
 
-    def check(self, content: str) -> None:
+    async def check(self, content: str) -> None:
         """Let it run; see `ContentGuard.check`."""
 
     def preference_of(self, content: str) -> Preference | None:
@@ -112,12 +117,21 @@
         self._runs_by_content: dict[str, list[_Running]] = {}
         registry.on_held = self._stop
 
-    def check(self, content: str) -> None:
-        """Raise if it is held; see `ContentGuard.check`."""
-        refusal = self._registry.refusal_of(content, content in self._runs_by_content)
+    async def check(self, content: str) -> None:
+        """Raise if it is held; see `ContentGuard.check`.
+
+        A verdict that is fresh is waited out: other routers that saw the same end may tell of a
+        content that explains it.
+        """
+        if self._refusal_of(content):
+            await trio.sleep(max(0.0, JUDGED_S - self._registry.held_for_s(content)))
+        refusal = self._refusal_of(content)
         if refusal:
             raise refusal
 
+    def _refusal_of(self, content: str) -> ContentHeld | None:
+        return self._registry.refusal_of(content, content in self._runs_by_content)
+
     def preference_of(self, content: str) -> Preference | None:
         """Return the upstreams that keep it apart; see `ContentGuard.preference_of`."""
         strikes = self._registry.strikes_by_content(content)
--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -98,6 +98,7 @@
         self._day_s = day_s
         self._evidence = Evidence()
         self._blame = Blame()
+        self._held_at: dict[str, float] = {}
         self._known_lives: set[str] = set()
         self._waiting: dict[str, bytes] = {}
         self._due = trio.Event()
@@ -149,6 +150,10 @@
             return ContentHeld(f"content {content} is tried elsewhere", retry_after=ELSEWHERE_S)
         return None
 
+    def held_for_s(self, content: str) -> float:
+        """Return for how long a content has been held by what is known here, seconds."""
+        return trio.current_time() - self._held_at.get(content, trio.current_time())
+
     def strikes_by_content(self, content: str) -> dict[str, int]:
         """Return the ends that suspects have to answer for, if a content is one of them.
 
@@ -257,8 +262,10 @@
             ends = len(self._blame.held[content])
             logger.bind(content=content, ends=ends, for_s=round(left_s)).warning("content-held")
             self._counters.add("contents_held")
+            self._held_at[content] = trio.current_time()
             self.on_held(content)
         for content in before - self._blame.held.keys():
+            del self._held_at[content]
             logger.bind(content=content).info("content-released")
 
     # -- writing and forgetting ---------------------------------------------------------------
--- a/railtide/containment/tests/test_blame.py
+++ b/railtide/containment/tests/test_blame.py
@@ -58,6 +58,14 @@
         assert blame.held == {}
         assert blame.strikes_by_content == {"one": 3, "other": 3}
 
+    def test_two_that_share_two_of_three_ends_are_not_held_yet(self) -> None:
+        """One was at a kill and at two ends of the other: which one is not told by their ends."""
+        ends = {"one": lives(1, 2, 3), "other": lives(2, 3, 4)}
+        assert blamed(ends).held == {}
+        blame = blamed(ends | {"other": lives(2, 3, 4, 5)})
+        assert set(blame.held) == {"other"}
+        assert blame.strikes_by_content == {"one": 1}
+
     def test_fourth_end_tells_them_apart(self) -> None:
         blame = blamed({"one": lives(1, 2, 3, 4), "other": lives(1, 2, 3)})
         assert set(blame.held) == {"one"}
--- /dev/null
+++ b/railtide/containment/tests/test_guard.py
@@ -0,0 +1,68 @@
+"""What a request is told while routers still hear of an end from one another."""
+
+import pytest
+import trio
+
+from railtide.containment.ends import EndWatch, ProbeResult
+from railtide.containment.errors import ContentHeld
+from railtide.containment.guard import JUDGED_S, CrashGuard
+from railtide.containment.tests.test_registry import BAD, GOOD, Fleet
+from railtide.membership.instances import Instance
+
+
+async def refused(instance: Instance) -> ProbeResult:
+    return ProbeResult.REFUSED
+
+
+def guard_of(fleet: Fleet) -> CrashGuard:
+    watch = EndWatch(refused, lambda instance, breaks: None, fleet.nursery.start_soon)
+    return CrashGuard(fleet.registries[0], watch)
+
+
+class TestFreshVerdict:
+    """Story. A read that all callers make was at three ends, two of them under a bad content whose
+    third was seen by another router in the same millisecond. It was held for the 6 ms until that
+    router's mark came, and a caller was refused in them. Evidence: the lines `content-held` and
+    `content-released` of two routers, 7 ms apart. Cause: a verdict was acted on before all who saw
+    the same end could be heard."""
+
+    async def test_innocent_content_waits_for_the_marks_of_others(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        guard = guard_of(fleet)
+        await fleet.end("i-0", BAD)
+        await fleet.end("i-1", GOOD)
+        await fleet.end("i-2", GOOD, BAD)
+        await fleet.end("i-3", BAD, begun_s=2.0)
+        fleet.store.delay_s = JUDGED_S / 4
+        nursery.start_soon(fleet.end, "i-4", GOOD)
+        await trio.sleep(0.001)
+        assert all(fleet.refused(GOOD)[:1])
+        fleet.registries[1].note_end("i-4", "i-4", fleet.breaks_of([BAD], 0.06))
+        await guard.check(GOOD)
+        with pytest.raises(ContentHeld):
+            await guard.check(BAD)
+
+    async def test_content_that_stays_held_is_refused_soon_and_then_at_once(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        guard = guard_of(fleet)
+        for number in range(2):
+            await fleet.end(f"i-{number}", BAD)
+        nursery.start_soon(fleet.end, "i-2", BAD)
+        await trio.sleep(0.001)
+        for most_s in (JUDGED_S, 0.0):
+            began = trio.current_time()
+            with pytest.raises(ContentHeld):
+                await guard.check(BAD)
+            assert trio.current_time() - began <= most_s
+
+    async def test_content_that_is_not_held_waits_for_nothing(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        began = trio.current_time()
+        await guard_of(fleet).check(GOOD)
+        assert trio.current_time() == began
--- a/railtide/containment/tests/test_registry.py
+++ b/railtide/containment/tests/test_registry.py
@@ -1,6 +1,6 @@
 """How all routers come to know of contents that end upstreams, whatever the store does."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 import trio
@@ -43,11 +43,15 @@
 
     async def end(self, life: str, *contents: str, seen_by: int = 0, begun_s: float = 0.06) -> None:
         """Have a router see the end of a life and let all know."""
-        now = trio.current_time()
-        breaks = [Break(UpstreamRun(content, now - begun_s), now) for content in contents]
-        self.registries[seen_by].note_end(life, life, breaks)
+        self.registries[seen_by].note_end(life, life, self.breaks_of(contents, begun_s))
         await trio.sleep(KNOWN_S)
 
+    @staticmethod
+    def breaks_of(contents: Iterable[str], begun_s: float) -> list[Break]:
+        """Return runs that began so long ago and break off now."""
+        now = trio.current_time()
+        return [Break(UpstreamRun(content, now - begun_s), now) for content in contents]
+
     def refused(self, content: str) -> list[bool]:
         return [registry.refusal_of(content) is not None for registry in self.registries]
 
--- a/railtide/requests/dispatcher.py
+++ b/railtide/requests/dispatcher.py
@@ -78,7 +78,7 @@
         scheduler = self._scheduler_of(call.pool)
         if scheduler is None:
             raise NoUpstream("the pool has no upstream", retry_after=RETRY_AFTER_S)
-        self._services.guard.check(call.content)
+        await self._services.guard.check(call.content)
         reservation = await self._treasury.reserve(
             call.account, call.settings, call.reserve, call.deadline
         )
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -210,7 +210,7 @@
         with _tracer.start_as_current_span("upstream.call") as span:
             span.set_attribute("railtide.upstream", upstream.name)
             self._cover.check_fresh()
-            self._services.guard.check(self._call.content)
+            await self._services.guard.check(self._call.content)
             self._sent_to = upstream
             self._sent_at = trio.current_time()
             with self._running() as scope:
@@ -291,7 +291,7 @@
         if not refused and not self._call.repeatable:
             self._log_end_of_tries("once-only")
             raise OutcomeUnknown("the call may have run and is not sent again") from err
-        self._check_held()
+        await self._check_held()
         resumable = self._call.resumable and self._relay.resumable
         begun = self._sink.started and not resumable
         most_runs = self._call.attempts or self._services.options.attempts
@@ -307,10 +307,10 @@
             self._log_end_of_tries("account-budget")
             raise err
 
-    def _check_held(self) -> None:
+    async def _check_held(self) -> None:
         """Raise if upstreams end under this request, by what is known since its last try."""
         try:
-            self._services.guard.check(self._call.content)
+            await self._services.guard.check(self._call.content)
         except ContentHeld:
             self._log_end_of_tries("content-held")
             raise
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -721,6 +721,13 @@
         "if abs(gap_s)",
         (CONTAINMENT,),
     ),
+    Mutant(
+        "contents-that-share-two-ends-are-both-held",
+        "containment/blame.py",
+        "any(len(ends) >= LEAST_MARKS - 1 for ends in shared)",
+        "any(len(ends) >= LEAST_MARKS for ends in shared)",
+        (CONTAINMENT,),
+    ),
     Mutant(
         "run-that-was-there-before-an-earlier-end-counts-in-full",
         "containment/blame.py",
@@ -742,6 +749,13 @@
         "weak = begun_s > BEGUN_S",
         (CONTAINMENT,),
     ),
+    Mutant(
+        "verdict-is-acted-on-before-others-are-heard",
+        "containment/guard.py",
+        "            await trio.sleep(max(0.0, JUDGED_S - self._registry.held_for_s(content)))\n",
+        "            pass\n",
+        (CONTAINMENT,),
+    ),
     Mutant(
         "held-content-runs-on-everywhere",
         "containment/guard.py",
