Sight: a topic that stays lost says why, and how much of an answer had come

Lines could not tell an answer that breaks off in its middle from one that never begins: a feed said once that the store is lost, without bytes. Now the reason has the bytes that had come, a topic that stays lost says so every 3 s, and railtide_store_bytes_discarded counts what was thrown away.

--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -17,6 +17,9 @@
 BACKOFF_MOST_S = 0.8
 """Waits after a failed call; a store that is back is found within the second that the desired
 state has to spare."""
+TELL_LOST_S = 3.0
+"""Between two lines on a topic that stays lost: whether nothing comes or answers break off is told
+by the latest reason. Four topics of a router make some 80 lines a minute."""
 
 
 @dataclass(frozen=True)
@@ -83,6 +86,7 @@
         self._on_newest = on_newest
         self._pause_s_of = pause_s_of or (lambda: options.pause_s)
         self._backoff = Backoff(BACKOFF_S, BACKOFF_MOST_S, rng)
+        self._told_lost_at = -float("inf")
         self._reading: trio.CancelScope | None = None
         self._fresh: trio.Event | None = None
 
@@ -165,3 +169,10 @@
             self.reachable = False
             self.lost_at = trio.current_time()
             logger.bind(topic=self._topic, reason=err.detail).warning("store-lost")
+            self._told_lost_at = trio.current_time()
+        elif trio.current_time() - self._told_lost_at >= TELL_LOST_S:
+            lost_s = round(trio.current_time() - self.lost_at, 3)
+            logger.bind(topic=self._topic, reason=err.detail, lost_s=lost_s).warning(
+                "store-still-lost"
+            )
+            self._told_lost_at = trio.current_time()
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -7,7 +7,7 @@
 import trio
 from loguru import logger
 
-from railtide.http.client import Exchange, PeerPool
+from railtide.http.client import PeerPool
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
 from railtide.journal.errors import LogUnavailable, RecordsExpired
@@ -124,32 +124,39 @@
         self._counters.add("store_calls")
         self._counters.add("store_bytes_sent", len(body))
         request = HttpRequest(method, target.encode(), ((b"host", self._host),), body)
+        body = bytearray()
         try:
             with trio.fail_after(timeout_s):
-                return await self._exchange(request)
+                status = await self._exchange(request, body)
         except (HttpError, trio.TooSlowError) as err:
             self._counters.add("store_calls_unanswered")
-            raise LogUnavailable(f"{target.partition('?')[0]}: {type(err).__name__}") from err
+            self._counters.add("store_bytes_discarded", len(body))
+            call = target.partition("?")[0]
+            reason = f"{call}: {type(err).__name__}, {len(body)} bytes of the answer had come"
+            raise LogUnavailable(reason) from err
+        self._counters.add("store_bytes_received", len(body))
+        self._check(status, bytes(body))
+        return bytes(body)
 
-    async def _exchange(self, request: HttpRequest) -> bytes:
+    async def _exchange(self, request: HttpRequest, body: bytearray) -> int:
+        """Fill in the answer's body as it comes and return its status."""
         exchange = await self._pool.send(request)
         try:
-            body = b"".join([chunk async for chunk in exchange.chunks()])
+            async for chunk in exchange.chunks():
+                body += chunk
         finally:
             exchange.abandon()
-        self._counters.add("store_bytes_received", len(body))
-        self._check(exchange, body)
-        return body
+        return exchange.status
 
-    def _check(self, exchange: Exchange, body: bytes) -> None:
-        if exchange.status == 200:
+    def _check(self, status: int, body: bytes) -> None:
+        if status == 200:
             return
-        self._counters.add(f"store_answers_{exchange.status}")
-        if exchange.status == 412:
+        self._counters.add(f"store_answers_{status}")
+        if status == 412:
             raise AppendConflict(_decode(body, _Appended).end_offset)
-        if exchange.status == 410:
+        if status == 410:
             raise RecordsExpired(_decode(body, _Expired).first)
-        raise LogUnavailable(f"the store answered {exchange.status}")
+        raise LogUnavailable(f"the store answered {status}")
 
 
 def _decode(body: bytes, kind: type) -> msgspec.Struct:
