Failing: a large desired state behind a narrow link never comes into force after a loss of the store

Cause: PlatformStore bounds each call's whole answer by ANSWER_S (1.0 s, plus the wait of a read). A read that finds the store away does not wait; an answer that needs more of the link is cut off, thrown away and begun again for ever.

Change: a stand-in for a narrow link (standins/narrow_link.py: rate shared by all connections in a direction, latency; holds everything, loses the open connections for good, or resets them); `world` takes it as its way to the store; one test, listed in KNOWN-RED.txt. The code is unchanged.

--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -24,6 +24,7 @@
 from railtide.platform.tests.hosts import HOST
 from railtide.platform.upstreams import PlatformUpstreams
 from railtide.standins.keyed_store import MemoryStore
+from railtide.standins.narrow_link import NarrowLink
 from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer, engine_entry
 from railtide.telemetry.counters import Counters
 
@@ -118,12 +119,17 @@
 
 @asynccontextmanager
 async def world(
-    state: bytes | None = None, suspensions: Suspensions | None = None
+    state: bytes | None = None,
+    suspensions: Suspensions | None = None,
+    link: NarrowLink | None = None,
 ) -> AsyncIterator[World]:
+    """Yield a router that is ready; `link` leads to its store."""
     store = MemoryStore()
     store.put("keyed.op", "config", state or desired_state())
     async with trio.open_nursery() as nursery:
         store_port = await serve(nursery, StoreServer(store).handle)
+        if link:
+            store_port = await link.open(nursery, HOST, store_port)
         upstreams = PlatformUpstreams()
         node = EdgeNode(
             Identity("i1", "z", f"{HOST}:1", "life"),
