A call to the store is bounded by silence, and never as a whole

Callers of new routes got 404 for as long as a router ran: each read of a large desired state was given up at 1.0 s, thrown away, and begun again under the same limit.

Now a call is given up when nothing moves: before the answer's first byte, and then when a second brings less than 4 KB. The wait for a first byte doubles while answers on a subject don't begin, as long as another call is under way that waits no longer than usual, so that a silent store's return is noticed as before. Records that came whole are kept of an answer that breaks off, and pages of the newest records are gone on with. It holds for any size: nothing in it is a limit that a transfer can outgrow, and a trickle or a silent connection ends as soon as before.

--- a/railtide/budgets/tests/test_report_identity.py
+++ b/railtide/budgets/tests/test_report_identity.py
@@ -37,6 +37,7 @@
     treasury_with,
 )
 from railtide.journal.keyed import KeyedPage
+from railtide.journal.transfer import Transfer
 from railtide.standins.keyed_store import MemoryStore
 
 OTHER_ACCOUNT = "b"
@@ -49,7 +50,9 @@
         super().__init__()
         self._store = store
 
-    async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
+    async def newest(
+        self, topic: str, partition: int = 0, transfer: Transfer | None = None
+    ) -> KeyedPage:
         """Return what the store returns."""
         await self._call(partition)
         return await self._store.newest(topic, partition)
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -10,10 +10,14 @@
 from railtide.http.errors import ConnectFailed, ConnectionLost, ConnectRefused
 from railtide.http.messages import Headers, HttpRequest, first_header
 from railtide.http.sockets import set_tcp_options
+from railtide.http.stall import StallWatch
 
 __all__ = ["Exchange", "PeerPool", "connect_tcp_stream"]
 
 READ_BYTES = 65_536
+SEND_BYTES = 16_384
+"""Part of a request that is handed to the system at once under a watch; it keeps no more than about
+as much unsent, so that what was handed over has moved."""
 CONNECT_S = 0.4
 """Longest wait for a connection. Above two lost opening packets on a link of a few
 milliseconds, well under the response-time goals of model calls."""
@@ -93,9 +97,15 @@
         self._idle: list[_Kept] = []
         self._closed = False
 
-    async def send(self, request: HttpRequest) -> "Exchange":
+    async def send(self, request: HttpRequest, watch: StallWatch | None = None) -> "Exchange":
         """Send a request and return its exchange once the answer's head is there.
 
+        Parameters
+        ----------
+        request : HttpRequest
+        watch : StallWatch, optional
+            Told of the bytes that move, up to the end of the exchange.
+
         Raises
         ------
         ConnectFailed
@@ -104,18 +114,18 @@
             Some may have been.
         """
         kept = self._checkout() or await self._connect()
-        exchange = Exchange(self, kept)
+        exchange = Exchange(self, kept, watch)
         began = trio.current_time()
         try:
             await exchange.begin(request)
         except BaseException:
             exchange.abandon()
             if exchange.reused and trio.current_time() - began >= SILENT_S:
-                self._drop_idle()
+                self.drop_idle()
             raise
         return exchange
 
-    def _drop_idle(self) -> None:
+    def drop_idle(self) -> None:
         """Close the idle connections; what made one silent may have made them all so."""
         while self._idle:
             self._idle.pop().stream.socket.close()
@@ -143,7 +153,7 @@
     def close(self) -> None:
         """Close the idle connections now, and each other one at the end of its exchange."""
         self._closed = True
-        self._drop_idle()
+        self.drop_idle()
 
 
 class Exchange:
@@ -159,13 +169,14 @@
         Whether the connection had carried a request before.
     """
 
-    def __init__(self, pool: PeerPool, kept: _Kept) -> None:
+    def __init__(self, pool: PeerPool, kept: _Kept, watch: StallWatch | None = None) -> None:
         self.status = 0
         self.headers: Headers = ()
         self.framed = False
         self.reused = kept.exchanges > 0
         self._pool = pool
         self._kept = kept
+        self._watch = watch
         self._over = False
         self._all_sent = False
         self._sending_broke = False
@@ -203,11 +214,19 @@
 
     async def _send(self, data: bytes) -> None:
         try:
-            await self._kept.stream.send_all(data)
+            await self._send_parts(data)
             self._all_sent = True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._sending_broke = True  # the reading finds the early answer, or that there is none
 
+    async def _send_parts(self, data: bytes) -> None:
+        if not self._watch:
+            await self._kept.stream.send_all(data)
+            return
+        for start in range(0, len(data), SEND_BYTES):
+            await self._kept.stream.send_all(data[start : start + SEND_BYTES])
+            self._watch.note_sent()
+
     async def _read_head_or_lose(self) -> h11.Response | None:
         try:
             return await self._read_head()
@@ -248,7 +267,10 @@
                 event = conn.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                conn.receive_data(await self._kept.stream.receive_some(READ_BYTES))
+                data = await self._kept.stream.receive_some(READ_BYTES)
+                if self._watch:
+                    self._watch.note_received(len(data))
+                conn.receive_data(data)
             except h11.RemoteProtocolError as err:
                 raise ConnectionLost(f"not an answer: {err}") from err
             except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
--- a/railtide/http/errors.py
+++ b/railtide/http/errors.py
@@ -2,7 +2,14 @@
 
 from railtide.errors import RailtideError, Run
 
-__all__ = ["CallerGone", "ConnectFailed", "ConnectRefused", "ConnectionLost", "HttpError"]
+__all__ = [
+    "CallerGone",
+    "ConnectFailed",
+    "ConnectRefused",
+    "ConnectionLost",
+    "HttpError",
+    "Stalled",
+]
 
 
 class HttpError(RailtideError):
@@ -29,6 +36,12 @@
     code = "connection-lost"
 
 
+class Stalled(HttpError):
+    """Nothing moved on a connection for too long; part of the request may have been taken."""
+
+    code = "stalled"
+
+
 class CallerGone(HttpError):
     """The caller closed its connection before its answer was whole."""
 
--- /dev/null
+++ b/railtide/http/stall.py
@@ -0,0 +1,88 @@
+"""A bound on silence in an exchange, whatever the size of what it carries."""
+
+import trio
+
+from railtide.http.errors import Stalled
+
+__all__ = ["LEAST_BYTES", "StallWatch"]
+
+LEAST_BYTES = 4_096
+"""Bytes that an answer must bring within the bound on silence. At one second this is a 150th of a
+link of 5 Mbit/s, and more than three lost segments in a row leave; a peer that sends less counts as
+silent, so that a trickle holds nobody for ever."""
+
+
+class StallWatch:
+    """Gives up what runs under it once nothing moves any more.
+
+    It bounds the wait for the answer's first byte, and then each wait for the next bytes; never the
+    whole. A limit on the whole would be met by an answer that has grown: a configuration of 500 KB
+    takes 0.8 s of a link of 5 Mbit/s, and was broken off at 1.0 s beside other traffic, for ever.
+
+    Parameters
+    ----------
+    head_s : float
+        Seconds from the last bytes that were sent to the first byte of the answer.
+    stall_s : float
+        Seconds within which an answer that has begun brings `least_bytes` more, or ends.
+    least_bytes : int, optional
+
+    Attributes
+    ----------
+    received : int
+        Bytes that have come.
+
+    Examples
+    --------
+    >>> async def twice_the_bound() -> int:
+    ...     with StallWatch(head_s=0.04, stall_s=0.04, least_bytes=1) as watch:
+    ...         for _ in range(4):
+    ...             await trio.sleep(0.02)
+    ...             watch.note_received(1)
+    ...     return watch.received
+    >>> trio.run(twice_the_bound)
+    4
+    """
+
+    def __init__(self, head_s: float, stall_s: float, least_bytes: int = LEAST_BYTES) -> None:
+        self.received = 0
+        self._head_s = head_s
+        self._stall_s = stall_s
+        self._least_bytes = least_bytes
+        self._portion = 0
+        self._scope = trio.CancelScope()
+
+    def __enter__(self) -> "StallWatch":
+        self._scope.deadline = trio.current_time() + self._head_s
+        self._scope.__enter__()
+        return self
+
+    def __exit__(self, kind, err, trace) -> bool | None:
+        handled = self._scope.__exit__(kind, err, trace)
+        if self._scope.cancelled_caught:
+            raise Stalled(f"nothing moved; {self.received} bytes of the answer had come")
+        return handled
+
+    @property
+    def begun(self) -> bool:
+        """True once a byte of the answer has come."""
+        return self.received > 0
+
+    def note_sent(self) -> None:
+        """Take that bytes of the request went out: the wait for the answer begins behind them."""
+        if not self.begun:
+            self._scope.deadline = trio.current_time() + self._head_s
+
+    def note_received(self, count: int) -> None:
+        """Take that bytes of the answer came."""
+        first = not self.begun
+        self.received += count
+        self._portion += count
+        if first or self._portion >= self._least_bytes:
+            self._portion = 0
+            self._scope.deadline = trio.current_time() + self._stall_s
+
+    def hurry(self, by: float) -> None:
+        """Wait for the answer's first byte until a trio time at most."""
+        if not self.begun:
+            self._scope.deadline = min(self._scope.deadline, by)
--- a/railtide/journal/keyed.py
+++ b/railtide/journal/keyed.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from railtide.journal.errors import JournalError
+from railtide.journal.transfer import Transfer
 
 __all__ = ["AppendConflict", "KeyedPage", "KeyedRecord", "KeyedStore"]
 
@@ -61,11 +62,13 @@
     """A way to the keyed topics."""
 
     @abstractmethod
-    async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
+    async def newest(
+        self, topic: str, partition: int = 0, transfer: Transfer | None = None
+    ) -> KeyedPage:
         """Return the newest record of each key.
 
         The pages behind it are no snapshot: the records from the page's `end` on are to be read
-        after it.
+        after it. `transfer` is told how far the answer has come.
 
         Raises
         ------
@@ -74,9 +77,19 @@
         """
 
     @abstractmethod
-    async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
         """Return records from `start` on, waiting up to `wait_s` seconds for the first.
 
+        Of an answer that breaks off, the records that came whole are returned. `transfer` is told
+        where the partition ends once an answer begins, and how far it has come.
+
         Raises
         ------
         LogUnavailable
--- /dev/null
+++ b/railtide/journal/patience.py
@@ -0,0 +1,81 @@
+"""How long answers of a store may take to begin: longer after each that did not begin in time."""
+
+import trio
+
+from railtide.http.stall import StallWatch
+
+__all__ = ["Patience"]
+
+GROWTH = 2.0
+
+
+class Patience:
+    """The waits for the first byte of answers, by what is asked.
+
+    A store that is slow, or that has a queue of large answers, begins each of them later than
+    usual. A try that waits no longer than the one before would be given up again, and cost the
+    queue as much as the one before. A wait doubles therefore while answers of its subject don't
+    begin, and is as before once one does (RFC 6298, 5.5 to 5.7: the same for retransmissions).
+
+    A wait that has grown must not delay the word that a silent store is back. So a call waits
+    longer only while another one is under way that does not, and the first answer of any subject
+    behind a silence of all leaves each call that was sent before it no more than the usual wait.
+
+    Parameters
+    ----------
+    usual_s : float
+        Longest wait for the first byte while answers begin in time.
+    most_s : float
+        Bound of the doubling.
+
+    Examples
+    --------
+    >>> async def tries() -> list[float]:
+    ...     patience = Patience(1.0, 4.0)
+    ...     patience.note_sent(StallWatch(1.0, 1.0), asked_s=0.0)
+    ...     waits = []
+    ...     for _ in range(4):
+    ...         waits.append(patience.head_s("topic"))
+    ...         patience.note_silent("topic")
+    ...     patience.note_begun("topic")
+    ...     return [*waits, patience.head_s("topic")]
+    >>> trio.run(tries)
+    [1.0, 2.0, 4.0, 4.0, 1.0]
+    """
+
+    def __init__(self, usual_s: float, most_s: float) -> None:
+        self._usual_s = usual_s
+        self._most_s = most_s
+        self._silences_by_subject: dict[str, int] = {}
+        self._heard_at = trio.current_time()
+        self._due_by_watch: dict[StallWatch, float] = {}
+
+    def head_s(self, subject: str) -> float:
+        """Return how long the next answer on a subject may take to begin, seconds."""
+        now = trio.current_time()
+        if not any(due > now for due in self._due_by_watch.values()):
+            return self._usual_s
+        grown = self._usual_s * GROWTH ** self._silences_by_subject.get(subject, 0)
+        return min(self._most_s, grown)
+
+    def note_sent(self, watch: StallWatch, asked_s: float) -> None:
+        """Take that a call is under way whose answer the store was asked to hold so long."""
+        self._due_by_watch[watch] = trio.current_time() + asked_s + self._usual_s
+
+    def note_ended(self, watch: StallWatch) -> None:
+        """Take that a call is over."""
+        self._due_by_watch.pop(watch, None)
+
+    def note_silent(self, subject: str) -> None:
+        """Take that an answer did not begin in time."""
+        known = self._silences_by_subject.get(subject, 0)
+        self._silences_by_subject[subject] = min(known + 1, 32)
+
+    def note_begun(self, subject: str) -> None:
+        """Take that an answer began."""
+        self._silences_by_subject.pop(subject, None)
+        now = trio.current_time()
+        if now - self._heard_at > self._usual_s:
+            for watch, due in self._due_by_watch.items():
+                watch.hurry(max(due, now + self._usual_s))
+        self._heard_at = now
--- /dev/null
+++ b/railtide/journal/transfer.py
@@ -0,0 +1,54 @@
+"""How far an answer of a store has come: where its partition ended, and its bytes."""
+
+from collections.abc import Callable
+
+import trio
+
+__all__ = ["Transfer"]
+
+
+class Transfer:
+    """The progress of one read.
+
+    Parameters
+    ----------
+    on_begun : callable, optional
+        Told once the answer has begun and its partition's end is known. What it raises ends the
+        read.
+
+    Attributes
+    ----------
+    end : int or None
+        Where the partition ended when the store answered.
+    size : int or None
+        Bytes of the answer, if it says so.
+    received : int
+        Bytes that have come.
+    began_at : float or None
+        Trio time at which the answer began.
+    """
+
+    def __init__(self, on_begun: Callable[["Transfer"], None] = lambda transfer: None) -> None:
+        self.end: int | None = None
+        self.size: int | None = None
+        self.received = 0
+        self.began_at: float | None = None
+        self._on_begun = on_begun
+
+    def begin(self, end: int | None, size: int | None) -> None:
+        """Take the beginning of an answer."""
+        self.end = end
+        self.size = size
+        self.began_at = trio.current_time()
+        self._on_begun(self)
+
+    def move(self, count: int) -> None:
+        """Take that some bytes more have come."""
+        self.received += count
+
+    def left_s(self) -> float | None:
+        """Return about how many seconds are left, None while too little is known."""
+        if self.began_at is None or not self.size or not self.received:
+            return None
+        took_s = trio.current_time() - self.began_at
+        return max(0.0, self.size - self.received) * took_s / self.received
--- /dev/null
+++ b/railtide/platform/answers.py
@@ -0,0 +1,101 @@
+"""Answers of the store, taken as they come."""
+
+from abc import ABC, abstractmethod
+
+from railtide.http.client import Exchange
+from railtide.http.messages import first_header
+from railtide.journal.transfer import Transfer
+from railtide.platform.page import PageReader
+
+__all__ = ["OK", "PageAnswer", "StoreAnswer", "WholeAnswer"]
+
+OK = 200
+
+
+class StoreAnswer(ABC):
+    """Takes one answer.
+
+    Parameters
+    ----------
+    transfer : Transfer or None
+        Told how far a good answer has come.
+
+    Attributes
+    ----------
+    status : int
+    refusal : bytearray
+        Body of an answer that is not good.
+    """
+
+    def __init__(self, transfer: Transfer | None) -> None:
+        self.status = 0
+        self.refusal = bytearray()
+        self._transfer = transfer or Transfer()
+        self._size: int | None = None
+        self._begun = False
+
+    def begin(self, exchange: Exchange) -> None:
+        """Take the answer's head."""
+        self.status = exchange.status
+        said = first_header(exchange.headers, b"content-length") or b""
+        self._size = int(said) if said.isdigit() else None
+
+    def take(self, chunk: bytes) -> None:
+        """Take the next bytes of the body."""
+        if self.status != OK:
+            self.refusal += chunk
+            return
+        self._take(chunk)
+        if not self._begun and self._is_end_known():
+            self._begun = True
+            self._transfer.begin(self._end(), self._size)
+        self._transfer.move(len(chunk))
+
+    @abstractmethod
+    def _take(self, chunk: bytes) -> None:
+        """Take bytes of a good answer."""
+
+    def _is_end_known(self) -> bool:
+        return True
+
+    def _end(self) -> int | None:
+        """Return where the partition ended, None where only the whole answer tells."""
+        return None
+
+
+class WholeAnswer(StoreAnswer):
+    """An answer that is read once it is whole.
+
+    Attributes
+    ----------
+    body : bytearray
+    """
+
+    def __init__(self, transfer: Transfer | None = None) -> None:
+        super().__init__(transfer)
+        self.body = bytearray()
+
+    def _take(self, chunk: bytes) -> None:
+        self.body += chunk
+
+
+class PageAnswer(StoreAnswer):
+    """An answer with records that are read while they come.
+
+    Attributes
+    ----------
+    reader : PageReader
+    """
+
+    def __init__(self, start: int, transfer: Transfer | None = None) -> None:
+        super().__init__(transfer)
+        self.reader = PageReader(start)
+
+    def _take(self, chunk: bytes) -> None:
+        self.reader.take(chunk)
+
+    def _is_end_known(self) -> bool:
+        return self.reader.end is not None
+
+    def _end(self) -> int | None:
+        return self.reader.end
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -1,6 +1,7 @@
 """The client of the platform's store: keyed topics over HTTP."""
 
 from base64 import b64decode
+from dataclasses import dataclass, field
 from urllib.parse import quote
 
 import msgspec
@@ -8,19 +9,35 @@
 from loguru import logger
 
 from railtide.http.client import PeerPool
-from railtide.http.errors import HttpError
+from railtide.http.errors import HttpError, Stalled
 from railtide.http.messages import HttpRequest
+from railtide.http.stall import StallWatch
 from railtide.journal.errors import LogUnavailable, RecordsExpired
 from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord, KeyedStore
+from railtide.journal.patience import Patience
+from railtide.journal.transfer import Transfer
+from railtide.platform.answers import OK, PageAnswer, StoreAnswer, WholeAnswer
 from railtide.telemetry.counters import Counters
 
-__all__ = ["PlatformStore", "page_of"]
-
-ANSWER_S = 1.0
-"""Longest wait for an answer, beyond what a read asks for. The store answers in 4 ms, 240 ms when
-it is slow; a silent one is noticed while the desired state may still be late."""
+__all__ = ["PlatformStore"]
+
+CONFLICT = 412
+EXPIRED = 410
+
+HEAD_S = 1.0
+"""Usual wait for an answer's first byte, beyond what a read asks for. The store answers in 4 ms,
+240 ms when it is slow; a silent one is noticed while the desired state may still be late."""
+MOST_HEAD_S = 8.0
+"""Longest such wait. All reads share one rate: 1,100 routers that read a desired state of 500 KB
+at once through 80 MB a second are served within 7 s."""
+STALL_S = 1.0
+"""Within this time an answer that has begun brings more. Above the pause behind a segment that is
+lost and lost again when it is repeated (0.2 and 0.4 s), and as soon as `HEAD_S` for a connection
+that falls silent."""
+RESUME_S = 10.0
+"""For how long pages of the newest records are kept of a read that broke off between two of them.
+Half of the shortest history on the users' sheets: what came since can still be read."""
 LENGTH_BYTES = 4
-OFFSET_BYTES = 8
 
 
 class _Item(msgspec.Struct):
@@ -45,9 +62,60 @@
     first: int
 
 
+@dataclass(frozen=True)
+class _Ask:
+    """A call, and for how long it asks the store to hold its answer, seconds."""
+
+    method: bytes
+    call: str
+    topic: str
+    partition: int
+    query: str = ""
+    body: bytes = b""
+    held_s: float = 0.0
+
+    @property
+    def target(self) -> bytes:
+        return f"{self.call}?topic={self.topic}&part={self.partition}{self.query}".encode()
+
+    @property
+    def subject(self) -> str:
+        return f"{self.call} {self.topic}"
+
+
+@dataclass
+class _Pages:
+    """Pages of the newest records, as far as they have come."""
+
+    began_at: float
+    end: int | None = None
+    items: int = 0
+    records: list[KeyedRecord] = field(default_factory=list)
+    after: str = ""
+
+    def add(self, page: _Newest) -> None:
+        """Take the next page.
+
+        Raises
+        ------
+        LogUnavailable
+            None of its items can be read, so it is not known how to go on.
+        """
+        read = [record for item in page.items if (record := _record_of(item))]
+        if page.has_more and not read:
+            raise LogUnavailable("a whole page of the newest records is unreadable")
+        self.end = page.end_offset if self.end is None else self.end
+        self.items += len(page.items)
+        self.records += read
+        if page.has_more:
+            self.after = f"&after={quote(read[-1].key, safe='')}"
+
+
 class PlatformStore(KeyedStore):
     """Keyed topics of the platform's store.
 
+    A call is bounded by silence and never as a whole: see `StallWatch`.
+
     Parameters
     ----------
     address : str
@@ -61,37 +129,59 @@
         self._pool = PeerPool(host, int(port))
         self._host = address.encode()
         self._counters = counters
+        self._patience = Patience(HEAD_S, MOST_HEAD_S)
+        self._pages_by_topic: dict[tuple[str, int], _Pages] = {}
         self._told_unreadable: set[str] = set()
 
-    async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
-        """Return the newest records; see `KeyedStore.newest`."""
-        records: list[KeyedRecord] = []
-        end: int | None = None
-        items = 0
-        after = ""
-        while True:
-            target = f"/log-newest?topic={topic}&part={partition}" + after
-            page = _decode(await self._call(b"GET", target, b"", ANSWER_S), _Newest)
-            end = page.end_offset if end is None else end
-            items += len(page.items)
-            known = len(records)
-            records += [record for item in page.items if (record := _record_of(item))]
-            if not page.has_more:
-                break
-            if len(records) == known:
-                raise LogUnavailable("a whole page of the newest records is unreadable")
-            after = f"&after={quote(records[-1].key, safe='')}"
-        unreadable = items - len(records)
+    async def newest(
+        self, topic: str, partition: int = 0, transfer: Transfer | None = None
+    ) -> KeyedPage:
+        """Return the newest records; see `KeyedStore.newest`.
+
+        Pages that have come are kept when a later one breaks off, and the next read goes on there.
+        """
+        pages = self._resumed(topic, partition)
+        more = True
+        while more:
+            ask = _Ask(b"GET", "/log-newest", topic, partition, pages.after)
+            page = _decode(await self._call(ask, transfer), _Newest)
+            pages.add(page)
+            more = page.has_more
+            self._pages_by_topic[(topic, partition)] = pages
+        del self._pages_by_topic[(topic, partition)]
+        unreadable = pages.items - len(pages.records)
         self._tell_unreadable(topic, unreadable)
-        ordered = sorted(records, key=lambda record: record.offset)
-        return KeyedPage(ordered, end, end, unreadable)
+        ordered = sorted(pages.records, key=lambda record: record.offset)
+        return KeyedPage(ordered, pages.end, pages.end, unreadable)
 
-    async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
+    def _resumed(self, topic: str, partition: int) -> _Pages:
+        known = self._pages_by_topic.pop((topic, partition), None)
+        if known and trio.current_time() - known.began_at <= RESUME_S:
+            return known
+        return _Pages(trio.current_time())
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
         """Return records; see `KeyedStore.read`."""
-        wait_ms = round(wait_s * 1000)
-        target = f"/log-read?topic={topic}&part={partition}&from={start}&wait_ms={wait_ms}"
-        data = await self._call(b"GET", target, b"", ANSWER_S + wait_s)
-        page = page_of(data, start)
+        query = f"&from={start}&wait_ms={round(wait_s * 1000)}"
+        ask = _Ask(b"GET", "/log-read", topic, partition, query, held_s=wait_s)
+        answer = PageAnswer(start, transfer)
+        reader = answer.reader
+        try:
+            await self._stream(ask, answer)
+        except LogUnavailable:
+            if not reader.has_records:
+                raise
+            self._counters.add("store_answers_kept_in_part")
+        if not reader.is_whole and not reader.has_records:
+            raise LogUnavailable("the store's answer is cut short")
+        page = reader.page()
         self._tell_unreadable(topic, page.unreadable)
         return page
 
@@ -112,51 +202,64 @@
         partition: int = 0,
     ) -> int:
         """Append records; see `KeyedStore.append`."""
-        target = f"/log-append?topic={topic}&part={partition}"
-        if expected_end is not None:
-            target += f"&expected_offset={expected_end}"
+        query = "" if expected_end is None else f"&expected_offset={expected_end}"
         body = b"".join(_record_bytes(key, value) for key, value in values_by_key.items())
-        return _decode(await self._call(b"POST", target, body, ANSWER_S), _Appended).end_offset
+        ask = _Ask(b"POST", "/log-append", topic, partition, query, body)
+        return _decode(await self._call(ask), _Appended).end_offset
 
     # -- calls --------------------------------------------------------------------------------
 
-    async def _call(self, method: bytes, target: str, body: bytes, timeout_s: float) -> bytes:
+    async def _call(self, ask: _Ask, transfer: Transfer | None = None) -> bytes:
+        """Return the body of a whole answer."""
+        answer = WholeAnswer(transfer)
+        await self._stream(ask, answer)
+        return bytes(answer.body)
+
+    async def _stream(self, ask: _Ask, answer: StoreAnswer) -> None:
+        """Make a call, and hand on the body of a good answer as it comes."""
         self._counters.add("store_calls")
-        self._counters.add("store_bytes_sent", len(body))
-        request = HttpRequest(method, target.encode(), ((b"host", self._host),), body)
-        body = bytearray()
+        self._counters.add("store_bytes_sent", len(ask.body))
+        watch = StallWatch(ask.held_s + self._patience.head_s(ask.subject), STALL_S)
+        self._patience.note_sent(watch, ask.held_s)
         try:
-            with trio.fail_after(timeout_s):
-                status = await self._exchange(request, body)
-        except (HttpError, trio.TooSlowError) as err:
-            self._counters.add("store_calls_unanswered")
-            self._counters.add("store_bytes_discarded", len(body))
-            call = target.partition("?")[0]
-            reason = f"{call}: {type(err).__name__}, {len(body)} bytes of the answer had come"
-            raise LogUnavailable(reason) from err
-        self._counters.add("store_bytes_received", len(body))
-        self._check(status, bytes(body))
-        return bytes(body)
-
-    async def _exchange(self, request: HttpRequest, body: bytearray) -> int:
-        """Fill in the answer's body as it comes and return its status."""
-        exchange = await self._pool.send(request)
+            with watch:
+                await self._exchange(ask, answer, watch)
+        except HttpError as err:
+            self._note_unanswered(ask, watch, err)
+            raise LogUnavailable(f"{ask.call}: {err.code}, {err.detail}") from err
+        finally:
+            self._patience.note_ended(watch)
+        self._counters.add("store_bytes_received", watch.received)
+        self._check(answer)
+
+    def _note_unanswered(self, ask: _Ask, watch: StallWatch, err: HttpError) -> None:
+        self._counters.add("store_calls_unanswered")
+        self._counters.add("store_bytes_discarded", watch.received)
+        if isinstance(err, Stalled):
+            self._pool.drop_idle()
+            if not watch.begun:
+                self._patience.note_silent(ask.subject)
+
+    async def _exchange(self, ask: _Ask, answer: StoreAnswer, watch: StallWatch) -> None:
+        request = HttpRequest(ask.method, ask.target, ((b"host", self._host),), ask.body)
+        exchange = await self._pool.send(request, watch)
+        self._patience.note_begun(ask.subject)
         try:
+            answer.begin(exchange)
             async for chunk in exchange.chunks():
-                body += chunk
+                answer.take(chunk)
         finally:
             exchange.abandon()
-        return exchange.status
 
-    def _check(self, status: int, body: bytes) -> None:
-        if status == 200:
+    def _check(self, answer: StoreAnswer) -> None:
+        if answer.status == OK:
             return
-        self._counters.add(f"store_answers_{status}")
-        if status == 412:
-            raise AppendConflict(_decode(body, _Appended).end_offset)
-        if status == 410:
-            raise RecordsExpired(_decode(body, _Expired).first)
-        raise LogUnavailable(f"the store answered {status}")
+        self._counters.add(f"store_answers_{answer.status}")
+        if answer.status == CONFLICT:
+            raise AppendConflict(_decode(answer.refusal, _Appended).end_offset)
+        if answer.status == EXPIRED:
+            raise RecordsExpired(_decode(answer.refusal, _Expired).first)
+        raise LogUnavailable(f"the store answered {answer.status}")
 
 
 def _decode(body: bytes, kind: type) -> msgspec.Struct:
@@ -180,43 +283,3 @@
     name = key.encode()
     content = bytes([len(name)]) + name + value
     return len(content).to_bytes(LENGTH_BYTES, "big") + content
-
-
-def page_of(data: bytes, start: int) -> KeyedPage:
-    """Return the page in an answer: the end, the first kept offset, then records from `start`.
-
-    A page that was cut short is no answer. A whole record without a key and a value is another
-    writer's, and is passed over: read again, it would be the same for ever.
-
-    Raises
-    ------
-    LogUnavailable
-        The page was cut short.
-    """
-    if len(data) < 2 * OFFSET_BYTES:
-        raise LogUnavailable("the store's answer is cut short")
-    end = int.from_bytes(data[:OFFSET_BYTES], "big")
-    records = []
-    at = 2 * OFFSET_BYTES
-    offset = start
-    while at < len(data):
-        body_at = at + LENGTH_BYTES
-        at = body_at + int.from_bytes(data[at:body_at], "big")
-        if len(data) < max(at, body_at):
-            raise LogUnavailable("the store's answer is cut short")
-        record = _keyed_record(data[body_at:at], offset)
-        if record:
-            records.append(record)
-        offset += 1
-    return KeyedPage(records, end, offset, offset - start - len(records))
-
-
-def _keyed_record(content: bytes, offset: int) -> KeyedRecord | None:
-    """Return the key and value in a record's content, None where it holds none."""
-    name_end = 1 + content[0] if content else 1
-    if len(content) < name_end:
-        return None
-    try:
-        return KeyedRecord(content[1:name_end].decode(), content[name_end:], offset)
-    except UnicodeDecodeError:
-        return None
--- a/railtide/platform/tests/test_foreign_records.py
+++ b/railtide/platform/tests/test_foreign_records.py
@@ -22,7 +22,7 @@
 from railtide.journal.keyed import KeyedRecord
 from railtide.membership.instances import Instance, InstanceState
 from railtide.platform.desired_state import PlatformSources
-from railtide.platform.store import page_of
+from railtide.platform.page import page_of
 from railtide.platform.tests.test_store import client_of
 from railtide.platform.tests.test_whole_path import World, body_of, world
 from railtide.standins.platform import engine_entry
--- a/railtide/standins/keyed_store.py
+++ b/railtide/standins/keyed_store.py
@@ -6,6 +6,7 @@
 
 from railtide.journal.errors import LogUnavailable, RecordsExpired
 from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord, KeyedStore
+from railtide.journal.transfer import Transfer
 
 __all__ = ["MemoryStore", "MemoryTopic"]
 
@@ -92,14 +93,23 @@
         known.add_raw(content)
         self._wake(known)
 
-    async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
+    async def newest(
+        self, topic: str, partition: int = 0, transfer: Transfer | None = None
+    ) -> KeyedPage:
         """Return the newest records; see `KeyedStore.newest`."""
         await self._call(partition)
         known = self.topic(topic, partition)
         records = sorted(known.newest_by_key.values(), key=lambda record: record.offset)
         return KeyedPage(records, known.end)
 
-    async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
         """Return records; see `KeyedStore.read`."""
         await self._call(partition)
         known = self.topic(topic, partition)
@@ -111,7 +121,10 @@
             await self._call(partition)
             if start < known.first:
                 raise RecordsExpired(known.first)
-        return KeyedPage(known.records[start - known.first :], known.end, known.end)
+        records = known.records[start - known.first :]
+        if transfer:
+            transfer.begin(known.end, sum(len(record.value) for record in records))
+        return KeyedPage(records, known.end, known.end)
 
     async def append(
         self,
