--- a/railtide/platform/tests/test_large_desired_state.py
+++ b/railtide/platform/tests/test_large_desired_state.py
@@ -5,12 +5,12 @@
 are published; the store is back, and every small call to it succeeds; routers on wide links take
 the newest version at once; routers on narrow links read for ever and take none.
 
-Cause: a call to the store had to be answered whole within 1.0 s beyond the wait that it asked for. A
-read that finds the store away asks for none; its answer was given up in the middle, thrown away, and
-begun again at its first byte under the same limit. Evidence: 79 of 86 routers took 300 to 590 KB a
-second from their links while the bytes that they counted as received stood still; on a link of 100
-KB/s a state that needs 0.5 s of it came into force, and one that needs 2.5 s did not though 379 KB
-had come.
+Cause: a call to the store had to be answered whole within 1.0 s beyond the wait that it asked for.
+A read that finds the store away asks for none; its answer was given up in the middle, thrown away,
+and begun again at its first byte under the same limit. Evidence: 79 of 86 routers took 300 to 590
+KB a second from their links while the bytes that they counted as received stood still; on a link of
+100 KB/s a state that needs 0.5 s of it came into force, and one that needs 2.5 s did not though 379
+KB had come.
 """
 
 import msgspec
