--- /dev/null
+++ b/railtide/http/tests/test_stall.py
@@ -0,0 +1,70 @@
+"""Tests of railtide.http.stall."""
+
+import pytest
+import trio
+
+from railtide.http.errors import Stalled
+from railtide.http.stall import StallWatch
+
+
+class TestHead:
+    async def test_an_answer_that_does_not_begin_is_given_up(self, autojump_clock) -> None:
+        began = trio.current_time()
+        with pytest.raises(Stalled, match="0 bytes"):
+            with StallWatch(head_s=2.0, stall_s=1.0):
+                await trio.sleep_forever()
+        assert trio.current_time() - began == pytest.approx(2.0)
+
+    async def test_its_wait_begins_behind_what_was_sent_last(self, autojump_clock) -> None:
+        with StallWatch(head_s=1.0, stall_s=1.0) as watch:
+            for _ in range(5):
+                await trio.sleep(0.9)
+                watch.note_sent()
+            await trio.sleep(0.9)
+            watch.note_received(1)
+
+    async def test_it_can_be_hurried_and_never_slowed(self, autojump_clock) -> None:
+        began = trio.current_time()
+        with pytest.raises(Stalled):
+            with StallWatch(head_s=8.0, stall_s=1.0) as watch:
+                watch.hurry(trio.current_time() + 2.0)
+                watch.hurry(trio.current_time() + 5.0)
+                await trio.sleep_forever()
+        assert trio.current_time() - began == pytest.approx(2.0)
+
+
+class TestBody:
+    async def test_size_and_time_of_the_whole_have_no_bound(self, autojump_clock) -> None:
+        with StallWatch(head_s=1.0, stall_s=1.0, least_bytes=1000) as watch:
+            for _ in range(1000):
+                await trio.sleep(0.9)
+                watch.note_received(1000)
+        assert watch.received == 1_000_000
+
+    async def test_one_that_falls_silent_is_given_up(self, autojump_clock) -> None:
+        began = trio.current_time()
+        with pytest.raises(Stalled, match="5000 bytes"):
+            with StallWatch(head_s=8.0, stall_s=1.0) as watch:
+                watch.note_received(5000)
+                await trio.sleep_forever()
+        assert trio.current_time() - began == pytest.approx(1.0)
+
+    async def test_one_that_only_trickles_is_given_up(self, autojump_clock) -> None:
+        began = trio.current_time()
+        with pytest.raises(Stalled):
+            with StallWatch(head_s=1.0, stall_s=1.0, least_bytes=1000) as watch:
+                while True:
+                    watch.note_received(1)
+                    await trio.sleep(0.01)
+        assert trio.current_time() - began == pytest.approx(1.0)
+
+    async def test_one_that_has_begun_is_not_hurried(self, autojump_clock) -> None:
+        with StallWatch(head_s=8.0, stall_s=1.0) as watch:
+            watch.note_received(1)
+            watch.hurry(trio.current_time())
+            await trio.sleep(0.9)
+
+    async def test_an_error_of_its_own_passes(self, autojump_clock) -> None:
+        with pytest.raises(ValueError, match="own"):
+            with StallWatch(head_s=1.0, stall_s=1.0):
+                raise ValueError("own")
--- a/railtide/journal/tests/test_feed.py
+++ b/railtide/journal/tests/test_feed.py
@@ -4,8 +4,9 @@
 
 import trio
 
-from railtide.journal.feed import Feed, FeedOptions
-from railtide.journal.keyed import KeyedRecord
+from railtide.journal.feed import LARGE_BYTES, Feed, FeedOptions
+from railtide.journal.keyed import KeyedPage, KeyedRecord
+from railtide.journal.transfer import Transfer
 from railtide.standins.keyed_store import MemoryStore
 
 
@@ -90,3 +91,129 @@
             assert case.feed.reachable
             assert case.feed.back_at - returned_at < 1.0
             nursery.cancel_scope.cancel()
+
+
+LARGE = bytes(LARGE_BYTES + 1)
+
+
+class CountingStore(MemoryStore):
+    """Counts the values that were read, and can hold an answer that has begun."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.values_read = 0
+        self.hold_s = 0.0
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
+        page = await super().read(topic, start, wait_s, partition, transfer)
+        if page.records:
+            await trio.sleep(self.hold_s)
+        self.values_read += len(page.records)
+        return page
+
+
+class TestReplacedVersions:
+    async def read_behind_an_outage(self, values: list[tuple[str, bytes]]) -> tuple[int, Case]:
+        store = CountingStore()
+        store.put("t", "a", b"0")
+        case = Case(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(case.feed.run)
+            await trio.sleep(0.5)
+            store.down = True
+            await trio.sleep(3)
+            for key, value in values:
+                store.put("t", key, value)
+            store.down = False
+            await trio.sleep(3)
+            nursery.cancel_scope.cancel()
+        return store.values_read, case
+
+    async def test_large_ones_are_not_read(self, autojump_clock) -> None:
+        count, case = await self.read_behind_an_outage([("a", LARGE + b"%d" % n) for n in range(3)])
+        assert case.seen == [("a", b"0"), ("a", LARGE + b"2")]
+        assert count == 0
+
+    async def test_one_that_nothing_replaces_is_read_as_it_is(self, autojump_clock) -> None:
+        count, case = await self.read_behind_an_outage([("a", LARGE)])
+        assert case.seen == [("a", b"0"), ("a", LARGE)]
+        assert count == 1
+
+    async def test_small_ones_are_read_in_order(self, autojump_clock) -> None:
+        count, case = await self.read_behind_an_outage([("a", b"1"), ("a", b"2")])
+        assert case.seen == [("a", b"0"), ("a", b"1"), ("a", b"2")]
+        assert count == 2
+
+    async def test_more_keys_than_versions_are_read_in_order(self, autojump_clock) -> None:
+        others = [(f"k{n}", b"") for n in range(3)]
+        count, case = await self.read_behind_an_outage([("a", LARGE), *others])
+        assert case.seen[1:] == [("a", LARGE)], "what is removed is not among the newest"
+        assert count == 0
+
+
+class TestFreshness:
+    async def test_a_feed_is_current_once_it_has_read_to_the_end(self, autojump_clock) -> None:
+        store = MemoryStore()
+        case = Case(store)
+        assert not case.feed.is_current()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(case.feed.run)
+            await trio.sleep(0.5)
+            assert case.feed.is_current()
+            store.down = True
+            await trio.sleep(3)
+            assert not case.feed.is_current()
+            assert case.feed.freshness.behind_since is None
+            nursery.cancel_scope.cancel()
+
+    async def test_it_is_behind_from_the_begin_of_an_answer_to_its_end(
+        self, autojump_clock
+    ) -> None:
+        store = CountingStore()
+        store.hold_s = 4.0
+        case = Case(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(case.feed.run)
+            await trio.sleep(0.5)
+            store.put("t", "a", LARGE)
+            put_at = trio.current_time()
+            await trio.sleep(1.0)
+            assert not case.feed.is_current()
+            assert case.feed.freshness.behind_since == put_at
+            await trio.sleep(4.0)
+            assert case.feed.is_current()
+            assert case.feed.freshness.behind_since is None
+            assert case.feed.freshness.read_at >= put_at
+            nursery.cancel_scope.cancel()
+
+    async def test_it_is_not_current_until_what_is_asked_for_anew_is_read(
+        self, autojump_clock
+    ) -> None:
+        store = MemoryStore()
+        case = Case(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(case.feed.run)
+            await trio.sleep(0.5)
+            fresh = case.feed.refresh()
+            assert not case.feed.is_current()
+            await fresh.wait()
+            assert case.feed.is_current()
+            nursery.cancel_scope.cancel()
+
+
+class TestTransfer:
+    async def test_the_rest_is_told_by_what_has_come(self, autojump_clock) -> None:
+        transfer = Transfer()
+        assert transfer.left_s() is None
+        transfer.begin(1, 1000)
+        assert transfer.left_s() is None
+        await trio.sleep(2.0)
+        transfer.move(250)
+        assert transfer.left_s() == 6.0
--- /dev/null
+++ b/railtide/journal/tests/test_patience.py
@@ -0,0 +1,86 @@
+"""Tests of railtide.journal.patience."""
+
+import math
+
+import trio
+
+from railtide.http.stall import StallWatch
+from railtide.journal.patience import Patience
+
+USUAL_S = 1.0
+MOST_S = 8.0
+
+
+def call(patience: Patience, asked_s: float = 0.0) -> StallWatch:
+    watch = StallWatch(asked_s + USUAL_S, USUAL_S)
+    patience.note_sent(watch, asked_s)
+    return watch
+
+
+class Hurried(StallWatch):
+    """Remembers until when it may wait."""
+
+    by = math.inf
+
+    def hurry(self, by: float) -> None:
+        self.by = min(self.by, by)
+
+
+class TestGrowth:
+    async def test_waits_double_up_to_a_bound_beside_another_call(self, autojump_clock) -> None:
+        patience = Patience(USUAL_S, MOST_S)
+        call(patience)
+        waits = []
+        for _ in range(5):
+            waits.append(patience.head_s("large"))
+            patience.note_silent("large")
+        assert waits == [1.0, 2.0, 4.0, 8.0, 8.0]
+
+    async def test_an_answer_that_begins_ends_it(self, autojump_clock) -> None:
+        patience = Patience(USUAL_S, MOST_S)
+        call(patience)
+        patience.note_silent("large")
+        patience.note_begun("large")
+        assert patience.head_s("large") == USUAL_S
+
+    async def test_subjects_have_their_own(self, autojump_clock) -> None:
+        patience = Patience(USUAL_S, MOST_S)
+        call(patience)
+        patience.note_silent("large")
+        assert patience.head_s("small") == USUAL_S
+
+
+class TestSilentStore:
+    async def test_one_call_at_least_waits_no_longer_than_usual(self, autojump_clock) -> None:
+        patience = Patience(USUAL_S, MOST_S)
+        patience.note_silent("large")
+        assert patience.head_s("large") == USUAL_S
+        other = call(patience)
+        assert patience.head_s("large") == 2 * USUAL_S
+        await trio.sleep(USUAL_S)
+        assert patience.head_s("large") == USUAL_S
+        patience.note_ended(other)
+        assert patience.head_s("large") == USUAL_S
+
+    async def test_first_answer_behind_a_silence_hurries_what_was_sent_before(
+        self, autojump_clock
+    ) -> None:
+        patience = Patience(USUAL_S, MOST_S)
+        grown = Hurried(MOST_S, USUAL_S)
+        held = Hurried(5.0 + USUAL_S, USUAL_S)
+        patience.note_sent(grown, 0.0)
+        patience.note_sent(held, 5.0)
+        await trio.sleep(3.0)
+        patience.note_begun("small")
+        now = trio.current_time()
+        assert grown.by == now + USUAL_S
+        assert held.by == now + 3.0, "a call that the store was asked to hold keeps its time"
+
+    async def test_an_answer_without_a_silence_hurries_nobody(self, autojump_clock) -> None:
+        patience = Patience(USUAL_S, MOST_S)
+        grown = Hurried(MOST_S, USUAL_S)
+        patience.note_sent(grown, 0.0)
+        for _ in range(5):
+            await trio.sleep(0.9 * USUAL_S)
+            patience.note_begun("small")
+        assert grown.by == math.inf
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -148,7 +148,7 @@
             pages.add(page)
             more = page.has_more
             self._pages_by_topic[(topic, partition)] = pages
-        del self._pages_by_topic[(topic, partition)]
+        self._pages_by_topic.pop((topic, partition), None)
         unreadable = pages.items - len(pages.records)
         self._tell_unreadable(topic, unreadable)
         ordered = sorted(pages.records, key=lambda record: record.offset)
--- /dev/null
+++ b/railtide/platform/tests/test_page.py
@@ -0,0 +1,56 @@
+"""Tests of railtide.platform.page."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from railtide.journal.errors import LogUnavailable
+from railtide.platform.page import PageReader, page_of
+
+VALUES = st.lists(st.binary(max_size=40), max_size=6)
+
+
+def page(values: list[bytes], end: int) -> bytes:
+    head = end.to_bytes(8, "big") + bytes(8)
+    contents = [b"\x01k" + value for value in values]
+    return head + b"".join(len(c).to_bytes(4, "big") + c for c in contents)
+
+
+class TestPageReader:
+    @given(VALUES, st.integers(0, 9), st.lists(st.integers(0, 300), max_size=8))
+    def test_any_cut_into_chunks_reads_the_same(
+        self, values: list[bytes], start: int, cuts: list[int]
+    ) -> None:
+        data = page(values, start + len(values))
+        reader = PageReader(start)
+        places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+        for begin, end in zip(places, places[1:], strict=False):
+            reader.take(data[begin:end])
+        assert reader.is_whole
+        assert reader.page() == page_of(data, start)
+        assert [record.value for record in reader.page().records] == values
+
+    @given(VALUES, st.integers(0, 300))
+    def test_what_broke_off_has_the_records_that_came_whole(
+        self, values: list[bytes], length: int
+    ) -> None:
+        data = page(values, len(values))[: 16 + length]
+        reader = PageReader(0)
+        reader.take(data)
+        got = reader.page()
+        whole = [len(page(values[: n + 1], 0)) <= len(data) for n in range(len(values))]
+        assert [record.value for record in got.records] == values[: sum(whole)]
+        assert got.next_offset == sum(whole)
+        assert reader.is_whole == (len(page(values[: sum(whole)], 0)) == len(data))
+
+    def test_the_end_is_known_before_the_first_record_is_whole(self) -> None:
+        reader = PageReader(3)
+        reader.take(page([bytes(1000)], 7)[:20])
+        assert reader.end == 7
+        assert not reader.has_records
+
+    def test_a_page_without_its_head_is_none(self) -> None:
+        reader = PageReader(0)
+        reader.take(bytes(15))
+        with pytest.raises(LogUnavailable):
+            reader.page()
--- a/railtide/platform/tests/test_store.py
+++ b/railtide/platform/tests/test_store.py
@@ -3,9 +3,11 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import msgspec
 import pytest
 import trio
 
+from railtide.http.errors import CallerGone
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, Handler, HttpServer, Responder
 from railtide.http.sockets import listen
@@ -104,3 +106,63 @@
         await listener.aclose()
         with pytest.raises(LogUnavailable):
             await PlatformStore(f"{HOST}:{port}", Counters()).newest("keyed.t")
+
+
+class TestProgress:
+    """What has come is not asked for again."""
+
+    async def test_records_that_came_whole_are_kept_of_an_answer_that_breaks_off(self) -> None:
+        record = b"\x00\x00\x00\x03\x01ax"
+        head = (9).to_bytes(8, "big") + bytes(8)
+
+        async def cut(request: HttpRequest, responder: Responder) -> None:
+            await responder.start(200, (), 1000)
+            await responder.write(head + record + record + record[:5])
+            raise CallerGone("the connection ends here")
+
+        async with client_of(cut) as store:
+            page = await store.read("keyed.t", 4, 0.0)
+        assert [record.offset for record in page.records] == [4, 5]
+        assert (page.next_offset, page.end) == (6, 9)
+
+    async def test_a_read_of_the_newest_goes_on_behind_the_pages_that_came(self) -> None:
+        asked: list[str] = []
+
+        async def two_pages(request: HttpRequest, responder: Responder) -> None:
+            target = request.target.decode()
+            asked.append(target.partition("after=")[2])
+            if len(asked) == 2:
+                await responder.answer(503, ())
+                return
+            key = "b" if "after=" in target else "a"
+            item = {"key": key, "value": "eA==", "offset": 1 + len(asked)}
+            end = 10 + len(asked)
+            page = {"items": [item], "has_more": key == "a", "end_offset": end}
+            await responder.answer(200, (), msgspec.json.encode(page))
+
+        async with client_of(two_pages) as store:
+            with pytest.raises(LogUnavailable):
+                await store.newest("keyed.t")
+            page = await store.newest("keyed.t")
+            await store.newest("keyed.t")
+        assert [record.key for record in page.records] == ["a", "b"]
+        assert page.end == 11, "records from the first page's end on are read after it"
+        assert asked == ["", "a", "a", "", "a"]
+
+    async def test_pages_of_long_ago_are_not_gone_on_with(self, monkeypatch) -> None:
+        monkeypatch.setattr("railtide.platform.store.RESUME_S", -1.0)
+        asked: list[str] = []
+
+        async def refuse_second(request: HttpRequest, responder: Responder) -> None:
+            asked.append(request.target.decode().partition("after=")[2])
+            if asked[-1]:
+                await responder.answer(503, ())
+                return
+            page = {"items": [{"key": "a", "value": "eA==", "offset": 1}], "has_more": True}
+            await responder.answer(200, (), msgspec.json.encode(page))
+
+        async with client_of(refuse_second) as store:
+            for _ in range(2):
+                with pytest.raises(LogUnavailable):
+                    await store.newest("keyed.t")
+        assert asked == ["", "a", "", "a"]
