The store's stand-in answers in pages, as the platform's page says

Cause: StoreServer sent every record in one answer; the client's reading of pages had no test against it.

Change: /log-read stops at max_kb (1,024 where not named; one record in any case) and names the first kept offset; /log-newest goes by keys, 500 records or 1 MB at most, with has_more and after. Tests of the client on both.

--- a/railtide/platform/tests/test_store.py
+++ b/railtide/platform/tests/test_store.py
@@ -41,6 +41,34 @@
             newest = await store.newest("keyed.t")
             assert ([r.key for r in newest.records], newest.end) == (["b"], 3)
 
+    @pytest.mark.parametrize("size", [1, 1_500])
+    async def test_newest_records_of_many_pages_come_whole(self, size: int) -> None:
+        memory = MemoryStore()
+        for n in range(1_200):
+            memory.put("keyed.t", f"k{n}", b"%d" % n * size)
+        async with client_of(StoreServer(memory).handle) as store:
+            page = await store.newest("keyed.t")
+        assert [(r.key, r.offset) for r in page.records] == [(f"k{n}", n) for n in range(1_200)]
+        assert page.end == 1_200
+
+    async def test_page_that_is_full_tells_where_the_next_begins(self) -> None:
+        memory = MemoryStore()
+        for n in range(5):
+            memory.put("keyed.t", f"k{n}", bytes(400_000))
+        async with client_of(StoreServer(memory).handle) as store:
+            first = await store.read("keyed.t", 0, 0.0)
+            second = await store.read("keyed.t", first.next_offset, 0.0)
+        assert ([r.offset for r in first.records], first.end) == ([0, 1], 5)
+        assert ([r.offset for r in second.records], second.next_offset) == ([2, 3], 4)
+
+    async def test_record_that_is_larger_than_a_page_comes_alone(self) -> None:
+        memory = MemoryStore()
+        memory.put("keyed.t", "a", bytes(1_500_000))
+        memory.put("keyed.t", "b", b"1")
+        async with client_of(StoreServer(memory).handle) as store:
+            page = await store.read("keyed.t", 0, 0.0)
+            assert ([r.key for r in page.records], page.next_offset) == (["a"], 1)
+
     async def test_lost_condition_and_expired_history_are_told_apart(self) -> None:
         memory = MemoryStore()
         async with client_of(StoreServer(memory).handle) as store:
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -3,6 +3,7 @@
 from base64 import b64encode
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from itertools import accumulate
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -11,13 +12,18 @@
 from railtide.http.messages import Headers, HttpRequest, first_header
 from railtide.http.server import Responder
 from railtide.journal.errors import LogUnavailable, RecordsExpired
-from railtide.journal.keyed import AppendConflict, KeyedRecord
+from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord
 from railtide.standins.answers import Framing, RawAnswer
 from railtide.standins.keyed_store import MemoryStore
 
 __all__ = ["EngineScript", "PlatformEngine", "StoreServer", "engine_entry"]
 
 ID = b"x-attempt-id"
+KB = 1_024
+MOST_READ_KB = 1_024
+MOST_NEWEST = 500
+MOST_NEWEST_BYTES = 1_000_000
+"""Most records and most bytes in one answer, as the platform's page says of its store."""
 
 
 def engine_entry(address: str, service: str = "s") -> dict[str, object]:
@@ -69,19 +75,16 @@
             await self._json(responder, 200, {"offset": end - 1, "end_offset": end})
         elif path == "/log-newest":
             page = await self._store.newest(topic, part)
-            items = [
-                {"key": r.key, "value": b64encode(r.value).decode(), "offset": r.offset}
-                for r in page.records
-            ]
-            answer = {"items": items, "has_more": False, "end_offset": page.end}
-            await self._json(responder, 200, answer)
+            await self._json(responder, 200, _newest_page(page, query.get("after", "")))
         elif path == "/log-read":
-            wait_s = int(query["wait_ms"]) / 1000
+            wait_s = int(query.get("wait_ms", 0)) / 1000
             page = await self._store.read(topic, int(query["from"]), wait_s, part)
-            head = page.end.to_bytes(8, "big") + bytes(8)
-            raw = self._store.topic(topic, part).raw_by_offset
-            contents = [raw.get(r.offset, _content_of(r)) for r in page.records]
-            await responder.answer(200, (), head + b"".join(map(_framed, contents)))
+            known = self._store.topic(topic, part)
+            raw = known.raw_by_offset
+            framed = [_framed(raw.get(r.offset, _content_of(r))) for r in page.records]
+            most = int(query.get("max_kb", MOST_READ_KB)) * KB
+            ends = page.end.to_bytes(8, "big") + known.first.to_bytes(8, "big")
+            await responder.answer(200, (), ends + b"".join(_first_of(framed, most)))
 
     @staticmethod
     async def _json(responder: Responder, status: int, body: object) -> None:
@@ -105,6 +108,25 @@
     return bytes([len(name)]) + name + record.value
 
 
+def _newest_page(page: KeyedPage, after: str) -> dict[str, object]:
+    """Return the records behind a key, in the keys' order, as many as one answer takes."""
+    behind = sorted((r for r in page.records if r.key > after), key=lambda r: r.key)
+    values = [b64encode(r.value) for r in behind]
+    count = len(_first_of(values[:MOST_NEWEST], MOST_NEWEST_BYTES))
+    items = [
+        {"key": r.key, "value": value.decode(), "offset": r.offset}
+        for r, value in zip(behind[:count], values, strict=False)
+    ]
+    return {"items": items, "has_more": count < len(behind), "end_offset": page.end}
+
+
+def _first_of(parts: list[bytes], most_bytes: int) -> list[bytes]:
+    """Return the first parts that together are no longer than this, and the first in any case."""
+    totals = accumulate(len(part) for part in parts)
+    count = sum(1 for total in totals if total <= most_bytes)
+    return parts[: max(1, count)]
+
+
 def _framed(content: bytes) -> bytes:
     return len(content).to_bytes(4, "big") + content
 
