--- a/railtide/platform/tests/test_large_desired_state.py
+++ b/railtide/platform/tests/test_large_desired_state.py
@@ -6,6 +6,8 @@
 the newest version at once; routers on narrow links read for ever and take none.
 """
 
+from collections.abc import Callable
+
 import msgspec
 import trio
 
@@ -16,10 +18,13 @@
 """A fifth of what the narrowest links have; the states are smaller by as much."""
 LONG_S = 2.5
 """Link time of a large state: above any wait for an answer that doesn't come at all."""
-GUARD_S = 6.0
+GUARD_S = 10.0
 """No test needs its link for so long."""
+NEWEST_SHARE = 4 / 3
+"""Bytes of a newest record on the link, in base64, to those of the record."""
 OLD = "/safe/x"
 NEW = "/new0/x"
+TOKENS = ((b"x-token-count", b"300,100"),)
 
 
 def large_state(version: int, link_s: float) -> bytes:
@@ -32,16 +37,27 @@
     return msgspec.json.encode(state | {"routes": ROUTES + new})
 
 
-def publish(w: World, version: int, link_s: float) -> None:
-    w.store.put("keyed.op", "config", large_state(version, link_s))
+def publish(w: World, version: int, link_s: float) -> int:
+    """Publish a large state and return its length."""
+    state = large_state(version, link_s)
+    w.store.put("keyed.op", "config", state)
+    return len(state)
 
 
-async def until_in_force(w: World, version: int) -> None:
+async def until(condition: Callable[[], bool]) -> None:
     with trio.fail_after(GUARD_S):
-        while w.node.snapshot.version < version:
+        while not condition():
             await trio.sleep(0.01)
 
 
+async def until_in_force(w: World, version: int) -> None:
+    await until(lambda: w.node.snapshot.version >= version)
+
+
+def lost_topics(lines: list[dict[str, object]]) -> set[object]:
+    return {line["topic"] for line in lines if line["event"] == "store-lost"}
+
+
 class TestLargeState:
     async def test_it_comes_into_force_behind_a_loss_of_the_store(self) -> None:
         """A read that finds the store away does not wait, so its answer has the shortest time."""
@@ -52,3 +68,61 @@
             publish(w, 2, LONG_S)
             await until_in_force(w, 2)
             assert [(await w.ask(path)).status for path in (OLD, NEW)] == [200, 200]
+
+    async def test_it_is_taken_at_a_start(self) -> None:
+        state = large_state(1, LONG_S / NEWEST_SHARE)
+        async with world(state, link=NarrowLink(LINK_BYTES_PER_S)) as w:
+            await w.add_engine("e1")
+            assert [(await w.ask(path)).status for path in (OLD, NEW)] == [200, 200]
+
+    async def test_it_comes_into_force_from_a_slow_store(self) -> None:
+        """The answer begins later than a first try waits for, and then takes the link's time."""
+        link = NarrowLink(LINK_BYTES_PER_S)
+        async with world(link=link) as w:
+            w.store.delay_s = 1.6
+            link.reset_open()
+            publish(w, 2, 1.2)
+            await until_in_force(w, 2)
+
+    async def test_other_topics_are_followed_while_it_comes(self, lines) -> None:
+        link = NarrowLink(LINK_BYTES_PER_S)
+        async with world(link=link) as w:
+            before = link.down.passed_bytes
+            size = publish(w, 2, LONG_S)
+            await until(lambda: link.down.passed_bytes - before > size / 5)
+            await w.add_engine("e1")
+            assert (await w.ask("/stream/x", *TOKENS)).status == 200
+            assert w.node.snapshot.version == 1
+            assert link.down.passed_bytes - before < size
+            await until_in_force(w, 2)
+            assert lost_topics(lines) == set()
+
+
+class TestSeveralVersions:
+    async def test_version_that_a_newer_one_replaced_is_not_read_behind_an_outage(
+        self, lines: list[dict[str, object]]
+    ) -> None:
+        link = NarrowLink(LINK_BYTES_PER_S)
+        async with world(link=link) as w:
+            link.hold()
+            await until(lambda: "keyed.op" in lost_topics(lines))
+            sizes = [publish(w, version, 1.2) for version in (2, 3)]
+            link.lose_open()
+            before = link.down.passed_bytes
+            link.pass_on()
+            await until_in_force(w, 3)
+            assert link.down.passed_bytes - before < 1.3 * NEWEST_SHARE * sizes[-1]
+
+    async def test_storm_of_versions_is_followed_and_its_end_is_in_force(self) -> None:
+        """Versions come faster than the link takes them."""
+        link = NarrowLink(LINK_BYTES_PER_S)
+        async with world(link=link) as w:
+            in_force: list[int] = []
+            w.node.on_snapshot = lambda snapshot: in_force.append(snapshot.version)
+            for version in range(2, 16):
+                size = publish(w, version, 0.8)
+                await trio.sleep(0.33)
+            assert len(in_force) >= 2
+            before = link.down.passed_bytes
+            await until_in_force(w, 15)
+            assert link.down.passed_bytes - before < 2.3 * NEWEST_SHARE * size
--- /dev/null
+++ b/railtide/platform/tests/test_narrow_store.py
@@ -0,0 +1,179 @@
+"""The store's client behind a narrow link: slow, broken and silent answers."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from random import Random
+
+import pytest
+import trio
+
+from railtide.http.messages import HttpRequest
+from railtide.http.server import ConnectionLimits, Handler, HttpServer, Responder
+from railtide.http.sockets import listen
+from railtide.journal.errors import LogUnavailable
+from railtide.journal.feed import Feed, FeedOptions
+from railtide.journal.keyed import KeyedRecord
+from railtide.platform.store import PlatformStore
+from railtide.platform.tests.hosts import HOST
+from railtide.standins.keyed_store import MemoryStore
+from railtide.standins.narrow_link import NarrowLink
+from railtide.standins.platform import StoreServer
+from railtide.telemetry.counters import Counters
+
+TOPIC = "keyed.t"
+LINK_BYTES_PER_S = 100_000
+SECOND = bytes(LINK_BYTES_PER_S)
+"""A value that takes the link a second."""
+GUARD_S = 10.0
+"""No test needs its link for so long."""
+NOTICE_S = 4.0
+"""A connection that falls silent is noticed within 3 s: the time that a configuration has to come
+into force. A second more is for the test's own machine."""
+
+
+class Followed:
+    """A store behind a link, its client, and a feed whose records are kept."""
+
+    def __init__(self, link: NarrowLink, memory: MemoryStore, client: PlatformStore) -> None:
+        self.link = link
+        self.memory = memory
+        self.client = client
+        self.records: list[KeyedRecord] = []
+        self.feed = Feed(client, TOPIC, FeedOptions(), Random(1), self.records.extend)
+
+    @property
+    def keys(self) -> list[str]:
+        """Keys of the records, in the order in which they came."""
+        return [record.key for record in self.records]
+
+
+@asynccontextmanager
+async def followed(handler: Handler | None = None) -> AsyncIterator[Followed]:
+    """Yield a feed that has read its topic once."""
+    memory = MemoryStore()
+    link = NarrowLink(LINK_BYTES_PER_S)
+    listener = await listen(HOST, 0)
+    async with trio.open_nursery() as nursery:
+        server = HttpServer(handler or StoreServer(memory).handle, ConnectionLimits())
+        nursery.start_soon(server.serve, listener)
+        port = await link.open(nursery, HOST, listener.socket.getsockname()[1])
+        known = Followed(link, memory, PlatformStore(f"{HOST}:{port}", Counters()))
+        nursery.start_soon(known.feed.run)
+        await until(lambda: known.feed.caught_up)
+        yield known
+        nursery.cancel_scope.cancel()
+
+
+async def until(condition: Callable[[], bool], guard_s: float = GUARD_S) -> None:
+    with trio.fail_after(guard_s):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+async def until_passed(link: NarrowLink, count: float) -> None:
+    """Wait until so many more bytes have come through the link."""
+    aim = link.down.passed_bytes + count
+    await until(lambda: link.down.passed_bytes >= aim)
+
+
+class TestSlowStore:
+    async def test_answer_that_begins_late_is_waited_for_in_the_end(self) -> None:
+        async with followed() as f:
+            f.memory.delay_s = 1.6
+            f.link.reset_open()
+            f.memory.put(TOPIC, "a", b"1")
+            await until(lambda: f.keys == ["a"])
+
+    async def test_call_of_before_a_return_waits_no_longer_than_a_first_one(self) -> None:
+        async with followed() as f:
+            f.link.hold()
+            for _ in range(2):
+                with pytest.raises(LogUnavailable):
+                    await f.client.newest(TOPIC)
+            async with trio.open_nursery() as nursery:
+                lost = trio.Event()
+                nursery.start_soon(_newest_or_lost, f.client, lost)
+                await trio.sleep(0.1)
+                f.link.lose_open()
+                f.link.pass_on()
+                await f.client.newest(TOPIC)
+                with trio.fail_after(2.0):
+                    await lost.wait()
+
+
+async def _newest_or_lost(client: PlatformStore, lost: trio.Event) -> None:
+    with pytest.raises(LogUnavailable):
+        await client.newest(TOPIC)
+    lost.set()
+
+
+class TestSilence:
+    async def test_silent_store_is_noticed_in_time_and_found_again(self) -> None:
+        async with followed() as f:
+            f.link.hold()
+            await until(lambda: not f.feed.reachable, NOTICE_S)
+            f.memory.put(TOPIC, "a", b"1")
+            f.link.lose_open()
+            f.link.pass_on()
+            await until(lambda: f.keys == ["a"], NOTICE_S)
+
+    async def test_connection_that_fell_silent_is_noticed_in_time(self) -> None:
+        async with followed() as f:
+            f.link.lose_open()
+            f.memory.put(TOPIC, "a", b"1")
+            await until(lambda: f.keys == ["a"], NOTICE_S)
+
+    async def test_connection_that_falls_silent_within_an_answer_is_noticed_in_time(self) -> None:
+        async with followed() as f:
+            opened = f.link.opened
+            f.memory.put(TOPIC, "a", 2 * SECOND)
+            await until_passed(f.link, len(SECOND))
+            f.link.lose_open()
+            await until(lambda: f.link.opened > opened, NOTICE_S)
+            await until(lambda: f.keys == ["a"])
+
+
+class TestTrickle:
+    async def test_answer_that_trickles_does_not_hold_a_read(self) -> None:
+        memory = MemoryStore()
+        server = StoreServer(memory)
+        trickles: list[bool] = []
+
+        async def trickle_once(request: HttpRequest, responder: Responder) -> None:
+            if b"/log-read" not in request.target or trickles:
+                await server.handle(request, responder)
+                return
+            trickles.append(True)
+            await responder.start(200, (), 100_000)
+            while True:
+                await responder.write(b"\0")
+                await trio.sleep(0.2)
+
+        async with followed(trickle_once) as f:
+            memory.put(TOPIC, "a", b"1")
+            await until(lambda: f.keys == ["a"])
+
+
+class TestBrokenAnswer:
+    async def test_whole_records_of_an_answer_that_breaks_off_are_not_read_again(self) -> None:
+        async with followed() as f:
+            before = f.link.down.passed_bytes
+            for key in ("a", "b"):
+                f.memory.put(TOPIC, key, SECOND)
+            await until_passed(f.link, 1.5 * len(SECOND))
+            f.link.reset_open()
+            await until(lambda: f.keys[-1:] == ["b"])
+            assert f.keys == ["a", "b"]
+            assert f.link.down.passed_bytes - before < 2.7 * len(SECOND)
+
+    async def test_each_break_moves_the_topic_on(self) -> None:
+        """The connection never lives long enough for all records."""
+        names = [f"k{n}" for n in range(6)]
+        async with followed() as f:
+            for name in names:
+                f.memory.put(TOPIC, name, SECOND[: len(SECOND) // 2])
+            with trio.move_on_after(GUARD_S):
+                while f.keys != names:
+                    await until_passed(f.link, 0.8 * len(SECOND))
+                    f.link.reset_open()
+            assert f.keys == names
