--- a/railtide/platform/tests/test_narrow_store.py
+++ b/railtide/platform/tests/test_narrow_store.py
@@ -34,12 +34,14 @@
 class Followed:
     """A store behind a link, its client, and a feed whose records are kept."""
 
-    def __init__(self, link: NarrowLink, memory: MemoryStore, client: PlatformStore) -> None:
+    def __init__(self, link: NarrowLink, memory: MemoryStore, address: str) -> None:
         self.link = link
         self.memory = memory
-        self.client = client
+        counters = Counters()
+        self.client = PlatformStore(address, counters)
         self.records: list[KeyedRecord] = []
-        self.feed = Feed(client, TOPIC, FeedOptions(), Random(1), self.records.extend)
+        self.counters = counters
+        self.feed = Feed(self.client, TOPIC, FeedOptions(), Random(1), self.records.extend)
 
     @property
     def keys(self) -> list[str]:
@@ -57,7 +59,7 @@
         server = HttpServer(handler or StoreServer(memory).handle, ConnectionLimits())
         nursery.start_soon(server.serve, listener)
         port = await link.open(nursery, HOST, listener.socket.getsockname()[1])
-        known = Followed(link, memory, PlatformStore(f"{HOST}:{port}", Counters()))
+        known = Followed(link, memory, f"{HOST}:{port}")
         nursery.start_soon(known.feed.run)
         await until(lambda: known.feed.caught_up)
         yield known
@@ -132,6 +134,18 @@
             await until(lambda: f.link.opened > opened, NOTICE_S)
             await until(lambda: f.keys == ["a"])
 
+    async def test_silence_within_an_answer_is_not_met_again_on_idle_connections(self) -> None:
+        async with followed() as f:
+            async with trio.open_nursery() as nursery:
+                for _ in range(3):
+                    nursery.start_soon(f.client.newest, TOPIC)
+            unanswered = f.counters.value("store_calls_unanswered")
+            f.memory.put(TOPIC, "a", 2 * SECOND)
+            await until_passed(f.link, len(SECOND))
+            f.link.lose_open()
+            await until(lambda: f.keys == ["a"])
+            assert f.counters.value("store_calls_unanswered") - unanswered == 1
+
 
 class TestTrickle:
     async def test_answer_that_trickles_does_not_hold_a_read(self) -> None:
@@ -179,6 +193,20 @@
             assert f.keys == ["a", "b"]
             assert f.link.down.passed_bytes - before < 2.7 * len(SECOND)
 
+    async def test_feed_is_not_current_before_the_rest_has_come(self) -> None:
+        async with followed() as f:
+            await put_small(f, ["a", "b"])
+            for key in ("a", "b"):
+                f.memory.put(TOPIC, key, SECOND)
+            await until_passed(f.link, 1.5 * len(SECOND))
+            f.link.hold()
+            f.link.reset_open()
+            await until(lambda: f.keys == ["a"])
+            await trio.sleep(0.2)
+            assert not f.feed.is_current()
+            f.link.pass_on()
+            await until(lambda: f.keys == ["a", "b"] and f.feed.is_current())
+
     @pytest.mark.parametrize("known", [True, False])
     async def test_connection_that_never_lives_for_all_records_moves_on(self, known: bool) -> None:
         names = [f"k{n}" for n in range(6)]
