A late answer is waited for beside no other call too; what replaces versions gives way where it breaks off

Found by tests on the first form: a client with one call at a time never waited longer; versions counted as replaced though none of their keys was known; the newest were read again and again over a connection that breaks, though records would have been kept; a feed counted as current behind an expired history; a second page was told to have nothing left.

--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -92,6 +92,8 @@
         self.next_offset = 0
         self.freshness = Freshness()
         self._keys: set[str] = set()
+        self._may_leave = True
+        self._left = False
         self._store = store
         self._topic = topic
         self._options = options
@@ -130,13 +132,27 @@
                 await self._follow()
             except LogUnavailable as err:
                 self._note_lost(err)
+                started = self._go_back(started)
                 await trio.sleep(self._backoff.next_wait())
             except RecordsExpired as err:
                 logger.bind(topic=self._topic, first=err.first).info("history-expired")
+                self.freshness.note_newer()
                 started = False
             except _Superseded:
                 started = False
 
+    def _go_back(self, started: bool) -> bool:
+        """Read on where an answer was left if what replaces it breaks off; return whether started.
+
+        Of an answer with records those that come whole are kept, of the newest only whole pages:
+        over a connection that breaks again and again the first of the two moves on.
+        """
+        if started or not self._left:
+            return started
+        self._left = False
+        self._may_leave = False
+        return True
+
     async def _read_newest(self) -> None:
         transfer = Transfer()
         self.freshness.watch(transfer)
@@ -148,6 +164,7 @@
         if self._on_newest:
             self._on_newest(set(self._keys))
         self.next_offset = page.end
+        self._left = False
         self.caught_up = True
         self.freshness.note_complete()
 
@@ -176,6 +193,7 @@
             else:
                 self._keys.discard(record.key)
         if page.records:
+            self._may_leave = True
             self._on_records(page.records)
         self.next_offset = max(self.next_offset, page.next_offset)
         if page.next_offset >= page.end:
@@ -193,7 +211,9 @@
             return
         self.freshness.note_newer()
         large = transfer.size is None or transfer.size > LARGE_BYTES
-        if large and waiting > max(1, len(self._keys) * ENCODED):
+        known = len(self._keys)
+        if large and known and waiting > max(1, known * ENCODED) and self._may_leave:
+            self._left = True
             raise _Superseded
 
     def _note_fresh(self, fresh: trio.Event) -> None:
--- a/railtide/journal/patience.py
+++ b/railtide/journal/patience.py
@@ -17,9 +17,10 @@
     queue as much as the one before. A wait doubles therefore while answers of its subject don't
     begin, and is as before once one does (RFC 6298, 5.5 to 5.7: the same for retransmissions).
 
-    A wait that has grown must not delay the word that a silent store is back. So a call waits
-    longer only while another one is under way that does not, and the first answer of any subject
-    behind a silence of all leaves each call that was sent before it no more than the usual wait.
+    A wait that has grown must not delay the word that a silent store is back. So while nothing is
+    heard a call waits longer only beside one that does not, or, every second try, beside none at
+    all. And the first answer of any subject behind a silence of all leaves each call that was sent
+    before it no more than the usual wait.
 
     Parameters
     ----------
@@ -32,7 +33,7 @@
     --------
     >>> async def tries() -> list[float]:
     ...     patience = Patience(1.0, 4.0)
-    ...     patience.note_sent(StallWatch(1.0, 1.0), asked_s=0.0)
+    ...     patience.note_sent(StallWatch(1.0, 1.0), head_s=1.0, held_s=0.0)
     ...     waits = []
     ...     for _ in range(4):
     ...         waits.append(patience.head_s("topic"))
@@ -49,22 +50,40 @@
         self._silences_by_subject: dict[str, int] = {}
         self._heard_at = trio.current_time()
         self._due_by_watch: dict[StallWatch, float] = {}
+        self._usual: set[StallWatch] = set()
 
     def head_s(self, subject: str) -> float:
         """Return how long the next answer on a subject may take to begin, seconds."""
-        now = trio.current_time()
-        if not any(due > now for due in self._due_by_watch.values()):
-            return self._usual_s
-        grown = self._usual_s * GROWTH ** self._silences_by_subject.get(subject, 0)
-        return min(self._most_s, grown)
+        silences = self._silences_by_subject.get(subject, 0)
+        grown = min(self._most_s, self._usual_s * GROWTH**silences)
+        is_alone = silences % 2 == 1 and not self._due_by_watch
+        return grown if is_alone or self._is_asked_as_usual() else self._usual_s
 
-    def note_sent(self, watch: StallWatch, asked_s: float) -> None:
-        """Take that a call is under way whose answer the store was asked to hold so long."""
-        self._due_by_watch[watch] = trio.current_time() + asked_s + self._usual_s
+    def _is_asked_as_usual(self) -> bool:
+        """Return whether a call is under way that is soon answered, or soon made again."""
+        now = trio.current_time()
+        return any(self._due_by_watch[watch] > now for watch in self._usual)
+
+    def note_sent(self, watch: StallWatch, head_s: float, held_s: float) -> None:
+        """Take that a call is under way.
+
+        Parameters
+        ----------
+        watch : StallWatch
+            Of the call.
+        head_s : float
+            As `head_s` told for it.
+        held_s : float
+            For how long the store was asked to hold its answer.
+        """
+        self._due_by_watch[watch] = trio.current_time() + held_s + self._usual_s
+        if head_s <= self._usual_s:
+            self._usual.add(watch)
 
     def note_ended(self, watch: StallWatch) -> None:
         """Take that a call is over."""
         self._due_by_watch.pop(watch, None)
+        self._usual.discard(watch)
 
     def note_silent(self, subject: str) -> None:
         """Take that an answer did not begin in time."""
--- a/railtide/journal/transfer.py
+++ b/railtide/journal/transfer.py
@@ -36,9 +36,10 @@
         self._on_begun = on_begun
 
     def begin(self, end: int | None, size: int | None) -> None:
-        """Take the beginning of an answer."""
+        """Take the beginning of an answer, or of its next page."""
         self.end = end
         self.size = size
+        self.received = 0
         self.began_at = trio.current_time()
         self._on_begun(self)
 
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -219,8 +219,9 @@
         """Make a call, and hand on the body of a good answer as it comes."""
         self._counters.add("store_calls")
         self._counters.add("store_bytes_sent", len(ask.body))
-        watch = StallWatch(ask.held_s + self._patience.head_s(ask.subject), STALL_S)
-        self._patience.note_sent(watch, ask.held_s)
+        head_s = self._patience.head_s(ask.subject)
+        watch = StallWatch(ask.held_s + head_s, STALL_S)
+        self._patience.note_sent(watch, head_s, ask.held_s)
         try:
             with watch:
                 await self._exchange(ask, answer, watch)
