Roster: a router that is behind says so, and current ones are named first

Cause: a router that knows of a newer configuration and does not have it was named to callers like any other, so most new routes went to routers that could not know them.

Change: a record has a field behind at its end (records without it decode), written within a beat of a change; the routers named are the current ones, and those behind only where the current ones are fewer than the least number or don't carry the load. Never none because all are behind.

SOUND in test_roster has the new field; the record of the version before, and one of a later version behind it, are still tested to name a router, and a wrong type in it to name none.

Measured: on the code before (naming regardless of the field, no field written) 5 of the new tests fail: test_largest_gives_way_to_current_ones, test_one_joins_a_single_current_router, test_are_named_only_where_the_current_ones_dont_carry_the_load, test_another_is_named_in_its_place_until_it_is_current, test_idle_router_says_so_within_a_beat. test_are_named_where_all_are_behind and test_all_are_named_as_before_where_all_are pass there too: they guard against an empty list.

--- a/railtide/membership/entrance_set.py
+++ b/railtide/membership/entrance_set.py
@@ -32,11 +32,14 @@
         Requests a second that its instance can carry.
     load : float
         Requests a second that it was asked lately.
+    behind : bool
+        Whether it knows of a newer configuration and does not have it.
     """
 
     entrance: Entrance
     capacity: float
     load: float
+    behind: bool = False
 
 
 @dataclass(frozen=True)
@@ -63,6 +66,9 @@
 ) -> list[Entrance]:
     """Return the entrances to name: the largest of each failure domain in turn.
 
+    Those that are behind are named where the current ones are too few or don't carry the load: they
+    serve all but what is new.
+
     Notes
     -----
     Routers that see the same candidates choose the same ones, and a candidate that comes or goes
@@ -79,7 +85,9 @@
     needed = sum(candidate.load for candidate in candidates) / options.use
     chosen: list[Entrance] = []
     capacity = 0.0
-    for candidate in _by_domain_in_turn(candidates):
+    current = [candidate for candidate in candidates if not candidate.behind]
+    behind = [candidate for candidate in candidates if candidate.behind]
+    for candidate in _by_domain_in_turn(current) + _by_domain_in_turn(behind):
         if len(chosen) >= options.least and capacity >= needed:
             break
         chosen.append(candidate.entrance)
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -70,6 +70,8 @@
         Requests a second that it can carry, and that it was asked lately.
     beat_s : float
         How long after this record its next one is due at the latest.
+    behind : bool
+        Whether it knows of a newer configuration and did not get it in time.
     """
 
     incarnation: str
@@ -79,6 +81,7 @@
     capacity: Annotated[float, msgspec.Meta(gt=0, le=MOST_RATE)] = 1.0
     load: Annotated[float, msgspec.Meta(ge=0, le=MOST_RATE)] = 0.0
     beat_s: Annotated[float, msgspec.Meta(gt=0, le=MOST_BEAT_S)] = 1.0
+    behind: bool = False
 
 
 def _member_of(value: bytes) -> Member:
@@ -118,6 +121,8 @@
     rng : random.Random
     load_of : callable, optional
         Returns the requests a second that this router was asked lately.
+    is_behind : callable, optional
+        Returns whether this router's configuration is older than it may be.
     """
 
     def __init__(
@@ -128,6 +133,7 @@
         options: RosterOptions,
         rng: Random,
         load_of: Callable[[], float] = lambda: 0.0,
+        is_behind: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._instance = instance
@@ -138,6 +144,7 @@
         feed_options = FeedOptions(wait_s=options.beat_s, pause_s=options.read_pause_s)
         self._feed = Feed(store, options.topic, feed_options, rng, self._take)
         self._load_of = load_of
+        self._is_behind = is_behind
         self._beat_at = -math.inf
         self._named: list[Entrance] = []
         self._named_at = -math.inf
@@ -157,6 +164,8 @@
             await trio.sleep(self._options.beat_s)
 
     def _is_beat_due(self) -> bool:
+        if self._is_behind() != self._member.behind:
+            return True
         since = trio.current_time() - self._beat_at
         return since > self._interval_s() - self._options.beat_s / 2
 
@@ -174,6 +183,7 @@
             beat=self._member.beat + 1,
             load=round(self._load_of(), 1),
             beat_s=self._interval_s(),
+            behind=self._is_behind(),
         )
         self._member = member
         self._beat_at = trio.current_time()
@@ -217,7 +227,7 @@
         elif known.member.address and not member.address:
             logger.bind(instance=instance).info("router-leaving")
         entrance = Entrance(instance, member.address, member.failure_domain)
-        candidate = Candidate(entrance, member.capacity, member.load)
+        candidate = Candidate(entrance, member.capacity, member.load, member.behind)
         self._heard_by_instance[instance] = _Heard(member, now, candidate)
 
     @property
@@ -225,6 +235,15 @@
         """True once the topic was read to its end."""
         return self._feed.caught_up
 
+    @property
+    def read_at(self) -> float:
+        """Trio time of the last read to the topic's end."""
+        return self._feed.read_at
+
+    def is_announced_behind(self) -> bool:
+        """Return whether this router's last record says that it is behind."""
+        return self._member.behind
+
     def live(self) -> list[Entrance]:
         """Return the routers that serve, whether callers are sent to them or not."""
         return [candidate.entrance for candidate in self._candidates()]
--- a/railtide/membership/tests/test_entrance_set.py
+++ b/railtide/membership/tests/test_entrance_set.py
@@ -1,5 +1,7 @@
 """Tests of railtide.membership.entrance_set."""
 
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -9,25 +11,38 @@
 OPTIONS = EntranceSetOptions(least=3, use=0.25)
 
 
-def candidate(name: str, domain: str = "a", capacity: float = 100.0, load: float = 1.0):
-    return Candidate(Entrance(name, f"{name}:1", domain), capacity, load)
+def candidate(
+    name: str,
+    domain: str = "a",
+    capacity: float = 100.0,
+    load: float = 1.0,
+    behind: bool = False,
+):
+    return Candidate(Entrance(name, f"{name}:1", domain), capacity, load, behind)
 
 
 def names(candidates: list[Candidate], options: EntranceSetOptions = OPTIONS) -> list[str]:
     return [entrance.name for entrance in chosen_entrances(candidates, options)]
 
 
-FLEETS = st.lists(
-    st.builds(
-        candidate,
-        st.text("abcdefgh", min_size=1, max_size=5),
-        st.sampled_from("xyz"),
-        st.sampled_from([80.0, 200.0]),
-        st.floats(0, 300),
-    ),
-    max_size=20,
-    unique_by=lambda made: made.entrance.name,
-)
+def fleets(most_load: float) -> st.SearchStrategy[list[Candidate]]:
+    return st.lists(
+        st.builds(
+            candidate,
+            st.text("abcdefgh", min_size=1, max_size=5),
+            st.sampled_from("xyz"),
+            st.sampled_from([80.0, 200.0]),
+            st.floats(0, most_load),
+            st.booleans(),
+        ),
+        max_size=20,
+        unique_by=lambda made: made.entrance.name,
+    )
+
+
+FLEETS = fleets(300.0)
+SPARE_FLEETS = fleets(15.0)
+"""Of which not all are needed."""
 
 
 class TestChosenEntrances:
@@ -62,3 +77,36 @@
         after = names([c for c in fleet if c.entrance.name != before[0]])
         assert len(set(after) - set(before)) == 1
         assert set(before[1:]) <= set(after)
+
+
+class TestRoutersBehind:
+    """A router that knows of a newer configuration and does not have it is named last."""
+
+    @given(fleet=st.one_of(FLEETS, SPARE_FLEETS))
+    def test_are_named_only_where_the_current_ones_dont_carry_the_load(
+        self, fleet: list[Candidate]
+    ) -> None:
+        current = [c for c in fleet if not c.behind]
+        chosen = names(fleet)
+        if set(chosen) <= {c.entrance.name for c in current}:
+            return
+        load = sum(c.load for c in fleet)
+        capacity = sum(c.capacity for c in current)
+        assert {c.entrance.name for c in current} < set(chosen)
+        assert len(current) < OPTIONS.least or capacity * OPTIONS.use < load
+
+    @given(fleet=FLEETS)
+    def test_are_named_where_all_are_behind(self, fleet: list[Candidate]) -> None:
+        behind = [replace(c, behind=True) for c in fleet]
+        current = [replace(c, behind=False) for c in fleet]
+        assert names(behind) == names(current)
+
+    def test_largest_gives_way_to_current_ones(self) -> None:
+        fleet = [candidate("large", "a", 400.0, behind=True)]
+        fleet += [candidate("a1", "a"), candidate("b1", "b")]
+        assert sorted(names(fleet, EntranceSetOptions(least=2))) == ["a1", "b1"]
+
+    def test_one_joins_a_single_current_router(self) -> None:
+        """The loss of one router of those that are named has to leave one."""
+        fleet = [candidate("a1", "a"), candidate("b1", "b", behind=True)]
+        assert names(fleet, EntranceSetOptions(least=2)) == ["a1", "b1"]
--- a/railtide/membership/tests/test_roster.py
+++ b/railtide/membership/tests/test_roster.py
@@ -1,6 +1,6 @@
 """Tests of railtide.membership.roster."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -38,9 +38,15 @@
     return scope
 
 
-def loaded(store: MemoryStore, name: str, load: float, capacity: float = 100.0) -> Roster:
+def loaded(
+    store: MemoryStore,
+    name: str,
+    load: float,
+    capacity: float = 100.0,
+    is_behind: Callable[[], bool] = lambda: False,
+) -> Roster:
     member = Member(f"{name}-1", f"{name}:1", "z", 0, capacity)
-    return Roster(store, name, member, OPTIONS, Random(1), lambda: load)
+    return Roster(store, name, member, OPTIONS, Random(1), lambda: load, is_behind)
 
 
 @asynccontextmanager
@@ -94,6 +100,64 @@
             nursery.cancel_scope.cancel()
 
 
+class TestBehind:
+    """A router that knows of a newer configuration says so, and others are named before it."""
+
+    async def test_another_is_named_in_its_place_until_it_is_current(self, autojump_clock) -> None:
+        store = MemoryStore()
+        behind: set[str] = set()
+        made = {
+            f"r{n}": loaded(store, f"r{n}", 0.0, is_behind=lambda n=n: f"r{n}" in behind)
+            for n in range(FLEET)
+        }
+        async with trio.open_nursery() as nursery:
+            for each in made.values():
+                await start(nursery, each)
+            await trio.sleep(SETTLED_S)
+            named = made["r0"].named()
+            behind.add(named[0].name)
+            await trio.sleep(SETTLED_S)
+            assert len(made["r0"].named()) == LEAST
+            assert named[0] not in made["r0"].named()
+            assert len(made["r0"].live()) == FLEET
+            behind.clear()
+            await trio.sleep(SETTLED_S)
+            assert made["r0"].named() == named
+            nursery.cancel_scope.cancel()
+
+    async def test_all_are_named_as_before_where_all_are(self, autojump_clock) -> None:
+        store = MemoryStore()
+        behind: list[bool] = []
+        made = [loaded(store, f"r{n}", 0.0, is_behind=lambda: bool(behind)) for n in range(FLEET)]
+        async with trio.open_nursery() as nursery:
+            for each in made:
+                await start(nursery, each)
+            await trio.sleep(SETTLED_S)
+            named = made[0].named()
+            behind.append(True)
+            await trio.sleep(SETTLED_S)
+            assert made[0].named() == named
+            nursery.cancel_scope.cancel()
+
+    async def test_idle_router_says_so_within_a_beat(self, autojump_clock) -> None:
+        store = MemoryStore()
+        behind: list[bool] = []
+        made = [loaded(store, f"r{n}", 0.0, is_behind=lambda: bool(behind)) for n in range(FLEET)]
+        async with trio.open_nursery() as nursery:
+            for each in made:
+                await start(nursery, each)
+            await trio.sleep(SETTLED_S)
+            behind.append(True)
+            await trio.sleep(OPTIONS.beat_s + 0.1)
+            assert all(each.is_announced_behind() for each in made)
+            await trio.sleep(SETTLED_S)
+            written = store.topic(OPTIONS.topic).end
+            await trio.sleep(30)
+            most = LEAST * 31 + (FLEET - LEAST) * 12
+            assert store.topic(OPTIONS.topic).end - written <= most
+            nursery.cancel_scope.cancel()
+
+
 class TestRoster:
     async def test_routers_find_each_other(self, autojump_clock) -> None:
         store = MemoryStore()
@@ -170,7 +234,9 @@
             nursery.cancel_scope.cancel()
 
 
-SOUND = ["x-1", "x:1", "z", 1, 10.0, 0.0, 1.0]
+OLD = ["x-1", "x:1", "z", 1, 10.0, 0.0, 1.0]
+"""What a router of the version before writes."""
+SOUND = [*OLD, False]
 NAN, INF = float("nan"), float("inf")
 
 
@@ -195,6 +261,7 @@
             changed(6, NAN),
             changed(6, 0.0),
             changed(6, 1e9),
+            changed(7, "of no known meaning"),
             SOUND[:3],
             {"address": "x:1"},
             7,
@@ -214,13 +281,14 @@
             assert len(unreadable) == 1
             nursery.cancel_scope.cancel()
 
-    async def test_sound_record_names_a_router(self, autojump_clock) -> None:
+    @pytest.mark.parametrize("record", [OLD, SOUND, [*SOUND, "of a later version"]])
+    async def test_sound_record_names_a_router(self, record, autojump_clock) -> None:
         store = MemoryStore()
         async with trio.open_nursery() as nursery:
             made = roster(store, "a")
             await start(nursery, made)
             await trio.sleep(2)
-            store.put(OPTIONS.topic, "x", msgspec.msgpack.encode([*SOUND, "of a later version"]))
+            store.put(OPTIONS.topic, "x", msgspec.msgpack.encode(record))
             await trio.sleep(1.5)
             assert names(made) == ["a", "x"]
             nursery.cancel_scope.cancel()
