A refusal by a configuration that may be old becomes 503, come back

Cause: routers that had lost the topic of the desired state, or had begun to read a newer one, went on answering 404, 401 and 402 from the version before. A caller repeats none of these, so each one was an end, though nothing said that the view was as new as the answer claims.

Change: errors that rest on the configuration say so in their class (unknown-route, unauthorized, not-allowed, budget-exhausted). The ingress asks the router what to tell; where its view is not current, that is configuration-outdated: 503, not run, with Retry-After (what is left of the transfer, at most as long as callers keep addresses; 0.4 s where nothing is known). Current is: all that is known of was taken, the store answers, nothing is being read again, and the last complete read is no older than a read may take (2.0 s of waiting + 0.25 s): a store that falls silent was noticed after 3.0 s. What the old view allows is served as before; a removed route or key is not.

Known of for over 2 s (users' tightest bound for a change): /ready says 503, the roster's record says behind, and a line configuration-behind is written, which also comes with the first such answer; configuration-current ends the episode. A store that is merely away leaves a router ready. Beats of the roster hang on serves, not on ready: a router that is behind stays in the roster.

--- a/railtide/configuration/errors.py
+++ b/railtide/configuration/errors.py
@@ -2,7 +2,13 @@
 
 from railtide.errors import RailtideError, Run
 
-__all__ = ["ConfigurationError", "InvalidObject", "OutdatedVersion", "StaleConfiguration"]
+__all__ = [
+    "ConfigurationError",
+    "ConfigurationOutdated",
+    "InvalidObject",
+    "OutdatedVersion",
+    "StaleConfiguration",
+]
 
 
 class ConfigurationError(RailtideError):
@@ -32,3 +38,10 @@
 
     code = "stale-configuration"
     status = 503
+
+
+class ConfigurationOutdated(ConfigurationError):
+    """By the configuration here the request is refused, and there may be a newer one; come back."""
+
+    code = "configuration-outdated"
+    status = 503
--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -124,6 +124,11 @@
         """True once the marks of all routers were read to their end."""
         return self._feed.caught_up
 
+    @property
+    def read_at(self) -> float:
+        """Trio time of the last read of the marks to their end."""
+        return self._feed.read_at
+
     @property
     def held(self) -> frozenset[str]:
         """The contents that are held, or tried again."""
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -15,10 +15,13 @@
 from railtide.containment.ends import Break, EndWatch
 from railtide.containment.guard import CrashGuard
 from railtide.containment.records import life_digest
+from railtide.containment.registry import TOPIC as MARKS_TOPIC
 from railtide.containment.registry import CrashRegistry
+from railtide.edge.freshness import Freshness, ages_s
 from railtide.edge.options import EdgeOptions
 from railtide.edge.request_rate import RequestRate
 from railtide.edge.sources import Sources
+from railtide.errors import RailtideError
 from railtide.journal.feed import Feed, FeedOptions
 from railtide.journal.keyed import KeyedRecord, KeyedStore
 from railtide.lanes.scheduler import PoolScheduler
@@ -112,7 +115,13 @@
         )
         self._load = RequestRate()
         self.roster = Roster(
-            store, identity.instance, member, options.roster, rng, self._load.per_second
+            store,
+            identity.instance,
+            member,
+            options.roster,
+            rng,
+            self._load.per_second,
+            lambda: self._freshness.is_behind(),
         )
         self.treasury = LedgerTreasury(
             store,
@@ -133,6 +142,9 @@
             rng,
             self._take_configuration,
         )
+        self._freshness = Freshness(
+            self._configuration_feed, options.configuration_wait_s, options.address_ttl_s
+        )
         self._upstream_feed = Feed(
             store,
             sources.upstream_topic,
@@ -166,6 +178,15 @@
 
     @property
     def ready(self) -> bool:
+        """True while callers should be sent here.
+
+        A router that is behind still serves what it knows, and is named where no other carries the
+        load; see `serves`.
+        """
+        return self.serves and not self._freshness.is_behind()
+
+    @property
+    def serves(self) -> bool:
         """True once configuration, upstreams and budgets are known, until the shutdown."""
         known = self.snapshot is not None and self.upstreams_known
         return known and self.treasury.ready and self._marks_known() and not self.leaving
@@ -193,7 +214,7 @@
             nursery.start_soon(self._say_when_ready)
             nursery.start_soon(self.treasury.run)
             nursery.start_soon(self._run_spreading)
-            nursery.start_soon(partial(self.roster.run, lambda: self.ready))
+            nursery.start_soon(partial(self.roster.run, lambda: self.serves))
 
     async def drain(self) -> None:
         """Leave: be named to no caller, serve those who still come, finish, give back."""
@@ -228,6 +249,7 @@
             await trio.sleep(self.options.settle_s)
             self._look_for_suspension()
             self._upstream_list.settle()
+            self._freshness.look(self._version())
 
     # -- waking from a suspension -------------------------------------------------------------
 
@@ -255,6 +277,38 @@
                 await reread.wait()
         self._rereads = []
 
+    # -- how new the configuration is ---------------------------------------------------------
+
+    def configuration_is_current(self) -> bool:
+        """Return whether a refusal by the configuration in force may be final."""
+        return self._freshness.is_current()
+
+    def told_of(self, refusal: RailtideError) -> RailtideError:
+        """Return what a caller is told: a refusal, or that it may rest on an old configuration."""
+        if not refusal.rests_on_configuration or self.configuration_is_current():
+            return refusal
+        return self._freshness.outdated(refusal, self._version())
+
+    def limits_doubt_s(self) -> float | None:
+        """Return when a caller that the limits in force refuse may come back, None for never."""
+        if self.configuration_is_current():
+            return None
+        self.counters.add("answers_configuration_outdated")
+        return self._freshness.note_outdated(self._version())
+
+    def read_ages_s(self) -> dict[str, float]:
+        """Return the seconds since each topic was last read to its end."""
+        read_at_by_topic = {
+            self._sources.configuration_topic: self._configuration_feed.read_at,
+            self._sources.upstream_topic: self._upstream_feed.read_at,
+            self.options.roster.topic: self.roster.read_at,
+            MARKS_TOPIC: self._crashes.read_at,
+        }
+        return ages_s(read_at_by_topic, self._began_at)
+
+    def _version(self) -> int | None:
+        return self.snapshot.version if self.snapshot else None
+
     # -- serving ------------------------------------------------------------------------------
 
     async def serve(self, call: Call, sink: AnswerSink) -> None:
@@ -293,7 +347,7 @@
                 self._apply(snapshot)
 
     def _apply(self, snapshot: Snapshot) -> None:
-        held = self.snapshot.version if self.snapshot else None
+        held = self._version()
         if held is not None and snapshot.version <= held:
             logger.bind(version=snapshot.version, held=held).info("configuration-older")
             return
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -92,7 +92,8 @@
             trace.sink = sink = _Sink(responder, call.stream)
             await self._node.serve(call, sink)
             trace.status, trace.code = sink.status, "done"
-        except RailtideError as err:
+        except RailtideError as refusal:
+            err = self._node.told_of(refusal)
             trace.code, trace.detail = err.code, err.detail
             trace.status = await self._refuse(err, responder, trace)
         except BaseException as err:
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -118,9 +118,11 @@
 
 @asynccontextmanager
 async def world(
-    state: bytes | None = None, suspensions: Suspensions | None = None
+    state: bytes | None = None,
+    suspensions: Suspensions | None = None,
+    store: MemoryStore | None = None,
 ) -> AsyncIterator[World]:
-    store = MemoryStore()
+    store = store or MemoryStore()
     store.put("keyed.op", "config", state or desired_state())
     async with trio.open_nursery() as nursery:
         store_port = await serve(nursery, StoreServer(store).handle)
--- a/railtide/requests/errors.py
+++ b/railtide/requests/errors.py
@@ -40,6 +40,7 @@
     code = "unauthorized"
     status = 401
     run = Run.NOT_RUN
+    rests_on_configuration = True
 
 
 class UnknownRoute(RequestError):
@@ -48,6 +49,7 @@
     code = "unknown-route"
     status = 404
     run = Run.NOT_RUN
+    rests_on_configuration = True
 
 
 class NotAllowed(RequestError):
@@ -56,6 +58,7 @@
     code = "not-allowed"
     status = 403
     run = Run.NOT_RUN
+    rests_on_configuration = True
 
 
 class KeyRequired(RequestError):
