Limits that may be old promise that nothing ran; the age of the last read is a metric

Cause: 413 and 431 rest on the limits of the desired state in force, and are as final to a caller as a 404; a version that the router has not seen may have raised them. Nothing said how old a view is.

Change: the limits of a server have a doubt; while it is there, a request that they refuse is answered 503 with Retry-After. 400 and 408 stay: the first is wrong by any limits, the second is a promise already. A gauge railtide_read_age_seconds{topic=...} has the age of the last complete read.

Measured: on the code before both tests of the server fail (no such field), and the process test finds no gauge; with the change they pass.

--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -26,6 +26,7 @@
 TIMEOUT = 408
 TOO_LARGE = 413
 HEAD_TOO_LARGE = 431
+UNAVAILABLE = 503
 CLOSE: tuple[bytes, bytes] = (b"connection", b"close")
 
 
@@ -41,12 +42,16 @@
         From a request's first byte to the end of its body.
     idle_timeout_s : float
         How long a connection may lie idle between requests.
+    doubt_s : callable
+        Returns None while the limits are in force for certain; else the seconds after which a
+        caller that they refuse may come back, since other limits may be in force already.
     """
 
     head_bytes: int = 16_384
     body_bytes: int = 4_194_304
     head_timeout_s: float = 5.0
     idle_timeout_s: float = 30.0
+    doubt_s: Callable[[], float | None] = lambda: None
 
 
 class Responder(ABC):
@@ -87,9 +92,10 @@
 
 
 class _RequestRefused(Exception):  # noqa: N818 - an answer, not an error of this process
-    def __init__(self, status: int) -> None:
+    def __init__(self, status: int, *, by_limit: bool = False) -> None:
         super().__init__(str(status))
         self.status = status
+        self.by_limit = by_limit
 
 
 class HttpServer:
@@ -150,7 +156,7 @@
             try:
                 request = await self._read_request()
             except _RequestRefused as err:
-                await self._refuse(err.status)
+                await self._refuse(err)
                 return
             if request is None:
                 return
@@ -193,11 +199,11 @@
             if isinstance(event, h11.Request):
                 head = event
                 if _head_bytes(event) > self.server.limits.head_bytes:
-                    raise _RequestRefused(HEAD_TOO_LARGE)
+                    raise _RequestRefused(HEAD_TOO_LARGE, by_limit=True)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self.server.limits.body_bytes:
-                    raise _RequestRefused(TOO_LARGE)
+                    raise _RequestRefused(TOO_LARGE, by_limit=True)
             elif isinstance(event, h11.EndOfMessage):
                 return HttpRequest(head.method, head.target, tuple(head.headers), bytes(body))
             elif isinstance(event, h11.ConnectionClosed):
@@ -208,8 +214,9 @@
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as err:
-                large = err.error_status_hint == HEAD_TOO_LARGE
-                raise _RequestRefused(HEAD_TOO_LARGE if large else BAD_REQUEST) from err
+                if err.error_status_hint == HEAD_TOO_LARGE:
+                    raise _RequestRefused(HEAD_TOO_LARGE, by_limit=True) from err
+                raise _RequestRefused(BAD_REQUEST) from err
             if event is not h11.NEED_DATA:
                 return event
             if self.h11.they_are_waiting_for_100_continue:
@@ -217,11 +224,17 @@
                 await self.stream.send_all(self.h11.send(go_on))
             self.h11.receive_data(await self.stream.receive_some(READ_BYTES))
 
-    async def _refuse(self, status: int) -> None:
+    async def _refuse(self, refused: _RequestRefused) -> None:
         """Answer a request that can't be read, and end the connection."""
         if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        await _H11Responder(self).answer(status, (CLOSE,))
+        responder = _H11Responder(self)
+        doubt_s = self.server.limits.doubt_s() if refused.by_limit else None
+        if doubt_s is None:
+            await responder.answer(refused.status, (CLOSE,))
+        else:
+            again = (b"retry-after", f"{doubt_s:.2f}".encode())
+            await responder.answer(UNAVAILABLE, (CLOSE, again))
 
     # -- answering ----------------------------------------------------------------------------
 
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -8,7 +8,7 @@
 
 from railtide.http.client import SILENT_S, Exchange, PeerPool
 from railtide.http.errors import ConnectFailed, ConnectionLost
-from railtide.http.messages import HttpRequest
+from railtide.http.messages import HttpRequest, first_header
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.http.sockets import listen
 
@@ -327,6 +327,34 @@
             long = HttpRequest(b"GET", b"/" + b"x" * 900, ((b"host", b"x"),))
             assert (await PeerPool("127.0.0.1", made.port).send(long)).status == 431
 
+    async def test_limits_that_may_be_old_promise_that_nothing_ran(self) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, ())
+
+        doubts: list[float | None] = [0.25, 0.25, None, None]
+        limits = ConnectionLimits(500, 10, doubt_s=lambda: doubts.pop(0))
+        big = HttpRequest(b"POST", b"/", ((b"host", b"x"),), b"x" * 11)
+        long = HttpRequest(b"GET", b"/" + b"x" * 900, ((b"host", b"x"),))
+        async with server(handler, limits) as made:
+            for status in (503, 413):
+                for request in (big, long):
+                    told = await PeerPool("127.0.0.1", made.port).send(request)
+                    assert told.status == (431 if status == 413 and request is long else status)
+                    again = first_header(told.headers, b"retry-after")
+                    assert again == (b"0.25" if status == 503 else None)
+                    assert first_header(told.headers, b"connection") == b"close"
+            assert (await PeerPool("127.0.0.1", made.port).send(GET)).status == 200
+
+    async def test_request_that_can_not_be_read_is_wrong_by_any_limits(self) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, ())
+
+        async with server(handler, ConnectionLimits(doubt_s=lambda: 0.25)) as made:
+            stream = await trio.open_tcp_stream("127.0.0.1", made.port)
+            await stream.send_all(b"no request\r\n\r\n")
+            with trio.fail_after(5):
+                assert b" 400 " in await stream.receive_some()
+
     async def test_slow_head_is_given_up(self) -> None:
         async def handler(request: HttpRequest, responder: Responder) -> None:
             await responder.answer(200, ())
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -27,7 +27,7 @@
 from railtide.settings import InvalidSetting, checked, endpoint, run_program
 from railtide.telemetry.counters import Counters
 from railtide.telemetry.lines import LineBuffer, set_up_lines
-from railtide.telemetry.meters import set_up_meters
+from railtide.telemetry.meters import observe_each, set_up_meters
 
 __all__ = ["edge", "main"]
 
@@ -111,7 +111,8 @@
     clocks = kernel_clocks()
     node = EdgeNode(identity, store, PlatformSources(), upstreams, options, rng, clocks)
     upstreams.on_load = node.take_load
-    limits = ConnectionLimits()
+    limits = ConnectionLimits(doubt_s=node.limits_doubt_s)
+    observe_each("read_age", "s", "topic", node.read_ages_s)
     node.on_snapshot = partial(_apply_limits, limits)
     ingress = Ingress(node, rng)
     calls = HttpServer(ingress.handle, limits)
--- a/railtide/telemetry/meters.py
+++ b/railtide/telemetry/meters.py
@@ -1,6 +1,6 @@
 """Metrics of a process: OpenTelemetry instruments, read at `/metrics` in Prometheus' format."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from opentelemetry import metrics
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -8,7 +8,9 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 
-__all__ = ["observe", "set_up_meters"]
+__all__ = ["observe", "observe_each", "set_up_meters"]
+
+METER = "railtide"
 
 
 def set_up_meters(service: str) -> None:
@@ -20,9 +22,21 @@
 
 def observe(name: str, unit: str, read: Callable[[], float]) -> None:
     """Register a gauge whose value is read when it is asked for."""
+    _add_gauge(name, unit, lambda: [Observation(read())])
+
+
+def observe_each(
+    name: str, unit: str, attribute: str, read: Callable[[], Mapping[str, float]]
+) -> None:
+    """Register a gauge with a value for each value of an attribute, read when it is asked for."""
+    _add_gauge(
+        name, unit, lambda: [Observation(value, {attribute: key}) for key, value in read().items()]
+    )
+
 
+def _add_gauge(name: str, unit: str, observations: Callable[[], list[Observation]]) -> None:
     def callback(options: CallbackOptions) -> Iterable[Observation]:
-        return [Observation(read())]
+        return observations()
 
-    meter = metrics.get_meter("railtide")
+    meter = metrics.get_meter(METER)
     meter.create_observable_gauge(f"railtide_{name}", callbacks=[callback], unit=unit)
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -1,6 +1,7 @@
 """`railtide-edge` as a real process: its start, its graceful shutdown, its restart after a kill."""
 
 import os
+import re
 import signal
 import socket
 import sys
@@ -43,6 +44,15 @@
     "services": [{"name": "s"}],
     "tenants": [{"name": "t", "api_keys": ["k"], "prepaid": 10_000}],
 }
+SMALL_LIMITS = {
+    "max_header_bytes": 4096,
+    "max_body_bytes": 10,
+    "header_timeout_ms": 5000,
+    "idle_timeout_ms": 30_000,
+}
+LARGE_BODY = b"x" * 11
+READ_AGE = re.compile(r'^railtide_read_age_seconds\{.*\btopic="([^"]+)".*\} (\S+)$', re.MULTILINE)
+OUTDATED = re.compile(r"^railtide_answers_configuration_outdated_total\{.*\} (\S+)$", re.MULTILINE)
 
 
 def free_ports(count: int) -> list[int]:
@@ -95,7 +105,12 @@
         exchange.abandon()
         return exchange.status == 200
 
-    async def ask(self, number: int) -> Exchange:
+    async def metrics(self) -> str:
+        """Return the page of metrics."""
+        request = HttpRequest(b"GET", b"/metrics", ((b"host", b"x"),))
+        return (await body_of(await PeerPool(HOST, self.metrics_port).send(request))).decode()
+
+    async def ask(self, number: int, body: bytes = b"body") -> Exchange:
         headers = (
             (b"host", b"h.example"),
             (b"x-attempt-id", b"r%d" % number),
@@ -103,7 +118,7 @@
             (b"x-token-count", b"50,50"),
         )
         pool = PeerPool(HOST, self.calls_port)
-        return await pool.send(HttpRequest(b"POST", b"/s/x", headers, b"body"))
+        return await pool.send(HttpRequest(b"POST", b"/s/x", headers, body))
 
     def committed(self) -> int:
         """Return the units of the account that are spent or in a hand."""
@@ -185,6 +200,25 @@
                 assert await process.wait() == 0
             assert made.committed() == 50 + 20
 
+    async def test_view_that_may_be_old_shows_in_limits_and_metrics(self, tmp_path: Path) -> None:
+        state = STATE | {"version": STATE["version"] + 1, "limits": SMALL_LIMITS}
+        async with edge(tmp_path) as made:
+            made.store.put("keyed.op", "config", msgspec.json.encode(state))
+            process = await made.start()
+            assert (await made.ask(1, LARGE_BODY)).status == 413
+            ages = READ_AGE.findall(await made.metrics())
+            assert {topic for topic, _ in ages} >= {"keyed.op", "keyed.servers"}
+            assert all(0 <= float(age) < WAIT_S for _, age in ages)
+            made.store.down = True
+            made.store.put("keyed.op", "other", b"x")
+            with trio.fail_after(WAIT_S):
+                while (await made.ask(2, LARGE_BODY)).status == 413:
+                    await trio.sleep(0.05)
+            assert (await made.ask(3, LARGE_BODY)).status == 503
+            assert OUTDATED.findall(await made.metrics()) == ["2.0"]
+            process.kill()
+            await process.wait()
+
     async def test_kill_and_restart_overspend_nothing(self, tmp_path: Path) -> None:
         async with edge(tmp_path) as made:
             process = await made.start()
