--- a/railtide/edge/tests/test_freshness.py
+++ b/railtide/edge/tests/test_freshness.py
@@ -10,10 +10,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from railtide.edge.freshness import BEHIND_S, SLOW_ANSWER_S, SOON_S, Freshness
+from railtide.edge.freshness import BEHIND_S, SLOW_ANSWER_S, SOON_S, Freshness, ages_s
+from railtide.errors import RailtideError
 from railtide.journal.errors import LogUnavailable
 from railtide.journal.feed import Feed, FeedOptions
 from railtide.journal.keyed import KeyedPage, KeyedRecord
+from railtide.operators.codes import all_codes
 from railtide.requests.errors import UnknownRoute
 from railtide.standins.keyed_store import MemoryStore
 
@@ -254,3 +256,22 @@
         """Else the test above shows nothing."""
         callers = played([("sleep", 1.0), ("write", {"b"}), ("sleep", 1.0)])
         assert callers.served and {route for _, route in callers.refused} == {"a", "b"}
+
+
+class TestAges:
+    async def test_count_from_the_last_complete_read_or_the_start(self, autojump_clock) -> None:
+        began_at = trio.current_time()
+        await trio.sleep(9.0)
+        read_at = {"read": trio.current_time(), "never-read": -float("inf")}
+        await trio.sleep(1.0)
+        assert ages_s(read_at, began_at) == {"read": 1.0, "never-read": 10.0}
+
+
+class TestErrors:
+    def test_which_rest_on_the_configuration(self) -> None:
+        all_codes()
+        kinds = [RailtideError]
+        for kind in kinds:
+            kinds += kind.__subclasses__()
+        resting = {kind.code for kind in kinds if kind.rests_on_configuration}
+        assert resting == {"unknown-route", "unauthorized", "not-allowed", "budget-exhausted"}
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -26,6 +26,8 @@
 CONTAINMENT = "railtide/containment/tests"
 CRASHING = "railtide/platform/tests/test_crashing_requests.py"
 SUSPENSION = "tests/test_suspension.py"
+EDGE = "railtide/edge/tests"
+OUTDATED = "railtide/platform/tests/test_outdated_view.py"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -988,6 +990,167 @@
         "            pass\n",
         (f"{PLATFORM}/test_waking.py",),
     ),
+    Mutant(
+        "old-view-refuses-for-good",
+        "edge/node.py",
+        "if not refusal.rests_on_configuration or self.configuration_is_current():",
+        "if True:",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "fresh-view-is-doubted",
+        "edge/freshness.py",
+        "return self._feed.is_current() and not self._is_read_late()",
+        "return False",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "overdue-answer-is-not-doubted",
+        "edge/freshness.py",
+        "return self._feed.is_current() and not self._is_read_late()",
+        "return self._feed.is_current()",
+        (EDGE,),
+    ),
+    Mutant(
+        "feed-that-is-not-current-is-not-doubted",
+        "edge/freshness.py",
+        "return self._feed.is_current() and not self._is_read_late()",
+        "return not self._is_read_late()",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "unknown-route-is-final-by-any-view",
+        "requests/errors.py",
+        "status = 404\n    run = Run.NOT_RUN\n    rests_on_configuration = True",
+        "status = 404\n    run = Run.NOT_RUN",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "unknown-key-is-final-by-any-view",
+        "requests/errors.py",
+        "status = 401\n    run = Run.NOT_RUN\n    rests_on_configuration = True",
+        "status = 401\n    run = Run.NOT_RUN",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "spent-budget-is-final-by-any-view",
+        "budgets/errors.py",
+        "    rests_on_configuration = True\n",
+        "",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "forbidden-name-is-final-by-any-view",
+        "requests/errors.py",
+        "status = 403\n    run = Run.NOT_RUN\n    rests_on_configuration = True",
+        "status = 403\n    run = Run.NOT_RUN",
+        (EDGE,),
+    ),
+    Mutant(
+        "store-that-is-away-makes-routers-unready",
+        "edge/freshness.py",
+        "return self._known_s() > BEHIND_S",
+        "return trio.current_time() - self._feed.read_at > BEHIND_S",
+        (EDGE,),
+    ),
+    Mutant(
+        "newer-known-for-a-moment-makes-routers-unready",
+        "edge/freshness.py",
+        "return self._known_s() > BEHIND_S",
+        "return self._known_s() > 0",
+        (EDGE,),
+    ),
+    Mutant(
+        "router-that-is-behind-is-ready",
+        "edge/node.py",
+        "return self.serves and not self._freshness.is_behind()",
+        "return self.serves",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "router-that-is-behind-leaves-the-roster",
+        "edge/node.py",
+        "self.roster.run, lambda: self.serves)",
+        "self.roster.run, lambda: self.ready)",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "retry-after-outlasts-the-addresses",
+        "edge/freshness.py",
+        "min(left_s, self._most_retry_s)",
+        "left_s",
+        (EDGE,),
+    ),
+    Mutant(
+        "retry-after-knows-no-transfer",
+        "edge/freshness.py",
+        "SOON_S if left_s is None else min(left_s, self._most_retry_s)",
+        "SOON_S",
+        (EDGE,),
+    ),
+    Mutant(
+        "each-answer-by-an-old-view-has-a-line",
+        "edge/freshness.py",
+        "        if self._old_since is not None:\n            return\n        now",
+        "        now",
+        (EDGE,),
+    ),
+    Mutant(
+        "age-of-a-read-counts-from-the-start",
+        "edge/freshness.py",
+        "now - max(read_at, began_at)",
+        "now - began_at",
+        (EDGE,),
+    ),
+    Mutant(
+        "router-that-is-behind-is-named-like-others",
+        "membership/entrance_set.py",
+        "_by_domain_in_turn(current) + _by_domain_in_turn(behind)",
+        "_by_domain_in_turn(candidates)",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "none-is-named-where-all-are-behind",
+        "membership/entrance_set.py",
+        "_by_domain_in_turn(current) + _by_domain_in_turn(behind)",
+        "_by_domain_in_turn(current)",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "router-does-not-say-that-it-is-behind",
+        "membership/roster.py",
+        "behind=self._is_behind(),",
+        "behind=False,",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "being-behind-waits-for-the-next-beat",
+        "membership/roster.py",
+        "if self._is_behind() != self._member.behind:",
+        "if False:",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "limit-that-may-be-old-refuses-for-good",
+        "http/server.py",
+        "self.server.limits.doubt_s() if refused.by_limit else None",
+        "None",
+        (HTTP,),
+    ),
+    Mutant(
+        "unreadable-request-may-come-again",
+        "http/server.py",
+        "self.server.limits.doubt_s() if refused.by_limit else None",
+        "self.server.limits.doubt_s()",
+        (HTTP,),
+    ),
+    Mutant(
+        "limits-are-never-doubted",
+        "platform/program.py",
+        "ConnectionLimits(doubt_s=node.limits_doubt_s)",
+        "ConnectionLimits()",
+        ("tests/test_edge_process.py",),
+    ),
 ]
 
 
