--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -9,7 +9,7 @@
 
 from railtide.journal.backoff import Backoff
 from railtide.journal.errors import LogUnavailable, RecordsExpired
-from railtide.journal.keyed import KeyedPage, KeyedRecord, KeyedStore
+from railtide.journal.keyed import KeyedRecord, KeyedStore
 
 __all__ = ["Feed", "FeedOptions"]
 
@@ -62,10 +62,6 @@
         Whether the topic was read to its end once.
     lost_at, back_at : float
         Trio time of the latest loss of the store, and of its latest return.
-    read_at : float
-        Trio time at which the newest read that ended at the partition's end was answered.
-    behind_since : float or None
-        Trio time since which a newer record is known of that was not taken.
     """
 
     def __init__(
@@ -82,8 +78,6 @@
         self.caught_up = False
         self.lost_at = -float("inf")
         self.back_at = -float("inf")
-        self.read_at = -float("inf")
-        self.behind_since: float | None = None
         self.next_offset = 0
         self._store = store
         self._topic = topic
@@ -107,16 +101,6 @@
             self._reading.cancel()
         return self._fresh
 
-    def is_current(self) -> bool:
-        """Return whether all is taken that the partition is known to hold."""
-        if not (self.caught_up and self.reachable):
-            return False
-        return self.behind_since is None and self._fresh is None
-
-    def left_s(self) -> float | None:
-        """Return about how long the transfer under way still takes, None if unknown."""
-        return None
-
     async def run(self) -> None:
         """Follow for ever."""
         started = False
@@ -142,7 +126,6 @@
             self._on_newest({record.key for record in page.records})
         self.next_offset = page.end
         self.caught_up = True
-        self.read_at = trio.current_time()
 
     async def _follow(self) -> None:
         while True:
@@ -155,19 +138,11 @@
             if page.records:
                 self._on_records(page.records)
             self.next_offset = max(self.next_offset, page.next_offset)
-            self._note_read(page)
             if fresh is not None and page.next_offset >= page.end:
                 self._note_fresh(fresh)
             with trio.CancelScope() as self._reading:
                 await trio.sleep(self._pause_s_of())
 
-    def _note_read(self, page: KeyedPage) -> None:
-        if page.next_offset >= page.end:
-            self.read_at = trio.current_time()
-            self.behind_since = None
-        elif self.behind_since is None:
-            self.behind_since = trio.current_time()
-
     def _note_fresh(self, fresh: trio.Event) -> None:
         fresh.set()
         if self._fresh is fresh:
