--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -127,7 +127,7 @@
     @property
     def read_at(self) -> float:
         """Trio time of the last read of the marks to their end."""
-        return self._feed.read_at
+        return self._feed.freshness.read_at
 
     @property
     def held(self) -> frozenset[str]:
--- a/railtide/edge/freshness.py
+++ b/railtide/edge/freshness.py
@@ -16,7 +16,7 @@
 from railtide.errors import RailtideError
 from railtide.journal.feed import Feed
 
-__all__ = ["BEHIND_S", "SLOW_ANSWER_S", "SOON_S", "Doubt", "Freshness", "ages_s"]
+__all__ = ["BEHIND_S", "SLOW_ANSWER_S", "SOON_S", "Doubt", "ViewFreshness", "ages_s"]
 
 BEHIND_S = 2.0
 """How long a router may know of a newer configuration and serve by an older one before others are
@@ -51,7 +51,7 @@
     REREAD = "reread"
 
 
-class Freshness:
+class ViewFreshness:
     """How new one router's view of the configuration is, and what it says when it may be old.
 
     Parameters
@@ -93,7 +93,7 @@
         """Count an answer that the view was too old for; return when its caller may come back."""
         self._begin(version)
         self._answers += 1
-        left_s = self._feed.left_s()
+        left_s = self._feed.freshness.left_s()
         return SOON_S if left_s is None else min(left_s, self._most_retry_s)
 
     def look(self, version: int | None) -> None:
@@ -105,14 +105,14 @@
             self._end(version)
 
     def _is_read_late(self) -> bool:
-        return trio.current_time() - self._feed.read_at > self._wait_s + SLOW_ANSWER_S
+        return trio.current_time() - self._feed.freshness.read_at > self._wait_s + SLOW_ANSWER_S
 
     def _known_s(self) -> float:
-        since = self._feed.behind_since
+        since = self._feed.freshness.behind_since
         return 0.0 if since is None else trio.current_time() - since
 
     def _doubt(self) -> Doubt:
-        if self._feed.behind_since is not None:
+        if self._feed.freshness.behind_since is not None:
             return Doubt.NEWER_KNOWN
         if not self._feed.reachable:
             return Doubt.STORE_LOST
@@ -122,9 +122,11 @@
         if self._old_since is not None:
             return
         now = trio.current_time()
-        self._old_since = self._feed.read_at if math.isfinite(self._feed.read_at) else now
+        self._old_since = (
+            self._feed.freshness.read_at if math.isfinite(self._feed.freshness.read_at) else now
+        )
         self._answers = 0
-        left_s = self._feed.left_s()
+        left_s = self._feed.freshness.left_s()
         logger.bind(
             version=version,
             reason=self._doubt(),
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -17,7 +17,7 @@
 from railtide.containment.records import life_digest
 from railtide.containment.registry import TOPIC as MARKS_TOPIC
 from railtide.containment.registry import CrashRegistry
-from railtide.edge.freshness import Freshness, ages_s
+from railtide.edge.freshness import ViewFreshness, ages_s
 from railtide.edge.options import EdgeOptions
 from railtide.edge.request_rate import RequestRate
 from railtide.edge.sources import Sources
@@ -142,7 +142,7 @@
             rng,
             self._take_configuration,
         )
-        self._freshness = Freshness(
+        self._freshness = ViewFreshness(
             self._configuration_feed, options.configuration_wait_s, options.address_ttl_s
         )
         self._upstream_feed = Feed(
@@ -299,8 +299,8 @@
     def read_ages_s(self) -> dict[str, float]:
         """Return the seconds since each topic was last read to its end."""
         read_at_by_topic = {
-            self._sources.configuration_topic: self._configuration_feed.read_at,
-            self._sources.upstream_topic: self._upstream_feed.read_at,
+            self._sources.configuration_topic: self._configuration_feed.freshness.read_at,
+            self._sources.upstream_topic: self._upstream_feed.freshness.read_at,
             self.options.roster.topic: self.roster.read_at,
             MARKS_TOPIC: self._crashes.read_at,
         }
--- a/railtide/edge/tests/test_freshness.py
+++ b/railtide/edge/tests/test_freshness.py
@@ -10,11 +10,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from railtide.edge.freshness import BEHIND_S, SLOW_ANSWER_S, SOON_S, Freshness, ages_s
+from railtide.edge.freshness import BEHIND_S, SLOW_ANSWER_S, SOON_S, ViewFreshness, ages_s
 from railtide.errors import RailtideError
 from railtide.journal.errors import LogUnavailable
 from railtide.journal.feed import Feed, FeedOptions
+from railtide.journal.freshness import Freshness
 from railtide.journal.keyed import KeyedPage, KeyedRecord
+from railtide.journal.transfer import Transfer
 from railtide.operators.codes import all_codes
 from railtide.requests.errors import UnknownRoute
 from railtide.standins.keyed_store import MemoryStore
@@ -24,24 +26,31 @@
 SLACK_S = 0.01
 
 
-class KnownFeed(Feed):
-    """A feed whose state is set by the test."""
+class KnownFreshness(Freshness):
+    """What is known of a topic as the test set it, `left` among it."""
 
     def __init__(self) -> None:
-        self.caught_up = self.reachable = True
-        self.behind_since: float | None = None
+        super().__init__()
         self.read_at = trio.current_time()
         self.left: float | None = None
-        self._fresh = None
 
     def left_s(self) -> float | None:
         """Return what the test set."""
         return self.left
 
 
-def made() -> tuple[KnownFeed, Freshness]:
+class KnownFeed(Feed):
+    """A feed whose state is set by the test."""
+
+    def __init__(self) -> None:
+        self.caught_up = self.reachable = True
+        self.freshness = KnownFreshness()
+        self._fresh = None
+
+
+def made() -> tuple[KnownFeed, ViewFreshness]:
     feed = KnownFeed()
-    return feed, Freshness(feed, READ_WAIT_S, MOST_RETRY_S)
+    return feed, ViewFreshness(feed, READ_WAIT_S, MOST_RETRY_S)
 
 
 class TestCurrent:
@@ -51,24 +60,24 @@
         assert freshness.is_current()
         await trio.sleep(2 * SLACK_S)
         assert not freshness.is_current()
-        feed.read_at = trio.current_time()
+        feed.freshness.read_at = trio.current_time()
         assert freshness.is_current()
 
     async def test_is_not_current_before_the_first_complete_read(self, autojump_clock) -> None:
         feed, freshness = made()
-        feed.read_at = -float("inf")
+        feed.freshness.read_at = -float("inf")
         assert not freshness.is_current()
 
     async def test_is_not_current_while_newer_is_known_of(self, autojump_clock) -> None:
         feed, freshness = made()
-        feed.behind_since = trio.current_time()
+        feed.freshness.behind_since = trio.current_time()
         assert not freshness.is_current()
 
 
 class TestBehind:
     async def test_is_behind_once_newer_was_known_of_for_long(self, autojump_clock) -> None:
         feed, freshness = made()
-        feed.behind_since = trio.current_time()
+        feed.freshness.behind_since = trio.current_time()
         await trio.sleep(BEHIND_S - SLACK_S)
         assert not freshness.is_behind()
         await trio.sleep(2 * SLACK_S)
@@ -87,7 +96,7 @@
     )
     async def test_is_what_is_left_of_the_transfer(self, left, told, autojump_clock) -> None:
         feed, freshness = made()
-        feed.left = left
+        feed.freshness.left = left
         assert freshness.outdated(UnknownRoute(), 1).retry_after == told
 
 
@@ -103,7 +112,7 @@
                 freshness.look(4)
             await trio.sleep(1.0)
             feed.reachable = True
-            feed.read_at = trio.current_time()
+            feed.freshness.read_at = trio.current_time()
             freshness.look(5)
             freshness.look(5)
         told = [(line["event"], line["version"]) for line in lines]
@@ -113,12 +122,12 @@
 
     async def test_short_one_without_a_refusal_says_nothing(self, lines, autojump_clock) -> None:
         feed, freshness = made()
-        feed.behind_since = trio.current_time()
+        feed.freshness.behind_since = trio.current_time()
         for _ in range(9):
             freshness.look(1)
             await trio.sleep(BEHIND_S / 10)
-        feed.behind_since = None
-        feed.read_at = trio.current_time()
+        feed.freshness.behind_since = None
+        feed.freshness.read_at = trio.current_time()
         freshness.look(2)
         assert lines == []
 
@@ -139,16 +148,24 @@
         self.silent = False
         self.keeps_back = False
 
-    async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
         """Return records, if at all; see `KeyedStore.read`."""
         with trio.move_on_after(wait_s + self.SILENT_S):
             page = await super().read(topic, start, wait_s, partition)
+            if self.silent:
+                await trio.sleep_forever()
+            transfer.begin(page.end, None)
             if self.keeps_back and page.records:
                 await trio.sleep(0.1)
                 return KeyedPage([], page.end, start)
-            if not self.silent:
-                return page
-            await trio.sleep_forever()
+            return page
         raise LogUnavailable("silence")
 
 
@@ -195,7 +212,7 @@
     def take(self, records: list[KeyedRecord]) -> None:
         self.view = {name for name in records[-1].value.decode().split(",") if name != "-"}
 
-    async def ask_on(self, freshness: Freshness) -> None:
+    async def ask_on(self, freshness: ViewFreshness) -> None:
         while True:
             for route in ROUTES:
                 if route in self.view:
@@ -221,7 +238,7 @@
         callers.write({"a"})
         options = FeedOptions(wait_s=READ_WAIT_S)
         feed = Feed(callers.store, "t", options, Random(1), callers.take)
-        freshness = Freshness(feed, READ_WAIT_S, MOST_RETRY_S)
+        freshness = ViewFreshness(feed, READ_WAIT_S, MOST_RETRY_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(feed.run)
             nursery.start_soon(callers.ask_on, freshness)
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -238,7 +238,7 @@
     @property
     def read_at(self) -> float:
         """Trio time of the last read to the topic's end."""
-        return self._feed.read_at
+        return self._feed.freshness.read_at
 
     def is_announced_behind(self) -> bool:
         """Return whether this router's last record says that it is behind."""
--- a/railtide/platform/tests/test_outdated_view.py
+++ b/railtide/platform/tests/test_outdated_view.py
@@ -15,6 +15,13 @@
 from railtide.http.client import Exchange
 from railtide.http.messages import first_header
 from railtide.journal.keyed import KeyedPage
+from railtide.journal.transfer import Transfer
+from railtide.platform.tests.test_large_desired_state import (
+    LINK_BYTES_PER_S,
+    NEW,
+    publish,
+    until_in_force,
+)
 from railtide.platform.tests.test_waking import SUSPENDED_S, SuspendedMachine, write_unheard
 from railtide.platform.tests.test_whole_path import (
     ROUTES,
@@ -25,6 +32,7 @@
     world,
 )
 from railtide.standins.keyed_store import MemoryStore
+from railtide.standins.narrow_link import NarrowLink
 
 NEW_ROUTE = ROUTES[0] | {"name": "new", "path_prefix": "/new/"}
 CONFIGURATION = "keyed.op"
@@ -45,9 +53,16 @@
         super().__init__()
         self.keeps_back = False
 
-    async def read(self, topic: str, start: int, wait_s: float, partition: int = 0) -> KeyedPage:
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
         """Return records, none of the configuration while they are kept back."""
-        page = await super().read(topic, start, wait_s, partition)
+        page = await super().read(topic, start, wait_s, partition, transfer)
         if topic == CONFIGURATION and self.keeps_back and page.records:
             await trio.sleep(KEPT_BACK_TICK_S)
             return KeyedPage([], page.end, start)
@@ -228,6 +243,73 @@
             assert w.node.ready
 
 
+class TestLongTransfer:
+    """A newer desired state is under way on a link that needs seconds for it."""
+
+    TRANSFER_S = 3.0
+    SPARE = 1.3
+    """What a busy machine may take longer than the link took so far."""
+
+    async def told_s(self, w: World) -> float:
+        told = await w.ask(NEW)
+        await assert_outdated(told)
+        return float(first_header(told.headers, b"retry-after"))
+
+    async def test_caller_is_told_when_to_come_back(self) -> None:
+        link = NarrowLink(LINK_BYTES_PER_S)
+        async with world(link=link) as w:
+            await w.add_engine("e")
+            publish(w, 2, self.TRANSFER_S)
+            await until(lambda: not w.node.configuration_is_current())
+            told_s = [await self.told_s(w)]
+            while told_s[-1] >= w.node.options.address_ttl_s:
+                await trio.sleep(0.1)
+                told_s.append(await self.told_s(w))
+            assert len(told_s) > 10
+            assert (await w.ask("/safe/x")).status == 200
+            await trio.sleep(told_s[-1] * self.SPARE)
+            assert (await w.ask(NEW)).status == 200
+
+    async def test_what_is_unknown_is_refused_once_the_topic_was_read_to_its_end(self) -> None:
+        """The state says nothing of versions that were published while it was under way."""
+        link = NarrowLink(LINK_BYTES_PER_S)
+        async with world(link=link) as w:
+            publish(w, 2, self.TRANSFER_S)
+            await until_in_force(w, 2)
+            await assert_outdated(await w.ask("/nowhere/x"))
+            await until(w.node.configuration_is_current)
+            assert (await w.ask("/nowhere/x")).status == 404
+
+    async def test_one_that_takes_too_long_shows(self, lines: list[dict[str, object]]) -> None:
+        link = NarrowLink(LINK_BYTES_PER_S)
+        async with world(link=link) as w:
+            publish(w, 2, self.TRANSFER_S)
+            await until(lambda: not w.node.ready)
+            assert w.node.snapshot.version == 1
+            await until(lambda: w.node.ready)
+            assert w.node.snapshot.version == 2
+            await until(lambda: events(lines, "configuration-current"))
+        (began,) = events(lines, "configuration-behind")
+        assert (began["version"], began["reason"]) == (1, "newer-known")
+        assert began["known_s"] >= freshness.BEHIND_S and 0 < began["left_s"] < self.TRANSFER_S
+        (ended,) = events(lines, "configuration-current")
+        assert ended["version"] == 2 and self.TRANSFER_S <= ended["for_s"] < 2 * WAIT_S
+
+    async def test_one_that_breaks_off_is_not_forgotten(self) -> None:
+        link = NarrowLink(LINK_BYTES_PER_S)
+        async with world(link=link) as w:
+            await w.add_engine("e")
+            publish(w, 2, self.TRANSFER_S)
+            for _ in range(4):
+                await until(lambda: not w.node.configuration_is_current())
+                await trio.sleep(0.3)
+                await assert_outdated(await w.ask(NEW))
+                assert not w.node.configuration_is_current()
+                link.reset_open()
+            await until_in_force(w, 2)
+            assert (await w.ask(NEW)).status == 200
+
+
 class TestWaking:
     @pytest.mark.parametrize("path", ["/new/x", "/nowhere/x"])
     async def test_reread_that_takes_long_lets_nothing_be_refused_for_good(self, path: str) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1050,7 +1050,7 @@
         "store-that-is-away-makes-routers-unready",
         "edge/freshness.py",
         "return self._known_s() > BEHIND_S",
-        "return trio.current_time() - self._feed.read_at > BEHIND_S",
+        "return trio.current_time() - self._feed.freshness.read_at > BEHIND_S",
         (EDGE,),
     ),
     Mutant(
