--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -122,9 +122,10 @@
     state: bytes | None = None,
     suspensions: Suspensions | None = None,
     link: NarrowLink | None = None,
+    store: MemoryStore | None = None,
 ) -> AsyncIterator[World]:
     """Yield a router that is ready; `link` leads to its store."""
-    store = MemoryStore()
+    store = store or MemoryStore()
     store.put("keyed.op", "config", state or desired_state())
     async with trio.open_nursery() as nursery:
         store_port = await serve(nursery, StoreServer(store).handle)
