--- /dev/null
+++ b/railtide/budgets/tests/test_large_partition.py
@@ -0,0 +1,87 @@
+"""Tests of railtide.budgets.ledger_partition: more ledgers than one call of the store carries."""
+
+import trio
+
+from railtide.budgets.hand_size import LedgerOptions
+from railtide.budgets.ledger import Holding, Ledger, ledger_to_bytes
+from railtide.budgets.ledger_treasury import LedgerTreasury
+from railtide.budgets.spend_limit import Reading, SpendLimit
+from railtide.configuration.models import AccountSettings
+from railtide.standins.keyed_store import MemoryStore
+
+OPTIONS = LedgerOptions()
+CALL_BYTES = 2_097_152
+"""Most of one append at the users' store."""
+ROUTERS = 73
+ACCOUNTS = 400
+"""So many that their ledgers are 3 MB, half as much again as one append may have."""
+
+
+def ledger_of_a_fleet() -> Ledger:
+    limit = SpendLimit(Reading("b" * 36, 1e5, 1.8e9), 100_000, 10_000, 1_000, 0.5)
+    holdings = {
+        f"edge-{number}": Holding(f"{number:012x}", 0, 0, 1_000, limit, None, "10.0.0.1:8080")
+        for number in range(ROUTERS)
+    }
+    return Ledger(by_instance=holdings)
+
+
+def store_of_a_fleet() -> MemoryStore:
+    store = MemoryStore()
+    store.most_call_bytes = CALL_BYTES
+    value = ledger_to_bytes(ledger_of_a_fleet())
+    for number in range(ACCOUNTS):
+        store.put(OPTIONS.topic, f"account-{number}", value)
+    return store
+
+
+def treasury(store: MemoryStore) -> LedgerTreasury:
+    made = LedgerTreasury(store, "new", "new-1", lambda: 2, OPTIONS, address="10.0.0.2:8080")
+    made.set_prepaid({f"account-{number}": 1_000_000 for number in range(ACCOUNTS)})
+    made.spread()
+    return made
+
+
+class TestLargePartition:
+    def test_fleet_is_beyond_one_call(self) -> None:
+        ledgers = ACCOUNTS * len(ledger_to_bytes(ledger_of_a_fleet()))
+        assert ledgers > 1.4 * CALL_BYTES
+
+    async def test_hands_are_filled_in_several_calls(self, autojump_clock) -> None:
+        """In one call for all, each try was refused and the next one was the same."""
+        made = treasury(store_of_a_fleet())
+        (part,) = made.partitions
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(2)
+            filled = sum(known.hand.granted > 0 for known in part.hand_by_account.values())
+            assert filled == ACCOUNTS
+            nursery.cancel_scope.cancel()
+
+    async def test_who_waits_goes_first(self, autojump_clock) -> None:
+        """A call takes 0.1 s here; the account whose caller waits is not behind 399 others."""
+        store = store_of_a_fleet()
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            store.delay_s = 0.1
+            nursery.start_soon(made.run)
+            name = f"account-{ACCOUNTS - 1}"
+            settings = AccountSettings(budget_wait_s=5.0)
+            await trio.sleep(0.05)
+            began = trio.current_time()
+            (await made.reserve(name, settings, 500, began + 9)).settle(500)
+            assert trio.current_time() - began < 0.35
+            nursery.cancel_scope.cancel()
+
+    async def test_all_have_their_turn_however_slow_the_calls_are(self, autojump_clock) -> None:
+        """The first to be changed are due again before the last are, if each call takes 0.5 s."""
+        store = store_of_a_fleet()
+        made = treasury(store)
+        (part,) = made.partitions
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            store.delay_s = 0.5
+            await trio.sleep(60)
+            filled = sum(known.hand.granted > 0 for known in part.hand_by_account.values())
+            assert filled == ACCOUNTS
+            nursery.cancel_scope.cancel()
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -347,3 +347,44 @@
             await body_of(await pool.send(GET))
             await body_of(await pool.send(GET))
             assert pool.opened == 2
+
+
+class TestSlowBodies:
+    """A body takes as long as its bytes need; one that does not come is given up."""
+
+    @staticmethod
+    async def status_of(body_bytes: int, piece: int, pause_s: float, limits) -> bytes:
+        """Return the first line of the answer to a body sent in pieces."""
+
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, ())
+
+        async with server(handler, limits) as made:
+            stream = await trio.open_tcp_stream("127.0.0.1", made.port)
+            await stream.send_all(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % body_bytes
+            )
+            with suppress(trio.BrokenResourceError):
+                for _ in range(body_bytes // piece):
+                    await stream.send_all(bytes(piece))
+                    await trio.sleep(pause_s)
+            with trio.fail_after(5):
+                return (await stream.receive_some()).partition(b"\r\n")[0]
+
+    async def test_large_body_on_a_narrow_link_is_read_to_its_end(self) -> None:
+        """By a limit on the whole it was answered with 408, and so was each try after it."""
+        limits = ConnectionLimits(head_timeout_s=0.2)
+        status = await self.status_of(1_000_000, 50_000, 0.02, limits)
+        assert status == b"HTTP/1.1 200 "
+
+    async def test_body_that_stops_is_given_up(self) -> None:
+        limits = ConnectionLimits(head_timeout_s=0.1)
+        async with server(None, limits) as made:
+            stream = await trio.open_tcp_stream("127.0.0.1", made.port)
+            await stream.send_all(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab")
+            with trio.fail_after(5):
+                assert b" 408 " in await stream.receive_some()
+
+    async def test_body_that_comes_byte_by_byte_is_given_up(self) -> None:
+        limits = ConnectionLimits(head_timeout_s=0.1)
+        assert b" 408 " in await self.status_of(60, 1, 0.02, limits)
--- a/railtide/standins/keyed_store.py
+++ b/railtide/standins/keyed_store.py
@@ -66,6 +66,8 @@
         So many coming appends are not answered, and done only when `do_late` is called.
     delay_s : float
         Time that a call takes.
+    most_call_bytes : float
+        An append of more bytes of keys and values is refused, nothing is done.
     """
 
     def __init__(self) -> None:
@@ -74,6 +76,7 @@
         self.lose_answers = 0
         self.late_appends = 0
         self.delay_s = 0.0
+        self.most_call_bytes = float("inf")
         self.calls = 0
         self._topic_by_name: dict[tuple[str, int], MemoryTopic] = {}
         self._late: list[tuple[str, int, dict[str, bytes], int | None]] = []
@@ -122,6 +125,8 @@
     ) -> int:
         """Append records; see `KeyedStore.append`."""
         await self._call(partition)
+        if sum(map(len, [*values_by_key, *values_by_key.values()])) > self.most_call_bytes:
+            raise LogUnavailable("the append is too large")
         known = self.topic(topic, partition)
         if self.late_appends:
             self.late_appends -= 1
