Ledgers go in appends of bounded size, and a request body has the time that its bytes need

Cause: all ledgers of a partition that were due went in one append. Beyond what the store takes in a call, or a link in its time, it was refused, and the next try was the same. A caller that was granted units waited until all other ledgers were changed. The limit on a request's head spanned its body. Each byte of a body puts the limit off by what it needs at 64 KB/s; a body that stops or trickles is still given up.

--- a/railtide/budgets/ledger_partition.py
+++ b/railtide/budgets/ledger_partition.py
@@ -25,25 +25,24 @@
 CONFLICT_PAUSE_S = 0.004
 """Mean wait after a lost compare-and-swap; a call of the store takes as long."""
 
+APPEND_BYTES = 131_072
+"""Bytes of ledgers from which on an append takes no more: 0.2 s of a link of 5 Mbit/s. All that are
+due at a start may be more than the store takes in one call, and than a link carries in time."""
+
 
 @dataclass(frozen=True)
 class _Append:
     """An append that is tried until it is known to be in the ledgers, or never to be.
 
-    `made` is what the clocks said before it was sent.
+    `values` are its records, the same bytes at each try; `made` is what the clocks said before it
+    was sent.
     """
 
     expected_end: int
     change_by_account: dict[str, HandChange]
+    values: dict[str, bytes]
     made: Reading
 
-    def values(self) -> dict[str, bytes]:
-        """Return the records, always the same bytes."""
-        return {
-            account: ledger_to_bytes(change.ledger)
-            for account, change in self.change_by_account.items()
-        }
-
 
 class LedgerPartition:
     """Tends the hands of the accounts whose ledgers are in one partition.
@@ -78,6 +77,7 @@
         self._ledger_by_account: dict[str, Ledger] = {}
         self._unreadable: set[str] = set()
         self._unsure: _Append | None = None
+        self._planned_at: dict[str, float] = {}
         self._read_at = -math.inf
         self._own_append = NO_READING
         self._asked = trio.Event()
@@ -136,6 +136,8 @@
                 self.conflicts += 1
                 await trio.sleep(self._rng.uniform(0, 2 * CONFLICT_PAUSE_S))
                 await self._read()
+            if trio.current_time() - self._read_at > self._options.idle_read_s:
+                await self._read()  # more may be due all the time than one call carries
         for hand in self.hand_by_account.values():
             hand.wake()
 
@@ -185,7 +187,7 @@
     async def _write(self, append: _Append) -> None:
         again = self._unsure is not None
         self._unsure = append
-        values = append.values()
+        values = append.values
         try:
             await self._store.append(self._options.topic, values, append.expected_end, self._index)
         except AppendConflict:
@@ -203,12 +205,34 @@
         self._own_append = append.made
         for account, change in append.change_by_account.items():
             self.hand_by_account[account].take(change)
+            self.hand_by_account[account].wake()
 
     def _plan(self) -> _Append | None:
-        planned = {account: hand.plan() for account, hand in self.hand_by_account.items()}
-        changes = {account: change for account, change in planned.items() if change}
+        """Return the next append, None if nothing is due; what it does not hold is in a later one.
+
+        Those that requests wait for go first, then those whose turn is longest ago: else the first
+        would be due again before the last were changed.
+        """
+        changes: dict[str, HandChange] = {}
+        values: dict[str, bytes] = {}
+        size = 0
+        for account in sorted(self.hand_by_account, key=self._turn):
+            change = self.hand_by_account[account].plan()
+            if change is None:
+                continue
+            changes[account] = change
+            values[account] = ledger_to_bytes(change.ledger)
+            self._planned_at[account] = trio.current_time()
+            size += len(values[account])
+            if size >= APPEND_BYTES:
+                break
         made = self._holder.clocks.read()
-        return _Append(self._end, changes, made) if changes else None
+        return _Append(self._end, changes, values, made) if changes else None
+
+    def _turn(self, account: str) -> tuple[bool, float]:
+        """Return what sorts an account by its turn to be changed."""
+        is_waited_for = self.hand_by_account[account].is_waited_for
+        return not is_waited_for, self._planned_at.get(account, -math.inf)
 
     def _horizon_s(self) -> float:
         return self._horizon.advance(trio.current_time(), self.reachable)
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -19,6 +19,10 @@
 """Bytes of later requests kept while one is answered; beyond it the caller's departure is not
 watched until the answer ends."""
 
+BODY_PACE = 65_536
+"""Bytes a second at which a body may come at the slowest: a tenth of a link of 5 Mbit/s. A limit on
+the whole request would turn a large body on a narrow link away each time that it is sent."""
+
 HEADER_MARKS = 4
 """Bytes of a header line beside its name and value: colon, space and the line's end."""
 
@@ -38,7 +42,8 @@
     head_bytes, body_bytes : int
         Largest head and body of a request.
     head_timeout_s : float
-        From a request's first byte to the end of its body.
+        From a request's first byte to the end of its body, but for what the bytes of the body need
+        at the slowest pace that is borne.
     idle_timeout_s : float
         How long a connection may lie idle between requests.
     """
@@ -167,7 +172,7 @@
         if not self.h11.trailing_data[0] and not await self._wait_for_bytes():
             return None
         with trio.move_on_after(self.server.limits.head_timeout_s) as scope:
-            return await self._read_whole()
+            return await self._read_whole(scope)
         if scope.cancelled_caught:
             raise _RequestRefused(TIMEOUT)
         return None
@@ -185,7 +190,8 @@
         self.h11.receive_data(data)
         return True
 
-    async def _read_whole(self) -> HttpRequest | None:
+    async def _read_whole(self, scope: trio.CancelScope) -> HttpRequest | None:
+        """Return a request, None if the caller left; what comes of a body puts the deadline off."""
         head = None
         body = bytearray()
         while True:
@@ -198,6 +204,7 @@
                 body += event.data
                 if len(body) > self.server.limits.body_bytes:
                     raise _RequestRefused(TOO_LARGE)
+                scope.deadline += len(event.data) / BODY_PACE
             elif isinstance(event, h11.EndOfMessage):
                 return HttpRequest(head.method, head.target, tuple(head.headers), bytes(body))
             elif isinstance(event, h11.ConnectionClosed):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -988,6 +988,56 @@
         "            pass\n",
         (f"{PLATFORM}/test_waking.py",),
     ),
+    Mutant(
+        "all-ledgers-that-are-due-in-one-append",
+        "budgets/ledger_partition.py",
+        "            if size >= APPEND_BYTES:\n                break\n",
+        "",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "waiting-callers-ledger-has-no-turn-before-others",
+        "budgets/ledger_partition.py",
+        "return not is_waited_for, self._planned_at.get(account, -math.inf)",
+        "return False, self._planned_at.get(account, -math.inf)",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "first-ledgers-have-each-turn",
+        "budgets/ledger_partition.py",
+        "return not is_waited_for, self._planned_at.get(account, -math.inf)",
+        "return not is_waited_for, 0.0",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "granted-caller-waits-for-all-other-ledgers",
+        "budgets/ledger_partition.py",
+        "            self.hand_by_account[account].take(change)\n"
+        "            self.hand_by_account[account].wake()\n",
+        "            self.hand_by_account[account].take(change)\n",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "ledgers-not-read-while-more-is-due",
+        "budgets/ledger_partition.py",
+        "                await self._read()  # more may be due",
+        "                pass  # more may be due",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "body-under-the-limit-of-the-head",
+        "http/server.py",
+        "                scope.deadline += len(event.data) / BODY_PACE\n",
+        "",
+        (f"{HTTP}/test_connections.py",),
+    ),
+    Mutant(
+        "body-without-a-limit",
+        "http/server.py",
+        "scope.deadline += len(event.data) / BODY_PACE",
+        'scope.deadline = float("inf")',
+        (f"{HTTP}/test_connections.py",),
+    ),
 ]
 
 
