--- a/railtide/platform/tests/test_narrow_store.py
+++ b/railtide/platform/tests/test_narrow_store.py
@@ -94,8 +94,10 @@
                     await f.client.newest(TOPIC)
             async with trio.open_nursery() as nursery:
                 lost = trio.Event()
+                nursery.start_soon(_read_or_lose, f.client)
+                await trio.sleep(0.05)
                 nursery.start_soon(_newest_or_lost, f.client, lost)
-                await trio.sleep(0.1)
+                await trio.sleep(0.05)
                 f.link.lose_open()
                 f.link.pass_on()
                 await f.client.newest(TOPIC)
@@ -103,6 +105,12 @@
                     await lost.wait()
 
 
+async def _read_or_lose(client: PlatformStore) -> None:
+    """Be under way with a usual wait, so that another call may wait longer."""
+    with pytest.raises(LogUnavailable):
+        await client.read("keyed.other", 0, 1.0)
+
+
 async def _newest_or_lost(client: PlatformStore, lost: trio.Event) -> None:
     with pytest.raises(LogUnavailable):
         await client.newest(TOPIC)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -26,6 +26,14 @@
 CONTAINMENT = "railtide/containment/tests"
 CRASHING = "railtide/platform/tests/test_crashing_requests.py"
 SUSPENSION = "tests/test_suspension.py"
+LARGE = "railtide/platform/tests/test_large_desired_state.py"
+NARROW = "railtide/platform/tests/test_narrow_store.py"
+FEED = "railtide/journal/tests/test_feed.py"
+PATIENCE = "railtide/journal/tests/test_patience.py"
+STORE = "railtide/platform/tests/test_store.py"
+CALL_OF_BEFORE = "test_call_of_before_a_return_waits_no_longer_than_a_first_one"
+KEPT = "test_whole_records_of_a_read_are_not_read_again[True]"
+REST_DUE = "test_feed_is_not_current_before_the_rest_has_come"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -988,6 +996,139 @@
         "            pass\n",
         (f"{PLATFORM}/test_waking.py",),
     ),
+    Mutant(
+        "answer-is-bounded-as-a-whole",
+        "http/stall.py",
+        "if first or self._portion >= self._least_bytes:",
+        "if first:",
+        (f"{LARGE}::TestLargeState",),
+    ),
+    Mutant(
+        "trickle-holds-a-read",
+        "http/stall.py",
+        "if first or self._portion >= self._least_bytes:",
+        "if True:",
+        (f"{NARROW}::TestTrickle",),
+    ),
+    Mutant(
+        "silence-within-an-answer-is-not-noticed",
+        "http/stall.py",
+        "self._scope.deadline = trio.current_time() + self._stall_s",
+        "self._scope.deadline = trio.current_time() + 600",
+        (f"{NARROW}::TestSilence",),
+    ),
+    Mutant(
+        "large-request-is-not-waited-for",
+        "http/client.py",
+        "            self._watch.note_sent()\n",
+        "            pass\n",
+        (f"{NARROW}::TestLargeAppend",),
+    ),
+    Mutant(
+        "idle-connections-are-trusted-behind-a-silence",
+        "platform/store.py",
+        "            self._pool.drop_idle()\n",
+        "            pass\n",
+        (f"{NARROW}::TestSilence",),
+    ),
+    Mutant(
+        "late-answer-is-never-waited-for",
+        "journal/patience.py",
+        "grown = self._usual_s * GROWTH **",
+        "grown = self._usual_s * 1 **",
+        (f"{LARGE}::TestLargeState",),
+    ),
+    Mutant(
+        "wait-for-an-answer-grows-without-end",
+        "journal/patience.py",
+        "return min(self._most_s, grown)",
+        "return grown",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "wait-stays-long-behind-an-answer",
+        "journal/patience.py",
+        "        self._silences_by_subject.pop(subject, None)\n",
+        "",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "call-of-before-a-return-keeps-its-long-wait",
+        "journal/patience.py",
+        "                watch.hurry(max(due, now + self._usual_s))\n",
+        "                pass\n",
+        (PATIENCE, f"{NARROW}::TestSlowStore::{CALL_OF_BEFORE}"),
+    ),
+    Mutant(
+        "held-read-is-given-up-behind-a-return",
+        "journal/patience.py",
+        "watch.hurry(max(due, now + self._usual_s))",
+        "watch.hurry(now + self._usual_s)",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "whole-records-of-a-broken-answer-are-read-again",
+        "platform/store.py",
+        "            if not reader.has_records:\n                raise\n",
+        "            raise\n",
+        (f"{STORE}::TestProgress", f"{NARROW}::TestBrokenAnswer::{KEPT}"),
+    ),
+    Mutant(
+        "part-of-a-record-counts",
+        "platform/page.py",
+        "return behind if len(self._rest) >= behind else None",
+        "return behind",
+        (f"{PLATFORM}/test_page.py",),
+    ),
+    Mutant(
+        "pages-of-the-newest-are-read-again",
+        "platform/store.py",
+        "if known and trio.current_time() - known.began_at <= RESUME_S:",
+        "if False:",
+        (f"{STORE}::TestProgress",),
+    ),
+    Mutant(
+        "pages-of-long-ago-are-gone-on-with",
+        "platform/store.py",
+        "if known and trio.current_time() - known.began_at <= RESUME_S:",
+        "if known:",
+        (f"{STORE}::TestProgress",),
+    ),
+    Mutant(
+        "replaced-versions-are-read",
+        "journal/feed.py",
+        "            raise _Superseded\n",
+        "            pass\n",
+        (f"{LARGE}::TestSeveralVersions", FEED),
+    ),
+    Mutant(
+        "small-versions-are-not-read-in-order",
+        "journal/feed.py",
+        "if large and waiting >",
+        "if waiting >",
+        (FEED,),
+    ),
+    Mutant(
+        "only-version-is-not-read-as-it-is",
+        "journal/feed.py",
+        "waiting > max(1, len(self._keys) * ENCODED)",
+        "waiting > 0",
+        (FEED,),
+    ),
+    Mutant(
+        "feed-is-current-with-a-version-under-way",
+        "journal/feed.py",
+        "return heard and self.freshness.behind_since is None",
+        "return heard",
+        (FEED,),
+    ),
+    Mutant(
+        "feed-is-current-with-the-rest-of-an-answer-due",
+        "journal/feed.py",
+        "        if page.next_offset >= page.end:\n            self.freshness.note_complete()\n",
+        "        self.freshness.note_complete()\n",
+        (f"{NARROW}::TestBrokenAnswer::{REST_DUE}",),
+    ),
 ]
 
 
