--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -28,6 +28,14 @@
 SUSPENSION = "tests/test_suspension.py"
 EDGE = "railtide/edge/tests"
 OUTDATED = "railtide/platform/tests/test_outdated_view.py"
+LARGE = "railtide/platform/tests/test_large_desired_state.py"
+NARROW = "railtide/platform/tests/test_narrow_store.py"
+FEED = "railtide/journal/tests/test_feed.py"
+PATIENCE = "railtide/journal/tests/test_patience.py"
+STORE = "railtide/platform/tests/test_store.py"
+CALL_OF_BEFORE = "test_call_of_before_a_return_waits_no_longer_than_a_first_one"
+KEPT = "test_whole_records_of_a_read_are_not_read_again[True]"
+REST_DUE = "test_feed_is_not_current_before_the_rest_has_come"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -311,8 +319,8 @@
     Mutant(
         "return-of-the-store-told-by-a-record-only",
         "journal/feed.py",
-        "return self._options.wait_s if self.reachable else 0.0",
-        "return self._options.wait_s",
+        "return self._options.wait_s if self.reachable and self._fresh is None else 0.0",
+        "return self._options.wait_s if self._fresh is None else 0.0",
         ("railtide/journal/tests/test_feed.py",),
     ),
     Mutant(
@@ -339,9 +347,9 @@
     ),
     Mutant(
         "unreadable-record-read-for-ever",
-        "platform/store.py",
-        "    return KeyedPage(records, end, offset, offset - start - len(records))",
-        "    return KeyedPage(records, end, start + len(records), offset - start - len(records))",
+        "platform/page.py",
+        "return KeyedPage(self._records, self.end, self._offset, unreadable)",
+        "return KeyedPage(self._records, self.end, self._offset - unreadable, unreadable)",
         (PLATFORM,),
     ),
     Mutant(
@@ -410,8 +418,8 @@
     Mutant(
         "spend-limit-not-kept-to",
         "budgets/account_hand.py",
-        "return amount <= self._headroom() and reserve(self.hand, amount)",
-        "return reserve(self.hand, amount)",
+        "if amount <= self._headroom() and reserve(self.hand, amount):",
+        "if reserve(self.hand, amount):",
         (LEDGERS,),
     ),
     Mutant(
@@ -522,7 +530,7 @@
     Mutant(
         "silent-connections-kept",
         "http/client.py",
-        "                self._drop_idle()\n            raise",
+        "                self.drop_idle()\n            raise",
         "                pass\n            raise",
         (HTTP,),
     ),
@@ -607,8 +615,9 @@
         "returned-units-written-before-they-leave-the-hand",
         "budgets/account_hand.py",
         "        take_back(self.hand, self._idle())\n"
-        "        own = Holding(holder.incarnation, self.hand.granted,",
-        "        own = Holding(holder.incarnation, self.hand.granted - self._idle(),",
+        "        own = Holding(\n            holder.incarnation,\n            self.hand.granted,\n",
+        "        own = Holding(\n            holder.incarnation,\n"
+        "            self.hand.granted - self._idle(),\n",
         (LEDGERS,),
     ),
     Mutant(
@@ -683,9 +692,9 @@
     ),
     Mutant(
         "cut-page-taken-for-an-empty-one",
-        "platform/store.py",
-        "if len(data) < 2 * OFFSET_BYTES:",
-        "if False:",
+        "platform/page.py",
+        "        if self.end is None:\n            raise",
+        "        self.end = self.end or 0\n        if False:\n            raise",
         (PLATFORM,),
     ),
     Mutant(
@@ -1201,6 +1210,167 @@
         'scope.deadline = float("inf")',
         (f"{HTTP}/test_connections.py",),
     ),
+    Mutant(
+        "answer-is-bounded-as-a-whole",
+        "http/stall.py",
+        "if first or self._portion >= self._least_bytes:",
+        "if first:",
+        (f"{LARGE}::TestLargeState",),
+    ),
+    Mutant(
+        "trickle-holds-a-read",
+        "http/stall.py",
+        "if first or self._portion >= self._least_bytes:",
+        "if True:",
+        (f"{NARROW}::TestTrickle",),
+    ),
+    Mutant(
+        "silence-within-an-answer-is-not-noticed",
+        "http/stall.py",
+        "self._scope.deadline = trio.current_time() + self._stall_s",
+        "self._scope.deadline = trio.current_time() + 600",
+        (f"{NARROW}::TestSilence",),
+    ),
+    Mutant(
+        "large-request-is-not-waited-for",
+        "http/client.py",
+        "            self._watch.note_sent()\n",
+        "            pass\n",
+        (f"{NARROW}::TestLargeAppend",),
+    ),
+    Mutant(
+        "idle-connections-are-trusted-behind-a-silence",
+        "platform/store.py",
+        "            self._pool.drop_idle()\n",
+        "            pass\n",
+        (f"{NARROW}::TestSilence",),
+    ),
+    Mutant(
+        "late-answer-is-never-waited-for",
+        "journal/patience.py",
+        "self._usual_s * GROWTH**silences",
+        "self._usual_s",
+        (f"{LARGE}::TestLargeState",),
+    ),
+    Mutant(
+        "wait-for-an-answer-grows-without-end",
+        "journal/patience.py",
+        "min(self._most_s, self._usual_s * GROWTH**silences)",
+        "self._usual_s * GROWTH**silences",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "all-wait-longer-and-nobody-asks",
+        "journal/patience.py",
+        "        if head_s <= self._usual_s:\n            self._usual.add(watch)\n",
+        "        self._usual.add(watch)\n",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "lone-caller-never-waits-longer",
+        "journal/patience.py",
+        "silences % 2 == 1 and not self._due_by_watch",
+        "False",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "newest-read-again-where-they-break-off",
+        "journal/feed.py",
+        "        if started or not self._left:\n            return started\n",
+        "        if True:\n            return started\n",
+        (NARROW,),
+    ),
+    Mutant(
+        "unknown-keys-count-as-replaced",
+        "journal/feed.py",
+        "if large and known and waiting",
+        "if large and waiting",
+        (NARROW,),
+    ),
+    Mutant(
+        "wait-stays-long-behind-an-answer",
+        "journal/patience.py",
+        "        self._silences_by_subject.pop(subject, None)\n",
+        "",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "call-of-before-a-return-keeps-its-long-wait",
+        "journal/patience.py",
+        "                watch.hurry(max(due, now + self._usual_s))\n",
+        "                pass\n",
+        (PATIENCE, f"{NARROW}::TestSlowStore::{CALL_OF_BEFORE}"),
+    ),
+    Mutant(
+        "held-read-is-given-up-behind-a-return",
+        "journal/patience.py",
+        "watch.hurry(max(due, now + self._usual_s))",
+        "watch.hurry(now + self._usual_s)",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "whole-records-of-a-broken-answer-are-read-again",
+        "platform/store.py",
+        "            if not reader.has_records:\n                raise\n",
+        "            raise\n",
+        (f"{STORE}::TestProgress", f"{NARROW}::TestBrokenAnswer::{KEPT}"),
+    ),
+    Mutant(
+        "part-of-a-record-counts",
+        "platform/page.py",
+        "return behind if len(self._rest) >= behind else None",
+        "return behind",
+        (f"{PLATFORM}/test_page.py",),
+    ),
+    Mutant(
+        "pages-of-the-newest-are-read-again",
+        "platform/store.py",
+        "if known and trio.current_time() - known.began_at <= RESUME_S:",
+        "if False:",
+        (f"{STORE}::TestProgress",),
+    ),
+    Mutant(
+        "pages-of-long-ago-are-gone-on-with",
+        "platform/store.py",
+        "if known and trio.current_time() - known.began_at <= RESUME_S:",
+        "if known:",
+        (f"{STORE}::TestProgress",),
+    ),
+    Mutant(
+        "replaced-versions-are-read",
+        "journal/feed.py",
+        "            raise _Superseded\n",
+        "            pass\n",
+        (f"{LARGE}::TestSeveralVersions", FEED),
+    ),
+    Mutant(
+        "small-versions-are-not-read-in-order",
+        "journal/feed.py",
+        "if large and known and waiting >",
+        "if known and waiting >",
+        (FEED,),
+    ),
+    Mutant(
+        "only-version-is-not-read-as-it-is",
+        "journal/feed.py",
+        "waiting > max(1, known * ENCODED)",
+        "waiting > 0",
+        (FEED,),
+    ),
+    Mutant(
+        "feed-is-current-with-a-version-under-way",
+        "journal/feed.py",
+        "return heard and self.freshness.behind_since is None",
+        "return heard",
+        (FEED,),
+    ),
+    Mutant(
+        "feed-is-current-with-the-rest-of-an-answer-due",
+        "journal/feed.py",
+        "        if page.next_offset >= page.end:\n            self.freshness.note_complete()\n",
+        "        self.freshness.note_complete()\n",
+        (f"{NARROW}::TestBrokenAnswer::{REST_DUE}",),
+    ),
 ]
 
 
