--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -695,7 +695,7 @@
         "platform/page.py",
         "        if self.end is None:\n            raise",
         "        self.end = self.end or 0\n        if False:\n            raise",
-        (PLATFORM,),
+        (STORE,),
     ),
     Mutant(
         "unframed-answer-billed-by-the-call",
