A raised limit on heads holds on connections that were there before

Cause: a connection kept the head limit of its begin for heads that come in parts. On one from before a new configuration such a head was answered 431 by the limit of the old one.

Change: the parser's own bound is that of the bytes kept for a connection; what has come of a head is held against the limit in force.

Measured: test_head_limit_of_a_new_configuration_holds_on_kept_connections fails on the code before (431 in place of 200) and passes now; a head that is too large is still refused before its end.

--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -148,7 +148,8 @@
     def __init__(self, server: HttpServer, stream: trio.SocketStream) -> None:
         self.server = server
         self.stream = stream
-        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=server.limits.head_bytes)
+        most = max(MOST_READ_AHEAD, server.limits.head_bytes)  # the limit itself may change
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=most)
         self.read_ahead = 0
 
     async def run(self) -> None:
@@ -195,7 +196,7 @@
         head = None
         body = bytearray()
         while True:
-            event = await self._next_event()
+            event = await self._next_event(in_head=head is None)
             if isinstance(event, h11.Request):
                 head = event
                 if _head_bytes(event) > self.server.limits.head_bytes:
@@ -209,7 +210,7 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return None
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(self, in_head: bool) -> h11.Event | type[h11.PAUSED]:
         while True:
             try:
                 event = self.h11.next_event()
@@ -219,6 +220,8 @@
                 raise _RequestRefused(BAD_REQUEST) from err
             if event is not h11.NEED_DATA:
                 return event
+            if in_head and len(self.h11.trailing_data[0]) > self.server.limits.head_bytes:
+                raise _RequestRefused(HEAD_TOO_LARGE, by_limit=True)
             if self.h11.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 await self.stream.send_all(self.h11.send(go_on))
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -327,6 +327,29 @@
             long = HttpRequest(b"GET", b"/" + b"x" * 900, ((b"host", b"x"),))
             assert (await PeerPool("127.0.0.1", made.port).send(long)).status == 431
 
+    async def test_head_limit_of_a_new_configuration_holds_on_kept_connections(self) -> None:
+        """One that was raised was taken by new connections only: a head that came in two parts was
+        refused by the limit of when its connection was made."""
+
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.answer(200, ())
+
+        limits = ConnectionLimits(head_bytes=500)
+        long_head = b"GET / HTTP/1.1\r\nHost: x\r\nX-Long: " + b"x" * 900
+        async with server(handler, limits) as made:
+            for most, status in ((2_000, b" 200 "), (500, b" 431 ")):
+                stream = await trio.open_tcp_stream("127.0.0.1", made.port)
+                limits.head_bytes = 500
+                await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert b" 200 " in await stream.receive_some()
+                limits.head_bytes = most
+                await stream.send_all(long_head)
+                await trio.sleep(0.05)
+                if most > len(long_head):
+                    await stream.send_all(b"\r\n\r\n")
+                with trio.fail_after(5):
+                    assert status in await stream.receive_some()
+
     async def test_limits_that_may_be_old_promise_that_nothing_ran(self) -> None:
         async def handler(request: HttpRequest, responder: Responder) -> None:
             await responder.answer(200, ())
