--- a/railtide/membership/tests/test_roster.py
+++ b/railtide/membership/tests/test_roster.py
@@ -147,6 +147,9 @@
             for each in made:
                 await start(nursery, each)
             await trio.sleep(SETTLED_S)
+            written = store.topic(OPTIONS.topic).end
+            while store.topic(OPTIONS.topic).end < written + FLEET:
+                await trio.sleep(0.05)
             behind.append(True)
             await trio.sleep(OPTIONS.beat_s + 0.1)
             assert all(each.is_announced_behind() for each in made)
--- a/railtide/platform/tests/test_outdated_view.py
+++ b/railtide/platform/tests/test_outdated_view.py
@@ -276,9 +276,12 @@
         async with world(link=link) as w:
             publish(w, 2, self.TRANSFER_S)
             await until_in_force(w, 2)
-            await assert_outdated(await w.ask("/nowhere/x"))
-            await until(w.node.configuration_is_current)
-            assert (await w.ask("/nowhere/x")).status == 404
+            soon = trio.current_time() + w.node.options.configuration_wait_s + 0.5
+            while (answer := await w.ask("/nowhere/x")).status != 404:
+                await assert_outdated(answer)
+                assert trio.current_time() < soon
+                await trio.sleep(0.05)
+            assert w.node.configuration_is_current()
 
     async def test_one_that_takes_too_long_shows(self, lines: list[dict[str, object]]) -> None:
         link = NarrowLink(LINK_BYTES_PER_S)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1144,6 +1144,20 @@
         "self.server.limits.doubt_s()",
         (HTTP,),
     ),
+    Mutant(
+        "head-limit-holds-for-heads-that-came-whole-only",
+        "http/server.py",
+        "if in_head and len(self.h11.trailing_data[0]) > self.server.limits.head_bytes:",
+        "if False:",
+        (HTTP,),
+    ),
+    Mutant(
+        "head-limit-of-a-connections-begin-stays",
+        "http/server.py",
+        "most = max(MOST_READ_AHEAD, server.limits.head_bytes)",
+        "most = server.limits.head_bytes",
+        (HTTP,),
+    ),
     Mutant(
         "limits-are-never-doubted",
         "platform/program.py",
