Failing tests: long messages between processes, and starts from a checkpoint over a link that breaks

Of ten checkpoints of 12 parts 120 parts are read for the sake of the last 12; behind a link that breaks at each fifth call no start ends within 60 s, and 512 records that are too much for it are asked for again and again. Passing already: a silent peer or keeper is left.

--- a/railtide/journal/tests/test_checkpoint.py
+++ b/railtide/journal/tests/test_checkpoint.py
@@ -1,9 +1,16 @@
 """Tests of railtide.journal.checkpoint."""
 
+from random import Random
+
+import trio
+
 from railtide.journal import checkpoint
 from railtide.journal.checkpoint import latest_checkpoint, parts_of, write_checkpoint
 from railtide.journal.client import LogClient, Page
+from railtide.journal.errors import LogUnavailable
 from railtide.journal.state import State
+from railtide.keeper.follower import Follower
+from railtide.keeper.options import KeeperOptions
 from railtide.standins.log import LogStore
 
 
@@ -12,12 +19,38 @@
 
     def __init__(self) -> None:
         self.store = LogStore(lambda: 1)
+        self.records_read = 0
 
     async def append(self, stream: str, data: bytes) -> int:
         return self.store.append(stream, data)
 
     async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
-        return await self.store.read(stream, start, limit, wait_s)
+        page = await self.store.read(stream, start, limit, wait_s)
+        self.records_read += len(page.records)
+        return page
+
+
+class BrokenLog(MemoryLog):
+    """A log over a link that breaks at each fifth call, and under more than 64 records at once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls = 0
+
+    async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
+        await trio.sleep(0.01)
+        self.calls += 1
+        page = await super().read(stream, start, limit, wait_s)
+        if self.calls % 5 == 0 or len(page.records) > 64:
+            raise LogUnavailable("the link broke")
+        return page
+
+
+def follower_of(log: LogClient) -> Follower:
+    def ignore(*told: object) -> None:
+        pass
+
+    return Follower(log, KeeperOptions(), Random(1), ignore, ignore, ignore)
 
 
 class TestCheckpoint:
@@ -38,3 +71,57 @@
             await write_checkpoint(log, "journal", parts_of(State(offset=offset), "a"))
         log.store.expire("journal-checkpoints", 4)
         assert (await latest_checkpoint(log, "journal")).offset == 4
+
+    async def test_no_more_than_the_newest_is_read(self, monkeypatch) -> None:
+        """Ten were read whole for the sake of the last."""
+        monkeypatch.setattr(checkpoint, "PART_BYTES", 16)
+        log = MemoryLog()
+        for offset in range(10):
+            parts = parts_of(State(offset=offset), "a")
+            await write_checkpoint(log, "journal", parts)
+        assert (await latest_checkpoint(log, "journal")).offset == 9
+        assert log.records_read <= len(parts) + 1
+
+    async def test_parts_of_two_writers_may_lie_among_each_other(self, monkeypatch) -> None:
+        monkeypatch.setattr(checkpoint, "PART_BYTES", 16)
+        log = MemoryLog()
+        for pair in zip(
+            parts_of(State(offset=5), "a"), parts_of(State(offset=5), "b"), strict=True
+        ):
+            await write_checkpoint(log, "journal", list(pair))
+        assert (await latest_checkpoint(log, "journal")).offset == 5
+
+
+class TestBrokenLink:
+    async def test_start_keeps_the_parts_that_came(self, monkeypatch, autojump_clock) -> None:
+        """Each break threw all parts away, so that none was ever whole."""
+        monkeypatch.setattr(checkpoint, "PART_BYTES", 1)
+        log = BrokenLog()
+        parts = parts_of(State(offset=3), "a")
+        assert len(parts) > 32
+        for number in range(4):
+            log.store.append("journal", b"%d" % number)
+        for _ in range(10):
+            await write_checkpoint(log, "journal", parts)
+        follower = follower_of(log)
+        with trio.move_on_after(60):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                while not follower.caught_up:
+                    await trio.sleep(0.1)
+                nursery.cancel_scope.cancel()
+        assert follower.caught_up and follower.state.offset == 3
+
+    async def test_read_that_breaks_is_tried_with_less(self, autojump_clock) -> None:
+        """The same 512 records were asked for again at each try, and never came."""
+        log = BrokenLog()
+        for number in range(1_000):
+            log.store.append("journal", b"%d" % number)
+        follower = follower_of(log)
+        with trio.move_on_after(60):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                while not follower.caught_up:
+                    await trio.sleep(0.1)
+                nursery.cancel_scope.cancel()
+        assert follower.caught_up and follower.state.offset == 999
--- /dev/null
+++ b/railtide/keeper/tests/test_narrow_links.py
@@ -0,0 +1,126 @@
+"""Tests of railtide.keeper over narrow links: what takes longer than a silent peer is given."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+import pytest
+import trio
+
+from railtide.journal.checkpoint import PART_BYTES, latest_checkpoint, parts_of
+from railtide.journal.client import LogClient, LogRecord, Page
+from railtide.journal.errors import LogUnavailable
+from railtide.journal.state import HolderState, State
+from railtide.keeper.keeper import Keeper
+from railtide.keeper.options import KeeperOptions
+from railtide.keeper.relay import DirectLog, PeerLog
+from railtide.keeper.server import serve_link
+from railtide.membership.identity import Identity
+from railtide.membership.instances import Instance, InstanceList
+from railtide.standins.log import LogStore
+from railtide.standins.narrow import NARROW_BYTES_S, narrow_stream_pair
+from railtide.wire.links import TcpLink
+
+RECORDS = 512
+RECORD_BYTES = 8_192
+STREAM = KeeperOptions().stream
+
+
+class NarrowLog(LogClient):
+    """A log in memory behind a link of 5 Mbit/s."""
+
+    def __init__(self) -> None:
+        self.store = LogStore(lambda: 1)
+
+    async def append(self, stream: str, data: bytes) -> int:
+        await trio.sleep(len(data) / NARROW_BYTES_S)
+        return self.store.append(stream, data)
+
+    async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
+        page = await self.store.read(stream, start, limit, wait_s)
+        await trio.sleep(sum(len(record.data) for record in page.records) / NARROW_BYTES_S)
+        return page
+
+
+class NoInstances(InstanceList):
+    async def fetch(self) -> list[Instance]:
+        return []
+
+
+def keeper_of(log: LogClient) -> Keeper:
+    identity = Identity("k", "d", "k:1", "1")
+    return Keeper(identity, log, NoInstances(), KeeperOptions(), Random(1))
+
+
+@asynccontextmanager
+async def peer_log(log: LogClient, keeper: Keeper) -> AsyncIterator[PeerLog]:
+    """Yield the log as another keeper reaches it, over a link of 5 Mbit/s."""
+    async with trio.open_nursery() as nursery:
+        near, far = narrow_stream_pair(nursery)
+        nursery.start_soon(serve_link, keeper, DirectLog(log), TcpLink(far))
+        yield PeerLog(TcpLink(near))
+        nursery.cancel_scope.cancel()
+
+
+class TestPeerLog:
+    async def test_long_tail_is_read_to_its_end(self, autojump_clock) -> None:
+        """Four megabytes take 6.7 s of the link; each try was given up after 3 s."""
+        log = NarrowLog()
+        keeper = keeper_of(log)
+        keeper.state.offset = RECORDS - 1
+        data = bytes(RECORD_BYTES)
+        keeper.follower.tail.extend(LogRecord(offset, 1, data) for offset in range(RECORDS))
+        start = 0
+        async with peer_log(log, keeper) as peer:
+            while start < RECORDS:
+                page = await peer.read(STREAM, start, RECORDS, 0.0)
+                start = page.records[-1].offset + 1
+        assert start == RECORDS
+
+    async def test_one_record_above_all_limits_of_time_is_read(self, autojump_clock) -> None:
+        log = NarrowLog()
+        keeper = keeper_of(log)
+        keeper.state.offset = 0
+        keeper.follower.tail.append(LogRecord(0, 1, bytes(6 * NARROW_BYTES_S)))
+        async with peer_log(log, keeper) as peer:
+            page = await peer.read(STREAM, 0, RECORDS, 0.0)
+        assert len(page.records[0].data) == 6 * NARROW_BYTES_S
+
+    async def test_large_checkpoint_is_read_through_a_peer(self, autojump_clock) -> None:
+        """Four megabytes go over the peer's own link first, and then over the link to it."""
+        log = NarrowLog()
+        state = State(offset=7)
+        state.by_holder = {
+            f"holder-{number}": HolderState("i" * 4_000, "d", "a", "router", 0)
+            for number in range(1_000)
+        }
+        for part in parts_of(state, "a"):
+            log.store.append(f"{STREAM}-checkpoints", part)
+        async with peer_log(log, keeper_of(log)) as peer:
+            found = await latest_checkpoint(peer, STREAM)
+        assert found and found.offset == 7
+
+    async def test_silent_peer_is_given_up(self, autojump_clock) -> None:
+        async with trio.open_nursery() as nursery:
+            near, _ = narrow_stream_pair(nursery)
+            began = trio.current_time()
+            with pytest.raises(LogUnavailable):
+                await PeerLog(TcpLink(near)).read(STREAM, 0, 1, 0.0)
+            assert trio.current_time() - began < 5
+            nursery.cancel_scope.cancel()
+
+    async def test_peer_that_takes_nothing_is_given_up(self, autojump_clock) -> None:
+        async with trio.open_nursery() as nursery:
+            near, _ = narrow_stream_pair(nursery)
+            near.send_stream.send_all_hook = trio.sleep_forever
+            began = trio.current_time()
+            with pytest.raises(LogUnavailable), trio.fail_after(60):
+                await PeerLog(TcpLink(near)).append(STREAM, bytes(100))
+            assert trio.current_time() - began < 5
+            nursery.cancel_scope.cancel()
+
+    async def test_part_of_a_checkpoint_is_appended_through_a_peer(self, autojump_clock) -> None:
+        log = NarrowLog()
+        async with peer_log(log, keeper_of(log)) as peer:
+            await peer.append(STREAM, bytes(PART_BYTES))
+        assert len(log.store.records(STREAM)) == 1
--- /dev/null
+++ b/railtide/standins/narrow.py
@@ -0,0 +1,33 @@
+"""Stand-in of a narrow link: two ends of a stream that carries so many bytes a second each way."""
+
+import trio
+import trio.testing
+
+__all__ = ["NARROW_BYTES_S", "narrow_stream_pair"]
+
+NARROW_BYTES_S = 625_000
+"""A link of 5 Mbit/s."""
+PIECE_BYTES = 6_250
+
+
+async def _carry(
+    source: trio.abc.ReceiveStream, sink: trio.abc.SendStream, bytes_per_s: float
+) -> None:
+    try:
+        while data := await source.receive_some(PIECE_BYTES):
+            await trio.sleep(len(data) / bytes_per_s)
+            await sink.send_all(data)
+        await sink.aclose()
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        pass  # one end is gone; the other finds it so
+
+
+def narrow_stream_pair(
+    nursery: trio.Nursery, bytes_per_s: float = NARROW_BYTES_S
+) -> tuple[trio.abc.Stream, trio.abc.Stream]:
+    """Return the two ends of a link; tasks in the nursery carry its bytes."""
+    near, near_inside = trio.testing.memory_stream_pair()
+    far, far_inside = trio.testing.memory_stream_pair()
+    nursery.start_soon(_carry, near_inside, far_inside, bytes_per_s)
+    nursery.start_soon(_carry, far_inside, near_inside, bytes_per_s)
+    return near, far
