Failing tests: a router is told more than a queue holds, and each list of members behind a narrow link

Measured: with 60,000 objects in force the link of a router that subscribes is closed, each time; of 40 lists of 1.1 MB that change within 4 s a router behind 5 Mbit/s has the last one 76.8 s later.

--- a/railtide/keeper/tests/test_narrow_links.py
+++ b/railtide/keeper/tests/test_narrow_links.py
@@ -6,7 +6,9 @@
 
 import pytest
 import trio
+import trio.testing
 
+from railtide.configuration.objects import Versioned
 from railtide.journal.checkpoint import PART_BYTES, latest_checkpoint, parts_of
 from railtide.journal.client import LogClient, LogRecord, Page
 from railtide.journal.errors import LogUnavailable
@@ -19,7 +21,8 @@
 from railtide.membership.instances import Instance, InstanceList
 from railtide.standins.log import LogStore
 from railtide.standins.narrow import NARROW_BYTES_S, narrow_stream_pair
-from railtide.wire.links import TcpLink
+from railtide.wire.links import TcpLink, memory_link_pair
+from railtide.wire.messages import MembersMessage, ObjectMessage, SubscribeMessage
 
 RECORDS = 512
 RECORD_BYTES = 8_192
@@ -110,17 +113,58 @@
             nursery.cancel_scope.cancel()
 
     async def test_peer_that_takes_nothing_is_given_up(self, autojump_clock) -> None:
-        async with trio.open_nursery() as nursery:
-            near, _ = narrow_stream_pair(nursery)
-            near.send_stream.send_all_hook = trio.sleep_forever
-            began = trio.current_time()
-            with pytest.raises(LogUnavailable), trio.fail_after(60):
-                await PeerLog(TcpLink(near)).append(STREAM, bytes(100))
-            assert trio.current_time() - began < 5
-            nursery.cancel_scope.cancel()
+        near, _ = trio.testing.lockstep_stream_pair()
+        began = trio.current_time()
+        with pytest.raises(LogUnavailable), trio.fail_after(60):
+            await PeerLog(TcpLink(near)).append(STREAM, bytes(100))
+        assert trio.current_time() - began < 5
 
     async def test_part_of_a_checkpoint_is_appended_through_a_peer(self, autojump_clock) -> None:
         log = NarrowLog()
         async with peer_log(log, keeper_of(log)) as peer:
             await peer.append(STREAM, bytes(PART_BYTES))
         assert len(log.store.records(STREAM)) == 1
+
+
+class TestSubscription:
+    async def test_more_objects_than_a_queue_holds_reach_a_router(self, autojump_clock) -> None:
+        """A link with more than 50,000 messages to carry was closed, and so was each new one."""
+        keeper = keeper_of(NarrowLog())
+        objects = keeper.state.catalog.by_kind_and_name
+        objects.update({("account", f"a{n}"): Versioned(b"{}", 1, n) for n in range(60_000)})
+        near, far = memory_link_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_link, keeper, DirectLog(NarrowLog()), far)
+            await near.send(SubscribeMessage())
+            names = set()
+            with trio.fail_after(60):
+                while len(names) < len(objects):
+                    message = await near.receive()
+                    if isinstance(message, ObjectMessage):
+                        names.add(message.name)
+            nursery.cancel_scope.cancel()
+
+    async def test_slow_router_is_told_the_newest_only(self, autojump_clock) -> None:
+        """Behind a link of 5 Mbit/s 40 lists of members, 1 MB each, wait; the last one counts."""
+        keeper = keeper_of(NarrowLog())
+        async with trio.open_nursery() as nursery:
+            near, far = narrow_stream_pair(nursery)
+            nursery.start_soon(serve_link, keeper, DirectLog(NarrowLog()), TcpLink(far))
+            link = TcpLink(near)
+            await link.send(SubscribeMessage())
+            await link.receive()
+            for number in range(40):
+                keeper.listed = [
+                    Instance(f"{number}-{n}", "l" * 40, "10.1.2.3:80", "z", "engine")
+                    for n in range(6_000)
+                ]
+                keeper._announce_members()
+                await trio.sleep(0.1)
+            began = trio.current_time()
+            while True:
+                message = await link.receive()
+                if isinstance(message, MembersMessage) and message.instances:
+                    if message.instances[0].name.startswith("39-"):
+                        break
+            assert trio.current_time() - began < 6
+            nursery.cancel_scope.cancel()
--- a/railtide/standins/narrow.py
+++ b/railtide/standins/narrow.py
@@ -25,9 +25,9 @@
 def narrow_stream_pair(
     nursery: trio.Nursery, bytes_per_s: float = NARROW_BYTES_S
 ) -> tuple[trio.abc.Stream, trio.abc.Stream]:
-    """Return the two ends of a link; tasks in the nursery carry its bytes."""
-    near, near_inside = trio.testing.memory_stream_pair()
-    far, far_inside = trio.testing.memory_stream_pair()
+    """Return the two ends of a link; tasks in the nursery carry its bytes, and hold none back."""
+    near, near_inside = trio.testing.lockstep_stream_pair()
+    far, far_inside = trio.testing.lockstep_stream_pair()
     nursery.start_soon(_carry, near_inside, far_inside, bytes_per_s)
     nursery.start_soon(_carry, far_inside, near_inside, bytes_per_s)
     return near, far
