A keeper tells a router the newest of each thing

Cause: all that is in force was queued one by one at a subscription, and above 50,000 messages the link was closed; the router came back and was told as much. Each version that changed while a slow link carried the one before was sent as well. Change: what waits for a link is kept by what it is about, and a newer word takes the older one's place; a status stays behind what it speaks of. Only verdicts, orphans and replies, which nothing replaces, are bounded in number.

--- a/railtide/keeper/server.py
+++ b/railtide/keeper/server.py
@@ -9,6 +9,7 @@
 from railtide.journal.client import LogRecord
 from railtide.journal.errors import JournalError
 from railtide.keeper.keeper import Keeper, Subscriber
+from railtide.keeper.outbox import Outbox
 from railtide.keeper.relay import DirectLog
 from railtide.wire.errors import LinkLost
 from railtide.wire.links import Link, TcpLink
@@ -24,7 +25,6 @@
 
 __all__ = ["serve_link", "serve_tcp"]
 
-OUTBOX = 50_000
 MOST_WAIT_S = 5.0
 REPLY_BYTES = 262_144
 """Bytes of records from which on a reply holds no more: 0.4 s of a link of 5 Mbit/s. The records of
@@ -34,14 +34,12 @@
 class _LinkSubscriber(Subscriber):
     """Queues messages for one link; a reader that falls far behind loses the link."""
 
-    def __init__(self, outbox: trio.MemorySendChannel[Message], scope: trio.CancelScope) -> None:
+    def __init__(self, outbox: Outbox, scope: trio.CancelScope) -> None:
         self._outbox = outbox
         self._scope = scope
 
     def deliver(self, message: Message) -> None:
-        try:
-            self._outbox.send_nowait(message)
-        except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
+        if not self._outbox.put(message):
             self._scope.cancel()
 
 
@@ -55,11 +53,11 @@
         The keeper's own way to the log, used for other keepers; never another keeper's.
     link : Link
     """
-    send, receive = trio.open_memory_channel[Message](OUTBOX)
+    outbox = Outbox()
     try:
         async with trio.open_nursery() as nursery:
-            subscriber = _LinkSubscriber(send, nursery.cancel_scope)
-            nursery.start_soon(_send_all, receive, link, nursery.cancel_scope)
+            subscriber = _LinkSubscriber(outbox, nursery.cancel_scope)
+            nursery.start_soon(_send_all, outbox, link, nursery.cancel_scope)
             try:
                 await _receive_all(keeper, direct, link, subscriber, nursery)
             except LinkLost:
@@ -71,12 +69,10 @@
             await link.aclose()
 
 
-async def _send_all(
-    outbox: trio.MemoryReceiveChannel[Message], link: Link, scope: trio.CancelScope
-) -> None:
+async def _send_all(outbox: Outbox, link: Link, scope: trio.CancelScope) -> None:
     try:
-        async for message in outbox:
-            await link.send(message)
+        while True:
+            await link.send(await outbox.take())
     except LinkLost:
         scope.cancel()
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -25,6 +25,9 @@
 MEMBERSHIP = "railtide/membership/tests"
 CONTAINMENT = "railtide/containment/tests"
 CRASHING = "railtide/platform/tests/test_crashing_requests.py"
+NARROW = "railtide/keeper/tests/test_narrow_links.py"
+OUTBOX = "railtide/keeper/tests/test_outbox.py"
+CHECKPOINT = "railtide/journal/tests/test_checkpoint.py"
 SUSPENSION = "tests/test_suspension.py"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
@@ -1038,6 +1041,123 @@
         'scope.deadline = float("inf")',
         (f"{HTTP}/test_connections.py",),
     ),
+    Mutant(
+        "reply-has-a-limit-on-the-whole",
+        "keeper/relay.py",
+        "                return await self._reply_to(call, REPLY_S + wait_s)",
+        "                with trio.fail_after(REPLY_S + wait_s):\n"
+        "                    return await self._reply_to(call, REPLY_S + wait_s)",
+        (NARROW,),
+    ),
+    Mutant(
+        "silent-peer-is-waited-for",
+        "keeper/relay.py",
+        "self._reply_to(call, REPLY_S + wait_s)",
+        'self._reply_to(call, float("inf"))',
+        (NARROW,),
+    ),
+    Mutant(
+        "peer-that-takes-nothing-is-waited-for",
+        "keeper/relay.py",
+        "self._link.send(message, REPLY_S)",
+        "self._link.send(message)",
+        (NARROW,),
+    ),
+    Mutant(
+        "silence-counted-over-the-whole-message",
+        "wire/links.py",
+        "            try:\n                with _silence(silence_s):\n"
+        "                    data = await self._stream.receive_some(RECEIVE_BYTES)\n",
+        '            try:\n                began = locals().get("began", trio.current_time())\n'
+        "                with _silence(began + silence_s - trio.current_time()):\n"
+        "                    data = await self._stream.receive_some(RECEIVE_BYTES)\n",
+        ("railtide/router/tests/test_uplink.py",),
+    ),
+    Mutant(
+        "silent-keeper-is-kept",
+        "router/uplink.py",
+        "link.receive(SILENCE_S)",
+        "link.receive()",
+        ("railtide/router/tests/test_uplink.py",),
+    ),
+    Mutant(
+        "silent-keeper-is-asked-first-again",
+        "router/uplink.py",
+        "            except LinkSilent:\n                self._turn += 1\n",
+        "            except LinkSilent:\n",
+        ("railtide/router/tests/test_uplink.py",),
+    ),
+    Mutant(
+        "reply-of-any-size",
+        "keeper/server.py",
+        "        if taken and size > REPLY_BYTES:\n            break\n",
+        "",
+        (NARROW,),
+    ),
+    Mutant(
+        "record-above-a-reply-is-never-sent",
+        "keeper/server.py",
+        "if taken and size > REPLY_BYTES:",
+        "if size > REPLY_BYTES:",
+        (NARROW,),
+    ),
+    Mutant(
+        "parts-thrown-away-at-a-failure",
+        "keeper/follower.py",
+        "        if self._checkpoint is None:\n            self._checkpoint",
+        "        if True:\n            self._checkpoint",
+        (CHECKPOINT,),
+    ),
+    Mutant(
+        "parts-that-came-do-not-shorten-the-wait",
+        "keeper/follower.py",
+        "            if self._checkpoint.records_read > known:\n"
+        "                self._backoff.reset()  # the log answers, now and then\n",
+        "",
+        (CHECKPOINT,),
+    ),
+    Mutant(
+        "failed-read-asks-for-as-much-again",
+        "keeper/follower.py",
+        "                self._limit = max(1, self._limit // 2)\n",
+        "",
+        (CHECKPOINT,),
+    ),
+    Mutant(
+        "older-word-is-sent-too",
+        "keeper/outbox.py",
+        "            return type(message)\n",
+        "            return None\n",
+        (NARROW,),
+    ),
+    Mutant(
+        "objects-count-as-events",
+        "keeper/outbox.py",
+        "            return ObjectMessage, message.kind, message.name\n",
+        "            return None\n",
+        (NARROW,),
+    ),
+    Mutant(
+        "status-goes-before-what-it-speaks-of",
+        "keeper/outbox.py",
+        "            self._message_by_thing.move_to_end(thing)\n",
+        "            pass\n",
+        (OUTBOX,),
+    ),
+    Mutant(
+        "events-without-a-bound",
+        "keeper/outbox.py",
+        "            if self._events >= MOST_EVENTS:\n                return False\n",
+        "",
+        (OUTBOX,),
+    ),
+    Mutant(
+        "sent-events-count-on",
+        "keeper/outbox.py",
+        "            self._events -= 1\n",
+        "            pass\n",
+        (OUTBOX,),
+    ),
 ]
 
 
