--- a/railtide/keeper/tests/test_appender.py
+++ b/railtide/keeper/tests/test_appender.py
@@ -12,7 +12,9 @@
 from railtide.keeper.follower import Follower
 from railtide.keeper.options import KeeperOptions
 from railtide.membership.messages import Heartbeat, Open
+from railtide.requests.messages import Answer, Bill
 from railtide.standins.log import LogStore
+from railtide.standins.narrow import NARROW_BYTES_S
 
 ANSWER_TIMEOUT_S = 5.0
 
@@ -104,3 +106,25 @@
         lonely = make_entry("unknown", 2, 0, Heartbeat())
         await node.append_all(*entries(), lonely)
         assert node.refused == [lonely]
+
+    async def test_large_entries_go_in_several_appends(self, autojump_clock) -> None:
+        """One for all took longer than a link carries it in time, and so did each repeat of it."""
+        log = NarrowLog()
+        node = Node(log)
+        answer = Answer(200, "application/json", bytes(65_536))
+        bills = [make_entry("h", seq, 0, Bill("r", 1, "done", answer)) for seq in range(2, 102)]
+        with trio.fail_after(60):
+            await node.append_all(entries()[0], *bills)
+        assert node.follower.state.by_holder["h"].last_seq == 101
+        assert node.appender.bytes_appended < 1.1 * 100 * 65_536
+
+
+class NarrowLog(FlakyLog):
+    """A log behind a link of 5 Mbit/s whose append is given up after 5 s."""
+
+    async def append(self, stream: str, data: bytes) -> int:
+        took_s = len(data) / NARROW_BYTES_S
+        await trio.sleep(min(took_s, ANSWER_TIMEOUT_S))
+        if took_s > ANSWER_TIMEOUT_S:
+            raise LogUnavailable
+        return self.store.append(stream, data)
