--- a/railtide/keeper/tests/test_appender.py
+++ b/railtide/keeper/tests/test_appender.py
@@ -14,7 +14,7 @@
 from railtide.membership.messages import Heartbeat, Open
 from railtide.requests.messages import Answer, Bill
 from railtide.standins.log import LogStore
-from railtide.standins.narrow import NARROW_BYTES_S
+from railtide.standins.narrow_stream import NARROW_BYTES_S
 
 ANSWER_TIMEOUT_S = 5.0
 
--- a/railtide/keeper/tests/test_narrow_links.py
+++ b/railtide/keeper/tests/test_narrow_links.py
@@ -20,7 +20,7 @@
 from railtide.membership.identity import Identity
 from railtide.membership.instances import Instance, InstanceList
 from railtide.standins.log import LogStore
-from railtide.standins.narrow import NARROW_BYTES_S, narrow_stream_pair
+from railtide.standins.narrow_stream import NARROW_BYTES_S, narrow_stream_pair
 from railtide.wire.links import TcpLink, memory_link_pair
 from railtide.wire.messages import MembersMessage, ObjectMessage, SubscribeMessage
 
--- a/railtide/router/tests/test_uplink.py
+++ b/railtide/router/tests/test_uplink.py
@@ -6,7 +6,7 @@
 
 from railtide.membership.instances import Instance
 from railtide.router.uplink import Uplink
-from railtide.standins.narrow import narrow_stream_pair
+from railtide.standins.narrow_stream import narrow_stream_pair
 from railtide.wire.links import Link, TcpLink
 from railtide.wire.messages import LogStatusMessage, MembersMessage, Message
 
--- a/railtide/standins/narrow.py
+++ b/railtide/standins/narrow_stream.py
@@ -1,4 +1,4 @@
-"""Stand-in of a narrow link: two ends of a stream that carries so many bytes a second each way."""
+"""A narrow link on the virtual clock: two ends of a stream that carry so many bytes a second."""
 
 import trio
 import trio.testing
