--- a/bench/transfers.py
+++ b/bench/transfers.py
@@ -4,19 +4,26 @@
 (docs/CAPACITY.md), and the seconds that a link of 5 Mbit/s needs for them without other traffic.
 """
 
+import time
 from base64 import b64encode
+from collections.abc import Callable
 
 import msgspec
 
-from railtide.budgets.ledger import Holding, Ledger, ledger_to_bytes
+from railtide.budgets.ledger import Holding, Ledger, ledger_from_bytes, ledger_to_bytes
 from railtide.budgets.spend_limit import Reading, SpendLimit
+from railtide.containment.blame import blamed
 from railtide.containment.evidence import Mark
 from railtide.containment.records import record_key, record_value
 from railtide.journal.entries import batch_to_bytes, make_entry
+from railtide.journal.keyed import KeyedRecord
+from railtide.membership.addresses import Entrance
+from railtide.membership.entrance_set import Candidate, EntranceSetOptions, chosen_entrances
 from railtide.membership.instances import Instance
 from railtide.membership.roster import Member
+from railtide.platform.desired_state import PlatformSources
 from railtide.requests.messages import Answer, Bill
-from railtide.wire.codec import message_to_bytes
+from railtide.wire.codec import message_from_bytes, message_to_bytes
 from railtide.wire.messages import MembersMessage, ObjectMessage
 
 LINK_BYTES_S = 625_000
@@ -194,6 +201,46 @@
     say("a group append of 512 bills in base64", batch_bytes(512, 0), batch_bytes(512, ENTRY_BYTES))
     say("a part of a checkpoint in base64", 262_144 * 4 / 3, 262_144 * 4 / 3)
     say("a checkpoint in base64 (363 B a budget)", 24 * 363 * 4 / 3, BUDGETS * 363 * 4 / 3)
+    print()
+    for what, work in computations().items():
+        print(f"{what:58} {seconds(work):8.3f} s of processor time")
+
+
+def seconds(work: Callable[[], object]) -> float:
+    """Return the processor time of one run."""
+    began = time.process_time()
+    work()
+    return time.process_time() - began
+
+
+def state_record(routes: int, tenants: int) -> KeyedRecord:
+    lists = b",".join([route()] * routes), b",".join(
+        tenant().replace(b"012345", b"%06d" % n).replace(b"k" * 32, b"%032d" % n)
+        for n in range(tenants)
+    )
+    value = b'{"version":1,"routes":[%s],"tenants":[%s]}' % lists
+    return KeyedRecord("config", value, 0)
+
+
+def computations() -> dict[str, Callable[[], object]]:
+    """Return what a router works out of a transfer at once, while all else waits."""
+    sources = PlatformSources()
+    state_now, state = state_record(ROUTES_NOW, 24), state_record(ROUTES_NOW, BUDGETS)
+    marks = [Mark(f"{n:032x}", f"{n % 500:016x}", 1e9 + n % 500, ran_s=0.1) for n in range(4_096)]
+    candidates = [
+        Candidate(Entrance(f"edge-{n:04}", "10.0.0.1:80", f"zone-{n % 23}"), 200.0, 79.0)
+        for n in range(NODES)
+    ]
+    members = message_to_bytes(MembersMessage([instance(n) for n in range(NODES + ENGINES)]))
+    few = ledger(8)[1]
+    return {
+        "desired state of 1,880 routes": lambda: sources.snapshot_of(state_now),
+        "desired state of 1,880 routes and 310,000 tenants": lambda: sources.snapshot_of(state),
+        "blame of 4,096 marks of 500 lives": lambda: blamed(marks),
+        "choice among 1,100 routers": lambda: chosen_entrances(candidates, EntranceSetOptions()),
+        "list of 11,100 members": lambda: message_from_bytes(members),
+        "467 ledgers with 8 holders": lambda: [ledger_from_bytes(few) for _ in range(467)],
+    }
 
 
 if __name__ == "__main__":
