--- a/railtide/keeper/tests/test_narrow_links.py
+++ b/railtide/keeper/tests/test_narrow_links.py
@@ -80,6 +80,23 @@
                 start = page.records[-1].offset + 1
         assert start == RECORDS
 
+    async def test_what_came_before_a_break_is_kept(self, autojump_clock) -> None:
+        """Links that last a second carry a tail of 6.7 s, since each reply is whole before."""
+        log = NarrowLog()
+        keeper = keeper_of(log)
+        keeper.state.offset = RECORDS - 1
+        data = bytes(RECORD_BYTES)
+        keeper.follower.tail.extend(LogRecord(offset, 1, data) for offset in range(RECORDS))
+        start, links = 0, 0
+        while start < RECORDS and links < 20:
+            links += 1
+            async with peer_log(log, keeper) as peer:
+                with trio.move_on_after(1):
+                    while start < RECORDS:
+                        page = await peer.read(STREAM, start, RECORDS, 0.0)
+                        start = page.records[-1].offset + 1
+        assert start == RECORDS
+
     async def test_one_record_above_all_limits_of_time_is_read(self, autojump_clock) -> None:
         log = NarrowLog()
         keeper = keeper_of(log)
