Failing test: an append that is in the log is sent again while the fold is behind

Measured, virtual clock: two entries behind 16 MB of other keepers' records on a link of 5 Mbit/s are appended 6 times, once in 5 s until the fold is there. Passing already: later entries are appended meanwhile, and what the fold passed over is sent again.

--- a/railtide/keeper/tests/test_appender.py
+++ b/railtide/keeper/tests/test_appender.py
@@ -128,3 +128,48 @@
         if took_s > ANSWER_TIMEOUT_S:
             raise LogUnavailable
         return self.store.append(stream, data)
+
+
+class LongLog(NarrowLog):
+    """A log of other keepers' records, 26 s to read over the link, and one that grows meanwhile."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        for _ in range(2_000):
+            self.store.append("journal", bytes(8_192))
+
+    async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
+        page = await self.store.read(stream, start, min(limit, 64), wait_s)
+        await trio.sleep(sum(len(record.data) for record in page.records) / NARROW_BYTES_S)
+        return page
+
+
+class TestLateFold:
+    async def test_what_is_in_the_log_is_not_sent_again(self, autojump_clock) -> None:
+        """Each 5 s it was, as long as the reading took, and made the log longer for all."""
+        node = Node(LongLog())
+        began = trio.current_time()
+        await node.append_all(*entries())
+        assert trio.current_time() - began > 20
+        assert node.appender.appends == 1
+        assert node.follower.state.by_holder["h"].last_seq == 2
+
+    async def test_later_entries_do_not_wait_for_the_fold(self, autojump_clock) -> None:
+        log = LongLog()
+        node = Node(log)
+        opening, beat = entries()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.append_all, opening)
+            await trio.sleep(1)
+            node.appender.add(beat)
+            await trio.sleep(6)
+            assert log.store.appends == 2_002
+        assert node.follower.state.by_holder["h"].last_seq == 2
+
+    async def test_entry_that_the_fold_passed_over_is_sent_again(self, autojump_clock) -> None:
+        """An entry whose predecessor is not there yet is left out by the fold."""
+        node = Node(FlakyLog())
+        opening, beat = entries()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.append_all, beat, opening)
+        assert node.follower.state.by_holder["h"].last_seq == 2
