What is in the log ahead of the fold is not appended again

Cause: an append that the fold had not come to within 5 s was sent again, and again, for as long as the reading took. That makes the log longer for all who read it, and the fold of each later. Change: an entry is sent again only once the fold is past the offset at which it was appended, and has not taken it; later entries go meanwhile. Two mutants, caught.

--- a/railtide/keeper/appender.py
+++ b/railtide/keeper/appender.py
@@ -1,5 +1,6 @@
 """The appender: puts waiting entries into the log in groups, until the fold has seen each."""
 
+import math
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from random import Random
@@ -18,6 +19,7 @@
 __all__ = ["Appender"]
 
 FOLD_WAIT_S = 5.0
+"""Between two looks for entries to send while the fold is behind."""
 APPEND_BYTES = 262_144
 """Bytes of records from which on an append takes no more: 0.6 s of a link of 5 Mbit/s in base64.
 What was appended is done, whatever becomes of the rest."""
@@ -32,8 +34,10 @@
     -----
     An entry leaves the queue only when the fold has passed it, not when an append was answered:
     so a lost answer, an append that never arrived and one that arrived twice are all cured by
-    appending again. Entries of a holder that the fold does not know even after the append (its
-    `Open` was too old) are handed to `on_refused`.
+    appending again. While the fold is behind an append that was answered, its entries are not sent
+    again: the log would grow by that for all who read it, and the fold fall behind further.
+    Entries of a holder that the fold does not know even after the append (its `Open` was too old)
+    are handed to `on_refused`.
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         self._entries_by_holder: dict[str, dict[int, Entry]] = {}
         self._waiting = trio.Event()
         self._in_flight: set[tuple[str, int]] = set()
+        self._offset_by_sent: dict[tuple[str, int], int] = {}
         self._append_scope = trio.CancelScope()
         self._spans_by_holder_and_seq: dict[tuple[str, int], trace.Span] = {}
 
@@ -78,6 +83,7 @@
         while queue and (old := next(iter(queue))) <= seq:
             del queue[old]
             self._in_flight.discard((holder, old))
+            self._offset_by_sent.pop((holder, old), None)
             span = self._spans_by_holder_and_seq.pop((holder, old), None)
             if span:
                 span.end()
@@ -97,25 +103,33 @@
     async def run(self) -> None:
         """Append for ever."""
         while True:
-            await self._wait_for_entries()
-            batch = self._next_batch()
+            batch = await self._wait_for_batch()
             try:
                 await self._append(batch)
             except LogUnavailable:
                 self.failures += 1
                 await trio.sleep(self._backoff.next_wait())
 
-    async def _wait_for_entries(self) -> None:
-        while not self._entries_by_holder:
+    async def _wait_for_batch(self) -> list[Entry]:
+        while not (batch := self._next_batch()):
             self._waiting = trio.Event()
-            await self._waiting.wait()
+            with trio.move_on_after(FOLD_WAIT_S if self._entries_by_holder else math.inf):
+                await self._waiting.wait()
+        return batch
+
+    def _is_ahead_of_fold(self, entry: Entry) -> bool:
+        """Return whether an entry is in the log where the fold has not come to yet."""
+        offset = self._offset_by_sent.get((entry.holder, entry.seq), -1)
+        return offset > self._follower.state.offset
 
     def _next_batch(self) -> list[Entry]:
-        """Return the oldest entries of each holder, in each holder's order."""
+        """Return the oldest entries of each holder that are to be sent, in each holder's order."""
         batch: list[Entry] = []
         size = 0
         for queue in self._entries_by_holder.values():
             for seq in sorted(queue):
+                if self._is_ahead_of_fold(queue[seq]):
+                    continue
                 batch.append(queue[seq])
                 size += memoryview(queue[seq].record).nbytes
                 if len(batch) >= self._options.append_batch or size >= APPEND_BYTES:
@@ -129,6 +143,11 @@
         self.bytes_appended += len(data)
         offset = await self._append_or_see_it_folded(batch, data)
         self._backoff.reset()
+        self._offset_by_sent |= {
+            (entry.holder, entry.seq): offset
+            for entry in batch
+            if entry.seq in self._entries_by_holder.get(entry.holder, ())
+        }
         with trio.move_on_after(FOLD_WAIT_S):
             await self._follower.wait_for(offset)
             self._refuse_unknown(batch)
@@ -160,4 +179,6 @@
         known = self._follower.state.by_holder
         for holder in sorted({entry.holder for entry in batch} - known.keys()):
             refused = self._entries_by_holder.pop(holder, {})
+            for seq in refused:
+                self._offset_by_sent.pop((holder, seq), None)
             self._on_refused(list(refused.values()))
--- a/railtide/keeper/tests/test_appender.py
+++ b/railtide/keeper/tests/test_appender.py
@@ -171,5 +171,12 @@
         node = Node(FlakyLog())
         opening, beat = entries()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(node.append_all, beat, opening)
-        assert node.follower.state.by_holder["h"].last_seq == 2
+            nursery.start_soon(node.append_all, opening, make_entry("h", 3, 0, Heartbeat()))
+            await trio.sleep(1)
+            assert node.follower.state.by_holder["h"].last_seq == 1
+            node.appender.add(beat)
+            with trio.move_on_after(30):
+                while node.appender.pending():
+                    await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        assert node.follower.state.by_holder["h"].last_seq == 3
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1349,6 +1349,20 @@
         "ConnectionLimits()",
         ("tests/test_edge_process.py",),
     ),
+    Mutant(
+        "appended-again-while-the-fold-is-behind",
+        "keeper/appender.py",
+        "        return offset > self._follower.state.offset\n",
+        "        return False\n",
+        ("railtide/keeper/tests/test_appender.py",),
+    ),
+    Mutant(
+        "passed-over-by-the-fold-and-never-sent-again",
+        "keeper/appender.py",
+        "        return offset > self._follower.state.offset\n",
+        "        return offset >= 0\n",
+        ("railtide/keeper/tests/test_appender.py",),
+    ),
 ]
 
 
