--- a/railtide/keeper/tests/test_appender.py
+++ b/railtide/keeper/tests/test_appender.py
@@ -12,7 +12,9 @@
 from railtide.keeper.follower import Follower
 from railtide.keeper.options import KeeperOptions
 from railtide.membership.messages import Heartbeat, Open
+from railtide.requests.messages import Answer, Bill
 from railtide.standins.log import LogStore
+from railtide.standins.narrow_stream import NARROW_BYTES_S
 
 ANSWER_TIMEOUT_S = 5.0
 
@@ -104,3 +106,77 @@
         lonely = make_entry("unknown", 2, 0, Heartbeat())
         await node.append_all(*entries(), lonely)
         assert node.refused == [lonely]
+
+    async def test_large_entries_go_in_several_appends(self, autojump_clock) -> None:
+        """One for all took longer than a link carries it in time, and so did each repeat of it."""
+        log = NarrowLog()
+        node = Node(log)
+        answer = Answer(200, "application/json", bytes(65_536))
+        bills = [make_entry("h", seq, 0, Bill("r", 1, "done", answer)) for seq in range(2, 102)]
+        with trio.fail_after(60):
+            await node.append_all(entries()[0], *bills)
+        assert node.follower.state.by_holder["h"].last_seq == 101
+        assert node.appender.bytes_appended < 1.1 * 100 * 65_536
+
+
+class NarrowLog(FlakyLog):
+    """A log behind a link of 5 Mbit/s whose append is given up after 5 s."""
+
+    async def append(self, stream: str, data: bytes) -> int:
+        took_s = len(data) / NARROW_BYTES_S
+        await trio.sleep(min(took_s, ANSWER_TIMEOUT_S))
+        if took_s > ANSWER_TIMEOUT_S:
+            raise LogUnavailable
+        return self.store.append(stream, data)
+
+
+class LongLog(NarrowLog):
+    """A log of other keepers' records, 26 s to read over the link, and one that grows meanwhile."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        for _ in range(2_000):
+            self.store.append("journal", bytes(8_192))
+
+    async def read(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
+        page = await self.store.read(stream, start, min(limit, 64), wait_s)
+        await trio.sleep(sum(len(record.data) for record in page.records) / NARROW_BYTES_S)
+        return page
+
+
+class TestLateFold:
+    async def test_what_is_in_the_log_is_not_sent_again(self, autojump_clock) -> None:
+        """Each 5 s it was, as long as the reading took, and made the log longer for all."""
+        node = Node(LongLog())
+        began = trio.current_time()
+        await node.append_all(*entries())
+        assert trio.current_time() - began > 20
+        assert node.appender.appends == 1
+        assert node.follower.state.by_holder["h"].last_seq == 2
+
+    async def test_later_entries_do_not_wait_for_the_fold(self, autojump_clock) -> None:
+        log = LongLog()
+        node = Node(log)
+        opening, beat = entries()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.append_all, opening)
+            await trio.sleep(1)
+            node.appender.add(beat)
+            await trio.sleep(6)
+            assert log.store.appends == 2_002
+        assert node.follower.state.by_holder["h"].last_seq == 2
+
+    async def test_entry_that_the_fold_passed_over_is_sent_again(self, autojump_clock) -> None:
+        """An entry whose predecessor is not there yet is left out by the fold."""
+        node = Node(FlakyLog())
+        opening, beat = entries()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.append_all, opening, make_entry("h", 3, 0, Heartbeat()))
+            await trio.sleep(1)
+            assert node.follower.state.by_holder["h"].last_seq == 1
+            node.appender.add(beat)
+            with trio.move_on_after(30):
+                while node.appender.pending():
+                    await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        assert node.follower.state.by_holder["h"].last_seq == 3
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -25,6 +25,9 @@
 MEMBERSHIP = "railtide/membership/tests"
 CONTAINMENT = "railtide/containment/tests"
 CRASHING = "railtide/platform/tests/test_crashing_requests.py"
+NARROW = "railtide/keeper/tests/test_narrow_links.py"
+OUTBOX = "railtide/keeper/tests/test_outbox.py"
+CHECKPOINT = "railtide/journal/tests/test_checkpoint.py"
 SUSPENSION = "tests/test_suspension.py"
 EDGE = "railtide/edge/tests"
 OUTDATED = "railtide/platform/tests/test_outdated_view.py"
@@ -999,6 +1002,201 @@
         "            pass\n",
         (f"{PLATFORM}/test_waking.py",),
     ),
+    Mutant(
+        "all-ledgers-that-are-due-in-one-append",
+        "budgets/ledger_partition.py",
+        "            if size >= APPEND_BYTES:\n                break\n",
+        "",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "waiting-callers-ledger-has-no-turn-before-others",
+        "budgets/ledger_partition.py",
+        "return not is_waited_for, self._planned_at.get(account, -math.inf)",
+        "return False, self._planned_at.get(account, -math.inf)",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "first-ledgers-have-each-turn",
+        "budgets/ledger_partition.py",
+        "return not is_waited_for, self._planned_at.get(account, -math.inf)",
+        "return not is_waited_for, 0.0",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "granted-caller-waits-for-all-other-ledgers",
+        "budgets/ledger_partition.py",
+        "            self.hand_by_account[account].take(change)\n"
+        "            self.hand_by_account[account].wake()\n",
+        "            self.hand_by_account[account].take(change)\n",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "ledgers-not-read-while-more-is-due",
+        "budgets/ledger_partition.py",
+        "                await self._read()  # more may be due",
+        "                pass  # more may be due",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "body-under-the-limit-of-the-head",
+        "http/server.py",
+        "                scope.deadline += len(event.data) / BODY_PACE\n",
+        "",
+        (f"{HTTP}/test_connections.py",),
+    ),
+    Mutant(
+        "body-without-a-limit",
+        "http/server.py",
+        "scope.deadline += len(event.data) / BODY_PACE",
+        'scope.deadline = float("inf")',
+        (f"{HTTP}/test_connections.py",),
+    ),
+    Mutant(
+        "reply-has-a-limit-on-the-whole",
+        "keeper/relay.py",
+        "                return await self._reply_to(call, REPLY_S + wait_s)",
+        "                with trio.fail_after(REPLY_S + wait_s):\n"
+        "                    return await self._reply_to(call, REPLY_S + wait_s)",
+        (NARROW,),
+    ),
+    Mutant(
+        "silent-peer-is-waited-for",
+        "keeper/relay.py",
+        "self._reply_to(call, REPLY_S + wait_s)",
+        'self._reply_to(call, float("inf"))',
+        (NARROW,),
+    ),
+    Mutant(
+        "peer-that-takes-nothing-is-waited-for",
+        "keeper/relay.py",
+        "self._link.send(message, REPLY_S)",
+        "self._link.send(message)",
+        (NARROW,),
+    ),
+    Mutant(
+        "silence-counted-over-the-whole-message",
+        "wire/links.py",
+        "            try:\n                with _silence(silence_s):\n"
+        "                    data = await self._stream.receive_some(RECEIVE_BYTES)\n",
+        '            try:\n                began = locals().get("began", trio.current_time())\n'
+        "                with _silence(began + silence_s - trio.current_time()):\n"
+        "                    data = await self._stream.receive_some(RECEIVE_BYTES)\n",
+        ("railtide/router/tests/test_uplink.py",),
+    ),
+    Mutant(
+        "silent-keeper-is-kept",
+        "router/uplink.py",
+        "link.receive(SILENCE_S)",
+        "link.receive()",
+        ("railtide/router/tests/test_uplink.py",),
+    ),
+    Mutant(
+        "silent-keeper-is-asked-first-again",
+        "router/uplink.py",
+        "            except LinkSilent:\n                self._turn += 1\n",
+        "            except LinkSilent:\n",
+        ("railtide/router/tests/test_uplink.py",),
+    ),
+    Mutant(
+        "reply-of-any-size",
+        "keeper/server.py",
+        "        if taken and size > REPLY_BYTES:\n            break\n",
+        "",
+        (NARROW,),
+    ),
+    Mutant(
+        "record-above-a-reply-is-never-sent",
+        "keeper/server.py",
+        "if taken and size > REPLY_BYTES:",
+        "if size > REPLY_BYTES:",
+        (NARROW,),
+    ),
+    Mutant(
+        "parts-thrown-away-at-a-failure",
+        "keeper/follower.py",
+        "        if self._checkpoint is None:\n            self._checkpoint",
+        "        if True:\n            self._checkpoint",
+        (CHECKPOINT,),
+    ),
+    Mutant(
+        "parts-that-came-do-not-shorten-the-wait",
+        "keeper/follower.py",
+        "            if self._checkpoint.records_read > known:\n"
+        "                self._backoff.reset()  # the log answers, now and then\n",
+        "",
+        (CHECKPOINT,),
+    ),
+    Mutant(
+        "failed-read-asks-for-as-much-again",
+        "keeper/follower.py",
+        "                self._limit = max(1, self._limit // 2)\n",
+        "",
+        (CHECKPOINT,),
+    ),
+    Mutant(
+        "older-word-is-sent-too",
+        "keeper/outbox.py",
+        "            return type(message)\n",
+        "            return None\n",
+        (NARROW,),
+    ),
+    Mutant(
+        "objects-count-as-events",
+        "keeper/outbox.py",
+        "            return ObjectMessage, message.kind, message.name\n",
+        "            return None\n",
+        (NARROW,),
+    ),
+    Mutant(
+        "status-goes-before-what-it-speaks-of",
+        "keeper/outbox.py",
+        "            self._message_by_thing.move_to_end(thing)\n",
+        "            pass\n",
+        (OUTBOX,),
+    ),
+    Mutant(
+        "events-without-a-bound",
+        "keeper/outbox.py",
+        "            if self._events >= MOST_EVENTS:\n                return False\n",
+        "",
+        (OUTBOX,),
+    ),
+    Mutant(
+        "sent-events-count-on",
+        "keeper/outbox.py",
+        "            self._events -= 1\n",
+        "            pass\n",
+        (OUTBOX,),
+    ),
+    Mutant(
+        "all-entries-that-wait-in-one-append",
+        "keeper/appender.py",
+        " or size >= APPEND_BYTES:",
+        ":",
+        ("railtide/keeper/tests/test_appender.py",),
+    ),
+    Mutant(
+        "append-sent-under-one-limit",
+        "journal/http_log.py",
+        "SEND_BYTES = 65_536",
+        "SEND_BYTES = 1 << 30",
+        ("railtide/journal/tests/test_http_log.py",),
+    ),
+    Mutant(
+        "session-has-a-limit-on-the-whole-log",
+        "operators/session.py",
+        "                heard_at = trio.current_time()\n            elif",
+        "            elif",
+        ("railtide/operators/tests/test_long_logs.py",),
+    ),
+    Mutant(
+        "session-waits-for-a-silent-log",
+        "operators/session.py",
+        "elif trio.current_time() - heard_at > self._timeout_s:",
+        "elif False:",
+        ("railtide/operators/tests/test_long_logs.py",),
+    ),
     Mutant(
         "old-view-refuses-for-good",
         "edge/node.py",
@@ -1174,56 +1372,6 @@
         "ConnectionLimits()",
         ("tests/test_edge_process.py",),
     ),
-    Mutant(
-        "all-ledgers-that-are-due-in-one-append",
-        "budgets/ledger_partition.py",
-        "            if size >= APPEND_BYTES:\n                break\n",
-        "",
-        (f"{LEDGERS}/test_large_partition.py",),
-    ),
-    Mutant(
-        "waiting-callers-ledger-has-no-turn-before-others",
-        "budgets/ledger_partition.py",
-        "return not is_waited_for, self._planned_at.get(account, -math.inf)",
-        "return False, self._planned_at.get(account, -math.inf)",
-        (f"{LEDGERS}/test_large_partition.py",),
-    ),
-    Mutant(
-        "first-ledgers-have-each-turn",
-        "budgets/ledger_partition.py",
-        "return not is_waited_for, self._planned_at.get(account, -math.inf)",
-        "return not is_waited_for, 0.0",
-        (f"{LEDGERS}/test_large_partition.py",),
-    ),
-    Mutant(
-        "granted-caller-waits-for-all-other-ledgers",
-        "budgets/ledger_partition.py",
-        "            self.hand_by_account[account].take(change)\n"
-        "            self.hand_by_account[account].wake()\n",
-        "            self.hand_by_account[account].take(change)\n",
-        (f"{LEDGERS}/test_large_partition.py",),
-    ),
-    Mutant(
-        "ledgers-not-read-while-more-is-due",
-        "budgets/ledger_partition.py",
-        "                await self._read()  # more may be due",
-        "                pass  # more may be due",
-        (f"{LEDGERS}/test_large_partition.py",),
-    ),
-    Mutant(
-        "body-under-the-limit-of-the-head",
-        "http/server.py",
-        "                scope.deadline += len(event.data) / BODY_PACE\n",
-        "",
-        (f"{HTTP}/test_connections.py",),
-    ),
-    Mutant(
-        "body-without-a-limit",
-        "http/server.py",
-        "scope.deadline += len(event.data) / BODY_PACE",
-        'scope.deadline = float("inf")',
-        (f"{HTTP}/test_connections.py",),
-    ),
     Mutant(
         "answer-is-bounded-as-a-whole",
         "http/stall.py",
@@ -1385,6 +1533,20 @@
         "        self.freshness.note_complete()\n",
         (f"{NARROW}::TestBrokenAnswer::{REST_DUE}",),
     ),
+    Mutant(
+        "appended-again-while-the-fold-is-behind",
+        "keeper/appender.py",
+        "        return offset > self._follower.state.offset\n",
+        "        return False\n",
+        ("railtide/keeper/tests/test_appender.py",),
+    ),
+    Mutant(
+        "passed-over-by-the-fold-and-never-sent-again",
+        "keeper/appender.py",
+        "        return offset > self._follower.state.offset\n",
+        "        return offset >= 0\n",
+        ("railtide/keeper/tests/test_appender.py",),
+    ),
 ]
 
 
