--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -35,8 +35,9 @@
 lost and lost again when it is repeated (0.2 and 0.4 s), and as soon as `HEAD_S` for a connection
 that falls silent."""
 RESUME_S = 10.0
-"""For how long pages of the newest records are kept of a read that broke off between two of them.
-Half of the shortest history on the users' sheets: what came since can still be read."""
+"""For how long behind the last page that came the pages of a read that broke off are kept. Half of
+the shortest history on the users' sheets: what came since can still be read. How long the whole
+takes has no bound; records that expired meanwhile are told by the next read."""
 LENGTH_BYTES = 4
 
 
@@ -87,7 +88,7 @@
 class _Pages:
     """Pages of the newest records, as far as they have come."""
 
-    began_at: float
+    came_at: float
     end: int | None = None
     items: int = 0
     records: list[KeyedRecord] = field(default_factory=list)
@@ -105,6 +106,7 @@
         if page.has_more and not read:
             raise LogUnavailable("a whole page of the newest records is unreadable")
         self.end = page.end_offset if self.end is None else self.end
+        self.came_at = trio.current_time()
         self.items += len(page.items)
         self.records += read
         if page.has_more:
@@ -156,7 +158,7 @@
 
     def _resumed(self, topic: str, partition: int) -> _Pages:
         known = self._pages_by_topic.pop((topic, partition), None)
-        if known and trio.current_time() - known.began_at <= RESUME_S:
+        if known and trio.current_time() - known.came_at <= RESUME_S:
             return known
         return _Pages(trio.current_time())
 
