--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -33,7 +33,11 @@
 STORE = "railtide/platform/tests/test_store.py"
 CALL_OF_BEFORE = "test_call_of_before_a_return_waits_no_longer_than_a_first_one"
 KEPT = "test_whole_records_of_a_read_are_not_read_again[True]"
+FRESHNESS = "railtide/journal/tests/test_feed_freshness.py"
+BROKEN_NEWEST = "test_connection_that_never_lives_for_the_newest_moves_on"
 REST_DUE = "test_feed_is_not_current_before_the_rest_has_come"
+EDGE = "railtide/edge/tests"
+OUTDATED = "railtide/platform/tests/test_outdated_view.py"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -1034,15 +1038,15 @@
     Mutant(
         "late-answer-is-never-waited-for",
         "journal/patience.py",
-        "grown = self._usual_s * GROWTH **",
-        "grown = self._usual_s * 1 **",
+        "GROWTH**silences",
+        "1**silences",
         (f"{LARGE}::TestLargeState",),
     ),
     Mutant(
         "wait-for-an-answer-grows-without-end",
         "journal/patience.py",
-        "return min(self._most_s, grown)",
-        "return grown",
+        "min(self._most_s, self._usual_s * GROWTH**silences)",
+        "self._usual_s * GROWTH**silences",
         (PATIENCE,),
     ),
     Mutant(
@@ -1104,14 +1108,14 @@
     Mutant(
         "small-versions-are-not-read-in-order",
         "journal/feed.py",
-        "if large and waiting >",
-        "if waiting >",
+        "if large and known and",
+        "if known and",
         (FEED,),
     ),
     Mutant(
         "only-version-is-not-read-as-it-is",
         "journal/feed.py",
-        "waiting > max(1, len(self._keys) * ENCODED)",
+        "waiting > max(1, known * ENCODED)",
         "waiting > 0",
         (FEED,),
     ),
@@ -1129,6 +1133,223 @@
         "        self.freshness.note_complete()\n",
         (f"{NARROW}::TestBrokenAnswer::{REST_DUE}",),
     ),
+    Mutant(
+        "records-of-new-keys-count-as-replaced",
+        "journal/feed.py",
+        "if large and known and waiting",
+        "if large and waiting",
+        (f"{NARROW}::TestBrokenAnswer::test_whole_records_of_a_read_are_not_read_again",),
+    ),
+    Mutant(
+        "newest-are-begun-again-behind-each-break",
+        "journal/feed.py",
+        "        self._left = False\n        self._may_leave = False\n        return True\n",
+        "        return False\n",
+        (f"{NARROW}::TestBrokenAnswer::{BROKEN_NEWEST}",),
+    ),
+    Mutant(
+        "read-is-left-again-before-it-has-moved-on",
+        "journal/feed.py",
+        "        self._may_leave = False\n",
+        "",
+        (f"{NARROW}::TestBrokenAnswer::{BROKEN_NEWEST}",),
+    ),
+    Mutant(
+        "feed-is-current-behind-an-expired-history",
+        "journal/feed.py",
+        'info("history-expired")\n                self.freshness.note_newer()\n',
+        'info("history-expired")\n',
+        (FRESHNESS,),
+    ),
+    Mutant(
+        "bytes-of-an-earlier-page-count",
+        "journal/transfer.py",
+        "        self.size = size\n        self.received = 0\n",
+        "        self.size = size\n",
+        (FRESHNESS,),
+    ),
+    Mutant(
+        "only-call-of-a-client-never-waits-longer",
+        "journal/patience.py",
+        "is_alone = silences % 2 == 1 and not self._due_by_watch",
+        "is_alone = False",
+        (f"{NARROW}::TestSlowStore", PATIENCE),
+    ),
+    Mutant(
+        "only-call-of-a-client-always-waits-longer",
+        "journal/patience.py",
+        "silences % 2 == 1 and not self._due_by_watch",
+        "not self._due_by_watch",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "calls-that-wait-longer-vouch-for-each-other",
+        "journal/patience.py",
+        "        if head_s <= self._usual_s:\n            self._usual.add(watch)\n",
+        "        self._usual.add(watch)\n",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "old-view-refuses-for-good",
+        "edge/node.py",
+        "if not refusal.rests_on_configuration or self.configuration_is_current():",
+        "if True:",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "fresh-view-is-doubted",
+        "edge/freshness.py",
+        "return self._feed.is_current() and not self._is_read_late()",
+        "return False",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "overdue-answer-is-not-doubted",
+        "edge/freshness.py",
+        "return self._feed.is_current() and not self._is_read_late()",
+        "return self._feed.is_current()",
+        (EDGE,),
+    ),
+    Mutant(
+        "feed-that-is-not-current-is-not-doubted",
+        "edge/freshness.py",
+        "return self._feed.is_current() and not self._is_read_late()",
+        "return not self._is_read_late()",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "unknown-route-is-final-by-any-view",
+        "requests/errors.py",
+        "status = 404\n    run = Run.NOT_RUN\n    rests_on_configuration = True",
+        "status = 404\n    run = Run.NOT_RUN",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "unknown-key-is-final-by-any-view",
+        "requests/errors.py",
+        "status = 401\n    run = Run.NOT_RUN\n    rests_on_configuration = True",
+        "status = 401\n    run = Run.NOT_RUN",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "spent-budget-is-final-by-any-view",
+        "budgets/errors.py",
+        "    rests_on_configuration = True\n",
+        "",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "forbidden-name-is-final-by-any-view",
+        "requests/errors.py",
+        "status = 403\n    run = Run.NOT_RUN\n    rests_on_configuration = True",
+        "status = 403\n    run = Run.NOT_RUN",
+        (EDGE,),
+    ),
+    Mutant(
+        "store-that-is-away-makes-routers-unready",
+        "edge/freshness.py",
+        "return self._known_s() > BEHIND_S",
+        "return trio.current_time() - self._feed.freshness.read_at > BEHIND_S",
+        (EDGE,),
+    ),
+    Mutant(
+        "newer-known-for-a-moment-makes-routers-unready",
+        "edge/freshness.py",
+        "return self._known_s() > BEHIND_S",
+        "return self._known_s() > 0",
+        (EDGE,),
+    ),
+    Mutant(
+        "router-that-is-behind-is-ready",
+        "edge/node.py",
+        "return self.serves and not self._freshness.is_behind()",
+        "return self.serves",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "router-that-is-behind-leaves-the-roster",
+        "edge/node.py",
+        "self.roster.run, lambda: self.serves)",
+        "self.roster.run, lambda: self.ready)",
+        (OUTDATED,),
+    ),
+    Mutant(
+        "retry-after-outlasts-the-addresses",
+        "edge/freshness.py",
+        "min(left_s, self._most_retry_s)",
+        "left_s",
+        (EDGE,),
+    ),
+    Mutant(
+        "retry-after-knows-no-transfer",
+        "edge/freshness.py",
+        "SOON_S if left_s is None else min(left_s, self._most_retry_s)",
+        "SOON_S",
+        (EDGE,),
+    ),
+    Mutant(
+        "each-answer-by-an-old-view-has-a-line",
+        "edge/freshness.py",
+        "        if self._old_since is not None:\n            return\n        now",
+        "        now",
+        (EDGE,),
+    ),
+    Mutant(
+        "age-of-a-read-counts-from-the-start",
+        "edge/freshness.py",
+        "now - max(read_at, began_at)",
+        "now - began_at",
+        (EDGE,),
+    ),
+    Mutant(
+        "router-that-is-behind-is-named-like-others",
+        "membership/entrance_set.py",
+        "_by_domain_in_turn(current) + _by_domain_in_turn(behind)",
+        "_by_domain_in_turn(candidates)",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "none-is-named-where-all-are-behind",
+        "membership/entrance_set.py",
+        "_by_domain_in_turn(current) + _by_domain_in_turn(behind)",
+        "_by_domain_in_turn(current)",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "router-does-not-say-that-it-is-behind",
+        "membership/roster.py",
+        "behind=self._is_behind(),",
+        "behind=False,",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "being-behind-waits-for-the-next-beat",
+        "membership/roster.py",
+        "if self._is_behind() != self._member.behind:",
+        "if False:",
+        (MEMBERSHIP,),
+    ),
+    Mutant(
+        "limit-that-may-be-old-refuses-for-good",
+        "http/server.py",
+        "self.server.limits.doubt_s() if refused.by_limit else None",
+        "None",
+        (HTTP,),
+    ),
+    Mutant(
+        "unreadable-request-may-come-again",
+        "http/server.py",
+        "self.server.limits.doubt_s() if refused.by_limit else None",
+        "self.server.limits.doubt_s()",
+        (HTTP,),
+    ),
+    Mutant(
+        "limits-are-never-doubted",
+        "platform/program.py",
+        "ConnectionLimits(doubt_s=node.limits_doubt_s)",
+        "ConnectionLimits()",
+        ("tests/test_edge_process.py",),
+    ),
 ]
 
 
