--- a/railtide/platform/tests/test_narrow_store.py
+++ b/railtide/platform/tests/test_narrow_store.py
@@ -223,13 +223,28 @@
                 await put_small(f, names)
             for name in names:
                 f.memory.put(TOPIC, name, SECOND[: len(SECOND) // 2])
-            with trio.move_on_after(GUARD_S):
-                while f.keys != names:
-                    aim = f.link.down.passed_bytes + 0.8 * len(SECOND)
-                    await until(lambda aim=aim: f.keys == names or f.link.down.passed_bytes >= aim)
-                    f.link.reset_open()
+            await break_often(f, lambda: f.keys == names)
             assert f.keys == names
 
+    async def test_connection_that_never_lives_for_the_newest_moves_on(self) -> None:
+        """More versions are waiting than keys, and the newest of each are too much for one life."""
+        versions = [("a", b"1"), ("b", b"1"), ("a", b"2")]
+        async with followed() as f:
+            await put_small(f, ["a", "b"])
+            for key, end in versions:
+                f.memory.put(TOPIC, key, SECOND[: len(SECOND) // 2] + end)
+            await break_often(f, lambda: len(f.keys) >= len(versions))
+            assert [(record.key, record.value[-1:]) for record in f.records] == versions
+
+
+async def break_often(f: Followed, over: Callable[[], bool]) -> None:
+    """Reset the connections whenever four fifths of a second of the link have come."""
+    with trio.move_on_after(GUARD_S):
+        while not over():
+            aim = f.link.down.passed_bytes + 0.8 * len(SECOND)
+            await until(lambda aim=aim: over() or f.link.down.passed_bytes >= aim)
+            f.link.reset_open()
+
 
 async def put_small(f: Followed, keys: list[str]) -> None:
     """Make keys known to the feed, and forget that it has told of them."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -39,6 +39,8 @@
 CALL_OF_BEFORE = "test_call_of_before_a_return_waits_no_longer_than_a_first_one"
 KEPT = "test_whole_records_of_a_read_are_not_read_again[True]"
 REST_DUE = "test_feed_is_not_current_before_the_rest_has_come"
+FRESHNESS = "railtide/journal/tests/test_feed_freshness.py"
+BROKEN_NEWEST = "test_connection_that_never_lives_for_the_newest_moves_on"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -1547,6 +1549,62 @@
         "        return offset >= 0\n",
         ("railtide/keeper/tests/test_appender.py",),
     ),
+    Mutant(
+        "records-of-new-keys-count-as-replaced",
+        "journal/feed.py",
+        "if large and known and waiting",
+        "if large and waiting",
+        (f"{NARROW}::TestBrokenAnswer::test_whole_records_of_a_read_are_not_read_again",),
+    ),
+    Mutant(
+        "newest-are-begun-again-behind-each-break",
+        "journal/feed.py",
+        "        self._left = False\n        self._may_leave = False\n        return True\n",
+        "        return False\n",
+        (f"{NARROW}::TestBrokenAnswer::{BROKEN_NEWEST}",),
+    ),
+    Mutant(
+        "read-is-left-again-before-it-has-moved-on",
+        "journal/feed.py",
+        "        self._may_leave = False\n",
+        "",
+        (f"{NARROW}::TestBrokenAnswer::{BROKEN_NEWEST}",),
+    ),
+    Mutant(
+        "feed-is-current-behind-an-expired-history",
+        "journal/feed.py",
+        'info("history-expired")\n                self.freshness.note_newer()\n',
+        'info("history-expired")\n',
+        (FRESHNESS,),
+    ),
+    Mutant(
+        "bytes-of-an-earlier-page-count",
+        "journal/transfer.py",
+        "        self.size = size\n        self.received = 0\n",
+        "        self.size = size\n",
+        (FRESHNESS,),
+    ),
+    Mutant(
+        "only-call-of-a-client-never-waits-longer",
+        "journal/patience.py",
+        "is_alone = silences % 2 == 1 and not self._due_by_watch",
+        "is_alone = False",
+        (f"{NARROW}::TestSlowStore", PATIENCE),
+    ),
+    Mutant(
+        "only-call-of-a-client-always-waits-longer",
+        "journal/patience.py",
+        "silences % 2 == 1 and not self._due_by_watch",
+        "not self._due_by_watch",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "calls-that-wait-longer-vouch-for-each-other",
+        "journal/patience.py",
+        "        if head_s <= self._usual_s:\n            self._usual.add(watch)\n",
+        "        self._usual.add(watch)\n",
+        (PATIENCE,),
+    ),
 ]
 
 
