Soak of large desired states behind narrow links

The soak's desired state was 1 KB and its links had no rate, so that no seed met a read that lasts.

A fourth kind of seed, states: three of four routers have links on which one desired state (290 KB) takes 1.0 to 2.5 s; versions come in series, while the store is away, behind open connections that fall silent for good, and on links of half the width, beside signals, restarts and faults of the store. Each router must have the newest version 4 s and three transfers behind calm, and none may answer 401 or 404 by a version that was replaced 3 s ago. The proxy has a rate that connections share, and silences open connections while new ones work.

--- a/tests/edge_soak/callers.py
+++ b/tests/edge_soak/callers.py
@@ -111,10 +111,17 @@
             return msgspec.json.decode(body)["addresses"] if exchange.status == 200 else []
         return []
 
-    async def ask(self, router: Router, pool: PeerPool, kind: str, body: bytes = BODY) -> Attempt:
-        """Send one request and note what becomes of it."""
+    async def ask(
+        self,
+        router: Router,
+        pool: PeerPool,
+        kind: str,
+        body: bytes = BODY,
+        key_version: int | None = None,
+    ) -> Attempt:
+        """Send one request, by the newest key if none is named, and note what becomes of it."""
         number = len(self.attempts)
-        key_version = self.fleet.version
+        key_version = self.fleet.version if key_version is None else key_version
         attempt = Attempt(
             f"a{number}", kind, router.name, router.lifetime, key_version, trio.current_time()
         )
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -21,12 +21,23 @@
 from tests.edge_soak.proxy import Link, open_link
 from tests.test_edge_process import HOST, free_ports, serve
 
-__all__ = ["EVENTS", "GOOD_ENGINE", "Fleet", "ProcessEnd", "Router", "World", "open_fleet"]
+__all__ = [
+    "EVENTS",
+    "GOOD_ENGINE",
+    "KEPT_KEY_VERSION",
+    "Fleet",
+    "ProcessEnd",
+    "Router",
+    "World",
+    "open_fleet",
+]
 
 EVENTS = 6
 """Events of each answer."""
 GOOD_ENGINE = EngineScript(events=EVENTS, gap_s=0.03)
 TOP_UP = 500
+KEPT_KEY_VERSION = 0
+"""Of the key that no version of the desired state drops."""
 PORTS = 4
 """That a router listens on. All routers' are drawn at once, so that no two are the same."""
 STARTED = b'"started"'
@@ -63,6 +74,9 @@
         Engines that end under marked bodies, before which there are no links.
     prepaid : int
         Budget before the top-ups that each version of the desired state brings.
+    filling : int
+        Routes that nobody calls, which make the desired state large. If there are any, each version
+        brings a route of its own too, which all later ones keep.
     """
 
     routers: int = 3
@@ -72,6 +86,7 @@
     pause_s: float = 0.1
     prepaid: int = 8_000
     crashing: int = 0
+    filling: int = 0
 
 
 @dataclass(frozen=True)
@@ -92,14 +107,25 @@
     early: frozenset[signal.Signals]
 
 
-def _state(version: int, prepaid: int) -> bytes:
+def _state(version: int, prepaid: int, filling: int) -> bytes:
     """Return a desired state: each version brings a key, and drops the last but one."""
-    keys = [f"k{version}", f"k{version - 1}"]
+    keys = sorted({f"k{kept}" for kept in (version, version - 1, KEPT_KEY_VERSION)})
     tenant = {"name": "t", "api_keys": keys, "prepaid": prepaid}
-    made = {"version": version, "routes": ROUTES, "services": [{"name": "s"}], "tenants": [tenant]}
+    routes = ROUTES + _routes_of_versions(version, filling) if filling else ROUTES
+    made = {"version": version, "routes": routes, "services": [{"name": "s"}], "tenants": [tenant]}
     return msgspec.json.encode(made)
 
 
+def _routes_of_versions(version: int, filling: int) -> list[dict[str, object]]:
+    safe = ROUTE | {"kind": "safe", "max_attempts": 2}
+    names = [f"v{brought}" for brought in range(1, version + 1)]
+    filled = [(f"filling{number}", f"h{number}.example") for number in range(filling)]
+    return [
+        safe | {"name": name, "host": host, "path_prefix": f"/{name}/"}
+        for name, host in [*((name, ROUTE["host"]) for name in names), *filled]
+    ]
+
+
 @dataclass
 class Router:
     """One router: its process, which may be replaced, and the links that lead to and from it.
@@ -221,7 +247,13 @@
 
 @dataclass
 class Fleet:
-    """All of one seed's world."""
+    """All of one seed's world.
+
+    Attributes
+    ----------
+    written_at : dict of int to float
+        Trio time from which each version of the desired state is in the store.
+    """
 
     world: World
     store: MemoryStore
@@ -230,6 +262,7 @@
     engine_links: list[Link]
     version: int = 1
     crashing: list[CrashingEngine] = field(default_factory=list)
+    written_at: dict[int, float] = field(default_factory=dict)
 
     @property
     def prepaid(self) -> int:
@@ -243,7 +276,12 @@
 
     def put_state(self) -> None:
         """Write the desired state of the version."""
-        self.store.put("keyed.op", "config", _state(self.version, self.prepaid))
+        self.written_at[self.version] = trio.current_time()
+        self.store.put("keyed.op", "config", self.state())
+
+    def state(self) -> bytes:
+        """Return the desired state of the version."""
+        return _state(self.version, self.prepaid, self.world.filling)
 
 
 async def _router(
--- a/tests/edge_soak/proxy.py
+++ b/tests/edge_soak/proxy.py
@@ -1,5 +1,6 @@
-"""A loopback proxy that delays, resets, silences or cuts one way the connections through it."""
+"""A loopback proxy that delays, resets, silences, slows or cuts one way what passes through it."""
 
+import math
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -10,6 +11,8 @@
 __all__ = ["Link", "LinkFault", "open_link"]
 
 READ_BYTES = 65_536
+NARROW_READ_BYTES = 8_192
+"""Passed on at once where the link has a rate, so that its connections share it evenly."""
 DELAY_S = 0.25
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER of no seconds: a close sends a reset."""
@@ -35,11 +38,16 @@
     port : int
         Where it listens on loopback.
     target : tuple of str and int
+    rate : float
+        Bytes a second in each direction, which all connections share.
     """
 
     port: int
     target: tuple[str, int]
     fault: LinkFault = LinkFault.NONE
+    rate: float = math.inf
+    _free_at: dict[bool, float] = field(default_factory=lambda: {False: 0.0, True: 0.0})
+    _silenced: set[trio.SocketStream] = field(default_factory=set)
     _streams: set[trio.SocketStream] = field(default_factory=set)
     _healed: trio.Event = field(default_factory=trio.Event)
 
@@ -53,6 +61,10 @@
         self._healed.set()
         self._healed = trio.Event()
 
+    def silence_open(self) -> None:
+        """Pass nothing on any more on the connections that are open; new ones work."""
+        self._silenced |= self._streams
+
     async def serve(self, near: trio.SocketStream) -> None:
         """Pass one connection on, for `trio.serve_listeners`."""
         if self.fault is LinkFault.RESET:
@@ -71,6 +83,7 @@
                 nursery.start_soon(self._pass, far, near, True, nursery.cancel_scope)
         finally:
             self._streams -= {near, far}
+            self._silenced -= {near, far}
             near.socket.close()
             far.socket.close()
 
@@ -78,13 +91,26 @@
         self, source: trio.SocketStream, sink: trio.SocketStream, back: bool, scope
     ) -> None:
         try:
-            while data := await source.receive_some(READ_BYTES):
+            while data := await source.receive_some(self._read_bytes):
                 await self._hold(back)
+                await self._carry(len(data), back)
+                if source in self._silenced:
+                    await trio.sleep_forever()
                 await sink.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass  # one end is gone; the other is closed with it
         scope.cancel()
 
+    @property
+    def _read_bytes(self) -> int:
+        return READ_BYTES if math.isinf(self.rate) else NARROW_READ_BYTES
+
+    async def _carry(self, count: int, back: bool) -> None:
+        """Wait until the link has carried so many bytes behind those that came before."""
+        begin = max(trio.current_time(), self._free_at[back])
+        self._free_at[back] = begin + count / self.rate
+        await trio.sleep_until(self._free_at[back])
+
     async def _hold(self, back: bool) -> None:
         """Wait as long as the link passes nothing on in this direction."""
         if self.fault is LinkFault.DELAY:
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -3,7 +3,7 @@
 A seed of the kind `faults` has single faults. One of `series` has signals, restarts and changes
 that overlap, callers that keep their connections, and a kill of all routers at the end. One of
 `crashes` has a request that ends each engine that begins it, beside faults of routers and of the
-store.
+store. One of `states` has large desired states behind narrow links, beside both.
 
 Prints each seed that breaks a promise, with its faults and the folder of its processes' logs, and
 ends with 1 if there is one.
@@ -42,6 +42,16 @@
 from tests.edge_soak.faults import FAULTS, LATER_FAULTS, Planned, heal, plan_of
 from tests.edge_soak.fleet import Fleet, Router, World, open_fleet
 from tests.edge_soak.series import SERIES, is_calm, keep_up, series_of, world_of
+from tests.edge_soak.states import (
+    STATES,
+    STATES_WORLD,
+    answered_as_outdated,
+    narrow_links,
+    newest_within,
+    probe,
+    silence_some,
+    states_of,
+)
 
 __all__ = ["Kind", "run_seed"]
 
@@ -63,7 +73,7 @@
 """In which the calls that are served after a return are counted."""
 
 
-STRIKES = FAULTS | LATER_FAULTS | SERIES | CRASHES
+STRIKES = FAULTS | LATER_FAULTS | SERIES | CRASHES | STATES
 
 
 class Kind(StrEnum):
@@ -72,6 +82,7 @@
     FAULTS = "faults"
     SERIES = "series"
     CRASHES = "crashes"
+    STATES = "states"
 
 
 async def _run_faults(seed: int, folder: Path) -> list[str]:
@@ -198,12 +209,55 @@
         return silent + ends + broken_promises(fleet, callers.attempts)
 
 
+async def _run_states(seed: int, folder: Path) -> list[str]:
+    async with open_fleet(folder, STATES_WORLD) as fleet:
+        await _until_ready(fleet)
+        rng = Random(seed)
+        callers = Callers(fleet, rng)
+        transfer_s = narrow_links(fleet, rng)
+        async with trio.open_nursery() as keeping:
+            for router in fleet.routers:
+                keeping.start_soon(keep_up, router, rng)
+                keeping.start_soon(probe, callers, router)
+            async with _calling(callers):
+                async with trio.open_nursery() as striking:
+                    for planned in states_of(seed):
+                        striking.start_soon(_strike, fleet, planned)
+                heal(fleet)
+                late = await _newest_at_all(callers, rng, transfer_s)
+            keeping.cancel_scope.cancel()
+        outdated = answered_as_outdated(fleet, callers.attempts)
+        return late + outdated + broken_promises(fleet, callers.attempts)
+
+
+async def _newest_at_all(callers: Callers, rng: Random, transfer_s: float) -> list[str]:
+    """Write a last version behind connections that fall silent; return a line if one is late."""
+    late: list[str] = []
+
+    async def add_if_late(router: Router) -> None:
+        late.extend(await newest_within(callers, router, transfer_s))
+
+    await _until_started(callers.fleet)
+    silence_some(callers.fleet, rng)
+    callers.fleet.publish()
+    async with trio.open_nursery() as nursery:
+        for router in callers.fleet.routers:
+            nursery.start_soon(add_if_late, router)
+    return late
+
+
 RUN_BY_KIND = {
     Kind.FAULTS: _run_faults,
     Kind.SERIES: _run_series,
     Kind.CRASHES: _run_crashes,
+    Kind.STATES: _run_states,
+}
+PLAN_BY_KIND = {
+    Kind.FAULTS: plan_of,
+    Kind.SERIES: series_of,
+    Kind.CRASHES: crashes_of,
+    Kind.STATES: states_of,
 }
-PLAN_BY_KIND = {Kind.FAULTS: plan_of, Kind.SERIES: series_of, Kind.CRASHES: crashes_of}
 
 
 def run_seed(seed: int, folder: str, kind: Kind = Kind.FAULTS) -> list[str]:
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -1,5 +1,6 @@
 """A short seeded run of the soak; each seed that ever failed stays, with a line on its cause."""
 
+from dataclasses import replace
 from pathlib import Path
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM, Signals
 
@@ -9,9 +10,17 @@
 from tests.edge_soak.checks import is_good_end, poor_return
 from tests.edge_soak.crashes import crashes_of, is_calm_crash
 from tests.edge_soak.faults import FAULTS, FIRST_WITH_LATER_FAULTS, LATER_FAULTS, plan_of
-from tests.edge_soak.fleet import ProcessEnd
+from tests.edge_soak.fleet import KEPT_KEY_VERSION, Fleet, ProcessEnd
 from tests.edge_soak.run import Kind, run_seed
 from tests.edge_soak.series import CALM, SERIES, is_calm, series_of
+from tests.edge_soak.states import (
+    APPLY_S,
+    BESIDE,
+    STATES,
+    STATES_WORLD,
+    answered_as_outdated,
+    states_of,
+)
 
 SEEDS = (5, 20, 41, FIRST_WITH_LATER_FAULTS)
 """5 and 41: processes are killed, leave and lose the store. 20: answers that are no stream were
@@ -71,6 +80,40 @@
         assert {planned.name for seed in calm for planned in crashes_of(seed)} == {"kill", "leave"}
 
 
+class TestStates:
+    def test_every_fault_is_drawn(self) -> None:
+        drawn = {planned.name for seed in range(7000, 7100) for planned in states_of(seed)}
+        assert drawn == set(STATES) | set(BESIDE)
+
+
+class TestOutdatedAnswers:
+    ATTEMPT = Attempt("a", "v2", "r0", 1, KEPT_KEY_VERSION, APPLY_S + 0.1, status=404, newest=2)
+
+    @staticmethod
+    def told(attempt: Attempt) -> bool:
+        fleet = Fleet(STATES_WORLD, None, [], [], [], written_at={1: -9.0, 2: 0.0, 3: 0.0})
+        return answered_as_outdated(fleet, [attempt]) != []
+
+    def test_refusal_behind_the_allowed_time_is_told(self) -> None:
+        assert self.told(self.ATTEMPT)
+
+    def test_refusal_of_the_newest_key_is_told(self) -> None:
+        refused = replace(self.ATTEMPT, kind="safe", key_version=3, status=401, newest=4)
+        assert self.told(refused)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"sent_at": APPLY_S - 0.1},
+            {"status": 503},
+            {"status": 200},
+            {"status": 401, "kind": "safe", "key_version": 2, "newest": 4},
+        ],
+    )
+    def test_others_are_not(self, change: dict[str, object]) -> None:
+        assert not self.told(replace(self.ATTEMPT, **change))
+
+
 def ended(code: int, *signals: Signals, early: tuple[Signals, ...] = ()) -> ProcessEnd:
     return ProcessEnd(1, code, frozenset(signals + early), frozenset(early))
 
