--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -212,6 +212,11 @@
         """Return whether there is a process."""
         return self.process.poll() is None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the process, if there is one, was asked to end."""
+        return signal.SIGTERM in self._signals
+
     def send(self, number: signal.Signals) -> None:
         """Send the process a signal, unless it is gone."""
         if not self.is_running():
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -171,6 +171,14 @@
                 await trio.sleep(TRY_AGAIN_S)
 
 
+async def _until_back(fleet: Fleet) -> None:
+    """Wait until each router has a process that has started and was not asked to end."""
+    with trio.fail_after(START_S + START_S_OF_A_ROUTER * fleet.world.routers):
+        while any(router.is_leaving for router in fleet.routers):
+            await trio.sleep(TRY_AGAIN_S)
+    await _until_started(fleet)
+
+
 async def _strike(fleet: Fleet, planned: Planned) -> None:
     await trio.sleep(planned.at)
     await STRIKES[planned.name](fleet, Random(planned.seed), planned.length)
@@ -237,7 +245,7 @@
     async def add_if_late(router: Router) -> None:
         late.extend(await newest_within(callers, router, transfer_s))
 
-    await _until_started(callers.fleet)
+    await _until_back(callers.fleet)
     silence_some(callers.fleet, rng)
     callers.fleet.publish()
     async with trio.open_nursery() as nursery:
