--- /dev/null
+++ b/railtide/journal/tests/test_feed_review.py
@@ -0,0 +1,78 @@
+"""Review: a silent store behind an answer of which a part came; answers of no use."""
+
+from random import Random
+
+import trio
+
+from railtide.journal.errors import RecordsExpired
+from railtide.journal.feed import Feed, FeedOptions
+from railtide.journal.keyed import KeyedPage
+from railtide.journal.transfer import Transfer
+from railtide.standins.keyed_store import MemoryStore
+
+
+class BrokenOff(MemoryStore):
+    """Of two records that wait the first comes; how long the next read is to wait is kept."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waits_s: list[float] = []
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
+        self.waits_s.append(wait_s)
+        page = await super().read(topic, start, wait_s, partition, transfer)
+        records = page.records[:1]
+        return KeyedPage(records, page.end, start + len(records))
+
+
+class TestPart:
+    async def test_rest_that_is_known_to_be_there_is_not_waited_for(self, autojump_clock) -> None:
+        """A store that fell silent within the answer is noticed 1 s later, not 2 + 1 s later."""
+        store = BrokenOff()
+        store.put("t", "a", b"0")
+        feed = Feed(store, "t", FeedOptions(wait_s=2.0), Random(1), lambda records: None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await trio.sleep(0.5)
+            store.put("t", "a", b"1")
+            store.put("t", "a", b"2")
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        assert store.waits_s[1] == 0.0
+
+
+class Expired(MemoryStore):
+    """Has lost its history, and says so of each read; counts what it is asked."""
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
+        await self._call(partition)
+        raise RecordsExpired(start + 1)
+
+
+class TestExpiredAgain:
+    async def test_history_that_ends_before_it_is_read_costs_no_call_after_another(
+        self, autojump_clock
+    ) -> None:
+        store = Expired()
+        store.delay_s = 0.004
+        store.put("t", "a", b"0")
+        feed = Feed(store, "t", FeedOptions(), Random(1), lambda records: None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await trio.sleep(5.0)
+            nursery.cancel_scope.cancel()
+        assert store.calls < 50
--- /dev/null
+++ b/railtide/membership/tests/test_newest_for_backlog_review.py
@@ -0,0 +1,163 @@
+"""Review: what is lost where a feed reads the newest records in place of a backlog."""
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+import pytest
+import trio
+
+from railtide.journal.feed import Feed, FeedOptions
+from railtide.journal.keyed import KeyedRecord
+from railtide.membership.instances import Instance, InstanceState
+from railtide.membership.roster import Member, Roster, RosterOptions
+from railtide.membership.upstream_list import RECENT_LOSS_S, RETURN_GRACE_S, UpstreamList
+from railtide.standins.keyed_store import MemoryStore
+
+ROUTERS = 86
+ROSTER = RosterOptions()
+ENGINES = 200
+ENGINE_BYTES = 196
+HEARTBEATS_PER_S = 0.8
+
+
+def cut_from(store: MemoryStore) -> MemoryStore:
+    """Return another way to the same store, which can be down by itself."""
+    way = MemoryStore()
+    way._topic_by_name = store._topic_by_name
+    return way
+
+
+def beat(store: MemoryStore, name: str, number: int) -> None:
+    member = Member(f"{name}-7f3a91c2d4e5", "10.21.32.43:18080", "zone-a", number, 200.0, 12.5)
+    store.put(ROSTER.topic, name, msgspec.msgpack.encode(member))
+
+
+async def beat_for_ever(store: MemoryStore) -> None:
+    number = 0
+    while True:
+        number += 1
+        for router in range(ROUTERS):
+            beat(store, f"edge-delta-a-{router}", number)
+        await trio.sleep(ROSTER.beat_s)
+
+
+class TestDeadRouters:
+    @pytest.mark.parametrize("cut_s", [5.0, 15.0])
+    async def test_router_that_died_long_ago_is_not_alive_behind_a_cut(
+        self, autojump_clock, cut_s: float
+    ) -> None:
+        """Its last record is among the newest for ever, and is no sign of life when read again."""
+        store = MemoryStore()
+        way = cut_from(store)
+        own = Member("own-1", "10.0.0.1:80", "zone-b", 0)
+        roster = Roster(way, "own", own, ROSTER, Random(1))
+        beat(store, "died", 1)
+        seen_alive: list[float] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(beat_for_ever, store)
+            nursery.start_soon(roster.run, lambda: True)
+            await trio.sleep(30.0)
+            assert "died" not in {entrance.name for entrance in roster.live()}
+            way.down = True
+            await trio.sleep(cut_s)
+            way.down = False
+            back = trio.current_time()
+            while trio.current_time() - back < 15.0:
+                await trio.sleep(0.1)
+                if "died" in {entrance.name for entrance in roster.live()}:
+                    seen_alive.append(round(trio.current_time() - back, 1))
+            nursery.cancel_scope.cancel()
+        assert not seen_alive, (seen_alive[0], seen_alive[-1])
+
+
+class Engines:
+    """An upstream list fed as `EdgeNode` does it."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.states: dict[str, InstanceState] = {}
+        self.listed = UpstreamList(self._changed, self._lapse_until)
+        self.feed = Feed(
+            store,
+            "keyed.servers",
+            FeedOptions(pause_s=0.3),
+            Random(1),
+            self._take,
+            self.listed.keep_only,
+        )
+
+    def _changed(self, pool: str, instances: list[Instance]) -> None:
+        self.states = {instance.name: instance.state for instance in instances}
+
+    def _take(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            if not record.value:
+                self.listed.remove(record.key)
+                continue
+            name = record.key
+            state = InstanceState(record.value.split(b" ")[0].decode())
+            self.listed.put(Instance(name, name, f"{name}:1", "z", "engine", "p", state=state))
+        self.listed.settle()
+
+    def _lapse_until(self) -> float:
+        """As in `EdgeNode._lapse_until`."""
+        feed = self.feed
+        if not feed.caught_up or feed.back_at < feed.lost_at:
+            return trio.current_time() + RETURN_GRACE_S
+        lost_lately = trio.current_time() - feed.back_at <= RECENT_LOSS_S
+        if feed.lost_at == -float("inf") or not lost_lately:
+            return trio.current_time()
+        return feed.back_at + RETURN_GRACE_S
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.feed.run)
+            while True:
+                await trio.sleep(0.1)
+                self.listed.settle()
+
+
+def say(store: MemoryStore, name: str, state: InstanceState) -> None:
+    store.put("keyed.servers", name, f"{state} ".encode().ljust(ENGINE_BYTES, b"."))
+
+
+async def say_for_ever(store: MemoryStore, is_out: Callable[[str], bool], engines: int) -> None:
+    while True:
+        for number in range(engines):
+            if not is_out(f"e{number}"):
+                say(store, f"e{number}", InstanceState.LIVE)
+        await trio.sleep(1 / HEARTBEATS_PER_S)
+
+
+class TestDrainedEngines:
+    @pytest.mark.parametrize("engines", [10, ENGINES])
+    async def test_engine_that_drained_and_left_in_a_cut_gets_no_work_behind_it(
+        self, autojump_clock, engines: int
+    ) -> None:
+        """Its record that it leaves is in the backlog; among the newest it is merely missing."""
+        store = MemoryStore()
+        way = cut_from(store)
+        known = Engines(way)
+        out: set[str] = set()
+        live_for: list[float] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(say_for_ever, store, out.__contains__, engines)
+            nursery.start_soon(known.run)
+            await trio.sleep(5.0)
+            assert known.states["e7"] is InstanceState.LIVE
+            way.down = True
+            await trio.sleep(1.0)
+            out.add("e7")
+            say(store, "e7", InstanceState.LEAVING)
+            await trio.sleep(2.5)
+            store.put("keyed.servers", "e7", b"")
+            await trio.sleep(1.0)
+            way.down = False
+            back = trio.current_time()
+            while trio.current_time() - back < 4.0:
+                await trio.sleep(0.05)
+                is_back = known.feed.reachable
+                if is_back and known.states.get("e7") is InstanceState.LIVE:
+                    live_for.append(round(trio.current_time() - back, 2))
+            nursery.cancel_scope.cancel()
+        assert not live_for, (live_for[0], live_for[-1])
