--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -25,9 +25,22 @@
 MEMBERSHIP = "railtide/membership/tests"
 CONTAINMENT = "railtide/containment/tests"
 CRASHING = "railtide/platform/tests/test_crashing_requests.py"
+NARROW = "railtide/keeper/tests/test_narrow_links.py"
+OUTBOX = "railtide/keeper/tests/test_outbox.py"
+CHECKPOINT = "railtide/journal/tests/test_checkpoint.py"
 SUSPENSION = "tests/test_suspension.py"
 EDGE = "railtide/edge/tests"
 OUTDATED = "railtide/platform/tests/test_outdated_view.py"
+LARGE = "railtide/platform/tests/test_large_desired_state.py"
+NARROW = "railtide/platform/tests/test_narrow_store.py"
+FEED = "railtide/journal/tests/test_feed.py"
+PATIENCE = "railtide/journal/tests/test_patience.py"
+STORE = "railtide/platform/tests/test_store.py"
+CALL_OF_BEFORE = "test_call_of_before_a_return_waits_no_longer_than_a_first_one"
+KEPT = "test_whole_records_of_a_read_are_not_read_again[True]"
+REST_DUE = "test_feed_is_not_current_before_the_rest_has_come"
+FRESHNESS = "railtide/journal/tests/test_feed_freshness.py"
+BROKEN_NEWEST = "test_connection_that_never_lives_for_the_newest_moves_on"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -311,8 +324,8 @@
     Mutant(
         "return-of-the-store-told-by-a-record-only",
         "journal/feed.py",
-        "return self._options.wait_s if self.reachable else 0.0",
-        "return self._options.wait_s",
+        "return self._options.wait_s if self.reachable and self._fresh is None else 0.0",
+        "return self._options.wait_s if self._fresh is None else 0.0",
         ("railtide/journal/tests/test_feed.py",),
     ),
     Mutant(
@@ -339,9 +352,9 @@
     ),
     Mutant(
         "unreadable-record-read-for-ever",
-        "platform/store.py",
-        "    return KeyedPage(records, end, offset, offset - start - len(records))",
-        "    return KeyedPage(records, end, start + len(records), offset - start - len(records))",
+        "platform/page.py",
+        "return KeyedPage(self._records, self.end, self._offset, unreadable)",
+        "return KeyedPage(self._records, self.end, self._offset - unreadable, unreadable)",
         (PLATFORM,),
     ),
     Mutant(
@@ -410,8 +423,8 @@
     Mutant(
         "spend-limit-not-kept-to",
         "budgets/account_hand.py",
-        "return amount <= self._headroom() and reserve(self.hand, amount)",
-        "return reserve(self.hand, amount)",
+        "if amount <= self._headroom() and reserve(self.hand, amount):",
+        "if reserve(self.hand, amount):",
         (LEDGERS,),
     ),
     Mutant(
@@ -522,7 +535,7 @@
     Mutant(
         "silent-connections-kept",
         "http/client.py",
-        "                self._drop_idle()\n            raise",
+        "                self.drop_idle()\n            raise",
         "                pass\n            raise",
         (HTTP,),
     ),
@@ -607,8 +620,9 @@
         "returned-units-written-before-they-leave-the-hand",
         "budgets/account_hand.py",
         "        take_back(self.hand, self._idle())\n"
-        "        own = Holding(holder.incarnation, self.hand.granted,",
-        "        own = Holding(holder.incarnation, self.hand.granted - self._idle(),",
+        "        own = Holding(\n            holder.incarnation,\n            self.hand.granted,\n",
+        "        own = Holding(\n            holder.incarnation,\n"
+        "            self.hand.granted - self._idle(),\n",
         (LEDGERS,),
     ),
     Mutant(
@@ -683,10 +697,10 @@
     ),
     Mutant(
         "cut-page-taken-for-an-empty-one",
-        "platform/store.py",
-        "if len(data) < 2 * OFFSET_BYTES:",
-        "if False:",
-        (PLATFORM,),
+        "platform/page.py",
+        "        if self.end is None:\n            raise",
+        "        self.end = self.end or 0\n        if False:\n            raise",
+        (STORE,),
     ),
     Mutant(
         "unframed-answer-billed-by-the-call",
@@ -990,6 +1004,201 @@
         "            pass\n",
         (f"{PLATFORM}/test_waking.py",),
     ),
+    Mutant(
+        "all-ledgers-that-are-due-in-one-append",
+        "budgets/ledger_partition.py",
+        "            if size >= APPEND_BYTES:\n                break\n",
+        "",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "waiting-callers-ledger-has-no-turn-before-others",
+        "budgets/ledger_partition.py",
+        "return not is_waited_for, self._planned_at.get(account, -math.inf)",
+        "return False, self._planned_at.get(account, -math.inf)",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "first-ledgers-have-each-turn",
+        "budgets/ledger_partition.py",
+        "return not is_waited_for, self._planned_at.get(account, -math.inf)",
+        "return not is_waited_for, 0.0",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "granted-caller-waits-for-all-other-ledgers",
+        "budgets/ledger_partition.py",
+        "            self.hand_by_account[account].take(change)\n"
+        "            self.hand_by_account[account].wake()\n",
+        "            self.hand_by_account[account].take(change)\n",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "ledgers-not-read-while-more-is-due",
+        "budgets/ledger_partition.py",
+        "                await self._read()  # more may be due",
+        "                pass  # more may be due",
+        (f"{LEDGERS}/test_large_partition.py",),
+    ),
+    Mutant(
+        "body-under-the-limit-of-the-head",
+        "http/server.py",
+        "                scope.deadline += len(event.data) / BODY_PACE\n",
+        "",
+        (f"{HTTP}/test_connections.py",),
+    ),
+    Mutant(
+        "body-without-a-limit",
+        "http/server.py",
+        "scope.deadline += len(event.data) / BODY_PACE",
+        'scope.deadline = float("inf")',
+        (f"{HTTP}/test_connections.py",),
+    ),
+    Mutant(
+        "reply-has-a-limit-on-the-whole",
+        "keeper/relay.py",
+        "                return await self._reply_to(call, REPLY_S + wait_s)",
+        "                with trio.fail_after(REPLY_S + wait_s):\n"
+        "                    return await self._reply_to(call, REPLY_S + wait_s)",
+        (NARROW,),
+    ),
+    Mutant(
+        "silent-peer-is-waited-for",
+        "keeper/relay.py",
+        "self._reply_to(call, REPLY_S + wait_s)",
+        'self._reply_to(call, float("inf"))',
+        (NARROW,),
+    ),
+    Mutant(
+        "peer-that-takes-nothing-is-waited-for",
+        "keeper/relay.py",
+        "self._link.send(message, REPLY_S)",
+        "self._link.send(message)",
+        (NARROW,),
+    ),
+    Mutant(
+        "silence-counted-over-the-whole-message",
+        "wire/links.py",
+        "            try:\n                with _silence(silence_s):\n"
+        "                    data = await self._stream.receive_some(RECEIVE_BYTES)\n",
+        '            try:\n                began = locals().get("began", trio.current_time())\n'
+        "                with _silence(began + silence_s - trio.current_time()):\n"
+        "                    data = await self._stream.receive_some(RECEIVE_BYTES)\n",
+        ("railtide/router/tests/test_uplink.py",),
+    ),
+    Mutant(
+        "silent-keeper-is-kept",
+        "router/uplink.py",
+        "link.receive(SILENCE_S)",
+        "link.receive()",
+        ("railtide/router/tests/test_uplink.py",),
+    ),
+    Mutant(
+        "silent-keeper-is-asked-first-again",
+        "router/uplink.py",
+        "            except LinkSilent:\n                self._turn += 1\n",
+        "            except LinkSilent:\n",
+        ("railtide/router/tests/test_uplink.py",),
+    ),
+    Mutant(
+        "reply-of-any-size",
+        "keeper/server.py",
+        "        if taken and size > REPLY_BYTES:\n            break\n",
+        "",
+        (NARROW,),
+    ),
+    Mutant(
+        "record-above-a-reply-is-never-sent",
+        "keeper/server.py",
+        "if taken and size > REPLY_BYTES:",
+        "if size > REPLY_BYTES:",
+        (NARROW,),
+    ),
+    Mutant(
+        "parts-thrown-away-at-a-failure",
+        "keeper/follower.py",
+        "        if self._checkpoint is None:\n            self._checkpoint",
+        "        if True:\n            self._checkpoint",
+        (CHECKPOINT,),
+    ),
+    Mutant(
+        "parts-that-came-do-not-shorten-the-wait",
+        "keeper/follower.py",
+        "            if self._checkpoint.records_read > known:\n"
+        "                self._backoff.reset()  # the log answers, now and then\n",
+        "",
+        (CHECKPOINT,),
+    ),
+    Mutant(
+        "failed-read-asks-for-as-much-again",
+        "keeper/follower.py",
+        "                self._limit = max(1, self._limit // 2)\n",
+        "",
+        (CHECKPOINT,),
+    ),
+    Mutant(
+        "older-word-is-sent-too",
+        "keeper/outbox.py",
+        "            return type(message)\n",
+        "            return None\n",
+        (NARROW,),
+    ),
+    Mutant(
+        "objects-count-as-events",
+        "keeper/outbox.py",
+        "            return ObjectMessage, message.kind, message.name\n",
+        "            return None\n",
+        (NARROW,),
+    ),
+    Mutant(
+        "status-goes-before-what-it-speaks-of",
+        "keeper/outbox.py",
+        "            self._message_by_thing.move_to_end(thing)\n",
+        "            pass\n",
+        (OUTBOX,),
+    ),
+    Mutant(
+        "events-without-a-bound",
+        "keeper/outbox.py",
+        "            if self._events >= MOST_EVENTS:\n                return False\n",
+        "",
+        (OUTBOX,),
+    ),
+    Mutant(
+        "sent-events-count-on",
+        "keeper/outbox.py",
+        "            self._events -= 1\n",
+        "            pass\n",
+        (OUTBOX,),
+    ),
+    Mutant(
+        "all-entries-that-wait-in-one-append",
+        "keeper/appender.py",
+        " or size >= APPEND_BYTES:",
+        ":",
+        ("railtide/keeper/tests/test_appender.py",),
+    ),
+    Mutant(
+        "append-sent-under-one-limit",
+        "journal/http_log.py",
+        "SEND_BYTES = 65_536",
+        "SEND_BYTES = 1 << 30",
+        ("railtide/journal/tests/test_http_log.py",),
+    ),
+    Mutant(
+        "session-has-a-limit-on-the-whole-log",
+        "operators/session.py",
+        "                heard_at = trio.current_time()\n            elif",
+        "            elif",
+        ("railtide/operators/tests/test_long_logs.py",),
+    ),
+    Mutant(
+        "session-waits-for-a-silent-log",
+        "operators/session.py",
+        "elif trio.current_time() - heard_at > self._timeout_s:",
+        "elif False:",
+        ("railtide/operators/tests/test_long_logs.py",),
+    ),
     Mutant(
         "old-view-refuses-for-good",
         "edge/node.py",
@@ -1165,6 +1374,209 @@
         "ConnectionLimits()",
         ("tests/test_edge_process.py",),
     ),
+    Mutant(
+        "answer-is-bounded-as-a-whole",
+        "http/stall.py",
+        "if first or self._portion >= self._least_bytes:",
+        "if first:",
+        (f"{LARGE}::TestLargeState",),
+    ),
+    Mutant(
+        "trickle-holds-a-read",
+        "http/stall.py",
+        "if first or self._portion >= self._least_bytes:",
+        "if True:",
+        (f"{NARROW}::TestTrickle",),
+    ),
+    Mutant(
+        "silence-within-an-answer-is-not-noticed",
+        "http/stall.py",
+        "self._scope.deadline = trio.current_time() + self._stall_s",
+        "self._scope.deadline = trio.current_time() + 600",
+        (f"{NARROW}::TestSilence",),
+    ),
+    Mutant(
+        "large-request-is-not-waited-for",
+        "http/client.py",
+        "            self._watch.note_sent()\n",
+        "            pass\n",
+        (f"{NARROW}::TestLargeAppend",),
+    ),
+    Mutant(
+        "idle-connections-are-trusted-behind-a-silence",
+        "platform/store.py",
+        "            self._pool.drop_idle()\n",
+        "            pass\n",
+        (f"{NARROW}::TestSilence",),
+    ),
+    Mutant(
+        "late-answer-is-never-waited-for",
+        "journal/patience.py",
+        "self._usual_s * GROWTH**silences",
+        "self._usual_s",
+        (f"{LARGE}::TestLargeState",),
+    ),
+    Mutant(
+        "wait-for-an-answer-grows-without-end",
+        "journal/patience.py",
+        "min(self._most_s, self._usual_s * GROWTH**silences)",
+        "self._usual_s * GROWTH**silences",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "wait-stays-long-behind-an-answer",
+        "journal/patience.py",
+        "        self._silences_by_subject.pop(subject, None)\n",
+        "",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "call-of-before-a-return-keeps-its-long-wait",
+        "journal/patience.py",
+        "                watch.hurry(max(due, now + self._usual_s))\n",
+        "                pass\n",
+        (PATIENCE, f"{NARROW}::TestSlowStore::{CALL_OF_BEFORE}"),
+    ),
+    Mutant(
+        "held-read-is-given-up-behind-a-return",
+        "journal/patience.py",
+        "watch.hurry(max(due, now + self._usual_s))",
+        "watch.hurry(now + self._usual_s)",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "whole-records-of-a-broken-answer-are-read-again",
+        "platform/store.py",
+        "            if not reader.has_records:\n                raise\n",
+        "            raise\n",
+        (f"{STORE}::TestProgress", f"{NARROW}::TestBrokenAnswer::{KEPT}"),
+    ),
+    Mutant(
+        "part-of-a-record-counts",
+        "platform/page.py",
+        "return behind if len(self._rest) >= behind else None",
+        "return behind",
+        (f"{PLATFORM}/test_page.py",),
+    ),
+    Mutant(
+        "pages-of-the-newest-are-read-again",
+        "platform/store.py",
+        "if known and trio.current_time() - known.came_at <= RESUME_S:",
+        "if False:",
+        (f"{STORE}::TestProgress",),
+    ),
+    Mutant(
+        "pages-of-long-ago-are-gone-on-with",
+        "platform/store.py",
+        "if known and trio.current_time() - known.came_at <= RESUME_S:",
+        "if known:",
+        (f"{STORE}::TestProgress",),
+    ),
+    Mutant(
+        "replaced-versions-are-read",
+        "journal/feed.py",
+        "            raise _Superseded\n",
+        "            pass\n",
+        (f"{LARGE}::TestSeveralVersions", FEED),
+    ),
+    Mutant(
+        "small-versions-are-not-read-in-order",
+        "journal/feed.py",
+        "if large and known and waiting >",
+        "if known and waiting >",
+        (FEED,),
+    ),
+    Mutant(
+        "only-version-is-not-read-as-it-is",
+        "journal/feed.py",
+        "waiting > max(1, known * ENCODED)",
+        "waiting > 0",
+        (FEED,),
+    ),
+    Mutant(
+        "feed-is-current-with-a-version-under-way",
+        "journal/feed.py",
+        "return heard and self.freshness.behind_since is None",
+        "return heard",
+        (FEED,),
+    ),
+    Mutant(
+        "feed-is-current-with-the-rest-of-an-answer-due",
+        "journal/feed.py",
+        "        if page.next_offset >= page.end:\n            self.freshness.note_complete()\n",
+        "        self.freshness.note_complete()\n",
+        (f"{NARROW}::TestBrokenAnswer::{REST_DUE}",),
+    ),
+    Mutant(
+        "appended-again-while-the-fold-is-behind",
+        "keeper/appender.py",
+        "        return offset > self._follower.state.offset\n",
+        "        return False\n",
+        ("railtide/keeper/tests/test_appender.py",),
+    ),
+    Mutant(
+        "passed-over-by-the-fold-and-never-sent-again",
+        "keeper/appender.py",
+        "        return offset > self._follower.state.offset\n",
+        "        return offset >= 0\n",
+        ("railtide/keeper/tests/test_appender.py",),
+    ),
+    Mutant(
+        "records-of-new-keys-count-as-replaced",
+        "journal/feed.py",
+        "if large and known and waiting",
+        "if large and waiting",
+        (f"{NARROW}::TestBrokenAnswer::test_whole_records_of_a_read_are_not_read_again",),
+    ),
+    Mutant(
+        "newest-are-begun-again-behind-each-break",
+        "journal/feed.py",
+        "        self._left = False\n        self._may_leave = False\n        return True\n",
+        "        return False\n",
+        (f"{NARROW}::TestBrokenAnswer::{BROKEN_NEWEST}",),
+    ),
+    Mutant(
+        "read-is-left-again-before-it-has-moved-on",
+        "journal/feed.py",
+        "        self._may_leave = False\n",
+        "",
+        (f"{NARROW}::TestBrokenAnswer::{BROKEN_NEWEST}",),
+    ),
+    Mutant(
+        "feed-is-current-behind-an-expired-history",
+        "journal/feed.py",
+        'info("history-expired")\n                self.freshness.note_newer()\n',
+        'info("history-expired")\n',
+        (FRESHNESS,),
+    ),
+    Mutant(
+        "bytes-of-an-earlier-page-count",
+        "journal/transfer.py",
+        "        self.size = size\n        self.received = 0\n",
+        "        self.size = size\n",
+        (FRESHNESS,),
+    ),
+    Mutant(
+        "only-call-of-a-client-never-waits-longer",
+        "journal/patience.py",
+        "is_alone = silences % 2 == 1 and not self._due_by_watch",
+        "is_alone = False",
+        (f"{NARROW}::TestSlowStore", PATIENCE),
+    ),
+    Mutant(
+        "only-call-of-a-client-always-waits-longer",
+        "journal/patience.py",
+        "silences % 2 == 1 and not self._due_by_watch",
+        "not self._due_by_watch",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "calls-that-wait-longer-vouch-for-each-other",
+        "journal/patience.py",
+        "        if head_s <= self._usual_s:\n            self._usual.add(watch)\n",
+        "        self._usual.add(watch)\n",
+        (PATIENCE,),
+    ),
 ]
 
 
