--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -31,6 +31,16 @@
 SUSPENSION = "tests/test_suspension.py"
 EDGE = "railtide/edge/tests"
 OUTDATED = "railtide/platform/tests/test_outdated_view.py"
+LARGE = "railtide/platform/tests/test_large_desired_state.py"
+NARROW = "railtide/platform/tests/test_narrow_store.py"
+FEED = "railtide/journal/tests/test_feed.py"
+PATIENCE = "railtide/journal/tests/test_patience.py"
+STORE = "railtide/platform/tests/test_store.py"
+CALL_OF_BEFORE = "test_call_of_before_a_return_waits_no_longer_than_a_first_one"
+KEPT = "test_whole_records_of_a_read_are_not_read_again[True]"
+REST_DUE = "test_feed_is_not_current_before_the_rest_has_come"
+FRESHNESS = "railtide/journal/tests/test_feed_freshness.py"
+BROKEN_NEWEST = "test_connection_that_never_lives_for_the_newest_moves_on"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -314,8 +324,8 @@
     Mutant(
         "return-of-the-store-told-by-a-record-only",
         "journal/feed.py",
-        "return self._options.wait_s if self.reachable else 0.0",
-        "return self._options.wait_s",
+        "return self._options.wait_s if self.reachable and self._fresh is None else 0.0",
+        "return self._options.wait_s if self._fresh is None else 0.0",
         ("railtide/journal/tests/test_feed.py",),
     ),
     Mutant(
@@ -342,9 +352,9 @@
     ),
     Mutant(
         "unreadable-record-read-for-ever",
-        "platform/store.py",
-        "    return KeyedPage(records, end, offset, offset - start - len(records))",
-        "    return KeyedPage(records, end, start + len(records), offset - start - len(records))",
+        "platform/page.py",
+        "return KeyedPage(self._records, self.end, self._offset, unreadable)",
+        "return KeyedPage(self._records, self.end, self._offset - unreadable, unreadable)",
         (PLATFORM,),
     ),
     Mutant(
@@ -413,8 +423,8 @@
     Mutant(
         "spend-limit-not-kept-to",
         "budgets/account_hand.py",
-        "return amount <= self._headroom() and reserve(self.hand, amount)",
-        "return reserve(self.hand, amount)",
+        "if amount <= self._headroom() and reserve(self.hand, amount):",
+        "if reserve(self.hand, amount):",
         (LEDGERS,),
     ),
     Mutant(
@@ -525,7 +535,7 @@
     Mutant(
         "silent-connections-kept",
         "http/client.py",
-        "                self._drop_idle()\n            raise",
+        "                self.drop_idle()\n            raise",
         "                pass\n            raise",
         (HTTP,),
     ),
@@ -610,8 +620,9 @@
         "returned-units-written-before-they-leave-the-hand",
         "budgets/account_hand.py",
         "        take_back(self.hand, self._idle())\n"
-        "        own = Holding(holder.incarnation, self.hand.granted,",
-        "        own = Holding(holder.incarnation, self.hand.granted - self._idle(),",
+        "        own = Holding(\n            holder.incarnation,\n            self.hand.granted,\n",
+        "        own = Holding(\n            holder.incarnation,\n"
+        "            self.hand.granted - self._idle(),\n",
         (LEDGERS,),
     ),
     Mutant(
@@ -686,10 +697,10 @@
     ),
     Mutant(
         "cut-page-taken-for-an-empty-one",
-        "platform/store.py",
-        "if len(data) < 2 * OFFSET_BYTES:",
-        "if False:",
-        (PLATFORM,),
+        "platform/page.py",
+        "        if self.end is None:\n            raise",
+        "        self.end = self.end or 0\n        if False:\n            raise",
+        (STORE,),
     ),
     Mutant(
         "unframed-answer-billed-by-the-call",
@@ -1342,6 +1353,20 @@
         "self.server.limits.doubt_s()",
         (HTTP,),
     ),
+    Mutant(
+        "head-limit-holds-for-heads-that-came-whole-only",
+        "http/server.py",
+        "if in_head and len(self.h11.trailing_data[0]) > self.server.limits.head_bytes:",
+        "if False:",
+        (HTTP,),
+    ),
+    Mutant(
+        "head-limit-of-a-connections-begin-stays",
+        "http/server.py",
+        "most = max(MOST_READ_AHEAD, server.limits.head_bytes)",
+        "most = server.limits.head_bytes",
+        (HTTP,),
+    ),
     Mutant(
         "limits-are-never-doubted",
         "platform/program.py",
@@ -1349,6 +1374,139 @@
         "ConnectionLimits()",
         ("tests/test_edge_process.py",),
     ),
+    Mutant(
+        "answer-is-bounded-as-a-whole",
+        "http/stall.py",
+        "if first or self._portion >= self._least_bytes:",
+        "if first:",
+        (f"{LARGE}::TestLargeState",),
+    ),
+    Mutant(
+        "trickle-holds-a-read",
+        "http/stall.py",
+        "if first or self._portion >= self._least_bytes:",
+        "if True:",
+        (f"{NARROW}::TestTrickle",),
+    ),
+    Mutant(
+        "silence-within-an-answer-is-not-noticed",
+        "http/stall.py",
+        "self._scope.deadline = trio.current_time() + self._stall_s",
+        "self._scope.deadline = trio.current_time() + 600",
+        (f"{NARROW}::TestSilence",),
+    ),
+    Mutant(
+        "large-request-is-not-waited-for",
+        "http/client.py",
+        "            self._watch.note_sent()\n",
+        "            pass\n",
+        (f"{NARROW}::TestLargeAppend",),
+    ),
+    Mutant(
+        "idle-connections-are-trusted-behind-a-silence",
+        "platform/store.py",
+        "            self._pool.drop_idle()\n",
+        "            pass\n",
+        (f"{NARROW}::TestSilence",),
+    ),
+    Mutant(
+        "late-answer-is-never-waited-for",
+        "journal/patience.py",
+        "self._usual_s * GROWTH**silences",
+        "self._usual_s",
+        (f"{LARGE}::TestLargeState",),
+    ),
+    Mutant(
+        "wait-for-an-answer-grows-without-end",
+        "journal/patience.py",
+        "min(self._most_s, self._usual_s * GROWTH**silences)",
+        "self._usual_s * GROWTH**silences",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "wait-stays-long-behind-an-answer",
+        "journal/patience.py",
+        "        self._silences_by_subject.pop(subject, None)\n",
+        "",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "call-of-before-a-return-keeps-its-long-wait",
+        "journal/patience.py",
+        "                watch.hurry(max(due, now + self._usual_s))\n",
+        "                pass\n",
+        (PATIENCE, f"{NARROW}::TestSlowStore::{CALL_OF_BEFORE}"),
+    ),
+    Mutant(
+        "held-read-is-given-up-behind-a-return",
+        "journal/patience.py",
+        "watch.hurry(max(due, now + self._usual_s))",
+        "watch.hurry(now + self._usual_s)",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "whole-records-of-a-broken-answer-are-read-again",
+        "platform/store.py",
+        "            if not reader.has_records:\n                raise\n",
+        "            raise\n",
+        (f"{STORE}::TestProgress", f"{NARROW}::TestBrokenAnswer::{KEPT}"),
+    ),
+    Mutant(
+        "part-of-a-record-counts",
+        "platform/page.py",
+        "return behind if len(self._rest) >= behind else None",
+        "return behind",
+        (f"{PLATFORM}/test_page.py",),
+    ),
+    Mutant(
+        "pages-of-the-newest-are-read-again",
+        "platform/store.py",
+        "if known and trio.current_time() - known.came_at <= RESUME_S:",
+        "if False:",
+        (f"{STORE}::TestProgress",),
+    ),
+    Mutant(
+        "pages-of-long-ago-are-gone-on-with",
+        "platform/store.py",
+        "if known and trio.current_time() - known.came_at <= RESUME_S:",
+        "if known:",
+        (f"{STORE}::TestProgress",),
+    ),
+    Mutant(
+        "replaced-versions-are-read",
+        "journal/feed.py",
+        "            raise _Superseded\n",
+        "            pass\n",
+        (f"{LARGE}::TestSeveralVersions", FEED),
+    ),
+    Mutant(
+        "small-versions-are-not-read-in-order",
+        "journal/feed.py",
+        "if large and known and waiting >",
+        "if known and waiting >",
+        (FEED,),
+    ),
+    Mutant(
+        "only-version-is-not-read-as-it-is",
+        "journal/feed.py",
+        "waiting > max(1, known * ENCODED)",
+        "waiting > 0",
+        (FEED,),
+    ),
+    Mutant(
+        "feed-is-current-with-a-version-under-way",
+        "journal/feed.py",
+        "return heard and self.freshness.behind_since is None",
+        "return heard",
+        (FEED,),
+    ),
+    Mutant(
+        "feed-is-current-with-the-rest-of-an-answer-due",
+        "journal/feed.py",
+        "        if page.next_offset >= page.end:\n            self.freshness.note_complete()\n",
+        "        self.freshness.note_complete()\n",
+        (f"{NARROW}::TestBrokenAnswer::{REST_DUE}",),
+    ),
     Mutant(
         "appended-again-while-the-fold-is-behind",
         "keeper/appender.py",
@@ -1363,6 +1521,62 @@
         "        return offset >= 0\n",
         ("railtide/keeper/tests/test_appender.py",),
     ),
+    Mutant(
+        "records-of-new-keys-count-as-replaced",
+        "journal/feed.py",
+        "if large and known and waiting",
+        "if large and waiting",
+        (f"{NARROW}::TestBrokenAnswer::test_whole_records_of_a_read_are_not_read_again",),
+    ),
+    Mutant(
+        "newest-are-begun-again-behind-each-break",
+        "journal/feed.py",
+        "        self._left = False\n        self._may_leave = False\n        return True\n",
+        "        return False\n",
+        (f"{NARROW}::TestBrokenAnswer::{BROKEN_NEWEST}",),
+    ),
+    Mutant(
+        "read-is-left-again-before-it-has-moved-on",
+        "journal/feed.py",
+        "        self._may_leave = False\n",
+        "",
+        (f"{NARROW}::TestBrokenAnswer::{BROKEN_NEWEST}",),
+    ),
+    Mutant(
+        "feed-is-current-behind-an-expired-history",
+        "journal/feed.py",
+        'info("history-expired")\n                self.freshness.note_newer()\n',
+        'info("history-expired")\n',
+        (FRESHNESS,),
+    ),
+    Mutant(
+        "bytes-of-an-earlier-page-count",
+        "journal/transfer.py",
+        "        self.size = size\n        self.received = 0\n",
+        "        self.size = size\n",
+        (FRESHNESS,),
+    ),
+    Mutant(
+        "only-call-of-a-client-never-waits-longer",
+        "journal/patience.py",
+        "is_alone = silences % 2 == 1 and not self._due_by_watch",
+        "is_alone = False",
+        (f"{NARROW}::TestSlowStore", PATIENCE),
+    ),
+    Mutant(
+        "only-call-of-a-client-always-waits-longer",
+        "journal/patience.py",
+        "silences % 2 == 1 and not self._due_by_watch",
+        "not self._due_by_watch",
+        (PATIENCE,),
+    ),
+    Mutant(
+        "calls-that-wait-longer-vouch-for-each-other",
+        "journal/patience.py",
+        "        if head_s <= self._usual_s:\n            self._usual.add(watch)\n",
+        "        self._usual.add(watch)\n",
+        (PATIENCE,),
+    ),
 ]
 
 
