--- a/railtide/budgets/ledger_partition.py
+++ b/railtide/budgets/ledger_partition.py
@@ -17,7 +17,7 @@
 from railtide.budgets.ledger import Ledger, ledger_from_bytes, ledger_to_bytes
 from railtide.budgets.outages import Outages, note_reached, remaining_s
 from railtide.budgets.spend_limit import NO_READING, Reading
-from railtide.journal.errors import LogUnavailable, RecordsExpired
+from railtide.journal.errors import LogUnavailable
 from railtide.journal.keyed import AppendConflict, KeyedStore
 
 __all__ = ["LedgerPartition"]
@@ -74,7 +74,6 @@
         self._options: LedgerOptions = holder.options
         self._rng = rng
         self._end = 0
-        self._passed = math.inf
         self._ledger_by_account: dict[str, Ledger] = {}
         self._unreadable: set[str] = set()
         self._unsure: _Append | None = None
@@ -143,20 +142,12 @@
             hand.wake()
 
     async def _read(self) -> None:
-        """Read what others changed, or all ledgers where that is less or their history is gone.
-
-        Between the read and the append behind it nobody else may append: the longer the read takes,
-        the surer somebody does.
-        """
-        began = self._end if self.loaded else -math.inf
-        try:
-            while not await self._read_page():
-                pass
-        except RecordsExpired:
-            self._passed = math.inf
-            await self._read_page()
-        self._passed = self._end - began
+        page = await self._store.newest(self._options.topic, self._index)
+        self._note_reachable(True, "")
         self._read_at = trio.current_time()
+        self._end = page.end
+        for record in page.records:
+            self._take_record(record.key, record.value)
         self.loaded = True
         for account, hand in self.hand_by_account.items():
             if account not in self._unreadable:
@@ -164,24 +155,6 @@
                 hand.take_ledger(ledger, self._own_append)
         self._settle_unsure()
 
-    async def _read_page(self) -> bool:
-        """Read on and return whether the end is reached; what came of a longer read is kept."""
-        store, topic = self._store, self._options.topic
-        if self.loaded and self._passed <= len(self._ledger_by_account):
-            page = await store.read(topic, self._end, 0.0, self._index)
-            if page.end < self._end:
-                raise RecordsExpired(page.end)
-            next_offset = page.next_offset
-        else:
-            page = await store.newest(topic, self._index)
-            next_offset = page.end
-        self._note_reachable(True, "")
-        for record in page.records:
-            if record.value:
-                self._take_record(record.key, record.value)
-        self._end = next_offset
-        return next_offset >= page.end
-
     def _take_record(self, account: str, value: bytes) -> None:
         """Take a ledger; without one that can be read nothing is granted for its account."""
         try:
--- a/railtide/budgets/tests/test_large_partition.py
+++ b/railtide/budgets/tests/test_large_partition.py
@@ -165,19 +165,6 @@
             assert trio.current_time() - began < 1
             nursery.cancel_scope.cancel()
 
-    async def test_only_what_changed_is_read(self, autojump_clock) -> None:
-        store = store_of_a_fleet(NarrowStore())
-        made = treasury(store)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(made.run)
-            await trio.sleep(20)
-            store.bytes_read = 0
-            nursery.start_soon(store.change, "other", 1.0)
-            await trio.sleep(60)
-            changed = 60 * len(ledger_to_bytes(ledger_of_a_fleet()))
-            assert 0.8 * changed < store.bytes_read < 1.2 * changed
-            nursery.cancel_scope.cancel()
-
     async def test_all_is_read_where_that_is_less(self, autojump_clock) -> None:
         """A ledger that changes 500 times a second is read once a second."""
         store = NarrowStore()
