--- a/railtide/journal/tests/test_feed_review.py
+++ b/railtide/journal/tests/test_feed_review.py
@@ -6,7 +6,7 @@
 
 from railtide.journal.errors import RecordsExpired
 from railtide.journal.feed import Feed, FeedOptions
-from railtide.journal.keyed import KeyedPage
+from railtide.journal.keyed import AppendConflict, KeyedPage
 from railtide.journal.transfer import Transfer
 from railtide.standins.keyed_store import MemoryStore
 
@@ -76,3 +76,64 @@
             await trio.sleep(5.0)
             nursery.cancel_scope.cancel()
         assert store.calls < 50
+
+
+class EndAhead(MemoryStore):
+    """Says that there is one record more than it gives, each time."""
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
+        await self._call(partition)
+        if transfer:
+            transfer.begin(start + 1, 16)
+        return KeyedPage([], start + 1, start)
+
+
+class TestEndAhead:
+    async def test_answer_without_the_record_that_it_tells_of_is_not_asked_for_at_once(
+        self, autojump_clock
+    ) -> None:
+        store = EndAhead()
+        store.delay_s = 0.004
+        store.put("t", "a", b"0")
+        feed = Feed(store, "t", FeedOptions(), Random(1), lambda records: None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await trio.sleep(5.0)
+            nursery.cancel_scope.cancel()
+        assert store.calls < 50
+
+
+class WrongRefusal(MemoryStore):
+    """Answers one read as it would a condition that did not hold."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.wrong = 1
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
+        if self.wrong:
+            self.wrong -= 1
+            raise AppendConflict(0)
+        return await super().read(topic, start, wait_s, partition, transfer)
+
+
+class TestWrongRefusal:
+    async def test_refusal_of_another_call_does_not_end_the_router(self, autojump_clock) -> None:
+        """`PlatformStore` raises so for a 412 to any call; it ends the nursery of all duties."""
+        feed = Feed(WrongRefusal(), "t", FeedOptions(), Random(1), lambda records: None)
+        with trio.move_on_after(5.0):
+            await feed.run()
