--- /dev/null
+++ b/railtide/edge/tests/test_freshness_review.py
@@ -0,0 +1,51 @@
+"""Review: a store that goes away while all routers read a new version."""
+
+from random import Random
+
+import trio
+
+from railtide.edge.freshness import ViewFreshness
+from railtide.journal.errors import LogUnavailable
+from railtide.journal.feed import Feed, FeedOptions
+from railtide.journal.keyed import KeyedPage
+from railtide.journal.transfer import Transfer
+from railtide.standins.keyed_store import MemoryStore
+
+
+class GoesAway(MemoryStore):
+    """Falls silent once it has begun to answer with a record, and is away from then on."""
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        transfer: Transfer | None = None,
+    ) -> KeyedPage:
+        page = await super().read(topic, start, wait_s, partition, transfer)
+        if page.records:
+            self.down = True
+            raise LogUnavailable("nothing moved")
+        return page
+
+
+class TestStoreAway:
+    async def test_store_that_went_away_within_an_answer_leaves_none_behind(
+        self, autojump_clock
+    ) -> None:
+        """`/ready` is 503 at each router at once, for as long as the store is away.
+
+        "A store that is merely away does neither: it is away for all routers alike."
+        """
+        store = GoesAway()
+        feed = Feed(store, "t", FeedOptions(), Random(1), lambda records: None)
+        freshness = ViewFreshness(feed, 2.0, 1.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await trio.sleep(1.0)
+            store.put("t", "a", b"1")
+            await trio.sleep(10.0)
+            assert not feed.reachable
+            assert not freshness.is_behind()
+            nursery.cancel_scope.cancel()
