--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -81,8 +81,8 @@
 
 
 STATES_SEEDS = (7000, 7104)
-"""7000: routers with narrow links never had the newest version, and answered 404 by an old one. 7104:
-behind one break of an answer with the newest records, three replaced versions were read."""
+"""7000: routers with narrow links never had the newest version, and answered 404 by an old one.
+7104: behind one break of an answer with the newest records, three replaced versions were read."""
 
 
 class TestStates:
