One replaced version at most is read behind a break of the newest records

Where an answer with the newest records broke off once, as at each loss of the store, the feed read on in order until a whole answer had come: with three or four versions of 304 KB waiting, 6 to 9 s of a link on which the newest needs 2 s.

Now such a read ends with its first whole record, and the newest are asked for again. Over a connection that never lives for them it moves on by one record a try, as before.

--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -145,7 +145,8 @@
         """Read on where an answer was left if what replaces it breaks off; return whether started.
 
         Of an answer with records those that come whole are kept, of the newest only whole pages:
-        over a connection that breaks again and again the first of the two moves on.
+        over a connection that breaks again and again the first of the two moves on. It ends with
+        one record: behind one break of the newest, three replaced versions of 300 KB were read.
         """
         if started or not self._left:
             return started
@@ -171,7 +172,7 @@
     async def _follow(self) -> None:
         while True:
             fresh = self._fresh
-            transfer = Transfer(self._note_begun)
+            transfer = Transfer(self._note_begun, first_only=not self._may_leave)
             self.freshness.watch(transfer)
             with trio.CancelScope() as self._reading:
                 page = await self._store.read(
--- a/railtide/journal/transfer.py
+++ b/railtide/journal/transfer.py
@@ -15,6 +15,8 @@
     on_begun : callable, optional
         Told once the answer has begun and its partition's end is known. What it raises ends the
         read.
+    first_only : bool, optional
+        Whether the read ends with the first record that has come whole.
 
     Attributes
     ----------
@@ -28,7 +30,12 @@
         Trio time at which the answer began.
     """
 
-    def __init__(self, on_begun: Callable[["Transfer"], None] = lambda transfer: None) -> None:
+    def __init__(
+        self,
+        on_begun: Callable[["Transfer"], None] = lambda transfer: None,
+        first_only: bool = False,
+    ) -> None:
+        self.first_only = first_only
         self.end: int | None = None
         self.size: int | None = None
         self.received = 0
--- a/railtide/platform/answers.py
+++ b/railtide/platform/answers.py
@@ -7,11 +7,15 @@
 from railtide.journal.transfer import Transfer
 from railtide.platform.page import PageReader
 
-__all__ = ["OK", "PageAnswer", "StoreAnswer", "WholeAnswer"]
+__all__ = ["OK", "FirstRecordCame", "PageAnswer", "StoreAnswer", "WholeAnswer"]
 
 OK = 200
 
 
+class FirstRecordCame(Exception):
+    """Raised behind the first whole record of an answer of which no more is wanted."""
+
+
 class StoreAnswer(ABC):
     """Takes one answer.
 
@@ -93,6 +97,8 @@
 
     def _take(self, chunk: bytes) -> None:
         self.reader.take(chunk)
+        if self._transfer.first_only and self.reader.has_records:
+            raise FirstRecordCame
 
     def _is_end_known(self) -> bool:
         return self.reader.end is not None
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -16,7 +16,7 @@
 from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord, KeyedStore
 from railtide.journal.patience import Patience
 from railtide.journal.transfer import Transfer
-from railtide.platform.answers import OK, PageAnswer, StoreAnswer, WholeAnswer
+from railtide.platform.answers import OK, FirstRecordCame, PageAnswer, StoreAnswer, WholeAnswer
 from railtide.telemetry.counters import Counters
 
 __all__ = ["PlatformStore"]
@@ -177,6 +177,8 @@
         reader = answer.reader
         try:
             await self._stream(ask, answer)
+        except FirstRecordCame:
+            pass  # the page holds it
         except LogUnavailable:
             if not reader.has_records:
                 raise
--- a/railtide/platform/tests/test_narrow_store.py
+++ b/railtide/platform/tests/test_narrow_store.py
@@ -215,6 +215,17 @@
             f.link.pass_on()
             await until(lambda: f.keys == ["a", "b"] and f.feed.is_current())
 
+    async def test_versions_are_not_all_read_behind_one_break_of_the_newest(self) -> None:
+        async with followed() as f:
+            await put_small(f, ["a"])
+            before = f.link.down.passed_bytes
+            for number in range(4):
+                f.memory.put(TOPIC, "a", SECOND[1:] + b"%d" % number)
+            await until_passed(f.link, 0.5 * len(SECOND))
+            f.link.reset_open()
+            await until(lambda: f.records != [] and f.records[-1].value[-1:] == b"3")
+            assert f.link.down.passed_bytes - before < 3.5 * len(SECOND)
+
     @pytest.mark.parametrize("known", [True, False])
     async def test_connection_that_never_lives_for_all_records_moves_on(self, known: bool) -> None:
         names = [f"k{n}" for n in range(6)]
