Bytes that came with an answer's beginning tell no rate

A caller was told to come back in 0.8 s for a transfer of 3 s. Now they count as come, and not into the pace; the test of the whole path begins once a pace is known, where it took the first word whatever it was.

--- a/railtide/journal/transfer.py
+++ b/railtide/journal/transfer.py
@@ -40,13 +40,18 @@
         self.size: int | None = None
         self.received = 0
         self.began_at: float | None = None
+        self._came = 0
         self._on_begun = on_begun
 
-    def begin(self, end: int | None, size: int | None) -> None:
-        """Take the beginning of an answer, or of its next page."""
+    def begin(self, end: int | None, size: int | None, came: int = 0) -> None:
+        """Take the beginning of an answer, or of its next page, and the bytes that came with it.
+
+        These tell no rate: they had all the time before.
+        """
         self.end = end
         self.size = size
-        self.received = 0
+        self.received = came
+        self._came = came
         self.began_at = trio.current_time()
         self._on_begun(self)
 
@@ -56,7 +61,8 @@
 
     def left_s(self) -> float | None:
         """Return about how many seconds are left, None while too little is known."""
-        if self.began_at is None or not self.size or not self.received:
+        moved = self.received - self._came
+        if self.began_at is None or not self.size or not moved:
             return None
         took_s = trio.current_time() - self.began_at
-        return max(0.0, self.size - self.received) * took_s / self.received
+        return max(0.0, self.size - self.received) * took_s / moved
--- a/railtide/platform/answers.py
+++ b/railtide/platform/answers.py
@@ -37,6 +37,7 @@
         self._transfer = transfer or Transfer()
         self._size: int | None = None
         self._begun = False
+        self._came = 0
 
     def begin(self, exchange: Exchange) -> None:
         """Take the answer's head."""
@@ -52,8 +53,11 @@
         self._take(chunk)
         if not self._begun and self._is_end_known():
             self._begun = True
-            self._transfer.begin(self._end(), self._size)
-        self._transfer.move(len(chunk))
+            self._transfer.begin(self._end(), self._size, came=self._came + len(chunk))
+        elif self._begun:
+            self._transfer.move(len(chunk))
+        else:
+            self._came += len(chunk)
 
     @abstractmethod
     def _take(self, chunk: bytes) -> None:
--- a/railtide/platform/tests/test_outdated_view.py
+++ b/railtide/platform/tests/test_outdated_view.py
@@ -270,6 +270,8 @@
             await w.add_engine("e")
             publish(w, 2, self.TRANSFER_S)
             await until(lambda: not w.node.configuration_is_current())
+            while await self.told_s(w) < w.node.options.address_ttl_s:
+                await trio.sleep(0.02)  # until a rate is known
             told_s = [await self.told_s(w)]
             while told_s[-1] >= w.node.options.address_ttl_s:
                 await trio.sleep(0.1)
