The stand-in's store keeps copies, comes back from one and tells its era

Cause: the stand-in could only be away; it never lost what it had acknowledged. Change: MemoryStore has an era, copy() and roll_back(); reads that wait wake, calls under way are not answered (EraRisen), an offset beyond the end gets RecordsExpired where an era is told. StoreServer sends Store-Era in all its answers. Without an era all is as before. KeyedStore tells era and rises.

--- a/railtide/journal/errors.py
+++ b/railtide/journal/errors.py
@@ -2,7 +2,7 @@
 
 from railtide.errors import RailtideError, Run
 
-__all__ = ["JournalError", "LogUnavailable", "RecordsExpired", "UnreadableBatch"]
+__all__ = ["EraRisen", "JournalError", "LogUnavailable", "RecordsExpired", "UnreadableBatch"]
 
 
 class JournalError(RailtideError):
@@ -19,6 +19,15 @@
     run = Run.UNKNOWN
 
 
+class EraRisen(LogUnavailable):
+    """A call was sent in one era of the store and not answered in it.
+
+    What it was to read is of no use, and an append may be there, be gone, or come to be there.
+    """
+
+    code = "era-risen"
+
+
 class RecordsExpired(JournalError):
     """The records asked for are older than the log keeps; start from a checkpoint.
 
--- a/railtide/journal/keyed.py
+++ b/railtide/journal/keyed.py
@@ -2,9 +2,13 @@
 
 A topic has numbered partitions; offsets order the records of one partition. An append may name
 the offset at which the partition must end, which makes it a compare-and-swap.
+
+A store may come back from a copy that is older than what it had acknowledged. It then tells of a
+new era: offsets, ends and records that were read in a former one say nothing about it.
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from railtide.journal.errors import JournalError
@@ -59,7 +63,18 @@
 
 
 class KeyedStore(ABC):
-    """A way to the keyed topics."""
+    """A way to the keyed topics.
+
+    Each call raises `EraRisen` where it was sent in one era and not answered in it.
+    """
+
+    @property
+    def era(self) -> int | None:
+        """The era of the newest answer; None for a store that tells none, and before the first."""
+        return None
+
+    def on_rise(self, listener: Callable[[], None]) -> None:  # noqa: B027 - not each has eras
+        """Have a listener told of each rise of the era; without eras there is none."""
 
     @abstractmethod
     async def newest(
--- a/railtide/standins/keyed_store.py
+++ b/railtide/standins/keyed_store.py
@@ -1,10 +1,11 @@
 """A keyed store in memory, and the faults that the real one shows."""
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import trio
 
-from railtide.journal.errors import LogUnavailable, RecordsExpired
+from railtide.journal.errors import EraRisen, LogUnavailable, RecordsExpired
 from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord, KeyedStore
 from railtide.journal.transfer import Transfer
 
@@ -51,6 +52,15 @@
         self.first = self.end
         self.records.clear()
 
+    def copy(self) -> "MemoryTopic":
+        """Return the records as they are now; nobody waits in the copy."""
+        return MemoryTopic(
+            self.first, list(self.records), dict(self.newest_by_key), dict(self.raw_by_offset)
+        )
+
+
+Copy = Mapping[tuple[str, int], MemoryTopic]
+
 
 class MemoryStore(KeyedStore):
     """Keyed topics in memory.
@@ -69,9 +79,14 @@
         Time that a call takes.
     most_call_bytes : float
         An append of more bytes of keys and values is refused, nothing is done.
+    era : int or None
+        Rises with each rollback; None for a store that tells none.
     """
 
-    def __init__(self) -> None:
+    era: int | None = None
+
+    def __init__(self, era: int | None = None) -> None:
+        self.era = era
         self.down = False
         self.down_partitions: set[int] = set()
         self.lose_answers = 0
@@ -81,6 +96,25 @@
         self.calls = 0
         self._topic_by_name: dict[tuple[str, int], MemoryTopic] = {}
         self._late: list[tuple[str, int, dict[str, bytes], int | None]] = []
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_rise(self, listener: Callable[[], None]) -> None:
+        """Have a listener told; see `KeyedStore.on_rise`."""
+        self._listeners.append(listener)
+
+    def copy(self) -> Copy:
+        """Return all topics as they are now."""
+        return {key: topic.copy() for key, topic in self._topic_by_name.items()}
+
+    def roll_back(self, copy: Copy) -> None:
+        """Come back from a copy, in the next era; a copy serves for several times."""
+        before = self._topic_by_name
+        self._topic_by_name = {key: topic.copy() for key, topic in copy.items()}
+        self.era = (self.era or 0) + 1
+        for topic in before.values():
+            topic.moved.set()
+        for listener in self._listeners:
+            listener()
 
     def topic(self, name: str, partition: int = 0) -> MemoryTopic:
         """Return a partition of a topic, made on first use."""
@@ -114,21 +148,27 @@
         transfer: Transfer | None = None,
     ) -> KeyedPage:
         """Return records; see `KeyedStore.read`."""
+        era = self.era
         await self._call(partition)
         known = self.topic(topic, partition)
-        if start < known.first:
-            raise RecordsExpired(known.first)
+        self._check_start(known, start)
         if start >= known.end and wait_s:
             with trio.move_on_after(wait_s):
                 await known.moved.wait()
             await self._call(partition)
-            if start < known.first:
-                raise RecordsExpired(known.first)
+            if self.era != era:
+                raise EraRisen("the store came back from a copy meanwhile")
+            self._check_start(known, start)
         records = known.records[start - known.first :]
         if transfer:
             transfer.begin(known.end, sum(len(record.value) for record in records))
         return KeyedPage(records, known.end, known.end)
 
+    def _check_start(self, known: MemoryTopic, start: int) -> None:
+        """Refuse an offset that is not there: one forgotten, or given out in a former era."""
+        if start < known.first or (self.era is not None and start > known.end):
+            raise RecordsExpired(known.first)
+
     async def append(
         self,
         topic: str,
@@ -173,6 +213,9 @@
 
     async def _call(self, partition: int) -> None:
         self.calls += 1
+        era = self.era
         await trio.sleep(self.delay_s)
+        if self.era != era:
+            raise EraRisen("the store came back from a copy meanwhile")
         if self.down or partition in self.down_partitions:
             raise LogUnavailable("the store is down")
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -1,7 +1,7 @@
 """The users' platform in small: its store and its engines over HTTP, with their faults."""
 
 from base64 import b64encode
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from itertools import accumulate
 from urllib.parse import parse_qs, urlsplit
@@ -19,6 +19,7 @@
 __all__ = ["EngineScript", "PlatformEngine", "StoreServer", "engine_entry"]
 
 ID = b"x-attempt-id"
+ERA = b"store-era"
 KB = 1_024
 MOST_READ_KB = 1_024
 MOST_NEWEST = 500
@@ -46,10 +47,16 @@
     Parameters
     ----------
     store : MemoryStore
+    era_told : callable, optional
+        Returns what its answers tell as their era, None for no such header; the store's own era
+        unless given.
     """
 
-    def __init__(self, store: MemoryStore) -> None:
+    def __init__(
+        self, store: MemoryStore, era_told: Callable[[], str | None] | None = None
+    ) -> None:
         self._store = store
+        self._era_told = era_told or self._own_era
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one call."""
@@ -62,7 +69,14 @@
         except RecordsExpired as err:
             await self._json(responder, 410, {"first": err.first})
         except LogUnavailable:
-            await responder.answer(503, ())
+            await responder.answer(503, self._headers())
+
+    def _own_era(self) -> str | None:
+        return None if self._store.era is None else str(self._store.era)
+
+    def _headers(self) -> Headers:
+        told = self._era_told()
+        return () if told is None else ((ERA, told.encode()),)
 
     async def _answer(
         self, path: str, query: Mapping[str, str], body: bytes, responder: Responder
@@ -84,13 +98,11 @@
             framed = [_framed(raw.get(r.offset, _content_of(r))) for r in page.records]
             most = int(query.get("max_kb", MOST_READ_KB)) * KB
             ends = page.end.to_bytes(8, "big") + known.first.to_bytes(8, "big")
-            await responder.answer(200, (), ends + b"".join(_first_of(framed, most)))
+            await responder.answer(200, self._headers(), ends + b"".join(_first_of(framed, most)))
 
-    @staticmethod
-    async def _json(responder: Responder, status: int, body: object) -> None:
-        await responder.answer(
-            status, ((b"content-type", b"application/json"),), msgspec.json.encode(body)
-        )
+    async def _json(self, responder: Responder, status: int, body: object) -> None:
+        headers = ((b"content-type", b"application/json"), *self._headers())
+        await responder.answer(status, headers, msgspec.json.encode(body))
 
 
 def _records_of(body: bytes) -> dict[str, bytes]:
