--- /dev/null
+++ b/railtide/platform/tests/test_eras.py
@@ -0,0 +1,198 @@
+"""Tests of the eras that railtide.platform.store reads from the store's answers."""
+
+import pytest
+import trio
+
+from railtide.http.messages import HttpRequest
+from railtide.http.server import Responder
+from railtide.journal.errors import EraRisen, LogUnavailable, RecordsExpired
+from railtide.journal.keyed import AppendConflict
+from railtide.platform.tests.test_store import client_of
+from railtide.standins.keyed_store import MemoryStore
+from railtide.standins.platform import StoreServer
+
+MANY = 700
+"""Records of more than one page of the newest."""
+
+
+class Told:
+    """A server that tells the eras that a test gives, one for each answer; the last stays."""
+
+    def __init__(self, memory: MemoryStore, *eras: str | None) -> None:
+        self._left = list(eras)
+        self.handle = StoreServer(memory, self._next).handle
+
+    def _next(self) -> str | None:
+        return self._left.pop(0) if len(self._left) > 1 else self._left[0]
+
+
+def put_many(memory: MemoryStore) -> None:
+    for n in range(MANY):
+        memory.put("t", f"k{n}", b"1")
+
+
+class TestRise:
+    async def test_each_answer_tells_the_era(self) -> None:
+        memory = MemoryStore(era=4)
+        async with client_of(StoreServer(memory).handle) as store:
+            assert store.era is None
+            with pytest.raises(AppendConflict):
+                await store.append("t", {"a": b"1"}, expected_end=5)
+            assert store.era == 4
+
+    async def test_store_without_eras_has_none(self) -> None:
+        async with client_of(StoreServer(MemoryStore()).handle) as store:
+            await store.append("t", {"a": b"1"})
+            assert store.era is None
+
+    async def test_listeners_are_told(self) -> None:
+        memory = MemoryStore(era=1)
+        told: list[int | None] = []
+        async with client_of(StoreServer(memory).handle) as store:
+            store.on_rise(lambda: told.append(store.era))
+            await store.newest("t")
+            memory.roll_back(memory.copy())
+            with pytest.raises(EraRisen):
+                await store.newest("t")
+            await store.newest("t")
+        assert told == [2]
+
+    async def test_refusal_of_the_next_era_is_no_refusal(self) -> None:
+        """A conflict or a lost offset of the next era says nothing about what was asked."""
+        memory = MemoryStore(era=1)
+        async with client_of(StoreServer(memory).handle) as store:
+            copy = memory.copy()
+            assert await store.append("t", {"a": b"1"}, expected_end=0) == 1
+            memory.roll_back(copy)
+            with pytest.raises(EraRisen):
+                await store.append("t", {"a": b"2"}, expected_end=1)
+            with pytest.raises(AppendConflict):
+                await store.append("t", {"a": b"2"}, expected_end=1)
+            memory.roll_back(copy)
+            with pytest.raises(EraRisen):
+                await store.read("t", 1, 0.0)
+            with pytest.raises(RecordsExpired):
+                await store.read("t", 1, 0.0)
+
+    async def test_append_that_was_done_in_the_next_era_is_unknown(self) -> None:
+        memory = MemoryStore(era=1)
+        async with client_of(StoreServer(memory).handle) as store:
+            await store.newest("t")
+            memory.roll_back(memory.copy())
+            with pytest.raises(EraRisen):
+                await store.append("t", {"a": b"1"})
+        assert memory.topic("t").end == 1
+
+    async def test_call_whose_rise_another_call_told_is_not_answered(self) -> None:
+        """It was sent before the other one's answer; its own answer is of the next era too."""
+        memory = MemoryStore(era=1)
+        async with client_of(StoreServer(memory).handle) as store:
+            await store.newest("t")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read_over_a_rise, store)
+                await trio.sleep(0.05)
+                memory.era = 2
+                with pytest.raises(EraRisen):
+                    await store.newest("u")
+                memory.put("t", "a", b"1")
+
+    @staticmethod
+    async def _read_over_a_rise(store) -> None:
+        with pytest.raises(EraRisen):
+            await store.read("t", 0, 30.0)
+
+    async def test_records_that_came_while_another_call_told_it_are_not_kept(self) -> None:
+        memory = MemoryStore(era=1)
+        memory.put("t", "a", b"1")
+        begun = trio.Event()
+        server = StoreServer(memory)
+
+        async def handle(request: HttpRequest, responder: Responder) -> None:
+            if not request.target.startswith(b"/log-read"):
+                await server.handle(request, responder)
+                return
+            body = (2).to_bytes(8, "big") + bytes(8) + (3).to_bytes(4, "big") + b"\x01a1"
+            await responder.start(200, ((b"store-era", b"1"),), len(body) + 9)
+            await responder.write(body)
+            begun.set()
+            await trio.sleep(0.1)
+            await responder.hijack().aclose()
+
+        async with client_of(handle) as store:
+            await store.newest("t")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read_over_a_rise, store)
+                await begun.wait()
+                memory.era = 2
+                with pytest.raises(EraRisen):
+                    await store.newest("u")
+
+    async def test_pages_of_a_broken_read_are_dropped(self) -> None:
+        memory = MemoryStore(era=1)
+        put_many(memory)
+        server = StoreServer(memory)
+        asked: list[bytes] = []
+
+        async def handle(request: HttpRequest, responder: Responder) -> None:
+            asked.append(request.target)
+            if b"after=" in request.target and len(asked) == 2:
+                await responder.answer(503, ((b"store-era", b"1"),))
+                return
+            await server.handle(request, responder)
+
+        async with client_of(handle) as store:
+            with pytest.raises(LogUnavailable):
+                await store.newest("t")
+            memory.roll_back({})
+            memory.put("t", "new", b"1")
+            with pytest.raises(EraRisen):
+                await store.read("u", 0, 0.0)
+            page = await store.newest("t")
+        assert [record.key for record in page.records] == ["new"]
+        assert b"after" not in asked[-1]
+
+
+class TestBadEras:
+    async def test_era_that_falls_is_no_answer(self) -> None:
+        memory = MemoryStore()
+        async with client_of(Told(memory, "2", "1", "2").handle) as store:
+            await store.newest("t")
+            with pytest.raises(LogUnavailable) as lower:
+                await store.append("t", {"a": b"1"}, expected_end=7)
+            assert not isinstance(lower.value, EraRisen)
+            await store.newest("t")
+            assert store.era == 2
+
+    @pytest.mark.parametrize("told", [None, "", "two", "-3"])
+    async def test_missing_or_unreadable_one_is_no_answer(self, told: str | None) -> None:
+        memory = MemoryStore()
+        async with client_of(Told(memory, "2", told, "2").handle) as store:
+            await store.newest("t")
+            with pytest.raises(LogUnavailable) as bad:
+                await store.newest("t")
+            assert not isinstance(bad.value, EraRisen)
+            await store.newest("t")
+            assert store.era == 2
+
+    @pytest.mark.parametrize("told", [None, "x"])
+    async def test_store_that_never_told_one_serves(self, told: str | None) -> None:
+        async with client_of(Told(MemoryStore(), told).handle) as store:
+            assert await store.append("t", {"a": b"1"}) == 1
+            assert (await store.newest("t")).end == 1
+
+    async def test_eras_that_differ_at_one_moment_rise_once(self) -> None:
+        memory = MemoryStore()
+        rises: list[int | None] = []
+        async with client_of(Told(memory, "1", "2", "1", "2", "1", "2").handle) as store:
+            store.on_rise(lambda: rises.append(store.era))
+            outcomes = [await self._outcome(store) for _ in range(6)]
+        assert outcomes == ["", "EraRisen", "LogUnavailable", "", "LogUnavailable", ""]
+        assert rises == [2]
+
+    @staticmethod
+    async def _outcome(store) -> str:
+        try:
+            await store.newest("t")
+        except LogUnavailable as err:
+            return type(err).__name__
+        return ""
