The store's era is read in one place, before anything else of an answer

Cause: nothing read Store-Era: an answer of the next era was taken as one of the former, a refused compare-and-swap and a lost offset among them. A rise is one line, one counter and one event (KeyedStore.on_rise); a call sent before it raises EraRisen; a lower, missing or unreadable era is no answer once one was seen. Pages kept of a broken read are dropped on a rise. Gauge store_era.

--- a/railtide/platform/answers.py
+++ b/railtide/platform/answers.py
@@ -7,9 +7,16 @@
 from railtide.journal.transfer import Transfer
 from railtide.platform.page import PageReader
 
-__all__ = ["OK", "PageAnswer", "StoreAnswer", "WholeAnswer"]
+__all__ = ["OK", "PageAnswer", "StoreAnswer", "WholeAnswer", "era_told"]
 
 OK = 200
+ERA = b"store-era"
+
+
+def era_told(exchange: Exchange) -> str | None:
+    """Return what an answer tells as the store's era, None where it tells nothing."""
+    told = first_header(exchange.headers, ERA)
+    return None if told is None else told.decode("latin-1")
 
 
 class StoreAnswer(ABC):
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -27,7 +27,7 @@
 from railtide.settings import InvalidSetting, checked, endpoint, run_program
 from railtide.telemetry.counters import Counters
 from railtide.telemetry.lines import LineBuffer, set_up_lines
-from railtide.telemetry.meters import observe_each, set_up_meters
+from railtide.telemetry.meters import observe, observe_each, set_up_meters
 
 __all__ = ["edge", "main"]
 
@@ -40,6 +40,8 @@
 JSON = ((b"content-type", b"application/json"),)
 METRICS_PORT = 9464
 """As `deploy/system.toml` says; the port that the Prometheus exporters of OpenTelemetry use."""
+NO_ERA = -1
+"""On the metrics page while the store has told no era."""
 LEAVE_MARGIN_S = 1.0
 """Left before the platform's SIGKILL to give budgets back and end."""
 RETRY_PART = 0.5
@@ -112,6 +114,7 @@
     node = EdgeNode(identity, store, PlatformSources(), upstreams, options, rng, clocks)
     upstreams.on_load = node.take_load
     limits = ConnectionLimits(doubt_s=node.limits_doubt_s)
+    observe("store_era", "1", lambda: float(NO_ERA if store.era is None else store.era))
     observe_each("read_age", "s", "topic", node.read_ages_s)
     node.on_snapshot = partial(_apply_limits, limits)
     ingress = Ingress(node, rng)
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -1,6 +1,7 @@
 """The client of the platform's store: keyed topics over HTTP."""
 
 from base64 import b64decode
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import quote
 
@@ -12,11 +13,12 @@
 from railtide.http.errors import HttpError, Stalled
 from railtide.http.messages import HttpRequest
 from railtide.http.stall import StallWatch
-from railtide.journal.errors import LogUnavailable, RecordsExpired
+from railtide.journal.eras import Eras
+from railtide.journal.errors import EraRisen, LogUnavailable, RecordsExpired
 from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord, KeyedStore
 from railtide.journal.patience import Patience
 from railtide.journal.transfer import Transfer
-from railtide.platform.answers import OK, PageAnswer, StoreAnswer, WholeAnswer
+from railtide.platform.answers import OK, PageAnswer, StoreAnswer, WholeAnswer, era_told
 from railtide.telemetry.counters import Counters
 
 __all__ = ["PlatformStore"]
@@ -116,6 +118,8 @@
 class PlatformStore(KeyedStore):
     """Keyed topics of the platform's store.
 
+    Each answer's era is taken before anything else of it; see `Eras`.
+
     A call is bounded by silence and never as a whole: see `StallWatch`.
 
     Parameters
@@ -134,6 +138,17 @@
         self._patience = Patience(HEAD_S, MOST_HEAD_S)
         self._pages_by_topic: dict[tuple[str, int], _Pages] = {}
         self._told_unreadable: set[str] = set()
+        self._eras = Eras(counters)
+        self._eras.on_rise(self._pages_by_topic.clear)
+
+    @property
+    def era(self) -> int | None:
+        """The era of the newest answer; see `KeyedStore.era`."""
+        return self._eras.current
+
+    def on_rise(self, listener: Callable[[], None]) -> None:
+        """Have a listener told; see `KeyedStore.on_rise`."""
+        self._eras.on_rise(listener)
 
     async def newest(
         self, topic: str, partition: int = 0, transfer: Transfer | None = None
@@ -177,6 +192,8 @@
         reader = answer.reader
         try:
             await self._stream(ask, answer)
+        except EraRisen:
+            raise
         except LogUnavailable:
             if not reader.has_records:
                 raise
@@ -223,16 +240,19 @@
         self._counters.add("store_bytes_sent", len(ask.body))
         head_s = self._patience.head_s(ask.subject)
         watch = StallWatch(ask.held_s + head_s, STALL_S)
+        rises = self._eras.rises
         self._patience.note_sent(watch, head_s, ask.held_s)
         try:
             with watch:
-                await self._exchange(ask, answer, watch)
+                await self._exchange(ask, answer, watch, rises)
         except HttpError as err:
             self._note_unanswered(ask, watch, err)
+            self._eras.check(rises)
             raise LogUnavailable(f"{ask.call}: {err.code}, {err.detail}") from err
         finally:
             self._patience.note_ended(watch)
         self._counters.add("store_bytes_received", watch.received)
+        self._eras.check(rises)
         self._check(answer)
 
     def _note_unanswered(self, ask: _Ask, watch: StallWatch, err: HttpError) -> None:
@@ -243,11 +263,15 @@
             if not watch.begun:
                 self._patience.note_silent(ask.subject)
 
-    async def _exchange(self, ask: _Ask, answer: StoreAnswer, watch: StallWatch) -> None:
+    async def _exchange(
+        self, ask: _Ask, answer: StoreAnswer, watch: StallWatch, rises: int
+    ) -> None:
         request = HttpRequest(ask.method, ask.target, ((b"host", self._host),), ask.body)
         exchange = await self._pool.send(request, watch)
-        self._patience.note_begun(ask.subject)
         try:
+            self._eras.take(era_told(exchange))
+            self._eras.check(rises)
+            self._patience.note_begun(ask.subject)
             answer.begin(exchange)
             async for chunk in exchange.chunks():
                 answer.take(chunk)
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -52,6 +52,8 @@
 }
 LARGE_BODY = b"x" * 11
 READ_AGE = re.compile(r'^railtide_read_age_seconds\{.*\btopic="([^"]+)".*\} (\S+)$', re.MULTILINE)
+STORE_ERA = re.compile(r"^railtide_store_era\{[^}]*\} (\S+)", re.MULTILINE)
+STORE_RISES = re.compile(r"^railtide_store_era_rises_total\{[^}]*\} (\S+)", re.MULTILINE)
 OUTDATED = re.compile(r"^railtide_answers_configuration_outdated_total\{.*\} (\S+)$", re.MULTILINE)
 
 
@@ -219,6 +221,20 @@
             process.kill()
             await process.wait()
 
+    async def test_store_era_shows_in_metrics(self, tmp_path: Path) -> None:
+        async with edge(tmp_path) as made:
+            process = await made.start()
+            assert STORE_ERA.findall(await made.metrics()) == ["-1.0"]
+            for era in (4, 5):
+                made.store.roll_back(made.store.copy())
+                made.store.era = era
+                with trio.fail_after(WAIT_S):
+                    while STORE_ERA.findall(await made.metrics()) != [f"{era}.0"]:
+                        await trio.sleep(0.05)
+            assert STORE_RISES.findall(await made.metrics()) == ["1.0"]
+            process.kill()
+            await process.wait()
+
     async def test_kill_and_restart_overspend_nothing(self, tmp_path: Path) -> None:
         async with edge(tmp_path) as made:
             process = await made.start()
