--- a/railtide/containment/tests/test_registry.py
+++ b/railtide/containment/tests/test_registry.py
@@ -8,7 +8,7 @@
 from railtide.containment.ends import Break, UpstreamRun
 from railtide.containment.evidence import Mark
 from railtide.containment.holding import HOLD_S, KEEP_S
-from railtide.containment.records import record_key, record_value
+from railtide.containment.records import mark_of, record_key, record_value
 from railtide.containment.registry import AHEAD_S, TOPIC, CrashRegistry
 from railtide.standins.keyed_store import MemoryStore
 from railtide.telemetry.counters import Counters
@@ -22,7 +22,7 @@
     """Registries that share a store."""
 
     def __init__(self, nursery: trio.Nursery, routers: int = 2) -> None:
-        self.store = MemoryStore()
+        self.store = MemoryStore(era=1)
         self.nursery = nursery
         self.day_s = 1_790_000_000.0
         self.owner = "r0"
@@ -323,3 +323,79 @@
         fleet.day_s += KEEP_S + 2 * AHEAD_S
         fleet.registries[0].forget_surplus()
         assert fleet.registries[0].strikes_by_content(GOOD) == {}
+
+
+class TestStoreThatComesBackOlder:
+    async def test_marks_of_the_lost_seconds_are_written_again(self, autojump_clock) -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            copy = fleet.store.copy()
+            for life in ("1", "2", "3"):
+                await fleet.end(life, BAD)
+            assert fleet.refused(BAD) == [True, True]
+            fleet.store.roll_back(copy)
+            for _ in range(30):
+                await trio.sleep(0.1)
+                assert fleet.refused(BAD) == [True, True]
+            late = fleet.start("r2")
+            await trio.sleep(KNOWN_S)
+            assert late.refusal_of(BAD) is not None
+            nursery.cancel_scope.cancel()
+
+    async def test_mark_of_a_router_that_is_dead_is_written_by_others(self, autojump_clock) -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, routers=1)
+            copy = fleet.store.copy()
+            dead = CrashRegistry(fleet.store, "dead", Random(1), Counters(), day_s=lambda: 0.0)
+            dead.note_end("1", "1", fleet.breaks_of([BAD], 0.06))
+            await fleet.store.append(TOPIC, dict(dead._waiting))
+            await trio.sleep(KNOWN_S)
+            keys = set(fleet.store.topic(TOPIC).newest_by_key)
+            fleet.store.roll_back(copy)
+            await trio.sleep(KNOWN_S)
+            assert len(keys) == 1
+            assert set(fleet.store.topic(TOPIC).newest_by_key) == keys
+            nursery.cancel_scope.cancel()
+
+    async def test_clearings_of_the_lost_seconds_are_written_again(self, autojump_clock) -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            await fleet.end("1", GOOD)
+            copy = fleet.store.copy()
+            fleet.registries[0].note_sound(GOOD)
+            await trio.sleep(KNOWN_S)
+            fleet.store.roll_back(copy)
+            await trio.sleep(KNOWN_S)
+            late = fleet.start("r2")
+            await trio.sleep(KNOWN_S)
+            assert late.strikes_by_content(GOOD) == {}
+            marks = fleet.store.topic(TOPIC).newest_by_key.values()
+            assert [mark_of(record).cleared for record in marks] == [True]
+            nursery.cancel_scope.cancel()
+
+    async def test_clearing_is_written_again_by_one_that_only_read_it(self, autojump_clock) -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, routers=1)
+            await fleet.end("1", GOOD)
+            copy = fleet.store.copy()
+            other = CrashRegistry(fleet.store, "other", Random(1), Counters())
+            other.take(list(fleet.store.topic(TOPIC).newest_by_key.values()))
+            other.note_sound(GOOD)
+            await fleet.store.append(TOPIC, dict(other._waiting))
+            await trio.sleep(KNOWN_S)
+            fleet.store.roll_back(copy)
+            await trio.sleep(KNOWN_S)
+            marks = fleet.store.topic(TOPIC).newest_by_key.values()
+            assert [mark_of(record).cleared for record in marks] == [True]
+            nursery.cancel_scope.cancel()
+
+    async def test_nothing_is_written_where_the_copy_has_all(self, autojump_clock) -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            await fleet.end("1", BAD)
+            copy = fleet.store.copy()
+            end = fleet.store.topic(TOPIC).end
+            fleet.store.roll_back(copy)
+            await trio.sleep(KNOWN_S)
+            assert fleet.store.topic(TOPIC).end == end
+            nursery.cancel_scope.cancel()
--- a/railtide/membership/tests/test_roster.py
+++ b/railtide/membership/tests/test_roster.py
@@ -295,3 +295,64 @@
             await trio.sleep(1.5)
             assert names(made) == ["a", "x"]
             nursery.cancel_scope.cancel()
+
+
+class TestStoreThatComesBackOlder:
+    async def test_router_that_left_is_not_brought_back(self, autojump_clock) -> None:
+        store = MemoryStore(era=1)
+        made, other = roster(store, "a"), roster(store, "b")
+        async with trio.open_nursery() as nursery:
+            await start(nursery, made)
+            stopped = await start(nursery, other)
+            await trio.sleep(SETTLED_S)
+            copy = store.copy()
+            await other.leave()
+            stopped.cancel()
+            await trio.sleep(2.0)
+            assert names(made) == ["a"]
+            store.roll_back(copy)
+            for _ in range(50):
+                await trio.sleep(0.1)
+                assert names(made) == ["a"]
+            nursery.cancel_scope.cancel()
+
+    async def test_routers_that_live_stay(self, autojump_clock) -> None:
+        store = MemoryStore(era=1)
+        copy = store.copy()
+        made, other = roster(store, "a"), roster(store, "b")
+        async with trio.open_nursery() as nursery:
+            await start(nursery, made)
+            await start(nursery, other)
+            await trio.sleep(SETTLED_S)
+            store.roll_back(copy)
+            for _ in range(100):
+                await trio.sleep(0.1)
+                assert names(made) == names(other) == ["a", "b"]
+            nursery.cancel_scope.cancel()
+
+    async def test_beat_is_written_at_once(self, autojump_clock) -> None:
+        store = MemoryStore(era=1)
+        copy = store.copy()
+        made = roster(store, "a")
+        async with trio.open_nursery() as nursery:
+            await start(nursery, made)
+            await trio.sleep(SETTLED_S + 0.3)
+            store.roll_back(copy)
+            await trio.sleep(0.05)
+            assert store.topic(OPTIONS.topic).end == 1
+            nursery.cancel_scope.cancel()
+
+    async def test_router_of_the_copy_that_is_not_heard_is_dead(self, autojump_clock) -> None:
+        store = MemoryStore(era=1)
+        made, other = roster(store, "a"), roster(store, "b")
+        async with trio.open_nursery() as nursery:
+            await start(nursery, made)
+            stopped = await start(nursery, other)
+            await trio.sleep(SETTLED_S)
+            copy = store.copy()
+            await trio.sleep(1.0)
+            stopped.cancel()
+            store.roll_back(copy)
+            await trio.sleep(2 * OPTIONS.dead_after_s + 1.0)
+            assert names(made) == ["a"]
+            nursery.cancel_scope.cancel()
--- a/railtide/membership/tests/test_upstream_list.py
+++ b/railtide/membership/tests/test_upstream_list.py
@@ -4,7 +4,7 @@
 from msgspec.structs import replace
 
 from railtide.membership.instances import Instance, InstanceState
-from railtide.membership.upstream_list import UpstreamList
+from railtide.membership.upstream_list import GONE_S, UpstreamList
 
 
 def engine(name: str, pool: str = "p", born: int = 0) -> Instance:
@@ -142,3 +142,103 @@
         case.listed.put(engine("a"))
         case.listed.settle()
         assert case.states == {"a": LEAVING}
+
+
+class TestStoreThatComesBackOlder:
+    async def test_older_record_of_a_life_changes_nothing(self, autojump_clock) -> None:
+        case = Case()
+        leaving = replace(engine("a", born=5), state=LEAVING, address="a:2")
+        case.listed.put(replace(leaving, seq=9))
+        case.listed.settle()
+        case.listed.put(replace(engine("a", pool="q", born=5), seq=8))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": ["a"]}
+        case.listed.put(replace(engine("a", pool="q", born=5), seq=9))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": [], "q": ["a"]}
+
+    async def test_older_record_is_no_sign_of_life(self, autojump_clock) -> None:
+        case = Case(lapse_until=trio.current_time() + 2)
+        case.listed.put(replace(engine("a", born=5), seq=9))
+        case.listed.remove("a")
+        case.listed.put(replace(engine("a", born=5), seq=8))
+        await trio.sleep(2.1)
+        case.listed.settle()
+        assert case.names_by_pool == {"p": []}
+
+    async def test_next_life_counts_anew(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(replace(engine("a", born=5), seq=9))
+        case.listed.put(replace(engine("a", pool="q", born=6), seq=1))
+        case.listed.put(replace(engine("a", pool="r", born=6), seq=2))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": [], "q": [], "r": ["a"]}
+
+    async def test_life_that_tells_no_birth_may_count_anew(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(replace(engine("a"), seq=9))
+        case.listed.put(replace(engine("a", pool="q"), seq=1))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": [], "q": ["a"]}
+
+    async def test_record_that_only_counts_on_is_no_change(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(replace(engine("a", born=5), seq=1))
+        case.listed.settle()
+        case.names_by_pool.clear()
+        case.listed.put(replace(engine("a", born=5), seq=2))
+        case.listed.settle()
+        assert case.names_by_pool == {}
+
+    async def test_life_that_is_gone_is_not_brought_back_by_a_copy(self, autojump_clock) -> None:
+        case = self._with_a_gone_life()
+        await trio.sleep(GONE_S - 1)
+        case.listed.note_rise()
+        await trio.sleep(GONE_S - 1)
+        case.listed.put(replace(engine("a", born=5), seq=9))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": []}
+
+    async def test_life_that_writes_on_comes_back(self, autojump_clock) -> None:
+        case = self._with_a_gone_life()
+        case.listed.note_rise()
+        case.listed.put(replace(engine("a", born=5), seq=10))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": ["a"]}
+
+    async def test_next_life_comes_back(self, autojump_clock) -> None:
+        case = self._with_a_gone_life()
+        case.listed.note_rise()
+        case.listed.put(replace(engine("a", born=6), seq=1))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": ["a"]}
+
+    async def test_former_life_of_one_that_is_gone_does_not_come_back(self, autojump_clock) -> None:
+        case = self._with_a_gone_life()
+        case.listed.note_rise()
+        case.listed.put(replace(engine("a", born=4), seq=99))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": []}
+
+    async def test_without_a_rise_a_life_comes_back_as_ever(self, autojump_clock) -> None:
+        case = self._with_a_gone_life()
+        case.listed.put(replace(engine("a", born=5), seq=9))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": ["a"]}
+
+    async def test_life_is_forgotten_in_time(self, autojump_clock) -> None:
+        case = self._with_a_gone_life()
+        case.listed.note_rise()
+        await trio.sleep(GONE_S + 0.1)
+        case.listed.put(replace(engine("a", born=5), seq=9))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": ["a"]}
+
+    @staticmethod
+    def _with_a_gone_life() -> Case:
+        case = Case()
+        case.listed.put(replace(engine("a", born=5), seq=9))
+        case.listed.remove("a")
+        case.listed.settle()
+        assert case.names_by_pool == {"p": []}
+        return case
