Feeds, lists, the roster and marks go back with the store without reverting

Cause: a feed trusted its offset over a rise of the era, an entry of the copy brought back upstreams and routers that had left, and marks of the lost seconds were gone for good. Change: an offset belongs to its era; on a rise a feed gives up its read, counts the store as lost and back, and is not current before it has the newest records. UpstreamList and Roster take no record of a life behind a newer one for 20 s behind a rise (an upstream's by seq, only of lives that tell a birth). A router beats at once, and writes again the marks and clearings that the copy does not show. Without a rise all is as before.

--- a/railtide/containment/evidence.py
+++ b/railtide/containment/evidence.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-__all__ = ["Evidence", "Mark"]
+__all__ = ["Evidence", "Mark", "says_more"]
 
 
 @dataclass(frozen=True)
@@ -73,7 +73,7 @@
         """
         marks = self._marks_by_content.setdefault(mark.content, {})
         known = marks.get(mark.life)
-        if known and _rank(known) >= _rank(mark):
+        if not says_more(mark, known):
             return False
         marks[mark.life] = mark
         return True
@@ -99,6 +99,11 @@
         return frozenset(mark.life for mark in self.marks_of(content))
 
 
+def says_more(mark: Mark, known: Mark | None) -> bool:
+    """Return whether a mark says more than what is known of its content and life."""
+    return known is None or _rank(mark) > _rank(known)
+
+
 def _rank(mark: Mark) -> int:
     """Return which of two marks of one content and life goes before the other."""
     if mark.cleared:
--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -18,7 +18,7 @@
 from railtide.containment.blame import Blame, blamed
 from railtide.containment.ends import Break
 from railtide.containment.errors import ContentHeld
-from railtide.containment.evidence import Evidence, Mark
+from railtide.containment.evidence import Evidence, Mark, says_more
 from railtide.containment.holding import MOST_CONTENTS, held_until, surplus
 from railtide.containment.records import life_digest, mark_of, record_key, record_value
 from railtide.journal.backoff import Backoff
@@ -105,7 +105,11 @@
         self._cleared_here: dict[str, bytes] = {}
         self._sound_at: dict[str, float] = {}
         self._told_unreadable = False
-        self._feed = Feed(store, TOPIC, FeedOptions(wait_s=WAIT_S), rng, self.take)
+        self._is_risen = False
+        self._shown: dict[str, Mark] = {}
+        options = FeedOptions(wait_s=WAIT_S)
+        self._feed = Feed(store, TOPIC, options, rng, self.take, self._compare)
+        store.on_rise(self._note_rise)
         self._backoff = Backoff(BACKOFF_S, BACKOFF_MOST_S, rng)
 
     async def run(self) -> None:
@@ -237,6 +241,8 @@
         self._judge()
 
     def _take_mark(self, mark: Mark, key: str) -> None:
+        if self._is_risen:
+            self._shown[key] = mark
         if not mark.cleared and key in self._cleared_here:
             self._write(key, self._cleared_here[key])
             return
@@ -273,6 +279,26 @@
             del self._held_at[content]
             logger.bind(content=content).info("content-released")
 
+    # -- a store that comes back older --------------------------------------------------------
+
+    def _note_rise(self) -> None:
+        self._is_risen = True
+        self._shown.clear()
+
+    def _compare(self, keys: set[str]) -> None:
+        """Write again what the newest records behind a rise don't say, whoever said it before.
+
+        The upstream's name, which stands in a mark for people, is not known any more.
+        """
+        if not self._is_risen:
+            return
+        self._is_risen = False
+        for mark in self._evidence.marks():
+            key = record_key(mark)
+            if says_more(mark, self._shown.get(key)):
+                self._write(key, record_value(mark, ""))
+        self._shown.clear()
+
     # -- writing and forgetting ---------------------------------------------------------------
 
     def _write(self, key: str, value: bytes) -> None:
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -135,6 +135,7 @@
             identity.address,
         )
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
+        store.on_rise(self._upstream_list.note_rise)
         self._configuration_feed = Feed(
             store,
             sources.configuration_topic,
--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -1,4 +1,8 @@
-"""A feed: follows a keyed topic from its newest records on and never goes back."""
+"""A feed: follows a keyed topic from its newest records on.
+
+It goes back only with the store: an offset belongs to the era in which it was read. In another one
+the feed starts anew from the newest records, and is not current until it has them.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -8,7 +12,7 @@
 from loguru import logger
 
 from railtide.journal.backoff import Backoff
-from railtide.journal.errors import LogUnavailable, RecordsExpired
+from railtide.journal.errors import EraRisen, LogUnavailable, RecordsExpired
 from railtide.journal.freshness import Freshness
 from railtide.journal.keyed import KeyedPage, KeyedRecord, KeyedStore
 from railtide.journal.transfer import Transfer
@@ -71,7 +75,8 @@
     caught_up : bool
         Whether the topic was read to its end once.
     lost_at, back_at : float
-        Trio time of the latest loss of the store, and of its latest return.
+        Trio time of the latest loss of the store, and of its latest return. A store that came back
+        older counts as lost and back: what is missing from it may come again.
     freshness : Freshness
     """
 
@@ -91,6 +96,8 @@
         self.back_at = -float("inf")
         self.next_offset = 0
         self.freshness = Freshness()
+        self._era: int | None = None
+        self._is_former = False
         self._keys: set[str] = set()
         self._may_leave = True
         self._left = False
@@ -104,6 +111,7 @@
         self._told_lost_at = -float("inf")
         self._reading: trio.CancelScope | None = None
         self._fresh: trio.Event | None = None
+        store.on_rise(self._give_up_reading)
 
     def refresh(self) -> trio.Event:
         """Read what is there now, on a new connection, and return an event set once it is taken.
@@ -112,9 +120,12 @@
         """
         if self._fresh is None:
             self._fresh = trio.Event()
+        self._give_up_reading()
+        return self._fresh
+
+    def _give_up_reading(self) -> None:
         if self._reading:
             self._reading.cancel()
-        return self._fresh
 
     def is_current(self) -> bool:
         """Return whether all that the store has told of is taken, and the store is heard."""
@@ -130,6 +141,9 @@
                     await self._read_newest()
                     started = True
                 await self._follow()
+            except EraRisen as err:
+                self._note_rise(err)
+                started = False
             except LogUnavailable as err:
                 self._note_lost(err)
                 started = self._go_back(started)
@@ -141,6 +155,24 @@
             except _Superseded:
                 started = False
 
+    def _note_rise(self, err: EraRisen) -> None:
+        """Take that what was read is of a former era; the newest records are read anew."""
+        self.freshness.note_newer()
+        self._left = False
+        if self.reachable and not self._is_former:
+            self.lost_at = trio.current_time()
+        self._is_former = True
+        logger.bind(topic=self._topic, offset=self.next_offset, reason=err.detail).debug(
+            "offset-of-a-former-era"
+        )
+
+    def _check_era(self) -> None:
+        """Refuse to read on from an offset of another era than the store's."""
+        if self._era is None:
+            self._era = self._store.era
+        if self._era != self._store.era:
+            raise EraRisen(f"read in era {self._era}, the store is in {self._store.era}")
+
     def _go_back(self, started: bool) -> bool:
         """Read on where an answer was left if what replaces it breaks off; return whether started.
 
@@ -158,6 +190,7 @@
         self.freshness.watch(transfer)
         page = await self._store.newest(self._topic, transfer=transfer)
         self._note_reachable()
+        self._note_era()
         self._keys = {record.key for record in page.records}
         if page.records:
             self._on_records(page.records)
@@ -168,8 +201,16 @@
         self.caught_up = True
         self.freshness.note_complete()
 
+    def _note_era(self) -> None:
+        """Take that what comes now is of the store's era, and so is the offset behind it."""
+        self._era = self._store.era
+        if self._is_former:
+            self._is_former = False
+            self.back_at = trio.current_time()
+
     async def _follow(self) -> None:
         while True:
+            self._check_era()
             fresh = self._fresh
             transfer = Transfer(self._note_begun)
             self.freshness.watch(transfer)
--- a/railtide/membership/instances.py
+++ b/railtide/membership/instances.py
@@ -34,6 +34,8 @@
         For an upstream, how many requests one router may have open on it.
     born : int
         When this life began, Unix milliseconds; 0 if it is not told.
+    seq : int
+        Rises with each record that an upstream writes in one life; 0 if it is not told.
     """
 
     name: str
@@ -45,6 +47,7 @@
     slots: int = 16
     state: InstanceState = InstanceState.LIVE
     born: int = 0
+    seq: int = 0
 
 
 class InstanceList(ABC):
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -2,7 +2,8 @@
 
 Each router writes its record at an interval. A reader believes a router alive until its record
 has not moved for some intervals by the reader's own steady clock, counted only while the store
-is heard: a store that is away makes nobody dead.
+is heard: a store that is away makes nobody dead. A store that comes back older shows former records
+of the same lives, which say nothing of now.
 """
 
 import math
@@ -27,6 +28,9 @@
 """Requests a second beyond which a router's figures are no router's."""
 MOST_BEAT_S = 3600.0
 """Time between two records beyond which nobody could tell whether their writer lives."""
+COPY_S = 20.0
+"""How long behind a rise of the store's era a record may be one of its copy: the longest history on
+the users' sheets."""
 NAMED_AGE_S = 0.2
 """How long a choice of routers is kept: each caller's question would else weigh them all anew, and
 records come once a second."""
@@ -98,6 +102,11 @@
     return member
 
 
+def _is_former(member: Member, known: Member) -> bool:
+    """Return whether a record is one that its router wrote before one that is known."""
+    return member.incarnation == known.incarnation and member.beat < known.beat
+
+
 @dataclass
 class _Heard:
     """A router's last record, when it was read, and what it makes the router a candidate for."""
@@ -150,6 +159,9 @@
         self._named_at = -math.inf
         self._announcing = True
         self._writing = trio.Lock()
+        self._copy_until = -math.inf
+        self._risen = trio.Event()
+        store.on_rise(self._note_rise)
 
     async def run(self, is_ready: Callable[[], bool]) -> None:
         """Announce this router from when it is ready, and follow the others, for ever."""
@@ -161,7 +173,15 @@
         while True:
             if is_ready() and self._is_beat_due():
                 await self._beat()
-            await trio.sleep(self._options.beat_s)
+            with trio.move_on_after(self._options.beat_s):
+                await self._risen.wait()
+                self._risen = trio.Event()
+
+    def _note_rise(self) -> None:
+        """Take that the store came back older: this router's record there is a former one."""
+        self._copy_until = trio.current_time() + COPY_S
+        self._beat_at = -math.inf
+        self._risen.set()
 
     def _is_beat_due(self) -> bool:
         if self._is_behind() != self._member.behind:
@@ -222,6 +242,8 @@
 
     def _hear(self, instance: str, member: Member, now: float) -> None:
         known = self._heard_by_instance.get(instance)
+        if known and now < self._copy_until and _is_former(member, known.member):
+            return
         if known is None or known.member.incarnation != member.incarnation:
             logger.bind(instance=instance, address=member.address).info("router-seen")
         elif known.member.address and not member.address:
--- a/railtide/membership/tests/test_upstream_list.py
+++ b/railtide/membership/tests/test_upstream_list.py
@@ -150,6 +150,7 @@
         leaving = replace(engine("a", born=5), state=LEAVING, address="a:2")
         case.listed.put(replace(leaving, seq=9))
         case.listed.settle()
+        case.listed.note_rise()
         case.listed.put(replace(engine("a", pool="q", born=5), seq=8))
         case.listed.settle()
         assert case.names_by_pool == {"p": ["a"]}
@@ -161,6 +162,7 @@
         case = Case(lapse_until=trio.current_time() + 2)
         case.listed.put(replace(engine("a", born=5), seq=9))
         case.listed.remove("a")
+        case.listed.note_rise()
         case.listed.put(replace(engine("a", born=5), seq=8))
         await trio.sleep(2.1)
         case.listed.settle()
@@ -169,6 +171,7 @@
     async def test_next_life_counts_anew(self, autojump_clock) -> None:
         case = Case()
         case.listed.put(replace(engine("a", born=5), seq=9))
+        case.listed.note_rise()
         case.listed.put(replace(engine("a", pool="q", born=6), seq=1))
         case.listed.put(replace(engine("a", pool="r", born=6), seq=2))
         case.listed.settle()
@@ -177,6 +180,7 @@
     async def test_life_that_tells_no_birth_may_count_anew(self, autojump_clock) -> None:
         case = Case()
         case.listed.put(replace(engine("a"), seq=9))
+        case.listed.note_rise()
         case.listed.put(replace(engine("a", pool="q"), seq=1))
         case.listed.settle()
         assert case.names_by_pool == {"p": [], "q": ["a"]}
@@ -220,6 +224,14 @@
         case.listed.settle()
         assert case.names_by_pool == {"p": []}
 
+    async def test_without_a_rise_a_lower_number_counts_as_ever(self, autojump_clock) -> None:
+        """Another writer's record with a high number must not shut out the upstream's own."""
+        case = Case()
+        case.listed.put(replace(engine("a", pool="q", born=5), seq=10**9))
+        case.listed.put(replace(engine("a", born=5), seq=8))
+        case.listed.settle()
+        assert case.names_by_pool == {"p": ["a"], "q": []}
+
     async def test_without_a_rise_a_life_comes_back_as_ever(self, autojump_clock) -> None:
         case = self._with_a_gone_life()
         case.listed.put(replace(engine("a", born=5), seq=9))
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -4,8 +4,13 @@
 nothing to the former one, which may have left; a record of the former one that comes late changes
 nothing. A record that can't be read names no upstream: one that is known by that name is not used
 until it says of itself again what it is.
+
+A store that comes back older shows records that newer ones had replaced, and upstreams that are
+gone. For some time behind that, of a life that tells its birth a record with a lower number than
+one known changes nothing, and a life that is gone is back only with a higher one.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,11 +20,14 @@
 
 from railtide.membership.instances import Instance, InstanceState
 
-__all__ = ["RETURN_GRACE_S", "UpstreamList"]
+__all__ = ["GONE_S", "RETURN_GRACE_S", "UpstreamList"]
 
 RETURN_GRACE_S = 2.0
 """Records that lapsed while the platform's store was away are back within this time of its
 return; one that is still missing then belongs to an upstream that is gone."""
+GONE_S = 20.0
+"""How long a life that is gone is remembered, and behind a rise of the store's era once more: the
+longest history on the users' sheets, and so the age of the oldest copy that is reckoned with."""
 RECENT_LOSS_S = 1.0
 """A store whose loss was noticed no longer ago than this may have lost records before."""
 
@@ -32,6 +40,21 @@
     pool: str
 
 
+@dataclass(frozen=True)
+class _GoneLife:
+    """The last life under a name and its last number, remembered up to a trio time."""
+
+    born: int
+    seq: int
+    until: float
+
+    def is_newer_than(self, instance: Instance) -> bool:
+        """Return whether a record may be of a time before this life was gone."""
+        if instance.born == self.born:
+            return instance.seq <= self.seq
+        return instance.born < self.born
+
+
 class UpstreamList:
     """Keeps what is listed and tells each pool's upstreams when they change.
 
@@ -55,6 +78,17 @@
         self._unreadable: set[str] = set()
         self._left_by_name: dict[str, set[_Service]] = {}
         self._dirty: set[str] = set()
+        self._seq_by_name: dict[str, int] = {}
+        self._gone_by_name: dict[str, _GoneLife] = {}
+        self._copy_until = -math.inf
+
+    def note_rise(self) -> None:
+        """Take that the store came back older: those that are gone may be listed there again."""
+        until = trio.current_time() + GONE_S
+        self._copy_until = until
+        self._gone_by_name = {
+            name: _GoneLife(gone.born, gone.seq, until) for name, gone in self._gone_by_name.items()
+        }
 
     def put(self, instance: Instance) -> None:
         """Take a record. Leaving is sticky for a life in its pool."""
@@ -62,8 +96,10 @@
         if known and known.born and not instance.born:
             self.put_unreadable(instance.name, "the birth that this upstream tells is missing")
             return
-        if known and instance.born < known.born:
+        if known and instance.born < known.born or self._is_of_a_copy(instance):
             return
+        self._seq_by_name[instance.name] = instance.seq
+        instance = replace(instance, seq=0)  # counting on is no change
         self._missing_by_name.pop(instance.name, None)
         instance = self._with_sticky_leaving(instance)
         was_unreadable = instance.name in self._unreadable
@@ -82,6 +118,18 @@
         if known:
             self._dirty.add(known.pool)
 
+    def _is_of_a_copy(self, instance: Instance) -> bool:
+        """Return whether a store that came back older shows a record that a newer one replaced."""
+        now = trio.current_time()
+        if not instance.born or now >= self._copy_until:
+            return False
+        known = self._by_name.get(instance.name)
+        if known:
+            number = self._seq_by_name[instance.name]
+            return known.born == instance.born and instance.seq < number
+        gone = self._gone_by_name.get(instance.name)
+        return gone is not None and now < gone.until and gone.is_newer_than(instance)
+
     def _with_sticky_leaving(self, instance: Instance) -> Instance:
         """Return the instance as leaving if this life of it has left this pool.
 
@@ -122,10 +170,15 @@
             if now >= until:
                 del self._missing_by_name[name]
                 gone = self._by_name.pop(name)
+                number = self._seq_by_name.pop(name)
+                if gone.born:
+                    self._gone_by_name[name] = _GoneLife(gone.born, number, now + GONE_S)
                 self._unreadable.discard(name)
                 self._left_by_name.pop(name, None)
                 self._dirty.add(gone.pool)
                 logger.bind(upstream=name, pool=gone.pool).info("upstream-gone")
+        for name in [name for name, gone in self._gone_by_name.items() if now >= gone.until]:
+            del self._gone_by_name[name]
         for pool in sorted(self._dirty):
             listed = [self._usable(i) for i in self._by_name.values() if i.pool == pool]
             self._on_change(pool, listed)
--- a/railtide/platform/desired_state.py
+++ b/railtide/platform/desired_state.py
@@ -147,6 +147,7 @@
             slots=server.slots,
             state=STATE_BY_WORD[server.state],
             born=born,
+            seq=server.seq,
         )
 
 
