--- /dev/null
+++ b/railtide/budgets/tests/test_rollback.py
@@ -0,0 +1,205 @@
+"""Tests of the ledgers over a store that comes back older.
+
+They show what holds among routers that live, and that all have read the rise.
+"""
+
+import pytest
+import trio
+
+from railtide.budgets.errors import BudgetError
+from railtide.budgets.ledger import Holding, Ledger
+from railtide.budgets.ledger_partition import CLOSED_S
+from railtide.budgets.ledger_treasury import LedgerTreasury
+from railtide.budgets.spend_limit import Reading, SpendLimit
+from railtide.budgets.tests.test_ledger_treasury import (
+    ACCOUNT,
+    OPTIONS,
+    SETTINGS,
+    ledger_of,
+    treasury,
+)
+from railtide.standins.keyed_store import MemoryStore
+
+KNOWN_S = 1.0
+
+
+async def spend(made: LedgerTreasury, amount: int) -> int:
+    """Return what a request of this cost has spent, 0 if it is refused."""
+    try:
+        reserved = await made.reserve(ACCOUNT, SETTINGS, amount, trio.current_time() + 1.0)
+    except BudgetError:
+        return 0
+    return reserved.settle(amount)
+
+
+async def run_later(made: LedgerTreasury, after_s: float) -> None:
+    await trio.sleep(after_s)
+    await made.run()
+
+
+def held(made: LedgerTreasury) -> int:
+    return made._account(ACCOUNT).hand.granted
+
+
+class TestRollback:
+    async def test_units_of_the_lost_seconds_are_not_granted_again(self, autojump_clock) -> None:
+        """The router that holds them is away for most of the time that is left to it."""
+        store = MemoryStore(era=1)
+        made, other = treasury(store, "i1"), treasury(store, "i2")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(other.run)
+            await trio.sleep(KNOWN_S)
+            copy = store.copy()
+            with trio.move_on_after(2 * KNOWN_S):
+                async with trio.open_nursery() as away:
+                    away.start_soon(made.run)
+                    total = await spend(made, 900)
+            store.roll_back(copy)
+            nursery.start_soon(run_later, made, CLOSED_S - KNOWN_S)
+            for _ in range(100):
+                total += await spend(other, 50)
+                await trio.sleep(0.05)
+            assert total == 1000
+            nursery.cancel_scope.cancel()
+
+    async def test_holding_is_said_again_at_once(self, autojump_clock) -> None:
+        store = MemoryStore(era=1)
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(KNOWN_S)
+            copy = store.copy()
+            assert await spend(made, 100) == 100
+            await trio.sleep(2 * KNOWN_S)
+            before = ledger_of(store).by_instance["i1"]
+            store.roll_back(copy)
+            await trio.sleep(0.2)
+            again = ledger_of(store).by_instance["i1"]
+            assert (again.granted, again.spent) == (before.granted, before.spent)
+            nursery.cancel_scope.cancel()
+
+    async def test_hand_serves_and_nothing_is_granted_for_a_time(self, autojump_clock) -> None:
+        store = MemoryStore(era=1)
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            made.spread()
+            for _ in range(10):
+                await spend(made, 10)
+                await trio.sleep(0.2)
+            in_hand = made._account(ACCOUNT).hand.available
+            assert in_hand > 0
+            store.roll_back(store.copy())
+            risen_at = trio.current_time()
+            granted = held(made)
+            assert await spend(made, 1) == 1
+            while trio.current_time() < risen_at + CLOSED_S - 0.3:
+                assert await spend(made, in_hand + 50) == 0
+                assert held(made) <= granted
+            await trio.sleep(0.5)
+            assert await spend(made, in_hand + 50) == in_hand + 50
+            nursery.cancel_scope.cancel()
+
+    async def test_account_of_the_lost_seconds_is_not_granted_at_once(self, autojump_clock) -> None:
+        store = MemoryStore(era=1)
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(KNOWN_S)
+            store.roll_back(store.copy())
+            made.set_prepaid({ACCOUNT: 1000, "new": 1000})
+            with pytest.raises(BudgetError):
+                await made.reserve("new", SETTINGS, 5, trio.current_time() + 1.0)
+            nursery.cancel_scope.cancel()
+
+    async def test_units_returned_in_the_lost_seconds_are_held_once(self, autojump_clock) -> None:
+        store = MemoryStore(era=1)
+        made, other = treasury(store, "i1"), treasury(store, "i2")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            nursery.start_soon(other.run)
+            await trio.sleep(KNOWN_S)
+            reserved = await made.reserve(ACCOUNT, SETTINGS, 900, trio.current_time() + 1.0)
+            await trio.sleep(KNOWN_S)
+            copy = store.copy()
+            total = reserved.settle(0)
+            made._account(ACCOUNT).give_back()
+            await trio.sleep(KNOWN_S)
+            total += await spend(other, 800)
+            assert total == 800
+            store.roll_back(copy)
+            for _ in range(30):
+                total += await spend(made, 150) + await spend(other, 150)
+                await trio.sleep(0.3)
+            assert total <= 1000
+            by_instance = ledger_of(store).by_instance
+            assert sum(holding.spent for holding in by_instance.values()) == total
+            nursery.cancel_scope.cancel()
+
+
+class TestUnsureAppend:
+    @pytest.mark.parametrize("is_shown", [False, True])
+    async def test_it_counts_only_if_the_next_era_shows_it(
+        self, autojump_clock, is_shown: bool
+    ) -> None:
+        store = MemoryStore(era=1)
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(KNOWN_S)
+            before = store.copy()
+            store.lose_answers = 1
+            assert await spend(made, 100) in (0, 100)
+            store.down = True
+            assert held(made) in (0, 100)
+            copy = store.copy() if is_shown else before
+            store.roll_back(copy)
+            store.down = False
+            await trio.sleep(KNOWN_S)
+            shown = ledger_of(store).by_instance.get("i1")
+            assert held(made) == (shown.granted if shown else 0)
+            await trio.sleep(2 * CLOSED_S)
+            assert await spend(made, 100) == 100
+            await trio.sleep(2 * KNOWN_S)
+            assert ledger_of(store).by_instance["i1"].granted == held(made)
+            nursery.cancel_scope.cancel()
+
+    async def test_it_is_not_tried_again_at_an_offset_of_the_next_era(self, autojump_clock) -> None:
+        store = MemoryStore(era=1)
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(KNOWN_S)
+            copy = store.copy()
+            store.late_appends = 100
+            assert await spend(made, 100) == 0
+            store.roll_back(copy)
+            store.late_appends = 0
+            await trio.sleep(CLOSED_S - 1.0)
+            assert (ledger_of(store), held(made)) == (Ledger(), 0)
+            nursery.cancel_scope.cancel()
+
+
+class TestPeerReports:
+    async def test_reports_of_a_former_era_prove_nothing(self, autojump_clock) -> None:
+        limit = SpendLimit(Reading("theirs", 70.0, 0.0), used=10, burst=5, pace=2)
+        dead = Holding("b1", granted=100, spent=10, limit=limit)
+        alive = Ledger(by_instance={"b": dead})
+        closed = Ledger(closed=100, billed=10, unproved={"b": dead})
+        hand = treasury(MemoryStore(era=1))._account(ACCOUNT)
+        for ledger in (Ledger(), alive):
+            hand.take_ledger(ledger, Reading("", 0.0, 1e9))
+        hand.note_rise()
+        hand.take_ledger(closed)
+        assert hand._peers.used_at_most("b1") == 100
+
+
+class TestWithoutEras:
+    async def test_nothing_is_closed(self, autojump_clock) -> None:
+        store = MemoryStore()
+        made = treasury(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.run)
+            await trio.sleep(OPTIONS.tend_s)
+            assert await spend(made, 100) == 100
+            nursery.cancel_scope.cancel()
