Ledgers rely on nothing that was read before the store came back older

Cause: a partition trusted each acknowledged append for good. Change: on a rise the partition reads anew before its next append, takes an unsure append only if the new era shows it, and drops own and peers' reports of the former era; each hand says again at once what it holds; nothing is granted for 3.5 s.

--- a/railtide/budgets/account_hand.py
+++ b/railtide/budgets/account_hand.py
@@ -99,6 +99,8 @@
         Whether the process shuts down: hands are returned and nothing is asked for.
     address : str
         Where the process listens.
+    closed_until : float
+        Trio time before which nothing is granted, since the ledgers may lack what others hold.
     """
 
     instance: str
@@ -112,6 +114,7 @@
     spreading: bool = False
     leaving: bool = False
     address: str = ""
+    closed_until: float = -math.inf
 
 
 @dataclass(frozen=True)
@@ -176,6 +179,8 @@
         self._limits: list[SpendLimit] = []
         self._peers = PeerReports()
         self._reported_at = -math.inf
+        self._is_copy_due = False
+        self._is_to_say_again = False
         self._refill_refused_at = -math.inf
         self._ask = ask
         self._horizon_s = horizon_s
@@ -309,6 +314,8 @@
         """Take the ledger as it was read now; see `PeerReports.observe`."""
         if not self.loaded:
             self._peers.forget()
+        if self._is_copy_due:
+            self._take_copy(ledger)
         self._peers.observe(ledger, own_append, self._holder.clocks.read())
         self._ledger = ledger
         self._ledger_at = trio.current_time()
@@ -322,6 +329,23 @@
         note_seen(self._needs_seen, needs, self._ledger_at)
         self._log_ledger()
 
+    def note_rise(self) -> None:
+        """Take that the next ledger is one of a store that came back older."""
+        self._is_copy_due = True
+
+    def _take_copy(self, ledger: Ledger) -> None:
+        """Have what this process holds said again, whatever the copy has of it.
+
+        What is known of peers was read in the former era and proves nothing.
+        """
+        self._is_copy_due = False
+        own = ledger.by_instance.get(self._holder.instance)
+        incarnation = self._holder.incarnation
+        is_own = own is not None and own.incarnation == incarnation
+        self._written = own if is_own else Holding(incarnation)
+        self._is_to_say_again = bool(self.hand.granted or self.hand.spent or is_own)
+        self._peers.forget()
+
     @property
     def is_waited_for(self) -> bool:
         """True while requests wait for a grant."""
@@ -427,6 +451,7 @@
         self.hand.granted += change.granted
         self._written = change.holding
         self._reported_at = trio.current_time()
+        self._is_to_say_again = False
         self._limits = [change.holding.limit] if change.holding.limit else []
         if change.former:
             self._log_closed(change.former)
@@ -498,7 +523,7 @@
 
     def _is_wanting(self) -> bool:
         """Return whether to ask for units; ahead of need not while a refusal is fresh."""
-        if self._holder.leaving:
+        if self._holder.leaving or trio.current_time() < self._holder.closed_until:
             return False
         if self._missing() > 0:
             return True
@@ -564,7 +589,7 @@
 
     def _is_report_due(self) -> bool:
         """Return whether others should know what was spent, or the limit is to be renewed."""
-        if self.is_returning or self._is_held_by_limit():
+        if self._is_to_say_again or self.is_returning or self._is_held_by_limit():
             return True
         if trio.current_time() - self._reported_at < self._options.report_s:
             return False
--- a/railtide/budgets/ledger_partition.py
+++ b/railtide/budgets/ledger_partition.py
@@ -2,6 +2,10 @@
 
 An append whose answer was lost is tried again as it is until it is there or its condition can't
 hold any more, so it never counts twice.
+
+A store that comes back older has lost grants that were acknowledged. Nothing read before counts
+then: the ledgers are read anew before the next append, each process says again what it holds, and
+nothing is granted before all that live can have done so.
 """
 
 import math
@@ -17,7 +21,7 @@
 from railtide.budgets.ledger import Ledger, ledger_from_bytes, ledger_to_bytes
 from railtide.budgets.outages import Outages, note_reached, remaining_s
 from railtide.budgets.spend_limit import NO_READING, Reading
-from railtide.journal.errors import LogUnavailable
+from railtide.journal.errors import EraRisen, LogUnavailable
 from railtide.journal.keyed import AppendConflict, KeyedStore
 
 __all__ = ["LedgerPartition"]
@@ -25,6 +29,10 @@
 CONFLICT_PAUSE_S = 0.004
 """Mean wait after a lost compare-and-swap; a call of the store takes as long."""
 
+CLOSED_S = 3.5
+"""How long behind a rise of the store's era nothing is granted, so that every router that lives has
+read the rise and said what it holds: three beats and a slow answer of the store, as
+`RosterOptions.dead_after_s`."""
 APPEND_BYTES = 131_072
 """Bytes of ledgers from which on an append takes no more: 0.2 s of a link of 5 Mbit/s. All that are
 due at a start may be more than the store takes in one call, and than a link carries in time."""
@@ -80,9 +88,11 @@
         self._planned_at: dict[str, float] = {}
         self._read_at = -math.inf
         self._own_append = NO_READING
+        self._is_former = False
         self._asked = trio.Event()
         self._outages = Outages(self._options.horizon_s)
         self._horizon = Horizon(self._options.horizon_s, at=trio.current_time())
+        store.on_rise(self._note_rise)
 
     def hand(self, account: str) -> AccountHand:
         """Return the hand of an account of this partition."""
@@ -98,6 +108,14 @@
         """Have the ledgers read and changed now."""
         self._asked.set()
 
+    def _note_rise(self) -> None:
+        """Take that what was read and sent is of a former era of the store."""
+        self._is_former = True
+        self._holder.closed_until = trio.current_time() + CLOSED_S
+        for hand in self.hand_by_account.values():
+            hand.note_rise()
+        self.ask()
+
     @property
     def ledger_age_ms(self) -> int | None:
         """How long ago the ledgers were read, None for never."""
@@ -111,6 +129,8 @@
             self._asked = trio.Event()
             try:
                 await self._tend()
+            except EraRisen:
+                self.ask()
             except LogUnavailable as err:
                 self._note_reachable(False, err.detail)
                 await trio.sleep(self._options.away_s)
@@ -126,7 +146,8 @@
         read_s = self._options.idle_read_s if idle else self._options.read_s
         stale = trio.current_time() - self._read_at > read_s
         hands = self.hand_by_account.values()
-        if not (self._unsure or stale or any(hand.is_due() for hand in hands)):
+        due = self._unsure or stale or self._is_former
+        if not (due or any(hand.is_due() for hand in hands)):
             return
         await self._read()
         while (append := self._unsure or self._plan()) is not None:
@@ -136,7 +157,8 @@
                 self.conflicts += 1
                 await trio.sleep(self._rng.uniform(0, 2 * CONFLICT_PAUSE_S))
                 await self._read()
-            if trio.current_time() - self._read_at > self._options.idle_read_s:
+            aged = trio.current_time() - self._read_at > self._options.idle_read_s
+            if aged or self._is_former:
                 await self._read()  # more may be due all the time than one call carries
         for hand in self.hand_by_account.values():
             hand.wake()
@@ -146,6 +168,9 @@
         self._note_reachable(True, "")
         self._read_at = trio.current_time()
         self._end = page.end
+        is_copy, self._is_former = self._is_former, False
+        if is_copy:
+            self._forget()
         for record in page.records:
             self._take_record(record.key, record.value)
         self.loaded = True
@@ -153,7 +178,13 @@
             if account not in self._unreadable:
                 ledger = self._ledger_by_account.get(account) or Ledger()
                 hand.take_ledger(ledger, self._own_append)
-        self._settle_unsure()
+        self._settle_unsure(is_copy)
+
+    def _forget(self) -> None:
+        """Rely on nothing that was read or appended in a former era."""
+        self._ledger_by_account.clear()
+        self._unreadable.clear()
+        self._own_append = NO_READING
 
     def _take_record(self, account: str, value: bytes) -> None:
         """Take a ledger; without one that can be read nothing is granted for its account."""
@@ -166,13 +197,14 @@
             self._unreadable.add(account)
             self.hand(account).loaded = False
 
-    def _settle_unsure(self) -> None:
+    def _settle_unsure(self, is_copy: bool) -> None:
         """Learn what became of an append without an answer.
 
-        Once the partition has moved past its condition it is there or never will be.
+        Once the partition has moved past its condition it is there or never will be. Its condition
+        says nothing in another era: there it is what the ledgers show.
         """
         append = self._unsure
-        if append is None or self._end <= append.expected_end:
+        if append is None or (self._end <= append.expected_end and not is_copy):
             return
         self._unsure = None
         # An account in which this process holds nothing has no holding to tell it by.
--- a/railtide/containment/evidence.py
+++ b/railtide/containment/evidence.py
@@ -73,7 +73,7 @@
         """
         marks = self._marks_by_content.setdefault(mark.content, {})
         known = marks.get(mark.life)
-        if not says_more(mark, known):
+        if known and _rank(known) >= _rank(mark):
             return False
         marks[mark.life] = mark
         return True
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -96,7 +96,9 @@
         if known and known.born and not instance.born:
             self.put_unreadable(instance.name, "the birth that this upstream tells is missing")
             return
-        if known and instance.born < known.born or self._is_of_a_copy(instance):
+        if known and instance.born < known.born:
+            return
+        if self._is_of_a_copy(instance):
             return
         self._seq_by_name[instance.name] = instance.seq
         instance = replace(instance, seq=0)  # counting on is no change
