--- a/railtide/platform/tests/test_eras.py
+++ b/railtide/platform/tests/test_eras.py
@@ -1,5 +1,7 @@
 """Tests of the eras that railtide.platform.store reads from the store's answers."""
 
+from contextlib import nullcontext
+
 import pytest
 import trio
 
@@ -7,6 +9,7 @@
 from railtide.http.server import Responder
 from railtide.journal.errors import EraRisen, LogUnavailable, RecordsExpired
 from railtide.journal.keyed import AppendConflict
+from railtide.journal.transfer import Transfer
 from railtide.platform.tests.test_store import client_of
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import StoreServer
@@ -127,6 +130,19 @@
                 with pytest.raises(EraRisen):
                     await store.newest("u")
 
+    async def test_answer_of_the_next_era_is_not_begun(self) -> None:
+        """What its reader is told of its beginning would be taken for the era that it asked in."""
+        memory = MemoryStore(era=1)
+        memory.put("t", "a", b"1")
+        begun: list[Transfer] = []
+        async with client_of(StoreServer(memory).handle) as store:
+            await store.newest("t")
+            memory.roll_back(memory.copy())
+            for expected in (0, 1):
+                with nullcontext() if expected else pytest.raises(EraRisen):
+                    await store.read("t", 0, 0.0, transfer=Transfer(begun.append))
+                assert len(begun) == expected
+
     async def test_pages_of_a_broken_read_are_dropped(self) -> None:
         memory = MemoryStore(era=1)
         put_many(memory)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -41,6 +41,12 @@
 REST_DUE = "test_feed_is_not_current_before_the_rest_has_come"
 FRESHNESS = "railtide/journal/tests/test_feed_freshness.py"
 BROKEN_NEWEST = "test_connection_that_never_lives_for_the_newest_moves_on"
+ERAS = "railtide/journal/tests/test_eras.py"
+STORE_ERAS = "railtide/platform/tests/test_eras.py"
+FEED_ERAS = "railtide/journal/tests/test_feed_eras.py"
+ROLLBACK = "railtide/platform/tests/test_rollback.py"
+LEDGER_ROLLBACK = "railtide/budgets/tests/test_rollback.py"
+UPSTREAM_LIST = "railtide/membership/tests/test_upstream_list.py"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -1577,6 +1583,190 @@
         "        self._usual.add(watch)\n",
         (PATIENCE,),
     ),
+    Mutant(
+        "lower-era-is-an-answer",
+        "journal/eras.py",
+        'raise LogUnavailable(f"the answer is of era {era}',
+        'str(f"the answer is of era {era}',
+        (ERAS, STORE_ERAS),
+    ),
+    Mutant(
+        "answer-without-an-era-is-one",
+        "journal/eras.py",
+        '        raise LogUnavailable("the answer tells no era")\n',
+        "",
+        (ERAS, STORE_ERAS),
+    ),
+    Mutant(
+        "answer-with-an-unreadable-era-is-one",
+        "journal/eras.py",
+        "        if self.current is not None:\n            raise LogUnavailable(f\"the answer's",
+        "        if False:\n            raise LogUnavailable(f\"the answer's",
+        (ERAS, STORE_ERAS),
+    ),
+    Mutant(
+        "unreadable-era-before-any-is-no-answer",
+        "journal/eras.py",
+        "        if self.current is not None:\n            raise LogUnavailable(f\"the answer's",
+        "        if True:\n            raise LogUnavailable(f\"the answer's",
+        (ERAS, STORE_ERAS),
+    ),
+    Mutant(
+        "first-era-is-a-rise",
+        "journal/eras.py",
+        "        if self.current is None:\n            self.current = era\n"
+        "        elif era > self.current:",
+        "        if self.current is None or era > self.current:",
+        (ERAS, STORE_ERAS),
+    ),
+    Mutant(
+        "bad-eras-are-told-per-call",
+        "journal/eras.py",
+        "        self._told.add(value)\n",
+        "",
+        (ERAS,),
+    ),
+    Mutant(
+        "answer-of-the-next-era-counts",
+        "platform/store.py",
+        "            self._eras.take(era_told(exchange))\n            self._eras.check(rises)\n",
+        "            self._eras.take(era_told(exchange))\n",
+        (STORE_ERAS,),
+    ),
+    Mutant(
+        "part-of-an-answer-of-a-former-era-is-kept",
+        "platform/store.py",
+        "        except EraRisen:\n            raise\n",
+        "",
+        (STORE_ERAS,),
+    ),
+    Mutant(
+        "pages-of-a-former-era-are-kept",
+        "platform/store.py",
+        "        self._eras.on_rise(self._pages_by_topic.clear)\n",
+        "",
+        (STORE_ERAS,),
+    ),
+    Mutant(
+        "feed-reads-on-in-the-next-era",
+        "journal/feed.py",
+        "            self._check_era()\n",
+        "",
+        (FEED_ERAS,),
+    ),
+    Mutant(
+        "feed-is-current-behind-a-rise",
+        "journal/feed.py",
+        'are read anew."""\n        self.freshness.note_newer()\n',
+        'are read anew."""\n',
+        (FEED_ERAS,),
+    ),
+    Mutant(
+        "rise-is-no-loss-of-the-store",
+        "journal/feed.py",
+        "        if self.reachable and not self._is_former:\n",
+        "        if False:\n",
+        (FEED_ERAS,),
+    ),
+    Mutant(
+        "rise-is-no-return-of-the-store",
+        "journal/feed.py",
+        "            self._is_former = False\n            self.back_at = trio.current_time()\n",
+        "            self._is_former = False\n",
+        (FEED_ERAS,),
+    ),
+    Mutant(
+        "older-record-of-a-life-counts",
+        "membership/upstream_list.py",
+        "return known.born == instance.born and instance.seq < number",
+        "return False",
+        (UPSTREAM_LIST,),
+    ),
+    Mutant(
+        "life-that-is-gone-comes-back",
+        "membership/upstream_list.py",
+        "gone is not None and now < gone.until and gone.is_newer_than(instance)",
+        "False",
+        (UPSTREAM_LIST, ROLLBACK),
+    ),
+    Mutant(
+        "life-that-writes-on-stays-gone",
+        "membership/upstream_list.py",
+        "            return instance.seq <= self.seq\n",
+        "            return True\n",
+        (UPSTREAM_LIST,),
+    ),
+    Mutant(
+        "numbers-count-without-a-rise",
+        "membership/upstream_list.py",
+        "if not instance.born or now >= self._copy_until:",
+        "if not instance.born:",
+        (UPSTREAM_LIST,),
+    ),
+    Mutant(
+        "router-of-the-copy-is-heard",
+        "membership/roster.py",
+        "        if known and now < self._copy_until and _is_former(member, known.member):\n"
+        "            return\n",
+        "",
+        (f"{MEMBERSHIP}/test_roster.py",),
+    ),
+    Mutant(
+        "beat-waits-behind-a-rise",
+        "membership/roster.py",
+        "        self._risen.set()\n",
+        "",
+        (f"{MEMBERSHIP}/test_roster.py",),
+    ),
+    Mutant(
+        "marks-of-the-lost-seconds-stay-lost",
+        "containment/registry.py",
+        "            if says_more(mark, self._shown.get(key)):\n",
+        "            if key in self._shown:\n",
+        (f"{CONTAINMENT}/test_registry.py",),
+    ),
+    Mutant(
+        "clearings-of-the-lost-seconds-stay-lost",
+        "containment/registry.py",
+        "            if says_more(mark, self._shown.get(key)):\n",
+        "            if key not in self._shown:\n",
+        (f"{CONTAINMENT}/test_registry.py",),
+    ),
+    Mutant(
+        "units-are-granted-behind-a-rise",
+        "budgets/account_hand.py",
+        "if self._holder.leaving or trio.current_time() < self._holder.closed_until:",
+        "if self._holder.leaving:",
+        (LEDGER_ROLLBACK,),
+    ),
+    Mutant(
+        "holding-is-not-said-again",
+        "budgets/account_hand.py",
+        "if self._is_to_say_again or self.is_returning",
+        "if self.is_returning",
+        (LEDGER_ROLLBACK,),
+    ),
+    Mutant(
+        "peer-reports-of-a-former-era-prove",
+        "budgets/account_hand.py",
+        "or is_own)\n        self._peers.forget()\n",
+        "or is_own)\n",
+        (LEDGER_ROLLBACK,),
+    ),
+    Mutant(
+        "unsure-append-is-tried-in-the-next-era",
+        "budgets/ledger_partition.py",
+        "(self._end <= append.expected_end and not is_copy)",
+        "self._end <= append.expected_end",
+        (LEDGER_ROLLBACK,),
+    ),
+    Mutant(
+        "ledgers-are-not-read-anew",
+        "budgets/ledger_partition.py",
+        "due = self._unsure or stale or self._is_former",
+        "due = self._unsure or stale",
+        (LEDGER_ROLLBACK,),
+    ),
 ]
 
 
