The process test of an old view ends its router when it fails, too

Cause: a check that fails left the router's process running: four of them stood for half an hour after failed runs and trials of this test. Measured: test_edge_process.py passes (9 tests); no change of a check.

--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -205,18 +205,20 @@
         async with edge(tmp_path) as made:
             made.store.put("keyed.op", "config", msgspec.json.encode(state))
             process = await made.start()
-            assert (await made.ask(1, LARGE_BODY)).status == 413
-            ages = READ_AGE.findall(await made.metrics())
-            assert {topic for topic, _ in ages} >= {"keyed.op", "keyed.servers"}
-            assert all(0 <= float(age) < WAIT_S for _, age in ages)
-            made.store.down = True
-            made.store.put("keyed.op", "other", b"x")
-            with trio.fail_after(WAIT_S):
-                while (await made.ask(2, LARGE_BODY)).status == 413:
-                    await trio.sleep(0.05)
-            assert (await made.ask(3, LARGE_BODY)).status == 503
-            assert OUTDATED.findall(await made.metrics()) == ["2.0"]
-            process.kill()
+            try:
+                assert (await made.ask(1, LARGE_BODY)).status == 413
+                ages = READ_AGE.findall(await made.metrics())
+                assert {topic for topic, _ in ages} >= {"keyed.op", "keyed.servers"}
+                assert all(0 <= float(age) < WAIT_S for _, age in ages)
+                made.store.down = True
+                made.store.put("keyed.op", "other", b"x")
+                with trio.fail_after(WAIT_S):
+                    while (await made.ask(2, LARGE_BODY)).status == 413:
+                        await trio.sleep(0.05)
+                assert (await made.ask(3, LARGE_BODY)).status == 503
+                assert OUTDATED.findall(await made.metrics()) == ["2.0"]
+            finally:
+                process.kill()
             await process.wait()
 
     async def test_kill_and_restart_overspend_nothing(self, tmp_path: Path) -> None:
