--- a/railtide/containment/placement.py
+++ b/railtide/containment/placement.py
@@ -60,7 +60,7 @@
     ['e1', 'e2']
     """
     strikes = strikes_by_content.get(content, 0)
-    if not strikes:
+    if not strikes or not names:
         return frozenset(names)
     made = places(strikes_by_content, names)
     if content not in made:
--- a/railtide/containment/tests/test_placement.py
+++ b/railtide/containment/tests/test_placement.py
@@ -54,3 +54,5 @@
 
     def test_without_upstreams_there_is_no_place(self) -> None:
         assert places({"a": 2}, []) == {}
+        for strikes in (1, 2):
+            assert preferred("a", {"a": strikes}, []) == frozenset()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -862,6 +862,13 @@
         "list(names)",
         (CONTAINMENT,),
     ),
+    Mutant(
+        "suspect-has-a-place-where-no-upstream-is",
+        "containment/placement.py",
+        "if not strikes or not names:",
+        "if not strikes:",
+        (CONTAINMENT,),
+    ),
     Mutant(
         "suspects-of-one-end-go-on-together",
         "containment/placement.py",
