A router knows of an end from the first run that broke off, also when it starts later

It had read the three marks and did not hold: a life's moment was that of whichever mark was read last, there of a request beside it that was cleared, and so written anew, later. The same held a verdict off for good where a router noticed another broken run of the first end later than it sent the second try.

--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -110,7 +110,7 @@
     moments: dict[str, dict[str, float]] = {}
     for mark in marks:
         seen = moments.setdefault(mark.life, {})
-        seen[mark.router] = max(mark.at, seen.get(mark.router, mark.at))
+        seen[mark.router] = min(mark.at, seen.get(mark.router, mark.at))
     return moments
 
 
--- a/railtide/containment/evidence.py
+++ b/railtide/containment/evidence.py
@@ -12,7 +12,8 @@
 __all__ = ["Evidence", "Mark", "Moments"]
 
 Moments = Mapping[str, dict[str, float]]
-"""By life and router, when a router saw that life's end, by its own clock."""
+"""By life and router, when a router first saw a run broken off by that life's end, by its own
+clock. It knew of the end from then on, though it may see other runs broken off later."""
 
 
 @dataclass(frozen=True)
@@ -79,7 +80,7 @@
         for so long the upstream had lived with the content.
         """
         moments = self._moments.setdefault(mark.life, {})
-        moments[mark.router] = max(mark.at, moments.get(mark.router, mark.at))
+        moments[mark.router] = min(mark.at, moments.get(mark.router, mark.at))
         marks = self._marks_by_content.setdefault(mark.content, {})
         known = marks.get(mark.life)
         if known and _rank(known) >= _rank(mark):
--- a/railtide/containment/tests/test_registry.py
+++ b/railtide/containment/tests/test_registry.py
@@ -434,3 +434,42 @@
         later = fleet.start("r9")
         await trio.sleep(KNOWN_S)
         assert later.held == {BAD}
+
+
+class TestRouterThatStartsLater:
+    """What a router that starts judges by what the store kept.
+
+    Story. A router was killed 0.1 s behind the third end of a bad content and started again. It
+    read the three marks, did not hold the content that both others held, and sent it to a fourth
+    upstream. Evidence: the lines of three routers, with the times below. Cause: a life's moment was
+    that of whichever mark was read last, there that of a request beside it, which was answered
+    soundly later and whose mark was written anew; so a second try seemed to have been sent before
+    the end of the first.
+    """
+
+    LINES = [
+        (0.071, 0, "c1", BAD, 0.000),
+        (0.072, 0, "c1", OTHER, 0.010),
+        (0.148, 0, "c2", OTHER, 0.081),
+        (0.173, 0, "c2", BAD, 0.074),
+        (0.436, 1, "c3", BAD, 0.367),
+    ]
+    SEEN_LATE = [(0.090, 0, "c1", OTHER, 0.010) if one[3] == OTHER else one for one in LINES]
+
+    @pytest.mark.parametrize("lines", [LINES, SEEN_LATE])
+    async def test_it_holds_what_the_others_hold(self, nursery, autojump_clock, lines) -> None:
+        fleet = Fleet(nursery)
+        await trio.sleep(KNOWN_S)
+        began = trio.current_time()
+        for at, router, life, content, sent_at in sorted(lines):
+            await trio.sleep_until(began + at)
+            run = UpstreamRun(content, began + sent_at)
+            fleet.registries[router].note_end(life, life, [Break(run, began + at)])
+        await trio.sleep(KNOWN_S)
+        assert [registry.held for registry in fleet.registries] == [{BAD}] * 2
+        fleet.registries[1].note_sound(OTHER)
+        await trio.sleep(KNOWN_S)
+        later = fleet.start("r9")
+        await trio.sleep(KNOWN_S)
+        assert later.held == {BAD}
+        assert [registry.held for registry in fleet.registries] == [{BAD}] * 2
