The engine of a probe's test stops to listen by its own clock

Why the test was wrong: it closed the listener by a task of the process that probes. In place of the task a thread's timer closes it; what is asserted is the same.

--- a/railtide/platform/tests/test_crashing_requests.py
+++ b/railtide/platform/tests/test_crashing_requests.py
@@ -18,6 +18,7 @@
 
 import socket
 import struct
+import threading
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -353,18 +354,14 @@
         engine = Instance("e", "e", f"{HOST}:{port}", "z", "engine")
         return await PlatformUpstreams().probe(engine)
 
-    async def test_engine_that_stops_to_listen_behind_its_connections_has_ended(
-        self, nursery
-    ) -> None:
-        listener = await listen(HOST, 0)
-        port = listener.socket.getsockname()[1]
-
-        async def end() -> None:
-            await trio.sleep(0.005)
-            await listener.aclose()
-
-        nursery.start_soon(end)
-        assert await self.probe(port) is ProbeResult.REFUSED
+    async def test_engine_that_stops_to_listen_behind_its_connections_has_ended(self) -> None:
+        """It stops by its own clock: a process that is busy would stop behind the probe's wait."""
+        with socket.create_server((HOST, 0)) as listener:
+            port = listener.getsockname()[1]
+            stops = threading.Timer(0.005, listener.close)
+            stops.start()
+            assert await self.probe(port) is ProbeResult.REFUSED
+            stops.join()
 
     async def test_engine_that_resets_what_it_has_no_room_for_lives(self, nursery) -> None:
         listener = await listen(HOST, 0)
