Rollbacks in series among routers that live: 100 seeds

Cause: the single cases show one rollback each. Change: three routers spend 1,000 units while the store loses answers, is away, and comes back from copies up to three times in a row; no unit is spent twice, and the ledger's sums are what ran.

--- a/railtide/budgets/tests/test_rollback.py
+++ b/railtide/budgets/tests/test_rollback.py
@@ -3,6 +3,8 @@
 They show what holds among routers that live, and that all have read the rise.
 """
 
+from random import Random
+
 import pytest
 import trio
 
@@ -211,3 +213,47 @@
             await trio.sleep(OPTIONS.tend_s)
             assert await spend(made, 100) == 100
             nursery.cancel_scope.cancel()
+
+
+class TestSeries:
+    """Rollbacks in series among routers that live, with outages and lost answers."""
+
+    @pytest.mark.parametrize("seed", range(100))
+    async def test_no_unit_is_spent_twice(self, autojump_clock, seed: int) -> None:
+        rng = Random(seed)
+        store = MemoryStore(era=1)
+        made = [treasury(store, name, routers=3) for name in ("i1", "i2", "i3")]
+        totals: list[int] = []
+        async with trio.open_nursery() as nursery:
+            for router in made:
+                nursery.start_soon(router.run)
+                router.spread()
+            async with trio.open_nursery() as callers:
+                for router in made:
+                    callers.start_soon(self._call, router, Random(rng.random()), totals)
+                callers.start_soon(self._disturb, store, rng)
+            await trio.sleep(2 * CLOSED_S)
+            ledger = ledger_of(store)
+            nursery.cancel_scope.cancel()
+        assert sum(totals) <= 1000
+        assert committed(ledger) <= 1000
+        assert sum(own.spent for own in ledger.by_instance.values()) == sum(totals)
+
+    @staticmethod
+    async def _call(router: LedgerTreasury, rng: Random, totals: list[int]) -> None:
+        for _ in range(60):
+            totals.append(await spend(router, rng.randint(1, 30)))
+            await trio.sleep(rng.uniform(0.0, 0.6))
+
+    @staticmethod
+    async def _disturb(store: MemoryStore, rng: Random) -> None:
+        for _ in range(rng.randint(1, 3)):
+            copy = store.copy()
+            await trio.sleep(rng.uniform(0.0, 5.0))
+            store.lose_answers = rng.randint(0, 2)
+            store.delay_s = rng.uniform(0.0, 0.05)
+            store.down = rng.random() < 0.5
+            await trio.sleep(rng.uniform(0.0, 1.0))
+            store.roll_back(copy)
+            store.down = False
+            await trio.sleep(rng.choice([0.0, 1.0, CLOSED_S + 1.0]))
