Mutants of containment whose text or test had moved

Cause: all 44 mutants of railtide/containment, run on the commit before: two texts stood no more, one rule was caught by chance only (two writes in either order), and that a held content's runs are stopped was no longer seen by any test, since all copies of a suspect meet at one upstream now. Change: the texts; the order of the two writes is set; TestStop asks for what is stopped and what goes on. Result: all 44 are caught.

--- a/railtide/containment/tests/test_guard.py
+++ b/railtide/containment/tests/test_guard.py
@@ -5,7 +5,7 @@
 
 from railtide.containment.ends import EndWatch, ProbeResult
 from railtide.containment.errors import ContentHeld
-from railtide.containment.guard import JUDGED_S, CrashGuard
+from railtide.containment.guard import JUDGED_S, SURVIVED_S, CrashGuard
 from railtide.containment.tests.test_registry import BAD, GOOD, Fleet
 from railtide.membership.instances import Instance
 
@@ -19,6 +19,27 @@
     return CrashGuard(fleet.registries[0], watch)
 
 
+class TestStop:
+    """Runs of a content that comes to be held."""
+
+    @pytest.mark.parametrize(
+        ("head_before_s", "stopped"), [(None, True), (SURVIVED_S / 2, True), (SURVIVED_S, False)]
+    )
+    async def test_one_that_an_upstream_has_had_for_a_while_goes_on(
+        self, nursery, autojump_clock, head_before_s: float | None, stopped: bool
+    ) -> None:
+        fleet = Fleet(nursery)
+        guard = guard_of(fleet)
+        await fleet.end("i-0", BAD)
+        await fleet.end("i-1", BAD)
+        now = trio.current_time()
+        head_at = None if head_before_s is None else now - head_before_s
+        with guard.running(BAD, lambda: head_at) as run, guard.running(GOOD, lambda: None) as other:
+            fleet.registries[0].note_end("i-2", "i-2", fleet.breaks_of([BAD], 0.06))
+            assert run.cancel_called is stopped
+            assert not other.cancel_called
+
+
 class TestFreshVerdict:
     """Story. A read that all callers make was at three ends, two of them under a bad content whose
     third was seen by another router in the same millisecond. It was held for the 6 ms until that
--- a/railtide/containment/tests/test_registry.py
+++ b/railtide/containment/tests/test_registry.py
@@ -155,9 +155,11 @@
     ) -> None:
         fleet = Fleet(nursery)
         await trio.sleep(KNOWN_S)
+        fleet.store.delay_s = 0.01
         for router in (first, 1 - first):
             breaks = fleet.breaks_of([GOOD], begun_s=(0.4, 0.1)[router])
             fleet.registries[router].note_end("i-1", "i-1", breaks)
+            await trio.sleep(fleet.store.delay_s / 2)
         await trio.sleep(KNOWN_S)
         (record,) = fleet.store.topic(TOPIC).newest_by_key.values()
         mark = mark_of(record)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -831,7 +831,7 @@
         "containment/guard.py",
         "                run.scope.cancel()\n",
         "                pass\n",
-        (CRASHING,),
+        (CONTAINMENT, CRASHING),
     ),
     Mutant(
         "connection-that-does-not-last-shows-life",
@@ -963,7 +963,7 @@
     Mutant(
         "mark-behind-its-clearing-stands",
         "containment/registry.py",
-        "            self._write(key, self._cleared_here[key])\n            return\n",
+        "            self._write(record.key, self._cleared_here[record.key])\n            return\n",
         "            return\n",
         (CONTAINMENT,),
     ),
@@ -1005,8 +1005,8 @@
     Mutant(
         "clocks-of-two-routers-are-compared",
         "containment/blame.py",
-        "setdefault(mark.life, {})[mark.router] = mark.at",
-        "setdefault(mark.life, {})[None] = mark.at",
+        "seen[mark.router] = min(mark.at, seen.get(mark.router, mark.at))",
+        "seen[None] = mark.at",
         (CONTAINMENT,),
     ),
     Mutant(
