An answer that came while the process stood still is taken, not given up

Now each wait for bytes of an answer is bounded by itself. Before the answer's first byte a standstill still counts while the request is being sent.

--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -267,15 +267,19 @@
                 event = conn.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self._kept.stream.receive_some(READ_BYTES)
-                if self._watch:
-                    self._watch.note_received(len(data))
-                conn.receive_data(data)
+                conn.receive_data(await self._receive())
             except h11.RemoteProtocolError as err:
                 raise ConnectionLost(f"not an answer: {err}") from err
             except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
                 raise ConnectionLost("the connection was reset") from err
 
+    async def _receive(self) -> bytes:
+        if not self._watch:
+            return await self._kept.stream.receive_some(READ_BYTES)
+        data = await self._watch.wait(lambda: self._kept.stream.receive_some(READ_BYTES))
+        self._watch.note_received(len(data))
+        return data
+
     def _check_end(self) -> None:
         """Raise if the close that ends the body may have been a reset.
 
--- a/railtide/http/stall.py
+++ b/railtide/http/stall.py
@@ -1,5 +1,8 @@
 """A bound on silence in an exchange, whatever the size of what it carries."""
 
+import math
+from collections.abc import Awaitable, Callable
+
 import trio
 
 from railtide.http.errors import Stalled
@@ -50,10 +53,12 @@
         self._stall_s = stall_s
         self._least_bytes = least_bytes
         self._portion = 0
+        self._due = math.inf
         self._scope = trio.CancelScope()
+        self._wait = trio.CancelScope()
 
     def __enter__(self) -> "StallWatch":
-        self._scope.deadline = trio.current_time() + self._head_s
+        self._set_due(trio.current_time() + self._head_s)
         self._scope.__enter__()
         return self
 
@@ -63,6 +68,23 @@
             raise Stalled(f"nothing moved; {self.received} bytes of the answer had come")
         return handled
 
+    async def wait(self, receive: Callable[[], Awaitable[bytes]]) -> bytes:
+        """Return the next bytes of the answer; their wait is bounded by itself.
+
+        Bytes that came while the process stood still are taken before the next wait is bounded. A
+        process that had not run for 1.6 s broke off a transfer of 405 KB whose rest had come.
+        """
+        self._scope.deadline = math.inf
+        with trio.CancelScope(deadline=self._due) as self._wait:
+            return await receive()
+        self._scope.cancel()
+        await trio.sleep_forever()
+
+    def _set_due(self, due: float) -> None:
+        self._due = due
+        self._scope.deadline = due
+        self._wait.deadline = due
+
     @property
     def begun(self) -> bool:
         """True once a byte of the answer has come."""
@@ -71,7 +93,7 @@
     def note_sent(self) -> None:
         """Take that bytes of the request went out: the wait for the answer begins behind them."""
         if not self.begun:
-            self._scope.deadline = trio.current_time() + self._head_s
+            self._set_due(trio.current_time() + self._head_s)
 
     def note_received(self, count: int) -> None:
         """Take that bytes of the answer came."""
@@ -80,9 +102,11 @@
         self._portion += count
         if first or self._portion >= self._least_bytes:
             self._portion = 0
-            self._scope.deadline = trio.current_time() + self._stall_s
+            self._set_due(trio.current_time() + self._stall_s)
 
     def hurry(self, by: float) -> None:
         """Wait for the answer's first byte until a trio time at most."""
         if not self.begun:
+            self._due = min(self._due, by)
             self._scope.deadline = min(self._scope.deadline, by)
+            self._wait.deadline = min(self._wait.deadline, by)
