--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1481,8 +1481,8 @@
     Mutant(
         "silence-within-an-answer-is-not-noticed",
         "http/stall.py",
-        "self._scope.deadline = trio.current_time() + self._stall_s",
-        "self._scope.deadline = trio.current_time() + 600",
+        "self._set_due(trio.current_time() + self._stall_s)",
+        "self._set_due(trio.current_time() + 600)",
         (f"{NARROW}::TestSilence",),
     ),
     Mutant(
@@ -1740,8 +1740,8 @@
     Mutant(
         "bytes-of-an-earlier-page-count",
         "journal/transfer.py",
-        "        self.size = size\n        self.received = 0\n",
-        "        self.size = size\n",
+        "        self.received = came\n",
+        "        self.received += came\n",
         (FRESHNESS,),
     ),
     Mutant(
