Mutants of links between processes name their own tests again

Cause: a merge gave the name NARROW to two files; seven mutants ran the other one's tests, and four of the five that were tried survived. Change: a name of its own.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -25,7 +25,7 @@
 MEMBERSHIP = "railtide/membership/tests"
 CONTAINMENT = "railtide/containment/tests"
 CRASHING = "railtide/platform/tests/test_crashing_requests.py"
-NARROW = "railtide/keeper/tests/test_narrow_links.py"
+NARROW_LINKS = "railtide/keeper/tests/test_narrow_links.py"
 OUTBOX = "railtide/keeper/tests/test_outbox.py"
 CHECKPOINT = "railtide/journal/tests/test_checkpoint.py"
 SUSPENSION = "tests/test_suspension.py"
@@ -1150,21 +1150,21 @@
         "                return await self._reply_to(call, REPLY_S + wait_s)",
         "                with trio.fail_after(REPLY_S + wait_s):\n"
         "                    return await self._reply_to(call, REPLY_S + wait_s)",
-        (NARROW,),
+        (NARROW_LINKS,),
     ),
     Mutant(
         "silent-peer-is-waited-for",
         "keeper/relay.py",
         "self._reply_to(call, REPLY_S + wait_s)",
         'self._reply_to(call, float("inf"))',
-        (NARROW,),
+        (NARROW_LINKS,),
     ),
     Mutant(
         "peer-that-takes-nothing-is-waited-for",
         "keeper/relay.py",
         "self._link.send(message, REPLY_S)",
         "self._link.send(message)",
-        (NARROW,),
+        (NARROW_LINKS,),
     ),
     Mutant(
         "silence-counted-over-the-whole-message",
@@ -1195,14 +1195,14 @@
         "keeper/server.py",
         "        if taken and size > REPLY_BYTES:\n            break\n",
         "",
-        (NARROW,),
+        (NARROW_LINKS,),
     ),
     Mutant(
         "record-above-a-reply-is-never-sent",
         "keeper/server.py",
         "if taken and size > REPLY_BYTES:",
         "if size > REPLY_BYTES:",
-        (NARROW,),
+        (NARROW_LINKS,),
     ),
     Mutant(
         "parts-thrown-away-at-a-failure",
@@ -1231,14 +1231,14 @@
         "keeper/outbox.py",
         "            return type(message)\n",
         "            return None\n",
-        (NARROW,),
+        (NARROW_LINKS,),
     ),
     Mutant(
         "objects-count-as-events",
         "keeper/outbox.py",
         "            return ObjectMessage, message.kind, message.name\n",
         "            return None\n",
-        (NARROW,),
+        (NARROW_LINKS,),
     ),
     Mutant(
         "status-goes-before-what-it-speaks-of",
