The read that waits for news begins at once behind one that did not wait

A router that was just started learnt 1 s late that an upstream leaves: the read behind the newest records, which does not wait, took the pause between reads with it.

--- a/railtide/journal/feed.py
+++ b/railtide/journal/feed.py
@@ -222,14 +222,21 @@
             self.back_at = trio.current_time()
 
     async def _follow(self) -> None:
+        """Read on for ever.
+
+        Behind a read that did not wait and brought nothing the next one begins at once: it is the
+        one that waits for news. With a pause between, a router that was just started learnt 1 s
+        late that an upstream leaves.
+        """
         while True:
             self._check_era()
             fresh = self._fresh
             transfer = Transfer(self._note_begun, first_only=not self._may_leave)
             self.freshness.watch(transfer)
+            wait_s = self._wait_s()
             with trio.CancelScope() as self._reading:
                 page = await self._store.read(
-                    self._topic, self.next_offset, self._wait_s(), transfer=transfer
+                    self._topic, self.next_offset, wait_s, transfer=transfer
                 )
             if self._reading.cancelled_caught:
                 continue
@@ -238,8 +245,9 @@
             self._take(page)
             if fresh is not None and page.next_offset >= page.end:
                 self._note_fresh(fresh)
-            with trio.CancelScope() as self._reading:
-                await trio.sleep(self._pause_s_of())
+            if page.records or wait_s:
+                with trio.CancelScope() as self._reading:
+                    await trio.sleep(self._pause_s_of())
 
     def _check_progress(self, page: KeyedPage) -> None:
         """Raise for an answer without the records that it tells of: asked again at once, it would
--- a/railtide/journal/tests/test_feed.py
+++ b/railtide/journal/tests/test_feed.py
@@ -219,3 +219,28 @@
         await trio.sleep(2.0)
         transfer.move(250)
         assert transfer.left_s() == 6.0
+
+
+class TestPause:
+    async def test_news_behind_a_start_is_not_held_up_by_the_pause_between_reads(
+        self, autojump_clock
+    ) -> None:
+        """Behind the newest records one read does not wait; the next one has to be under way."""
+        store = MemoryStore()
+        store.put("t", "a", b"0")
+        told_at: list[float] = []
+        feed = Feed(
+            store,
+            "t",
+            FeedOptions(pause_s=1.0),
+            Random(1),
+            lambda records: told_at.append(trio.current_time()),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await trio.sleep(0.1)
+            store.put("t", "a", b"1")
+            put_at = trio.current_time()
+            await trio.sleep(0.1)
+            assert told_at[-1] == put_at
+            nursery.cancel_scope.cancel()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1534,6 +1534,13 @@
         "if True:",
         (f"{PLATFORM}/test_refresh_review.py",),
     ),
+    Mutant(
+        "pause-before-the-read-that-waits",
+        "journal/feed.py",
+        "if page.records or wait_s:",
+        "if True:",
+        (FEED,),
+    ),
     Mutant(
         "lost-answer-is-taken-for-a-slow-store",
         "journal/patience.py",
