--- a/railtide/edge/tests/test_freshness_review.py
+++ b/railtide/edge/tests/test_store_away.py
@@ -1,4 +1,4 @@
-"""Review: a store that goes away while all routers read a new version."""
+"""A store that goes away while all routers read a new version."""
 
 from random import Random
 
--- a/railtide/journal/tests/test_feed_review.py
+++ b/railtide/journal/tests/test_feed_bad_answers.py
@@ -1,4 +1,4 @@
-"""Review: a silent store behind an answer of which a part came; answers of no use."""
+"""A silent store behind an answer of which a part came; answers of no use."""
 
 from random import Random
 
--- a/railtide/journal/tests/test_patience_review.py
+++ b/railtide/journal/tests/test_silence_end.py
@@ -1,4 +1,4 @@
-"""Review: how late the return of a silent store is noticed by all callers of one router at once.
+"""How late the return of a silent store is noticed by all callers of one router at once.
 
 Each call that is sent into the silence stays without an answer, as one on a connection that fell
 silent for good; each that is sent behind it is answered in 4 ms.
--- a/railtide/membership/tests/test_lost_word_review.py
+++ b/railtide/membership/tests/test_lost_word.py
@@ -1,4 +1,4 @@
-"""Review: the word that a router is behind, where the append that carries it is lost."""
+"""The word that a router is behind, where the append that carries it is lost."""
 
 from random import Random
 
--- a/railtide/membership/tests/test_newest_for_backlog_review.py
+++ b/railtide/membership/tests/test_newest_for_backlog.py
@@ -1,4 +1,4 @@
-"""Review: what is lost where a feed reads the newest records in place of a backlog."""
+"""What is lost where a feed reads the newest records in place of a backlog."""
 
 from collections.abc import Callable
 from random import Random
--- a/railtide/platform/tests/test_same_cause_review.py
+++ b/railtide/platform/tests/test_begun_again.py
@@ -1,4 +1,4 @@
-"""Review: limits that an answer can't meet, met again by each try that begins from nothing."""
+"""Limits that an answer can't meet, met again by each try that begins from nothing."""
 
 from collections.abc import Callable
 from random import Random
--- a/railtide/platform/tests/test_kept_pages_review.py
+++ b/railtide/platform/tests/test_kept_pages.py
@@ -1,4 +1,4 @@
-"""Review: what a feed tells where pages of the newest records are gone on with after a break."""
+"""What a feed tells where pages of the newest records are gone on with after a break."""
 
 from base64 import b64encode
 from collections.abc import AsyncIterator, Callable
--- a/railtide/platform/tests/test_silence_review.py
+++ b/railtide/platform/tests/test_lost_answers.py
@@ -1,4 +1,4 @@
-"""Review: how late the store's client notices silence once its waits have grown."""
+"""How late the store's client notices silence once its waits have grown."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
--- a/railtide/platform/tests/test_refresh_review.py
+++ b/railtide/platform/tests/test_refresh.py
@@ -1,4 +1,4 @@
-"""Review: a read that is given up behind a suspension, of which records had come whole."""
+"""A read that is given up behind a suspension, of which records had come whole."""
 
 from railtide.platform.tests.test_narrow_store import (
     SECOND,
