Lines of a request tell its route and where it was late; none is torn at a reader that takes 8 KB

Nothing told late answers. Change: writes of whole lines, as many as a pipe takes at once; first_ms, pause_ms, their goals and the route in the request's line; bench.lost counts what was late.

--- a/bench/lost.py
+++ b/bench/lost.py
@@ -1,9 +1,10 @@
-"""Which requests were not answered with success, and why, by the lines of all routers.
+"""Which requests were not answered with success or came late, by the lines of all routers.
 
 ``python -m bench.lost [--since SECONDS] FILE...`` reads the structured lines of any number of
 processes, in any order, and prints each cause with its count and some request ids, then the lost
-requests by pool, account, router and second. A request whose cause the lines don't tell is counted
-as such. A time is the number that a line begins with, else the seconds since the file's first line.
+requests by route, pool, account, router and second, and the same for answers that came late. A
+request whose cause the lines don't tell is counted as such. A time is the number that a line begins
+with, else the seconds since the file's first line.
 """
 
 import argparse
@@ -17,7 +18,17 @@
 
 from bench.refusals import time_of
 
-__all__ = ["Event", "Story", "Summary", "cause_of", "events_of", "stories_of", "summary_of"]
+__all__ = [
+    "Event",
+    "Group",
+    "Story",
+    "Summary",
+    "cause_of",
+    "events_of",
+    "lateness_of",
+    "stories_of",
+    "summary_of",
+]
 
 SENT = "request-sent"
 FAILED = "attempt-failed"
@@ -30,6 +41,8 @@
 MOST_ROWS = 12
 NO_END = "no end is told: its process died, or the line is cut"
 UNNAMED = "not told by the lines"
+FIRST_LATE = "its beginning was late"
+PAUSED = "it paused for too long"
 OBJECT = re.compile(r'(?=\{"time")')
 
 
@@ -48,6 +61,11 @@
     reason: str = ""
     status: int = 0
     code: str = ""
+    route: str = ""
+    goal_ms: float | None = None
+    pause_goal_ms: float | None = None
+    first_ms: float | None = None
+    pause_ms: float | None = None
 
 
 @dataclass
@@ -62,17 +80,37 @@
 
 
 @dataclass
-class Summary:
-    """The requests that were lost; see the module."""
+class Group:
+    """Some requests; see the module."""
 
-    requests: int = 0
     count_by_cause: Counter[str] = field(default_factory=Counter)
     ids_by_cause: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
+    count_by_route: Counter[str] = field(default_factory=Counter)
     count_by_pool: Counter[str] = field(default_factory=Counter)
     count_by_account: Counter[str] = field(default_factory=Counter)
     count_by_router: Counter[str] = field(default_factory=Counter)
     count_by_second: Counter[int] = field(default_factory=Counter)
 
+    def add(self, router: str, request_id: str, cause: str, last: Event) -> None:
+        """Count a request, of which this is the last line."""
+        self.count_by_cause[cause] += 1
+        if len(self.ids_by_cause[cause]) < EXAMPLES:
+            self.ids_by_cause[cause].append(request_id)
+        self.count_by_route[last.route or "not told"] += 1
+        self.count_by_pool[last.pool or "not told"] += 1
+        self.count_by_account[last.account or "not told"] += 1
+        self.count_by_router[router] += 1
+        self.count_by_second[int(last.at_s)] += 1
+
+
+@dataclass
+class Summary:
+    """The requests that were lost, and those that were answered late."""
+
+    requests: int = 0
+    lost: Group = field(default_factory=Group)
+    late: Group = field(default_factory=Group)
+
 
 # -- lines ------------------------------------------------------------------------------------
 
@@ -134,40 +172,57 @@
     return ended.code or UNNAMED
 
 
+def lateness_of(story: Story) -> str | None:
+    """Return in what a request that was answered with success was late, None if in nothing.
+
+    Examples
+    --------
+    >>> lateness_of(Story([Event(ENDED, status=200, first_ms=80.0, goal_ms=100.0)]))
+    >>> lateness_of(Story([Event(ENDED, status=200, first_ms=120.0, goal_ms=100.0)]))
+    'its beginning was late'
+    >>> lateness_of(Story([Event(ENDED, status=200, pause_ms=500.0, pause_goal_ms=400.0)]))
+    'it paused for too long'
+    """
+    ended = story.last(ENDED)
+    if ended.goal_ms and (ended.first_ms or 0.0) > ended.goal_ms:
+        return FIRST_LATE
+    if ended.pause_goal_ms and (ended.pause_ms or 0.0) > ended.pause_goal_ms:
+        return PAUSED
+    return None
+
+
 # -- sums -------------------------------------------------------------------------------------
 
 
 def summary_of(events: Iterable[Event]) -> Summary:
-    """Return the requests that some lines tell as lost."""
+    """Return the requests that some lines tell as lost or late."""
     summary = Summary()
     for (router, request_id), story in stories_of(events).items():
         summary.requests += 1
         cause = cause_of(story)
-        if cause is not None:
-            _count(summary, router, request_id, cause, story.events[-1])
+        group = summary.lost if cause else summary.late
+        cause = cause or lateness_of(story)
+        if cause:
+            group.add(router, request_id, cause, story.events[-1])
     return summary
 
 
-def _count(summary: Summary, router: str, request_id: str, cause: str, last: Event) -> None:
-    summary.count_by_cause[cause] += 1
-    if len(summary.ids_by_cause[cause]) < EXAMPLES:
-        summary.ids_by_cause[cause].append(request_id)
-    summary.count_by_pool[last.pool or "not told"] += 1
-    summary.count_by_account[last.account or "not told"] += 1
-    summary.count_by_router[router] += 1
-    summary.count_by_second[int(last.at_s)] += 1
-
-
 def table_of(summary: Summary) -> Iterator[str]:
-    """Yield the lines of a summary's table."""
-    lost = summary.count_by_cause.total()
-    yield f"{lost} of {summary.requests} requests were lost"
-    for cause, count in summary.count_by_cause.most_common():
-        yield f"{count:6} {count / lost:5.0%}  {cause}  {' '.join(summary.ids_by_cause[cause])}"
-    yield from _rows("pool", summary.count_by_pool)
-    yield from _rows("account", summary.count_by_account)
-    yield from _rows("router", summary.count_by_router)
-    seconds = sorted(summary.count_by_second.items())
+    """Yield the lines of a summary's tables."""
+    yield from _group_table(summary.lost, f"of {summary.requests} requests were lost")
+    yield from _group_table(summary.late, "were answered late")
+
+
+def _group_table(group: Group, what: str) -> Iterator[str]:
+    total = group.count_by_cause.total()
+    yield f"{total} {what}"
+    for cause, count in group.count_by_cause.most_common():
+        yield f"{count:6} {count / total:5.0%}  {cause}  {' '.join(group.ids_by_cause[cause])}"
+    yield from _rows("route", group.count_by_route)
+    yield from _rows("pool", group.count_by_pool)
+    yield from _rows("account", group.count_by_account)
+    yield from _rows("router", group.count_by_router)
+    seconds = sorted(group.count_by_second.items())
     yield "in second: " + " ".join(f"{second}:{count}" for second, count in seconds)
 
 
@@ -179,7 +234,7 @@
 
 def main() -> None:
     """Print one table for all files together."""
-    parser = argparse.ArgumentParser(description="Which requests were lost, and why.")
+    parser = argparse.ArgumentParser(description="Which requests were lost or late, and why.")
     parser.add_argument("--since", type=float, default=0.0, help="pass over what was earlier, s")
     parser.add_argument("files", nargs="+", type=Path)
     arguments = parser.parse_args()
--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -73,6 +73,7 @@
         tokens_per_event=_tokens_per_event(snapshot, pool),
         headers=_passed_on(request, account, route.resumable),
         content=content_digest(account.name if account else "", target, request.body),
+        route=route.name,
     )
 
 
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -1,5 +1,6 @@
 """Answers to the platform's clients: calls served, and errors in the platform's codes."""
 
+import math
 from random import Random
 
 import msgspec
@@ -34,6 +35,8 @@
         self._responder = responder
         self._stream = stream
         self.started_at = 0.0
+        self.longest_pause_s = 0.0
+        self._written_at = math.inf
         self._headers: Headers = ()
         self._body = b""
         self.status = 0
@@ -50,6 +53,9 @@
 
     async def write(self, data: bytes) -> None:
         if self._stream:
+            now = trio.current_time()
+            self.longest_pause_s = max(self.longest_pause_s, now - self._written_at)
+            self._written_at = now
             await self._responder.write(data)
         else:
             self._body += data
@@ -105,7 +111,8 @@
             self._node.counters.add(f"answers_{trace.code.replace('-', '_')}")
             self._durations.record(took_s, code=trace.code)
             if trace.sink and trace.sink.started_at:
-                self._first_bytes.record(trace.sink.started_at - began)
+                trace.first_s = trace.sink.started_at - began
+                self._first_bytes.record(trace.first_s)
             trace.write(took_s)
 
     def _decode(self, request: HttpRequest, trace: "_Trace") -> Call:
@@ -154,21 +161,31 @@
         self.code = "internal-error"
         self.detail = ""
         self.retry_after_s: float | None = None
+        self.first_s: float | None = None
 
     def write(self, took_s: float) -> None:
         call = self.call
         logger.bind(
             account=call.account if call else "",
             pool=call.pool if call else "",
+            route=call.route if call else "",
+            goal_ms=_ms(call.goal_s) if call else None,
+            pause_goal_ms=_ms(call.pause_goal_s) if call else None,
+            first_ms=None if self.first_s is None else _ms(self.first_s),
+            pause_ms=_ms(self.sink.longest_pause_s) if self.sink else None,
             version=self.version,
             status=self.status,
             code=self.code,
             detail=self.detail,
             retry_after_s=self.retry_after_s,
-            ms=round(took_s * 1000, 1),
+            ms=_ms(took_s),
         ).info("request")
 
 
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
+
+
 def addresses_body(addresses: list[str], ttl_s: float) -> bytes:
     """Return the answer to a client that asks which addresses to use."""
     return msgspec.json.encode({"addresses": addresses, "ttl_s": ttl_s})
--- a/railtide/requests/call.py
+++ b/railtide/requests/call.py
@@ -78,6 +78,8 @@
         End-to-end headers that its upstream is sent unchanged.
     content : str
         Digest of what it asks for; the same when it comes again. Empty where nobody asks.
+    route : str
+        Name of its route, for lines on it.
     """
 
     request_id: str
@@ -107,6 +109,7 @@
     tokens_per_event: int = 1
     headers: Headers = ()
     content: str = ""
+    route: str = ""
 
 
 class AnswerSink(ABC):
--- a/railtide/telemetry/lines.py
+++ b/railtide/telemetry/lines.py
@@ -8,6 +8,7 @@
 import os
 import sys
 from collections import deque
+from select import PIPE_BUF
 
 import msgspec
 import trio
@@ -66,16 +67,23 @@
             self.flush()
 
     def flush(self) -> None:
-        """Write what the reader takes now."""
+        """Write what the reader takes now, whole lines at a time."""
         while self._lines:
-            data = b"".join(self._lines)
+            data = self._take_lines()
             try:
                 written = os.write(self._descriptor, data)
             except BlockingIOError:
-                return
-            self._lines.clear()
+                written = 0
             if written < len(data):
-                self._lines.append(data[written:])
+                self._lines.appendleft(data[written:])
+                return
+
+    def _take_lines(self) -> bytes:
+        """Return the next lines, as many as a pipe takes whole or not at all, one at the least."""
+        data = self._lines.popleft()
+        while self._lines and len(data) + len(self._lines[0]) <= PIPE_BUF:
+            data += self._lines.popleft()
+        return data
 
     def _report_gap(self) -> None:
         if self.left_out and len(self._lines) < self._most_lines:
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -2,7 +2,7 @@
 
 import json
 
-from bench.lost import NO_END, UNNAMED, events_of, summary_of
+from bench.lost import FIRST_LATE, NO_END, PAUSED, UNNAMED, events_of, summary_of
 
 
 def line(at: float, service: str, event: str, request_id: str = "q1", **fields: object) -> str:
@@ -30,16 +30,16 @@
     def test_each_lost_request_has_one_cause(self) -> None:
         summary = summary_of(events_of(LINES))
         assert summary.requests == 6
-        assert summary.count_by_cause == {
+        assert summary.lost.count_by_cause == {
             "budget: written-off": 1,
             "upstream-lost: tries-used": 1,
             NO_END: 1,
             UNNAMED: 1,
             "upstream-failed, then deadline-exceeded": 1,
         }
-        assert summary.count_by_router == {"a": 1, "b": 4}
-        assert summary.count_by_pool == {"p": 1, "r": 3, "not told": 1}
-        assert summary.count_by_second == {2: 1, 3: 1, 4: 1, 5: 1, 6: 1}
+        assert summary.lost.count_by_router == {"a": 1, "b": 4}
+        assert summary.lost.count_by_pool == {"p": 1, "r": 3, "not told": 1}
+        assert summary.lost.count_by_second == {2: 1, 3: 1, 4: 1, 5: 1, 6: 1}
 
     def test_two_lines_in_one_and_a_cut_one_are_read(self) -> None:
         both = LINES[2] + LINES[3].lstrip()
@@ -48,4 +48,18 @@
 
     def test_one_id_at_two_routers_is_two_stories(self) -> None:
         lines = [LINES[3], line(2.1, "c", "request", "q2", status=200)]
-        assert summary_of(events_of(lines)).count_by_cause.total() == 1
+        assert summary_of(events_of(lines)).lost.count_by_cause.total() == 1
+
+    def test_late_answers_are_told_from_lost_ones(self) -> None:
+        told = {"status": 200, "route": "r", "goal_ms": 100.0, "pause_goal_ms": 400.0}
+        lines = [
+            line(1.0, "a", "request", "q1", first_ms=90.0, pause_ms=300.0, **told),
+            line(2.0, "a", "request", "q2", first_ms=110.0, pause_ms=300.0, **told),
+            line(3.0, "b", "request", "q3", first_ms=90.0, pause_ms=500.0, **told),
+            line(3.0, "b", "request", "q4", first_ms=None, **told | {"status": 503}),
+        ]
+        summary = summary_of(events_of(lines))
+        assert summary.late.count_by_cause == {FIRST_LATE: 1, PAUSED: 1}
+        assert summary.late.count_by_route == {"r": 2}
+        assert summary.late.count_by_second == {2: 1, 3: 1}
+        assert summary.lost.count_by_cause.total() == 1
