Nothing new is sent to upstreams of a failure domain that the operator has ordered to be drained

Cause: of the topic of the configuration only the desired state was read. Change: DrainedDomains keeps the orders, over a loss, a lost history and a store that comes back older; the scheduler leaves those domains out of every choice, retries, affinity, resumed runs and the preference of suspects among them; requests that wait while nothing is left are refused at once.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -27,6 +27,7 @@
 from railtide.journal.keyed import KeyedRecord, KeyedStore
 from railtide.lanes.scheduler import PoolScheduler
 from railtide.membership.addresses import Entrance, rendezvous_order
+from railtide.membership.drained_domains import DrainedDomains
 from railtide.membership.identity import Identity
 from railtide.membership.instances import Instance
 from railtide.membership.roster import Member, Roster
@@ -140,12 +141,15 @@
         self.roster.on_heard = self.treasury.note_peers
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
         store.on_rise(self._upstream_list.note_rise)
+        self._drained = DrainedDomains(self._set_drained)
+        store.on_rise(self._drained.note_rise)
         self._configuration_feed = Feed(
             store,
             sources.configuration_topic,
             FeedOptions(wait_s=options.configuration_wait_s, newest_suffice=True),
             rng,
             self._take_configuration,
+            self._keep_drains,
         )
         self._freshness = ViewFreshness(
             self._configuration_feed,
@@ -207,6 +211,11 @@
         """
         return self._crashes.caught_up or trio.current_time() - self._began_at >= MARKS_WAIT_S
 
+    @property
+    def drained_domains(self) -> frozenset[str]:
+        """The failure domains to whose upstreams nothing new is sent, by the operator's order."""
+        return self._drained.names
+
     @property
     def upstreams_known(self) -> bool:
         """True once the list of upstreams was read to its end."""
@@ -258,6 +267,7 @@
             await trio.sleep(self.options.settle_s)
             self._look_for_suspension()
             self._upstream_list.settle()
+            self._drained.settle()
             self._freshness.look(self._version())
 
     # -- waking from a suspension -------------------------------------------------------------
@@ -363,6 +373,11 @@
 
     def _take_configuration(self, records: list[KeyedRecord]) -> None:
         for record in records:
+            drained = self._sources.drained_domain_of(record.key)
+            if drained is not None:
+                take = self._drained.put if record.value else self._drained.remove
+                take(drained)
+                continue
             try:
                 snapshot = self._sources.snapshot_of(record)
             except InvalidObject as err:
@@ -371,6 +386,11 @@
             if snapshot is not None:
                 self._apply(snapshot)
 
+    def _keep_drains(self, keys: set[str]) -> None:
+        """Take the keys of all orders that there are."""
+        domains = {self._sources.drained_domain_of(key) for key in keys}
+        self._drained.keep_only(domains - {None})
+
     def _apply(self, snapshot: Snapshot) -> None:
         held = self._version()
         self._freshness.note_shown(is_older=held is not None and snapshot.version < held)
@@ -405,7 +425,9 @@
     def _set_pool(self, pool: str, instances: list[Instance]) -> None:
         if pool not in self.schedulers_by_pool:
             choice = Separation(PrefixAffinity(TwoChoices(self._rng)))
-            self.schedulers_by_pool[pool] = PoolScheduler(choice, urgent_share=0, trusts_list=True)
+            scheduler = PoolScheduler(choice, urgent_share=0, trusts_list=True)
+            scheduler.set_drained(self._drained.names)
+            self.schedulers_by_pool[pool] = scheduler
         scheduler = self.schedulers_by_pool[pool]
         before = _by_incarnation(scheduler)
         scheduler.set_upstreams(instances)
@@ -414,6 +436,10 @@
             self._upstreams.forget(before[incarnation])
         self._ends.note_listed([after[new] for new in after.keys() - before.keys()])
 
+    def _set_drained(self, domains: frozenset[str], ended: frozenset[str]) -> None:
+        for scheduler in self.schedulers_by_pool.values():
+            scheduler.set_drained(domains)
+
     # -- upstreams that end -------------------------------------------------------------------
 
     def _note_end(self, instance: Instance, breaks: list[Break]) -> None:
--- a/railtide/edge/sources.py
+++ b/railtide/edge/sources.py
@@ -30,6 +30,14 @@
             It can't be read.
         """
 
+    @abstractmethod
+    def drained_domain_of(self, key: str) -> str | None:
+        """Return the failure domain that a key of the configuration's topic orders to be drained.
+
+        None for the key of something else. A record of such a key is an order whatever its value
+        is, and its removal takes the order back.
+        """
+
     @abstractmethod
     def upstream_of(self, record: KeyedRecord) -> Instance:
         """Return the upstream in a record.
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -46,6 +46,8 @@
         Trio time at which its answer should have begun; it waits while that can still be met.
     preference : callable or None
         Returns, of the names of upstreams, those at which it had best run.
+    is_unservable : bool
+        Set when nothing is left that could serve it.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         self.preference: Callable[[Sequence[str]], frozenset[str]] | None = None
         self.slot: Slot | None = None
         self.given = trio.Event()
+        self.is_unservable = False
 
 
 class Slot:
@@ -112,6 +115,7 @@
         self._trusts_list = trusts_list
         self._service_s = 0.0
         self._begin_s = 0.0
+        self._drained: frozenset[str] = frozenset()
 
     # -- upstreams ----------------------------------------------------------------------------
 
@@ -132,6 +136,19 @@
         self.by_name = by_name
         self._serve_waiting()
 
+    def set_drained(self, domains: frozenset[str]) -> None:
+        """Take the failure domains to whose upstreams nothing new is sent."""
+        self._drained = domains
+        self._serve_waiting()
+
+    def _staying(self) -> list[Upstream]:
+        """Return the upstreams that new work may be sent to."""
+        return [
+            upstream
+            for upstream in self.by_name.values()
+            if not is_leaving(upstream) and upstream.instance.failure_domain not in self._drained
+        ]
+
     def _reporting_but_missing(self, listed: set[str]) -> dict[str, Upstream]:
         if self._trusts_list:
             return {}
@@ -176,6 +193,8 @@
             raise
         if request.slot is None:
             self._give_up(request)
+            if request.is_unservable:
+                raise self._no_upstream(request.urgency)
             retry_after = self.retry_after(request.urgency)
             raise DeadlineTooNear("no slot came free in time", retry_after=retry_after)
         return request.slot
@@ -184,6 +203,7 @@
         """Return a slot for a retry, elsewhere and in another failure domain where possible."""
         request.slot = None
         request.given = trio.Event()
+        request.is_unservable = False
         request.goal_at = max(request.goal_at, trio.current_time() + self._begin_s + RETRY_WAIT_S)
         request.avoid = request.avoid | {tried.instance.name}
         return await self.acquire(request)
@@ -222,11 +242,11 @@
 
     def expected_wait(self, urgency: Urgency) -> float:
         """Return how long a new request of a lane may wait, seconds."""
-        staying = [upstream for upstream in self.by_name.values() if not is_leaving(upstream)]
+        staying = self._staying()
         if any(self._has_room(upstream, urgency) for upstream in staying):
             return 0.0
         ahead = 1 + sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
-        slots = sum(self._capacity(u, urgency) for u in self.by_name.values()) or 1
+        slots = sum(self._capacity(u, urgency) for u in staying) or 1
         return ahead * self._service_s / slots
 
     def waiting(self, urgency: Urgency) -> int:
@@ -247,24 +267,40 @@
         return min(request.deadline, max(request.goal_at - self._begin_s, now))
 
     def _check(self, request: WaitingRequest, now: float, until: float) -> None:
+        if not self._staying():
+            raise self._no_upstream(request.urgency)
         retry_after = self.retry_after(request.urgency)
-        if all(is_leaving(upstream) for upstream in self.by_name.values()):
-            raise NoUpstream("no upstream of the pool takes new work", retry_after=retry_after)
         if self._queue.size(request.urgency) >= self._most_waiting:
             raise QueueFull("the lane is full", retry_after=retry_after)
         if now + self.expected_wait(request.urgency) > until:
             raise DeadlineTooNear("the lane's wait is past the goal", retry_after=retry_after)
 
+    def _no_upstream(self, urgency: Urgency) -> NoUpstream:
+        text = "no upstream of the pool takes new work"
+        return NoUpstream(text, retry_after=self.retry_after(urgency))
+
     def _give_up(self, request: WaitingRequest) -> None:
         self._queue.remove(request)
         if request.slot:
             self.release(request.slot)
 
     def _serve_waiting(self) -> None:
+        if not any(self._queue.size(urgency) for urgency in Urgency):
+            return
+        if not self._staying():
+            self._refuse_waiting()
         for urgency in Urgency:
             while self._serve_next(urgency):
                 pass
 
+    def _refuse_waiting(self) -> None:
+        """Wake all that wait for upstreams of which none is left: to wait gains them nothing."""
+        for urgency in Urgency:
+            while (request := self._queue.peek(urgency)) is not None:
+                self._queue.remove(request)
+                request.is_unservable = True
+                request.given.set()
+
     def _serve_next(self, urgency: Urgency) -> bool:
         request = self._queue.peek(urgency)
         if request is None:
@@ -298,7 +334,7 @@
 
     def _candidates(self, request: WaitingRequest) -> list[Upstream]:
         now = trio.current_time()
-        staying = [upstream for upstream in self.by_name.values() if not is_leaving(upstream)]
+        staying = self._staying()
         healthy = [upstream for upstream in staying if not is_ejected(upstream, now)] or staying
         free = [upstream for upstream in healthy if self._has_room(upstream, request.urgency)]
         fresh = [upstream for upstream in free if upstream.instance.name not in request.avoid]
--- a/railtide/platform/desired_state.py
+++ b/railtide/platform/desired_state.py
@@ -24,6 +24,8 @@
 __all__ = ["PlatformSources"]
 
 CONFIG_KEY = "config"
+DRAIN_PREFIX = "evacuate/"
+"""Begins the key of an order to drain a zone; the rest of the key is its name."""
 STREAMING = "streaming"
 SAFE = "safe"
 STATE_BY_WORD = {"ready": InstanceState.LIVE, "draining": InstanceState.LEAVING}
@@ -129,6 +131,10 @@
         except (msgspec.DecodeError, RecursionError) as err:
             raise InvalidObject(str(err)) from err
 
+    def drained_domain_of(self, key: str) -> str | None:
+        """Return the zone that a key orders to be drained; see `Sources.drained_domain_of`."""
+        return key.removeprefix(DRAIN_PREFIX) if key.startswith(DRAIN_PREFIX) else None
+
     def upstream_of(self, record: KeyedRecord) -> Instance:
         """Return the engine in a record; see `Sources.upstream_of`."""
         try:
