Cold upstreams are sent no more than they bear, by all routers together

Change: records tell how long an engine is cold, one that is listed later or whose domain's drain ended counts as started; a few routers by rendezvous order share a cold engine, each at a pace that saves nothing up; where all are cold as much is served as they bear and the rest is refused at once. The upstreams of a pool are a module of their own beside the scheduler.

--- a/railtide/configuration/routes.py
+++ b/railtide/configuration/routes.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from railtide.upstreams.slow_start import SlowStart
+
 __all__ = ["PoolSettings", "Route", "RouteTable", "Share", "choose_pool"]
 
 
@@ -66,11 +68,14 @@
         Most connections that one upstream takes from all routers.
     tokens_per_event : int
         Output tokens that one event of a stream holds at most.
+    slow_start : SlowStart
+        What an upstream bears after its start.
     """
 
     name: str
     connections: int = 64
     tokens_per_event: int = 1
+    slow_start: SlowStart = SlowStart()
 
 
 @dataclass
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -44,6 +44,7 @@
 from railtide.upstreams.client import UpstreamClient
 from railtide.upstreams.load import LoadReport, note_end
 from railtide.upstreams.separation import Separation
+from railtide.upstreams.slow_start import SlowStartShares
 
 __all__ = ["EdgeNode"]
 
@@ -141,6 +142,7 @@
         self.roster.on_heard = self.treasury.note_peers
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
         store.on_rise(self._upstream_list.note_rise)
+        self._slow_start_shares = SlowStartShares(identity.instance, self._named_routers)
         self._drained = DrainedDomains(self._set_drained)
         store.on_rise(self._drained.note_rise)
         self._configuration_feed = Feed(
@@ -399,6 +401,8 @@
             return
         self.snapshot = snapshot
         self.treasury.set_prepaid(dict(snapshot.prepaid_by_account))
+        for pool in self.schedulers_by_pool:
+            self._set_slow_start(pool)
         self.on_snapshot(snapshot)
         logger.bind(version=snapshot.version, before=held).info("configuration-in-force")
 
@@ -428,6 +432,7 @@
             scheduler = PoolScheduler(choice, urgent_share=0, trusts_list=True)
             scheduler.set_drained(self._drained.names)
             self.schedulers_by_pool[pool] = scheduler
+            self._set_slow_start(pool)
         scheduler = self.schedulers_by_pool[pool]
         before = _by_incarnation(scheduler)
         scheduler.set_upstreams(instances)
@@ -436,6 +441,12 @@
             self._upstreams.forget(before[incarnation])
         self._ends.note_listed([after[new] for new in after.keys() - before.keys()])
 
+    def _set_slow_start(self, pool: str) -> None:
+        settings = self.snapshot.pool_by_name.get(pool) if self.snapshot else None
+        if settings:
+            pause_s = self._slow_start_shares.pause_s
+            self.schedulers_by_pool[pool].set_slow_start(settings.slow_start, pause_s)
+
     def _set_drained(self, domains: frozenset[str], ended: frozenset[str]) -> None:
         for scheduler in self.schedulers_by_pool.values():
             scheduler.set_drained(domains)
@@ -454,11 +465,14 @@
 
     def _is_owner_of(self, content: str) -> bool:
         """Return whether this router makes the trials of a content that is held."""
-        names = [entrance.name for entrance in self.roster.named()]
+        names = self._named_routers()
         return bool(names) and rendezvous_order(content, names)[0] == self.identity.instance
 
     # -- what the parts ask -------------------------------------------------------------------
 
+    def _named_routers(self) -> list[str]:
+        return [entrance.name for entrance in self.roster.named()]
+
     def _sharing_routers(self) -> int:
         """Return how many routers keep budgets in hand, 0 if this one is not to."""
         return len(self.roster.named()) if self.roster.is_named() else 0
--- /dev/null
+++ b/railtide/lanes/pool_upstreams.py
@@ -0,0 +1,216 @@
+"""The upstreams of one pool as one router sees them: which of them may be sent new work now."""
+
+import math
+from collections.abc import Callable, Sequence
+
+from railtide.lanes.queue import Urgency
+from railtide.membership.instances import Instance
+from railtide.upstreams.load import (
+    REPORT_MAX_AGE_S,
+    Upstream,
+    is_cold,
+    is_ejected,
+    is_leaving,
+)
+from railtide.upstreams.slow_start import SlowStart
+
+__all__ = ["ColdPause", "PoolUpstreams", "Preference"]
+
+Preference = Callable[[Sequence[str]], frozenset[str]]
+"""Returns, of the names of upstreams, those at which a request had best run."""
+ColdPause = Callable[[str, float], float]
+"""Returns the seconds between two requests of this router to a cold upstream, by its name and the
+requests a second that it bears; infinite where the router is to send it none."""
+
+
+def _every_router_alone(upstream: str, per_s: float) -> float:
+    return 1 / per_s if per_s else 0.0
+
+
+class PoolUpstreams:
+    """Keeps a pool's upstreams, and tells those that new work may be sent to.
+
+    Parameters
+    ----------
+    urgent_share : int
+        One slot in so many is kept for urgent requests; 0 keeps none.
+    trusts_list : bool
+        Whether a list that lacks many reporting upstreams is believed all the same.
+
+    Attributes
+    ----------
+    by_name : dict of str to Upstream
+    """
+
+    def __init__(self, urgent_share: int, trusts_list: bool) -> None:
+        self.by_name: dict[str, Upstream] = {}
+        self._urgent_share = urgent_share
+        self._trusts_list = trusts_list
+        self._is_listed = False
+        self._drained: frozenset[str] = frozenset()
+        self._slow_start = SlowStart()
+        self._cold_pause_s: ColdPause = _every_router_alone
+
+    # -- what is told of them -----------------------------------------------------------------
+
+    def set_instances(self, instances: Sequence[Instance], now: float) -> None:
+        """Take the pool's instances; a new incarnation starts clean, an old one keeps its state.
+
+        A list that lacks at least half of the upstreams whose load reports are fresh is taken to
+        be wrong, unless the list is trusted: those are kept as long as they report. One that comes
+        to be listed later than the first ones is taken to have just started.
+        """
+        by_name = self._reporting_but_missing({instance.name for instance in instances}, now)
+        for instance in instances:
+            known = self.by_name.get(instance.name)
+            if known and known.instance.incarnation == instance.incarnation:
+                known.instance = instance
+            else:
+                known = Upstream(instance)
+                if self._is_listed:
+                    self._note_cold(known, now)
+            known.cold_until = max(known.cold_until, instance.warm_at)
+            by_name[instance.name] = known
+        self.by_name = by_name
+        self._is_listed = self._is_listed or bool(by_name)
+
+    def _reporting_but_missing(self, listed: set[str], now: float) -> dict[str, Upstream]:
+        if self._trusts_list:
+            return {}
+        reporting = {
+            name: upstream
+            for name, upstream in self.by_name.items()
+            if upstream.report and now - upstream.report.taken_at < REPORT_MAX_AGE_S
+        }
+        missing = {name: known for name, known in reporting.items() if name not in listed}
+        return missing if len(missing) * 2 >= len(reporting) else {}
+
+    def set_drained(self, domains: frozenset[str], now: float) -> None:
+        """Take the failure domains to whose upstreams nothing new is sent.
+
+        Where that ends they are taken to be cold: nobody used them meanwhile, and their own word of
+        it is some heartbeats old when it comes.
+        """
+        ended = self._drained - domains
+        self._drained = domains
+        for upstream in self.by_name.values():
+            if upstream.instance.failure_domain in ended:
+                self._note_cold(upstream, now)
+
+    def set_slow_start(self, slow_start: SlowStart, cold_pause_s: ColdPause) -> None:
+        """Take what cold upstreams bear, and this router's part of it."""
+        self._slow_start = slow_start
+        self._cold_pause_s = cold_pause_s
+
+    def _note_cold(self, upstream: Upstream, now: float) -> None:
+        upstream.cold_until = max(upstream.cold_until, now + self._slow_start.for_s)
+
+    # -- which of them may be used ------------------------------------------------------------
+
+    def staying(self, now: float) -> list[Upstream]:
+        """Return the upstreams that this router may send new work to, at once or in a while."""
+        return [upstream for upstream in self.by_name.values() if self._may_be_used(upstream, now)]
+
+    def _may_be_used(self, upstream: Upstream, now: float) -> bool:
+        if is_leaving(upstream) or upstream.instance.failure_domain in self._drained:
+            return False
+        return not self._is_slow(upstream, now) or math.isfinite(self._pause_s(upstream))
+
+    def is_free(self, upstream: Upstream, urgency: Urgency, now: float) -> bool:
+        """Return whether an upstream that stays takes one more request now."""
+        if self._is_slow(upstream, now) and now < upstream.next_cold_at:
+            return False
+        if upstream.open_requests >= upstream.instance.slots:
+            return False
+        if urgency is Urgency.URGENT:
+            return True
+        return upstream.open_bulk < self.capacity(upstream, urgency)
+
+    def capacity(self, upstream: Upstream, urgency: Urgency) -> int:
+        """Return the slots of an upstream that requests of a lane may take."""
+        slots = upstream.instance.slots
+        if urgency is Urgency.URGENT or not self._urgent_share:
+            return slots
+        return max(1, slots - max(1, slots // self._urgent_share))
+
+    def candidates(
+        self,
+        urgency: Urgency,
+        avoid: frozenset[str],
+        preference: Preference | None,
+        now: float,
+    ) -> list[Upstream]:
+        """Return where a request may go now, the best of them only.
+
+        Parameters
+        ----------
+        urgency : Urgency
+        avoid : frozenset of str
+            Upstreams at which it was tried before; others go first, in other failure domains.
+        preference : callable or None
+        now : float
+        """
+        staying = self.staying(now)
+        healthy = [upstream for upstream in staying if not is_ejected(upstream, now)] or staying
+        free = [upstream for upstream in healthy if self.is_free(upstream, urgency, now)]
+        fresh = [upstream for upstream in free if upstream.instance.name not in avoid]
+        if preference:
+            fresh = self._preferred(preference, staying, fresh, now) or fresh
+        return self._other_domains(fresh, avoid) or fresh or free
+
+    @staticmethod
+    def _preferred(
+        preference: Preference, staying: list[Upstream], fresh: list[Upstream], now: float
+    ) -> list[Upstream]:
+        """Return where a request had best run, by a choice that all routers make alike."""
+        names = [u.instance.name for u in staying if now >= u.ended_until]
+        wanted = preference(names)
+        return [upstream for upstream in fresh if upstream.instance.name in wanted]
+
+    def _other_domains(self, fresh: list[Upstream], avoid: frozenset[str]) -> list[Upstream]:
+        if not avoid:
+            return fresh
+        tried = {
+            self.by_name[name].instance.failure_domain for name in avoid if name in self.by_name
+        }
+        return [upstream for upstream in fresh if upstream.instance.failure_domain not in tried]
+
+    # -- cold ones ----------------------------------------------------------------------------
+
+    def _is_slow(self, upstream: Upstream, now: float) -> bool:
+        return bool(self._slow_start.per_s) and is_cold(upstream, now)
+
+    def _pause_s(self, upstream: Upstream) -> float:
+        return self._cold_pause_s(upstream.instance.name, self._slow_start.per_s)
+
+    def note_sent(self, upstream: Upstream, now: float) -> None:
+        """Record that a request is sent to an upstream now."""
+        if self._is_slow(upstream, now):
+            upstream.next_cold_at = now + self._pause_s(upstream)
+
+    def next_free_at(self, now: float) -> float:
+        """Return when the next cold upstream takes a request, infinite if none does."""
+        times = [
+            min(upstream.next_cold_at, upstream.cold_until)
+            for upstream in self.staying(now)
+            if self._is_slow(upstream, now) and now < upstream.next_cold_at
+        ]
+        return min(times, default=math.inf)
+
+    def served_per_s(self, urgency: Urgency, service_s: float, now: float) -> float:
+        """Return how many requests a second of a lane find a slot when all are taken.
+
+        Parameters
+        ----------
+        urgency : Urgency
+        service_s : float
+            Usual seconds for which a request keeps its slot.
+        now : float
+        """
+        served = 0.0
+        for upstream in self.staying(now):
+            if self._is_slow(upstream, now):
+                served += 1 / self._pause_s(upstream)
+            else:
+                served += self.capacity(upstream, urgency) / service_s if service_s else math.inf
+        return served
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -5,24 +5,17 @@
 """
 
 import math
-from collections.abc import Callable, Sequence
 
 import trio
 from loguru import logger
 
 from railtide.lanes.errors import DeadlineTooNear, NoUpstream, QueueFull
+from railtide.lanes.pool_upstreams import ColdPause, PoolUpstreams, Preference
 from railtide.lanes.queue import FairLanes, Urgency, Waiting, WaitingQueue
 from railtide.membership.instances import Instance
 from railtide.upstreams.choice import Affinity, Choice
-from railtide.upstreams.load import (
-    REPORT_MAX_AGE_S,
-    LoadReport,
-    Upstream,
-    is_ejected,
-    is_leaving,
-    keeps_prefix,
-    note_prefix,
-)
+from railtide.upstreams.load import LoadReport, Upstream, keeps_prefix, note_prefix
+from railtide.upstreams.slow_start import SlowStart
 
 __all__ = ["PoolScheduler", "Slot", "WaitingRequest"]
 
@@ -65,7 +58,7 @@
         self.goal_at = goal_at
         self.affinity = affinity
         self.avoid: frozenset[str] = frozenset()
-        self.preference: Callable[[Sequence[str]], frozenset[str]] | None = None
+        self.preference: Preference | None = None
         self.slot: Slot | None = None
         self.given = trio.Event()
         self.is_unservable = False
@@ -107,59 +100,33 @@
         most_waiting: int = MOST_WAITING,
         trusts_list: bool = False,
     ) -> None:
-        self.by_name: dict[str, Upstream] = {}
+        self._upstreams = PoolUpstreams(urgent_share, trusts_list)
         self._choice = choice
         self._queue = queue or FairLanes()
-        self._urgent_share = urgent_share
         self._most_waiting = most_waiting
-        self._trusts_list = trusts_list
         self._service_s = 0.0
         self._begin_s = 0.0
-        self._drained: frozenset[str] = frozenset()
 
     # -- upstreams ----------------------------------------------------------------------------
 
-    def set_upstreams(self, instances: list[Instance]) -> None:
-        """Take the pool's instances; a new incarnation starts clean, an old one keeps its state.
+    @property
+    def by_name(self) -> dict[str, Upstream]:
+        """The pool's upstreams."""
+        return self._upstreams.by_name
 
-        A list that lacks at least half of the upstreams whose load reports are fresh is taken to
-        be wrong, unless the list is trusted: those are kept as long as they report.
-        """
-        by_name = self._reporting_but_missing({instance.name for instance in instances})
-        for instance in instances:
-            known = self.by_name.get(instance.name)
-            if known and known.instance.incarnation == instance.incarnation:
-                known.instance = instance
-                by_name[instance.name] = known
-            else:
-                by_name[instance.name] = Upstream(instance)
-        self.by_name = by_name
+    def set_upstreams(self, instances: list[Instance]) -> None:
+        """Take the pool's instances; see `PoolUpstreams.set_instances`."""
+        self._upstreams.set_instances(instances, trio.current_time())
         self._serve_waiting()
 
     def set_drained(self, domains: frozenset[str]) -> None:
         """Take the failure domains to whose upstreams nothing new is sent."""
-        self._drained = domains
+        self._upstreams.set_drained(domains, trio.current_time())
         self._serve_waiting()
 
-    def _staying(self) -> list[Upstream]:
-        """Return the upstreams that new work may be sent to."""
-        return [
-            upstream
-            for upstream in self.by_name.values()
-            if not is_leaving(upstream) and upstream.instance.failure_domain not in self._drained
-        ]
-
-    def _reporting_but_missing(self, listed: set[str]) -> dict[str, Upstream]:
-        if self._trusts_list:
-            return {}
-        now = trio.current_time()
-        reporting = {
-            name: upstream
-            for name, upstream in self.by_name.items()
-            if upstream.report and now - upstream.report.taken_at < REPORT_MAX_AGE_S
-        }
-        missing = {name: known for name, known in reporting.items() if name not in listed}
-        return missing if len(missing) * 2 >= len(reporting) else {}
+    def set_slow_start(self, slow_start: SlowStart, cold_pause_s: ColdPause) -> None:
+        """Take what cold upstreams bear; see `PoolUpstreams.set_slow_start`."""
+        self._upstreams.set_slow_start(slow_start, cold_pause_s)
 
     def take_report(self, name: str, report: LoadReport) -> None:
         """Take an upstream's load report; leaving is sticky."""
@@ -186,8 +153,7 @@
         self._queue.add(request)
         self._serve_waiting()
         try:
-            with trio.move_on_at(until):
-                await request.given.wait()
+            await self._wait(request, until)
         except trio.Cancelled:
             self._give_up(request)
             raise
@@ -199,6 +165,15 @@
             raise DeadlineTooNear("no slot came free in time", retry_after=retry_after)
         return request.slot
 
+    async def _wait(self, request: WaitingRequest, until: float) -> None:
+        """Wait for a slot; time alone frees a cold upstream."""
+        while not request.given.is_set() and trio.current_time() < until:
+            free_at = self._upstreams.next_free_at(trio.current_time())
+            with trio.move_on_at(min(until, free_at)):
+                await request.given.wait()
+            if not request.given.is_set():
+                self._serve_waiting()
+
     async def reacquire(self, request: WaitingRequest, tried: Upstream) -> Slot:
         """Return a slot for a retry, elsewhere and in another failure domain where possible."""
         request.slot = None
@@ -242,12 +217,13 @@
 
     def expected_wait(self, urgency: Urgency) -> float:
         """Return how long a new request of a lane may wait, seconds."""
-        staying = self._staying()
-        if any(self._has_room(upstream, urgency) for upstream in staying):
+        now = trio.current_time()
+        staying = self._upstreams.staying(now)
+        if not staying or any(self._upstreams.is_free(u, urgency, now) for u in staying):
             return 0.0
-        ahead = 1 + sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
-        slots = sum(self._capacity(u, urgency) for u in staying) or 1
-        return ahead * self._service_s / slots
+        before = sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
+        gap_s = 1 / self._upstreams.served_per_s(urgency, self._service_s, now)
+        return before * gap_s + min(gap_s, self._upstreams.next_free_at(now) - now)
 
     def waiting(self, urgency: Urgency) -> int:
         """Return how many requests wait in a lane."""
@@ -267,7 +243,7 @@
         return min(request.deadline, max(request.goal_at - self._begin_s, now))
 
     def _check(self, request: WaitingRequest, now: float, until: float) -> None:
-        if not self._staying():
+        if not self._upstreams.staying(now):
             raise self._no_upstream(request.urgency)
         retry_after = self.retry_after(request.urgency)
         if self._queue.size(request.urgency) >= self._most_waiting:
@@ -287,7 +263,7 @@
     def _serve_waiting(self) -> None:
         if not any(self._queue.size(urgency) for urgency in Urgency):
             return
-        if not self._staying():
+        if not self._upstreams.staying(trio.current_time()):
             self._refuse_waiting()
         for urgency in Urgency:
             while self._serve_next(urgency):
@@ -305,10 +281,10 @@
         request = self._queue.peek(urgency)
         if request is None:
             return False
-        candidates = self._candidates(request)
+        now = trio.current_time()
+        candidates = self._upstreams.candidates(urgency, request.avoid, request.preference, now)
         if not candidates:
             return False
-        now = trio.current_time()
         upstream = self._choice.choose(candidates, request.affinity, now)
         self._queue.remove(request)
         request.slot = self._open(upstream, urgency, now)
@@ -320,6 +296,7 @@
         slot = Slot(upstream, urgency, now)
         self._count(slot, 1)
         upstream.opened_at.append(now)
+        self._upstreams.note_sent(upstream, now)
         return slot
 
     @staticmethod
@@ -332,44 +309,6 @@
         slot.upstream.reading += slot.reading
         note_prefix(slot.upstream, affinity.key, now)
 
-    def _candidates(self, request: WaitingRequest) -> list[Upstream]:
-        now = trio.current_time()
-        staying = self._staying()
-        healthy = [upstream for upstream in staying if not is_ejected(upstream, now)] or staying
-        free = [upstream for upstream in healthy if self._has_room(upstream, request.urgency)]
-        fresh = [upstream for upstream in free if upstream.instance.name not in request.avoid]
-        if request.preference:
-            fresh = self._preferred(request, staying, fresh, now) or fresh
-        return self._other_domains(fresh, request.avoid) or fresh or free
-
-    @staticmethod
-    def _preferred(
-        request: WaitingRequest, staying: list[Upstream], fresh: list[Upstream], now: float
-    ) -> list[Upstream]:
-        """Return where a request had best run, by a choice that all routers make alike."""
-        names = [u.instance.name for u in staying if now >= u.ended_until]
-        wanted = request.preference(names)
-        return [upstream for upstream in fresh if upstream.instance.name in wanted]
-
-    def _other_domains(self, fresh: list[Upstream], avoid: frozenset[str]) -> list[Upstream]:
-        tried = {
-            self.by_name[name].instance.failure_domain for name in avoid if name in self.by_name
-        }
-        return [upstream for upstream in fresh if upstream.instance.failure_domain not in tried]
-
-    def _has_room(self, upstream: Upstream, urgency: Urgency) -> bool:
-        if upstream.open_requests >= upstream.instance.slots:
-            return False
-        if urgency is Urgency.URGENT:
-            return True
-        return upstream.open_bulk < self._capacity(upstream, urgency)
-
-    def _capacity(self, upstream: Upstream, urgency: Urgency) -> int:
-        slots = upstream.instance.slots
-        if urgency is Urgency.URGENT or not self._urgent_share:
-            return slots
-        return max(1, slots - max(1, slots // self._urgent_share))
-
     @staticmethod
     def _count(slot: Slot, change: int) -> None:
         if slot.urgency is Urgency.URGENT:
--- a/railtide/membership/instances.py
+++ b/railtide/membership/instances.py
@@ -36,6 +36,10 @@
         When this life began, Unix milliseconds; 0 if it is not told.
     seq : int
         Rises with each record that an upstream writes in one life; 0 if it is not told.
+    cold_s : float
+        For an upstream, how much longer it bears only a few requests, as of its record.
+    warm_at : float
+        For an upstream, the trio time up to which that is so; 0 for never.
     """
 
     name: str
@@ -48,6 +52,8 @@
     state: InstanceState = InstanceState.LIVE
     born: int = 0
     seq: int = 0
+    cold_s: float = 0.0
+    warm_at: float = 0.0
 
 
 class InstanceList(ABC):
--- /dev/null
+++ b/railtide/membership/tests/test_warm_up.py
@@ -0,0 +1,69 @@
+"""How long upstreams are cold by the records that tell it, which come late and out of order."""
+
+import pytest
+import trio
+from msgspec.structs import replace
+
+from railtide.membership.instances import Instance
+from railtide.membership.tests.test_upstream_list import engine
+from railtide.membership.upstream_list import UpstreamList
+
+
+class Case:
+    """A list of one upstream; `changes` counts how often its pool was told."""
+
+    def __init__(self) -> None:
+        self.changes = 0
+        self.known = engine("a")
+        self.listed = UpstreamList(self._changed, lambda: 0.0)
+
+    def _changed(self, pool: str, instances: list[Instance]) -> None:
+        self.changes += 1
+        (self.known,) = instances
+
+    def put(self, cold_s: float, **fields: object) -> None:
+        self.listed.put(replace(engine("a"), cold_s=cold_s, **fields))
+        self.listed.settle()
+
+    @property
+    def cold_for_s(self) -> float:
+        return max(0.0, self.known.warm_at - trio.current_time())
+
+
+class TestRecords:
+    async def test_cold_upstream_is_told_with_its_end(self, autojump_clock) -> None:
+        case = Case()
+        case.put(3.0)
+        assert case.cold_for_s == pytest.approx(3.0)
+        await trio.sleep(3.1)
+        assert case.cold_for_s == 0.0
+
+    async def test_beats_that_count_down_are_no_change(self, autojump_clock) -> None:
+        case = Case()
+        for beat, left_s in enumerate((3.0, 2.4, 0.9, 0.0)):
+            case.put(left_s, seq=beat)
+            await trio.sleep(0.5)
+        assert case.changes == 1
+
+    async def test_late_record_does_not_warm_it_up(self, autojump_clock) -> None:
+        case = Case()
+        case.put(3.0)
+        await trio.sleep(1)
+        case.put(0.0)
+        assert case.cold_for_s == pytest.approx(2.0)
+
+    async def test_it_may_turn_cold_again(self, autojump_clock) -> None:
+        case = Case()
+        case.put(3.0)
+        await trio.sleep(5)
+        case.put(0.0)
+        case.put(2.5)
+        assert case.cold_for_s == pytest.approx(2.5)
+        assert case.changes == 2
+
+    async def test_new_life_owes_nothing_to_the_former_one(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(replace(engine("a", born=1), cold_s=9.0))
+        case.listed.put(engine("a", born=2))
+        case.listed.settle()
+        assert case.cold_for_s == 0.0
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -28,6 +28,9 @@
 GONE_S = 20.0
 """How long a life that is gone is remembered, and after a rise of the store's era once more: the
 longest history on the users' sheets, and so the age of the oldest copy that is reckoned with."""
+SAME_END_S = 1.0
+"""By how much two records may differ in when their upstream is warm and mean the same: the time in
+which a record comes to be read varies."""
 RECENT_LOSS_S = 1.0
 """A store whose loss was noticed no longer ago than this may have lost records before."""
 
@@ -101,7 +104,7 @@
         if self._is_of_a_copy(instance):
             return
         self._seq_by_name[instance.name] = instance.seq
-        instance = replace(instance, seq=0)  # counting on is no change
+        instance = replace(instance, seq=0, cold_s=0.0, warm_at=_warm_at(instance, known))
         self._missing_by_name.pop(instance.name, None)
         instance = self._with_sticky_leaving(instance)
         was_unreadable = instance.name in self._unreadable
@@ -191,3 +194,16 @@
         if instance.name in self._unreadable:
             return replace(instance, state=InstanceState.LEAVING)
         return instance
+
+
+def _warm_at(instance: Instance, known: Instance | None) -> float:
+    """Return until when an upstream is cold, by its record and what was known before.
+
+    A record is some beats old when it is read, so an end that was told before is not put forward,
+    and one that is told a little later each time is the same.
+    """
+    before = known.warm_at if known and known.incarnation == instance.incarnation else 0.0
+    if not instance.cold_s:
+        return before
+    told = trio.current_time() + instance.cold_s
+    return told if told > before + SAME_END_S else before
--- a/railtide/platform/desired_state.py
+++ b/railtide/platform/desired_state.py
@@ -20,6 +20,7 @@
 from railtide.membership.addresses import is_address
 from railtide.membership.identity import Role
 from railtide.membership.instances import Instance, InstanceState
+from railtide.upstreams.slow_start import SlowStart
 
 __all__ = ["PlatformSources"]
 
@@ -32,6 +33,8 @@
 ENGINE_ID = re.compile(r"[!-~]+", re.ASCII)
 """An engine's id is sent to it in a header: letters that are printed, and no spaces."""
 MS = 1000.0
+MOST_COLD_S = 600.0
+"""No engine stays cold for longer; what tells more is taken for an error of its writer."""
 
 
 class _Split(msgspec.Struct):
@@ -65,10 +68,13 @@
 
 
 class _Service(msgspec.Struct):
-    """`max_conns` is what one engine takes from all callers together."""
+    """`max_conns` is what one engine takes from all callers together; for `cold_start_s` after its
+    start it takes `cold_per_s` requests a second."""
 
     name: str
     max_conns: int = 64
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _Engine | None = None
 
 
@@ -154,6 +160,7 @@
             state=STATE_BY_WORD[server.state],
             born=born,
             seq=server.seq,
+            cold_s=min(MOST_COLD_S, max(0.0, server.warmup_left_ms / MS)),
         )
 
 
@@ -171,7 +178,12 @@
         AccountTerms(t.name, tuple(t.api_keys), t.priority, t.prepaid) for t in state.tenants or []
     ]
     pools = [
-        PoolSettings(s.name, s.max_conns, s.engine.stride if s.engine else 1)
+        PoolSettings(
+            s.name,
+            s.max_conns,
+            s.engine.stride if s.engine else 1,
+            SlowStart(max(0.0, s.cold_per_s), max(0.0, s.cold_start_s)),
+        )
         for s in state.services
     ]
     return Snapshot(
--- a/railtide/platform/tests/test_drained_domains.py
+++ b/railtide/platform/tests/test_drained_domains.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+import msgspec
 import pytest
 import trio
 
@@ -238,3 +239,47 @@
             await until(lambda: {u.failure_domain for u in upstreams(w)} == {"a", "b"})
             assert isinstance(late, PlatformEngine)
             assert await ran_where(w) == {"e-b"}
+
+
+class TestColdEngines:
+    """A service tells what its engines bear after a start, and an engine how long it is cold."""
+
+    @staticmethod
+    def _state(version: int, per_s: float) -> bytes:
+        state = msgspec.json.decode(desired_state(version))
+        state["services"] = [{"name": "s", "cold_start_s": 3.0, "cold_per_s": per_s}]
+        return msgspec.json.encode(state)
+
+    async def _wait_for(self, w: World, version: int) -> None:
+        await until(lambda: w.node.snapshot.version == version)
+
+    async def test_cold_engine_is_sent_no_more_than_it_bears(self) -> None:
+        async with two_domains() as w:
+            w.store.put("keyed.op", "config", self._state(2, per_s=2.0))
+            await self._wait_for(w, 2)
+            w.put_engine("e-a", zone="a", seq=3, warmup_left_ms=60_000)
+            await until(lambda: any(u.warm_at for u in upstreams(w)))
+            for _ in range(30):
+                assert (await w.ask("/safe/x")).status == 200
+            assert len(w.engine_by_name["e-a"].ran) <= 2
+
+    async def test_engines_of_a_domain_are_cold_after_its_drain(self) -> None:
+        async with two_domains() as w:
+            w.store.put("keyed.op", "config", self._state(2, per_s=2.0))
+            await self._wait_for(w, 2)
+            order(w.store, "a")
+            await in_force(w, "a")
+            take_back(w.store, "a")
+            await in_force(w)
+            for _ in range(30):
+                assert (await w.ask("/safe/x")).status == 200
+            assert 1 <= len(w.engine_by_name["e-a"].ran) <= 2
+
+    async def test_figures_that_are_none_bind_nothing(self) -> None:
+        async with two_domains() as w:
+            w.store.put("keyed.op", "config", self._state(2, per_s=-1.0))
+            await self._wait_for(w, 2)
+            w.put_engine("e-a", zone="a", seq=3, warmup_left_ms=-5)
+            w.put_engine("e-b", zone="b", seq=3, warmup_left_ms=1e18)
+            await trio.sleep(0.5)
+            assert await ran_where(w) == {"e-a", "e-b"}
--- a/railtide/upstreams/load.py
+++ b/railtide/upstreams/load.py
@@ -9,6 +9,7 @@
     "LoadReport",
     "Upstream",
     "estimated_load",
+    "is_cold",
     "is_ejected",
     "is_leaving",
     "keeps_prefix",
@@ -64,6 +65,10 @@
         that reads long prompts makes all its others wait, and its reports say nothing of that.
     prefix_sent_at : dict of str to float
         When this router last sent it a prompt with a prefix.
+    cold_until : float
+        Until when it bears only a few requests a second.
+    next_cold_at : float
+        From when on this router may send it the next one of those.
     """
 
     instance: Instance
@@ -77,6 +82,8 @@
     ended_until: float = 0.0
     reading: float = 0.0
     prefix_sent_at: dict[str, float] = field(default_factory=dict)
+    cold_until: float = -math.inf
+    next_cold_at: float = -math.inf
 
     @property
     def open_requests(self) -> int:
@@ -94,6 +101,11 @@
     return now < max(upstream.ejected_until, upstream.ended_until)
 
 
+def is_cold(upstream: Upstream, now: float) -> bool:
+    """Return whether it has started so lately that it bears only a few requests a second."""
+    return now < upstream.cold_until
+
+
 def note_end(upstream: Upstream, now: float) -> None:
     """Record that this life has ended; it is not used until its record has gone.
 
--- /dev/null
+++ b/railtide/upstreams/slow_start.py
@@ -0,0 +1,112 @@
+"""How much is sent to an upstream that has just started, by all routers together. Pure.
+
+A cold upstream bears some requests a second and ends under many more. The routers send to it
+without asking one another: each works out from the routers that callers are sent to which of them
+may, and how often. Few of them share one upstream, so that their requests stay within its bound
+also when all of them come within the same second, and each of them sends at a pace and saves
+nothing up. The others send it nothing while it is cold.
+
+It is not left without work: what it serves is service, and fills its cache.
+
+Notes
+-----
+While routers come and go, two routers may take different ones for those that share an upstream.
+Every one of both parties keeps to its pace, so twice the bound is sent at the most, for as long as
+their views differ.
+"""
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from railtide.membership.addresses import rendezvous_order
+
+__all__ = ["SlowStart", "SlowStartShares", "pause_s", "sharing_routers"]
+
+PAUSE_MARGIN = 1.01
+"""Requests a pause apart may arrive a little closer to one another than they were sent."""
+
+
+@dataclass(frozen=True)
+class SlowStart:
+    """What the upstreams of a pool bear while they are cold.
+
+    Attributes
+    ----------
+    per_s : float
+        Requests a second, of all routers together; 0 where a start makes no difference.
+    for_s : float
+        Seconds after a start for which an upstream is cold.
+    """
+
+    per_s: float = 0.0
+    for_s: float = 0.0
+
+
+def sharing_routers(upstream: str, routers: Sequence[str], per_s: float) -> list[str]:
+    """Return the routers that may send to a cold upstream: no more than it bears requests a second.
+
+    Examples
+    --------
+    >>> len(sharing_routers("e1", ["r1", "r2", "r3", "r4", "r5"], per_s=3.5))
+    3
+    >>> sharing_routers("e1", ["r1", "r2"], per_s=3.5) == sharing_routers("e1", ["r2", "r1"], 3.5)
+    True
+    """
+    return rendezvous_order(upstream, routers)[: max(1, int(per_s))]
+
+
+def pause_s(routers: int, per_s: float) -> float:
+    """Return the least time between two requests of one router to a cold upstream, seconds.
+
+    Examples
+    --------
+    >>> [round(pause_s(routers, per_s=7.7), 2) for routers in (1, 3, 7)]
+    [0.14, 0.51, 1.01]
+    >>> round(pause_s(1, per_s=0.5), 2)
+    2.02
+    """
+    if per_s < 1:
+        return PAUSE_MARGIN / per_s
+    return PAUSE_MARGIN / max(1, int(per_s / routers))
+
+
+class SlowStartShares:
+    """One router's part of what cold upstreams are sent.
+
+    Parameters
+    ----------
+    own : str
+        Name of this router.
+    routers : callable
+        Returns the names of the routers that callers are sent to, as this one knows them.
+
+    Examples
+    --------
+    >>> shares = SlowStartShares("r1", lambda: ["r1", "r2"])
+    >>> round(shares.pause_s("e1", per_s=8.0), 2)
+    0.25
+    >>> SlowStartShares("r3", lambda: ["r1", "r2"]).pause_s("e1", per_s=8.0)
+    inf
+    """
+
+    def __init__(self, own: str, routers: Callable[[], Sequence[str]]) -> None:
+        self._own = own
+        self._routers = routers
+        self._known: Sequence[str] = ()
+        self._pause_by_upstream: dict[str, float] = {}
+
+    def pause_s(self, upstream: str, per_s: float) -> float:
+        """Return the time between two requests of this router; infinite if others send them."""
+        routers = self._routers()
+        if routers != self._known:
+            self._known = routers
+            self._pause_by_upstream.clear()
+        pause = self._pause_by_upstream.get(upstream)
+        if pause is None:
+            pause = self._pause_by_upstream[upstream] = self._new_pause_s(upstream, per_s)
+        return pause
+
+    def _new_pause_s(self, upstream: str, per_s: float) -> float:
+        sharing = sharing_routers(upstream, self._known, per_s)
+        return pause_s(len(sharing), per_s) if self._own in sharing else math.inf
