Answers tell the limit that an upstream states; a line says when it begins, changes and ends

Cause: no line and no metric told that a router had been told of a limit, so a router that knows and does not act could not be told from one that does not know. Change: the adapter decodes the limit, the upstream's state keeps the newest word of it (answers overtake one another, so one without a limit ends it only if its request was sent after the limit was last stated), and 'upstream-limit' says each change. Nothing acts on it yet. Measured: tests of the order of answers and of malformed values; the stand-in's engines state a limit.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -45,6 +45,7 @@
 from railtide.upstreams.load import LoadReport, note_end
 from railtide.upstreams.separation import Separation
 from railtide.upstreams.slow_start import SlowStartShares
+from railtide.upstreams.stated_limit import LimitReport
 
 __all__ = ["EdgeNode"]
 
@@ -366,10 +367,22 @@
 
     def take_load(self, upstream: Instance, report: LoadReport) -> None:
         """Take what an upstream said of its load with an answer; a former life tells of none."""
+        scheduler = self._scheduler_of_life(upstream)
+        if scheduler:
+            scheduler.take_report(upstream.name, report)
+
+    def take_limit(self, upstream: Instance, report: LimitReport) -> None:
+        """Take what an answer says of its upstream's limit; a former life tells of none."""
+        scheduler = self._scheduler_of_life(upstream)
+        if scheduler:
+            scheduler.take_limit(upstream.name, report)
+
+    def _scheduler_of_life(self, upstream: Instance) -> PoolScheduler | None:
+        """Return the scheduler of an upstream's pool if it knows this life of the upstream."""
         scheduler = self.schedulers_by_pool.get(upstream.pool)
         known = scheduler.by_name.get(upstream.name) if scheduler else None
-        if known and known.instance.incarnation == upstream.incarnation:
-            scheduler.take_report(upstream.name, report)
+        is_same = known is not None and known.instance.incarnation == upstream.incarnation
+        return scheduler if is_same else None
 
     # -- what the store says ------------------------------------------------------------------
 
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -16,6 +16,7 @@
 from railtide.upstreams.choice import Affinity, Choice
 from railtide.upstreams.load import LoadReport, Upstream, keeps_prefix, note_prefix
 from railtide.upstreams.slow_start import SlowStart
+from railtide.upstreams.stated_limit import LimitReport, note_report
 
 __all__ = ["PoolScheduler", "Slot", "WaitingRequest"]
 
@@ -137,6 +138,17 @@
         upstream.leaving = upstream.leaving or report.leaving
         self._serve_waiting()
 
+    def take_limit(self, name: str, report: LimitReport) -> None:
+        """Take what an upstream's answer says of its limit."""
+        upstream = self.by_name[name]
+        before = upstream.limit.per_s
+        if not note_report(upstream.limit, report, trio.current_time()):
+            return
+        told = upstream.limit.per_s if upstream.limit.in_force else None
+        logger.bind(
+            upstream=name, per_s=told, before=before if math.isfinite(before) else None
+        ).info("upstream-limit")
+
     # -- slots --------------------------------------------------------------------------------
 
     async def acquire(self, request: WaitingRequest) -> Slot:
--- a/railtide/platform/names.py
+++ b/railtide/platform/names.py
@@ -11,6 +11,7 @@
     "KV_FETCH",
     "KV_FROM",
     "LAST_EVENT_ID",
+    "LIMIT",
     "LOAD",
     "NOT_RUN",
     "PROMPT_PARTS",
@@ -43,6 +44,8 @@
 """The engine's word that it did not run the request."""
 LOAD = b"x-instance-load"
 """Requests running, requests waiting and slots of the engine."""
+LIMIT = b"server-limit"
+"""Requests a second that an engine in need takes from all routers together, a decimal number."""
 EXPECTED_WEIGHTS = b"x-expect-version"
 """Version of the model's weights without which the engine refuses with 421."""
 RESERVED_SLOT = b"x-hold"
--- a/railtide/platform/tests/test_crashing_requests.py
+++ b/railtide/platform/tests/test_crashing_requests.py
@@ -89,6 +89,7 @@
             Random(number),
         )
         upstreams.on_load = node.take_load
+        upstreams.on_limit = node.take_limit
         self.nodes.append(node)
         self.scopes.append(trio.CancelScope())
         self.nursery.start_soon(self._run, node, self.scopes[-1])
--- /dev/null
+++ b/railtide/platform/tests/test_stated_limits.py
@@ -0,0 +1,57 @@
+"""Limits that engines state in their answers, over the whole path.
+
+Two engines in need stated 1.5 and 1.3 requests a second, and three seconds later got 30 and 23
+within four seconds: no router read what they stated.
+"""
+
+import math
+
+import pytest
+
+from railtide.platform.tests.test_whole_path import World, body_of, world
+from railtide.upstreams.stated_limit import StatedLimit
+
+
+def limit_of(w: World, name: str) -> StatedLimit:
+    return w.node.schedulers_by_pool["s"].by_name[name].limit
+
+
+class TestWhatAnswersState:
+    async def test_it_is_known_and_told_in_a_line(self, lines) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1")
+            for limit in ("1.5", "0.75", None):
+                engine.limit = limit
+                await body_of(await w.ask("/safe/x"))
+                assert limit_of(w, "e1").per_s == float(limit or math.inf)
+        told = [line for line in lines if line["event"] == "upstream-limit"]
+        assert [(line["per_s"], line["before"]) for line in told] == [
+            (1.5, None),
+            (0.75, 1.5),
+            (None, 0.75),
+        ]
+
+    async def test_refusal_states_it_too(self) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1", not_run=True)
+            engine.limit = "2.5"
+            await w.ask("/safe/x")
+            assert limit_of(w, "e1").per_s == 2.5
+
+    async def test_another_engine_at_the_address_states_nothing_for_it(self) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1")
+            engine.name = "other"
+            engine.limit = "2.5"
+            await w.ask("/safe/x")
+            assert not limit_of(w, "e1").in_force
+
+    @pytest.mark.parametrize("stated", ["", "-1", "nan", "inf", "1e3", "1,5", "1_0", "x"])
+    async def test_what_is_no_decimal_number_changes_nothing(self, stated: str) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1")
+            engine.limit = "2.5"
+            await body_of(await w.ask("/safe/x"))
+            engine.limit = stated
+            await body_of(await w.ask("/safe/x"))
+            assert limit_of(w, "e1").per_s == 2.5
--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -143,6 +143,7 @@
             suspensions=suspensions,
         )
         upstreams.on_load = node.take_load
+        upstreams.on_limit = node.take_limit
         nursery.start_soon(node.run)
         port = await serve(nursery, Ingress(node, Random(1)).handle)
         with trio.fail_after(5):
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -1,5 +1,6 @@
 """Calls to the platform's engines: heads and codes translated, nothing decided."""
 
+import math
 import re
 from collections.abc import AsyncIterator, Callable
 
@@ -21,12 +22,14 @@
     UpstreamRefused,
 )
 from railtide.upstreams.load import LoadReport
+from railtide.upstreams.stated_limit import LimitReport
 
 __all__ = ["PlatformUpstreams"]
 
 MISDIRECTED = 421
 OK_CLASS = 2
 HIGHEST_RANK = 9
+DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 PROBE_LASTS_S = 0.02
 """How long a connection must stay for its engine to live: a process closes what it had open within
 milliseconds of its end."""
@@ -67,10 +70,13 @@
     ----------
     on_load : callable
         Told of an engine's load as its answers tell it.
+    on_limit : callable
+        Told of each answer of an engine, by what it says of the engine's limit.
     """
 
     def __init__(self) -> None:
         self.on_load: Callable[[Instance, LoadReport], None] = lambda upstream, report: None
+        self.on_limit: Callable[[Instance, LimitReport], None] = lambda upstream, report: None
         self._pool_by_incarnation: dict[str, PeerPool] = {}
 
     async def open(self, upstream: Instance, call: UpstreamCall) -> UpstreamAnswer:
@@ -78,6 +84,7 @@
         request = HttpRequest(
             call.method.encode(), call.path.encode(), _headers(upstream, call), call.body
         )
+        sent_at = trio.current_time()
         try:
             exchange = await self._pool(upstream).send(request)
         except ConnectRefused as err:
@@ -87,22 +94,26 @@
         except HttpError as err:
             raise UpstreamBroken(err.detail) from err
         try:
-            self._check(upstream, call, exchange)
+            self._check(upstream, call, exchange, sent_at)
         except BaseException:
             await self._read_refusal(exchange)
             raise
         return _Answer(exchange)
 
-    def _check(self, upstream: Instance, call: UpstreamCall, exchange: Exchange) -> None:
+    def _check(
+        self, upstream: Instance, call: UpstreamCall, exchange: Exchange, sent_at: float
+    ) -> None:
         self._take_load(upstream, exchange.headers)
         echoed = first_header(exchange.headers, names.ATTEMPT_ID)
         if echoed is not None and echoed.decode() != call.request_id:
             raise AnswerMismatch("the answer carries another request's id")
         if exchange.status == MISDIRECTED:
             raise UpstreamMoved("another instance has the address")
-        if first_header(exchange.headers, names.NOT_RUN) is not None:
-            raise UpstreamRefused(f"the upstream refused with {exchange.status}")
         sealed = first_header(exchange.headers, names.SEAL) is not None
+        refused = first_header(exchange.headers, names.NOT_RUN) is not None
+        self._take_limit(upstream, exchange.headers, sealed or refused, sent_at)
+        if refused:
+            raise UpstreamRefused(f"the upstream refused with {exchange.status}")
         if exchange.status // 100 == OK_CLASS and not sealed:
             raise AnswerMismatch("the answer is not signed")
 
@@ -125,6 +136,16 @@
             report = LoadReport(int(parts[0]), int(parts[1]), False, trio.current_time())
             self.on_load(upstream, report)
 
+    def _take_limit(
+        self, upstream: Instance, headers: Headers, is_own: bool, sent_at: float
+    ) -> None:
+        """Tell what an answer says of the limit; that there is none, only by the engine's own."""
+        told = first_header(headers, names.LIMIT)
+        if told is not None and DECIMAL.fullmatch(told):
+            self.on_limit(upstream, LimitReport(float(told), sent_at))
+        elif told is None and is_own:
+            self.on_limit(upstream, LimitReport(math.inf, sent_at))
+
     def forget(self, upstream: Instance) -> None:
         """Close the idle connections to an engine; see `UpstreamClient.forget`."""
         pool = self._pool_by_incarnation.pop(upstream.incarnation, None)
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -20,6 +20,7 @@
 
 ID = b"x-attempt-id"
 ERA = b"store-era"
+LIMIT = b"server-limit"
 KB = 1_024
 MOST_READ_KB = 1_024
 MOST_NEWEST = 500
@@ -220,6 +221,10 @@
     ----------
     next_scripts : list of EngineScript
         Scripts of the next runs, one each, before `script` holds again. Engines may share it.
+    limit : str or None
+        The requests a second that all its answers state as its limit.
+    arrived_at : list of float
+        Trio times at which requests came, in order.
     """
 
     name: str
@@ -228,17 +233,20 @@
     seen: list[HttpRequest] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     stopped: int = 0
+    limit: str | None = None
+    arrived_at: list[float] = field(default_factory=list)
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
         self.seen.append(request)
+        self.arrived_at.append(trio.current_time())
         expected = first_header(request.headers, b"x-expect-instance")
         if expected is not None and expected.decode() != self.name:
             await responder.answer(421, ((b"x-instance-id", self.name.encode()),))
             return
         script = self.next_scripts.pop(0) if self.next_scripts else self.script
         if script.not_run:
-            await responder.answer(503, ((b"x-not-executed", b"1"),))
+            await responder.answer(503, ((b"x-not-executed", b"1"), *self._notices()))
             return
         self.ran.append(_id_of(request))
         try:
@@ -247,12 +255,16 @@
             self.stopped += 1
             raise
 
+    def _notices(self) -> Headers:
+        """Return what all answers say of the engine's state, as of now."""
+        return () if self.limit is None else ((LIMIT, self.limit.encode()),)
+
     async def _answer(
         self, script: EngineScript, request: HttpRequest, responder: Responder
     ) -> None:
         seal = () if script.unsigned else ((b"x-response-seal", self.name.encode()),)
         own_id = b"other" if script.wrong_id else _id_of(request).encode()
-        headers = ((ID, own_id), *seal, (b"x-instance-load", b"1,0,8"))
+        headers = ((ID, own_id), *seal, (b"x-instance-load", b"1,0,8"), *self._notices())
         last = int(first_header(request.headers, b"last-event-id") or 0)
         if not script.sound:
             await self._answer_raw(script, headers, last, responder)
--- a/railtide/upstreams/load.py
+++ b/railtide/upstreams/load.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from railtide.membership.instances import Instance, InstanceState
+from railtide.upstreams.stated_limit import StatedLimit
 
 __all__ = [
     "LoadReport",
@@ -69,6 +70,8 @@
         Until when it bears only a few requests a second.
     next_cold_at : float
         From when on this router may send it the next one of those.
+    limit : StatedLimit
+        What it says that it takes.
     """
 
     instance: Instance
@@ -84,6 +87,7 @@
     prefix_sent_at: dict[str, float] = field(default_factory=dict)
     cold_until: float = -math.inf
     next_cold_at: float = -math.inf
+    limit: StatedLimit = field(default_factory=StatedLimit)
 
     @property
     def open_requests(self) -> int:
