--- a/railtide/platform/tests/test_stated_limits.py
+++ b/railtide/platform/tests/test_stated_limits.py
@@ -7,10 +7,21 @@
 import math
 
 import pytest
+import trio
 
+from railtide.platform.tests.router_fleet import RouterFleet, most_within, open_router_fleet
 from railtide.platform.tests.test_whole_path import World, body_of, world
 from railtide.upstreams.stated_limit import StatedLimit
 
+WINDOW_S = 4.0
+STABLE_S = 3.0
+"""From when on after its first word the users count what an upstream gets."""
+
+
+def allowed(per_s: float) -> float:
+    """Return the most arrivals within a window that the users allow."""
+    return 1.5 * WINDOW_S * per_s + 5
+
 
 def limit_of(w: World, name: str) -> StatedLimit:
     return w.node.schedulers_by_pool["s"].by_name[name].limit
@@ -55,3 +66,27 @@
             engine.limit = stated
             await body_of(await w.ask("/safe/x"))
             assert limit_of(w, "e1").per_s == 2.5
+
+
+async def arrivals_under(fleet: RouterFleet, limits: dict[str, str], for_s: float) -> dict:
+    """Return when requests reached engines under their limits, from when on that counts."""
+    for name, limit in limits.items():
+        fleet.engine_by_name[name].limit = limit
+    counted_from = trio.current_time() + STABLE_S
+    await fleet.play(per_s=24, for_s=STABLE_S + for_s)
+    return {
+        name: [at for at in fleet.engine_by_name[name].arrived_at if at >= counted_from]
+        for name in limits
+    }
+
+
+class TestAllRoutersTogether:
+    async def test_upstream_gets_no_more_than_it_states(self) -> None:
+        async with open_router_fleet(routers=3, engines=3) as fleet:
+            await fleet.play(per_s=24, for_s=0.5)
+            limits = {"e0": "1.5", "e1": "1.3"}
+            times_by_engine = await arrivals_under(fleet, limits, for_s=5.0)
+            for name, limit in limits.items():
+                got = most_within(times_by_engine[name], WINDOW_S)
+                assert got <= allowed(float(limit)), f"{name} got {got}"
+            assert set(fleet.statuses) == {200}
