All routers together send an upstream no more than the rate that it states

What callers and upstreams saw: an upstream that stated 1.5 requests a second got 30 within 4 s from routers that it had told. Cause: no router read the statement; nothing in the choice of an upstream was bounded over all routers but the start of a cold one. Change: a few routers of those that callers are sent to share the rate in equal parts, which all work out alike; each keeps a pause between two requests, whichever request it is (second tries, resumed streams and prefixes take the same way), and the others send none. So the sum is the rate and one request a sharing router, below one and a half times the rate and five in four seconds for any rate, also while some routers know the fleet as it was before a change. Where others have room nothing is refused; where all upstreams state a limit the rest is refused at once. The pauses of cold upstreams go the same way (lanes/pacing.py).

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -42,6 +42,7 @@
 from railtide.telemetry.counters import Counters
 from railtide.upstreams.choice import PrefixAffinity, TwoChoices
 from railtide.upstreams.client import UpstreamClient
+from railtide.upstreams.limit_shares import LimitShares
 from railtide.upstreams.load import LoadReport, note_end
 from railtide.upstreams.separation import Separation
 from railtide.upstreams.slow_start import SlowStartShares
@@ -144,6 +145,7 @@
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
         store.on_rise(self._upstream_list.note_rise)
         self._slow_start_shares = SlowStartShares(identity.instance, self._named_routers)
+        self._limit_shares = LimitShares(identity.instance, self._named_routers, self._live_routers)
         self._drained = DrainedDomains(self._set_drained)
         store.on_rise(self._drained.note_rise)
         self._configuration_feed = Feed(
@@ -444,6 +446,7 @@
             choice = Separation(PrefixAffinity(TwoChoices(self._rng)))
             scheduler = PoolScheduler(choice, urgent_share=0, trusts_list=True)
             scheduler.set_drained(self._drained.names)
+            scheduler.set_limit_shares(self._limit_shares)
             self.schedulers_by_pool[pool] = scheduler
             self._set_slow_start(pool)
         scheduler = self.schedulers_by_pool[pool]
@@ -486,6 +489,9 @@
     def _named_routers(self) -> list[str]:
         return [entrance.name for entrance in self.roster.named()]
 
+    def _live_routers(self) -> list[str]:
+        return [entrance.name for entrance in self.roster.live()]
+
     def _sharing_routers(self) -> int:
         """Return how many routers keep budgets in hand, 0 if this one is not to."""
         return len(self.roster.named()) if self.roster.is_named() else 0
--- a/railtide/lanes/pool_upstreams.py
+++ b/railtide/lanes/pool_upstreams.py
@@ -3,28 +3,15 @@
 import math
 from collections.abc import Callable, Sequence
 
+from railtide.lanes.pacing import Pacing
 from railtide.lanes.queue import Urgency
 from railtide.membership.instances import Instance
-from railtide.upstreams.load import (
-    REPORT_MAX_AGE_S,
-    Upstream,
-    is_cold,
-    is_ejected,
-    is_leaving,
-)
-from railtide.upstreams.slow_start import SlowStart
+from railtide.upstreams.load import REPORT_MAX_AGE_S, Upstream, is_ejected, is_leaving
 
-__all__ = ["ColdPause", "PoolUpstreams", "Preference"]
+__all__ = ["PoolUpstreams", "Preference"]
 
 Preference = Callable[[Sequence[str]], frozenset[str]]
 """Returns, of the names of upstreams, those at which a request had best run."""
-ColdPause = Callable[[str, float], float]
-"""Returns the seconds between two requests of this router to a cold upstream, by its name and the
-requests a second that it bears; infinite where the router is to send it none."""
-
-
-def _every_router_alone(upstream: str, per_s: float) -> float:
-    return 1 / per_s if per_s else 0.0
 
 
 class PoolUpstreams:
@@ -40,6 +27,7 @@
     Attributes
     ----------
     by_name : dict of str to Upstream
+    pacing : Pacing
     """
 
     def __init__(self, urgent_share: int, trusts_list: bool) -> None:
@@ -48,8 +36,7 @@
         self._trusts_list = trusts_list
         self._is_listed = False
         self._drained: frozenset[str] = frozenset()
-        self._slow_start = SlowStart()
-        self._cold_pause_s: ColdPause = _every_router_alone
+        self.pacing = Pacing()
 
     # -- what is told of them -----------------------------------------------------------------
 
@@ -68,7 +55,7 @@
             else:
                 known = Upstream(instance)
                 if self._is_listed:
-                    self._note_cold(known, now)
+                    self.pacing.note_cold(known, now)
             known.cold_until = max(known.cold_until, instance.warm_at)
             by_name[instance.name] = known
         self.by_name = by_name
@@ -95,15 +82,7 @@
         self._drained = domains
         for upstream in self.by_name.values():
             if upstream.instance.failure_domain in ended:
-                self._note_cold(upstream, now)
-
-    def set_slow_start(self, slow_start: SlowStart, cold_pause_s: ColdPause) -> None:
-        """Take what cold upstreams bear, and this router's part of it."""
-        self._slow_start = slow_start
-        self._cold_pause_s = cold_pause_s
-
-    def _note_cold(self, upstream: Upstream, now: float) -> None:
-        upstream.cold_until = max(upstream.cold_until, now + self._slow_start.for_s)
+                self.pacing.note_cold(upstream, now)
 
     # -- which of them may be used ------------------------------------------------------------
 
@@ -114,11 +93,11 @@
     def _may_be_used(self, upstream: Upstream, now: float) -> bool:
         if is_leaving(upstream) or upstream.instance.failure_domain in self._drained:
             return False
-        return not self._is_slow(upstream, now) or math.isfinite(self._pause_s(upstream))
+        return self.pacing.may_send(upstream, now)
 
     def is_free(self, upstream: Upstream, urgency: Urgency, now: float) -> bool:
         """Return whether an upstream that stays takes one more request now."""
-        if self._is_slow(upstream, now) and now < upstream.next_cold_at:
+        if now < self.pacing.due_at(upstream, now):
             return False
         if upstream.open_requests >= upstream.instance.slots:
             return False
@@ -175,25 +154,14 @@
         }
         return [upstream for upstream in fresh if upstream.instance.failure_domain not in tried]
 
-    # -- cold ones ----------------------------------------------------------------------------
-
-    def _is_slow(self, upstream: Upstream, now: float) -> bool:
-        return bool(self._slow_start.per_s) and is_cold(upstream, now)
-
-    def _pause_s(self, upstream: Upstream) -> float:
-        return self._cold_pause_s(upstream.instance.name, self._slow_start.per_s)
-
-    def note_sent(self, upstream: Upstream, now: float) -> None:
-        """Record that a request is sent to an upstream now."""
-        if self._is_slow(upstream, now):
-            upstream.next_cold_at = now + self._pause_s(upstream)
+    # -- those that take few requests ---------------------------------------------------------
 
     def next_free_at(self, now: float) -> float:
-        """Return when the next cold upstream takes a request, infinite if none does."""
+        """Return when time alone frees the next upstream, infinite if it frees none."""
         times = [
-            min(upstream.next_cold_at, upstream.cold_until)
+            self.pacing.looked_at_again(upstream, now)
             for upstream in self.staying(now)
-            if self._is_slow(upstream, now) and now < upstream.next_cold_at
+            if now < self.pacing.due_at(upstream, now)
         ]
         return min(times, default=math.inf)
 
@@ -209,8 +177,8 @@
         """
         served = 0.0
         for upstream in self.staying(now):
-            if self._is_slow(upstream, now):
-                served += 1 / self._pause_s(upstream)
+            if self.pacing.is_paced(upstream, now):
+                served += 1 / self.pacing.pause_s(upstream, now)
             else:
                 served += self.capacity(upstream, urgency) / service_s if service_s else math.inf
         return served
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -10,10 +10,12 @@
 from loguru import logger
 
 from railtide.lanes.errors import DeadlineTooNear, NoUpstream, QueueFull
-from railtide.lanes.pool_upstreams import ColdPause, PoolUpstreams, Preference
+from railtide.lanes.pacing import ColdPause
+from railtide.lanes.pool_upstreams import PoolUpstreams, Preference
 from railtide.lanes.queue import FairLanes, Urgency, Waiting, WaitingQueue
 from railtide.membership.instances import Instance
 from railtide.upstreams.choice import Affinity, Choice
+from railtide.upstreams.limit_shares import LimitShares
 from railtide.upstreams.load import LoadReport, Upstream, keeps_prefix, note_prefix
 from railtide.upstreams.slow_start import SlowStart
 from railtide.upstreams.stated_limit import LimitReport, note_report
@@ -126,8 +128,12 @@
         self._serve_waiting()
 
     def set_slow_start(self, slow_start: SlowStart, cold_pause_s: ColdPause) -> None:
-        """Take what cold upstreams bear; see `PoolUpstreams.set_slow_start`."""
-        self._upstreams.set_slow_start(slow_start, cold_pause_s)
+        """Take what cold upstreams bear; see `Pacing.set_slow_start`."""
+        self._upstreams.pacing.set_slow_start(slow_start, cold_pause_s)
+
+    def set_limit_shares(self, shares: LimitShares) -> None:
+        """Take this router's part of what upstreams with a limit are sent."""
+        self._upstreams.pacing.set_limit_shares(shares)
 
     def take_report(self, name: str, report: LoadReport) -> None:
         """Take an upstream's load report; leaving is sticky."""
@@ -148,6 +154,7 @@
         logger.bind(
             upstream=name, per_s=told, before=before if math.isfinite(before) else None
         ).info("upstream-limit")
+        self._serve_waiting()
 
     # -- slots --------------------------------------------------------------------------------
 
@@ -178,7 +185,7 @@
         return request.slot
 
     async def _wait(self, request: WaitingRequest, until: float) -> None:
-        """Wait for a slot; time alone frees a cold upstream."""
+        """Wait for a slot; time alone frees an upstream that is cold or states a limit."""
         while not request.given.is_set() and trio.current_time() < until:
             free_at = self._upstreams.next_free_at(trio.current_time())
             with trio.move_on_at(min(until, free_at)):
@@ -308,7 +315,7 @@
         slot = Slot(upstream, urgency, now)
         self._count(slot, 1)
         upstream.opened_at.append(now)
-        self._upstreams.note_sent(upstream, now)
+        upstream.sent_at = now
         return slot
 
     @staticmethod
--- /dev/null
+++ b/railtide/lanes/tests/test_stated_limits.py
@@ -0,0 +1,266 @@
+"""Upstreams that state a limit, in the schedulers of a fleet: a bound, and all that it allows."""
+
+import math
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+import trio
+
+from railtide.lanes.errors import LaneError, NoUpstream
+from railtide.lanes.queue import Urgency
+from railtide.lanes.scheduler import PoolScheduler, Slot, WaitingRequest
+from railtide.membership.instances import Instance
+from railtide.upstreams.choice import Affinity, PrefixAffinity, TwoChoices
+from railtide.upstreams.limit_shares import QUIET_S, TURN_S, LimitShares
+from railtide.upstreams.stated_limit import LimitReport
+
+WINDOW_S = 4.0
+STABLE_S = 3.0
+"""From when on after its first word the users count what an upstream gets."""
+TOLD_S = 0.5
+"""How long after its answer a router counts as told."""
+
+
+def allowed(per_s: float) -> float:
+    """Return the most arrivals within a window that the users allow."""
+    return 1.5 * WINDOW_S * per_s + 5
+
+
+@dataclass
+class Engine:
+    """An upstream that may state a limit, and what came to it."""
+
+    name: str
+    limit: float = math.inf
+    first_stated_at: float = math.inf
+    lost_share: float = 0.0
+    slowest_s: float = 0.3
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    told_at_by_router: dict[str, float] = field(default_factory=dict)
+
+    def state(self, limit: float) -> None:
+        """State another limit from now on, infinite for none."""
+        self.limit = limit
+        if math.isfinite(limit):
+            self.first_stated_at = min(self.first_stated_at, trio.current_time())
+        else:
+            self.first_stated_at = math.inf
+            self.told_at_by_router.clear()
+
+    def counted(self) -> list[float]:
+        """Return the arrivals under the limit that count against the bound."""
+        counted_from = self.first_stated_at + STABLE_S
+        return [
+            at
+            for at, router in self.arrivals
+            if at >= max(counted_from, self.told_at_by_router.get(router, math.inf) + TOLD_S)
+        ]
+
+    def most_in_a_window(self) -> int:
+        """Return the most arrivals that count within one window."""
+        times = self.counted()
+        return max((sum(at <= t < at + WINDOW_S for t in times) for at in times), default=0)
+
+
+class Router:
+    """One router's scheduler, and its view of the fleet."""
+
+    def __init__(self, name: str, fleet: "Fleet") -> None:
+        self.name = name
+        self.named = list(fleet.named)
+        self.live = list(fleet.names)
+        self.scheduler = PoolScheduler(
+            PrefixAffinity(TwoChoices(Random(name))), urgent_share=0, trusts_list=True
+        )
+        shares = LimitShares(name, lambda: self.named, lambda: self.live)
+        self.scheduler.set_limit_shares(shares)
+        instances = [
+            Instance(engine, engine, f"{engine}:1", "a", "engine", "p", 24)
+            for engine in fleet.engine_by_name
+        ]
+        self.scheduler.set_upstreams(instances)
+
+
+class Fleet:
+    """Routers before engines, on a virtual clock."""
+
+    def __init__(self, routers: int, named: int, engines: int, rng: Random) -> None:
+        self.rng = rng
+        self.names = [f"r{n}" for n in range(routers)]
+        self.named = self.names[:named]
+        self.engine_by_name = {f"e{n}": Engine(f"e{n}") for n in range(engines)}
+        self.routers = [Router(name, self) for name in self.names]
+        self.served = 0
+        self.refused_after: list[float] = []
+        self.retry_afters: list[float] = []
+
+    async def serve(self, router: Router, key: str = "", goal_s: float = 0.5) -> bool:
+        """Run a request, a second time elsewhere if its answer is lost; tell if it was served."""
+        now = trio.current_time()
+        waiting = WaitingRequest("a", Urgency.BULK, 1, 1, now + 5, Affinity(key), now + goal_s)
+        try:
+            slot = await router.scheduler.acquire(waiting)
+            if not await self._run(router, slot):
+                tried = slot.upstream
+                router.scheduler.release(slot)
+                slot = await router.scheduler.reacquire(waiting, tried)
+                await self._run(router, slot)
+        except LaneError as err:
+            self.refused_after.append(trio.current_time() - now)
+            self.retry_afters.append(err.retry_after)
+            return False
+        router.scheduler.release(slot)
+        self.served += 1
+        return True
+
+    async def _run(self, router: Router, slot: Slot) -> bool:
+        """Have an engine run a request; return whether its answer came."""
+        name = slot.upstream.instance.name
+        engine = self.engine_by_name[name]
+        sent_at = trio.current_time()
+        engine.arrivals.append((sent_at, router.name))
+        stated = engine.limit
+        await trio.sleep(self.rng.uniform(0.05, engine.slowest_s))
+        if self.rng.random() < engine.lost_share:
+            return False
+        if math.isfinite(stated):
+            engine.told_at_by_router.setdefault(router.name, trio.current_time())
+        router.scheduler.take_limit(name, LimitReport(stated, sent_at))
+        await trio.sleep(self.rng.uniform(0.0, 1.0))
+        return True
+
+    async def play(self, per_s: float, for_s: float, named_only: bool = False) -> None:
+        """Have callers come to the routers, most of them to those that are named."""
+        ends_at = trio.current_time() + for_s
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < ends_at:
+                stays = not named_only and self.rng.random() < 0.1
+                names = self.names if stays else self.named
+                router = self.routers[self.names.index(self.rng.choice(names))]
+                nursery.start_soon(self.serve, router, self.rng.choice(["", "k1", "k2"]))
+                await trio.sleep(self.rng.expovariate(per_s))
+
+    async def change_views(self, named: list[str], within_s: float) -> None:
+        """Have callers be sent to other routers; each router hears of it in its own time."""
+        self.named = named
+        async with trio.open_nursery() as nursery:
+            for router in self.routers:
+                nursery.start_soon(self._hear, router, named, self.rng.uniform(0, within_s))
+
+    @staticmethod
+    async def _hear(router: Router, named: list[str], after_s: float) -> None:
+        await trio.sleep(after_s)
+        router.named = named
+
+
+def used_by(fleet: Fleet, engine: Engine, since: float) -> set[str]:
+    """Return the routers that have sent an engine a request since a moment."""
+    return {router for at, router in engine.arrivals if at >= since}
+
+
+class TestBound:
+    @pytest.mark.parametrize("seed", range(24))
+    async def test_drawn_fleets_keep_to_what_upstreams_state(self, seed, autojump_clock) -> None:
+        rng = Random(seed)
+        routers = rng.randint(1, 24)
+        named = rng.randint(1, routers)
+        fleet = Fleet(routers, named, engines=rng.randint(1, 5), rng=rng)
+        limited = list(fleet.engine_by_name.values())[: rng.randint(1, 3)]
+        for engine in fleet.engine_by_name.values():
+            engine.lost_share = rng.choice([0.0, 0.0, 0.3])
+            engine.slowest_s = rng.choice([0.1, 0.4, 3.0])
+        await fleet.play(per_s=40, for_s=1.0)
+        for engine in limited:
+            engine.state(round(rng.uniform(0.2, 6.0), 1))
+        stated = [engine.limit for engine in limited]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.play, rng.uniform(5, 80), 25.0)
+            await trio.sleep(8.0)
+            changed = [name for name in fleet.named if name != rng.choice(fleet.named)]
+            nursery.start_soon(fleet.change_views, changed or fleet.named, 2.0)
+        for engine, per_s in zip(limited, stated, strict=True):
+            assert engine.most_in_a_window() <= allowed(per_s), f"{engine.name} at {per_s}"
+
+    async def test_second_tries_and_prefixes_keep_to_it(self, autojump_clock) -> None:
+        fleet = Fleet(1, 1, engines=2, rng=Random(1))
+        home, other = fleet.engine_by_name.values()
+        other.lost_share = 1.0
+        home.state(1.5)
+        await fleet.play(per_s=20, for_s=20.0)
+        assert home.most_in_a_window() <= allowed(1.5)
+
+    async def test_lower_limit_holds_from_when_it_is_stated(self, autojump_clock) -> None:
+        fleet = Fleet(3, 3, engines=2, rng=Random(1))
+        engine = fleet.engine_by_name["e0"]
+        engine.state(6.0)
+        await fleet.play(per_s=40, for_s=6.0)
+        engine.state(0.5)
+        lowered_at = trio.current_time()
+        await fleet.play(per_s=40, for_s=10.0)
+        later = [at for at, _ in engine.arrivals if at >= lowered_at + 1.0]
+        assert len(later) <= 9 * 0.5 + 3
+
+
+class TestService:
+    async def test_nothing_is_refused_while_others_have_room(self, autojump_clock) -> None:
+        fleet = Fleet(7, 3, engines=5, rng=Random(1))
+        for name in ("e0", "e1"):
+            fleet.engine_by_name[name].state(1.5)
+        await fleet.play(per_s=40, for_s=20.0)
+        assert fleet.refused_after == []
+
+    async def test_where_all_state_one_as_much_is_served_and_the_rest_refused_at_once(
+        self, autojump_clock
+    ) -> None:
+        """Five upstreams that take 1.5 a second each, and four times as many requests."""
+        fleet = Fleet(3, 3, engines=5, rng=Random(1))
+        for engine in fleet.engine_by_name.values():
+            engine.state(1.5)
+        await fleet.play(per_s=30, for_s=20.0, named_only=True)
+        assert fleet.served >= 0.8 * 5 * 1.5 * 20
+        assert sum(after_s < 0.01 for after_s in fleet.refused_after) > 0.8 * len(
+            fleet.refused_after
+        )
+        assert max(fleet.refused_after) <= 0.5
+        assert max(fleet.retry_afters) <= 2.0
+
+    async def test_router_without_a_part_refuses_at_once(self, autojump_clock) -> None:
+        fleet = Fleet(8, 8, engines=1, rng=Random(1))
+        fleet.engine_by_name["e0"].state(0.5)
+        for router in fleet.routers:
+            await fleet.serve(router)
+        refused = 0
+        for router in fleet.routers:
+            waiting = WaitingRequest("a", Urgency.BULK, 1, 1, math.inf, Affinity())
+            with trio.move_on_after(0):
+                try:
+                    await router.scheduler.acquire(waiting)
+                except NoUpstream as err:
+                    assert err.retry_after <= 1
+                    refused += 1
+        assert refused == 6
+
+
+class TestEnd:
+    async def test_routers_with_a_part_use_it_again_at_once(self, autojump_clock) -> None:
+        fleet = Fleet(3, 3, engines=2, rng=Random(1))
+        engine = fleet.engine_by_name["e0"]
+        engine.state(1.0)
+        await fleet.play(per_s=30, for_s=5.0)
+        ended_at = trio.current_time()
+        engine.state(math.inf)
+        await fleet.play(per_s=30, for_s=8.0)
+        assert used_by(fleet, engine, ended_at) == set(fleet.names)
+        late = [at for at, _ in engine.arrivals if at >= ended_at + 4]
+        assert len(late) >= 0.3 * 30 * 4
+
+    async def test_routers_without_a_part_use_it_again_in_their_turn(self, autojump_clock) -> None:
+        fleet = Fleet(8, 8, engines=2, rng=Random(1))
+        engine = fleet.engine_by_name["e0"]
+        engine.state(1.0)
+        await fleet.play(per_s=40, for_s=6.0)
+        ended_at = trio.current_time()
+        engine.state(math.inf)
+        await fleet.play(per_s=40, for_s=QUIET_S + 5 * TURN_S + 4)
+        assert used_by(fleet, engine, ended_at) == set(fleet.names)
--- a/railtide/upstreams/load.py
+++ b/railtide/upstreams/load.py
@@ -68,8 +68,8 @@
         When this router last sent it a prompt with a prefix.
     cold_until : float
         Until when it bears only a few requests a second.
-    next_cold_at : float
-        From when on this router may send it the next one of those.
+    sent_at : float
+        When this router last sent it a request.
     limit : StatedLimit
         What it says that it takes.
     """
@@ -86,7 +86,7 @@
     reading: float = 0.0
     prefix_sent_at: dict[str, float] = field(default_factory=dict)
     cold_until: float = -math.inf
-    next_cold_at: float = -math.inf
+    sent_at: float = -math.inf
     limit: StatedLimit = field(default_factory=StatedLimit)
 
     @property
--- /dev/null
+++ b/railtide/upstreams/tests/test_limit_shares.py
@@ -0,0 +1,95 @@
+"""Tests of railtide.upstreams.limit_shares: what all routers together send under a limit."""
+
+import math
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from railtide.upstreams.limit_shares import QUIET_S, TURN_S, LimitShares, routers_sharing
+from railtide.upstreams.tests.test_slow_start import sends
+
+NAMES = [f"r{n}" for n in range(40)]
+FLEETS = st.lists(st.sampled_from(NAMES), min_size=1, max_size=40, unique=True)
+RATES = st.floats(min_value=0.05, max_value=30.0)
+FIRSTS = st.lists(st.floats(min_value=0, max_value=4), min_size=40, max_size=40)
+WINDOW_S = 4.0
+
+
+def allowed(per_s: float) -> float:
+    """Return the most requests within a window that the users allow."""
+    return 1.5 * WINDOW_S * per_s + 5
+
+
+def most_within_window(times: list[float]) -> int:
+    return max((sum(at <= t < at + WINDOW_S for t in times) for at in times), default=0)
+
+
+def pauses(named: list[str], per_s: float) -> list[float]:
+    """Return the pause of each router, named or not."""
+    return [LimitShares(r, lambda: named, lambda: NAMES).pause_s("e", per_s) for r in NAMES]
+
+
+class TestBound:
+    @given(FLEETS, RATES, FIRSTS)
+    @settings(max_examples=150, deadline=None)
+    def test_all_routers_together_keep_to_it(
+        self, named: list[str], per_s: float, firsts: list[float]
+    ) -> None:
+        """Each with more work than it may send, from a moment of its own on."""
+        times: list[float] = []
+        for pause, first_at in zip(pauses(named, per_s), firsts, strict=True):
+            times += sends(pause, first_at, for_s=12.0)
+        assert most_within_window(times) <= allowed(per_s)
+
+    @given(FLEETS, RATES, st.sampled_from(NAMES))
+    @settings(max_examples=150, deadline=None)
+    def test_they_keep_to_it_while_some_know_of_a_router_that_comes_or_goes(
+        self, named: list[str], per_s: float, changed: str
+    ) -> None:
+        """Half of the routers know the fleet as it was before."""
+        others = [name for name in named if name != changed]
+        later = others if changed in named else [*named, changed]
+        both = [pauses(named, per_s), pauses(later, per_s)]
+        times: list[float] = []
+        for place in range(len(NAMES)):
+            times += sends(both[place % 2][place], 0.0, for_s=8.0)
+        assert most_within_window(times) <= allowed(per_s)
+
+    @given(st.integers(min_value=1, max_value=60), RATES)
+    def test_all_of_it_is_used(self, routers: int, per_s: float) -> None:
+        named = [f"r{n}" for n in range(routers)]
+        parts = [LimitShares(r, lambda: named, lambda: named).pause_s("e", per_s) for r in named]
+        sent_per_s = sum(1 / pause for pause in parts)
+        assert math.isclose(sent_per_s, per_s)
+
+
+class TestOthers:
+    def test_upstreams_are_shared_out_over_the_fleet(self) -> None:
+        """Of 20 routers none is left without a part of any of 40 upstreams."""
+        parts = dict.fromkeys(NAMES[:20], 0)
+        for number in range(40):
+            for router in routers_sharing(f"e{number}", NAMES[:20], per_s=1.5):
+                parts[router] += 1
+        assert sum(parts.values()) == 120
+        assert min(parts.values()) >= 1 and max(parts.values()) <= 14
+
+    def test_those_without_a_part_ask_one_after_the_other(self) -> None:
+        named = NAMES[:5]
+        waits = []
+        for router in NAMES:
+            shares = LimitShares(router, lambda: named, lambda: NAMES)
+            if math.isinf(shares.pause_s("e", 1.0)):
+                waits.append(shares.patience_s("e", 1.0))
+        assert sorted(waits) == [QUIET_S + TURN_S * place for place in range(37)]
+
+    def test_router_that_knows_of_nobody_has_a_turn(self) -> None:
+        shares = LimitShares("r1", list, list)
+        assert math.isinf(shares.pause_s("e", 1.0))
+        assert shares.patience_s("e", 1.0) == QUIET_S
+
+    def test_shares_follow_the_fleet(self) -> None:
+        named = ["r1", "r2"]
+        shares = LimitShares("r1", lambda: list(named), lambda: named)
+        assert shares.pause_s("e", 1.0) == 2.0
+        named.remove("r2")
+        assert shares.pause_s("e", 1.0) == 1.0
