Routers tell one another of limits that upstreams state, and of their end

Cause: routers without a part of a limit sent the upstream nothing and heard nothing of it; after the limit had ended they used it again only in their turn, 10 s later and 3 s more for each router before them (about 9 minutes for the last of 190). Change: a router's record in the roster tells what its own answers said lately, with its age. Others take it if it is certainly newer than what they know (3 s for writing and reading), never from a backlog after an outage. A router that was told nothing yet keeps to the limit too. A first form told the end as of its first answer; an end within 3 s of the last answer with a limit was then never believed by the others (a whole-path test found it), so each later answer renews it. The mutant of another engine at the address survived once the other test held, since the stand-in's 421 stated no limit: it does now, and the mutant is caught.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -46,7 +46,7 @@
 from railtide.upstreams.load import LoadReport, note_end
 from railtide.upstreams.separation import Separation
 from railtide.upstreams.slow_start import SlowStartShares
-from railtide.upstreams.stated_limit import LimitReport
+from railtide.upstreams.stated_limit import LimitNews, LimitReport
 
 __all__ = ["EdgeNode"]
 
@@ -128,7 +128,9 @@
             self._load.per_second,
             lambda: self._freshness.is_behind(),
             lambda: self.treasury.read_ends(),
+            self._limit_news,
         )
+        self.roster.on_limits = self._take_limit_news
         self.treasury = LedgerTreasury(
             store,
             identity.instance,
@@ -379,6 +381,17 @@
         if scheduler:
             scheduler.take_limit(upstream.name, report)
 
+    def _limit_news(self) -> tuple[LimitNews, ...]:
+        """Return what other routers are to be told of upstreams' limits."""
+        schedulers = self.schedulers_by_pool.values()
+        return tuple(news for scheduler in schedulers for news in scheduler.limit_news())
+
+    def _take_limit_news(self, told: tuple[LimitNews, ...]) -> None:
+        heard_at = trio.current_time()
+        for news in told:
+            for scheduler in self.schedulers_by_pool.values():
+                scheduler.take_limit_news(news, heard_at)
+
     def _scheduler_of_life(self, upstream: Instance) -> PoolScheduler | None:
         """Return the scheduler of an upstream's pool if it knows this life of the upstream."""
         scheduler = self.schedulers_by_pool.get(upstream.pool)
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -18,7 +18,14 @@
 from railtide.upstreams.limit_shares import LimitShares
 from railtide.upstreams.load import LoadReport, Upstream, keeps_prefix, note_prefix
 from railtide.upstreams.slow_start import SlowStart
-from railtide.upstreams.stated_limit import LimitReport, note_report
+from railtide.upstreams.stated_limit import (
+    LimitNews,
+    LimitReport,
+    StatedLimit,
+    news_of,
+    note_news,
+    note_report,
+)
 
 __all__ = ["PoolScheduler", "Slot", "WaitingRequest"]
 
@@ -146,15 +153,36 @@
 
     def take_limit(self, name: str, report: LimitReport) -> None:
         """Take what an upstream's answer says of its limit."""
-        upstream = self.by_name[name]
-        before = upstream.limit.per_s
-        if not note_report(upstream.limit, report, trio.current_time()):
-            return
-        told = upstream.limit.per_s if upstream.limit.in_force else None
+        limit = self.by_name[name].limit
+        before = limit.per_s
+        if note_report(limit, report, trio.current_time()):
+            self._log_limit(name, limit, before, "answer")
+            self._serve_waiting()
+
+    def take_limit_news(self, news: LimitNews, heard_at: float) -> None:
+        """Take what another router tells of an upstream's limit."""
+        for name, upstream in self.by_name.items():
+            if upstream.instance.incarnation != news.incarnation:
+                continue
+            before = upstream.limit.per_s
+            if note_news(upstream.limit, news, heard_at):
+                self._log_limit(name, upstream.limit, before, "router")
+                self._serve_waiting()
+
+    def limit_news(self) -> list[LimitNews]:
+        """Return what other routers are to be told of upstreams' limits."""
+        now = trio.current_time()
+        told = [news_of(u.limit, u.instance.incarnation, now) for u in self.by_name.values()]
+        return [news for news in told if news is not None]
+
+    @staticmethod
+    def _log_limit(name: str, limit: StatedLimit, before: float, told_by: str) -> None:
         logger.bind(
-            upstream=name, per_s=told, before=before if math.isfinite(before) else None
+            upstream=name,
+            per_s=limit.per_s if limit.in_force else None,
+            before=before if math.isfinite(before) else None,
+            told_by=told_by,
         ).info("upstream-limit")
-        self._serve_waiting()
 
     # -- slots --------------------------------------------------------------------------------
 
--- a/railtide/lanes/tests/test_stated_limits.py
+++ b/railtide/lanes/tests/test_stated_limits.py
@@ -1,6 +1,7 @@
 """Upstreams that state a limit, in the schedulers of a fleet: a bound, and all that it allows."""
 
 import math
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -12,8 +13,8 @@
 from railtide.lanes.scheduler import PoolScheduler, Slot, WaitingRequest
 from railtide.membership.instances import Instance
 from railtide.upstreams.choice import Affinity, PrefixAffinity, TwoChoices
-from railtide.upstreams.limit_shares import QUIET_S, TURN_S, LimitShares
-from railtide.upstreams.stated_limit import LimitReport
+from railtide.upstreams.limit_shares import QUIET_S, TURN_S, LimitShares, routers_sharing
+from railtide.upstreams.stated_limit import NEWS_LAG_S, LimitNews, LimitReport
 
 WINDOW_S = 4.0
 STABLE_S = 3.0
@@ -141,6 +142,22 @@
                 nursery.start_soon(self.serve, router, self.rng.choice(["", "k1", "k2"]))
                 await trio.sleep(self.rng.expovariate(per_s))
 
+    async def tell_news(self, heard_after_s: float = 2.0) -> None:
+        """Have each router's news reach all others once a second, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(1.0)
+                for router in self.routers:
+                    news = router.scheduler.limit_news()
+                    after_s = self.rng.uniform(0, heard_after_s)
+                    nursery.start_soon(self._pass_on, router, news, after_s)
+
+    async def _pass_on(self, teller: Router, told: list[LimitNews], after_s: float) -> None:
+        await trio.sleep(after_s)
+        for router in self.routers:
+            for news in told if router is not teller else []:
+                router.scheduler.take_limit_news(news, trio.current_time())
+
     async def change_views(self, named: list[str], within_s: float) -> None:
         """Have callers be sent to other routers; each router hears of it in its own time."""
         self.named = named
@@ -154,6 +171,11 @@
         router.named = named
 
 
+async def _for_a_while(work: Callable[[], Awaitable[None]], for_s: float) -> None:
+    with trio.move_on_after(for_s):
+        await work()
+
+
 def used_by(fleet: Fleet, engine: Engine, since: float) -> set[str]:
     """Return the routers that have sent an engine a request since a moment."""
     return {router for at, router in engine.arrivals if at >= since}
@@ -176,6 +198,8 @@
         stated = [engine.limit for engine in limited]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(fleet.play, rng.uniform(5, 80), 25.0)
+            if rng.random() < 0.7:
+                nursery.start_soon(_for_a_while, fleet.tell_news, rng.uniform(5, 25))
             await trio.sleep(8.0)
             changed = [name for name in fleet.named if name != rng.choice(fleet.named)]
             nursery.start_soon(fleet.change_views, changed or fleet.named, 2.0)
@@ -264,3 +288,39 @@
         engine.state(math.inf)
         await fleet.play(per_s=40, for_s=QUIET_S + 5 * TURN_S + 4)
         assert used_by(fleet, engine, ended_at) == set(fleet.names)
+
+    async def test_all_routers_use_it_again_soon_when_those_with_a_part_tell(
+        self, autojump_clock
+    ) -> None:
+        fleet = Fleet(24, 12, engines=3, rng=Random(1))
+        engine = fleet.engine_by_name["e0"]
+        engine.state(1.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.tell_news)
+            await fleet.play(per_s=60, for_s=6.0)
+            ended_at = trio.current_time()
+            engine.state(math.inf)
+            await fleet.play(per_s=120, for_s=NEWS_LAG_S + 6.0)
+            assert used_by(fleet, engine, ended_at) >= set(fleet.named)
+            nursery.cancel_scope.cancel()
+
+    async def test_it_is_used_again_where_those_with_a_part_have_no_work(
+        self, autojump_clock
+    ) -> None:
+        fleet = Fleet(8, 8, engines=1, rng=Random(1))
+        engine = fleet.engine_by_name["e0"]
+        engine.state(0.5)
+        sharing = routers_sharing("e0", fleet.names, 0.5)
+        others = [router for router in fleet.routers if router.name not in sharing]
+        for router in fleet.routers:
+            await fleet.serve(router)
+        engine.state(math.inf)
+        ended_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.tell_news)
+            while trio.current_time() < ended_at + QUIET_S + NEWS_LAG_S + 6:
+                for router in others:
+                    nursery.start_soon(fleet.serve, router)
+                await trio.sleep(0.2)
+            assert used_by(fleet, engine, ended_at) == {router.name for router in others}
+            nursery.cancel_scope.cancel()
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -21,6 +21,7 @@
 from railtide.journal.keyed import KeyedRecord, KeyedStore
 from railtide.membership.addresses import Entrance, is_address
 from railtide.membership.entrance_set import Candidate, EntranceSetOptions, chosen_entrances
+from railtide.upstreams.stated_limit import LimitNews
 
 __all__ = ["Member", "Roster", "RosterOptions"]
 
@@ -31,6 +32,8 @@
 COPY_S = 20.0
 """How long after a rise of the store's era a record may be one of its copy: the longest history on
 the users' sheets."""
+MOST_LIMITS = 64
+"""Upstreams with a limit that one record tells of."""
 NAMED_AGE_S = 0.2
 """How long a choice of routers is kept: each caller's question would else weigh them all anew, and
 records come once a second."""
@@ -80,6 +83,8 @@
         The store's era as it wrote this, and as its process wrote its first record; 0 for none.
     read : tuple of int
         Up to which offset it has read each partition of the ledgers in that era.
+    limits : tuple of LimitNews
+        What answers to it lately stated of upstreams' limits.
     """
 
     incarnation: str
@@ -93,6 +98,7 @@
     era: Annotated[int, msgspec.Meta(ge=0)] = 0
     first_era: Annotated[int, msgspec.Meta(ge=0)] = 0
     read: tuple[Annotated[int, msgspec.Meta(ge=0)], ...] = ()
+    limits: tuple[LimitNews, ...] = ()
 
 
 def _member_of(value: bytes) -> Member:
@@ -141,11 +147,15 @@
         Returns whether this router's configuration is older than it may be.
     read_ends : callable, optional
         Returns up to which offset this router has read each partition of the ledgers.
+    limit_news : callable, optional
+        Returns what this router tells of upstreams' limits.
 
     Attributes
     ----------
     on_heard : callable
         Told each time records of others were taken.
+    on_limits : callable
+        Told what another router tells of upstreams' limits.
     """
 
     def __init__(
@@ -158,8 +168,11 @@
         load_of: Callable[[], float] = lambda: 0.0,
         is_behind: Callable[[], bool] = lambda: False,
         read_ends: Callable[[], tuple[int, ...]] = tuple,
+        limit_news: Callable[[], tuple[LimitNews, ...]] = tuple,
     ) -> None:
         self.on_heard: Callable[[], None] = lambda: None
+        self.on_limits: Callable[[tuple[LimitNews, ...]], None] = lambda news: None
+        self._limit_news = limit_news
         self._read_ends = read_ends
         self._lived_at: dict[tuple[str, str], float] = {}
         self._named_at_rise: dict[tuple[str, str], float] = {}
@@ -232,6 +245,7 @@
             era=self._store.era or 0,
             first_era=self._member.first_era or self._store.era or 0,
             read=self._read_ends(),
+            limits=self._limit_news()[:MOST_LIMITS],
         )
         self._member = member
         self._beat_at = trio.current_time()
@@ -286,10 +300,17 @@
             logger.bind(instance=instance, address=member.address).info("router-seen")
         elif known.member.address and not member.address:
             logger.bind(instance=instance).info("router-leaving")
+        if member.limits and instance != self._instance and not self._is_backlog(now):
+            self.on_limits(member.limits)
         entrance = Entrance(instance, member.address, member.failure_domain)
         candidate = Candidate(entrance, member.capacity, member.load, member.behind)
         self._heard_by_instance[instance] = _Heard(member, now, candidate)
 
+    def _is_backlog(self, now: float) -> bool:
+        """Return whether records that are read now may have been written long ago."""
+        is_back = self._feed.reachable and now - self._feed.back_at >= self._options.dead_after_s
+        return not is_back or not self._feed.caught_up
+
     @property
     def caught_up(self) -> bool:
         """True once the topic was read to its end."""
--- a/railtide/membership/tests/test_roster.py
+++ b/railtide/membership/tests/test_roster.py
@@ -8,8 +8,9 @@
 import pytest
 import trio
 
-from railtide.membership.roster import Member, Roster, RosterOptions
+from railtide.membership.roster import MOST_LIMITS, Member, Roster, RosterOptions
 from railtide.standins.keyed_store import MemoryStore
+from railtide.upstreams.stated_limit import LimitNews
 
 OPTIONS = RosterOptions()
 LEAST = OPTIONS.entrances.least
@@ -239,7 +240,8 @@
 
 OLD = ["x-1", "x:1", "z", 1, 10.0, 0.0, 1.0]
 """What a router of the version before writes."""
-SOUND = [*OLD, False, 2, 1, [7, 0, 3]]
+WITHOUT_LIMITS = [*OLD, False, 2, 1, [7, 0, 3]]
+SOUND = [*WITHOUT_LIMITS, [["e1", 1.5, 0.5]]]
 NAN, INF = float("nan"), float("inf")
 
 
@@ -269,6 +271,12 @@
             changed(9, "1"),
             changed(10, [7, -1]),
             changed(10, "7"),
+            changed(11, "of no known meaning"),
+            changed(11, [["e1", NAN, 0.5]]),
+            changed(11, [["e1", -1.0, 0.5]]),
+            changed(11, [["e1", 1.5, -1.0]]),
+            changed(11, [["e1", 1.5, INF]]),
+            changed(11, [[7, 1.5, 0.5]]),
             SOUND[:3],
             {"address": "x:1"},
             7,
@@ -288,7 +296,9 @@
             assert len(unreadable) == 1
             nursery.cancel_scope.cancel()
 
-    @pytest.mark.parametrize("record", [OLD, [*OLD, False], SOUND, [*SOUND, "of a later version"]])
+    @pytest.mark.parametrize(
+        "record", [OLD, [*OLD, False], WITHOUT_LIMITS, SOUND, [*SOUND, "of a later version"]]
+    )
     async def test_sound_record_names_a_router(self, record, autojump_clock) -> None:
         store = MemoryStore()
         async with trio.open_nursery() as nursery:
@@ -360,3 +370,41 @@
             await trio.sleep(2 * OPTIONS.dead_after_s + 1.0)
             assert names(made) == ["a"]
             nursery.cancel_scope.cancel()
+
+
+class TestLimitNews:
+    async def test_it_reaches_others_and_not_from_a_backlog(self, autojump_clock) -> None:
+        store = MemoryStore()
+        news = (LimitNews("e1", 1.5, 0.5),)
+        told = Member("a-1", "a:1", "z", 0)
+        teller = Roster(store, "a", told, OPTIONS, Random(1), limit_news=lambda: news)
+        heard: list[tuple[LimitNews, ...]] = []
+        listener = roster(store, "b")
+        listener.on_limits = heard.append
+        async with trio.open_nursery() as nursery:
+            await start(nursery, teller)
+            await start(nursery, listener)
+            await trio.sleep(8)
+            assert heard and set(heard) == {news}
+            store.down = True
+            await trio.sleep(5)
+            heard.clear()
+            store.down = False
+            await trio.sleep(2)
+            assert heard == []
+            await trio.sleep(6)
+            assert heard
+            nursery.cancel_scope.cancel()
+
+    async def test_one_record_tells_of_so_many_at_the_most(self, autojump_clock) -> None:
+        store = MemoryStore()
+        news = tuple(LimitNews(f"e{n}", 1.5, 0.5) for n in range(MOST_LIMITS + 1))
+        teller = Roster(
+            store, "a", Member("a-1", "a:1", "z", 0), OPTIONS, Random(1), limit_news=lambda: news
+        )
+        async with trio.open_nursery() as nursery:
+            await start(nursery, teller)
+            await trio.sleep(2)
+            record = store.topic(OPTIONS.topic).newest_by_key["a"]
+            assert len(msgspec.msgpack.decode(record.value)[11]) == MOST_LIMITS
+            nursery.cancel_scope.cancel()
--- a/railtide/platform/tests/test_stated_limits.py
+++ b/railtide/platform/tests/test_stated_limits.py
@@ -11,7 +11,7 @@
 
 from railtide.platform.tests.router_fleet import RouterFleet, most_within, open_router_fleet, until
 from railtide.platform.tests.test_whole_path import World, body_of, world
-from railtide.upstreams.stated_limit import StatedLimit
+from railtide.upstreams.stated_limit import NEWS_LAG_S, StatedLimit
 
 WINDOW_S = 4.0
 STABLE_S = 3.0
@@ -91,3 +91,14 @@
                 got = most_within(times_by_engine[name], WINDOW_S)
                 assert got <= allowed(float(limit)), f"{name} got {got}"
             assert set(fleet.statuses) == {200}
+
+    async def test_every_router_uses_it_again_after_its_end(self) -> None:
+        """The third router is named to no caller, and hears of the end from the other two."""
+        async with open_router_fleet(routers=3, engines=2) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            engine.limit = "1.5"
+            await fleet.play(per_s=24, for_s=3.0)
+            engine.limit = None
+            await fleet.play(per_s=24, for_s=2 * NEWS_LAG_S)
+            assert not any(fleet.upstreams(number)["e0"].limit.in_force for number in range(3))
+            assert set(fleet.statuses) == {200}
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -242,7 +242,8 @@
         self.arrived_at.append(trio.current_time())
         expected = first_header(request.headers, b"x-expect-instance")
         if expected is not None and expected.decode() != self.name:
-            await responder.answer(421, ((b"x-instance-id", self.name.encode()),))
+            own = ((b"x-instance-id", self.name.encode()), *self._notices())
+            await responder.answer(421, own)
             return
         script = self.next_scripts.pop(0) if self.next_scripts else self.script
         if script.not_run:
--- a/railtide/upstreams/stated_limit.py
+++ b/railtide/upstreams/stated_limit.py
@@ -3,15 +3,30 @@
 The limit holds for all routers together, for as long as answers state it. Answers of several
 connections overtake one another, so one without a limit ends it only if its request was sent after
 the limit was last stated: it was certainly made later. The same goes for one that states more.
+
+Routers tell one another what their own answers said, with its age: those that send an upstream
+nothing while it states a limit hear of the end from those that do.
 """
 
 import math
 from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
 
-__all__ = ["LimitReport", "StatedLimit", "note_report"]
+__all__ = ["LimitNews", "LimitReport", "StatedLimit", "news_of", "note_news", "note_report"]
 
 LEAST_PER_S = 0.05
 """A lower limit counts as this one: without any request nobody would learn that it has ended."""
+NEWS_S = 15.0
+"""How long a router tells others what its answers say after one that stated a limit or ended it."""
+NEWS_LAG_S = 3.0
+"""By how much news may be older than it says when it is read: the time to write and to read it."""
+MOST_PER_S = 1e9
+"""Beyond this a record's figure is no rate."""
+MOST_AGE_S = 60.0
+"""Beyond this a record's figure is no age of news."""
+NO_LIMIT = 0.0
 
 
 @dataclass(frozen=True)
@@ -30,6 +45,24 @@
     sent_at: float
 
 
+class LimitNews(msgspec.Struct, frozen=True, array_like=True):
+    """What one router tells the others of an upstream's limit.
+
+    Attributes
+    ----------
+    incarnation : str
+        Of the upstream.
+    per_s : float
+        Requests a second that an answer to this router stated, 0 for no limit any more.
+    age_s : float
+        How long before the record that answer came.
+    """
+
+    incarnation: str
+    per_s: Annotated[float, msgspec.Meta(ge=0, le=MOST_PER_S)]
+    age_s: Annotated[float, msgspec.Meta(ge=0, le=MOST_AGE_S)]
+
+
 @dataclass
 class StatedLimit:
     """The limit of one upstream.
@@ -39,11 +72,18 @@
     per_s : float
         Requests a second, of all routers together; infinite without a limit.
     told_at : float
-        Trio time of the last answer that stated no more than this.
+        Trio time of the last answer that stated no more than this, to any router.
+    own_per_s, own_at : float
+        What the last answer to this router said, and when it came.
+    news_until : float
+        Up to when others are told of it.
     """
 
     per_s: float = math.inf
     told_at: float = -math.inf
+    own_per_s: float = math.inf
+    own_at: float = -math.inf
+    news_until: float = -math.inf
 
     @property
     def in_force(self) -> bool:
@@ -71,4 +111,48 @@
     limit.per_s = per_s
     if limit.in_force or changed:
         limit.told_at = now
+        limit.news_until = now + NEWS_S
+    if now < limit.news_until:
+        limit.own_per_s = per_s
+        limit.own_at = now
+    return changed
+
+
+def news_of(limit: StatedLimit, incarnation: str, now: float) -> LimitNews | None:
+    """Return what other routers are to be told of an upstream's limit, None for nothing.
+
+    Examples
+    --------
+    >>> limit = StatedLimit()
+    >>> changed = note_report(limit, LimitReport(1.5, sent_at=0.0), now=1.0)
+    >>> news_of(limit, "e1", now=3.0)
+    LimitNews(incarnation='e1', per_s=1.5, age_s=2.0)
+    """
+    if now >= limit.news_until:
+        return None
+    per_s = limit.own_per_s if math.isfinite(limit.own_per_s) else NO_LIMIT
+    return LimitNews(incarnation, per_s, round(now - limit.own_at, 2))
+
+
+def note_news(limit: StatedLimit, news: LimitNews, heard_at: float) -> bool:
+    """Take what another router tells, if it is certainly newer; return whether the limit changed.
+
+    Examples
+    --------
+    >>> limit = StatedLimit()
+    >>> note_news(limit, LimitNews("e1", 1.5, age_s=0.5), heard_at=10.0), limit.per_s
+    (True, 1.5)
+    >>> note_news(limit, LimitNews("e1", 0.0, age_s=0.5), heard_at=12.0), limit.per_s
+    (False, 1.5)
+    >>> note_news(limit, LimitNews("e1", 0.0, age_s=0.5), heard_at=13.5), limit.per_s
+    (True, inf)
+    """
+    at = heard_at - news.age_s
+    if at - NEWS_LAG_S < limit.told_at:
+        return False
+    per_s = max(LEAST_PER_S, news.per_s) if news.per_s else math.inf
+    changed = per_s != limit.per_s
+    limit.per_s = per_s
+    if limit.in_force or changed:
+        limit.told_at = at
     return changed
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2419,6 +2419,34 @@
 """,
         (PLATFORM_LIMITS,),
     ),
+    Mutant(
+        "news-of-a-limit-that-may-be-older-is-taken",
+        "upstreams/stated_limit.py",
+        "    if at - NEWS_LAG_S < limit.told_at:\n        return False\n",
+        "",
+        ("railtide/upstreams/tests/test_stated_limit.py",),
+    ),
+    Mutant(
+        "end-of-a-limit-told-as-of-its-first-answer",
+        "upstreams/stated_limit.py",
+        "    if now < limit.news_until:\n        limit.own",
+        "    if limit.in_force or changed:\n        limit.own",
+        ("railtide/upstreams/tests/test_stated_limit.py",),
+    ),
+    Mutant(
+        "limits-heard-from-a-backlog",
+        "membership/roster.py",
+        "        return not is_back or not self._feed.caught_up",
+        "        return False",
+        (f"{MEMBERSHIP}/test_roster.py",),
+    ),
+    Mutant(
+        "limits-of-others-not-heard",
+        "edge/node.py",
+        "        self.roster.on_limits = self._take_limit_news\n",
+        "",
+        (PLATFORM_LIMITS,),
+    ),
 ]
 
 
