Routers that callers come to share a stated limit, whether they are named or not

Cause: some callers keep the address of a router that is not named for long; where all upstreams of a pool state a limit, such a router refused all of theirs. And of a high limit an idle router had no part, so that one which had just started refused its first callers. Change: the parts go to routers that are named or asked a quarter as much as those; of a rate that gives each idle router a request in 2 s, a tenth is left to them. Of several limits in one answer the lowest holds.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -147,7 +147,7 @@
         self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
         store.on_rise(self._upstream_list.note_rise)
         self._slow_start_shares = SlowStartShares(identity.instance, self._named_routers)
-        self._limit_shares = LimitShares(identity.instance, self._named_routers, self._live_routers)
+        self._limit_shares = LimitShares(identity.instance, self.roster.visits)
         self._drained = DrainedDomains(self._set_drained)
         store.on_rise(self._drained.note_rise)
         self._configuration_feed = Feed(
@@ -502,9 +502,6 @@
     def _named_routers(self) -> list[str]:
         return [entrance.name for entrance in self.roster.named()]
 
-    def _live_routers(self) -> list[str]:
-        return [entrance.name for entrance in self.roster.live()]
-
     def _sharing_routers(self) -> int:
         """Return how many routers keep budgets in hand, 0 if this one is not to."""
         return len(self.roster.named()) if self.roster.is_named() else 0
--- a/railtide/lanes/pacing.py
+++ b/railtide/lanes/pacing.py
@@ -3,12 +3,15 @@
 import math
 from collections.abc import Callable
 
+from railtide.membership.entrance_set import Visits
 from railtide.upstreams.limit_shares import QUIET_S, LimitShares
 from railtide.upstreams.load import Upstream, is_cold
 from railtide.upstreams.slow_start import SlowStart
 
 __all__ = ["ColdPause", "Pacing"]
 
+ALONE = ""
+"""Name of a router that knows of no others."""
 ColdPause = Callable[[str, float], float]
 """Returns the seconds between two requests of this router to a cold upstream, by its name and the
 requests a second that it bears; infinite where the router is to send it none."""
@@ -24,7 +27,7 @@
     def __init__(self) -> None:
         self._slow_start = SlowStart()
         self._cold_pause_s: ColdPause = _every_router_alone
-        self._limit_shares = LimitShares("", lambda: [""], lambda: [""])
+        self._limit_shares = LimitShares(ALONE, lambda: Visits((ALONE,)))
 
     def set_slow_start(self, slow_start: SlowStart, cold_pause_s: ColdPause) -> None:
         """Take what cold upstreams bear, and this router's part of it."""
--- a/railtide/lanes/tests/test_stated_limits.py
+++ b/railtide/lanes/tests/test_stated_limits.py
@@ -11,6 +11,7 @@
 from railtide.lanes.errors import LaneError, NoUpstream
 from railtide.lanes.queue import Urgency
 from railtide.lanes.scheduler import PoolScheduler, Slot, WaitingRequest
+from railtide.membership.entrance_set import Visits
 from railtide.membership.instances import Instance
 from railtide.upstreams.choice import Affinity, PrefixAffinity, TwoChoices
 from railtide.upstreams.limit_shares import QUIET_S, TURN_S, LimitShares, routers_sharing
@@ -69,12 +70,11 @@
 
     def __init__(self, name: str, fleet: "Fleet") -> None:
         self.name = name
-        self.named = list(fleet.named)
-        self.live = list(fleet.names)
+        self.visits = fleet.visits()
         self.scheduler = PoolScheduler(
             PrefixAffinity(TwoChoices(Random(name))), urgent_share=0, trusts_list=True
         )
-        shares = LimitShares(name, lambda: self.named, lambda: self.live)
+        shares = LimitShares(name, lambda: self.visits)
         self.scheduler.set_limit_shares(shares)
         instances = [
             Instance(engine, engine, f"{engine}:1", "a", "engine", "p", 24)
@@ -163,12 +163,15 @@
         self.named = named
         async with trio.open_nursery() as nursery:
             for router in self.routers:
-                nursery.start_soon(self._hear, router, named, self.rng.uniform(0, within_s))
+                nursery.start_soon(self._hear, router, self.rng.uniform(0, within_s))
 
-    @staticmethod
-    async def _hear(router: Router, named: list[str], after_s: float) -> None:
+    async def _hear(self, router: Router, after_s: float) -> None:
         await trio.sleep(after_s)
-        router.named = named
+        router.visits = self.visits()
+
+    def visits(self) -> Visits:
+        """Return which routers callers come to now."""
+        return Visits(tuple(self.named), tuple(n for n in self.names if n not in self.named))
 
 
 async def _for_a_while(work: Callable[[], Awaitable[None]], for_s: float) -> None:
--- a/railtide/membership/entrance_set.py
+++ b/railtide/membership/entrance_set.py
@@ -15,8 +15,10 @@
 
 from railtide.membership.addresses import Entrance
 
-__all__ = ["Candidate", "EntranceSetOptions", "chosen_entrances"]
+__all__ = ["Candidate", "EntranceSetOptions", "Visits", "chosen_entrances", "visits_of"]
 
+VISITED_SHARE = 0.25
+"""Part of what named routers are asked from which on callers count as coming to one."""
 MOST_NAMES = 4096
 """Names whose place is kept: more than the routers of any fleet that is planned for."""
 
@@ -61,6 +63,41 @@
     use: float = 0.25
 
 
+@dataclass(frozen=True)
+class Visits:
+    """Which routers callers come to.
+
+    Attributes
+    ----------
+    visited : tuple of str
+        Names of the routers that callers are sent to, and of those that are asked as much: some
+        callers keep an address for long.
+    idle : tuple of str
+        Names of all others that live.
+    """
+
+    visited: tuple[str, ...] = ()
+    idle: tuple[str, ...] = ()
+
+
+def visits_of(candidates: Sequence[Candidate], named: Sequence[Entrance]) -> Visits:
+    """Return which of the routers that live callers come to, given those that are named to them.
+
+    Examples
+    --------
+    >>> loads = {"a": 4.0, "b": 2.0, "c": 0.0}
+    >>> made = [Candidate(Entrance(n, n, n), 10.0, load) for n, load in loads.items()]
+    >>> visits_of(made, [made[0].entrance])
+    Visits(visited=('a', 'b'), idle=('c',))
+    """
+    names = {entrance.name for entrance in named}
+    loads = [candidate.load for candidate in candidates if candidate.entrance.name in names]
+    least = VISITED_SHARE * sum(loads) / max(1, len(loads))
+    visited = [c.entrance.name for c in candidates if c.entrance.name in names or c.load > least]
+    live = [candidate.entrance.name for candidate in candidates]
+    return Visits(tuple(visited), tuple(name for name in live if name not in visited))
+
+
 def chosen_entrances(
     candidates: Sequence[Candidate], options: EntranceSetOptions
 ) -> list[Entrance]:
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -20,7 +20,13 @@
 from railtide.journal.feed import Feed, FeedOptions
 from railtide.journal.keyed import KeyedRecord, KeyedStore
 from railtide.membership.addresses import Entrance, is_address
-from railtide.membership.entrance_set import Candidate, EntranceSetOptions, chosen_entrances
+from railtide.membership.entrance_set import (
+    Candidate,
+    EntranceSetOptions,
+    Visits,
+    chosen_entrances,
+    visits_of,
+)
 from railtide.upstreams.stated_limit import LimitNews
 
 __all__ = ["Member", "Roster", "RosterOptions"]
@@ -188,6 +194,7 @@
         self._is_behind = is_behind
         self._beat_at = -math.inf
         self._named: list[Entrance] = []
+        self._visits = Visits()
         self._named_at = -math.inf
         self._announcing = True
         self._writing = trio.Lock()
@@ -331,15 +338,27 @@
 
     def named(self) -> list[Entrance]:
         """Return the routers that callers are sent to, as of a moment ago."""
-        now = trio.current_time()
-        if now - self._named_at > NAMED_AGE_S:
-            named = chosen_entrances(self._candidates(), self._options.entrances)
-            if named != self._named:
-                logger.bind(routers=[entrance.name for entrance in named]).info("routers-named")
-            self._named = named
-            self._named_at = now
+        self._name()
         return self._named
 
+    def visits(self) -> Visits:
+        """Return which routers callers come to, as of a moment ago."""
+        self._name()
+        return self._visits
+
+    def _name(self) -> None:
+        """Choose the routers that callers are sent to anew, unless that was done a moment ago."""
+        now = trio.current_time()
+        if now - self._named_at <= NAMED_AGE_S:
+            return
+        candidates = self._candidates()
+        named = chosen_entrances(candidates, self._options.entrances)
+        if named != self._named:
+            logger.bind(routers=[entrance.name for entrance in named]).info("routers-named")
+        self._named = named
+        self._visits = visits_of(candidates, named)
+        self._named_at = now
+
     def is_named(self) -> bool:
         """Return whether callers are sent to this router."""
         return any(entrance.name == self._instance for entrance in self.named())
--- a/railtide/platform/tests/test_stated_limits.py
+++ b/railtide/platform/tests/test_stated_limits.py
@@ -58,6 +58,13 @@
             await w.ask("/safe/x")
             assert not limit_of(w, "e1").in_force
 
+    async def test_of_two_in_one_answer_the_lower_holds(self) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1")
+            engine.limit = "5\n2.5"
+            await body_of(await w.ask("/safe/x"))
+            assert limit_of(w, "e1").per_s == 2.5
+
     @pytest.mark.parametrize("stated", ["", "-1", "nan", "inf", "1e3", "1,5", "1_0", "x"])
     async def test_what_is_no_decimal_number_changes_nothing(self, stated: str) -> None:
         async with world() as w:
@@ -93,7 +100,6 @@
             assert set(fleet.statuses) == {200}
 
     async def test_every_router_uses_it_again_after_its_end(self) -> None:
-        """The third router is named to no caller, and hears of the end from the other two."""
         async with open_router_fleet(routers=3, engines=2) as fleet:
             engine = fleet.engine_by_name["e0"]
             engine.limit = "1.5"
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -140,10 +140,11 @@
         self, upstream: Instance, headers: Headers, is_own: bool, sent_at: float
     ) -> None:
         """Tell what an answer says of the limit; that there is none, only by the engine's own."""
-        told = first_header(headers, names.LIMIT)
-        if told is not None and DECIMAL.fullmatch(told):
-            self.on_limit(upstream, LimitReport(float(told), sent_at))
-        elif told is None and is_own:
+        told = [value for name, value in headers if name == names.LIMIT]
+        stated = [float(value) for value in told if DECIMAL.fullmatch(value)]
+        if stated:
+            self.on_limit(upstream, LimitReport(min(stated), sent_at))
+        elif is_own and not told:
             self.on_limit(upstream, LimitReport(math.inf, sent_at))
 
     def forget(self, upstream: Instance) -> None:
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -222,7 +222,7 @@
     next_scripts : list of EngineScript
         Scripts of the next runs, one each, before `script` holds again. Engines may share it.
     limit : str or None
-        The requests a second that all its answers state as its limit.
+        The requests a second that all its answers state as its limit; one a line for several.
     arrived_at : list of float
         Trio times at which requests came, in order.
     """
@@ -258,7 +258,8 @@
 
     def _notices(self) -> Headers:
         """Return what all answers say of the engine's state, as of now."""
-        return () if self.limit is None else ((LIMIT, self.limit.encode()),)
+        stated = [] if self.limit is None else self.limit.split("\n")
+        return tuple((LIMIT, text.encode()) for text in stated)
 
     async def _answer(
         self, script: EngineScript, request: HttpRequest, responder: Responder
--- a/railtide/upstreams/limit_shares.py
+++ b/railtide/upstreams/limit_shares.py
@@ -1,22 +1,28 @@
 """How routers share the rate that an upstream states, without asking one another. Pure.
 
-Of the routers that callers are sent to, a few share it in equal parts; all routers work out the
-same ones. Each sends at a pace and saves nothing up, so that all of them together stay within the
-rate but for one request each. They hear of the limit's end from their own answers. The others send
-nothing. When no answer has told of the limit for long they ask for themselves, one after the other,
-so that an upstream is not given up where those that share it have no work for it.
+Of the routers that callers come to, a few share it in equal parts; all routers work out the same
+ones. Each sends at a pace and saves nothing up, so that all of them together stay within the rate
+but for one request each. They hear of the limit's end from their own answers. Of a high rate the
+routers that nobody has come to yet have a small part too. All others send nothing. When no answer
+has told of the limit for long they ask for themselves, one after the other, so that an upstream is
+not given up where those that share it have no work for it.
 """
 
 import math
 from collections.abc import Callable, Sequence
 
 from railtide.membership.addresses import rendezvous_order
+from railtide.membership.entrance_set import Visits
 
 __all__ = ["LimitShares", "routers_sharing"]
 
 EXTRA_ROUTERS = 2
 """Routers that share an upstream beyond one for each request a second. More of them serve callers
 of more routers where every upstream states a limit, and may send at the same moment."""
+IDLE_SHARE = 0.1
+"""Part of the rate that is left to the routers that callers have not come to."""
+MOST_IDLE_PAUSE_S = 2.0
+"""They have none where it gives each of them less than a request in this time."""
 QUIET_S = 10.0
 """How long no answer has told of a limit when the first router without a part asks for itself."""
 TURN_S = 3.0
@@ -42,38 +48,32 @@
     ----------
     own : str
         Name of this router.
-    named : callable
-        Returns the names of the routers that callers are sent to, as this one knows them.
-    live : callable
-        Returns the names of all routers that live.
+    visits : callable
+        Returns which routers callers come to, as this one knows them.
 
     Examples
     --------
-    >>> shares = LimitShares("r1", lambda: ["r1", "r2"], lambda: ["r1", "r2", "r3"])
-    >>> shares.pause_s("e1", per_s=4.0)
+    >>> visits = Visits(("r1", "r2"), ("r3",))
+    >>> LimitShares("r1", lambda: visits).pause_s("e1", per_s=4.0)
     0.5
-    >>> other = LimitShares("r3", lambda: ["r1", "r2"], lambda: ["r1", "r2", "r3"])
+    >>> other = LimitShares("r3", lambda: visits)
     >>> other.pause_s("e1", per_s=4.0), other.patience_s("e1", per_s=4.0)
     (inf, 10.0)
+    >>> other.pause_s("e1", per_s=20.0)
+    0.5
     """
 
-    def __init__(
-        self,
-        own: str,
-        named: Callable[[], Sequence[str]],
-        live: Callable[[], Sequence[str]],
-    ) -> None:
+    def __init__(self, own: str, visits: Callable[[], Visits]) -> None:
         self._own = own
-        self._named = named
-        self._live = live
-        self._known: Sequence[str] = ()
+        self._visits = visits
+        self._known = Visits()
         self._pause_by_limit: dict[tuple[str, float], float] = {}
 
     def pause_s(self, upstream: str, per_s: float) -> float:
         """Return the time between two requests of this router; infinite if others send them."""
-        named = self._named()
-        if named != self._known:
-            self._known = named
+        visits = self._visits()
+        if visits is not self._known:
+            self._known = visits
             self._pause_by_limit.clear()
         limit = (upstream, per_s)
         pause = self._pause_by_limit.get(limit)
@@ -82,11 +82,18 @@
         return pause
 
     def _new_pause_s(self, upstream: str, per_s: float) -> float:
-        sharing = routers_sharing(upstream, self._known, per_s)
-        return len(sharing) / per_s if self._own in sharing else math.inf
+        visited, idle = self._known.visited, self._known.idle
+        idle_pause_s = len(idle) / (IDLE_SHARE * per_s)
+        has_idle_part = 0 < idle_pause_s <= MOST_IDLE_PAUSE_S
+        if self._own in idle:
+            return idle_pause_s if has_idle_part else math.inf
+        shared = (1 - IDLE_SHARE) * per_s if has_idle_part else per_s
+        sharing = routers_sharing(upstream, visited, per_s)
+        return len(sharing) / shared if self._own in sharing else math.inf
 
     def patience_s(self, upstream: str, per_s: float) -> float:
         """Return for how long nothing is heard of a limit before this router asks for itself."""
-        sharing = set(routers_sharing(upstream, self._named(), per_s))
-        others = {*self._live(), self._own} - sharing
+        known = self._visits()
+        sharing = set(routers_sharing(upstream, known.visited, per_s))
+        others = {*known.visited, *known.idle, self._own} - sharing
         return QUIET_S + TURN_S * rendezvous_order(upstream, sorted(others)).index(self._own)
