--- a/railtide/membership/tests/test_entrance_set.py
+++ b/railtide/membership/tests/test_entrance_set.py
@@ -6,7 +6,13 @@
 from hypothesis import strategies as st
 
 from railtide.membership.addresses import Entrance
-from railtide.membership.entrance_set import Candidate, EntranceSetOptions, chosen_entrances
+from railtide.membership.entrance_set import (
+    Candidate,
+    EntranceSetOptions,
+    Visits,
+    chosen_entrances,
+    visits_of,
+)
 
 OPTIONS = EntranceSetOptions(least=3, use=0.25)
 
@@ -110,3 +116,17 @@
         """The loss of one router of those that are named has to leave one."""
         fleet = [candidate("a1", "a"), candidate("b1", "b", behind=True)]
         assert names(fleet, EntranceSetOptions(least=2)) == ["a1", "b1"]
+
+
+class TestVisits:
+    def test_router_that_is_asked_as_much_counts_though_it_is_not_named(self) -> None:
+        fleet = [candidate("a", load=20.0), candidate("b", load=6.0), candidate("c", load=4.0)]
+        visits = visits_of(fleet, [fleet[0].entrance])
+        assert visits == Visits(("a", "b"), ("c",))
+
+    def test_before_any_traffic_only_named_routers_count(self) -> None:
+        fleet = [candidate(name, load=0.0) for name in "abc"]
+        assert visits_of(fleet, [fleet[1].entrance]) == Visits(("b",), ("a", "c"))
+
+    def test_nobody_lives(self) -> None:
+        assert visits_of([], []) == Visits()
--- a/railtide/platform/tests/test_stated_limits.py
+++ b/railtide/platform/tests/test_stated_limits.py
@@ -108,3 +108,13 @@
             await fleet.play(per_s=24, for_s=2 * NEWS_LAG_S)
             assert not any(fleet.upstreams(number)["e0"].limit.in_force for number in range(3))
             assert set(fleet.statuses) == {200}
+
+    async def test_router_without_callers_hears_of_it_and_of_its_end(self) -> None:
+        async with open_router_fleet(routers=3, engines=2) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            engine.limit = "1.5"
+            await fleet.play(per_s=24, for_s=4.0, routers=2)
+            assert fleet.upstreams(2)["e0"].limit.per_s == 1.5
+            engine.limit = None
+            await fleet.play(per_s=24, for_s=2 * NEWS_LAG_S, routers=2)
+            assert not fleet.upstreams(2)["e0"].limit.in_force
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2370,7 +2370,7 @@
     Mutant(
         "each-router-keeps-to-a-limit-alone",
         "upstreams/limit_shares.py",
-        "return len(sharing) / per_s if self._own in sharing else math.inf",
+        "return len(sharing) / shared if self._own in sharing else math.inf",
         "return 1 / per_s",
         (STATED_LIMITS,),
     ),
@@ -2447,6 +2447,27 @@
         "",
         (PLATFORM_LIMITS,),
     ),
+    Mutant(
+        "idle-routers-have-no-part-of-a-high-limit",
+        "upstreams/limit_shares.py",
+        "return idle_pause_s if has_idle_part else math.inf",
+        "return math.inf",
+        (LIMIT_SHARES,),
+    ),
+    Mutant(
+        "idle-routers-take-a-part-beyond-the-limit",
+        "upstreams/limit_shares.py",
+        "shared = (1 - IDLE_SHARE) * per_s if has_idle_part else per_s",
+        "shared = per_s",
+        (LIMIT_SHARES,),
+    ),
+    Mutant(
+        "routers-that-are-asked-but-not-named-have-no-part",
+        "membership/entrance_set.py",
+        "if c.entrance.name in names or c.load > least]",
+        "if c.entrance.name in names]",
+        (f"{MEMBERSHIP}/test_entrance_set.py",),
+    ),
 ]
 
 
