What a stated limit or a drain leaves no time for is refused at once

What callers saw: requests that waited for a slot had been let in by what the pool served before; after a limit they waited for their whole goal and were refused then, urgent or not. And those that stay waited too long: the moment at which time frees an upstream was worked out when the wait began, so a request that could go at 1.0 s went at 2.5 s. Change: after each change of what the upstreams take, those that can't be served in time are refused, of each lane the last first, and the others are woken.

--- a/railtide/lanes/queue.py
+++ b/railtide/lanes/queue.py
@@ -48,6 +48,10 @@
     def peek(self, urgency: Urgency) -> Waiting | None:
         """Return the next request of a lane, or None."""
 
+    @abstractmethod
+    def last(self, urgency: Urgency) -> Waiting | None:
+        """Return the request of a lane that is served after all others of it, or None."""
+
     @abstractmethod
     def remove(self, waiting: Waiting) -> None:
         """Take a request out; one that is not in is ignored."""
@@ -99,8 +103,11 @@
 
     def peek(self, urgency: Urgency) -> Waiting | None:
         """Return the request with the least finish tag; see `WaitingQueue.peek`."""
-        lane = self._by_urgency[urgency]
-        return min(lane.waiting, key=lambda w: (w.finish_tag, w.order), default=None)
+        return min(self._by_urgency[urgency].waiting, key=_place, default=None)
+
+    def last(self, urgency: Urgency) -> Waiting | None:
+        """Return the request with the greatest finish tag; see `WaitingQueue.last`."""
+        return max(self._by_urgency[urgency].waiting, key=_place, default=None)
 
     def remove(self, waiting: Waiting) -> None:
         """Take a request out; see `WaitingQueue.remove`."""
@@ -118,6 +125,10 @@
         return len(self._by_urgency[urgency].waiting)
 
 
+def _place(waiting: Waiting) -> tuple[float, int]:
+    return (waiting.finish_tag, waiting.order)
+
+
 class Fifo(WaitingQueue):
     """One queue in order of arrival, whatever the urgency; for comparison."""
 
@@ -134,6 +145,10 @@
             return self._waiting[0]
         return None
 
+    def last(self, urgency: Urgency) -> Waiting | None:
+        """Return the newest request of this lane; see `WaitingQueue.last`."""
+        return next((w for w in reversed(self._waiting) if w.urgency is urgency), None)
+
     def remove(self, waiting: Waiting) -> None:
         """Take a request out; see `WaitingQueue.remove`."""
         if waiting in self._waiting:
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -9,7 +9,7 @@
 import trio
 from loguru import logger
 
-from railtide.lanes.errors import DeadlineTooNear, NoUpstream, QueueFull
+from railtide.lanes.errors import DeadlineTooNear, LaneError, NoUpstream, QueueFull
 from railtide.lanes.pacing import ColdPause
 from railtide.lanes.pool_upstreams import PoolUpstreams, Preference
 from railtide.lanes.queue import FairLanes, Urgency, Waiting, WaitingQueue
@@ -49,8 +49,10 @@
         Trio time at which its answer should have begun; it waits while that can still be met.
     preference : callable or None
         Returns, of the names of upstreams, those at which it had best run.
-    is_unservable : bool
-        Set when nothing is left that could serve it.
+    until : float
+        Trio time up to which it waits.
+    refusal : LaneError or None
+        Set when it is known that it will not be served in time.
     """
 
     def __init__(
@@ -70,8 +72,14 @@
         self.avoid: frozenset[str] = frozenset()
         self.preference: Preference | None = None
         self.slot: Slot | None = None
-        self.given = trio.Event()
-        self.is_unservable = False
+        self.woken = trio.Event()
+        self.until = math.inf
+        self.refusal: LaneError | None = None
+
+    @property
+    def is_decided(self) -> bool:
+        """Whether it has its slot, or a refusal."""
+        return self.slot is not None or self.refusal is not None
 
 
 class Slot:
@@ -114,6 +122,7 @@
         self._choice = choice
         self._queue = queue or FairLanes()
         self._most_waiting = most_waiting
+        self._waiting: set[WaitingRequest] = set()
         self._service_s = 0.0
         self._begin_s = 0.0
 
@@ -127,12 +136,12 @@
     def set_upstreams(self, instances: list[Instance]) -> None:
         """Take the pool's instances; see `PoolUpstreams.set_instances`."""
         self._upstreams.set_instances(instances, trio.current_time())
-        self._serve_waiting()
+        self._note_capacity()
 
     def set_drained(self, domains: frozenset[str]) -> None:
         """Take the failure domains to whose upstreams nothing new is sent."""
         self._upstreams.set_drained(domains, trio.current_time())
-        self._serve_waiting()
+        self._note_capacity()
 
     def set_slow_start(self, slow_start: SlowStart, cold_pause_s: ColdPause) -> None:
         """Take what cold upstreams bear; see `Pacing.set_slow_start`."""
@@ -157,7 +166,7 @@
         before = limit.per_s
         if note_report(limit, report, trio.current_time()):
             self._log_limit(name, limit, before, "answer")
-            self._serve_waiting()
+            self._note_capacity()
 
     def take_limit_news(self, news: LimitNews, heard_at: float) -> None:
         """Take what another router tells of an upstream's limit."""
@@ -167,7 +176,7 @@
             before = upstream.limit.per_s
             if note_news(upstream.limit, news, heard_at):
                 self._log_limit(name, upstream.limit, before, "router")
-                self._serve_waiting()
+                self._note_capacity()
 
     def limit_news(self) -> list[LimitNews]:
         """Return what other routers are to be told of upstreams' limits."""
@@ -195,37 +204,41 @@
             At once where that is known at once.
         """
         now = trio.current_time()
-        until = self._wait_until(request, now)
-        self._check(request, now, until)
+        request.until = self._wait_until(request, now)
+        self._check(request, now)
         self._queue.add(request)
         self._serve_waiting()
         try:
-            await self._wait(request, until)
+            await self._wait(request)
         except trio.Cancelled:
             self._give_up(request)
             raise
         if request.slot is None:
             self._give_up(request)
-            if request.is_unservable:
-                raise self._no_upstream(request.urgency)
+            if request.refusal:
+                raise request.refusal
             retry_after = self.retry_after(request.urgency)
             raise DeadlineTooNear("no slot came free in time", retry_after=retry_after)
         return request.slot
 
-    async def _wait(self, request: WaitingRequest, until: float) -> None:
+    async def _wait(self, request: WaitingRequest) -> None:
         """Wait for a slot; time alone frees an upstream that is cold or states a limit."""
-        while not request.given.is_set() and trio.current_time() < until:
-            free_at = self._upstreams.next_free_at(trio.current_time())
-            with trio.move_on_at(min(until, free_at)):
-                await request.given.wait()
-            if not request.given.is_set():
-                self._serve_waiting()
+        self._waiting.add(request)
+        try:
+            while not request.is_decided and trio.current_time() < request.until:
+                free_at = self._upstreams.next_free_at(trio.current_time())
+                request.woken = trio.Event()
+                with trio.move_on_at(min(request.until, free_at)):
+                    await request.woken.wait()
+                if not request.is_decided:
+                    self._serve_waiting()
+        finally:
+            self._waiting.remove(request)
 
     async def reacquire(self, request: WaitingRequest, tried: Upstream) -> Slot:
         """Return a slot for a retry, elsewhere and in another failure domain where possible."""
         request.slot = None
-        request.given = trio.Event()
-        request.is_unservable = False
+        request.refusal = None
         request.goal_at = max(request.goal_at, trio.current_time() + self._begin_s + RETRY_WAIT_S)
         request.avoid = request.avoid | {tried.instance.name}
         return await self.acquire(request)
@@ -264,11 +277,15 @@
 
     def expected_wait(self, urgency: Urgency) -> float:
         """Return how long a new request of a lane may wait, seconds."""
+        before = sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
+        return self._expected_wait_after(before, urgency)
+
+    def _expected_wait_after(self, before: int, urgency: Urgency) -> float:
+        """Return how long a request of a lane may wait that others are served before."""
         now = trio.current_time()
         staying = self._upstreams.staying(now)
         if not staying or any(self._upstreams.is_free(u, urgency, now) for u in staying):
             return 0.0
-        before = sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
         gap_s = 1 / self._upstreams.served_per_s(urgency, self._service_s, now)
         return before * gap_s + min(gap_s, self._upstreams.next_free_at(now) - now)
 
@@ -289,14 +306,18 @@
         """
         return min(request.deadline, max(request.goal_at - self._begin_s, now))
 
-    def _check(self, request: WaitingRequest, now: float, until: float) -> None:
+    def _check(self, request: WaitingRequest, now: float) -> None:
         if not self._upstreams.staying(now):
             raise self._no_upstream(request.urgency)
         retry_after = self.retry_after(request.urgency)
         if self._queue.size(request.urgency) >= self._most_waiting:
             raise QueueFull("the lane is full", retry_after=retry_after)
-        if now + self.expected_wait(request.urgency) > until:
-            raise DeadlineTooNear("the lane's wait is past the goal", retry_after=retry_after)
+        if now + self.expected_wait(request.urgency) > request.until:
+            raise self._too_late(request.urgency)
+
+    def _too_late(self, urgency: Urgency) -> DeadlineTooNear:
+        text = "the lane's wait is past the goal"
+        return DeadlineTooNear(text, retry_after=self.retry_after(urgency))
 
     def _no_upstream(self, urgency: Urgency) -> NoUpstream:
         text = "no upstream of the pool takes new work"
@@ -307,6 +328,16 @@
         if request.slot:
             self.release(request.slot)
 
+    def _note_capacity(self) -> None:
+        """Serve what waits after a change of what the upstreams take, and refuse what can't be.
+
+        The others are woken: time may free an upstream earlier than it did when they began to wait.
+        """
+        self._serve_waiting()
+        self._refuse_late()
+        for request in self._waiting:
+            request.woken.set()
+
     def _serve_waiting(self) -> None:
         if not any(self._queue.size(urgency) for urgency in Urgency):
             return
@@ -320,9 +351,26 @@
         """Wake all that wait for upstreams of which none is left: to wait gains them nothing."""
         for urgency in Urgency:
             while (request := self._queue.peek(urgency)) is not None:
-                self._queue.remove(request)
-                request.is_unservable = True
-                request.given.set()
+                self._refuse(request, self._no_upstream(urgency))
+
+    def _refuse(self, request: WaitingRequest, refusal: LaneError) -> None:
+        """Wake a request that waits in vain."""
+        self._queue.remove(request)
+        request.refusal = refusal
+        request.woken.set()
+
+    def _refuse_late(self) -> None:
+        """Refuse what can't be served in time any more, of each lane the last first.
+
+        After a loss of capacity: those that wait were let in by what there was before.
+        """
+        now = trio.current_time()
+        for urgency in Urgency:
+            while (request := self._queue.last(urgency)) is not None:
+                others = sum(self._queue.size(lane) for lane in Urgency if lane <= urgency) - 1
+                if now + self._expected_wait_after(others, urgency) <= request.until:
+                    break
+                self._refuse(request, self._too_late(urgency))
 
     def _serve_next(self, urgency: Urgency) -> bool:
         request = self._queue.peek(urgency)
@@ -336,7 +384,7 @@
         self._queue.remove(request)
         request.slot = self._open(upstream, urgency, now)
         self._note_reading(request.slot, request.affinity, now)
-        request.given.set()
+        request.woken.set()
         return True
 
     def _open(self, upstream: Upstream, urgency: Urgency, now: float) -> Slot:
--- a/railtide/lanes/tests/test_stated_limits.py
+++ b/railtide/lanes/tests/test_stated_limits.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from railtide.lanes.errors import LaneError, NoUpstream
+from railtide.lanes.errors import DeadlineTooNear, LaneError, NoUpstream
 from railtide.lanes.queue import Urgency
 from railtide.lanes.scheduler import PoolScheduler, Slot, WaitingRequest
 from railtide.membership.entrance_set import Visits
@@ -174,6 +174,12 @@
         return Visits(tuple(self.named), tuple(n for n in self.names if n not in self.named))
 
 
+def waiting_for(goal_s: float, urgency: Urgency = Urgency.BULK) -> WaitingRequest:
+    """Return a request that waits for so long."""
+    now = trio.current_time()
+    return WaitingRequest("a", urgency, 1, 1, now + 60, Affinity(), now + goal_s)
+
+
 async def _for_a_while(work: Callable[[], Awaitable[None]], for_s: float) -> None:
     with trio.move_on_after(for_s):
         await work()
@@ -269,6 +275,52 @@
         assert refused == 6
 
 
+class TestWaiting:
+    async def test_those_that_a_limit_leaves_no_time_for_are_refused_at_once(
+        self, autojump_clock
+    ) -> None:
+        """All slots are taken, and of eight that wait the limit leaves time for two."""
+        fleet = Fleet(1, 1, engines=1, rng=Random(1))
+        (router,) = fleet.routers
+        scheduler = router.scheduler
+        taken = [await scheduler.acquire(waiting_for(30.0)) for _ in range(24)]
+        scheduler._service_s = 0.5
+        served: list[Urgency] = []
+        refused: list[tuple[Urgency, float]] = []
+
+        async def wait(urgency: Urgency) -> None:
+            began = trio.current_time()
+            try:
+                scheduler.release(await scheduler.acquire(waiting_for(2.5, urgency)))
+                served.append(urgency)
+            except DeadlineTooNear as err:
+                assert err.retry_after >= 0.5
+                refused.append((urgency, trio.current_time() - began))
+
+        async with trio.open_nursery() as nursery:
+            for urgency in (Urgency.URGENT, Urgency.BULK) * 4:
+                nursery.start_soon(wait, urgency)
+            await trio.sleep(0.1)
+            scheduler.take_limit("e0", LimitReport(1.0, sent_at=trio.current_time()))
+            await trio.lowlevel.checkpoint()
+            scheduler.release(taken.pop())
+        assert served == [Urgency.URGENT] * 2
+        assert sorted(refused) == [(Urgency.URGENT, 0.1)] * 2 + [(Urgency.BULK, 0.1)] * 4
+
+    async def test_those_that_others_have_room_for_are_not_refused(self, autojump_clock) -> None:
+        fleet = Fleet(1, 1, engines=2, rng=Random(1))
+        scheduler = fleet.routers[0].scheduler
+        taken = [await scheduler.acquire(waiting_for(30.0)) for _ in range(48)]
+        scheduler._service_s = 0.5
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(scheduler.acquire, waiting_for(2.0))
+            await trio.sleep(0.1)
+            scheduler.take_limit("e0", LimitReport(1.0, sent_at=trio.current_time()))
+            for slot in taken:
+                scheduler.release(slot)
+
+
 class TestEnd:
     async def test_routers_with_a_part_use_it_again_at_once(self, autojump_clock) -> None:
         fleet = Fleet(3, 3, engines=2, rng=Random(1))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2356,8 +2356,8 @@
     Mutant(
         "time-frees-nobody",
         "lanes/scheduler.py",
-        "            with trio.move_on_at(min(until, free_at)):",
-        "            with trio.move_on_at(until):",
+        "            with trio.move_on_at(min(request.until, free_at)):",
+        "            with trio.move_on_at(request.until):",
         (SLOW_START,),
     ),
     Mutant(
@@ -2468,6 +2468,20 @@
         "if c.entrance.name in names]",
         (f"{MEMBERSHIP}/test_entrance_set.py",),
     ),
+    Mutant(
+        "waiting-for-what-a-limit-took-away",
+        "lanes/scheduler.py",
+        "        self._refuse_late()\n",
+        "",
+        (STATED_LIMITS,),
+    ),
+    Mutant(
+        "those-that-wait-do-not-hear-that-a-pace-begins",
+        "lanes/scheduler.py",
+        "        for request in self._waiting:\n            request.woken.set()\n",
+        "",
+        (STATED_LIMITS,),
+    ),
 ]
 
 
