Only an engine's own answer tells its load

Cause: the load in an answer was taken before it was known whose answer it is, so another engine at the address, or a late answer to another request, set the load of the engine that was meant. Found while the words of engines about themselves were listed. Change: it is taken after the request's id and the engine are checked. Measured: two of the three new tests failed before, all pass.

--- a/railtide/platform/tests/test_whole_path.py
+++ b/railtide/platform/tests/test_whole_path.py
@@ -158,6 +158,31 @@
         return b"".join([chunk async for chunk in exchange.chunks()])
 
 
+class TestLoad:
+    @staticmethod
+    def is_told(w: World) -> bool:
+        return w.node.schedulers_by_pool["s"].by_name["e1"].report is not None
+
+    async def test_answer_tells_its_engines_load(self) -> None:
+        async with world() as w:
+            await w.add_engine("e1")
+            await body_of(await w.ask("/safe/x"))
+            assert self.is_told(w)
+
+    async def test_another_engine_at_the_address_tells_nothing_of_it(self) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1")
+            engine.name = "other"
+            await w.ask("/safe/x")
+            assert engine.seen and not self.is_told(w)
+
+    async def test_answer_to_another_request_tells_nothing_of_it(self) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1", wrong_id=True)
+            await w.ask("/safe/x")
+            assert engine.seen and not self.is_told(w)
+
+
 class TestPassing:
     async def test_request_and_answer_are_passed_on(self) -> None:
         async with world() as w:
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -103,12 +103,12 @@
     def _check(
         self, upstream: Instance, call: UpstreamCall, exchange: Exchange, sent_at: float
     ) -> None:
-        self._take_load(upstream, exchange.headers)
         echoed = first_header(exchange.headers, names.ATTEMPT_ID)
         if echoed is not None and echoed.decode() != call.request_id:
             raise AnswerMismatch("the answer carries another request's id")
         if exchange.status == MISDIRECTED:
             raise UpstreamMoved("another instance has the address")
+        self._take_load(upstream, exchange.headers)
         sealed = first_header(exchange.headers, names.SEAL) is not None
         refused = first_header(exchange.headers, names.NOT_RUN) is not None
         self._take_limit(upstream, exchange.headers, sealed or refused, sent_at)
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -21,6 +21,7 @@
 ID = b"x-attempt-id"
 ERA = b"store-era"
 LIMIT = b"server-limit"
+LOAD = ((b"x-instance-load", b"1,0,8"),)
 KB = 1_024
 MOST_READ_KB = 1_024
 MOST_NEWEST = 500
@@ -242,7 +243,7 @@
         self.arrived_at.append(trio.current_time())
         expected = first_header(request.headers, b"x-expect-instance")
         if expected is not None and expected.decode() != self.name:
-            own = ((b"x-instance-id", self.name.encode()), *self._notices())
+            own = ((b"x-instance-id", self.name.encode()), *LOAD, *self._notices())
             await responder.answer(421, own)
             return
         script = self.next_scripts.pop(0) if self.next_scripts else self.script
@@ -266,7 +267,7 @@
     ) -> None:
         seal = () if script.unsigned else ((b"x-response-seal", self.name.encode()),)
         own_id = b"other" if script.wrong_id else _id_of(request).encode()
-        headers = ((ID, own_id), *seal, (b"x-instance-load", b"1,0,8"), *self._notices())
+        headers = ((ID, own_id), *seal, *LOAD, *self._notices())
         last = int(first_header(request.headers, b"last-event-id") or 0)
         if not script.sound:
             await self._answer_raw(script, headers, last, responder)
