The soak has engines that state limits, beside signals, restarts and faults

Cause: no kind of seed had engines that say anything of themselves, so the soak proved nothing of stated limits. The stand-in's engines keep their arrivals and the heads of their answers.

--- a/railtide/platform/tests/test_stated_limits.py
+++ b/railtide/platform/tests/test_stated_limits.py
@@ -83,7 +83,7 @@
     counted_from = trio.current_time() + STABLE_S
     await fleet.play(per_s=24, for_s=STABLE_S + for_s)
     return {
-        name: [at for at in fleet.engine_by_name[name].arrived_at if at >= counted_from]
+        name: [a.at for a in fleet.engine_by_name[name].arrivals if a.at >= counted_from]
         for name in limits
     }
 
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -16,7 +16,7 @@
 from railtide.standins.answers import Framing, RawAnswer
 from railtide.standins.keyed_store import MemoryStore
 
-__all__ = ["EngineScript", "PlatformEngine", "StoreServer", "engine_entry"]
+__all__ = ["EngineEvent", "EngineScript", "PlatformEngine", "StoreServer", "engine_entry"]
 
 ID = b"x-attempt-id"
 ERA = b"store-era"
@@ -214,6 +214,21 @@
         return place + b"data: x%d\n\n" % number
 
 
+@dataclass(frozen=True)
+class EngineEvent:
+    """A request as it reached an engine, or the head of its answer, at a trio time.
+
+    Attributes
+    ----------
+    notices : Headers
+        What the head says of the engine's state.
+    """
+
+    request_id: str
+    at: float
+    notices: Headers = ()
+
+
 @dataclass
 class PlatformEngine:
     """An engine that answers by its script and remembers what it ran.
@@ -224,8 +239,8 @@
         Scripts of the next runs, one each, before `script` holds again. Engines may share it.
     limit : str or None
         The requests a second that all its answers state as its limit; one a line for several.
-    arrived_at : list of float
-        Trio times at which requests came, in order.
+    arrivals, answers : list of EngineEvent
+        All requests that came, and the heads of all answers, in order.
     """
 
     name: str
@@ -235,20 +250,21 @@
     ran: list[str] = field(default_factory=list)
     stopped: int = 0
     limit: str | None = None
-    arrived_at: list[float] = field(default_factory=list)
+    arrivals: list[EngineEvent] = field(default_factory=list)
+    answers: list[EngineEvent] = field(default_factory=list)
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
         self.seen.append(request)
-        self.arrived_at.append(trio.current_time())
+        self.arrivals.append(EngineEvent(_id_of(request), trio.current_time()))
         expected = first_header(request.headers, b"x-expect-instance")
         if expected is not None and expected.decode() != self.name:
-            own = ((b"x-instance-id", self.name.encode()), *LOAD, *self._notices())
+            own = ((b"x-instance-id", self.name.encode()), *LOAD, *self._notices(request))
             await responder.answer(421, own)
             return
         script = self.next_scripts.pop(0) if self.next_scripts else self.script
         if script.not_run:
-            await responder.answer(503, ((b"x-not-executed", b"1"), *self._notices()))
+            await responder.answer(503, ((b"x-not-executed", b"1"), *self._notices(request)))
             return
         self.ran.append(_id_of(request))
         try:
@@ -257,18 +273,22 @@
             self.stopped += 1
             raise
 
-    def _notices(self) -> Headers:
-        """Return what all answers say of the engine's state, as of now."""
+    def _notices(self, request: HttpRequest) -> Headers:
+        """Return what an answer that begins now says of the engine's state."""
         stated = [] if self.limit is None else self.limit.split("\n")
-        return tuple((LIMIT, text.encode()) for text in stated)
+        notices = tuple((LIMIT, text.encode()) for text in stated)
+        self.answers.append(EngineEvent(_id_of(request), trio.current_time(), notices))
+        return notices
 
     async def _answer(
         self, script: EngineScript, request: HttpRequest, responder: Responder
     ) -> None:
         seal = () if script.unsigned else ((b"x-response-seal", self.name.encode()),)
         own_id = b"other" if script.wrong_id else _id_of(request).encode()
-        headers = ((ID, own_id), *seal, *LOAD, *self._notices())
         last = int(first_header(request.headers, b"last-event-id") or 0)
+        if script.sound and not script.events:
+            await trio.sleep(script.gap_s)
+        headers = ((ID, own_id), *seal, *LOAD, *self._notices(request))
         if not script.sound:
             await self._answer_raw(script, headers, last, responder)
         elif script.events:
@@ -278,7 +298,6 @@
                 await responder.write(event)
             await responder.finish()
         else:
-            await trio.sleep(script.gap_s)
             await responder.answer(script.status, headers, script.body)
 
     @staticmethod
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from subprocess import DEVNULL
+from typing import TYPE_CHECKING
 
 import msgspec
 import trio
@@ -21,6 +22,9 @@
 from tests.edge_soak.proxy import Link, open_link
 from tests.test_edge_process import HOST, free_ports, serve
 
+if TYPE_CHECKING:
+    from tests.edge_soak.notices import Statement
+
 __all__ = [
     "EVENTS",
     "GOOD_ENGINE",
@@ -139,6 +143,8 @@
         How the processes before this one ended.
     changing : trio.Lock
         Held while the process is ended and started again.
+    stops : list of float
+        Trio times at which its processes were stopped or woken.
     """
 
     name: str
@@ -153,6 +159,7 @@
     lifetime: int = 0
     ends: list[ProcessEnd] = field(default_factory=list)
     changing: trio.Lock = field(default_factory=trio.Lock)
+    stops: list[float] = field(default_factory=list)
     _log_begin: int = 0
     _signals: set[signal.Signals] = field(default_factory=set)
     _early: set[signal.Signals] = field(default_factory=set)
@@ -209,6 +216,13 @@
             log.seek(self._log_begin)
             return STARTED in log.read()
 
+    def lines(self) -> list[dict[str, object]]:
+        """Return the lines that the process has written whole."""
+        with self._log.open("rb") as log:
+            log.seek(self._log_begin)
+            whole = log.read().rpartition(b"\n")[0].splitlines()
+        return [msgspec.json.decode(line) for line in whole if line.startswith(b"{")]
+
     def is_running(self) -> bool:
         """Return whether there is a process."""
         return self.process.poll() is None
@@ -225,6 +239,8 @@
         if not self.has_started():
             self._early.add(number)
         self._signals.add(number)
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.stops.append(trio.current_time())
         self.process.send_signal(number)
 
     def end(self) -> None:
@@ -259,6 +275,8 @@
     ----------
     written_at : dict of int to float
         Trio time from which each version of the desired state is in the store.
+    statements : list of Statement
+        The limits that engines stated.
     """
 
     world: World
@@ -269,6 +287,7 @@
     version: int = 1
     crashing: list[CrashingEngine] = field(default_factory=list)
     written_at: dict[int, float] = field(default_factory=dict)
+    statements: list["Statement"] = field(default_factory=list)
 
     @property
     def prepaid(self) -> int:
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -4,7 +4,8 @@
 that overlap, callers that keep their connections, and a kill of all routers at the end. One of
 `crashes` has a request that ends each engine that begins it, beside faults of routers and of the
 store. One of `states` has large desired states behind narrow links, beside both. One of `rollbacks`
-has a store that comes back from a copy while routers spend, die and start.
+has a store that comes back from a copy while routers spend, die and start. One of `notices` has
+engines that state limits, beside signals, restarts and faults.
 
 Prints each seed that breaks a promise, with its faults and the folder of its processes' logs, and
 ends with 1 if there is one.
@@ -42,6 +43,14 @@
 )
 from tests.edge_soak.faults import FAULTS, LATER_FAULTS, Planned, heal, plan_of
 from tests.edge_soak.fleet import Fleet, Router, World, open_fleet
+from tests.edge_soak.notices import (
+    ENDED_S,
+    NOTICES,
+    broken_limits,
+    never_ended,
+    notices_of,
+    notices_world_of,
+)
 from tests.edge_soak.rollbacks import (
     ROLLBACKS_WORLD,
     Rollback,
@@ -82,7 +91,7 @@
 """In which the calls that are served after a return are counted."""
 
 
-STRIKES = FAULTS | LATER_FAULTS | SERIES | CRASHES | STATES
+STRIKES = FAULTS | LATER_FAULTS | SERIES | CRASHES | STATES | NOTICES
 
 
 class Kind(StrEnum):
@@ -93,6 +102,7 @@
     CRASHES = "crashes"
     STATES = "states"
     ROLLBACKS = "rollbacks"
+    NOTICES = "notices"
 
 
 async def _run_faults(seed: int, folder: Path) -> list[str]:
@@ -281,12 +291,37 @@
     return await run_rollbacks(rollbacks_of(seed), seed, folder)
 
 
+async def _run_notices(seed: int, folder: Path) -> list[str]:
+    async with open_fleet(folder, notices_world_of(seed)) as fleet:
+        await _until_ready(fleet)
+        rng = Random(seed)
+        callers = Callers(fleet, rng)
+        async with trio.open_nursery() as keeping:
+            for router in fleet.routers:
+                keeping.start_soon(keep_up, router, rng)
+            async with _calling(callers):
+                async with trio.open_nursery() as striking:
+                    for planned in notices_of(seed):
+                        striking.start_soon(_strike, fleet, planned)
+                heal(fleet)
+                await _until_back(fleet)
+                await trio.sleep(ENDED_S)
+            kept = never_ended(fleet)
+            silent = [
+                line for router in fleet.routers for line in await _serves(fleet, callers, router)
+            ]
+            keeping.cancel_scope.cancel()
+        limits = broken_limits(fleet, callers.attempts)
+        return limits + kept + silent + broken_promises(fleet, callers.attempts)
+
+
 RUN_BY_KIND = {
     Kind.FAULTS: _run_faults,
     Kind.SERIES: _run_series,
     Kind.CRASHES: _run_crashes,
     Kind.STATES: _run_states,
     Kind.ROLLBACKS: _run_rollbacks,
+    Kind.NOTICES: _run_notices,
 }
 PLAN_BY_KIND = {
     Kind.FAULTS: plan_of,
@@ -294,6 +329,7 @@
     Kind.CRASHES: crashes_of,
     Kind.STATES: states_of,
     Kind.ROLLBACKS: rollbacks_of,
+    Kind.NOTICES: notices_of,
 }
 
 
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -13,6 +13,8 @@
 from tests.edge_soak.crashes import crashes_of, is_calm_crash
 from tests.edge_soak.faults import FAULTS, FIRST_WITH_LATER_FAULTS, LATER_FAULTS, plan_of
 from tests.edge_soak.fleet import KEPT_KEY_VERSION, Fleet, ProcessEnd
+from tests.edge_soak.notices import BESIDE as NOTICES_BESIDE
+from tests.edge_soak.notices import NOTICES, notices_of
 from tests.edge_soak.run import Kind, run_seed
 from tests.edge_soak.series import CALM, SERIES, is_calm, series_of
 from tests.edge_soak.states import (
@@ -111,6 +113,19 @@
         assert drawn == set(STATES) | set(BESIDE)
 
 
+NOTICES_SEEDS = (10_000, 10_001)
+
+
+class TestNotices:
+    @pytest.mark.parametrize("seed", NOTICES_SEEDS)
+    def test_promises_hold(self, seed: int) -> None:
+        assert said_of(seed, Kind.NOTICES) == []
+
+    def test_everything_is_drawn(self) -> None:
+        drawn = {planned.name for seed in range(10_000, 10_100) for planned in notices_of(seed)}
+        assert drawn == set(NOTICES) | set(NOTICES_BESIDE)
+
+
 class TestOutdatedAnswers:
     ATTEMPT = Attempt("a", "v2", "r0", 1, KEPT_KEY_VERSION, APPLY_S + 0.1, status=404, newest=2)
 
