A router that has just got a part of a limit can be asked for its turn

Cause: the fleet is looked at anew for each question, so a router that had no part at the first could have one at the second, and the search for its turn raised ValueError: every request of the pool would have failed for that moment. Measured: the new test raised before; all of upstreams/ passes.

--- a/railtide/upstreams/limit_shares.py
+++ b/railtide/upstreams/limit_shares.py
@@ -95,5 +95,5 @@
         """Return for how long nothing is heard of a limit before this router asks for itself."""
         known = self._visits()
         sharing = set(routers_sharing(upstream, known.visited, per_s))
-        others = {*known.visited, *known.idle, self._own} - sharing
+        others = {*known.visited, *known.idle} - sharing | {self._own}
         return QUIET_S + TURN_S * rendezvous_order(upstream, sorted(others)).index(self._own)
--- a/railtide/upstreams/tests/test_limit_shares.py
+++ b/railtide/upstreams/tests/test_limit_shares.py
@@ -94,6 +94,11 @@
         assert math.isinf(shares.pause_s("e", 1.0))
         assert shares.patience_s("e", 1.0) == QUIET_S
 
+    def test_router_that_has_a_part_since_a_moment_ago_has_the_first_turn(self) -> None:
+        """The fleet is looked at anew for each question."""
+        shares = LimitShares("r1", lambda: Visits(("r1",)))
+        assert shares.patience_s("e", 1.0) == QUIET_S
+
     def test_shares_follow_the_fleet(self) -> None:
         known = [Visits(("r1", "r2")), Visits(("r1",))]
         shares = LimitShares("r1", lambda: known[0])
