What an answer says of its upstream is one typed notice

Cause: each statement had a callback of its own from the adapter to the node; the next ones would have had theirs. Change: the adapter decodes an answer's head into an UpstreamNotice (platform/notices.py) after it is known whose answer it is, and the node takes it in one place, for this life only. Behaviour as it was.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -43,10 +43,11 @@
 from railtide.upstreams.choice import PrefixAffinity, TwoChoices
 from railtide.upstreams.client import UpstreamClient
 from railtide.upstreams.limit_shares import LimitShares
-from railtide.upstreams.load import LoadReport, note_end
+from railtide.upstreams.load import note_end
+from railtide.upstreams.notice import UpstreamNotice
 from railtide.upstreams.separation import Separation
 from railtide.upstreams.slow_start import SlowStartShares
-from railtide.upstreams.stated_limit import LimitNews, LimitReport
+from railtide.upstreams.stated_limit import LimitNews
 
 __all__ = ["EdgeNode"]
 
@@ -369,17 +370,15 @@
         named.sort(key=lambda entrance: entrance.failure_domain != failure_domain)
         return named[: self.options.most_addresses]
 
-    def take_load(self, upstream: Instance, report: LoadReport) -> None:
-        """Take what an upstream said of its load with an answer; a former life tells of none."""
+    def take_notice(self, upstream: Instance, notice: UpstreamNotice) -> None:
+        """Take what an answer says of its upstream; a former life says nothing of this one."""
         scheduler = self._scheduler_of_life(upstream)
-        if scheduler:
-            scheduler.take_report(upstream.name, report)
-
-    def take_limit(self, upstream: Instance, report: LimitReport) -> None:
-        """Take what an answer says of its upstream's limit; a former life tells of none."""
-        scheduler = self._scheduler_of_life(upstream)
-        if scheduler:
-            scheduler.take_limit(upstream.name, report)
+        if scheduler is None:
+            return
+        if notice.load:
+            scheduler.take_report(upstream.name, notice.load)
+        if notice.limit:
+            scheduler.take_limit(upstream.name, notice.limit)
 
     def _limit_news(self) -> tuple[LimitNews, ...]:
         """Return what other routers are to be told of upstreams' limits."""
--- /dev/null
+++ b/railtide/platform/notices.py
@@ -0,0 +1,51 @@
+"""What engines say of themselves in the heads of their answers, decoded."""
+
+import math
+import re
+
+import trio
+
+from railtide.http.messages import Headers, first_header
+from railtide.platform import names
+from railtide.upstreams.load import LoadReport
+from railtide.upstreams.notice import UpstreamNotice
+from railtide.upstreams.stated_limit import LimitReport
+
+__all__ = ["notice_of"]
+
+DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+
+
+def notice_of(headers: Headers, sent_at: float) -> UpstreamNotice:
+    """Return what an answer says of its engine.
+
+    Parameters
+    ----------
+    headers : Headers
+        Of an answer of which it is known that this engine gave it, to this request.
+    sent_at : float
+        Trio time at which the request was sent.
+    """
+    return UpstreamNotice(_load_of(headers), _limit_of(headers, sent_at))
+
+
+def _load_of(headers: Headers) -> LoadReport | None:
+    told = first_header(headers, names.LOAD)
+    parts = told.split(b",") if told else []
+    if len(parts) < 2 or not parts[0].isdigit() or not parts[1].isdigit():
+        return None
+    return LoadReport(int(parts[0]), int(parts[1]), False, trio.current_time())
+
+
+def _limit_of(headers: Headers, sent_at: float) -> LimitReport | None:
+    """Return the limit that is stated, the lowest of several; that there is none by silence.
+
+    Only the engine's own word ends a limit: an answer without its signature, or its word that the
+    request did not run, may be anybody's.
+    """
+    told = [value for name, value in headers if name == names.LIMIT]
+    stated = [float(value) for value in told if DECIMAL.fullmatch(value)]
+    if stated:
+        return LimitReport(min(stated), sent_at)
+    is_own = any(name in (names.SEAL, names.NOT_RUN) for name, _ in headers)
+    return LimitReport(math.inf, sent_at) if is_own and not told else None
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -112,8 +112,7 @@
     options = _options(boot, settings)
     clocks = kernel_clocks()
     node = EdgeNode(identity, store, PlatformSources(), upstreams, options, rng, clocks)
-    upstreams.on_load = node.take_load
-    upstreams.on_limit = node.take_limit
+    upstreams.on_notice = node.take_notice
     limits = ConnectionLimits(doubt_s=node.limits_doubt_s)
     observe("store_era", "1", lambda: float(NO_ERA if store.era is None else store.era))
     observe_each("read_age", "s", "topic", node.read_ages_s)
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -1,6 +1,5 @@
 """Calls to the platform's engines: heads and codes translated, nothing decided."""
 
-import math
 import re
 from collections.abc import AsyncIterator, Callable
 
@@ -12,6 +11,7 @@
 from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
 from railtide.membership.instances import Instance
 from railtide.platform import names
+from railtide.platform.notices import notice_of
 from railtide.upstreams.client import PastRun, UpstreamAnswer, UpstreamCall, UpstreamClient
 from railtide.upstreams.errors import (
     AnswerMismatch,
@@ -22,14 +22,13 @@
     UpstreamRefused,
 )
 from railtide.upstreams.load import LoadReport
-from railtide.upstreams.stated_limit import LimitReport
+from railtide.upstreams.notice import UpstreamNotice
 
 __all__ = ["PlatformUpstreams"]
 
 MISDIRECTED = 421
 OK_CLASS = 2
 HIGHEST_RANK = 9
-DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 PROBE_LASTS_S = 0.02
 """How long a connection must stay for its engine to live: a process closes what it had open within
 milliseconds of its end."""
@@ -68,15 +67,12 @@
 
     Parameters
     ----------
-    on_load : callable
-        Told of an engine's load as its answers tell it.
-    on_limit : callable
-        Told of each answer of an engine, by what it says of the engine's limit.
+    on_notice : callable
+        Told what each answer of an engine says of that engine.
     """
 
     def __init__(self) -> None:
-        self.on_load: Callable[[Instance, LoadReport], None] = lambda upstream, report: None
-        self.on_limit: Callable[[Instance, LimitReport], None] = lambda upstream, report: None
+        self.on_notice: Callable[[Instance, UpstreamNotice], None] = lambda upstream, notice: None
         self._pool_by_incarnation: dict[str, PeerPool] = {}
 
     async def open(self, upstream: Instance, call: UpstreamCall) -> UpstreamAnswer:
@@ -108,12 +104,10 @@
             raise AnswerMismatch("the answer carries another request's id")
         if exchange.status == MISDIRECTED:
             raise UpstreamMoved("another instance has the address")
-        self._take_load(upstream, exchange.headers)
-        sealed = first_header(exchange.headers, names.SEAL) is not None
-        refused = first_header(exchange.headers, names.NOT_RUN) is not None
-        self._take_limit(upstream, exchange.headers, sealed or refused, sent_at)
-        if refused:
+        self.on_notice(upstream, notice_of(exchange.headers, sent_at))
+        if first_header(exchange.headers, names.NOT_RUN) is not None:
             raise UpstreamRefused(f"the upstream refused with {exchange.status}")
+        sealed = first_header(exchange.headers, names.SEAL) is not None
         if exchange.status // 100 == OK_CLASS and not sealed:
             raise AnswerMismatch("the answer is not signed")
 
@@ -129,24 +123,6 @@
                 pass  # the connection is dropped, and the refusal stands
         exchange.abandon()
 
-    def _take_load(self, upstream: Instance, headers: Headers) -> None:
-        told = first_header(headers, names.LOAD)
-        parts = told.split(b",") if told else []
-        if len(parts) >= 2 and parts[0].isdigit() and parts[1].isdigit():
-            report = LoadReport(int(parts[0]), int(parts[1]), False, trio.current_time())
-            self.on_load(upstream, report)
-
-    def _take_limit(
-        self, upstream: Instance, headers: Headers, is_own: bool, sent_at: float
-    ) -> None:
-        """Tell what an answer says of the limit; that there is none, only by the engine's own."""
-        told = [value for name, value in headers if name == names.LIMIT]
-        stated = [float(value) for value in told if DECIMAL.fullmatch(value)]
-        if stated:
-            self.on_limit(upstream, LimitReport(min(stated), sent_at))
-        elif is_own and not told:
-            self.on_limit(upstream, LimitReport(math.inf, sent_at))
-
     def forget(self, upstream: Instance) -> None:
         """Close the idle connections to an engine; see `UpstreamClient.forget`."""
         pool = self._pool_by_incarnation.pop(upstream.incarnation, None)
--- /dev/null
+++ b/railtide/upstreams/notice.py
@@ -0,0 +1,24 @@
+"""What one answer says of the upstream that gave it, whatever it says of the request."""
+
+from dataclasses import dataclass
+
+from railtide.upstreams.load import LoadReport
+from railtide.upstreams.stated_limit import LimitReport
+
+__all__ = ["UpstreamNotice"]
+
+
+@dataclass(frozen=True)
+class UpstreamNotice:
+    """The statements of an answer's head, decoded.
+
+    Attributes
+    ----------
+    load : LoadReport or None
+        None where the answer tells none, or it can't be read.
+    limit : LimitReport or None
+        None where what the answer states can't be read; a report of no limit where it states none.
+    """
+
+    load: LoadReport | None = None
+    limit: LimitReport | None = None
