--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -379,6 +379,8 @@
             scheduler.take_report(upstream.name, notice.load)
         if notice.limit:
             scheduler.take_limit(upstream.name, notice.limit)
+        if notice.leaving:
+            self._upstream_list.note_leaving(upstream)
 
     def _limit_news(self) -> tuple[LimitNews, ...]:
         """Return what other routers are to be told of upstreams' limits."""
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -80,6 +80,7 @@
         self._missing_by_name: dict[str, float] = {}
         self._unreadable: set[str] = set()
         self._left_by_name: dict[str, set[_Service]] = {}
+        self._said_leaving_by_name: dict[str, set[_Service]] = {}
         self._dirty: set[str] = set()
         self._seq_by_name: dict[str, int] = {}
         self._gone_by_name: dict[str, _GoneLife] = {}
@@ -146,6 +147,16 @@
             left.add(service)
         return replace(instance, state=InstanceState.LEAVING) if service in left else instance
 
+    def note_leaving(self, instance: Instance) -> None:
+        """Take an upstream's own word, in an answer, that this life of it leaves."""
+        service = _Service(instance.incarnation, instance.pool)
+        said = self._said_leaving_by_name.setdefault(instance.name, set())
+        if service not in said:
+            said.add(service)
+            logger.bind(
+                upstream=instance.name, incarnation=instance.incarnation, pool=instance.pool
+            ).info("upstream-says-it-leaves")
+
     def put_unreadable(self, name: str, error: str) -> None:
         """Take a record that names no upstream, though its key is the name of one."""
         if name in self._unreadable:
@@ -180,6 +191,7 @@
                     self._gone_by_name[name] = _GoneLife(gone.born, number, now + GONE_S)
                 self._unreadable.discard(name)
                 self._left_by_name.pop(name, None)
+                self._said_leaving_by_name.pop(name, None)
                 self._dirty.add(gone.pool)
                 logger.bind(upstream=name, pool=gone.pool).info("upstream-gone")
         for name in [name for name, gone in self._gone_by_name.items() if now >= gone.until]:
--- a/railtide/platform/names.py
+++ b/railtide/platform/names.py
@@ -11,6 +11,7 @@
     "KV_FETCH",
     "KV_FROM",
     "LAST_EVENT_ID",
+    "LEAVING",
     "LIMIT",
     "LOAD",
     "NOT_RUN",
@@ -44,6 +45,8 @@
 """The engine's word that it did not run the request."""
 LOAD = b"x-instance-load"
 """Requests running, requests waiting and slots of the engine."""
+LEAVING = b"server-leaving"
+"""1 in all answers of an engine that leaves."""
 LIMIT = b"server-limit"
 """Requests a second that an engine in need takes from all routers together, a decimal number."""
 EXPECTED_WEIGHTS = b"x-expect-version"
--- a/railtide/platform/notices.py
+++ b/railtide/platform/notices.py
@@ -26,7 +26,11 @@
     sent_at : float
         Trio time at which the request was sent.
     """
-    return UpstreamNotice(_load_of(headers), _limit_of(headers, sent_at))
+    return UpstreamNotice(_load_of(headers), _limit_of(headers, sent_at), _is_leaving(headers))
+
+
+def _is_leaving(headers: Headers) -> bool:
+    return first_header(headers, names.LEAVING) == b"1"
 
 
 def _load_of(headers: Headers) -> LoadReport | None:
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -20,6 +20,7 @@
 
 ID = b"x-attempt-id"
 ERA = b"store-era"
+LEAVING = ((b"server-leaving", b"1"),)
 LIMIT = b"server-limit"
 LOAD = ((b"x-instance-load", b"1,0,8"),)
 KB = 1_024
@@ -239,6 +240,8 @@
         Scripts of the next runs, one each, before `script` holds again. Engines may share it.
     limit : str or None
         The requests a second that all its answers state as its limit; one a line for several.
+    leaving : bool
+        Whether all its answers say that it leaves.
     arrivals, answers : list of EngineEvent
         All requests that came, and the heads of all answers, in order.
     """
@@ -250,6 +253,7 @@
     ran: list[str] = field(default_factory=list)
     stopped: int = 0
     limit: str | None = None
+    leaving: bool = False
     arrivals: list[EngineEvent] = field(default_factory=list)
     answers: list[EngineEvent] = field(default_factory=list)
 
@@ -276,7 +280,8 @@
     def _notices(self, request: HttpRequest) -> Headers:
         """Return what an answer that begins now says of the engine's state."""
         stated = [] if self.limit is None else self.limit.split("\n")
-        notices = tuple((LIMIT, text.encode()) for text in stated)
+        limits = tuple((LIMIT, text.encode()) for text in stated)
+        notices = (*limits, *(LEAVING if self.leaving else ()))
         self.answers.append(EngineEvent(_id_of(request), trio.current_time(), notices))
         return notices
 
--- a/railtide/upstreams/notice.py
+++ b/railtide/upstreams/notice.py
@@ -18,7 +18,10 @@
         None where the answer tells none, or it can't be read.
     limit : LimitReport or None
         None where what the answer states can't be read; a report of no limit where it states none.
+    leaving : bool
+        Whether the upstream says that it leaves.
     """
 
     load: LoadReport | None = None
     limit: LimitReport | None = None
+    leaving: bool = False
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -18,6 +18,7 @@
     "x-response-seal",
     "x-not-executed",
     "x-instance-load",
+    "server-leaving",
     "server-limit",
     "log-append",
     "log-read",
