An upstream that says in an answer that it leaves gets nothing new

What callers and upstreams saw: requests reached an upstream up to 6.5 s after an answer had told their router that it leaves. Cause: leaving was read from records only, and none came while the store was away. Change: the word in an answer's head is kept where the records' word is (upstream list), for this life in this pool, at once; it is remembered for ten minutes after the upstream is gone, since a record that lapsed may come back without it. What runs there goes on; with all upstreams leaving requests are refused at once.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -381,6 +381,7 @@
             scheduler.take_limit(upstream.name, notice.limit)
         if notice.leaving:
             self._upstream_list.note_leaving(upstream)
+            self._upstream_list.settle()
 
     def _limit_news(self) -> tuple[LimitNews, ...]:
         """Return what other routers are to be told of upstreams' limits."""
--- a/railtide/membership/tests/test_upstream_list.py
+++ b/railtide/membership/tests/test_upstream_list.py
@@ -4,7 +4,7 @@
 from msgspec.structs import replace
 
 from railtide.membership.instances import Instance, InstanceState
-from railtide.membership.upstream_list import GONE_S, UpstreamList
+from railtide.membership.upstream_list import GONE_S, LEFT_KEPT_S, UpstreamList
 
 
 def engine(name: str, pool: str = "p", born: int = 0) -> Instance:
@@ -254,3 +254,48 @@
         case.listed.settle()
         assert case.names_by_pool == {"p": []}
         return case
+
+
+class TestOwnWord:
+    """An upstream's word in an answer that it leaves."""
+
+    async def test_it_leaves_at_once_and_stays_so(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(engine("a"))
+        case.listed.note_leaving(engine("a"))
+        case.listed.settle()
+        assert case.states == {"a": LEAVING}
+        case.listed.put(replace(engine("a"), address="a:2"))
+        case.listed.settle()
+        assert case.states == {"a": LEAVING}
+
+    async def test_another_life_or_pool_is_not_bound(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(engine("a", born=2))
+        case.listed.note_leaving(engine("a", born=1))
+        case.listed.note_leaving(engine("a", pool="q", born=2))
+        case.listed.settle()
+        assert case.states == {"a": LIVE}
+
+    async def test_it_holds_for_a_record_that_lapsed_and_is_back(self, autojump_clock) -> None:
+        case = Case()
+        case.listed.put(engine("a"))
+        case.listed.note_leaving(engine("a"))
+        case.listed.remove("a")
+        case.listed.settle()
+        await trio.sleep(60)
+        case.listed.settle()
+        case.listed.put(engine("a"))
+        case.listed.settle()
+        assert case.states == {"a": LEAVING}
+
+    async def test_it_is_forgotten_long_after_the_upstream_is_gone(self, autojump_clock) -> None:
+        case = Case()
+        for number in range(50):
+            case.listed.put(engine(f"a{number}"))
+            case.listed.note_leaving(engine(f"a{number}"))
+            case.listed.remove(f"a{number}")
+        case.listed.settle()
+        await trio.sleep(LEFT_KEPT_S + 1)
+        case.listed.settle()
+        assert case.listed._left_by_name == {}
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -28,6 +28,9 @@
 GONE_S = 20.0
 """How long a life that is gone is remembered, and after a rise of the store's era once more: the
 longest history on the users' sheets, and so the age of the oldest copy that is reckoned with."""
+LEFT_KEPT_S = 600.0
+"""How long after an upstream is gone its lives that had left are remembered: its record may have
+lapsed only, and come back without a word of leaving."""
 SAME_END_S = 1.0
 """By how much two records may differ in when their upstream is warm and mean the same: the time in
 which a record comes to be read varies."""
@@ -42,6 +45,11 @@
     incarnation: str
     pool: str
 
+    @classmethod
+    def of(cls, instance: Instance) -> "_Service":
+        """Return the service that an instance's record tells."""
+        return cls(instance.incarnation, instance.pool)
+
 
 @dataclass(frozen=True)
 class _GoneLife:
@@ -80,7 +88,7 @@
         self._missing_by_name: dict[str, float] = {}
         self._unreadable: set[str] = set()
         self._left_by_name: dict[str, set[_Service]] = {}
-        self._said_leaving_by_name: dict[str, set[_Service]] = {}
+        self._left_until_by_name: dict[str, float] = {}
         self._dirty: set[str] = set()
         self._seq_by_name: dict[str, int] = {}
         self._gone_by_name: dict[str, _GoneLife] = {}
@@ -141,21 +149,30 @@
 
         Another writer's record under its name, of a pool of its own, makes neither leave nor stay.
         """
-        service = _Service(instance.incarnation, instance.pool)
+        service = _Service.of(instance)
         left = self._left_by_name.setdefault(instance.name, set())
+        self._left_until_by_name.pop(instance.name, None)
         if instance.state is InstanceState.LEAVING:
             left.add(service)
         return replace(instance, state=InstanceState.LEAVING) if service in left else instance
 
     def note_leaving(self, instance: Instance) -> None:
-        """Take an upstream's own word, in an answer, that this life of it leaves."""
-        service = _Service(instance.incarnation, instance.pool)
-        said = self._said_leaving_by_name.setdefault(instance.name, set())
-        if service not in said:
-            said.add(service)
-            logger.bind(
-                upstream=instance.name, incarnation=instance.incarnation, pool=instance.pool
-            ).info("upstream-says-it-leaves")
+        """Take an upstream's own word, in an answer, that this life of it leaves.
+
+        It may come long before the record that says so, which nobody reads while the store is away.
+        """
+        service = _Service.of(instance)
+        left = self._left_by_name.setdefault(instance.name, set())
+        if service in left:
+            return
+        left.add(service)
+        logger.bind(
+            upstream=instance.name, incarnation=instance.incarnation, pool=instance.pool
+        ).info("upstream-says-it-leaves")
+        known = self._by_name.get(instance.name)
+        if known and _Service.of(known) == service:
+            self._by_name[instance.name] = replace(known, state=InstanceState.LEAVING)
+            self._dirty.add(known.pool)
 
     def put_unreadable(self, name: str, error: str) -> None:
         """Take a record that names no upstream, though its key is the name of one."""
@@ -190,12 +207,14 @@
                 if gone.born:
                     self._gone_by_name[name] = _GoneLife(gone.born, number, now + GONE_S)
                 self._unreadable.discard(name)
-                self._left_by_name.pop(name, None)
-                self._said_leaving_by_name.pop(name, None)
+                self._left_until_by_name[name] = now + LEFT_KEPT_S
                 self._dirty.add(gone.pool)
                 logger.bind(upstream=name, pool=gone.pool).info("upstream-gone")
         for name in [name for name, gone in self._gone_by_name.items() if now >= gone.until]:
             del self._gone_by_name[name]
+        for name in [name for name, until in self._left_until_by_name.items() if now >= until]:
+            del self._left_until_by_name[name]
+            self._left_by_name.pop(name, None)
         for pool in sorted(self._dirty):
             listed = [self._usable(i) for i in self._by_name.values() if i.pool == pool]
             self._on_change(pool, listed)
--- a/railtide/platform/tests/router_fleet.py
+++ b/railtide/platform/tests/router_fleet.py
@@ -106,13 +106,15 @@
         self.statuses[status] += 1
         return status
 
-    async def play(self, per_s: float, for_s: float, routers: int = 0) -> None:
+    async def play(
+        self, per_s: float, for_s: float, routers: int = 0, path: str = "/safe/x"
+    ) -> None:
         """Send requests to the first routers in turn, to all unless a number is given."""
         ends_at = trio.current_time() + for_s
         number = 0
         async with trio.open_nursery() as nursery:
             while trio.current_time() < ends_at:
-                nursery.start_soon(self.ask, number % (routers or len(self.nodes)))
+                nursery.start_soon(self.ask, number % (routers or len(self.nodes)), path)
                 number += 1
                 await trio.sleep(1 / per_s)
 
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -20,7 +20,7 @@
 
 ID = b"x-attempt-id"
 ERA = b"store-era"
-LEAVING = ((b"server-leaving", b"1"),)
+LEAVING = b"server-leaving"
 LIMIT = b"server-limit"
 LOAD = ((b"x-instance-load", b"1,0,8"),)
 KB = 1_024
@@ -242,6 +242,8 @@
         The requests a second that all its answers state as its limit; one a line for several.
     leaving : bool
         Whether all its answers say that it leaves.
+    leaving_text : str or None
+        What they say in place of that.
     arrivals, answers : list of EngineEvent
         All requests that came, and the heads of all answers, in order.
     """
@@ -254,6 +256,7 @@
     stopped: int = 0
     limit: str | None = None
     leaving: bool = False
+    leaving_text: str | None = None
     arrivals: list[EngineEvent] = field(default_factory=list)
     answers: list[EngineEvent] = field(default_factory=list)
 
@@ -281,7 +284,9 @@
         """Return what an answer that begins now says of the engine's state."""
         stated = [] if self.limit is None else self.limit.split("\n")
         limits = tuple((LIMIT, text.encode()) for text in stated)
-        notices = (*limits, *(LEAVING if self.leaving else ()))
+        text = "1" if self.leaving else self.leaving_text
+        leaving = () if text is None else ((LEAVING, text.encode()),)
+        notices = (*limits, *leaving)
         self.answers.append(EngineEvent(_id_of(request), trio.current_time(), notices))
         return notices
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -57,6 +57,7 @@
 SLOW_START = "railtide/lanes/tests/test_slow_start.py"
 STATED_LIMITS = "railtide/lanes/tests/test_stated_limits.py"
 LIMIT_SHARES = "railtide/upstreams/tests/test_limit_shares.py"
+LEAVING = "railtide/platform/tests/test_leaving_engines.py"
 PLATFORM_LIMITS = "railtide/platform/tests/test_stated_limits.py"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
@@ -348,8 +349,8 @@
     Mutant(
         "leaving-of-a-former-life-sticks",
         "membership/upstream_list.py",
-        "service = _Service(instance.incarnation, instance.pool)",
-        "service = _Service(instance.name, instance.pool)",
+        "return cls(instance.incarnation, instance.pool)",
+        "return cls(instance.name, instance.pool)",
         (MEMBERSHIP,),
     ),
     Mutant(
@@ -2478,6 +2479,48 @@
         "",
         (STATED_LIMITS,),
     ),
+    Mutant(
+        "leaving-in-an-answer-not-read",
+        "platform/notices.py",
+        'return first_header(headers, names.LEAVING) == b"1"',
+        "return False",
+        (LEAVING,),
+    ),
+    Mutant(
+        "any-word-of-leaving-taken",
+        "platform/notices.py",
+        'return first_header(headers, names.LEAVING) == b"1"',
+        "return first_header(headers, names.LEAVING) is not None",
+        (LEAVING,),
+    ),
+    Mutant(
+        "leaving-in-an-answer-waits-for-the-next-look",
+        "edge/node.py",
+        "note_leaving(upstream)\n            self._upstream_list.settle()\n",
+        "note_leaving(upstream)\n",
+        (LEAVING,),
+    ),
+    Mutant(
+        "leaving-in-an-answer-binds-another-life",
+        "membership/upstream_list.py",
+        "        if known and _Service.of(known) == service:",
+        "        if known:",
+        (UPSTREAM_LIST,),
+    ),
+    Mutant(
+        "lapsed-record-forgets-that-its-upstream-left",
+        "membership/upstream_list.py",
+        "                self._left_until_by_name[name] = now + LEFT_KEPT_S\n",
+        "                self._left_by_name.pop(name, None)\n",
+        (UPSTREAM_LIST,),
+    ),
+    Mutant(
+        "lives-that-left-kept-for-good",
+        "membership/upstream_list.py",
+        "            self._left_by_name.pop(name, None)\n",
+        "",
+        (UPSTREAM_LIST,),
+    ),
 ]
 
 
