--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -379,6 +379,8 @@
             scheduler.take_report(upstream.name, notice.load)
         if notice.limit:
             scheduler.take_limit(upstream.name, notice.limit)
+        if notice.rest_s:
+            scheduler.take_rest(upstream.name, notice.rest_s)
         if notice.leaving:
             self._upstream_list.note_leaving(upstream)
             self._upstream_list.settle()
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -36,6 +36,8 @@
 """Factor by which the usual time to an answer's beginning follows each answer."""
 LEAST_RETRY_AFTER_S = 0.5
 MOST_RETRY_AFTER_S = 30.0
+MOST_REST_S = 60.0
+"""A longer rest counts as this one: an upstream is not given up by one word."""
 RETRY_WAIT_S = 0.05
 """Longest wait of a retry for a slot when its goal can't be met any more."""
 
@@ -168,6 +170,17 @@
             self._log_limit(name, limit, before, "answer")
             self._note_capacity()
 
+    def take_rest(self, name: str, rest_s: float) -> None:
+        """Take an upstream's word that it wants nothing from this router for some seconds."""
+        now = trio.current_time()
+        upstream = self.by_name[name]
+        until = now + min(rest_s, MOST_REST_S)
+        if until <= upstream.rests_until:
+            return
+        if now >= upstream.rests_until:
+            logger.bind(upstream=name, rest_s=rest_s).info("upstream-rests")
+        upstream.rests_until = until
+
     def take_limit_news(self, news: LimitNews, heard_at: float) -> None:
         """Take what another router tells of an upstream's limit."""
         for name, upstream in self.by_name.items():
--- a/railtide/platform/names.py
+++ b/railtide/platform/names.py
@@ -19,6 +19,7 @@
     "PIN_MS",
     "RANK",
     "RESERVED_SLOT",
+    "RETRY_AFTER",
     "SEAL",
     "SET_BY_ROUTERS",
     "TOKENS",
@@ -45,6 +46,8 @@
 """The engine's word that it did not run the request."""
 LOAD = b"x-instance-load"
 """Requests running, requests waiting and slots of the engine."""
+RETRY_AFTER = b"retry-after"
+"""Seconds for which an engine that refused with 503 wants nothing from this router."""
 LEAVING = b"server-leaving"
 """1 in all answers of an engine that leaves."""
 LIMIT = b"server-limit"
--- a/railtide/platform/notices.py
+++ b/railtide/platform/notices.py
@@ -13,20 +13,35 @@
 
 __all__ = ["notice_of"]
 
+UNAVAILABLE = 503
 DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
-def notice_of(headers: Headers, sent_at: float) -> UpstreamNotice:
+def notice_of(status: int, headers: Headers, sent_at: float) -> UpstreamNotice:
     """Return what an answer says of its engine.
 
     Parameters
     ----------
+    status : int
     headers : Headers
         Of an answer of which it is known that this engine gave it, to this request.
     sent_at : float
         Trio time at which the request was sent.
     """
-    return UpstreamNotice(_load_of(headers), _limit_of(headers, sent_at), _is_leaving(headers))
+    return UpstreamNotice(
+        _load_of(headers),
+        _limit_of(headers, sent_at),
+        _is_leaving(headers),
+        _rest_of(status, headers),
+    )
+
+
+def _rest_of(status: int, headers: Headers) -> float | None:
+    """Return the seconds that a refusal asks for, the most of several; a date is none."""
+    if status != UNAVAILABLE:
+        return None
+    told = [value for name, value in headers if name == names.RETRY_AFTER]
+    return max((float(value) for value in told if DECIMAL.fullmatch(value)), default=None)
 
 
 def _is_leaving(headers: Headers) -> bool:
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -104,7 +104,7 @@
             raise AnswerMismatch("the answer carries another request's id")
         if exchange.status == MISDIRECTED:
             raise UpstreamMoved("another instance has the address")
-        self.on_notice(upstream, notice_of(exchange.headers, sent_at))
+        self.on_notice(upstream, notice_of(exchange.status, exchange.headers, sent_at))
         if first_header(exchange.headers, names.NOT_RUN) is not None:
             raise UpstreamRefused(f"the upstream refused with {exchange.status}")
         sealed = first_header(exchange.headers, names.SEAL) is not None
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -21,6 +21,7 @@
 ID = b"x-attempt-id"
 ERA = b"store-era"
 LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 LIMIT = b"server-limit"
 LOAD = ((b"x-instance-load", b"1,0,8"),)
 KB = 1_024
@@ -240,6 +241,8 @@
         Scripts of the next runs, one each, before `script` holds again. Engines may share it.
     limit : str or None
         The requests a second that all its answers state as its limit; one a line for several.
+    rest : str or None
+        While set, all requests are refused with 503 and this as the seconds to stay away.
     leaving : bool
         Whether all its answers say that it leaves.
     leaving_text : str or None
@@ -255,6 +258,7 @@
     ran: list[str] = field(default_factory=list)
     stopped: int = 0
     limit: str | None = None
+    rest: str | None = None
     leaving: bool = False
     leaving_text: str | None = None
     arrivals: list[EngineEvent] = field(default_factory=list)
@@ -270,8 +274,10 @@
             await responder.answer(421, own)
             return
         script = self.next_scripts.pop(0) if self.next_scripts else self.script
-        if script.not_run:
-            await responder.answer(503, ((b"x-not-executed", b"1"), *self._notices(request)))
+        if script.not_run or self.rest is not None:
+            rest = () if self.rest is None else ((RETRY_AFTER, self.rest.encode()),)
+            own = ((b"x-not-executed", b"1"), *rest, *self._notices(request, rest))
+            await responder.answer(503, own)
             return
         self.ran.append(_id_of(request))
         try:
@@ -280,14 +286,14 @@
             self.stopped += 1
             raise
 
-    def _notices(self, request: HttpRequest) -> Headers:
+    def _notices(self, request: HttpRequest, rest: Headers = ()) -> Headers:
         """Return what an answer that begins now says of the engine's state."""
         stated = [] if self.limit is None else self.limit.split("\n")
         limits = tuple((LIMIT, text.encode()) for text in stated)
         text = "1" if self.leaving else self.leaving_text
         leaving = () if text is None else ((LEAVING, text.encode()),)
         notices = (*limits, *leaving)
-        self.answers.append(EngineEvent(_id_of(request), trio.current_time(), notices))
+        self.answers.append(EngineEvent(_id_of(request), trio.current_time(), (*rest, *notices)))
         return notices
 
     async def _answer(
--- a/railtide/upstreams/notice.py
+++ b/railtide/upstreams/notice.py
@@ -20,8 +20,11 @@
         None where what the answer states can't be read; a report of no limit where it states none.
     leaving : bool
         Whether the upstream says that it leaves.
+    rest_s : float or None
+        For how long it wants nothing from this router, None where it does not say.
     """
 
     load: LoadReport | None = None
     limit: LimitReport | None = None
     leaving: bool = False
+    rest_s: float | None = None
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2408,9 +2408,9 @@
         "platform/upstreams.py",
         """        if exchange.status == MISDIRECTED:
             raise UpstreamMoved("another instance has the address")
-        self.on_notice(upstream, notice_of(exchange.headers, sent_at))
+        self.on_notice(upstream, notice_of(exchange.status, exchange.headers, sent_at))
 """,
-        """        self.on_notice(upstream, notice_of(exchange.headers, sent_at))
+        """        self.on_notice(upstream, notice_of(exchange.status, exchange.headers, sent_at))
         if exchange.status == MISDIRECTED:
             raise UpstreamMoved("another instance has the address")
 """,
