An upstream that refuses and asks for a rest is left alone by that router for so long

What upstreams saw: one that had answered 503 with Retry-After: 3 got up to five more requests from that router within the 3 s; callers' second tries went to upstreams that rested too, and 18 of 61 requests of seven seconds were not tried again. Cause: the time was not read. Only ejection kept requests away, for 1 s from the second refusal in a row, and each stream that had begun before and came to a good end took that back. Change: the rest is kept to from the answer on, by each way to an upstream (lanes/pacing.py); it is no failure of the upstream. Where all rest, requests are refused at once with the time of the first end, or wait for it if their goal leaves time. Upstreams that rest don't count as capacity, and ejected ones serve where all others rest. Measured: whole-path tests, also of times that are none; 8 new mutants caught and the ones whose text had moved.

--- a/railtide/lanes/pacing.py
+++ b/railtide/lanes/pacing.py
@@ -1,4 +1,4 @@
-"""How often one router sends to upstreams that bear, or take, only some requests a second."""
+"""When one router may send to an upstream that is cold, states a limit, or asked for a rest."""
 
 import math
 from collections.abc import Callable
@@ -22,7 +22,7 @@
 
 
 class Pacing:
-    """The pauses between this router's requests to upstreams that are cold or state a limit."""
+    """The pauses of this router's requests to upstreams that are cold, state a limit, or rest."""
 
     def __init__(self) -> None:
         self._slow_start = SlowStart()
@@ -53,13 +53,15 @@
     def due_at(self, upstream: Upstream, now: float) -> float:
         """Return from when on this router may send to an upstream."""
         if not self.is_paced(upstream, now):
-            return -math.inf
-        return upstream.sent_at + self.pause_s(upstream, now)
+            return upstream.rests_until
+        return max(upstream.rests_until, upstream.sent_at + self.pause_s(upstream, now))
 
     def looked_at_again(self, upstream: Upstream, now: float) -> float:
         """Return when an upstream that is not due may have become so by time alone."""
         due_at = self.due_at(upstream, now)
-        return min(due_at, upstream.cold_until) if self._is_slow(upstream, now) else due_at
+        if not self._is_slow(upstream, now):
+            return due_at
+        return min(due_at, max(upstream.rests_until, upstream.cold_until))
 
     def pause_s(self, upstream: Upstream, now: float) -> float:
         """Return the least time between two requests of this router to a paced upstream.
--- a/railtide/lanes/pool_upstreams.py
+++ b/railtide/lanes/pool_upstreams.py
@@ -130,7 +130,8 @@
         now : float
         """
         staying = self.staying(now)
-        healthy = [upstream for upstream in staying if not is_ejected(upstream, now)] or staying
+        due = [upstream for upstream in staying if now >= self.pacing.due_at(upstream, now)]
+        healthy = [upstream for upstream in due if not is_ejected(upstream, now)] or due
         free = [upstream for upstream in healthy if self.is_free(upstream, urgency, now)]
         fresh = [upstream for upstream in free if upstream.instance.name not in avoid]
         if preference:
@@ -168,6 +169,8 @@
     def served_per_s(self, urgency: Urgency, service_s: float, now: float) -> float:
         """Return how many requests a second of a lane find a slot when all are taken.
 
+        Upstreams that rest add nothing.
+
         Parameters
         ----------
         urgency : Urgency
@@ -177,6 +180,8 @@
         """
         served = 0.0
         for upstream in self.staying(now):
+            if now < upstream.rests_until:
+                continue
             if self.pacing.is_paced(upstream, now):
                 served += 1 / self.pacing.pause_s(upstream, now)
             else:
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -180,6 +180,7 @@
         if now >= upstream.rests_until:
             logger.bind(upstream=name, rest_s=rest_s).info("upstream-rests")
         upstream.rests_until = until
+        self._note_capacity()
 
     def take_limit_news(self, news: LimitNews, heard_at: float) -> None:
         """Take what another router tells of an upstream's limit."""
@@ -299,8 +300,11 @@
         staying = self._upstreams.staying(now)
         if not staying or any(self._upstreams.is_free(u, urgency, now) for u in staying):
             return 0.0
-        gap_s = 1 / self._upstreams.served_per_s(urgency, self._service_s, now)
-        return before * gap_s + min(gap_s, self._upstreams.next_free_at(now) - now)
+        next_in_s = self._upstreams.next_free_at(now) - now
+        served_per_s = self._upstreams.served_per_s(urgency, self._service_s, now)
+        if not served_per_s:
+            return next_in_s
+        return before / served_per_s + min(1 / served_per_s, next_in_s)
 
     def waiting(self, urgency: Urgency) -> int:
         """Return how many requests wait in a lane."""
@@ -311,6 +315,10 @@
         wait = self.expected_wait(urgency)
         return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait))
 
+    def return_after(self, urgency: Urgency) -> float | None:
+        """Return when a caller should come back that an upstream refused; None for at any time."""
+        return self.retry_after(urgency) if self.expected_wait(urgency) else None
+
     def _wait_until(self, request: WaitingRequest, now: float) -> float:
         """Return until when a request waits for a slot.
 
--- a/railtide/lanes/tests/test_stated_limits.py
+++ b/railtide/lanes/tests/test_stated_limits.py
@@ -321,6 +321,19 @@
                 scheduler.release(slot)
 
 
+class TestRest:
+    async def test_rest_of_an_upstream_with_a_limit_is_kept(self, autojump_clock) -> None:
+        fleet = Fleet(1, 1, engines=1, rng=Random(1))
+        scheduler = fleet.routers[0].scheduler
+        engine = fleet.engine_by_name["e0"]
+        engine.state(4.0)
+        await fleet.play(per_s=20, for_s=2.0)
+        scheduler.take_rest("e0", 3.0)
+        asked_at = trio.current_time()
+        await fleet.play(per_s=20, for_s=5.0)
+        assert [at for at, _ in engine.arrivals if at > asked_at][0] >= asked_at + 3.0
+
+
 class TestEnd:
     async def test_routers_with_a_part_use_it_again_at_once(self, autojump_clock) -> None:
         fleet = Fleet(3, 3, engines=2, rng=Random(1))
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -271,9 +271,11 @@
         self._sent_to = None
         if isinstance(err, UpstreamMoved):
             upstream.leaving = True
+        now = trio.current_time()
         if isinstance(err, UpstreamAbsent):
-            note_end(upstream, trio.current_time())
-        note_failure(upstream, trio.current_time())
+            note_end(upstream, now)
+        if now >= upstream.rests_until:
+            note_failure(upstream, now)
         self._services.counters.add(f"attempts_failed_{err.code.replace('-', '_')}")
         logger.bind(
             request_id=self._call.request_id,
@@ -288,6 +290,8 @@
     async def _prepare_retry(self, err: UpstreamError, attempt: int) -> None:
         """Raise unless the request may be sent again, with budget for another run."""
         refused = isinstance(err, UpstreamRefused)
+        if refused:
+            err.retry_after = self._scheduler.return_after(self._call.urgency)
         if not refused and not self._call.repeatable:
             self._log_end_of_tries("once-only")
             raise OutcomeUnknown("the call may have run and is not sent again") from err
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -58,6 +58,7 @@
 STATED_LIMITS = "railtide/lanes/tests/test_stated_limits.py"
 LIMIT_SHARES = "railtide/upstreams/tests/test_limit_shares.py"
 LEAVING = "railtide/platform/tests/test_leaving_engines.py"
+RESTING = "railtide/platform/tests/test_resting_engines.py"
 PLATFORM_LIMITS = "railtide/platform/tests/test_stated_limits.py"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
@@ -1093,7 +1094,7 @@
     Mutant(
         "address-where-nobody-listens-is-tried-again",
         "requests/execution.py",
-        "            note_end(upstream, trio.current_time())\n",
+        "            note_end(upstream, now)\n",
         "            pass\n",
         (CRASHING,),
     ),
@@ -2521,6 +2522,62 @@
         "",
         (UPSTREAM_LIST,),
     ),
+    Mutant(
+        "rest-not-kept",
+        "lanes/pacing.py",
+        "            return upstream.rests_until\n",
+        "            return -math.inf\n",
+        (RESTING,),
+    ),
+    Mutant(
+        "rest-of-a-paced-upstream-not-kept",
+        "lanes/pacing.py",
+        "return max(upstream.rests_until, upstream.sent_at + self.pause_s(upstream, now))",
+        "return upstream.sent_at + self.pause_s(upstream, now)",
+        (STATED_LIMITS,),
+    ),
+    Mutant(
+        "rest-counts-as-a-failure",
+        "requests/execution.py",
+        "        if now >= upstream.rests_until:\n            note_failure",
+        "        if True:\n            note_failure",
+        (RESTING,),
+    ),
+    Mutant(
+        "resting-upstreams-count-as-capacity",
+        "lanes/pool_upstreams.py",
+        "            if now < upstream.rests_until:\n                continue\n",
+        "",
+        (RESTING,),
+    ),
+    Mutant(
+        "ejected-upstream-idle-while-all-others-rest",
+        "lanes/pool_upstreams.py",
+        "or due\n        free",
+        "or [u for u in staying if not is_ejected(u, now)] or due\n        free",
+        (RESTING,),
+    ),
+    Mutant(
+        "shorter-rest-replaces-a-longer-one",
+        "lanes/scheduler.py",
+        "        if until <= upstream.rests_until:\n            return\n",
+        "",
+        (RESTING,),
+    ),
+    Mutant(
+        "caller-of-a-resting-pool-not-told-when",
+        "lanes/scheduler.py",
+        "return self.retry_after(urgency) if self.expected_wait(urgency) else None",
+        "return None",
+        (RESTING,),
+    ),
+    Mutant(
+        "endless-rest",
+        "lanes/scheduler.py",
+        "until = now + min(rest_s, MOST_REST_S)",
+        "until = now + rest_s",
+        (RESTING,),
+    ),
 ]
 
 
