One place says whether a router may send to an upstream, and refusals say what kept it

Cause: leaving and drains were asked for in the pool, pauses and rests in another class; a refusal did not say which of them held. Change: lanes/admission.py (pacing.py before) answers for all five, from when on an upstream is open, infinite for never; the detail of a refusal counts the holds. Behaviour as it was.

--- a/railtide/lanes/pacing.py
+++ b/railtide/lanes/admission.py
@@ -1,14 +1,19 @@
-"""When one router may send to an upstream that is cold, states a limit, or asked for a rest."""
+"""Whether one router may send to an upstream now, and if not, from when on.
+
+What may keep a request from an upstream: it leaves, its failure domain is drained, it asked for a
+rest, it states a limit, it is cold.
+"""
 
 import math
 from collections.abc import Callable
+from enum import StrEnum
 
 from railtide.membership.entrance_set import Visits
 from railtide.upstreams.limit_shares import QUIET_S, LimitShares
-from railtide.upstreams.load import Upstream, is_cold
+from railtide.upstreams.load import Upstream, is_cold, is_leaving
 from railtide.upstreams.slow_start import SlowStart
 
-__all__ = ["ColdPause", "Pacing"]
+__all__ = ["Admission", "ColdPause", "Hold"]
 
 ALONE = ""
 """Name of a router that knows of no others."""
@@ -17,14 +22,25 @@
 requests a second that it bears; infinite where the router is to send it none."""
 
 
+class Hold(StrEnum):
+    """What keeps a router's requests from an upstream."""
+
+    LEAVING = "leaving"
+    DRAINED = "drained"
+    RESTING = "resting"
+    LIMITED = "limited"
+    COLD = "cold"
+
+
 def _every_router_alone(upstream: str, per_s: float) -> float:
     return 1 / per_s if per_s else 0.0
 
 
-class Pacing:
-    """The pauses of this router's requests to upstreams that are cold, state a limit, or rest."""
+class Admission:
+    """Keeps what one router has been told that holds for its requests to upstreams."""
 
     def __init__(self) -> None:
+        self._drained: frozenset[str] = frozenset()
         self._slow_start = SlowStart()
         self._cold_pause_s: ColdPause = _every_router_alone
         self._limit_shares = LimitShares(ALONE, lambda: Visits((ALONE,)))
@@ -38,6 +54,12 @@
         """Take this router's part of what upstreams with a limit are sent."""
         self._limit_shares = shares
 
+    def set_drained(self, domains: frozenset[str]) -> frozenset[str]:
+        """Take the failure domains that are drained; return those whose drain ends."""
+        ended = self._drained - domains
+        self._drained = domains
+        return ended
+
     def note_cold(self, upstream: Upstream, now: float) -> None:
         """Record that an upstream has just started, or comes back without its caches."""
         upstream.cold_until = max(upstream.cold_until, now + self._slow_start.for_s)
@@ -46,22 +68,38 @@
         """Return whether requests to an upstream have to be some time apart."""
         return upstream.limit.in_force or self._is_slow(upstream, now)
 
-    def may_send(self, upstream: Upstream, now: float) -> bool:
-        """Return whether this router may send to an upstream, at once or in a while."""
-        return not self.is_paced(upstream, now) or math.isfinite(self.pause_s(upstream, now))
-
-    def due_at(self, upstream: Upstream, now: float) -> float:
-        """Return from when on this router may send to an upstream."""
+    def opens_at(self, upstream: Upstream, now: float) -> float:
+        """Return from when on this router may send to an upstream; infinite for not by itself."""
+        if self._is_closed(upstream):
+            return math.inf
         if not self.is_paced(upstream, now):
             return upstream.rests_until
-        return max(upstream.rests_until, upstream.sent_at + self.pause_s(upstream, now))
+        pause_s = self.pause_s(upstream, now)
+        if math.isinf(pause_s):
+            return math.inf
+        return max(upstream.rests_until, upstream.sent_at + pause_s)
+
+    def hold_of(self, upstream: Upstream, now: float) -> Hold | None:
+        """Return what keeps this router's requests from an upstream now."""
+        if now >= self.opens_at(upstream, now):
+            return None
+        if is_leaving(upstream):
+            return Hold.LEAVING
+        if self._is_closed(upstream):
+            return Hold.DRAINED
+        if now < upstream.rests_until:
+            return Hold.RESTING
+        return Hold.LIMITED if upstream.limit.in_force else Hold.COLD
+
+    def _is_closed(self, upstream: Upstream) -> bool:
+        return is_leaving(upstream) or upstream.instance.failure_domain in self._drained
 
     def looked_at_again(self, upstream: Upstream, now: float) -> float:
-        """Return when an upstream that is not due may have become so by time alone."""
-        due_at = self.due_at(upstream, now)
+        """Return when time alone may have opened an upstream that is not open now."""
+        opens_at = self.opens_at(upstream, now)
         if not self._is_slow(upstream, now):
-            return due_at
-        return min(due_at, max(upstream.rests_until, upstream.cold_until))
+            return opens_at
+        return min(opens_at, max(upstream.rests_until, upstream.cold_until))
 
     def pause_s(self, upstream: Upstream, now: float) -> float:
         """Return the least time between two requests of this router to a paced upstream.
--- a/railtide/lanes/pool_upstreams.py
+++ b/railtide/lanes/pool_upstreams.py
@@ -1,12 +1,13 @@
 """The upstreams of one pool as one router sees them: which of them may be sent new work now."""
 
 import math
+from collections import Counter
 from collections.abc import Callable, Sequence
 
-from railtide.lanes.pacing import Pacing
+from railtide.lanes.admission import Admission, Hold
 from railtide.lanes.queue import Urgency
 from railtide.membership.instances import Instance
-from railtide.upstreams.load import REPORT_MAX_AGE_S, Upstream, is_ejected, is_leaving
+from railtide.upstreams.load import REPORT_MAX_AGE_S, Upstream, is_ejected
 
 __all__ = ["PoolUpstreams", "Preference"]
 
@@ -27,7 +28,7 @@
     Attributes
     ----------
     by_name : dict of str to Upstream
-    pacing : Pacing
+    admission : Admission
     """
 
     def __init__(self, urgent_share: int, trusts_list: bool) -> None:
@@ -35,8 +36,7 @@
         self._urgent_share = urgent_share
         self._trusts_list = trusts_list
         self._is_listed = False
-        self._drained: frozenset[str] = frozenset()
-        self.pacing = Pacing()
+        self.admission = Admission()
 
     # -- what is told of them -----------------------------------------------------------------
 
@@ -55,7 +55,7 @@
             else:
                 known = Upstream(instance)
                 if self._is_listed:
-                    self.pacing.note_cold(known, now)
+                    self.admission.note_cold(known, now)
             known.cold_until = max(known.cold_until, instance.warm_at)
             by_name[instance.name] = known
         self.by_name = by_name
@@ -78,26 +78,26 @@
         Where that ends they are taken to be cold: nobody used them meanwhile, and their own word of
         it is some heartbeats old when it comes.
         """
-        ended = self._drained - domains
-        self._drained = domains
+        ended = self.admission.set_drained(domains)
         for upstream in self.by_name.values():
             if upstream.instance.failure_domain in ended:
-                self.pacing.note_cold(upstream, now)
+                self.admission.note_cold(upstream, now)
 
     # -- which of them may be used ------------------------------------------------------------
 
     def staying(self, now: float) -> list[Upstream]:
         """Return the upstreams that this router may send new work to, at once or in a while."""
-        return [upstream for upstream in self.by_name.values() if self._may_be_used(upstream, now)]
+        known = self.by_name.values()
+        return [u for u in known if self.admission.opens_at(u, now) < math.inf]
 
-    def _may_be_used(self, upstream: Upstream, now: float) -> bool:
-        if is_leaving(upstream) or upstream.instance.failure_domain in self._drained:
-            return False
-        return self.pacing.may_send(upstream, now)
+    def held(self, now: float) -> str:
+        """Return how many upstreams are kept from this router's requests, by what keeps them."""
+        holds = Counter(self.admission.hold_of(u, now) for u in self.by_name.values())
+        return ", ".join(f"{holds[hold]} {hold}" for hold in Hold if holds[hold])
 
     def is_free(self, upstream: Upstream, urgency: Urgency, now: float) -> bool:
         """Return whether an upstream that stays takes one more request now."""
-        if now < self.pacing.due_at(upstream, now):
+        if now < self.admission.opens_at(upstream, now):
             return False
         if upstream.open_requests >= upstream.instance.slots:
             return False
@@ -130,8 +130,10 @@
         now : float
         """
         staying = self.staying(now)
-        due = [upstream for upstream in staying if now >= self.pacing.due_at(upstream, now)]
-        healthy = [upstream for upstream in due if not is_ejected(upstream, now)] or due
+        open_now = [
+            upstream for upstream in staying if now >= self.admission.opens_at(upstream, now)
+        ]
+        healthy = [upstream for upstream in open_now if not is_ejected(upstream, now)] or open_now
         free = [upstream for upstream in healthy if self.is_free(upstream, urgency, now)]
         fresh = [upstream for upstream in free if upstream.instance.name not in avoid]
         if preference:
@@ -160,9 +162,9 @@
     def next_free_at(self, now: float) -> float:
         """Return when time alone frees the next upstream, infinite if it frees none."""
         times = [
-            self.pacing.looked_at_again(upstream, now)
+            self.admission.looked_at_again(upstream, now)
             for upstream in self.staying(now)
-            if now < self.pacing.due_at(upstream, now)
+            if now < self.admission.opens_at(upstream, now)
         ]
         return min(times, default=math.inf)
 
@@ -182,8 +184,8 @@
         for upstream in self.staying(now):
             if now < upstream.rests_until:
                 continue
-            if self.pacing.is_paced(upstream, now):
-                served += 1 / self.pacing.pause_s(upstream, now)
+            if self.admission.is_paced(upstream, now):
+                served += 1 / self.admission.pause_s(upstream, now)
             else:
                 served += self.capacity(upstream, urgency) / service_s if service_s else math.inf
         return served
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -9,8 +9,8 @@
 import trio
 from loguru import logger
 
+from railtide.lanes.admission import ColdPause
 from railtide.lanes.errors import DeadlineTooNear, LaneError, NoUpstream, QueueFull
-from railtide.lanes.pacing import ColdPause
 from railtide.lanes.pool_upstreams import PoolUpstreams, Preference
 from railtide.lanes.queue import FairLanes, Urgency, Waiting, WaitingQueue
 from railtide.membership.instances import Instance
@@ -146,12 +146,12 @@
         self._note_capacity()
 
     def set_slow_start(self, slow_start: SlowStart, cold_pause_s: ColdPause) -> None:
-        """Take what cold upstreams bear; see `Pacing.set_slow_start`."""
-        self._upstreams.pacing.set_slow_start(slow_start, cold_pause_s)
+        """Take what cold upstreams bear; see `Admission.set_slow_start`."""
+        self._upstreams.admission.set_slow_start(slow_start, cold_pause_s)
 
     def set_limit_shares(self, shares: LimitShares) -> None:
         """Take this router's part of what upstreams with a limit are sent."""
-        self._upstreams.pacing.set_limit_shares(shares)
+        self._upstreams.admission.set_limit_shares(shares)
 
     def take_report(self, name: str, report: LoadReport) -> None:
         """Take an upstream's load report; leaving is sticky."""
@@ -337,13 +337,18 @@
             raise self._too_late(request.urgency)
 
     def _too_late(self, urgency: Urgency) -> DeadlineTooNear:
-        text = "the lane's wait is past the goal"
+        text = self._with_held("the lane's wait is past the goal")
         return DeadlineTooNear(text, retry_after=self.retry_after(urgency))
 
     def _no_upstream(self, urgency: Urgency) -> NoUpstream:
-        text = "no upstream of the pool takes new work"
+        text = self._with_held("no upstream of the pool takes new work")
         return NoUpstream(text, retry_after=self.retry_after(urgency))
 
+    def _with_held(self, text: str) -> str:
+        """Return a refusal's text with what keeps upstreams from this router's requests."""
+        held = self._upstreams.held(trio.current_time())
+        return f"{text}; of {len(self.by_name)} upstreams {held}" if held else text
+
     def _give_up(self, request: WaitingRequest) -> None:
         self._queue.remove(request)
         if request.slot:
--- /dev/null
+++ b/railtide/lanes/tests/test_admission.py
@@ -0,0 +1,82 @@
+"""Tests of railtide.lanes.admission, and of what refusals say of it."""
+
+import math
+from random import Random
+
+import pytest
+import trio
+
+from railtide.lanes.admission import Admission, Hold
+from railtide.lanes.errors import DeadlineTooNear, NoUpstream
+from railtide.lanes.queue import Urgency
+from railtide.lanes.scheduler import PoolScheduler, WaitingRequest
+from railtide.membership.instances import Instance, InstanceState
+from railtide.upstreams.choice import Affinity, TwoChoices
+from railtide.upstreams.load import Upstream
+from railtide.upstreams.slow_start import SlowStart
+from railtide.upstreams.stated_limit import LimitReport, StatedLimit
+
+NOW = 100.0
+
+
+def upstream(**fields: object) -> Upstream:
+    instance = Instance("e", "e", "e:1", "a", "engine", "p", 4)
+    return Upstream(instance, **{"sent_at": NOW - 0.1, **fields})
+
+
+class TestHolds:
+    def test_open_upstream_has_none(self) -> None:
+        admission = Admission()
+        assert admission.hold_of(upstream(), NOW) is None
+        assert admission.opens_at(upstream(), NOW) < NOW
+
+    @pytest.mark.parametrize(
+        ("fields", "hold", "opens_at"),
+        [
+            ({"leaving": True, "rests_until": NOW + 9}, Hold.LEAVING, math.inf),
+            ({"rests_until": NOW + 2}, Hold.RESTING, NOW + 2),
+            ({"limit": StatedLimit(0.5)}, Hold.LIMITED, NOW + 1.9),
+            ({"cold_until": NOW + 9}, Hold.COLD, NOW + 0.4),
+            ({"limit": StatedLimit(0.5), "rests_until": NOW + 5}, Hold.RESTING, NOW + 5),
+            ({"limit": StatedLimit(0.5), "cold_until": NOW + 9}, Hold.LIMITED, NOW + 1.9),
+        ],
+    )
+    def test_each_is_told_with_its_end(self, fields, hold: Hold, opens_at: float) -> None:
+        admission = Admission()
+        admission.set_slow_start(SlowStart(2.0, 3.0), lambda name, per_s: 1 / per_s)
+        held = upstream(**fields)
+        assert admission.hold_of(held, NOW) is hold
+        assert admission.opens_at(held, NOW) == pytest.approx(opens_at)
+
+    def test_drain_of_its_domain_closes_it(self) -> None:
+        admission = Admission()
+        assert admission.set_drained(frozenset({"a"})) == frozenset()
+        assert admission.hold_of(upstream(), NOW) is Hold.DRAINED
+        assert admission.set_drained(frozenset()) == frozenset({"a"})
+        assert admission.hold_of(upstream(), NOW) is None
+
+    def test_upstream_that_others_are_to_send_to_never_opens(self) -> None:
+        admission = Admission()
+        admission.set_slow_start(SlowStart(2.0, 3.0), lambda name, per_s: math.inf)
+        cold = upstream(cold_until=NOW + 9, sent_at=-math.inf)
+        assert admission.opens_at(cold, NOW) == math.inf
+
+
+class TestRefusals:
+    async def test_they_say_what_kept_the_request_from_each_upstream(self, autojump_clock) -> None:
+        scheduler = PoolScheduler(TwoChoices(Random(1)), urgent_share=0)
+        made = [Instance(f"e{n}", f"e{n}", f"e{n}:1", "a", "engine", "p", 4) for n in range(4)]
+        leaving = Instance("l", "l", "l:1", "a", "engine", "p", 4, state=InstanceState.LEAVING)
+        scheduler.set_upstreams([*made, leaving])
+        for number in range(3):
+            scheduler.take_rest(f"e{number}", 5.0)
+        scheduler.take_limit("e3", LimitReport(0.5, trio.current_time()))
+        request = WaitingRequest("a", Urgency.BULK, 1, 1, math.inf, Affinity())
+        scheduler.release(await scheduler.acquire(request))
+        now = trio.current_time()
+        late = WaitingRequest("a", Urgency.BULK, 1, 1, math.inf, Affinity(), now + 0.5)
+        with pytest.raises(DeadlineTooNear, match="of 5 upstreams 1 leaving, 3 resting, 1 limited"):
+            await scheduler.acquire(late)
+        scheduler.set_drained(frozenset({"a"}))
+        with pytest.raises(NoUpstream, match="of 5 upstreams 1 leaving, 4 drained"):
+            await scheduler.acquire(late)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2266,9 +2266,9 @@
     ),
     Mutant(
         "drained-domain-is-used",
-        "lanes/pool_upstreams.py",
-        "if is_leaving(upstream) or upstream.instance.failure_domain in self._drained:",
-        "if is_leaving(upstream):",
+        "lanes/admission.py",
+        "return is_leaving(upstream) or upstream.instance.failure_domain in self._drained",
+        "return is_leaving(upstream)",
         (DRAINS,),
     ),
     Mutant(
@@ -2364,7 +2364,7 @@
     ),
     Mutant(
         "no-pace-at-an-upstream-with-a-limit",
-        "lanes/pacing.py",
+        "lanes/admission.py",
         "return upstream.limit.in_force or self._is_slow(upstream, now)",
         "return self._is_slow(upstream, now)",
         (STATED_LIMITS,),
@@ -2399,7 +2399,7 @@
     ),
     Mutant(
         "limit-that-some-routers-never-see-end",
-        "lanes/pacing.py",
+        "lanes/admission.py",
         "return patience if quiet_s >= patience else math.inf",
         "return math.inf",
         (STATED_LIMITS,),
@@ -2524,16 +2524,16 @@
     ),
     Mutant(
         "rest-not-kept",
-        "lanes/pacing.py",
+        "lanes/admission.py",
         "            return upstream.rests_until\n",
         "            return -math.inf\n",
         (RESTING,),
     ),
     Mutant(
         "rest-of-a-paced-upstream-not-kept",
-        "lanes/pacing.py",
-        "return max(upstream.rests_until, upstream.sent_at + self.pause_s(upstream, now))",
-        "return upstream.sent_at + self.pause_s(upstream, now)",
+        "lanes/admission.py",
+        "return max(upstream.rests_until, upstream.sent_at + pause_s)",
+        "return upstream.sent_at + pause_s",
         (STATED_LIMITS,),
     ),
     Mutant(
@@ -2553,8 +2553,8 @@
     Mutant(
         "ejected-upstream-idle-while-all-others-rest",
         "lanes/pool_upstreams.py",
-        "or due\n        free",
-        "or [u for u in staying if not is_ejected(u, now)] or due\n        free",
+        "or open_now\n        free",
+        "or [u for u in staying if not is_ejected(u, now)] or open_now\n        free",
         (RESTING,),
     ),
     Mutant(
@@ -2578,6 +2578,20 @@
         "until = now + rest_s",
         (RESTING,),
     ),
+    Mutant(
+        "leaving-upstream-is-open",
+        "lanes/admission.py",
+        "return is_leaving(upstream) or upstream.instance.failure_domain in self._drained",
+        "return upstream.instance.failure_domain in self._drained",
+        (LEAVING,),
+    ),
+    Mutant(
+        "refusal-does-not-say-what-holds",
+        "lanes/scheduler.py",
+        'return f"{text}; of {len(self.by_name)} upstreams {held}" if held else text',
+        "return text",
+        ("railtide/lanes/tests/test_admission.py",),
+    ),
 ]
 
 
