The soak's engines ask for rests and leave too, alone and together with limits

Change: the kind 'notices' draws limits, rests in series and engines that say in their answers that they leave (their record late, or never) and begin anew; checked are each router process's requests after each word, and that each process with enough requests uses each engine 20 s after the end. Lines of limits and rests name the life: after a new life's begin the former one's limit looked endless.

--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -21,7 +21,6 @@
 from railtide.upstreams.stated_limit import (
     LimitNews,
     LimitReport,
-    StatedLimit,
     news_of,
     note_news,
     note_report,
@@ -167,7 +166,7 @@
         limit = self.by_name[name].limit
         before = limit.per_s
         if note_report(limit, report, trio.current_time()):
-            self._log_limit(name, limit, before, "answer")
+            self._log_limit(self.by_name[name], before, "answer")
             self._note_capacity()
 
     def take_rest(self, name: str, rest_s: float) -> None:
@@ -178,18 +177,21 @@
         if until <= upstream.rests_until:
             return
         if now >= upstream.rests_until:
-            logger.bind(upstream=name, rest_s=rest_s).info("upstream-rests")
+            incarnation = upstream.instance.incarnation
+            logger.bind(upstream=name, incarnation=incarnation, rest_s=rest_s).info(
+                "upstream-rests"
+            )
         upstream.rests_until = until
         self._note_capacity()
 
     def take_limit_news(self, news: LimitNews, heard_at: float) -> None:
         """Take what another router tells of an upstream's limit."""
-        for name, upstream in self.by_name.items():
+        for upstream in self.by_name.values():
             if upstream.instance.incarnation != news.incarnation:
                 continue
             before = upstream.limit.per_s
             if note_news(upstream.limit, news, heard_at):
-                self._log_limit(name, upstream.limit, before, "router")
+                self._log_limit(upstream, before, "router")
                 self._note_capacity()
 
     def limit_news(self) -> list[LimitNews]:
@@ -199,9 +201,11 @@
         return [news for news in told if news is not None]
 
     @staticmethod
-    def _log_limit(name: str, limit: StatedLimit, before: float, told_by: str) -> None:
+    def _log_limit(upstream: Upstream, before: float, told_by: str) -> None:
+        limit = upstream.limit
         logger.bind(
-            upstream=name,
+            upstream=upstream.instance.name,
+            incarnation=upstream.instance.incarnation,
             per_s=limit.per_s if limit.in_force else None,
             before=before if math.isfinite(before) else None,
             told_by=told_by,
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -5,7 +5,7 @@
 `crashes` has a request that ends each engine that begins it, beside faults of routers and of the
 store. One of `states` has large desired states behind narrow links, beside both. One of `rollbacks`
 has a store that comes back from a copy while routers spend, die and start. One of `notices` has
-engines that state limits, beside signals, restarts and faults.
+engines that state limits, ask for rests and leave, beside signals, restarts and faults.
 
 Prints each seed that breaks a promise, with its faults and the folder of its processes' logs, and
 ends with 1 if there is one.
@@ -46,10 +46,12 @@
 from tests.edge_soak.notices import (
     ENDED_S,
     NOTICES,
-    broken_limits,
+    broken_notices,
+    end_notices,
     never_ended,
     notices_of,
     notices_world_of,
+    unused_engines,
 )
 from tests.edge_soak.rollbacks import (
     ROLLBACKS_WORLD,
@@ -304,15 +306,16 @@
                     for planned in notices_of(seed):
                         striking.start_soon(_strike, fleet, planned)
                 heal(fleet)
+                end_notices(fleet)
                 await _until_back(fleet)
                 await trio.sleep(ENDED_S)
-            kept = never_ended(fleet)
+                kept = never_ended(fleet) + unused_engines(fleet, callers.attempts)
             silent = [
                 line for router in fleet.routers for line in await _serves(fleet, callers, router)
             ]
             keeping.cancel_scope.cancel()
-        limits = broken_limits(fleet, callers.attempts)
-        return limits + kept + silent + broken_promises(fleet, callers.attempts)
+        notices = broken_notices(fleet, callers.attempts)
+        return notices + kept + silent + broken_promises(fleet, callers.attempts)
 
 
 RUN_BY_KIND = {
