A request looks at each upstream of its pool four times in place of nine

Cause: whether an upstream is open is asked of one place now, at more cost a question, and a request that finds a free upstream worked out twice when it would have to come back. Change: what only a refusal needs is worked out for refusals, and looks end with the first upstream that answers them.

--- a/railtide/lanes/admission.py
+++ b/railtide/lanes/admission.py
@@ -72,7 +72,7 @@
         """Return from when on this router may send to an upstream; infinite for not by itself."""
         if self._is_closed(upstream):
             return math.inf
-        if not self.is_paced(upstream, now):
+        if upstream.limit.per_s == math.inf and not self._is_slow(upstream, now):
             return upstream.rests_until
         pause_s = self.pause_s(upstream, now)
         if math.isinf(pause_s):
@@ -114,7 +114,7 @@
         return max(cold_s, limit_s)
 
     def _is_slow(self, upstream: Upstream, now: float) -> bool:
-        return bool(self._slow_start.per_s) and is_cold(upstream, now)
+        return is_cold(upstream, now) and self._slow_start.per_s > 0
 
     def _limit_pause_s(self, upstream: Upstream, now: float) -> float:
         name, per_s = upstream.instance.name, upstream.limit.per_s
--- a/railtide/lanes/pool_upstreams.py
+++ b/railtide/lanes/pool_upstreams.py
@@ -90,15 +90,25 @@
         known = self.by_name.values()
         return [u for u in known if self.admission.opens_at(u, now) < math.inf]
 
+    def any_stays(self, now: float) -> bool:
+        """Return whether this router may send new work anywhere, at once or in a while."""
+        known = self.by_name.values()
+        return any(self.admission.opens_at(u, now) < math.inf for u in known)
+
+    def any_is_free(self, urgency: Urgency, now: float) -> bool:
+        """Return whether any upstream takes one more request now."""
+        return any(self.is_free(upstream, urgency, now) for upstream in self.by_name.values())
+
     def held(self, now: float) -> str:
         """Return how many upstreams are kept from this router's requests, by what keeps them."""
         holds = Counter(self.admission.hold_of(u, now) for u in self.by_name.values())
         return ", ".join(f"{holds[hold]} {hold}" for hold in Hold if holds[hold])
 
     def is_free(self, upstream: Upstream, urgency: Urgency, now: float) -> bool:
-        """Return whether an upstream that stays takes one more request now."""
-        if now < self.admission.opens_at(upstream, now):
-            return False
+        """Return whether an upstream takes one more request now."""
+        return self._has_slot(upstream, urgency) and now >= self.admission.opens_at(upstream, now)
+
+    def _has_slot(self, upstream: Upstream, urgency: Urgency) -> bool:
         if upstream.open_requests >= upstream.instance.slots:
             return False
         if urgency is Urgency.URGENT:
@@ -129,15 +139,12 @@
         preference : callable or None
         now : float
         """
-        staying = self.staying(now)
-        open_now = [
-            upstream for upstream in staying if now >= self.admission.opens_at(upstream, now)
-        ]
+        open_now = [u for u in self.by_name.values() if now >= self.admission.opens_at(u, now)]
         healthy = [upstream for upstream in open_now if not is_ejected(upstream, now)] or open_now
-        free = [upstream for upstream in healthy if self.is_free(upstream, urgency, now)]
+        free = [upstream for upstream in healthy if self._has_slot(upstream, urgency)]
         fresh = [upstream for upstream in free if upstream.instance.name not in avoid]
         if preference:
-            fresh = self._preferred(preference, staying, fresh, now) or fresh
+            fresh = self._preferred(preference, self.staying(now), fresh, now) or fresh
         return self._other_domains(fresh, avoid) or fresh or free
 
     @staticmethod
@@ -163,8 +170,8 @@
         """Return when time alone frees the next upstream, infinite if it frees none."""
         times = [
             self.admission.looked_at_again(upstream, now)
-            for upstream in self.staying(now)
-            if now < self.admission.opens_at(upstream, now)
+            for upstream in self.by_name.values()
+            if now < self.admission.opens_at(upstream, now) < math.inf
         ]
         return min(times, default=math.inf)
 
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -301,8 +301,7 @@
     def _expected_wait_after(self, before: int, urgency: Urgency) -> float:
         """Return how long a request of a lane may wait that others are served before."""
         now = trio.current_time()
-        staying = self._upstreams.staying(now)
-        if not staying or any(self._upstreams.is_free(u, urgency, now) for u in staying):
+        if self._upstreams.any_is_free(urgency, now) or not self._upstreams.any_stays(now):
             return 0.0
         next_in_s = self._upstreams.next_free_at(now) - now
         served_per_s = self._upstreams.served_per_s(urgency, self._service_s, now)
@@ -332,10 +331,10 @@
         return min(request.deadline, max(request.goal_at - self._begin_s, now))
 
     def _check(self, request: WaitingRequest, now: float) -> None:
-        if not self._upstreams.staying(now):
+        if not self._upstreams.any_stays(now):
             raise self._no_upstream(request.urgency)
-        retry_after = self.retry_after(request.urgency)
         if self._queue.size(request.urgency) >= self._most_waiting:
+            retry_after = self.retry_after(request.urgency)
             raise QueueFull("the lane is full", retry_after=retry_after)
         if now + self.expected_wait(request.urgency) > request.until:
             raise self._too_late(request.urgency)
@@ -371,7 +370,7 @@
     def _serve_waiting(self) -> None:
         if not any(self._queue.size(urgency) for urgency in Urgency):
             return
-        if not self._upstreams.staying(trio.current_time()):
+        if not self._upstreams.any_stays(trio.current_time()):
             self._refuse_waiting()
         for urgency in Urgency:
             while self._serve_next(urgency):
