--- a/tests/edge_soak/notices.py
+++ b/tests/edge_soak/notices.py
@@ -113,7 +113,10 @@
 
 async def _leave(fleet: Fleet, rng: Random, length: float) -> None:
     """Have an engine say that it leaves, its record say so late or never, and begin anew."""
-    engine = rng.choice([e for e in fleet.engines if not e.leaving] or fleet.engines)
+    staying = [engine for engine in fleet.engines if not engine.leaving]
+    if not staying:
+        return
+    engine = rng.choice(staying)
     statement = _begin(fleet, Word.LEAVE, engine)
     engine.leaving = True
     await trio.sleep(length / 2)
