--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -378,9 +378,9 @@
         if notice.load:
             scheduler.take_report(upstream.name, notice.load)
         if notice.limit:
-            scheduler.take_limit(upstream.name, notice.limit)
+            scheduler.notices.take_limit(upstream.name, notice.limit)
         if notice.rest_s:
-            scheduler.take_rest(upstream.name, notice.rest_s)
+            scheduler.notices.take_rest(upstream.name, notice.rest_s)
         if notice.leaving:
             self._upstream_list.note_leaving(upstream)
             self._upstream_list.settle()
@@ -388,13 +388,13 @@
     def _limit_news(self) -> tuple[LimitNews, ...]:
         """Return what other routers are to be told of upstreams' limits."""
         schedulers = self.schedulers_by_pool.values()
-        return tuple(news for scheduler in schedulers for news in scheduler.limit_news())
+        return tuple(news for scheduler in schedulers for news in scheduler.notices.limit_news())
 
     def _take_limit_news(self, told: tuple[LimitNews, ...]) -> None:
         heard_at = trio.current_time()
         for news in told:
             for scheduler in self.schedulers_by_pool.values():
-                scheduler.take_limit_news(news, heard_at)
+                scheduler.notices.take_limit_news(news, heard_at)
 
     def _scheduler_of_life(self, upstream: Instance) -> PoolScheduler | None:
         """Return the scheduler of an upstream's pool if it knows this life of the upstream."""
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -11,6 +11,7 @@
 
 from railtide.lanes.admission import ColdPause
 from railtide.lanes.errors import DeadlineTooNear, LaneError, NoUpstream, QueueFull
+from railtide.lanes.pool_notices import PoolNotices
 from railtide.lanes.pool_upstreams import PoolUpstreams, Preference
 from railtide.lanes.queue import FairLanes, Urgency, Waiting, WaitingQueue
 from railtide.membership.instances import Instance
@@ -18,13 +19,6 @@
 from railtide.upstreams.limit_shares import LimitShares
 from railtide.upstreams.load import LoadReport, Upstream, keeps_prefix, note_prefix
 from railtide.upstreams.slow_start import SlowStart
-from railtide.upstreams.stated_limit import (
-    LimitNews,
-    LimitReport,
-    news_of,
-    note_news,
-    note_report,
-)
 
 __all__ = ["PoolScheduler", "Slot", "WaitingRequest"]
 
@@ -35,8 +29,6 @@
 """Factor by which the usual time to an answer's beginning follows each answer."""
 LEAST_RETRY_AFTER_S = 0.5
 MOST_RETRY_AFTER_S = 30.0
-MOST_REST_S = 60.0
-"""A longer rest counts as this one: an upstream is not given up by one word."""
 RETRY_WAIT_S = 0.05
 """Longest wait of a retry for a slot when its goal can't be met any more."""
 
@@ -109,6 +101,11 @@
         Most requests waiting in a lane.
     trusts_list : bool
         Whether a list that lacks many reporting upstreams is believed all the same.
+
+    Attributes
+    ----------
+    notices : PoolNotices
+        Takes what upstreams say of themselves.
     """
 
     def __init__(
@@ -120,6 +117,7 @@
         trusts_list: bool = False,
     ) -> None:
         self._upstreams = PoolUpstreams(urgent_share, trusts_list)
+        self.notices = PoolNotices(self._upstreams, self._note_capacity)
         self._choice = choice
         self._queue = queue or FairLanes()
         self._most_waiting = most_waiting
@@ -161,56 +159,6 @@
         upstream.leaving = upstream.leaving or report.leaving
         self._serve_waiting()
 
-    def take_limit(self, name: str, report: LimitReport) -> None:
-        """Take what an upstream's answer says of its limit."""
-        limit = self.by_name[name].limit
-        before = limit.per_s
-        if note_report(limit, report, trio.current_time()):
-            self._log_limit(self.by_name[name], before, "answer")
-            self._note_capacity()
-
-    def take_rest(self, name: str, rest_s: float) -> None:
-        """Take an upstream's word that it wants nothing from this router for some seconds."""
-        now = trio.current_time()
-        upstream = self.by_name[name]
-        until = now + min(rest_s, MOST_REST_S)
-        if until <= upstream.rests_until:
-            return
-        if now >= upstream.rests_until:
-            incarnation = upstream.instance.incarnation
-            logger.bind(upstream=name, incarnation=incarnation, rest_s=rest_s).info(
-                "upstream-rests"
-            )
-        upstream.rests_until = until
-        self._note_capacity()
-
-    def take_limit_news(self, news: LimitNews, heard_at: float) -> None:
-        """Take what another router tells of an upstream's limit."""
-        for upstream in self.by_name.values():
-            if upstream.instance.incarnation != news.incarnation:
-                continue
-            before = upstream.limit.per_s
-            if note_news(upstream.limit, news, heard_at):
-                self._log_limit(upstream, before, "router")
-                self._note_capacity()
-
-    def limit_news(self) -> list[LimitNews]:
-        """Return what other routers are to be told of upstreams' limits."""
-        now = trio.current_time()
-        told = [news_of(u.limit, u.instance.incarnation, now) for u in self.by_name.values()]
-        return [news for news in told if news is not None]
-
-    @staticmethod
-    def _log_limit(upstream: Upstream, before: float, told_by: str) -> None:
-        limit = upstream.limit
-        logger.bind(
-            upstream=upstream.instance.name,
-            incarnation=upstream.instance.incarnation,
-            per_s=limit.per_s if limit.in_force else None,
-            before=before if math.isfinite(before) else None,
-            told_by=told_by,
-        ).info("upstream-limit")
-
     # -- slots --------------------------------------------------------------------------------
 
     async def acquire(self, request: WaitingRequest) -> Slot:
--- a/railtide/lanes/tests/test_admission.py
+++ b/railtide/lanes/tests/test_admission.py
@@ -69,8 +69,8 @@
         leaving = Instance("l", "l", "l:1", "a", "engine", "p", 4, state=InstanceState.LEAVING)
         scheduler.set_upstreams([*made, leaving])
         for number in range(3):
-            scheduler.take_rest(f"e{number}", 5.0)
-        scheduler.take_limit("e3", LimitReport(0.5, trio.current_time()))
+            scheduler.notices.take_rest(f"e{number}", 5.0)
+        scheduler.notices.take_limit("e3", LimitReport(0.5, trio.current_time()))
         request = WaitingRequest("a", Urgency.BULK, 1, 1, math.inf, Affinity())
         scheduler.release(await scheduler.acquire(request))
         now = trio.current_time()
--- a/railtide/lanes/tests/test_stated_limits.py
+++ b/railtide/lanes/tests/test_stated_limits.py
@@ -127,7 +127,7 @@
             return False
         if math.isfinite(stated):
             engine.told_at_by_router.setdefault(router.name, trio.current_time())
-        router.scheduler.take_limit(name, LimitReport(stated, sent_at))
+        router.scheduler.notices.take_limit(name, LimitReport(stated, sent_at))
         await trio.sleep(self.rng.uniform(0.0, 1.0))
         return True
 
@@ -148,7 +148,7 @@
             while True:
                 await trio.sleep(1.0)
                 for router in self.routers:
-                    news = router.scheduler.limit_news()
+                    news = router.scheduler.notices.limit_news()
                     after_s = self.rng.uniform(0, heard_after_s)
                     nursery.start_soon(self._pass_on, router, news, after_s)
 
@@ -156,7 +156,7 @@
         await trio.sleep(after_s)
         for router in self.routers:
             for news in told if router is not teller else []:
-                router.scheduler.take_limit_news(news, trio.current_time())
+                router.scheduler.notices.take_limit_news(news, trio.current_time())
 
     async def change_views(self, named: list[str], within_s: float) -> None:
         """Have callers be sent to other routers; each router hears of it in its own time."""
@@ -301,7 +301,7 @@
             for urgency in (Urgency.URGENT, Urgency.BULK) * 4:
                 nursery.start_soon(wait, urgency)
             await trio.sleep(0.1)
-            scheduler.take_limit("e0", LimitReport(1.0, sent_at=trio.current_time()))
+            scheduler.notices.take_limit("e0", LimitReport(1.0, sent_at=trio.current_time()))
             await trio.lowlevel.checkpoint()
             scheduler.release(taken.pop())
         assert served == [Urgency.URGENT] * 2
@@ -316,7 +316,7 @@
             for _ in range(4):
                 nursery.start_soon(scheduler.acquire, waiting_for(2.0))
             await trio.sleep(0.1)
-            scheduler.take_limit("e0", LimitReport(1.0, sent_at=trio.current_time()))
+            scheduler.notices.take_limit("e0", LimitReport(1.0, sent_at=trio.current_time()))
             for slot in taken:
                 scheduler.release(slot)
 
@@ -328,7 +328,7 @@
         engine = fleet.engine_by_name["e0"]
         engine.state(4.0)
         await fleet.play(per_s=20, for_s=2.0)
-        scheduler.take_rest("e0", 3.0)
+        scheduler.notices.take_rest("e0", 3.0)
         asked_at = trio.current_time()
         await fleet.play(per_s=20, for_s=5.0)
         assert [at for at, _ in engine.arrivals if at > asked_at][0] >= asked_at + 3.0
--- a/railtide/platform/tests/test_resting_engines.py
+++ b/railtide/platform/tests/test_resting_engines.py
@@ -9,7 +9,7 @@
 import trio
 
 from railtide.http.messages import first_header
-from railtide.lanes.scheduler import MOST_REST_S
+from railtide.lanes.pool_notices import MOST_REST_S
 from railtide.platform.tests.router_fleet import open_router_fleet
 from railtide.platform.tests.test_whole_path import world
 from railtide.standins.platform import EngineScript
@@ -63,9 +63,9 @@
         async with world() as w:
             await w.add_engine("e1")
             scheduler = w.node.schedulers_by_pool["s"]
-            scheduler.take_rest("e1", 3.0)
+            scheduler.notices.take_rest("e1", 3.0)
             until_before = scheduler.by_name["e1"].rests_until
-            scheduler.take_rest("e1", 1.0)
+            scheduler.notices.take_rest("e1", 1.0)
             assert scheduler.by_name["e1"].rests_until == until_before
 
     @pytest.mark.parametrize("rest", ["0", "", "-1", "nan", "Thu, 03 Dec 2026 12:00:00 GMT"])
@@ -136,6 +136,6 @@
                 await w.add_engine(name)
             scheduler = w.node.schedulers_by_pool["s"]
             scheduler.by_name["e1"].ejected_until = trio.current_time() + 30
-            scheduler.take_rest("e2", 30)
+            scheduler.notices.take_rest("e2", 30)
             assert (await w.ask("/safe/x")).status == 200
             assert len(w.engine_by_name["e1"].arrivals) == 1
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2559,7 +2559,7 @@
     ),
     Mutant(
         "shorter-rest-replaces-a-longer-one",
-        "lanes/scheduler.py",
+        "lanes/pool_notices.py",
         "        if until <= upstream.rests_until:\n            return\n",
         "",
         (RESTING,),
@@ -2573,7 +2573,7 @@
     ),
     Mutant(
         "endless-rest",
-        "lanes/scheduler.py",
+        "lanes/pool_notices.py",
         "until = now + min(rest_s, MOST_REST_S)",
         "until = now + rest_s",
         (RESTING,),
