--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -14,24 +14,23 @@
 from railtide.configuration.snapshot import Snapshot
 from railtide.containment.ends import Break, EndWatch
 from railtide.containment.guard import CrashGuard
-from railtide.containment.records import life_digest
 from railtide.containment.registry import TOPIC as MARKS_TOPIC
 from railtide.containment.registry import CrashRegistry
 from railtide.edge.freshness import ViewFreshness, ages_s
 from railtide.edge.options import EdgeOptions
 from railtide.edge.peers import RosterPeers
+from railtide.edge.pools import EdgePools
 from railtide.edge.request_rate import RequestRate
 from railtide.edge.sources import Sources
+from railtide.edge.waking import Waking
 from railtide.errors import RailtideError
 from railtide.journal.feed import Feed, FeedOptions
 from railtide.journal.keyed import KeyedRecord, KeyedStore
-from railtide.lanes.scheduler import PoolScheduler
 from railtide.membership.addresses import Entrance, rendezvous_order
-from railtide.membership.drained_domains import DrainedDomains
 from railtide.membership.identity import Identity
 from railtide.membership.instances import Instance
 from railtide.membership.roster import Member, Roster
-from railtide.membership.upstream_list import RECENT_LOSS_S, RETURN_GRACE_S, UpstreamList
+from railtide.membership.upstream_list import RECENT_LOSS_S, RETURN_GRACE_S
 from railtide.requests.call import AnswerSink, Call
 from railtide.requests.dispatcher import Dispatcher
 from railtide.requests.ledger_cover import ledger_cover_maker
@@ -40,14 +39,7 @@
 from railtide.requests.retry import RetryBudget
 from railtide.requests.services import Services
 from railtide.telemetry.counters import Counters
-from railtide.upstreams.choice import PrefixAffinity, TwoChoices
 from railtide.upstreams.client import UpstreamClient
-from railtide.upstreams.limit_shares import LimitShares
-from railtide.upstreams.load import note_end
-from railtide.upstreams.notice import UpstreamNotice
-from railtide.upstreams.separation import Separation
-from railtide.upstreams.slow_start import SlowStartShares
-from railtide.upstreams.stated_limit import LimitNews
 
 __all__ = ["EdgeNode"]
 
@@ -57,9 +49,6 @@
 MARKS_WAIT_S = 3.0
 """From the start until a router serves without the marks of contents that end upstreams: their
 topic may be away alone, and a router that serves without them may cost one upstream more."""
-REREAD_S = 0.3
-"""Longest wait of a request, after a suspension, for what is read anew: four reads of a store that
-answers in milliseconds, with a lost opening packet of a connection of some milliseconds."""
 RETURN_S = 0.5
 """Longest wait at a shutdown for the store to take back what is in hand."""
 
@@ -84,6 +73,11 @@
     ----------
     snapshot : Snapshot or None
         The configuration in force; never replaced by a lower version.
+    schedulers_by_pool : dict of str to PoolScheduler
+    take_notice : callable
+        See `EdgePools.take_notice`.
+    until_current : callable
+        See `Waking.until_current`.
     leaving : bool
         Set by a shutdown: other routers are to be used.
     """
@@ -105,16 +99,11 @@
         self.snapshot: Snapshot | None = None
         self.leaving = False
         self.open_calls = 0
-        self.schedulers_by_pool: dict[str, PoolScheduler] = {}
         self.on_snapshot: Callable[[Snapshot], None] = lambda snapshot: None
         self._began_at = trio.current_time()
         self._sources = sources
-        self._upstreams = upstreams
         self._rng = rng
         self._nursery: trio.Nursery | None = None
-        self._suspensions = suspensions or Suspensions()
-        self._rereads: list[trio.Event] = []
-        self._reread_until = 0.0
         self._retries_by_pool: dict[str, RetryBudget] = {}
         member = Member(
             identity.incarnation, identity.address, identity.failure_domain, 0, options.capacity
@@ -129,9 +118,8 @@
             self._load.per_second,
             lambda: self._freshness.is_behind(),
             lambda: self.treasury.read_ends(),
-            self._limit_news,
+            lambda: self._pools.limit_news(),
         )
-        self.roster.on_limits = self._take_limit_news
         self.treasury = LedgerTreasury(
             store,
             identity.instance,
@@ -145,12 +133,18 @@
             RosterPeers(self.roster),
         )
         self.roster.on_heard = self.treasury.note_peers
-        self._upstream_list = UpstreamList(self._set_pool, self._lapse_until)
-        store.on_rise(self._upstream_list.note_rise)
-        self._slow_start_shares = SlowStartShares(identity.instance, self._named_routers)
-        self._limit_shares = LimitShares(identity.instance, self.roster.visits)
-        self._drained = DrainedDomains(self._set_drained)
-        store.on_rise(self._drained.note_rise)
+        self._pools = EdgePools(
+            identity.instance,
+            self.roster,
+            upstreams,
+            rng,
+            self._lapse_until,
+            lambda lives: self._ends.note_listed(lives),
+        )
+        self.schedulers_by_pool = self._pools.schedulers_by_pool
+        self.take_notice = self._pools.take_notice
+        store.on_rise(self._pools.listed.note_rise)
+        store.on_rise(self._pools.drained.note_rise)
         self._configuration_feed = Feed(
             store,
             sources.configuration_topic,
@@ -172,13 +166,19 @@
             FeedOptions(wait_s=options.configuration_wait_s, pause_s=options.upstream_pause_s),
             rng,
             self._take_upstreams,
-            self._upstream_list.keep_only,
+            self._pools.listed.keep_only,
             self._upstream_pause_s,
         )
         self._crashes = CrashRegistry(
             store, identity.instance, rng, self.counters, self._is_owner_of
         )
-        self._crashes.on_life_ended = self._eject_life
+        self._crashes.on_life_ended = self._pools.eject_life
+        self._waking = Waking(
+            suspensions or Suspensions(),
+            [self._configuration_feed.refresh, self._upstream_feed.refresh, self._crashes.refresh],
+            lambda: self.counters.add("suspensions"),
+        )
+        self.until_current = self._waking.until_current
         self._ends = EndWatch(upstreams.probe, self._note_end, self._start_soon)
         services = Services(
             upstreams,
@@ -222,7 +222,7 @@
     @property
     def drained_domains(self) -> frozenset[str]:
         """The failure domains to whose upstreams nothing new is sent, by the operator's order."""
-        return self._drained.names
+        return self._pools.drained.names
 
     @property
     def upstreams_known(self) -> bool:
@@ -273,37 +273,10 @@
     async def _run_settling(self) -> None:
         while True:
             await trio.sleep(self.options.settle_s)
-            self._look_for_suspension()
-            self._upstream_list.settle()
-            self._drained.settle()
+            self._waking.look()
+            self._pools.settle()
             self._freshness.look(self._version())
 
-    # -- waking from a suspension -------------------------------------------------------------
-
-    def _look_for_suspension(self) -> None:
-        """Read anew what was believed before a suspension, and say so."""
-        suspended_s = self._suspensions.look()
-        if not suspended_s:
-            return
-        logger.bind(for_s=round(suspended_s, 3)).warning("woken")
-        self.counters.add("suspensions")
-        feeds = (self._configuration_feed, self._upstream_feed, self._crashes)
-        self._rereads = [feed.refresh() for feed in feeds]
-        self._reread_until = trio.current_time() + REREAD_S
-
-    async def until_current(self) -> None:
-        """Wait for what is read anew; a store that is away is not waited for long.
-
-        Without, the first requests after a suspension go where routes and upstreams were before.
-        """
-        self._look_for_suspension()
-        if not self._rereads:
-            return
-        with trio.move_on_at(self._reread_until):
-            for reread in self._rereads:
-                await reread.wait()
-        self._rereads = []
-
     # -- how new the configuration is ---------------------------------------------------------
 
     def configuration_is_current(self) -> bool:
@@ -370,46 +343,13 @@
         named.sort(key=lambda entrance: entrance.failure_domain != failure_domain)
         return named[: self.options.most_addresses]
 
-    def take_notice(self, upstream: Instance, notice: UpstreamNotice) -> None:
-        """Take what an answer says of its upstream; a former life says nothing of this one."""
-        scheduler = self._scheduler_of_life(upstream)
-        if scheduler is None:
-            return
-        if notice.load:
-            scheduler.take_report(upstream.name, notice.load)
-        if notice.limit:
-            scheduler.notices.take_limit(upstream.name, notice.limit)
-        if notice.rest_s:
-            scheduler.notices.take_rest(upstream.name, notice.rest_s)
-        if notice.leaving:
-            self._upstream_list.note_leaving(upstream)
-            self._upstream_list.settle()
-
-    def _limit_news(self) -> tuple[LimitNews, ...]:
-        """Return what other routers are to be told of upstreams' limits."""
-        schedulers = self.schedulers_by_pool.values()
-        return tuple(news for scheduler in schedulers for news in scheduler.notices.limit_news())
-
-    def _take_limit_news(self, told: tuple[LimitNews, ...]) -> None:
-        heard_at = trio.current_time()
-        for news in told:
-            for scheduler in self.schedulers_by_pool.values():
-                scheduler.notices.take_limit_news(news, heard_at)
-
-    def _scheduler_of_life(self, upstream: Instance) -> PoolScheduler | None:
-        """Return the scheduler of an upstream's pool if it knows this life of the upstream."""
-        scheduler = self.schedulers_by_pool.get(upstream.pool)
-        known = scheduler.by_name.get(upstream.name) if scheduler else None
-        is_same = known is not None and known.instance.incarnation == upstream.incarnation
-        return scheduler if is_same else None
-
     # -- what the store says ------------------------------------------------------------------
 
     def _take_configuration(self, records: list[KeyedRecord]) -> None:
         for record in records:
             drained = self._sources.drained_domain_of(record.key)
             if drained is not None:
-                take = self._drained.put if record.value else self._drained.remove
+                take = self._pools.drained.put if record.value else self._pools.drained.remove
                 take(drained)
                 continue
             try:
@@ -423,7 +363,7 @@
     def _keep_drains(self, keys: set[str]) -> None:
         """Take the keys of all orders that there are."""
         domains = {self._sources.drained_domain_of(key) for key in keys}
-        self._drained.keep_only(domains - {None})
+        self._pools.drained.keep_only(domains - {None})
 
     def _apply(self, snapshot: Snapshot) -> None:
         held = self._version()
@@ -433,21 +373,20 @@
             return
         self.snapshot = snapshot
         self.treasury.set_prepaid(dict(snapshot.prepaid_by_account))
-        for pool in self.schedulers_by_pool:
-            self._set_slow_start(pool)
+        self._pools.set_configuration(snapshot.pool_by_name)
         self.on_snapshot(snapshot)
         logger.bind(version=snapshot.version, before=held).info("configuration-in-force")
 
     def _take_upstreams(self, records: list[KeyedRecord]) -> None:
         for record in records:
             if not record.value:
-                self._upstream_list.remove(record.key)
+                self._pools.listed.remove(record.key)
                 continue
             try:
-                self._upstream_list.put(self._sources.upstream_of(record))
+                self._pools.listed.put(self._sources.upstream_of(record))
             except InvalidObject as err:
-                self._upstream_list.put_unreadable(record.key, err.detail)
-        self._upstream_list.settle()
+                self._pools.listed.put_unreadable(record.key, err.detail)
+        self._pools.listed.settle()
 
     def _lapse_until(self) -> float:
         """Return until when a removed record may have lapsed with the store away."""
@@ -458,44 +397,11 @@
             return trio.current_time()
         return feed.back_at + RETURN_GRACE_S
 
-    def _set_pool(self, pool: str, instances: list[Instance]) -> None:
-        if pool not in self.schedulers_by_pool:
-            choice = Separation(PrefixAffinity(TwoChoices(self._rng)))
-            scheduler = PoolScheduler(choice, urgent_share=0, trusts_list=True)
-            scheduler.set_drained(self._drained.names)
-            scheduler.set_limit_shares(self._limit_shares)
-            self.schedulers_by_pool[pool] = scheduler
-            self._set_slow_start(pool)
-        scheduler = self.schedulers_by_pool[pool]
-        before = _by_incarnation(scheduler)
-        scheduler.set_upstreams(instances)
-        after = _by_incarnation(scheduler)
-        for incarnation in before.keys() - after.keys():
-            self._upstreams.forget(before[incarnation])
-        self._ends.note_listed([after[new] for new in after.keys() - before.keys()])
-
-    def _set_slow_start(self, pool: str) -> None:
-        settings = self.snapshot.pool_by_name.get(pool) if self.snapshot else None
-        if settings:
-            pause_s = self._slow_start_shares.pause_s
-            self.schedulers_by_pool[pool].set_slow_start(settings.slow_start, pause_s)
-
-    def _set_drained(self, domains: frozenset[str], ended: frozenset[str]) -> None:
-        for scheduler in self.schedulers_by_pool.values():
-            scheduler.set_drained(domains)
-
     # -- upstreams that end -------------------------------------------------------------------
 
     def _note_end(self, instance: Instance, breaks: list[Break]) -> None:
         self._crashes.note_end(instance.incarnation, instance.name, breaks)
 
-    def _eject_life(self, life: str) -> None:
-        """Use a life that ended no more, whichever router saw its end."""
-        for scheduler in self.schedulers_by_pool.values():
-            for upstream in scheduler.by_name.values():
-                if life_digest(upstream.instance.incarnation) == life:
-                    note_end(upstream, trio.current_time())
-
     def _is_owner_of(self, content: str) -> bool:
         """Return whether this router makes the trials of a content that is held."""
         names = self._named_routers()
@@ -530,9 +436,3 @@
     def _start_soon(self, work: Callable[..., Awaitable[None]], *arguments: object) -> None:
         if self._nursery:
             self._nursery.start_soon(work, *arguments)
-
-
-def _by_incarnation(scheduler: PoolScheduler) -> dict[str, Instance]:
-    """Return the lives of a pool's upstreams."""
-    known = [upstream.instance for upstream in scheduler.by_name.values()]
-    return {instance.incarnation: instance for instance in known}
--- a/railtide/platform/tests/test_leaving_engines.py
+++ b/railtide/platform/tests/test_leaving_engines.py
@@ -58,7 +58,7 @@
             before = engine.name
             engine.name, engine.leaving = "other", True
             await w.ask("/safe/x")
-            assert not w.node._upstream_list._left_by_name[before]
+            assert not w.node._pools.listed._left_by_name[before]
 
     async def test_new_life_at_the_address_is_not_bound(self) -> None:
         async with world() as w:
--- a/railtide/platform/tests/test_outdated_view.py
+++ b/railtide/platform/tests/test_outdated_view.py
@@ -13,7 +13,7 @@
 
 from railtide.clocks import Suspensions
 from railtide.edge import freshness
-from railtide.edge.node import REREAD_S
+from railtide.edge.waking import REREAD_S
 from railtide.http.client import Exchange
 from railtide.http.messages import first_header
 from railtide.journal.keyed import KeyedPage
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -335,7 +335,7 @@
     ),
     Mutant(
         "pool-of-a-gone-upstream-kept",
-        "edge/node.py",
+        "edge/pools.py",
         "            self._upstreams.forget(before[incarnation])\n",
         "            pass\n",
         (PLATFORM,),
@@ -385,7 +385,7 @@
     ),
     Mutant(
         "load-of-a-former-life-counted",
-        "edge/node.py",
+        "edge/pools.py",
         " and known.instance.incarnation == upstream.incarnation",
         "",
         (f"{PLATFORM}/test_foreign_records.py",),
@@ -1121,8 +1121,8 @@
     ),
     Mutant(
         "nothing-is-read-again-on-waking",
-        "edge/node.py",
-        "        self._rereads = [feed.refresh() for feed in feeds]\n",
+        "edge/waking.py",
+        "        self._rereads = [refresh() for refresh in self._refreshes]\n",
         "",
         (f"{PLATFORM}/test_waking.py",),
     ),
@@ -2302,7 +2302,7 @@
     Mutant(
         "drain-that-ended-in-a-lost-history-goes-on",
         "edge/node.py",
-        "self._drained.keep_only(domains - {None})",
+        "self._pools.drained.keep_only(domains - {None})",
         "pass",
         (DRAINS,),
     ),
@@ -2440,8 +2440,8 @@
     ),
     Mutant(
         "limits-of-others-not-heard",
-        "edge/node.py",
-        "        self.roster.on_limits = self._take_limit_news\n",
+        "edge/pools.py",
+        "        roster.on_limits = self.take_limit_news\n",
         "",
         (PLATFORM_LIMITS,),
     ),
@@ -2496,8 +2496,8 @@
     ),
     Mutant(
         "leaving-in-an-answer-waits-for-the-next-look",
-        "edge/node.py",
-        "note_leaving(upstream)\n            self._upstream_list.settle()\n",
+        "edge/pools.py",
+        "note_leaving(upstream)\n            self.listed.settle()\n",
         "note_leaving(upstream)\n",
         (LEAVING,),
     ),
