Limits beyond any rate, news by name, failures within a rest: what a reading of the change found

Cause and change, each with a test or by its reason: a limit of over 1e9 went into this router's record, which others then could not read, so that it was no router to them; it counts as none. News of a limit was looked up over all upstreams, and who is visited by a list within a list (11 and 1,100 routers at the size that is planned for); both by name now. A stream that broke off within a rest was no failure of its upstream; it is.

--- a/railtide/lanes/pool_notices.py
+++ b/railtide/lanes/pool_notices.py
@@ -60,19 +60,19 @@
 
     def take_limit_news(self, news: LimitNews, heard_at: float) -> None:
         """Take what another router tells of an upstream's limit."""
-        for upstream in self._upstreams.by_name.values():
-            if upstream.instance.incarnation != news.incarnation:
-                continue
-            before = upstream.limit.per_s
-            if note_news(upstream.limit, news, heard_at):
-                self._log_limit(upstream, before, "router")
-                self._on_change()
+        upstream = self._upstreams.by_name.get(news.upstream)
+        if upstream is None or upstream.instance.incarnation != news.incarnation:
+            return
+        before = upstream.limit.per_s
+        if note_news(upstream.limit, news, heard_at):
+            self._log_limit(upstream, before, "router")
+            self._on_change()
 
     def limit_news(self) -> list[LimitNews]:
         """Return what other routers are to be told of upstreams' limits."""
         now = trio.current_time()
-        known = self._upstreams.by_name.values()
-        told = [news_of(u.limit, u.instance.incarnation, now) for u in known]
+        known = self._upstreams.by_name.items()
+        told = [news_of(u.limit, name, u.instance.incarnation, now) for name, u in known]
         return [news for news in told if news is not None]
 
     @staticmethod
--- a/railtide/membership/entrance_set.py
+++ b/railtide/membership/entrance_set.py
@@ -94,8 +94,8 @@
     loads = [candidate.load for candidate in candidates if candidate.entrance.name in names]
     least = VISITED_SHARE * sum(loads) / max(1, len(loads))
     visited = [c.entrance.name for c in candidates if c.entrance.name in names or c.load > least]
-    live = [candidate.entrance.name for candidate in candidates]
-    return Visits(tuple(visited), tuple(name for name in live if name not in visited))
+    idle = [c.entrance.name for c in candidates if c.entrance.name not in names and c.load <= least]
+    return Visits(tuple(visited), tuple(idle))
 
 
 def chosen_entrances(
--- a/railtide/membership/tests/test_roster.py
+++ b/railtide/membership/tests/test_roster.py
@@ -241,7 +241,7 @@
 OLD = ["x-1", "x:1", "z", 1, 10.0, 0.0, 1.0]
 """What a router of the version before writes."""
 WITHOUT_LIMITS = [*OLD, False, 2, 1, [7, 0, 3]]
-SOUND = [*WITHOUT_LIMITS, [["e1", 1.5, 0.5]]]
+SOUND = [*WITHOUT_LIMITS, [["e1", "e1/1", 1.5, 0.5]]]
 NAN, INF = float("nan"), float("inf")
 
 
@@ -272,11 +272,11 @@
             changed(10, [7, -1]),
             changed(10, "7"),
             changed(11, "of no known meaning"),
-            changed(11, [["e1", NAN, 0.5]]),
-            changed(11, [["e1", -1.0, 0.5]]),
-            changed(11, [["e1", 1.5, -1.0]]),
-            changed(11, [["e1", 1.5, INF]]),
-            changed(11, [[7, 1.5, 0.5]]),
+            changed(11, [["e1", "e1/1", NAN, 0.5]]),
+            changed(11, [["e1", "e1/1", -1.0, 0.5]]),
+            changed(11, [["e1", "e1/1", 1.5, -1.0]]),
+            changed(11, [["e1", "e1/1", 1.5, INF]]),
+            changed(11, [[7, "e1/1", 1.5, 0.5]]),
             SOUND[:3],
             {"address": "x:1"},
             7,
@@ -375,7 +375,7 @@
 class TestLimitNews:
     async def test_it_reaches_others_and_not_from_a_backlog(self, autojump_clock) -> None:
         store = MemoryStore()
-        news = (LimitNews("e1", 1.5, 0.5),)
+        news = (LimitNews("e1", "e1/1", 1.5, 0.5),)
         told = Member("a-1", "a:1", "z", 0)
         teller = Roster(store, "a", told, OPTIONS, Random(1), limit_news=lambda: news)
         heard: list[tuple[LimitNews, ...]] = []
@@ -398,7 +398,7 @@
 
     async def test_one_record_tells_of_so_many_at_the_most(self, autojump_clock) -> None:
         store = MemoryStore()
-        news = tuple(LimitNews(f"e{n}", 1.5, 0.5) for n in range(MOST_LIMITS + 1))
+        news = tuple(LimitNews(f"e{n}", "life", 1.5, 0.5) for n in range(MOST_LIMITS + 1))
         teller = Roster(
             store, "a", Member("a-1", "a:1", "z", 0), OPTIONS, Random(1), limit_news=lambda: news
         )
--- a/railtide/platform/tests/test_resting_engines.py
+++ b/railtide/platform/tests/test_resting_engines.py
@@ -8,10 +8,11 @@
 import pytest
 import trio
 
+from railtide.http.errors import ConnectionLost
 from railtide.http.messages import first_header
 from railtide.lanes.pool_notices import MOST_REST_S
 from railtide.platform.tests.router_fleet import open_router_fleet
-from railtide.platform.tests.test_whole_path import world
+from railtide.platform.tests.test_whole_path import body_of, world
 from railtide.standins.platform import EngineScript
 
 REST_S = 3.0
@@ -59,6 +60,16 @@
             engine.rest = None
             assert (await w.ask("/safe/x")).status == 200
 
+    async def test_stream_that_breaks_off_within_a_rest_is_a_failure_of_it(self) -> None:
+        async with world() as w:
+            engine = await w.add_engine("e1", events=5, gap_s=0.1, break_after=3)
+            begun = await w.ask("/stream/x")
+            engine.rest = "2"
+            await w.ask("/safe/x")
+            with pytest.raises(ConnectionLost):
+                await body_of(begun)
+            assert w.node.schedulers_by_pool["s"].by_name["e1"].failures == 1
+
     async def test_later_end_of_two_holds(self) -> None:
         async with world() as w:
             await w.add_engine("e1")
--- a/railtide/upstreams/stated_limit.py
+++ b/railtide/upstreams/stated_limit.py
@@ -23,7 +23,7 @@
 NEWS_LAG_S = 3.0
 """By how much news may be older than it says when it is read: the time to write and to read it."""
 MOST_PER_S = 1e9
-"""Beyond this a record's figure is no rate."""
+"""A higher limit is none, and no rate in a record."""
 MOST_AGE_S = 60.0
 """Beyond this a record's figure is no age of news."""
 NO_LIMIT = 0.0
@@ -50,14 +50,15 @@
 
     Attributes
     ----------
-    incarnation : str
-        Of the upstream.
+    upstream, incarnation : str
+        Name and life.
     per_s : float
         Requests a second that an answer to this router stated, 0 for no limit any more.
     age_s : float
         How long before the record that answer came.
     """
 
+    upstream: str
     incarnation: str
     per_s: Annotated[float, msgspec.Meta(ge=0, le=MOST_PER_S)]
     age_s: Annotated[float, msgspec.Meta(ge=0, le=MOST_AGE_S)]
@@ -104,7 +105,7 @@
     >>> note_report(limit, LimitReport(math.inf, sent_at=1.2), now=1.3), limit.per_s
     (True, inf)
     """
-    per_s = max(LEAST_PER_S, report.per_s)
+    per_s = max(LEAST_PER_S, report.per_s) if report.per_s <= MOST_PER_S else math.inf
     if per_s > limit.per_s and report.sent_at <= limit.told_at:
         return False
     changed = per_s != limit.per_s
@@ -118,20 +119,20 @@
     return changed
 
 
-def news_of(limit: StatedLimit, incarnation: str, now: float) -> LimitNews | None:
+def news_of(limit: StatedLimit, upstream: str, incarnation: str, now: float) -> LimitNews | None:
     """Return what other routers are to be told of an upstream's limit, None for nothing.
 
     Examples
     --------
     >>> limit = StatedLimit()
     >>> changed = note_report(limit, LimitReport(1.5, sent_at=0.0), now=1.0)
-    >>> news_of(limit, "e1", now=3.0)
-    LimitNews(incarnation='e1', per_s=1.5, age_s=2.0)
+    >>> news_of(limit, "e1", "e1/7", now=3.0)
+    LimitNews(upstream='e1', incarnation='e1/7', per_s=1.5, age_s=2.0)
     """
     if now >= limit.news_until:
         return None
     per_s = limit.own_per_s if math.isfinite(limit.own_per_s) else NO_LIMIT
-    return LimitNews(incarnation, per_s, round(now - limit.own_at, 2))
+    return LimitNews(upstream, incarnation, per_s, round(now - limit.own_at, 2))
 
 
 def note_news(limit: StatedLimit, news: LimitNews, heard_at: float) -> bool:
@@ -140,11 +141,11 @@
     Examples
     --------
     >>> limit = StatedLimit()
-    >>> note_news(limit, LimitNews("e1", 1.5, age_s=0.5), heard_at=10.0), limit.per_s
+    >>> note_news(limit, LimitNews("e1", "e1", 1.5, age_s=0.5), heard_at=10.0), limit.per_s
     (True, 1.5)
-    >>> note_news(limit, LimitNews("e1", 0.0, age_s=0.5), heard_at=12.0), limit.per_s
+    >>> note_news(limit, LimitNews("e1", "e1", 0.0, age_s=0.5), heard_at=12.0), limit.per_s
     (False, 1.5)
-    >>> note_news(limit, LimitNews("e1", 0.0, age_s=0.5), heard_at=13.5), limit.per_s
+    >>> note_news(limit, LimitNews("e1", "e1", 0.0, age_s=0.5), heard_at=13.5), limit.per_s
     (True, inf)
     """
     at = heard_at - news.age_s
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2539,8 +2539,8 @@
     Mutant(
         "rest-counts-as-a-failure",
         "requests/execution.py",
-        "        if now >= upstream.rests_until:\n            note_failure",
-        "        if True:\n            note_failure",
+        "        if not isinstance(err, UpstreamRefused) or now >= upstream.rests_until:",
+        "        if True:",
         (RESTING,),
     ),
     Mutant(
@@ -2592,6 +2592,20 @@
         "return text",
         ("railtide/lanes/tests/test_admission.py",),
     ),
+    Mutant(
+        "no-failure-counts-within-a-rest",
+        "requests/execution.py",
+        "        if not isinstance(err, UpstreamRefused) or now >= upstream.rests_until:",
+        "        if now >= upstream.rests_until:",
+        (RESTING,),
+    ),
+    Mutant(
+        "limit-beyond-any-rate-is-told-on",
+        "upstreams/stated_limit.py",
+        "max(LEAST_PER_S, report.per_s) if report.per_s <= MOST_PER_S else math.inf",
+        "max(LEAST_PER_S, report.per_s)",
+        ("railtide/upstreams/tests/test_stated_limit.py",),
+    ),
 ]
 
 
