Loans: routers behind narrow links borrow units from advertised ones

A router whose compare-and-swap of the ledgers always loses got no units after its first second and refused its callers. It now asks an advertised router, which lends from its own allocation under its spend limit; a loan is an open reservation there, settled by the borrower's report.

--- a/railtide/budgets/account_budget.py
+++ b/railtide/budgets/account_budget.py
@@ -7,6 +7,7 @@
 import trio
 from loguru import logger
 
+from railtide.budgets.account_loans import UnitNeeds
 from railtide.budgets.account_log import (
     AccountState,
     LedgerLogSchedule,
@@ -113,6 +114,8 @@
     billed_requests : int
         Requests billed so far.
     limits : AllocationLimits
+    loans : AccountLoans
+        Units that other routers lend to this one.
     """
 
     def __init__(
@@ -146,6 +149,7 @@
         self._horizon_s = horizon_s
         self._schedule = LedgerLogSchedule(process.log_bucket)
         self._changed = trio.Event()
+        self.loans = process.loans.of_account(account, self._unit_needs, self.wake)
 
     # -- requests -----------------------------------------------------------------------------
 
@@ -153,12 +157,65 @@
         """Record a request of this size in the account's traffic statistics."""
         record_request(self._traffic, amount, trio.current_time(), self._options.rate_window_s)
 
-    def try_reserve(self, amount: int) -> bool:
-        """Reserve units if they are allocated and the committed spend limits allow it."""
+    def try_reserve(self, amount: int) -> Allocation | None:
+        """Reserve units that are granted or lent; return their allocation, None if too few are.
+
+        Granted units are reserved only if the committed spend limits allow it.
+        """
         if amount <= self._headroom() and reserve(self.allocation, amount):
             self._shortfalls.forget_refused(amount)
-            return True
-        return False
+            return self.allocation
+        if self.loans.try_reserve(amount):
+            self._shortfalls.forget_refused(amount)
+            return self.loans.allocation
+        return None
+
+    @property
+    def units_expected_at(self) -> float | None:
+        """The Trio time at which units on their way are expected; None if none are.
+
+        Appends to the ledger are not counted.
+        """
+        return self.loans.expected_at
+
+    def _unit_needs(self) -> UnitNeeds:
+        """Return what the account's requests need at this router."""
+        rate = rate_at(self._traffic, trio.current_time(), self._options.rate_window_s)
+        waiting = tuple(self._shortfalls.waiting)
+        return UnitNeeds(self._headroom(), waiting, self._traffic.typical, rate)
+
+    async def lend(self, wanted: int, minimum: int, until: float) -> int:
+        """Reserve up to `wanted` units for another router, and at least `minimum`.
+
+        Asks the ledger if there are fewer, and waits for them: half of the time for what is
+        wanted, then for the minimum. Returns the units reserved, 0 if they don't suffice.
+        """
+        now = trio.current_time()
+        units = self._reserve_to_lend(wanted, minimum)
+        for amount, end in ((wanted, (now + until) / 2), (minimum, until)):
+            if not units and end > now:
+                units = await self._wait_to_lend(amount, wanted, minimum, end)
+        self.count_request(units or minimum)
+        self.refill_if_low()
+        return units
+
+    async def _wait_to_lend(self, amount: int, wanted: int, minimum: int, until: float) -> int:
+        """Wait for a grant of `amount`; return the units reserved as soon as they suffice."""
+        self._shortfalls.waiting.append(amount)
+        try:
+            with trio.move_on_at(until):
+                while not (self._is_fresh() and self.is_exhausted(amount)):
+                    self._request_update()
+                    await self._changed.wait()
+                    if units := self._reserve_to_lend(wanted, minimum):
+                        return units
+        finally:
+            self._shortfalls.waiting.remove(amount)
+        return 0
+
+    def _reserve_to_lend(self, wanted: int, minimum: int) -> int:
+        units = min(wanted, self._headroom(), self.allocation.available)
+        return units if units >= minimum and reserve(self.allocation, units) else 0
 
     def wait_s(self, amount: int) -> float | None:
         """Return the wait until the limits allow an amount, seconds; None if they never will."""
@@ -170,29 +227,36 @@
 
     def refill_if_low(self) -> None:
         """Request a refill if the allocation is below its low watermark."""
+        if self.loans.is_borrowing:
+            return
         if is_low(self.allocation.available, self._target(), self._options):
             self._request_update()
 
-    async def wait_for(self, amount: int, until: float) -> bool:
-        """Reserve units as soon as they are granted; return False if that is not by `until`."""
+    async def wait_for(self, amount: int, until: float) -> Allocation | None:
+        """Reserve units as soon as there are enough; return their allocation.
+
+        None if there are too few by `until`.
+        """
         self._shortfalls.waiting.append(amount)
         try:
             with trio.move_on_at(until):
-                while not self.try_reserve(amount):
+                while not (allocation := self.try_reserve(amount)):
                     if self._is_fresh() and self.is_exhausted(amount):
-                        return False
-                    self._request_update()
+                        return None
+                    if not self.loans.is_borrowing:
+                        self._request_update()
                     await self._changed.wait()
-                return True
+                return allocation
         finally:
             self._shortfalls.waiting.remove(amount)
         self._report_shortfall(amount)
-        return False
+        return None
 
     def _report_shortfall(self, amount: int) -> None:
         """Report a shortfall that other routers can cover, for the caller's retry."""
         if (
             self._is_fresh()
+            and not self.loans.is_borrowing
             and amount > self.allocation.available
             and not self.is_exhausted(amount)
         ):
@@ -215,6 +279,7 @@
         """Apply the configured budget; a lower one releases all unreserved units."""
         if self.prepaid is not None and prepaid < self.prepaid:
             take_back(self.allocation, self.allocation.available)
+            self.loans.give_back()
         self.prepaid = prepaid
         self._log_ledger()
         self._request_update()
@@ -241,6 +306,7 @@
             account=self.account,
             amount=amount,
             in_hand=self.allocation.available,
+            borrowed=self.loans.allocation.available,
             reserved=self.allocation.reserved,
             headroom=self._headroom(),
             prepaid=self.prepaid,
@@ -309,6 +375,7 @@
         """True while requests wait for a ledger change that can be made now."""
         return (
             bool(self._shortfalls.waiting)
+            and not self.loans.is_borrowing
             and self._partition.is_open()
             and not self.is_waiting_for_readers
         )
@@ -491,7 +558,7 @@
 
     def _wants_units(self) -> bool:
         """Return whether to ask for a grant; a refused refill waits for a read interval."""
-        if self._process.leaving:
+        if self._process.leaving or self.loans.is_borrowing:
             return False
         if self._shortfalls.waiting_shortfall(self.allocation.available) > 0:
             return True
@@ -516,7 +583,7 @@
 
     def _shortfall(self) -> int:
         """Return the units that waiting and retrying callers lack here in total."""
-        if self._process.leaving:
+        if self._process.leaving or self.loans.is_borrowing:
             return 0
         return self._shortfalls.total_shortfall(self.allocation.available, trio.current_time())
 
--- a/railtide/budgets/ledger_budget_source.py
+++ b/railtide/budgets/ledger_budget_source.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from railtide.budgets.account_budget import AccountBudget
+from railtide.budgets.account_loans import Loans, NoLoans
 from railtide.budgets.allocation import Allocation, settle_reserve
 from railtide.budgets.allocation_sizing import LedgerOptions
 from railtide.budgets.budget_source import BudgetReservation, BudgetSource
@@ -85,6 +86,8 @@
         Where this process is listening; see `close_predecessor`.
     peers : Peers, optional
         The other routers; none unless given.
+    loans : Loans, optional
+        Units that other routers lend to this one; none unless given.
 
     Attributes
     ----------
@@ -104,6 +107,7 @@
         counters: Counters | None = None,
         address: str = "",
         peers: Peers | None = None,
+        loans: Loans | None = None,
     ) -> None:
         self.refusals = 0
         self._started_at = trio.current_time()
@@ -121,6 +125,7 @@
             counters or Counters(),
             address=address,
             peers=peers or NoPeers(),
+            loans=loans or NoLoans(),
         )
         self._rng = Random(incarnation)
         self.partitions = [
@@ -168,29 +173,55 @@
             return LedgerReservation(Allocation(), 0)
         budget = self._account(account)
         budget.count_request(amount)
-        if budget.try_reserve(amount):
+        allocation = budget.try_reserve(amount)
+        budget.loans.note_request(amount)
+        if allocation:
             budget.refill_if_low()
-            return self._reserved(budget, amount)
+            return self._reserved(budget, allocation, amount)
         now = trio.current_time()
         partition = self._partition(account)
-        waits = not self._is_store_unreachable(partition) and partition.is_open()
+        waits = budget.units_expected_at is not None or self._can_be_granted(partition)
         until = min(deadline, now + settings.budget_wait_s) if waits else now
-        if not await budget.wait_for(amount, until):
+        allocation = await budget.wait_for(amount, until)
+        if not allocation:
             raise self._refusal(budget, amount)
-        return self._reserved(budget, amount)
+        return self._reserved(budget, allocation, amount)
 
-    def _reserved(self, budget: AccountBudget, amount: int) -> LedgerReservation:
-        return LedgerReservation(
-            budget.allocation, amount, partial(self._note_spent, budget.account)
-        )
+    def _reserved(
+        self, budget: AccountBudget, allocation: Allocation, amount: int
+    ) -> LedgerReservation:
+        return LedgerReservation(allocation, amount, partial(self._note_spent, budget))
+
+    def _can_be_granted(self, partition: LedgerPartition) -> bool:
+        """Return whether a grant may be obtained now."""
+        return not self._is_store_unreachable(partition) and partition.is_open()
+
+    async def lend(
+        self, account: str, wanted: int, minimum: int, wait_s: float
+    ) -> LedgerReservation | None:
+        """Return a reservation of up to `wanted` units for another router.
+
+        None if there are fewer than `minimum`, also after a wait for a grant.
+        """
+        budget = self._budget_by_account.get(account)
+        if budget is None or self._process.leaving:
+            return None
+        now = trio.current_time()
+        until = now + wait_s if self._can_be_granted(self._partition(account)) else now
+        units = await budget.lend(wanted, minimum, until)
+        return LedgerReservation(budget.allocation, units) if units else None
 
-    def _note_spent(self, account: str) -> None:
-        """Log the end of the first request that cost units: from then on budgets are in use."""
+    def _note_spent(self, budget: AccountBudget) -> None:
+        """End loans that are used up, and log the end of the first request that cost units.
+
+        From then on budgets are in use.
+        """
+        budget.loans.note_spent()
         if self._has_served:
             return
         self._has_served = True
         since_start_s = round(trio.current_time() - self._started_at, 3)
-        logger.bind(account=account, since_start_s=since_start_s).info("serving")
+        logger.bind(account=budget.account, since_start_s=since_start_s).info("serving")
 
     def _is_store_unreachable(self, partition: LedgerPartition) -> bool:
         """Return whether the store is unreachable, so that no grant can be obtained now."""
--- a/railtide/budgets/process_context.py
+++ b/railtide/budgets/process_context.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from railtide.budgets.account_loans import Loans, NoLoans
 from railtide.budgets.account_log import LogTokenBucket
 from railtide.budgets.allocation_sizing import LedgerOptions
 from railtide.budgets.peers import NoPeers, Peers
@@ -37,6 +38,8 @@
     address : str
         Where the process listens.
     peers : Peers
+    loans : Loans
+        Units that other routers lend to this one.
     """
 
     instance: str
@@ -51,3 +54,4 @@
     leaving: bool = False
     address: str = ""
     peers: Peers = field(default_factory=NoPeers)
+    loans: Loans = field(default_factory=NoLoans)
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -26,6 +26,9 @@
 from railtide.errors import RailtideError
 from railtide.journal.feed import Feed, FeedOptions
 from railtide.journal.keyed import KeyedRecord, KeyedStore
+from railtide.loans.borrower import Borrower
+from railtide.loans.lender import Lender
+from railtide.loans.loan_client import HttpLoanClient
 from railtide.membership.addresses import RouterEndpoint, rendezvous_order
 from railtide.membership.identity import Identity
 from railtide.membership.instances import Instance
@@ -78,6 +81,8 @@
         See `EdgePools.apply_notice`.
     wait_until_current : callable
         See `WakeHandler.wait_until_current`.
+    borrower : Borrower
+    lender : Lender
     leaving : bool
         Set by a shutdown: callers should use other routers.
     """
@@ -106,7 +111,12 @@
         self._nursery: trio.Nursery | None = None
         self._retries_by_pool: dict[str, RetryBudget] = {}
         member = Member(
-            identity.incarnation, identity.address, identity.failure_domain, 0, options.capacity
+            identity.incarnation,
+            identity.address,
+            identity.failure_domain,
+            0,
+            options.capacity,
+            peer_address=options.peer_address,
         )
         self._request_rate = RequestRate()
         self.roster = Roster(
@@ -120,6 +130,13 @@
             lambda: self.budgets.read_offsets(),
             lambda: self._pools.limit_updates(),
         )
+        self.borrower = Borrower(
+            identity.instance,
+            identity.incarnation,
+            self._lenders,
+            HttpLoanClient(),
+            self.counters,
+        )
         self.budgets = LedgerBudgetSource(
             store,
             identity.instance,
@@ -131,7 +148,9 @@
             self.counters,
             identity.address,
             RosterPeers(self.roster),
+            self.borrower,
         )
+        self.lender = Lender(self.budgets.lend, self.counters)
         self.roster.on_update = self.budgets.recheck_waiting
         self._pools = EdgePools(
             identity.instance,
@@ -249,6 +268,8 @@
             nursery.start_soon(self._crash_registry.run)
             nursery.start_soon(self._log_when_ready)
             nursery.start_soon(self.budgets.run)
+            nursery.start_soon(self.borrower.run)
+            nursery.start_soon(self.lender.run)
             nursery.start_soon(self._run_budget_spreading)
             nursery.start_soon(partial(self.roster.run, lambda: self.serves))
 
@@ -260,15 +281,18 @@
         """
         began = trio.current_time()
         logger.bind(open_calls=self.open_calls).info("leaving")
-        self.leaving = True
+        self.leaving = self.lender.leaving = True
         with trio.move_on_after(self.options.shutdown_accept_s):
             await self.roster.leave()
         await trio.sleep_until(began + self.options.shutdown_accept_s)
         with trio.move_on_at(began + self.options.shutdown_timeout_s):
             while self.open_calls:
                 await trio.sleep(DRAIN_POLL_S)
+        self.lender.end_all()
         with trio.move_on_after(RETURN_TIMEOUT_S):
-            await self.budgets.return_all()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.borrower.return_all, RETURN_TIMEOUT_S)
+                nursery.start_soon(self.budgets.return_all)
         logger.bind(open_calls=self.open_calls).info("left")
 
     async def _run_budget_spreading(self) -> None:
@@ -428,6 +452,13 @@
     def _advertised_names(self) -> list[str]:
         return [endpoint.name for endpoint in self.roster.advertised()]
 
+    def _lenders(self) -> dict[str, str]:
+        """Return the routers to borrow from, none unless this one should borrow now."""
+        options = self.options
+        if not (options.borrows and options.peer_address) or self.roster.is_advertised():
+            return {}
+        return self.roster.peer_addresses()
+
     def _sharing_routers(self) -> int:
         """Return how many routers hold budget allocations, 0 if this one must not."""
         return len(self.roster.advertised()) if self.roster.is_advertised() else 0
--- a/railtide/edge/options.py
+++ b/railtide/edge/options.py
@@ -42,6 +42,11 @@
         How long after SIGTERM new requests are still served: until callers have new addresses.
     shutdown_timeout_s : float
         How long after SIGTERM requests in flight may still finish.
+    peer_address : str
+        Where other routers ask this one for loans of units; empty for neither lending nor
+        borrowing.
+    borrows : bool
+        Whether to borrow units from advertised routers while this one is not advertised.
     """
 
     requests: RequestOptions = field(default_factory=RequestOptions)
@@ -58,3 +63,5 @@
     max_addresses: int = 64
     shutdown_accept_s: float = 2.5
     shutdown_timeout_s: float = 7.0
+    peer_address: str = ""
+    borrows: bool = False
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -96,6 +96,8 @@
         Offset up to which it has read each partition of the ledgers in that era.
     limits : tuple of LimitUpdate
         What answers to it lately stated of upstreams' limits.
+    peer_address : str
+        Where it answers other routers; empty if it does not.
     """
 
     incarnation: str
@@ -110,6 +112,7 @@
     first_era: Annotated[int, msgspec.Meta(ge=0)] = 0
     read: tuple[Annotated[int, msgspec.Meta(ge=0)], ...] = ()
     limits: tuple[LimitUpdate, ...] = ()
+    peer_address: str = ""
 
 
 def _member_of(value: bytes) -> Member:
@@ -374,6 +377,15 @@
         self._traffic = router_traffic(candidates, advertised)
         self._selected_at = now
 
+    def peer_addresses(self) -> dict[str, str]:
+        """Return where the other advertised routers answer routers, by name."""
+        addresses = {
+            endpoint.name: self._sightings_by_instance[endpoint.name].member.peer_address
+            for endpoint in self.advertised()
+            if endpoint.name != self._instance and endpoint.name in self._sightings_by_instance
+        }
+        return {name: address for name, address in addresses.items() if is_address(address)}
+
     def is_advertised(self) -> bool:
         """Return whether this router is advertised to callers."""
         return any(endpoint.name == self._instance for endpoint in self.advertised())
--- a/railtide/platform/boot.py
+++ b/railtide/platform/boot.py
@@ -3,9 +3,10 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import yaml
-from pydantic import BaseModel, ValidationError
+from pydantic import BaseModel, Field, ValidationError
 
 from railtide.settings import InvalidSetting
 
@@ -48,6 +49,7 @@
     bounds: _Bounds = _Bounds()
     limits: _MachineLimits = _MachineLimits()
     platform: _Platform
+    internal_ports: list[Annotated[int, Field(ge=1, le=65_535)]] = []
 
 
 @dataclass(frozen=True)
@@ -74,6 +76,8 @@
         Processor capacity of the instance, in standard cores.
     link_mbps : float
         Bandwidth of the instance's link, Mbit/s.
+    peer_address : str
+        Address to listen on for other routers, host:port; empty if there is none.
     """
 
     instance: str
@@ -89,6 +93,7 @@
     grace_s: float
     cpu_speed: float
     link_mbps: float
+    peer_address: str
 
 
 def read_boot(path: str | None = None) -> Boot:
@@ -122,4 +127,5 @@
         grace_s=file.bounds.grace_s,
         cpu_speed=file.limits.cpu_share * file.limits.cores,
         link_mbps=file.limits.link_mbps,
+        peer_address=f"{file.ip}:{file.internal_ports[0]}" if file.internal_ports else "",
     )
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -17,6 +17,7 @@
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.http.sockets import listen
+from railtide.loans.handler import loan_server
 from railtide.membership.identity import Identity
 from railtide.platform.boot import Boot, read_boot
 from railtide.platform.desired_state import PlatformSources
@@ -55,6 +56,9 @@
 a third of it for the routers' starts (docs/MEASUREMENTS.md)."""
 MEGABITS_PER_REQUEST = 0.15
 """Traffic of a request in each direction; the specified bodies have up to 18 KB."""
+BORROW_BELOW_LINK_MBPS = 20.0
+"""Behind a link of 5 Mbit/s that is full, a read of the ledgers takes 70 to 450 ms, and an append
+conditional on it always came too late."""
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 FLUSH_S = 0.2
 """Kept free at the end of a shutdown for the last log lines and for closing connections."""
@@ -67,6 +71,7 @@
     budget_horizon_s: float = Field(gt=0, le=600)
     budget_most_share: float = Field(gt=0, le=1)
     budget_spread_share: float = Field(ge=0, le=1)
+    borrow_below_link_mbps: float = Field(ge=0, le=1_000_000)
 
 
 def edge(
@@ -76,6 +81,7 @@
     budget_horizon_s: float = LedgerOptions.horizon_s,
     budget_most_share: float = LedgerOptions.max_preallocated_share,
     budget_spread_share: float = LedgerOptions.spread_share,
+    borrow_below_link_mbps: float = BORROW_BELOW_LINK_MBPS,
 ) -> None:
     """Serve callers' requests within their prepaid budgets, on the platform.
 
@@ -92,6 +98,8 @@
         0 to 1
     :param budget_spread_share: share of the remainder that is allocated to all routers in equal
         parts, 0 to 1
+    :param borrow_below_link_mbps: a router with a narrower link that is not advertised to callers
+        borrows budget units from those that are; 0 for never
     """
     settings = validate_settings(
         EdgeSettings,
@@ -99,6 +107,7 @@
         budget_horizon_s=budget_horizon_s,
         budget_most_share=budget_most_share,
         budget_spread_share=budget_spread_share,
+        borrow_below_link_mbps=borrow_below_link_mbps,
     )
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     trio.run(_run, read_boot(), settings, log_level, clock=BootTimeClock())
@@ -131,6 +140,8 @@
         nursery.start_soon(_serve, _server(partial(_readiness, node)), boot.readiness_address)
         nursery.start_soon(_serve, _server(partial(_directory, node)), boot.directory_address)
         nursery.start_soon(_serve, _server(_metrics), f"{boot.host}:{settings.metrics_port}")
+        if boot.peer_address:
+            nursery.start_soon(_serve, loan_server(node.lender), boot.peer_address)
         nursery.start_soon(_check_settings_on_sighup)
         relax_gc()
         await nursery.start(_wait_for_stop_signal)
@@ -151,6 +162,8 @@
         retries_per_request=boot.retry_ratio * USED_RETRY_SHARE,
         retry_slack=boot.retry_slack * USED_RETRY_SHARE,
         capacity=_capacity_per_s(boot),
+        peer_address=boot.peer_address,
+        borrows=boot.link_mbps < settings.borrow_below_link_mbps,
     )
 
 
