--- a/railtide/upstreams/balancing.py
+++ b/railtide/upstreams/balancing.py
@@ -37,12 +37,15 @@
         Cost of processing the rest of the prompt, until the answer begins.
     decode_cost : float
         Cost of generating the answer, at its maximum size.
+    pause_goal_s : float
+        Target for the longest pause between events of its stream, seconds; 0 for none.
     """
 
     key: str = ""
     prefix_cost: float = DEFAULT_PREFIX_COST
     prefill_cost: float = 0.0
     decode_cost: float = 0.0
+    pause_goal_s: float = 0.0
 
     @property
     def total_cost(self) -> float:
--- a/railtide/upstreams/upstream_state.py
+++ b/railtide/upstreams/upstream_state.py
@@ -5,6 +5,7 @@
 
 from railtide.membership.instances import Instance, InstanceState
 from railtide.upstreams.advertised_limit import AdvertisedLimit
+from railtide.upstreams.pace import UpstreamPace
 
 __all__ = [
     "LoadReport",
@@ -38,13 +39,15 @@
 class LoadReport:
     """Load that an upstream reported, which is out of date by the time it is used.
 
-    `running` and `queued` count the requests of all routers; `taken_at` is when it was read.
+    `running` and `queued` count the requests of all routers; `taken_at` is when it was read; `pace`
+    is how long work takes there, 100 as usual, and None if that isn't stated.
     """
 
     running: int
     queued: int
     leaving: bool
     taken_at: float
+    pace: int | None = None
 
 
 @dataclass
@@ -78,6 +81,8 @@
         Rate limit that it advertises.
     resting_until : float
         Until when it asked this router to send nothing.
+    pace : UpstreamPace
+        How long work takes there, by what it states and what was observed.
     """
 
     instance: Instance
@@ -95,6 +100,7 @@
     sent_at: float = -math.inf
     limit: AdvertisedLimit = field(default_factory=AdvertisedLimit)
     resting_until: float = -math.inf
+    pace: UpstreamPace = field(default_factory=UpstreamPace)
 
     @property
     def open_requests(self) -> int:
