Edge: choose upstreams by expected time where they state their pace

Streams began late or paused at slow engines because the choice knew only load reports. The fourth figure of the load header is decoded, the times of each attempt are measured at the connection to its upstream, and the choice by expected time is used for a pool once an upstream of it states the figure. The line request-sent gets pace and expected_ms, and there is a gauge of paces.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -76,6 +76,8 @@
     schedulers_by_pool : dict of str to PoolScheduler
     apply_notice : callable
         See `EdgePools.apply_notice`.
+    upstream_paces : callable
+        See `EdgePools.paces`.
     wait_until_current : callable
         See `WakeHandler.wait_until_current`.
     leaving : bool
@@ -143,6 +145,7 @@
         )
         self.schedulers_by_pool = self._pools.schedulers_by_pool
         self.apply_notice = self._pools.apply_notice
+        self.upstream_paces = self._pools.paces
         store.on_era_rise(self._pools.listed.note_rise)
         store.on_era_rise(self._pools.drained.note_rise)
         self._configuration_feed = Feed(
--- a/railtide/edge/pools.py
+++ b/railtide/edge/pools.py
@@ -15,9 +15,11 @@
 from railtide.upstreams.advertised_limit import LimitUpdate
 from railtide.upstreams.balancing import PrefixAffinity, TwoChoices
 from railtide.upstreams.client import UpstreamClient
+from railtide.upstreams.expected_completion import ExpectedCompletion
 from railtide.upstreams.limit_shares import LimitShares
 from railtide.upstreams.long_prompt_isolation import LongPromptIsolation
 from railtide.upstreams.notice import UpstreamNotice
+from railtide.upstreams.pace import PoolPace
 from railtide.upstreams.slow_start import SlowStart, SlowStartShares
 from railtide.upstreams.upstream_state import note_crash
 
@@ -97,8 +99,10 @@
         self._on_listed([after[new] for new in after.keys() - before.keys()])
 
     def _add_pool(self, pool: str) -> None:
-        policy = LongPromptIsolation(PrefixAffinity(TwoChoices(self._rng)))
-        scheduler = PoolScheduler(policy, urgent_share=0, trusts_list=True)
+        pace = PoolPace()
+        by_load = PrefixAffinity(TwoChoices(self._rng))
+        policy = LongPromptIsolation(ExpectedCompletion(pace, by_load, self._rng))
+        scheduler = PoolScheduler(policy, urgent_share=0, trusts_list=True, pace=pace)
         scheduler.set_drained(self.drained.names)
         scheduler.set_limit_shares(self._limit_shares)
         self.schedulers_by_pool[pool] = scheduler
@@ -138,6 +142,14 @@
         is_same = known is not None and known.instance.incarnation == upstream.incarnation
         return scheduler if is_same else None
 
+    def paces(self) -> dict[str, float]:
+        """Return the pace of each upstream of the pools that state it; see `PoolScheduler`."""
+        return {
+            name: pace
+            for scheduler in self.schedulers_by_pool.values()
+            for name, pace in scheduler.paces().items()
+        }
+
     def limit_updates(self) -> tuple[LimitUpdate, ...]:
         """Return the limits of upstreams to be published to other routers."""
         schedulers = self.schedulers_by_pool.values()
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -17,7 +17,9 @@
 from railtide.lanes.queue import FairLanes, QueuedRequest, Urgency, WaitingQueue
 from railtide.membership.instances import Instance
 from railtide.upstreams.balancing import Affinity, BalancingPolicy
+from railtide.upstreams.expected_completion import Expectation, expectation_of, note_timing
 from railtide.upstreams.limit_shares import LimitShares
+from railtide.upstreams.pace import AnswerTiming, PoolPace, expected_factor, note_stated
 from railtide.upstreams.slow_start import SlowStart
 from railtide.upstreams.upstream_state import LoadReport, Upstream, has_prefix, note_prefix
 
@@ -83,7 +85,13 @@
 
 
 class Slot:
-    """A place for one request at an upstream."""
+    """A place for one request at an upstream.
+
+    Attributes
+    ----------
+    expected : Expectation or None
+        What was expected of the request; None while upstreams don't state their pace.
+    """
 
     def __init__(self, upstream: Upstream, urgency: Urgency, opened_at: float) -> None:
         self.upstream = upstream
@@ -92,6 +100,7 @@
         self.released = False
         self.answer_started = False
         self.prefill_load = 0.0
+        self.expected: Expectation | None = None
 
 
 class PoolScheduler:
@@ -108,6 +117,8 @@
         Maximum number of requests waiting in a lane.
     trusts_list : bool
         See `PoolUpstreams`.
+    pace : PoolPace, optional
+        Usual times of the pool, which `choice` may use too; without it no pace is recorded.
 
     Attributes
     ----------
@@ -122,7 +133,10 @@
         urgent_share: int = URGENT_SHARE,
         max_waiting: int = MAX_WAITING,
         trusts_list: bool = False,
+        pace: PoolPace | None = None,
     ) -> None:
+        self._pace = pace or PoolPace()
+        self._records_pace = pace is not None
         self._upstreams = PoolUpstreams(urgent_share, trusts_list)
         self.notices = PoolNotices(self._upstreams, self._on_capacity_change)
         self._choice = choice
@@ -164,8 +178,18 @@
             return
         upstream.report = report
         upstream.leaving = upstream.leaving or report.leaving
+        if report.pace is not None and self._records_pace:
+            self._pace.is_stated = True
+            note_stated(upstream.pace, report.pace, report.taken_at)
         self._serve_waiting()
 
+    def paces(self) -> dict[str, float]:
+        """Return the expected pace of each upstream, 100 as usual; empty if none is stated."""
+        if not self._pace.is_stated:
+            return {}
+        now = trio.current_time()
+        return {name: 100 * expected_factor(u.pace, now) for name, u in self.by_name.items()}
+
     # -- slots --------------------------------------------------------------------------------
 
     async def acquire(self, request: WaitingRequest) -> Slot:
@@ -252,6 +276,11 @@
         if self._choice.note_stream(paused, trio.current_time()):
             logger.bind(upstreams=len(self.by_name)).info("long-prompts-apart")
 
+    def note_timing(self, slot: Slot, timing: AnswerTiming) -> None:
+        """Record how long an upstream took for a slot's request."""
+        if slot.expected:
+            note_timing(self._pace, slot.upstream, slot.expected, timing, trio.current_time())
+
     def expected_wait(self, urgency: Urgency) -> float:
         """Return the expected wait of a new request of a lane, seconds."""
         before = sum(self._queue.size(lane) for lane in Urgency if lane <= urgency)
@@ -374,8 +403,12 @@
         if not candidates:
             return False
         upstream = self._choice.choose(candidates, request.affinity, now)
+        expected = None
+        if self._pace.is_stated:
+            expected = expectation_of(self._pace, upstream, candidates, request.affinity, now)
         self._queue.remove(request)
         request.slot = self._open(upstream, urgency, now)
+        request.slot.expected = expected
         self._add_prefill_load(request.slot, request.affinity, now)
         request.woken.set()
         return True
--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -72,7 +72,7 @@
         deadline=now + deadline_s,
         stream=route.stream,
         repeatable=route.repeatable,
-        affinity=_affinity_of(request, tokens),
+        affinity=_affinity_of(request, tokens, route.pause_goal_s),
         max_attempts=route.attempts,
         goal_s=route.goal_s,
         pause_goal_s=route.pause_goal_s,
@@ -123,21 +123,21 @@
     return cost_of(TOKEN_PRICES, tokens)
 
 
-def _affinity_of(request: HttpRequest, tokens: Usage) -> Affinity:
+def _affinity_of(request: HttpRequest, tokens: Usage, pause_goal_s: float) -> Affinity:
     """Return the key of the prompt's shared parts and the costs of the request.
 
     All parts but the last are shared with other requests.
     """
     value = first_header(request.headers, header_names.PROMPT_PARTS)
     if not value:
-        return Affinity()
+        return Affinity(pause_goal_s=pause_goal_s)
     parts = [part.partition(b":") for part in value.split(b",")]
     shared, unique = parts[:-1], parts[-1:]
     key = b",".join(part[0].strip() for part in shared).decode("latin-1")
     decode_cost = (
         tokens.completion_tokens * PROMPT_TOKENS_PER_OUTPUT_TOKEN / PROMPT_TOKENS_PER_LOAD_UNIT
     )
-    return Affinity(key, _prefill_cost(shared), _prefill_cost(unique), decode_cost)
+    return Affinity(key, _prefill_cost(shared), _prefill_cost(unique), decode_cost, pause_goal_s)
 
 
 def _prefill_cost(parts: list[tuple[bytes, bytes, bytes]]) -> float:
--- a/railtide/platform/notices.py
+++ b/railtide/platform/notices.py
@@ -14,6 +14,9 @@
 __all__ = ["notice_of"]
 
 UNAVAILABLE = 503
+PACE_INDEX = 3
+"""Index of the pace in the load header, after the running and queued requests and the slots."""
+PACE = re.compile(rb"[1-9][0-9]{0,4}")
 DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
@@ -53,7 +56,13 @@
     parts = value.split(b",") if value else []
     if len(parts) < 2 or not parts[0].isdigit() or not parts[1].isdigit():
         return None
-    return LoadReport(int(parts[0]), int(parts[1]), False, trio.current_time())
+    return LoadReport(int(parts[0]), int(parts[1]), False, trio.current_time(), _pace_of(parts))
+
+
+def _pace_of(parts: list[bytes]) -> int | None:
+    """Return how long work takes, 100 as usual; None if it isn't stated or is unreadable."""
+    is_stated = len(parts) > PACE_INDEX and PACE.fullmatch(parts[PACE_INDEX].strip())
+    return int(parts[PACE_INDEX]) if is_stated else None
 
 
 def _limit_of(headers: Headers, sent_at: float) -> LimitReport | None:
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -119,6 +119,7 @@
     limits = ConnectionLimits(retry_after_s=node.limits_retry_after_s)
     observe("store_era", "1", lambda: float(NO_ERA if store.era is None else store.era))
     observe_each("read_age", "s", "topic", node.read_ages_s)
+    observe_each("upstream_pace", "", "upstream", node.upstream_paces)
     node.on_snapshot = partial(_apply_limits, limits)
     ingress = Ingress(node, rng)
     server = HttpServer(ingress.handle, limits)
--- /dev/null
+++ b/railtide/requests/attempt_times.py
@@ -0,0 +1,59 @@
+"""Times of one attempt at an upstream, from which its pace is told. Pure."""
+
+from railtide.upstreams.pace import AnswerTiming
+
+__all__ = ["AttemptTimes"]
+
+
+class AttemptTimes:
+    """Records when an attempt was sent and when parts of its answer arrived.
+
+    Parameters
+    ----------
+    sent_at : float
+    is_first : bool
+        Whether the answer starts from its first event. A resumed stream is not compared with
+        others, since its upstream may send events again that the caller has received.
+
+    Examples
+    --------
+    >>> times = AttemptTimes(1.0)
+    >>> for at in (1.2, 1.3, 1.6):
+    ...     times.note_events(1, at)
+    >>> timing = times.timing(9.0)
+    >>> [round(value, 2) for value in (timing.first_s, timing.gap_s, timing.longest_pause_s)]
+    [0.2, 0.2, 0.3]
+    """
+
+    def __init__(self, sent_at: float, is_first: bool = True) -> None:
+        self._sent_at = sent_at
+        self._is_first = is_first
+        self._first_at: float | None = None
+        self._last_at = sent_at
+        self._events = 0
+        self._longest_pause_s = 0.0
+        self._failed = False
+
+    def note_events(self, events: int, now: float) -> None:
+        """Record that events of the stream, or a whole answer, arrived."""
+        if not events:
+            return
+        if self._first_at is None:
+            self._first_at = now
+        else:
+            self._longest_pause_s = max(self._longest_pause_s, now - self._last_at)
+        self._last_at = now
+        self._events += events
+
+    def note_failure(self) -> None:
+        """Record that the upstream refused or failed, which says nothing about its pace."""
+        self._failed = True
+
+    def timing(self, now: float) -> AnswerTiming | None:
+        """Return the times of an attempt that ends now; None if they are not comparable."""
+        if self._failed or not self._is_first:
+            return None
+        if self._first_at is None:
+            return AnswerTiming(now - self._sent_at, False)
+        gap_s = (self._last_at - self._first_at) / (self._events - 1) if self._events > 1 else 0.0
+        return AnswerTiming(self._first_at - self._sent_at, True, gap_s, self._longest_pause_s)
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -193,9 +193,10 @@
             self._services.counters.add("retries")
 
     def _log_sent(self, upstream: Upstream, attempt: int) -> None:
-        """Log where the request is sent, and the load that the upstream was estimated to have."""
+        """Log where the request is sent, and the upstream's estimated load and pace."""
         report = upstream.report
         now = trio.current_time()
+        expected = self._slot.expected
         logger.bind(
             request_id=self._call.request_id,
             upstream=upstream.instance.name,
@@ -204,6 +205,7 @@
             load=estimated_load(upstream, now),
             load_age_ms=round((now - report.taken_at) * 1000) if report else None,
             content=self._call.content,
+            **(expected.log_fields() if expected else {}),
         ).info("request-sent")
 
     async def _send_once(self, upstream: Instance) -> Relayed:
@@ -215,7 +217,10 @@
             self._sent_at = trio.current_time()
             with self._cancel_scope() as scope:
                 sent = self._upstream_call(traceparent_of(span))
-                relayed = await self._relay.relay(upstream, sent)
+                try:
+                    relayed = await self._relay.relay(upstream, sent)
+                finally:
+                    self._report_times()
             if scope.cancelled_caught:
                 raise UpstreamLost("upstreams crash on this request; its attempt was cancelled")
             self._sent_to = None
@@ -252,6 +257,13 @@
         if goal_s:
             self._scheduler.note_stream(self._relay.longest_pause_s > goal_s)
 
+    def _report_times(self) -> None:
+        """Report to the scheduler how long the attempt took, also if it was cancelled."""
+        times = self._relay.times
+        timing = times.timing(trio.current_time()) if times else None
+        if timing:
+            self._scheduler.note_timing(self._slot, timing)
+
     def _upstream_call(self, traceparent: str) -> UpstreamCall:
         call = self._call
         remaining_s = max(0.0, call.deadline - trio.current_time())
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -9,6 +9,7 @@
 
 from railtide.http.messages import Headers
 from railtide.membership.instances import Instance
+from railtide.requests.attempt_times import AttemptTimes
 from railtide.requests.call import AnswerSink, Call, Usage, cost_of
 from railtide.requests.event_stream import EventStream
 from railtide.requests.messages import Answer
@@ -75,12 +76,16 @@
         ran_before, self._ran = self._ran, True
         self.head_at = None
         sent = replace(sent, resume_after=self._events.last_id)
+        self.times = AttemptTimes(trio.current_time(), not sent.resume_after)
         try:
             answer = await self._services.upstreams.open(upstream, sent)
         except UpstreamRefused:
             self._ran = ran_before
+            self.times.note_failure()
             raise
         self.head_at = trio.current_time()
+        if answer.status != OK_STATUS:
+            self.times.note_failure()
         async with closing(answer):
             if self._call.stream and answer.status == OK_STATUS:
                 return await self._pass_stream(answer)
@@ -88,6 +93,7 @@
 
     async def _read_whole(self, answer: UpstreamAnswer) -> Relayed:
         """Read an answer that is no stream; its tokens are unknown, so it costs the reserve."""
+        self.times.note_events(1, self.head_at)
         stored = await read_answer(answer, self._services.options.max_answer_bytes)
         if answer.holds_another(stored.body):
             # Without a length, the close of the connection ends the body: in one seed of the soak
@@ -112,7 +118,10 @@
                 now = trio.current_time()
                 self.longest_pause_s = max(self.longest_pause_s, now - read_at)
                 read_at = now
-                await self._pass_on(answer.headers, answer.content_type, self._events.feed(data))
+                known_events = self._events.events
+                events = self._events.feed(data)
+                self.times.note_events(self._events.events - known_events, now)
+                await self._pass_on(answer.headers, answer.content_type, events)
         if not answer.framed and not self._events.at_event_end:
             raise UpstreamDisconnected("the connection ended in the middle of an event")
         unsent = self._events.end()
--- a/railtide/requests/relay.py
+++ b/railtide/requests/relay.py
@@ -9,6 +9,7 @@
 from railtide.http.messages import Headers
 from railtide.membership.instances import Instance
 from railtide.requests.answers import END_MARK, StreamChecker, usage_of_body
+from railtide.requests.attempt_times import AttemptTimes
 from railtide.requests.call import AnswerSink, Call, Usage, cost_of
 from railtide.requests.messages import Answer
 from railtide.requests.services import Services
@@ -63,10 +64,13 @@
     head_at : float or None
         Trio time at which the response head of the latest attempt arrived; None where it isn't
         measured.
+    times : AttemptTimes or None
+        Times of the latest attempt; None where they aren't measured.
     """
 
     longest_pause_s = 0.0
     head_at: float | None = None
+    times: AttemptTimes | None = None
 
     @property
     def resumable(self) -> bool:
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -23,7 +23,8 @@
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 LIMIT = b"server-limit"
-LOAD = ((b"x-instance-load", b"1,0,8"),)
+LOAD_NAME = b"x-instance-load"
+LOAD = b"1,0,8"
 KB = 1_024
 MAX_READ_KB = 1_024
 MAX_NEWEST = 500
@@ -254,6 +255,8 @@
         Whether all answers report that the engine is leaving.
     leaving_text : str or None
         Value of that header in place of "1".
+    pace : str or None
+        Fourth figure of the load header, which states how long work takes; None for no figure.
     arrivals, answers : list of EngineEvent
         All requests received, and the heads of all answers, in order.
     """
@@ -268,6 +271,7 @@
     rest: str | None = None
     leaving: bool = False
     leaving_text: str | None = None
+    pace: str | None = None
     arrivals: list[EngineEvent] = field(default_factory=list)
     answers: list[EngineEvent] = field(default_factory=list)
 
@@ -279,7 +283,7 @@
         if expected is not None and expected.decode() != self.name:
             refusal_headers = (
                 (b"x-instance-id", self.name.encode()),
-                *LOAD,
+                *self._load(),
                 *self._notices(request),
             )
             await responder.answer(421, refusal_headers)
@@ -297,6 +301,9 @@
             self.cancelled_requests += 1
             raise
 
+    def _load(self) -> Headers:
+        return ((LOAD_NAME, LOAD if self.pace is None else b"%s,%s" % (LOAD, self.pace.encode())),)
+
     def _notices(self, request: HttpRequest, rest: Headers = ()) -> Headers:
         """Return the headers that report the engine's state, and record the answer's head."""
         advertised = [] if self.limit is None else self.limit.split("\n")
@@ -315,7 +322,7 @@
         last = int(first_header(request.headers, b"last-event-id") or 0)
         if script.well_formed and not script.events:
             await trio.sleep(script.gap_s)
-        headers = ((ID, own_id), *seal, *LOAD, *self._notices(request))
+        headers = ((ID, own_id), *seal, *self._load(), *self._notices(request))
         if not script.well_formed:
             await self._answer_raw(script, headers, last, responder)
         elif script.events:
--- a/railtide/upstreams/expected_completion.py
+++ b/railtide/upstreams/expected_completion.py
@@ -63,6 +63,11 @@
     first_s: float | None
     pace: float
 
+    def log_fields(self) -> dict[str, int | None]:
+        """Return the fields of a log line: the pace as upstreams state it, and milliseconds."""
+        expected_ms = None if self.first_s is None else round(self.first_s * 1000)
+        return {"pace": round(self.pace * 100), "expected_ms": expected_ms}
+
 
 class ExpectedCompletion(BalancingPolicy):
     """The upstream where the first event is expected soonest, of a few random ones.
@@ -197,7 +202,7 @@
     The load is uncertain by about its square root, so a slot may be taken by the time that the
     request arrives, though the report shows it free.
     """
-    slots = upstream.instance.slots
+    slots = max(1, upstream.instance.slots)
     spread = max(1.0, math.sqrt(load))
     excess = (load + 1 - slots) / spread
     return spread * (excess if excess > 30 else math.log1p(math.exp(excess))) / slots
@@ -205,7 +210,7 @@
 
 def _load_factor(upstream: Upstream, load: float) -> float:
     """Return by which factor an engine's load delays events."""
-    return 1 + load / upstream.instance.slots
+    return 1 + load / max(1, upstream.instance.slots)
 
 
 def _expected_pause_s(pool: PoolPace, upstream: Upstream, load: float, now: float) -> float:
--- a/railtide/upstreams/pace.py
+++ b/railtide/upstreams/pace.py
@@ -30,6 +30,10 @@
 
 USUAL = 100
 """Statement of an upstream whose work takes as long as usual."""
+MIN_STATED = 50
+MAX_STATED = 1000
+"""Statements beyond these count as these, so that one that is wrong neither draws all requests nor
+rules the upstream out. Known engines state 83 (speed 1.2) to 455 (speed 0.55 in a slow phase)."""
 STATED_DECAY_S = 0.6
 """Time constant with which a statement loses weight: the length of an upstream's phases."""
 STATED_MAX_AGE_S = 5.0
@@ -190,7 +194,7 @@
 
 def note_stated(pace: UpstreamPace, figure: int, now: float) -> None:
     """Record what an upstream states; positive, 100 for its usual pace."""
-    pace.stated = math.log(figure / USUAL)
+    pace.stated = math.log(min(MAX_STATED, max(MIN_STATED, figure)) / USUAL)
     pace.stated_at = now
     pace.stated_average.add(pace.stated, now)
 
