--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -122,6 +122,7 @@
 
     Attributes
     ----------
+    pace : PoolPace
     notices : PoolNotices
         Applies what upstreams report in their answers.
     """
@@ -135,7 +136,7 @@
         trusts_list: bool = False,
         pace: PoolPace | None = None,
     ) -> None:
-        self._pace = pace or PoolPace()
+        self.pace = pace or PoolPace()
         self._records_pace = pace is not None
         self._upstreams = PoolUpstreams(urgent_share, trusts_list)
         self.notices = PoolNotices(self._upstreams, self._on_capacity_change)
@@ -179,13 +180,13 @@
         upstream.report = report
         upstream.leaving = upstream.leaving or report.leaving
         if report.pace is not None and self._records_pace:
-            self._pace.is_stated = True
+            self.pace.is_stated = True
             note_stated(upstream.pace, report.pace, report.taken_at)
         self._serve_waiting()
 
     def paces(self) -> dict[str, float]:
         """Return the expected pace of each upstream, 100 as usual; empty if none is stated."""
-        if not self._pace.is_stated:
+        if not self.pace.is_stated:
             return {}
         now = trio.current_time()
         return {name: 100 * expected_factor(u.pace, now) for name, u in self.by_name.items()}
@@ -279,7 +280,7 @@
     def note_timing(self, slot: Slot, timing: AnswerTiming) -> None:
         """Record how long an upstream took for a slot's request."""
         if slot.expected:
-            note_timing(self._pace, slot.upstream, slot.expected, timing, trio.current_time())
+            note_timing(self.pace, slot.upstream, slot.expected, timing, trio.current_time())
 
     def expected_wait(self, urgency: Urgency) -> float:
         """Return the expected wait of a new request of a lane, seconds."""
@@ -404,8 +405,8 @@
             return False
         upstream = self._choice.choose(candidates, request.affinity, now)
         expected = None
-        if self._pace.is_stated:
-            expected = expectation_of(self._pace, upstream, candidates, request.affinity, now)
+        if self.pace.is_stated:
+            expected = expectation_of(self.pace, upstream, candidates, request.affinity, now)
         self._queue.remove(request)
         request.slot = self._open(upstream, urgency, now)
         request.slot.expected = expected
--- a/railtide/upstreams/expected_completion.py
+++ b/railtide/upstreams/expected_completion.py
@@ -179,7 +179,8 @@
     """Return the work of the prompts that a request's first event waits for, its own included."""
     if not affinity.prefill_cost:
         return 0.0
-    cached = upstream in homes or has_prefix(upstream, affinity.key, now)
+    is_home = any(upstream is home for home in homes)
+    cached = is_home or has_prefix(upstream, affinity.key, now)
     prefix_cost = 0.0 if cached else affinity.prefix_cost
     return FIRST_EVENT_COST + upstream.prefill_load + affinity.prefill_cost + prefix_cost
 
