--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -144,6 +144,7 @@
     if shedding:
         observe_each("link_utilisation", "1", "direction", shedding.utilisation_by_direction)
     observe_each("read_age", "s", "topic", node.read_ages_s)
+    observe_each("upstream_pace", "", "upstream", node.upstream_paces)
     node.on_snapshot = partial(_apply_limits, limits)
     ingress = Ingress(node, rng)
     server = HttpServer(ingress.handle, limits, traffic, ingress.check_head)
