Soak: kind demands, first form (uneven demand over narrow links)

An account at several times the others' rate keeps to a router whose callers and store share a throttled link; engines state a varying pace.

--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -23,7 +23,9 @@
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 LIMIT = b"server-limit"
-LOAD = ((b"x-instance-load", b"1,0,8"),)
+LOAD = b"x-instance-load"
+USUAL_LOAD = b"1,0,8"
+USUAL_PACE = 100
 KB = 1_024
 MAX_READ_KB = 1_024
 MAX_NEWEST = 500
@@ -254,6 +256,9 @@
         Whether all answers report that the engine is leaving.
     leaving_text : str or None
         Value of that header in place of "1".
+    pace : int or None
+        Stated as the fourth figure of the load: how long work takes now, 100 as usual. The delays
+        of the script are longer or shorter accordingly.
     arrivals, answers : list of EngineEvent
         All requests received, and the heads of all answers, in order.
     """
@@ -268,6 +273,7 @@
     rest: str | None = None
     leaving: bool = False
     leaving_text: str | None = None
+    pace: int | None = None
     arrivals: list[EngineEvent] = field(default_factory=list)
     answers: list[EngineEvent] = field(default_factory=list)
 
@@ -279,7 +285,7 @@
         if expected is not None and expected.decode() != self.name:
             refusal_headers = (
                 (b"x-instance-id", self.name.encode()),
-                *LOAD,
+                (LOAD, self._load()),
                 *self._notices(request),
             )
             await responder.answer(421, refusal_headers)
@@ -297,6 +303,12 @@
             self.cancelled_requests += 1
             raise
 
+    def _load(self) -> bytes:
+        return USUAL_LOAD if self.pace is None else b"%s,%d" % (USUAL_LOAD, self.pace)
+
+    def _gap_s(self, script: EngineScript) -> float:
+        return script.gap_s * (USUAL_PACE if self.pace is None else self.pace) / USUAL_PACE
+
     def _notices(self, request: HttpRequest, rest: Headers = ()) -> Headers:
         """Return the headers that report the engine's state, and record the answer's head."""
         advertised = [] if self.limit is None else self.limit.split("\n")
@@ -314,14 +326,14 @@
         own_id = b"other" if script.wrong_id else _id_of(request).encode()
         last = int(first_header(request.headers, b"last-event-id") or 0)
         if script.well_formed and not script.events:
-            await trio.sleep(script.gap_s)
-        headers = ((ID, own_id), *seal, *LOAD, *self._notices(request))
+            await trio.sleep(self._gap_s(script))
+        headers = ((ID, own_id), *seal, (LOAD, self._load()), *self._notices(request))
         if not script.well_formed:
             await self._answer_raw(script, headers, last, responder)
         elif script.events:
             await responder.start(200, headers, None)
             for event in script.parts(last):
-                await trio.sleep(script.gap_s)
+                await trio.sleep(self._gap_s(script))
                 await responder.write(event)
             await responder.finish()
         else:
--- a/tests/edge_soak/callers.py
+++ b/tests/edge_soak/callers.py
@@ -10,7 +10,7 @@
 from railtide.http.client import Exchange, PeerPool
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest, first_header
-from tests.edge_soak.fleet import Fleet, Router
+from tests.edge_soak.fleet import ACCOUNT, Fleet, Router, api_key
 
 __all__ = ["Attempt", "Callers"]
 
@@ -37,6 +37,8 @@
         Newest version that was written when the request ended.
     sent_at, ended_at : float
         Trio time.
+    retry_after_s : float
+        What a refusal told the caller to wait, 0 if nothing.
     """
 
     request_id: str
@@ -52,6 +54,8 @@
     whole: bool = False
     newest: int = 0
     sent_body: bytes = b""
+    account: str = ACCOUNT
+    retry_after_s: float = 0.0
 
     @property
     def events(self) -> int:
@@ -74,7 +78,7 @@
         router: Router | None = None
         while True:
             if router is None or not is_sticky:
-                router = await self._choose()
+                router = await self.choose()
             pool = pool_by_router.setdefault(router.name, PeerPool("127.0.0.1", router.calls.port))
             attempt = await self.ask(router, pool, self.rng.choice(KINDS))
             router = router if attempt.status else None
@@ -83,7 +87,7 @@
     async def stay(self) -> None:
         """Send requests for ever, to one router until its connection fails, then to another."""
         while True:
-            router = await self._choose()
+            router = await self.choose()
             pool = PeerPool("127.0.0.1", router.calls.port)
             answered = True
             while answered:
@@ -92,7 +96,7 @@
                 await trio.sleep(self.rng.uniform(0, self.fleet.world.pause_s))
             pool.close()
 
-    async def _choose(self) -> Router:
+    async def choose(self) -> Router:
         """Return one of the routers that a random router lists, or any router if it lists none."""
         source = self.rng.choice(self.fleet.routers)
         addresses = set(await self._addresses(source))
@@ -118,6 +122,7 @@
         kind: str,
         body: bytes = BODY,
         key_version: int | None = None,
+        account: str = ACCOUNT,
     ) -> Attempt:
         """Send one request, with the newest key unless another is given, and record its outcome."""
         number = len(self.attempts)
@@ -125,13 +130,13 @@
         attempt = Attempt(
             f"a{number}", kind, router.name, router.lifetime, key_version, trio.current_time()
         )
-        attempt.sent_body = body
+        attempt.sent_body, attempt.account = body, account
         self.attempts.append(attempt)
         headers = (
             (b"host", b"h.example"),
             (b"x-attempt-id", attempt.request_id.encode()),
             (b"x-deadline-ms", b"%d" % (CALLER_TIMEOUT_S * 1000)),
-            (b"x-credential", f"k{key_version}".encode()),
+            (b"x-credential", api_key(account, key_version).encode()),
             (b"x-token-count", b"%d,%d" % (TOKENS_IN, TOKENS_OUT)),
         )
         request = HttpRequest(b"POST", f"/{kind}/x".encode(), headers, body)
@@ -147,6 +152,7 @@
     async def _read(self, attempt: Attempt, exchange: Exchange) -> None:
         try:
             attempt.status = exchange.status
+            attempt.retry_after_s = float(first_header(exchange.headers, b"retry-after") or 0)
             attempt.answered_id = (first_header(exchange.headers, b"x-attempt-id") or b"").decode()
             disconnects = self.rng.random() < DISCONNECT_SHARE
             async for chunk in exchange.chunks():
--- a/tests/edge_soak/checks.py
+++ b/tests/edge_soak/checks.py
@@ -6,7 +6,14 @@
 from tests.edge_soak.callers import CALLER_TIMEOUT_S, TOKENS_IN, TOKENS_OUT, Attempt
 from tests.edge_soak.fleet import EVENTS, Fleet, ProcessExit
 
-__all__ = ["broken_promises", "is_expected_exit", "lost_answers", "poor_recovery", "spent"]
+__all__ = [
+    "broken_promises",
+    "is_expected_exit",
+    "lost_answers",
+    "poor_recovery",
+    "spent",
+    "started_requests",
+]
 
 NOT_RUN_STATUSES = (401, 402, 404, 408, 421, 429, 503)
 AT_MOST_ONCE_KINDS = ("once", "stream")
@@ -20,7 +27,7 @@
 
 def broken_promises(fleet: Fleet, attempts: list[Attempt]) -> list[str]:
     """Return a line for each violation of a promise."""
-    runs = Counter(_started_requests(fleet))
+    runs = Counter(started_requests(fleet))
     return [
         *_overspent(fleet, attempts),
         *(line for attempt in attempts for line in _violations_of(attempt, runs)),
@@ -29,7 +36,7 @@
     ]
 
 
-def _started_requests(fleet: Fleet) -> list[str]:
+def started_requests(fleet: Fleet) -> list[str]:
     """Return the id of each request that an engine started, once for each start."""
     engines = [*fleet.engines, *fleet.crashing]
     return [request_id for engine in engines for request_id in engine.ran]
@@ -37,7 +44,7 @@
 
 def spent(fleet: Fleet, attempts: list[Attempt]) -> int:
     """Return the units spent: input once for each request that ran, and all delivered output."""
-    ran = set(_started_requests(fleet))
+    ran = set(started_requests(fleet)) & {attempt.request_id for attempt in attempts}
     delivered = sum(a.events for a in attempts if a.status == OK)
     return TOKENS_IN * len(ran) + delivered
 
@@ -59,7 +66,7 @@
 
     Only for runs whose faults are signals that interrupt no request.
     """
-    ran = set(_started_requests(fleet))
+    ran = set(started_requests(fleet))
     return [
         f"{a.request_id} ({a.kind} at {a.router}/{a.lifetime}) ran and was not answered"
         for a in attempts
@@ -68,8 +75,12 @@
 
 
 def _overspent(fleet: Fleet, attempts: list[Attempt]) -> list[str]:
-    used = spent(fleet, attempts)
-    return [f"overspent: {used} of {fleet.prepaid}"] if used > fleet.prepaid else []
+    broken = []
+    for account in fleet.world.accounts:
+        used = spent(fleet, [attempt for attempt in attempts if attempt.account == account])
+        if used > fleet.prepaid:
+            broken.append(f"overspent: {used} of {fleet.prepaid} by {account}")
+    return broken
 
 
 def _violations_of(attempt: Attempt, runs: Counter) -> list[str]:
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -26,6 +26,7 @@
     from tests.edge_soak.notices import Statement
 
 __all__ = [
+    "ACCOUNT",
     "EVENTS",
     "GOOD_ENGINE",
     "PERMANENT_KEY_VERSION",
@@ -33,6 +34,7 @@
     "ProcessExit",
     "Router",
     "World",
+    "api_key",
     "open_fleet",
 ]
 
@@ -42,7 +44,10 @@
 TOP_UP = 500
 PERMANENT_KEY_VERSION = 0
 """Version of the key that every version of the desired state contains."""
-PORTS_PER_ROUTER = 4
+ACCOUNT = "t"
+"""The account of all callers that state no other."""
+BITS_PER_BYTE = 8
+PORTS_PER_ROUTER = 5
 """Ports of one router. Those of all routers are chosen at once, so that they differ."""
 STARTED = b'"started"'
 """Part of the log line that a process writes once it handles signals."""
@@ -81,6 +86,10 @@
     filling : int
         Unused routes, which make the desired state large. If there are any, each version also
         adds a route of its own, which all later versions keep.
+    accounts : tuple of str
+        Each has the whole budget.
+    narrow : int
+        Routers, the last ones, whose links have `narrow_mbps`.
     """
 
     routers: int = 3
@@ -92,6 +101,9 @@
     crashing: int = 0
     filling: int = 0
     era: int | None = None
+    accounts: tuple[str, ...] = (ACCOUNT,)
+    narrow: int = 0
+    narrow_mbps: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -112,15 +124,23 @@
     early: frozenset[signal.Signals]
 
 
-def _state(version: int, prepaid: int, filling: int) -> bytes:
+def _state(version: int, prepaid: int, filling: int, accounts: tuple[str, ...]) -> bytes:
     """Return a desired state: each version adds a key, and drops the last but one."""
-    keys = sorted({f"k{kept}" for kept in (version, version - 1, PERMANENT_KEY_VERSION)})
-    tenant = {"name": "t", "api_keys": keys, "prepaid": prepaid}
+    kept = sorted({version, version - 1, PERMANENT_KEY_VERSION})
+    tenants = [
+        {"name": account, "api_keys": [api_key(account, v) for v in kept], "prepaid": prepaid}
+        for account in accounts
+    ]
     routes = ROUTES + _routes_of_versions(version, filling) if filling else ROUTES
-    state = {"version": version, "routes": routes, "services": [{"name": "s"}], "tenants": [tenant]}
+    state = {"version": version, "routes": routes, "services": [{"name": "s"}], "tenants": tenants}
     return msgspec.json.encode(state)
 
 
+def api_key(account: str, version: int) -> str:
+    """Return the key of an account that a version of the desired state introduces."""
+    return f"k{version}" if account == ACCOUNT else f"{account}{version}"
+
+
 def _routes_of_versions(version: int, filling: int) -> list[dict[str, object]]:
     safe = ROUTE | {"kind": "safe", "max_attempts": 2}
     names = [f"v{brought}" for brought in range(1, version + 1)]
@@ -277,6 +297,8 @@
         Trio time from which each version of the desired state is in the store.
     statements : list of Statement
         The notices that engines sent.
+    surges : int
+        Surges of demand that are in progress.
     """
 
     world: World
@@ -288,6 +310,7 @@
     crashing: list[CrashingEngine] = field(default_factory=list)
     written_at: dict[int, float] = field(default_factory=dict)
     statements: list["Statement"] = field(default_factory=list)
+    surges: int = 0
 
     @property
     def prepaid(self) -> int:
@@ -306,13 +329,18 @@
 
     def state(self) -> bytes:
         """Return the desired state of the current version."""
-        return _state(self.version, self.prepaid, self.world.filling)
+        return _state(self.version, self.prepaid, self.world.filling, self.world.accounts)
 
 
 async def _router(
-    nursery: trio.Nursery, folder: Path, name: str, store_port: int, ports: list[int]
+    nursery: trio.Nursery,
+    folder: Path,
+    name: str,
+    store_port: int,
+    ports: list[int],
+    link_mbps: float | None,
 ) -> Router:
-    calls, ready, lookup, metrics = ports
+    calls, ready, lookup, metrics, internal = ports
     store = await open_link(nursery, ("127.0.0.1", store_port))
     settings = folder / f"{name}.yaml"
     settings.write_text(f"""
@@ -321,8 +349,13 @@
 zone: z{name}
 listen: {{front: "{HOST}:{calls}", ready: "{HOST}:{ready}", directory: "{HOST}:{lookup}"}}
 platform: {{address: "127.0.0.1:{store.port}", parts: 4}}
+internal_ports: [{internal}]
 """)
     link = await open_link(nursery, (HOST, calls))
+    if link_mbps:
+        with settings.open("a") as file:
+            file.write(f"limits: {{link_mbps: {link_mbps}}}\n")
+        link.share_rate(link_mbps * 1e6 / BITS_PER_BYTE, store)
     address = f"{HOST}:{calls}"
     return Router(name, settings, ready, lookup, metrics, address, link, store)
 
@@ -350,7 +383,10 @@
         ports = free_ports(PORTS_PER_ROUTER * world.routers)
         for number in range(world.routers):
             own = ports[PORTS_PER_ROUTER * number : PORTS_PER_ROUTER * (number + 1)]
-            fleet.routers.append(await _router(nursery, folder, f"r{number}", store_port, own))
+            mbps = world.narrow_mbps if number >= world.routers - world.narrow else None
+            fleet.routers.append(
+                await _router(nursery, folder, f"r{number}", store_port, own, mbps)
+            )
         try:
             for router in fleet.routers:
                 await router.start()
--- a/tests/edge_soak/proxy.py
+++ b/tests/edge_soak/proxy.py
@@ -29,6 +29,13 @@
     """Bytes from the target are not forwarded."""
 
 
+@dataclass
+class Direction:
+    """One direction of a link: the trio time from which it can transmit more."""
+
+    free_at: float = 0.0
+
+
 @dataclass
 class Link:
     """A proxy to one address.
@@ -41,13 +48,17 @@
         Host and port that it connects to.
     rate : float
         Bytes a second in each direction, shared by all connections.
+    directions : dict of bool to Direction
+        True is the one from the target.
     """
 
     port: int
     target: tuple[str, int]
     fault: LinkFault = LinkFault.NONE
     rate: float = math.inf
-    _free_at: dict[bool, float] = field(default_factory=lambda: {False: 0.0, True: 0.0})
+    directions: dict[bool, Direction] = field(
+        default_factory=lambda: {False: Direction(), True: Direction()}
+    )
     _blackholed: set[trio.SocketStream] = field(default_factory=set)
     _streams: set[trio.SocketStream] = field(default_factory=set)
     _fault_changed: trio.Event = field(default_factory=trio.Event)
@@ -62,6 +73,11 @@
         self._fault_changed.set()
         self._fault_changed = trio.Event()
 
+    def share_rate(self, rate: float, outgoing: "Link") -> None:
+        """Limit this link and one on which its target connects to others, as one machine's."""
+        self.rate = outgoing.rate = rate
+        outgoing.directions = {False: self.directions[True], True: self.directions[False]}
+
     def blackhole_open(self) -> None:
         """Forward nothing more on the connections that are open now; new ones work."""
         self._blackholed |= self._streams
@@ -108,9 +124,9 @@
 
     async def _throttle(self, count: int, from_target: bool) -> None:
         """Wait until the link's rate allows so many more bytes in this direction."""
-        begin = max(trio.current_time(), self._free_at[from_target])
-        self._free_at[from_target] = begin + count / self.rate
-        await trio.sleep_until(self._free_at[from_target])
+        direction = self.directions[from_target]
+        direction.free_at = max(trio.current_time(), direction.free_at) + count / self.rate
+        await trio.sleep_until(direction.free_at)
 
     async def _wait_for_fault(self, from_target: bool) -> None:
         """Apply the delay, and wait while a fault blocks this direction."""
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -9,7 +9,9 @@
   store;
 - `states`: large desired states over throttled links, during series and faults;
 - `rollbacks`: a store that is restored from a copy while routers spend, are killed and start;
-- `notices`: engines that advertise limits, ask for rests and leave, during series and faults.
+- `notices`: engines that advertise limits, ask for rests and leave, during series and faults;
+- `demands`: an account that keeps to a router with a narrow link, engines of uneven pace, and a
+  store that is down while units are left.
 
 Prints each seed that violates a promise, with its faults and the folder of its processes' logs, and
 exits with 1 if there is one.
@@ -45,6 +47,18 @@
     send_crashing,
     send_unrelated,
 )
+from tests.edge_soak.demands import (
+    DEMANDS,
+    Demand,
+    demands_world_of,
+    is_calm_demand,
+    leave_all,
+    plan_demands,
+    poor_shares,
+    set_speeds,
+    unsettled,
+    vary_pace,
+)
 from tests.edge_soak.faults import FAULTS, LATER_FAULTS, PlannedFault, clear_faults, plan_faults
 from tests.edge_soak.fleet import Fleet, Router, World, open_fleet
 from tests.edge_soak.notices import (
@@ -97,7 +111,7 @@
 """Time in which the requests served after a restart of all routers are counted."""
 
 
-INJECT_BY_NAME = FAULTS | LATER_FAULTS | SERIES | CRASHES | STATES | NOTICES
+INJECT_BY_NAME = FAULTS | LATER_FAULTS | SERIES | CRASHES | STATES | NOTICES | DEMANDS
 
 
 class Kind(StrEnum):
@@ -109,6 +123,7 @@
     STATES = "states"
     ROLLBACKS = "rollbacks"
     NOTICES = "notices"
+    DEMANDS = "demands"
 
 
 async def _run_faults(seed: int, folder: Path) -> list[str]:
@@ -330,6 +345,28 @@
         return notices + lingering + unserving + broken_promises(fleet, callers.attempts)
 
 
+async def _run_demands(seed: int, folder: Path) -> list[str]:
+    async with open_fleet(folder, demands_world_of(seed)) as fleet:
+        await _until_ready(fleet)
+        set_speeds(fleet)
+        callers = Callers(fleet, Random(seed))
+        demand = Demand(callers)
+        async with trio.open_nursery() as background:
+            background.start_soon(demand.run)
+            for engine in fleet.engines:
+                background.start_soon(vary_pace, engine, callers.rng)
+            async with trio.open_nursery() as injecting:
+                for planned in plan_demands(seed):
+                    injecting.start_soon(_inject, fleet, planned)
+            clear_faults(fleet)
+            await trio.sleep(SPENDING_S)
+            background.cancel_scope.cancel()
+        calm = is_calm_demand(seed)
+        shares = poor_shares(demand.served_by_account) if calm else []
+        await leave_all(fleet)
+        return shares + unsettled(fleet, callers, calm) + broken_promises(fleet, callers.attempts)
+
+
 RUN_BY_KIND = {
     Kind.FAULTS: _run_faults,
     Kind.SERIES: _run_series,
@@ -337,6 +374,7 @@
     Kind.STATES: _run_states,
     Kind.ROLLBACKS: _run_rollbacks,
     Kind.NOTICES: _run_notices,
+    Kind.DEMANDS: _run_demands,
 }
 PLAN_BY_KIND = {
     Kind.FAULTS: plan_faults,
@@ -345,6 +383,7 @@
     Kind.STATES: plan_states,
     Kind.ROLLBACKS: plan_rollbacks,
     Kind.NOTICES: plan_notices,
+    Kind.DEMANDS: plan_demands,
 }
 
 
