--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -11,6 +11,15 @@
 from tests.edge_soak.callers import Attempt
 from tests.edge_soak.checks import is_expected_exit, poor_recovery
 from tests.edge_soak.crashes import is_calm_crash, plan_crashes
+from tests.edge_soak.demands import (
+    DEMANDS,
+    OUTAGE,
+    is_calm_demand,
+    is_interrupted,
+    plan_demands,
+    poor_shares,
+)
+from tests.edge_soak.demands import OTHER_FAULTS as DEMANDS_OTHER_FAULTS
 from tests.edge_soak.faults import FAULTS, FIRST_WITH_LATER_FAULTS, LATER_FAULTS, plan_faults
 from tests.edge_soak.fleet import PERMANENT_KEY_VERSION, Fleet, ProcessExit
 from tests.edge_soak.notices import NOTICES, plan_notices
@@ -129,6 +138,31 @@
         assert drawn == set(NOTICES) | set(NOTICES_OTHER_FAULTS)
 
 
+DEMANDS_SEEDS = (2, 11_000, 11_001, 11_009)
+"""2 and 11000: only surges and an outage of the store, and the shares served are checked.
+In seed 2 the outage begins early, and a surge follows in it. 11001: budgets that are spent. 11009:
+all routers are killed."""
+
+
+class TestDemands:
+    @pytest.mark.parametrize("seed", DEMANDS_SEEDS)
+    def test_promises_hold(self, seed: int) -> None:
+        assert violations_of(seed, Kind.DEMANDS) == []
+
+    def test_every_demand_and_fault_is_drawn(self) -> None:
+        drawn = {planned.name for seed in range(11_000, 11_100) for planned in plan_demands(seed)}
+        assert drawn == set(DEMANDS) | {OUTAGE} | set(DEMANDS_OTHER_FAULTS)
+
+    def test_calm_seeds_interrupt_no_router(self) -> None:
+        calm = [seed for seed in range(50) if is_calm_demand(seed)]
+        assert calm
+        assert not any(is_interrupted(seed) for seed in calm)
+
+    def test_account_of_which_less_than_half_is_served_is_reported(self) -> None:
+        served_by_account = {"poor": [True, False, False], "half": [True, False], "idle": []}
+        assert poor_shares(served_by_account) == ["of 3 requests of poor 1 were served"]
+
+
 class TestOutdatedAnswers:
     ATTEMPT = Attempt(
         "a", "v2", "r0", 1, PERMANENT_KEY_VERSION, APPLY_S + 0.1, status=404, newest=2
--- a/tests/edge_soak/test_proxy.py
+++ b/tests/edge_soak/test_proxy.py
@@ -40,6 +40,18 @@
             assert trio.current_time() - began >= 2 * SENT_BYTES / RATE
             nursery.cancel_scope.cancel()
 
+    async def test_links_of_one_machine_share_each_direction(self) -> None:
+        async with trio.open_nursery() as nursery:
+            near, outgoing = [await _link_to_sender(nursery) for _ in range(2)]
+            near.share_rate(RATE, outgoing)
+            began = trio.current_time()
+            await _fetch(await trio.open_tcp_stream("127.0.0.1", near.port))
+            busy_s = near.directions[True].free_at - began
+            assert busy_s >= SENT_BYTES / RATE
+            assert outgoing.directions[False] is near.directions[True]
+            assert outgoing.directions[True].free_at < outgoing.directions[False].free_at
+            nursery.cancel_scope.cancel()
+
 
 class TestBlackhole:
     async def test_open_connections_get_nothing_more_and_new_ones_work(self) -> None:
