Containment: don't hold contents that share four crashes, nor by one weak crash more

Contents of the same weight that share all of four crashes but one, and a content whose rival lacks less than a strong crash and shares all of its crashes but one, are now told apart by the next crash or complete answer; from five crashes on all are held. Two bad contents always in flight together thus crash five upstreams in place of four.

--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -37,6 +37,11 @@
 fewest that distinguish it from a request that was beside it twice. It takes five weak ones; users
 allow three more crashes after the third."""
 MIN_OBSERVATIONS = HOLD_THRESHOLD // STRONG_WEIGHT
+HOLD_ALL_THRESHOLD = HOLD_THRESHOLD + 2 * STRONG_WEIGHT
+"""From five crashes on, contents that can't be told apart are all held. At four, a read that all
+callers make was held with the bad content when observations were late on a busy machine: routers
+sent both to the same upstreams before they knew that these were suspects. While it isn't held, the
+read completes elsewhere, which tells the two apart without another crash."""
 SIMULTANEOUS_S = 0.03
 """Crashes no further apart, by the clock of one router that saw both, are one incident if the
 content was in flight at both: the ends of processes that are killed together are noticed within
@@ -79,9 +84,9 @@
 
     Notes
     -----
-    Two contents with three crashes each that share two or all of them can't be told apart. Neither
-    is held then; they are placed on different upstreams, and the next crash decides. With more than
-    three crashes all of them are held.
+    Two contents with three or four crashes each that share all of them but one can't be told apart.
+    Neither is held then; they are placed on different upstreams, and the next crash or complete
+    answer decides. With more than four crashes all of them are held.
 
     Examples
     --------
@@ -243,17 +248,27 @@
     if greatest < HOLD_THRESHOLD:
         return []
     worst = [content for content, weight in weights.items() if weight == greatest]
-    if greatest >= HOLD_THRESHOLD + STRONG_WEIGHT:
+    if greatest >= HOLD_ALL_THRESHOLD:
         return worst
-    return [content for content in worst if not _is_ambiguous(content, worst, unexplained)]
+    return [content for content in worst if not _is_ambiguous(content, weights, unexplained)]
 
 
 def _is_ambiguous(
-    content: str, worst: Sequence[str], unexplained: Mapping[str, Sequence[CrashObservation]]
+    content: str,
+    weights: Mapping[str, int],
+    unexplained: Mapping[str, Sequence[CrashObservation]],
 ) -> bool:
-    """Return whether another content of the same weight shares nearly all of its crashes."""
+    """Return whether another content shares nearly all crashes of one of the greatest weight.
+
+    One that lacks less than a strong crash is considered too, as a weak crash more proves little.
+    """
+    weight = weights[content]
     incarnations = _incarnations(unexplained[content])
-    shared = (
-        _incarnations(unexplained[other]) & incarnations for other in worst if other != content
-    )
-    return any(len(crashes) >= MIN_OBSERVATIONS - 1 for crashes in shared)
+    least_weight = max(HOLD_THRESHOLD, weight - STRONG_WEIGHT + 1)
+    rivals = [o for o, rival in weights.items() if o != content and rival >= least_weight]
+    for other in rivals:
+        is_equal = weights[other] == weight
+        nearly_all = weight // STRONG_WEIGHT - 1 if is_equal else len(incarnations) - 1
+        if len(_incarnations(unexplained[other]) & incarnations) >= nearly_all:
+            return True
+    return False
