--- a/railtide/containment/tests/test_blame.py
+++ b/railtide/containment/tests/test_blame.py
@@ -94,6 +94,11 @@
         assert blame.held == {}
         assert blame.crash_count_by_content == {"one": 4, "other": 4}
 
+    def test_two_that_share_three_of_four_crashes_are_not_held_yet(self) -> None:
+        """The read was in flight at a kill and at three of the bad content's four crashes."""
+        crashes = {"read": incarnations(0, 1, 2, 3), "bad": incarnations(1, 2, 3, 4)}
+        assert blame_of_crashes(crashes).held == {}
+
     def test_two_that_share_two_of_four_crashes_are_held(self) -> None:
         crashes = {"one": incarnations(1, 2, 3, 4), "other": incarnations(3, 4, 5, 6)}
         assert set(blame_of_crashes(crashes).held) == {"one", "other"}
