--- a/railtide/platform/tests/test_upstream_pace.py
+++ b/railtide/platform/tests/test_upstream_pace.py
@@ -57,7 +57,7 @@
     async def test_slow_engine_gets_few_requests(self) -> None:
         async with router_environment() as env:
             for name, pace in (("e1", "100"), ("e2", "400"), ("e3", "100"), ("e4", "100")):
-                (await env.add_engine(name)).pace = pace
+                (await env.add_engine(name)).pace_text = pace
             for _ in range(60):
                 await body_of(await env.send("/safe/x"))
             assert len(env.engine_by_name["e2"].ran) <= 6
@@ -65,7 +65,7 @@
     @pytest.mark.parametrize("pace", [None, "no-number"])
     async def test_without_a_figure_nothing_is_measured(self, pace: str | None) -> None:
         async with router_environment() as env:
-            (await env.add_engine("e1")).pace = pace
+            (await env.add_engine("e1")).pace_text = pace
             with sent_lines() as lines:
                 for _ in range(5):
                     await body_of(await env.send("/safe/x"))
@@ -77,7 +77,7 @@
         """The observed times decide against a statement."""
         async with router_environment() as env:
             for name, gap_s in (("e1", 0.1), ("e2", 0.01), ("e3", 0.01)):
-                (await env.add_engine(name, gap_s=gap_s)).pace = "100"
+                (await env.add_engine(name, gap_s=gap_s)).pace_text = "100"
             for _ in range(40):
                 await body_of(await env.send("/safe/x"))
             paces = env.node.upstream_paces()
@@ -86,7 +86,7 @@
 
     async def test_restarted_engine_begins_anew(self) -> None:
         async with router_environment() as env:
-            (await env.add_engine("e1", born=1)).pace = "400"
+            (await env.add_engine("e1", born=1)).pace_text = "400"
             await body_of(await env.send("/safe/x"))
             assert env.node.upstream_paces()["e1"] > 200
             env.put_engine("e1", born=2, seq=1)
@@ -97,7 +97,7 @@
 
     async def test_line_of_a_sent_request_tells_pace_and_expected_time(self) -> None:
         async with router_environment() as env:
-            (await env.add_engine("e1", gap_s=0.05)).pace = "200"
+            (await env.add_engine("e1", gap_s=0.05)).pace_text = "200"
             with sent_lines() as lines:
                 for _ in range(4):
                     await body_of(await env.send("/safe/x"))
@@ -107,7 +107,7 @@
 
     async def test_pauses_of_streams_are_measured(self) -> None:
         async with router_environment() as env:
-            (await env.add_engine("e1", events=5, gap_s=0.02)).pace = "100"
+            (await env.add_engine("e1", events=5, gap_s=0.02)).pace_text = "100"
             for _ in range(3):
                 await body_of(await env.send("/stream/x"))
             assert env.node.schedulers_by_pool["s"].pace.longest_pause is not None
@@ -116,7 +116,7 @@
         """A failure that is answered at once would otherwise make its engine look fast."""
         async with router_environment() as env:
             engine = await env.add_engine("e1", gap_s=0.05)
-            engine.pace = "100"
+            engine.pace_text = "100"
             for _ in range(3):
                 await body_of(await env.send("/safe/x"))
             count = upstream_of(env, "e1").pace.bias.count
