--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -18,8 +18,8 @@
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.http.sockets import listen
-from railtide.loans.handler import loan_server
 from railtide.http.traffic import Traffic
+from railtide.loans.handler import loan_server
 from railtide.membership.identity import Identity
 from railtide.platform.boot import Boot, read_boot
 from railtide.platform.desired_state import PlatformSources
