Loans: tests of each failure, exact returns while requests hold reserves

Surplus units of one large loan could not go back while a part of it was needed or reserved. Reserved units of a loan that ends are now reported as used and what is left of them stays usable. The rate of a borrower follows its requests of the last second.

--- a/railtide/budgets/account_budget.py
+++ b/railtide/budgets/account_budget.py
@@ -180,9 +180,8 @@
 
     def _unit_needs(self) -> UnitNeeds:
         """Return what the account's requests need at this router."""
-        rate = rate_at(self._traffic, trio.current_time(), self._options.rate_window_s)
         waiting = tuple(self._shortfalls.waiting)
-        return UnitNeeds(self._headroom(), waiting, self._traffic.typical, rate)
+        return UnitNeeds(self._headroom(), waiting, self._traffic.typical, self.prepaid or 0)
 
     async def lend(self, wanted: int, minimum: int, until: float) -> int:
         """Reserve up to `wanted` units for another router, and at least `minimum`.
--- a/railtide/budgets/account_loans.py
+++ b/railtide/budgets/account_loans.py
@@ -21,14 +21,14 @@
         Units of each request that waits.
     typical : float
         Average request size, units.
-    rate : float
-        Average rate of the account's requests, units a second.
+    prepaid : int
+        The budget in force, units; 0 if there is none.
     """
 
     available: int
     waiting: tuple[int, ...]
     typical: float
-    rate: float = 0.0
+    prepaid: int
 
 
 class AccountLoans(ABC):
--- a/railtide/loans/borrower.py
+++ b/railtide/loans/borrower.py
@@ -270,14 +270,14 @@
         if self._is_asking or now < self._next_round_at:
             return
         needs = self._needs()
-        if loan_size(needs, self._rate(needs), self.allocation.available) is None:
+        if not needs.prepaid or not loan_size(needs, self._rate(), self.allocation.available):
             return
         if self._borrower.start(self):
             self._is_asking = True
             self._expected_at = now + self._borrower.usual_answer_s
 
-    def _rate(self, needs: UnitNeeds) -> float:
-        return max(needs.rate, rate_at(self._traffic, trio.current_time(), RATE_WINDOW_S))
+    def _rate(self) -> float:
+        return rate_at(self._traffic, trio.current_time(), RATE_WINDOW_S)
 
     async def borrow(self) -> None:
         """Ask lenders until one lends, for as long as units are needed."""
@@ -294,8 +294,8 @@
         asked: list[str] = []
         while len(asked) < LENDERS_PER_ROUND:
             needs = self._needs()
-            size = loan_size(needs, self._rate(needs), self.allocation.available)
-            if size is None:
+            size = loan_size(needs, self._rate(), self.allocation.available)
+            if size is None or not needs.prepaid:
                 return False
             lenders = self._borrower.lenders()
             lender = self._borrower.choice.next(self._account, lenders, trio.current_time(), asked)
@@ -337,16 +337,17 @@
         if not answer.units:
             borrower.choice.note_empty(self._account, lender, now)
             return False
-        self._take(HeldLoan(lender, address, number, answer.units), epoch)
+        loan = HeldLoan(lender, address, number, answer.units)
+        if epoch != self._epoch:
+            borrower.report([EndedLoan(loan, loan.units)])
+        else:
+            self._take(loan)
         if answer.units < size.wanted:
             await trio.sleep(PARTIAL_PAUSE_S)
         return True
 
-    def _take(self, loan: HeldLoan, epoch: int) -> None:
+    def _take(self, loan: HeldLoan) -> None:
         borrower = self._borrower
-        if epoch != self._epoch:
-            borrower.report([EndedLoan(loan, loan.units)])
-            return
         if not self._held.loans:
             self._restart_unneeded()
             self._used_at = trio.current_time()
@@ -364,35 +365,39 @@
             self._borrower.report(self._held.end_used_up())
 
     def end_unused(self) -> None:
-        """Return units that were not needed for some time."""
+        """Return units that were not needed for some time.
+
+        An idle loan of which requests still reserve the larger part is kept until they end, as
+        their reserve would be reported as used.
+        """
         if not self._held.loans:
             return
         now = trio.current_time()
         available = self.allocation.available
         if now - self._used_at >= UNUSED_S:
-            self._end(keep=0)
+            if self.allocation.reserved <= available:
+                self._end(keep=0)
         elif now - self._unneeded_since >= UNUSED_S:
-            self._end(keep=available - min(self._unneeded, available))
+            unneeded = min(self._unneeded, available)
+            if not self._end(keep=available - unneeded) and unneeded > available / 2:
+                self._end(keep=0)
             self._restart_unneeded()
 
     def _restart_unneeded(self) -> None:
         self._unneeded = self.allocation.available
         self._unneeded_since = trio.current_time()
 
-    def _end(self, keep: int) -> None:
+    def _end(self, keep: int) -> bool:
+        """End loans of which no more than `keep` units are needed; return whether there are any."""
         ended = self._held.end_unused(keep)
-        self._count_unused(ended)
-        self._borrower.report(self._held.end_used_up() + ended)
+        self._borrower.counters.add("loan_units_unused", sum(each.unused for each in ended))
+        self._borrower.report(ended)
+        return bool(ended)
 
     def give_back(self) -> None:
         """End all loans; one that is on its way is returned when it arrives."""
         self._epoch += 1
-        ended = self._held.end_all()
-        self._count_unused(ended)
-        self._borrower.report(ended)
-
-    def _count_unused(self, ended: list[EndedLoan]) -> None:
-        self._borrower.counters.add("loan_units_unused", sum(each.unused for each in ended))
+        self._end(keep=0)
 
     def _log_change(self, lender: str | None = None) -> None:
         """Log that loans begin or cease to come, at most once in `LOG_INTERVAL_S`."""
--- a/railtide/loans/held_loans.py
+++ b/railtide/loans/held_loans.py
@@ -36,7 +36,8 @@
     ----------
     allocation : Allocation
     loans : list of HeldLoan
-        Oldest first; all of their units are in the allocation.
+        Oldest first. The allocation has all of their units, and those of ended loans that were
+        reserved when they were reported as used.
 
     Examples
     --------
@@ -50,6 +51,7 @@
     def __init__(self) -> None:
         self.allocation = Allocation()
         self.loans: list[HeldLoan] = []
+        self._paid = 0
 
     def add(self, loan: HeldLoan) -> None:
         """Make the units of a loan available."""
@@ -58,6 +60,7 @@
 
     def end_used_up(self) -> list[EndedLoan]:
         """End the oldest loans that the units spent cover."""
+        self._drop_paid()
         ended: list[EndedLoan] = []
         while self.loans and self.allocation.spent >= self.loans[0].units:
             loan = self.loans.pop(0)
@@ -66,34 +69,36 @@
         return ended
 
     def end_unused(self, keep: int) -> list[EndedLoan]:
-        """End the newest loans, as far as `keep` units stay available and no reserve is touched."""
+        """End the newest loans, as far as `keep` units stay available.
+
+        With 0, all loans end. Units that requests have reserved are reported as used. They stay in
+        the allocation, as what such a request leaves of its reserve is paid for.
+        """
+        self._drop_paid()
+        allocation = self.allocation
         ended: list[EndedLoan] = []
         while self.loans:
             loan = self.loans[-1]
-            unused = min(loan.units, self.allocation.available - keep)
+            unused = max(0, min(loan.units, allocation.available - keep))
             used = loan.units - unused
-            if unused <= 0 or used > self.allocation.spent:
+            in_use = allocation.spent + max(0, allocation.reserved - self._paid)
+            if used > in_use or (keep and not unused):
                 break
             self.loans.pop()
             self._remove(loan, used)
             ended.append(EndedLoan(loan, unused))
         return ended
 
-    def end_all(self) -> list[EndedLoan]:
-        """End all loans; units that requests have reserved are reported as used.
-
-        They stay in the allocation, as what such a request leaves of its reserve is paid for.
-        """
-        unused = self.allocation.available
-        self.allocation.granted -= unused
-        ended: list[EndedLoan] = []
-        while self.loans:
-            loan = self.loans.pop()
-            part = min(loan.units, unused)
-            unused -= part
-            ended.append(EndedLoan(loan, part))
-        return ended
-
     def _remove(self, loan: HeldLoan, used: int) -> None:
-        self.allocation.granted -= loan.units
-        self.allocation.spent -= used
+        """Take a loan out of the allocation, except for the reserved part of what was used."""
+        spent = min(used, self.allocation.spent)
+        self.allocation.spent -= spent
+        self.allocation.granted -= loan.units - (used - spent)
+        self._paid += used - spent
+
+    def _drop_paid(self) -> None:
+        """Take those units out of the allocation that are paid for and spent by now."""
+        part = min(self._paid, self.allocation.spent)
+        self._paid -= part
+        self.allocation.spent -= part
+        self.allocation.granted -= part
--- a/railtide/loans/loan_size.py
+++ b/railtide/loans/loan_size.py
@@ -34,11 +34,11 @@
 
     Examples
     --------
-    >>> needs = UnitNeeds(available=0, waiting=(30, 20), typical=10.0)
+    >>> needs = UnitNeeds(available=0, waiting=(30, 20), typical=10.0, prepaid=1000)
     >>> loan_size(needs, rate=50.0, borrowed=0)
     LoanSize(wanted=100, minimum=20)
-    >>> loan_size(UnitNeeds(0, (), 10.0), rate=50.0, borrowed=60)
-    >>> loan_size(UnitNeeds(0, (), 10.0), rate=50.0, borrowed=40)
+    >>> loan_size(UnitNeeds(0, (), 10.0, 1000), rate=50.0, borrowed=60)
+    >>> loan_size(UnitNeeds(0, (), 10.0, 1000), rate=50.0, borrowed=40)
     LoanSize(wanted=60, minimum=10)
     """
     available = max(0, needs.available) + borrowed
--- a/railtide/loans/tests/lending_fleet.py
+++ b/railtide/loans/tests/lending_fleet.py
@@ -10,7 +10,8 @@
 from railtide.budgets.ledger_budget_source import LedgerBudgetSource, LedgerReservation
 from railtide.budgets.tests.test_ledger_budget_source import FakeClocks
 from railtide.configuration.models import AccountSettings
-from railtide.journal.keyed import AppendConflict
+from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedStore
+from railtide.journal.read_progress import ReadProgress
 from railtide.loans.borrower import Borrower
 from railtide.loans.errors import LoanError, LoanUnanswered
 from railtide.loans.lender import Lender
@@ -32,16 +33,50 @@
 DELAY_S = 0.005
 
 
-class LosingStore(MemoryStore):
-    """One router's view of a store, in which its compare-and-swaps always lose."""
+class LosingStore(KeyedStore):
+    """One router's view of a store, in which its compare-and-swaps always lose.
+
+    Attributes
+    ----------
+    calls : int
+        Number of appends tried.
+    """
 
     def __init__(self, store: MemoryStore) -> None:
-        super().__init__()
-        self.__dict__.update(store.__dict__)
         self.calls = 0
+        self._store = store
 
-    async def append(self, topic, values_by_key, expected_end=None, partition=0) -> int:
+    @property
+    def era(self) -> int | None:
+        return self._store.era
+
+    def on_era_rise(self, listener: Callable[[], None]) -> None:
+        self._store.on_era_rise(listener)
+
+    async def newest(
+        self, topic: str, partition: int = 0, progress: ReadProgress | None = None
+    ) -> KeyedPage:
+        return await self._store.newest(topic, partition, progress)
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+        progress: ReadProgress | None = None,
+    ) -> KeyedPage:
+        return await self._store.read(topic, start, wait_s, partition, progress)
+
+    async def append(
+        self,
+        topic: str,
+        values_by_key: dict[str, bytes],
+        expected_end: int | None = None,
+        partition: int = 0,
+    ) -> int:
         self.calls += 1
+        await self._store.read(topic, 0, 0.0, partition)
         await trio.sleep(DELAY_S)
         raise AppendConflict("another router was first")
 
@@ -114,6 +149,7 @@
     client: LinkClient
     counters: Counters
     scope: trio.CancelScope
+    store: KeyedStore
     refused: int = 0
     spent: int = 0
 
@@ -139,8 +175,10 @@
 class LendingFleet:
     """Routers named l1, l2, ... that lend, and others that borrow."""
 
-    def __init__(self, nursery: trio.Nursery, prepaid: int = 100_000) -> None:
-        self.store = MemoryStore()
+    def __init__(
+        self, nursery: trio.Nursery, prepaid: int = 100_000, era: int | None = None
+    ) -> None:
+        self.store = MemoryStore(era)
         self.prepaid = prepaid
         self.router_by_address: dict[str, Router] = {}
         self._nursery = nursery
@@ -148,6 +186,7 @@
     def add(self, name: str, life: int = 1, *, lends: bool = True, loses: bool = False) -> Router:
         """Start a router; one that does not lend borrows."""
         counters, client = Counters(), LinkClient(self)
+        store = LosingStore(self.store) if loses else self.store
         borrower = Borrower(
             name,
             f"{name}-{life}",
@@ -156,7 +195,7 @@
             counters,
         )
         source = LedgerBudgetSource(
-            LosingStore(self.store) if loses else self.store,
+            store,
             name,
             f"{name}-{life}",
             lambda: sum(1 for _ in self.router_by_address) if lends else 0,
@@ -171,7 +210,7 @@
         source.enable_preallocation()
         lender = Lender(source.lend, counters)
         scope = trio.CancelScope()
-        router = Router(name, source, borrower, lender, client, counters, scope)
+        router = Router(name, source, borrower, lender, client, counters, scope, store)
         if lends:
             self.router_by_address[f"{name}:2"] = router
         self._nursery.start_soon(self._run, router)
@@ -185,6 +224,6 @@
                 nursery.start_soon(router.lender.run)
 
     def kill(self, router: Router) -> None:
-        """End a router without a word."""
+        """End a router without a word; its requests under way still use what they reserved."""
         router.scope.cancel()
         self.router_by_address.pop(f"{router.name}:2", None)
