--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -57,6 +57,10 @@
 SLOW_START = "railtide/lanes/tests/test_slow_start.py"
 STATED_LIMITS = "railtide/lanes/tests/test_advertised_limits.py"
 LIMIT_SHARES = "railtide/upstreams/tests/test_limit_shares.py"
+SHEDDING = "railtide/edge/tests/test_load_shedding.py"
+LINK_LOAD = "railtide/edge/tests/test_link_load.py"
+REJECTIONS = "railtide/http/tests/test_rejections.py"
+SHEDDING_ROUTER = "railtide/platform/tests/test_load_shedding.py"
 LEAVING = "railtide/platform/tests/test_leaving_engines.py"
 RESTING = "railtide/platform/tests/test_resting_engines.py"
 PLATFORM_LIMITS = "railtide/platform/tests/test_advertised_limits.py"
@@ -2622,6 +2626,153 @@
         "max(MIN_PER_S, report.per_s)",
         ("railtide/upstreams/tests/test_advertised_limit.py",),
     ),
+    Mutant(
+        "least-urgent-are-shed-last",
+        "edge/load_shedding.py",
+        "threshold = THRESHOLDS[_class_of(request.priority)]",
+        "threshold = THRESHOLDS[-1 - _class_of(request.priority)]",
+        (SHEDDING,),
+    ),
+    Mutant(
+        "link-below-its-thresholds-sheds",
+        "edge/load_shedding.py",
+        "return delay_s > max_s and self.utilisation().larger >= threshold.utilisation",
+        "return delay_s > max_s",
+        (SHEDDING,),
+    ),
+    Mutant(
+        "goal-does-not-limit-the-delay",
+        "edge/load_shedding.py",
+        "            max_s = min(max_s, request.goal_s * GOAL_SHARE)",
+        "            pass",
+        (SHEDDING,),
+    ),
+    Mutant(
+        "early-repeats-are-a-relief",
+        "edge/load_shedding.py",
+        "        if not self._early_repeats.are_usual():",
+        "        if True:",
+        (SHEDDING,),
+    ),
+    Mutant(
+        "more-urgent-are-shed-before-large-bodies",
+        "edge/load_shedding.py",
+        "self._sizes[priority:])",
+        "self._sizes[priority : priority + 1])",
+        (SHEDDING,),
+    ),
+    Mutant(
+        "rejected-callers-return-together",
+        "edge/load_shedding.py",
+        "        self._next_return_at = begin + size",
+        "        self._next_return_at = now + 0 * size",
+        (SHEDDING,),
+    ),
+    Mutant(
+        "late-repeats-are-asked-for",
+        "edge/load_shedding.py",
+        "if request.goal_s and begin - now + delay_s > request.goal_s:",
+        "if False:",
+        (SHEDDING,),
+    ),
+    Mutant(
+        "shedding-does-not-end",
+        "edge/load_shedding.py",
+        "        self._began_at = None\n        self._rejected",
+        "        self._rejected",
+        (SHEDDING,),
+    ),
+    Mutant(
+        "shedding-on-wide-links",
+        "edge/load_shedding.py",
+        "    if link_mbps >= shed_below_mbps:",
+        "    if shed_below_mbps == 0:",
+        (SHEDDING,),
+    ),
+    Mutant(
+        "virtual-queue-without-bound",
+        "edge/link_load.py",
+        "self._bytes = min(left + count, limit)",
+        "self._bytes = left + count",
+        (LINK_LOAD,),
+    ),
+    Mutant(
+        "bodies-leave-the-whole-link",
+        "edge/link_load.py",
+        "left = self.bytes_per_s - received - self._body_rate.at(now)",
+        "left = self.bytes_per_s - received",
+        (LINK_LOAD,),
+    ),
+    Mutant(
+        "store-takes-more-than-its-tenth",
+        "edge/link_load.py",
+        "sent = min(most, (current.control_sent - began.control_sent) / seconds)",
+        "sent = (current.control_sent - began.control_sent) / seconds",
+        (LINK_LOAD,),
+    ),
+    Mutant(
+        "slow-store-is-a-full-link",
+        "edge/link_load.py",
+        "return max(0.0, min(known, default=0.0))",
+        "return max(0.0, max(known, default=0.0))",
+        (LINK_LOAD,),
+    ),
+    Mutant(
+        "idle-link-is-a-full-link",
+        "edge/link_load.py",
+        "        if self.utilisation().larger < BUSY:\n            return 0.0\n",
+        "",
+        (LINK_LOAD,),
+    ),
+    Mutant(
+        "narrowed-link-stays-narrow",
+        "edge/link_load.py",
+        "self.capacity_share = min(1.0, raised)",
+        "self.capacity_share = min(self.capacity_share, raised)",
+        (LINK_LOAD,),
+    ),
+    Mutant(
+        "narrowed-link-without-lower-bound",
+        "edge/link_load.py",
+        "max(LEAST_CAPACITY_SHARE, lowered)",
+        "lowered",
+        (LINK_LOAD,),
+    ),
+    Mutant(
+        "rejected-body-is-passed-on",
+        "http/server.py",
+        "                if rejected:\n                    return rejected\n",
+        "",
+        (REJECTIONS,),
+    ),
+    Mutant(
+        "long-rejected-body-is-read",
+        "http/server.py",
+        "        return missing > MAX_DISCARDED_BODY",
+        "        return False",
+        (REJECTIONS,),
+    ),
+    Mutant(
+        "sent-bytes-are-not-counted-at-the-server",
+        "http/server.py",
+        "        self.server.traffic.note_sent(len(data))\n",
+        "",
+        (REJECTIONS,),
+    ),
+    Mutant(
+        "received-bytes-are-not-counted-at-the-client",
+        "http/client.py",
+        "        self._pool.traffic.note_received(len(data))\n",
+        "",
+        (REJECTIONS,),
+    ),
+    Mutant(
+        "full-link-attracts-callers",
+        "edge/node.py",
+        "return max(requests, self.shedding.utilisation().larger * self.options.capacity)",
+        "return requests",
+        (SHEDDING_ROUTER,),
+    ),
 ]
 
 
