--- a/railtide/edge/load_shedding.py
+++ b/railtide/edge/load_shedding.py
@@ -38,8 +38,8 @@
 TYPICAL_ANSWER_BYTES = 2_000
 """Expected size of the answers of a route before the first one was observed."""
 SIZE_WEIGHT = 0.01
-"""Weight of a request or an answer in the mean sizes. With 0.05 the mean of mixed requests varies
-so much that every few seconds rejections seemed to be no relief."""
+"""Weight of a request or an answer in the mean sizes. Small, since the sizes of mixed requests
+differ by more than ten times."""
 MAX_REPEAT_RATIO = 2.0
 """Largest mean request, as a multiple of the mean answer, for which rejections are a relief
 although callers repeat early. A rejected body has already used the receiving direction and uses it
--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -165,6 +165,24 @@
         return b"".join([chunk async for chunk in exchange.chunks()])
 
 
+class TestLoadShedding:
+    @pytest.mark.parametrize(("link_mbps", "measured"), [(5, True), (100, False)])
+    async def test_only_a_narrow_link_is_measured(
+        self, tmp_path: Path, link_mbps: int, measured: bool
+    ) -> None:
+        async with edge_setup(tmp_path) as setup:
+            stated = f"limits: {{link_mbps: {link_mbps}}}\n"
+            setup.settings.write_text(setup.settings.read_text() + stated)
+            process = await setup.start()
+            assert await body_of(await setup.send_request(1))
+            metrics = await setup.metrics()
+            for direction in ("received", "sent"):
+                name = rf'^railtide_link_utilisation\{{.*direction="{direction}"'
+                assert bool(re.search(name, metrics, re.MULTILINE)) is measured
+            process.kill()
+            await process.wait()
+
+
 class TestEdgeProcess:
     async def test_graceful_shutdown_finishes_answers_and_returns_budget(
         self, tmp_path: Path
