--- a/railtide/standins/program.py
+++ b/railtide/standins/program.py
@@ -13,12 +13,14 @@
 from railtide.standins.faults import Faults
 from railtide.standins.instances import InstanceStore, make_instances_app
 from railtide.standins.log import MAX_RECORDS, LogStore, make_log_app
+from railtide.standins.pace import state_pace
 from railtide.standins.service import PlainService, make_service_app
 
 __all__ = ["engine", "instances", "log", "main", "service"]
 
 PREFIX = "RAILTIDE_STANDIN"
 MS = 1000
+USUAL_PACE = 100
 
 
 def now_ms() -> int:
@@ -45,24 +47,35 @@
     _serve(make_instances_app(InstanceStore(lag_s), Faults()), bind)
 
 
-def engine(*, bind: str = "127.0.0.1:0", token_s: float = 0.01, batch: int = 32) -> None:
+def engine(
+    *, bind: str = "127.0.0.1:0", token_s: float = 0.01, batch: int = 32, pace: int = 0
+) -> None:
     """Serve a model engine.
 
     :param bind: host:port to listen on
-    :param token_s: seconds per token
+    :param token_s: seconds per token at the usual pace
     :param batch: maximum of requests generating at once
+    :param pace: how long work takes, 100 as usual; answers state it unless it is 0
     """
-    started = Engine(token_s, batch)
-    _serve(make_engine_app(started, Faults()), bind, started.run)
+    started = Engine(token_s * (pace or USUAL_PACE) / USUAL_PACE, batch)
+    app = make_engine_app(started, Faults())
+    if pace:
+        state_pace(app, lambda: (started.running, started.queued, batch), pace)
+    _serve(app, bind, started.run)
 
 
-def service(*, bind: str = "127.0.0.1:0", work_s: float = 0.005) -> None:
+def service(*, bind: str = "127.0.0.1:0", work_s: float = 0.005, pace: int = 0) -> None:
     """Serve a plain service.
 
     :param bind: host:port to listen on
-    :param work_s: seconds per call
+    :param work_s: seconds per call at the usual pace
+    :param pace: how long work takes, 100 as usual; answers state it unless it is 0
     """
-    _serve(make_service_app(PlainService(work_s), Faults()), bind)
+    started = PlainService(work_s * (pace or USUAL_PACE) / USUAL_PACE)
+    app = make_service_app(started, Faults())
+    if pace:
+        state_pace(app, lambda: (started.running, 0, 0), pace)
+    _serve(app, bind)
 
 
 def _serve(app: QuartTrio, bind: str, work: Callable[[], Awaitable[None]] | None = None) -> None:
