Requests: record the time to the first event when it comes

It was recorded at the end of its stream, seconds later, and so compared with another statement than the one that came with the event. Adds tests of attempt times, of retries, rests and ejections beside the choice by expected time, and a mutant. Tests of upstreams, requests, the scheduler, upstream pace, boundaries and mutants' texts pass.

--- a/railtide/lanes/tests/test_scheduler.py
+++ b/railtide/lanes/tests/test_scheduler.py
@@ -10,7 +10,9 @@
 from railtide.lanes.scheduler import PoolScheduler, Slot, WaitingRequest
 from railtide.membership.instances import Instance
 from railtide.upstreams.balancing import Affinity, TwoChoices
-from railtide.upstreams.upstream_state import LoadReport
+from railtide.upstreams.expected_completion import ExpectedCompletion
+from railtide.upstreams.pace import PoolPace
+from railtide.upstreams.upstream_state import LoadReport, note_failure
 
 
 def pool(*names: str, slots: int = 4) -> list[Instance]:
@@ -68,6 +70,50 @@
         assert busy.upstream not in [slot.upstream for slot in others]
 
 
+def make_paced(*names: str, slow: tuple[str, ...]) -> PoolScheduler:
+    """Return a scheduler of upstreams that state their pace, of which some are slow."""
+    pace = PoolPace()
+    choice = ExpectedCompletion(pace, TwoChoices(Random(1)), Random(1))
+    scheduler = PoolScheduler(choice, urgent_share=0, trusts_list=True, pace=pace)
+    scheduler.set_upstreams(pool(*names, slots=8))
+    for name in names:
+        stated = 250 if name in slow else 100
+        report = LoadReport(2, 0, False, trio.current_time(), stated)
+        scheduler.apply_load_report(name, report)
+    return scheduler
+
+
+class TestPace:
+    """The first letter of an upstream's name is its failure domain."""
+
+    async def test_fast_upstream_is_chosen(self, autojump_clock) -> None:
+        scheduler = make_paced("a1", "a2", "b1", slow=("a1", "a2"))
+        slot = await scheduler.acquire(request())
+        assert slot.upstream.instance.name == "b1"
+        assert slot.expected.pace == 1.0
+
+    async def test_retry_prefers_a_slow_upstream_in_another_domain(self, autojump_clock) -> None:
+        scheduler = make_paced("a1", "a2", "b1", slow=("b1",))
+        waiting = request()
+        slot = await scheduler.acquire(waiting)
+        scheduler.release(slot)
+        again = await scheduler.reacquire(waiting, slot.upstream)
+        assert again.upstream.instance.name == "b1"
+
+    async def test_rests_and_ejections_come_before_pace(self, autojump_clock) -> None:
+        scheduler = make_paced("a1", "b1", "c1", slow=("c1",))
+        scheduler.notices.apply_rest("a1", 3.0)
+        for _ in range(2):
+            note_failure(scheduler.by_name["b1"], trio.current_time())
+        slot = await scheduler.acquire(request())
+        assert slot.upstream.instance.name == "c1"
+
+    async def test_paces_are_told_only_where_they_are_stated(self, autojump_clock) -> None:
+        assert make("a", "b").paces() == {}
+        paces = make_paced("a", "b", slow=("b",)).paces()
+        assert {name: round(pace) for name, pace in paces.items()} == {"a": 100, "b": 250}
+
+
 class TestWaiting:
     """One upstream with four slots; answers begin after 0.1 s and take 0.2 s."""
 
--- a/railtide/platform/tests/test_upstream_pace.py
+++ b/railtide/platform/tests/test_upstream_pace.py
@@ -112,6 +112,27 @@
                 await body_of(await env.send("/stream/x"))
             assert env.node.schedulers_by_pool["s"].pace.longest_pause is not None
 
+    async def test_first_event_is_measured_before_the_stream_ends(self) -> None:
+        """At its end the statement that belongs to the first event would be forgotten."""
+        async with router_environment() as env:
+            (await env.add_engine("e1", events=4, gap_s=0.2)).pace = "100"
+            await body_of(await env.send("/safe/x"))
+            stream = await env.send("/stream/x")
+            assert env.node.schedulers_by_pool["s"].pace.first_event.count == 1
+            await body_of(stream)
+            assert env.node.schedulers_by_pool["s"].pace.first_event.count == 1
+
+    async def test_wait_that_ends_with_the_deadline_counts_as_slow(self) -> None:
+        """An upstream that answers nothing in time has no times but the waits for it."""
+        async with router_environment() as env:
+            engine = await env.add_engine("e1", gap_s=0.01)
+            engine.pace = "100"
+            for _ in range(4):
+                await body_of(await env.send("/safe/x"))
+            engine.script.gap_s = 5.0
+            assert (await env.send("/short/x")).status != 200
+            assert upstream_of(env, "e1").pace.bias.value > 0.3
+
     async def test_refusals_and_failures_say_nothing_about_the_pace(self) -> None:
         """A failure that is answered at once would otherwise make its engine look fast."""
         async with router_environment() as env:
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -151,6 +151,7 @@
         await self._sink.finish()
 
     async def _before_first_byte(self) -> None:
+        self._report_times()
         self._scheduler.note_answer_started(self._slot)
         await self._commit.wait_before_first_byte()
 
@@ -258,7 +259,7 @@
             self._scheduler.note_stream(self._relay.longest_pause_s > goal_s)
 
     def _report_times(self) -> None:
-        """Report to the scheduler how long the attempt took, also if it was cancelled."""
+        """Report to the scheduler how long the attempt took so far, also if it was cancelled."""
         times = self._relay.times
         timing = times.timing(trio.current_time()) if times else None
         if timing:
--- a/railtide/upstreams/pace.py
+++ b/railtide/upstreams/pace.py
@@ -176,8 +176,9 @@
 
     Attributes
     ----------
-    first_s : float
-        Seconds from sending the request to the first event of its stream, or to its answer.
+    first_s : float or None
+        Seconds from sending the request to the first event of its stream, or to its answer; None
+        if that was recorded when it came.
     is_complete : bool
         False if the router stopped waiting, so that it would have taken longer than `first_s`.
     gap_s : float
@@ -186,7 +187,7 @@
         Longest pause between two events; 0 if there were less than two.
     """
 
-    first_s: float
+    first_s: float | None
     is_complete: bool = True
     gap_s: float = 0.0
     longest_pause_s: float = 0.0
@@ -248,6 +249,8 @@
         Work until the first event, in units that are the same for the whole pool.
     now : float
     """
+    if timing.first_s is None:
+        return
     observed = math.log(max(timing.first_s, 1e-4) / work) - _stated(pace, now)
     if not timing.is_complete:
         if not pool.first_event.is_known or observed <= pool.first_event.value:
--- a/railtide/upstreams/tests/pace_load.py
+++ b/railtide/upstreams/tests/pace_load.py
@@ -404,7 +404,7 @@
         events = math.ceil(stream.events / self.tokens_per_event)
         if events > 1:
             gap_s = (now - stream.first_at) / (events - 1)
-            timing = AnswerTiming(0.0, False, gap_s, stream.longest_s)
+            timing = AnswerTiming(None, True, gap_s, stream.longest_s)
             note_timing(stream.router.pace, stream.upstream, stream.expected, timing, now)
         stream.upstream.open_bulk -= 1
         stream.upstream.opened_at.remove(stream.came_at)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2717,6 +2717,13 @@
         "if False:",
         (EXPECTED,),
     ),
+    Mutant(
+        "first-event-recorded-at-the-end-of-its-stream",
+        "requests/execution.py",
+        "        self._report_times()\n        self._scheduler.note_answer_started(self._slot)\n",
+        "        self._scheduler.note_answer_started(self._slot)\n",
+        (PLATFORM_PACE,),
+    ),
     Mutant(
         "failed-answer-counts-as-fast",
         "requests/passthrough.py",
