Budgets: order of waiting requests and promises to refused callers, as pure rules

A request waited 0.1 s for units whatever was under way, and every refused caller was told 0.5 s, so that callers came back together and were refused a second time. The modules decide in which order waiting requests get units, when units are expected, and what a refused caller is told. Nothing uses them yet.

--- /dev/null
+++ b/railtide/budgets/return_promises.py
@@ -0,0 +1,210 @@
+"""What refused callers of one account are told, and the units kept for their return. Pure.
+
+A refused caller is told the time at which its units are expected, after those of the requests that
+wait and of the callers that were refused before. Its units are kept until that time and
+`GRACE_S` after.
+
+A kept promise goes before a more urgent newcomer: the returning caller has used its only retry,
+while the newcomer can still be told a time. Units are not kept from urgent requests for ever:
+
+- Promises are scheduled at `PROMISED_SHARE` of the rate at which units arrive, so the rest of the
+  arrivals always goes to requests that are present.
+- A promise ends `GRACE_S` after its time, and no time lies beyond a third of what the caller has
+  left.
+- A caller that returned to a promise gets no second one.
+"""
+
+import math
+from dataclasses import dataclass
+
+from railtide.budgets.unit_queue import Priority, WaitingForUnits
+
+__all__ = [
+    "ArrivalRate",
+    "Promise",
+    "ReturnPromises",
+    "honoured_s",
+    "note_arrival",
+    "rate_at",
+]
+
+GRACE_S = 0.5
+"""Time that units are kept after a promise is due: the round trip of a caller and its new
+connection."""
+HONOURED_SHARE = 1 / 3
+"""Share of the time that it has left for which a caller honours `Retry-After`."""
+PROMISED_SHARE = 0.5
+"""Share of the arriving units that promises may use."""
+MAX_PROMISES = 64
+"""Bounds the work of a refusal. At 90 refusals a second it is 0.7 s of them, as long as the goal of
+most streams."""
+MIN_SPACING_S = 0.005
+"""Least time between two promises, so that rounding to milliseconds does not make them equal."""
+RATE_WINDOW_S = 3.0
+"""Averaging window of the arrival rate: several grants, of which a router gets one or two a second;
+and short enough that promises end soon after the arrivals do."""
+
+
+@dataclass
+class ArrivalRate:
+    """The observed rate at which units arrive, in units a second as of `seen_at`."""
+
+    per_s: float = 0.0
+    seen_at: float = -math.inf
+
+
+def note_arrival(rate: ArrivalRate, units: int, now: float) -> None:
+    """Record units that arrived.
+
+    Examples
+    --------
+    >>> rate = ArrivalRate()
+    >>> note_arrival(rate, 30, now=0.0)
+    >>> rate_at(rate, now=0.0)
+    10.0
+    """
+    rate.per_s = rate_at(rate, now) + units / RATE_WINDOW_S
+    rate.seen_at = now
+
+
+def rate_at(rate: ArrivalRate, now: float) -> float:
+    """Return the arrival rate; it decays while nothing arrives."""
+    return rate.per_s * math.exp((rate.seen_at - now) / RATE_WINDOW_S)
+
+
+def honoured_s(now: float, deadline: float) -> float:
+    """Return the longest `Retry-After` that a caller honours, seconds.
+
+    Examples
+    --------
+    >>> honoured_s(now=1.0, deadline=4.0)
+    1.0
+    """
+    return max(0.0, deadline - now) * HONOURED_SHARE
+
+
+@dataclass(frozen=True)
+class Promise:
+    """Units that are kept for a refused caller.
+
+    Attributes
+    ----------
+    content : str
+        Digest by which the caller is recognised.
+    amount : int
+    due_at : float
+        The time that the caller was told.
+    priority : Priority
+    """
+
+    content: str
+    amount: int
+    due_at: float
+    priority: Priority
+
+    @property
+    def ends_at(self) -> float:
+        """The time until which its units are kept."""
+        return self.due_at + GRACE_S
+
+
+class ReturnPromises:
+    """The promises to refused callers of one account at one router.
+
+    Attributes
+    ----------
+    unclaimed : int
+        Promises that ended without their caller's return.
+    """
+
+    def __init__(self) -> None:
+        self._promises: list[Promise] = []
+        self.unclaimed = 0
+
+    def __len__(self) -> int:
+        return len(self._promises)
+
+    def drop_ended(self, now: float) -> None:
+        """Drop the promises that have ended."""
+        kept = [promise for promise in self._promises if promise.ends_at > now]
+        self.unclaimed += len(self._promises) - len(kept)
+        self._promises = kept
+
+    def units_kept(self, now: float, before: float = math.inf) -> int:
+        """Return the units kept for promises that are due before a time."""
+        self.drop_ended(now)
+        return sum(promise.amount for promise in self._promises if promise.due_at < before)
+
+    def next_end(self, now: float) -> float:
+        """Return when the next promise ends; infinite without promises."""
+        self.drop_ended(now)
+        return min((promise.ends_at for promise in self._promises), default=math.inf)
+
+    def claim(self, content: str, amount: int, now: float) -> Promise | None:
+        """Remove and return the earliest promise to a returning caller; None without one.
+
+        A request that needs more than was promised is another one, whatever its digest.
+        """
+        self.drop_ended(now)
+        for promise in sorted(self._promises, key=lambda promise: promise.due_at):
+            if content and promise.content == content and amount <= promise.amount:
+                self._promises.remove(promise)
+                return promise
+        return None
+
+    def due_at_rate(
+        self, request: WaitingForUnits, now: float, first_at: float, ahead: int, per_s: float
+    ) -> float:
+        """Return when a refused caller's units are expected; infinite if they aren't.
+
+        Parameters
+        ----------
+        request : WaitingForUnits
+        now : float
+        first_at : float
+            When the next units are expected.
+        ahead : int
+            Units that waiting requests lack.
+        per_s : float
+            Rate at which units arrive.
+        """
+        if per_s <= 0 or math.isinf(first_at):
+            return math.inf
+        line_ends_at = max(max(now, first_at) + ahead / per_s, self._last_due_at(now))
+        return line_ends_at + max(MIN_SPACING_S, request.amount / (per_s * PROMISED_SHARE))
+
+    def due_at_limit(self, wait_s: float | None, now: float) -> float:
+        """Return when units that are allocated already may be spent; infinite if never.
+
+        `wait_s` is the wait until the spend limits allow all units ahead and the request's own.
+        """
+        if wait_s is None:
+            return math.inf
+        return max(now + wait_s, self._last_due_at(now) + MIN_SPACING_S)
+
+    def _last_due_at(self, now: float) -> float:
+        """Return when the last promise is due; promises whose time has passed delay nobody."""
+        self.drop_ended(now)
+        return max((promise.due_at for promise in self._promises), default=now)
+
+    def make(
+        self, request: WaitingForUnits, now: float, due_at: float, expected_units: float
+    ) -> Promise | None:
+        """Make and return a promise; None, with nothing kept, if it would be of no use or too much.
+
+        Parameters
+        ----------
+        request : WaitingForUnits
+        now, due_at : float
+        expected_units : float
+            Units that are expected until it is due, without those that waiting requests need.
+        """
+        if not request.content or request.has_promise or len(self._promises) >= MAX_PROMISES:
+            return None
+        if due_at - now > honoured_s(now, request.deadline):
+            return None
+        if self.units_kept(now) + request.amount > expected_units:
+            return None
+        promise = Promise(request.content, request.amount, due_at, request.priority)
+        self._promises.append(promise)
+        return promise
