--- a/railtide/budgets/account_budget.py
+++ b/railtide/budgets/account_budget.py
@@ -321,6 +321,20 @@
             self._request_update()
         return told_s
 
+    def note_return(self, request: WaitingForUnits, told_s: float) -> None:
+        """Ask for the units of a refused caller that was told to return, without keeping them.
+
+        Where updates take longer than the goals allow, every request is refused at once. Without
+        this none would wait when the ledger is changed, and no units would ever be asked for.
+        """
+        if not self.is_exhausted(request.amount):
+            self._waits.expected_returns.add(request, trio.current_time() + told_s)
+            self._request_update()
+
+    def _unclaimed(self) -> int:
+        """Return the available units less those for promises and for other expected returns."""
+        return self._unpromised() - self._waits.expected_returns.units(trio.current_time())
+
     def _unpromised(self) -> int:
         """Return the available units less those kept for promises; negative if these lack units."""
         return self.allocation.available - self._waits.promises.units_kept(trio.current_time())
@@ -380,7 +394,8 @@
         cause = refusal_cause(
             state, amount, self.allocation.available, store_reached, self.allocation.reserved
         )
-        if cause is RefusalCause.SPEND_LIMIT and amount <= self._headroom():
+        is_ordered = self._options.waits_for_expected_units
+        if is_ordered and cause is RefusalCause.SPEND_LIMIT and amount <= self._headroom():
             cause = RefusalCause.KEPT
         self._process.counters.add(f"budget_refused_{cause.replace('-', '_')}")
         logger.bind(
@@ -605,7 +620,7 @@
         """Return how many of the wanted units the ledger can grant."""
         if self.prepaid is None or not self._wants_units():
             return 0
-        missing = self._shortfalls.waiting_shortfall(self._unpromised())
+        missing = self._shortfalls.waiting_shortfall(self._unclaimed())
         below_target = self._target() - self.allocation.available - missing
         allocated = committed(ledger) - reported_spend(ledger)
         preallocatable = max(0, self._max_preallocated() - allocated)
@@ -648,7 +663,7 @@
         """Return whether to ask for a grant; a refused refill waits for a read interval."""
         if self._process.leaving:
             return False
-        if self._shortfalls.waiting_shortfall(self._unpromised()) > 0:
+        if self._shortfalls.waiting_shortfall(self._unclaimed()) > 0:
             return True
         refused_recently = (
             trio.current_time() - self._refill_refused_at < self._options.read_interval_s
@@ -663,8 +678,8 @@
             return self.allocation.available
         if self.is_returning:
             return 0
-        promised = self._waits.promises.units_kept(trio.current_time())
-        keep = self._target() + sum(self._shortfalls.waiting) + promised
+        for_returns = self.allocation.available - self._unclaimed()
+        keep = self._target() + sum(self._shortfalls.waiting) + for_returns
         excess = excess_units(self.allocation.available, keep, self._traffic.typical, self._options)
         return max(excess, self._units_for_others())
 
--- a/railtide/budgets/ledger_budget_source.py
+++ b/railtide/budgets/ledger_budget_source.py
@@ -237,6 +237,7 @@
         told_s = promised_s
         if told_s is None:
             told_s = self._unpromised_return_s(budget, honoured_s(now, request.deadline))
+            budget.note_return(request, told_s)
         fields = {
             "waited_ms": round((now - request.arrived_at) * 1000),
             "promised": promised_s is not None,
--- a/railtide/budgets/ordered_waits.py
+++ b/railtide/budgets/ordered_waits.py
@@ -5,6 +5,7 @@
 
 from railtide.budgets.return_promises import (
     ArrivalRate,
+    ExpectedReturns,
     ReturnPromises,
     note_arrival,
     promised_per_s,
@@ -28,11 +29,13 @@
     ----------
     queue : UnitQueue
     promises : ReturnPromises
+    expected_returns : ExpectedReturns
     """
 
     def __init__(self, counters: Counters) -> None:
         self.queue = UnitQueue()
         self.promises = ReturnPromises()
+        self.expected_returns = ExpectedReturns()
         self._arrivals = ArrivalRate()
         self._wanted_by_priority: dict[Priority, ArrivalRate] = {}
         self._counters = counters
@@ -42,6 +45,7 @@
         """Queue a request; the caller of an earlier one is recognised."""
         wanted = self._wanted_by_priority.setdefault(request.priority, ArrivalRate())
         note_arrival(wanted, request.amount, now)
+        self.expected_returns.remove(request.content)
         promise = self.promises.claim(request.content, request.amount, now)
         if promise:
             request.promised_at = promise.due_at
--- a/railtide/budgets/return_promises.py
+++ b/railtide/budgets/return_promises.py
@@ -23,6 +23,7 @@
 
 __all__ = [
     "ArrivalRate",
+    "ExpectedReturns",
     "Promise",
     "ReturnPromises",
     "honoured_s",
@@ -131,6 +132,30 @@
         return self.due_at + GRACE_S
 
 
+class ExpectedReturns:
+    """Refused callers without a promise: their units are asked for, but not kept for them."""
+
+    def __init__(self) -> None:
+        self._by_content: dict[str, tuple[float, int]] = {}
+
+    def add(self, request: WaitingForUnits, due_at: float) -> None:
+        """Record a refused caller that was told a time; those of `MAX_PROMISES` at most count."""
+        if request.content and not request.has_promise and len(self._by_content) < MAX_PROMISES:
+            self._by_content[request.content] = (due_at + GRACE_S, request.amount)
+
+    def remove(self, content: str) -> None:
+        """Remove a caller that has returned."""
+        self._by_content.pop(content, None)
+
+    def units(self, now: float) -> int:
+        """Return the units of the callers that are still expected."""
+        if not self._by_content:
+            return 0
+        kept = {key: entry for key, entry in self._by_content.items() if entry[0] > now}
+        self._by_content = kept
+        return sum(amount for _, amount in kept.values())
+
+
 class ReturnPromises:
     """The promises to refused callers of one account at one router.
 
--- a/railtide/budgets/tests/test_waiting_for_units.py
+++ b/railtide/budgets/tests/test_waiting_for_units.py
@@ -329,6 +329,11 @@
         after, counted = play_outage(True, Demand())
         assert after.count("in-time") >= 0.97 * before.count("in-time")
         assert after.count("refused") <= 1.05 * before.count("refused")
+        for account in ACCOUNTS:
+            for kind in KINDS:
+                in_time = after.share("in-time", account, kind.name)
+                assert in_time >= before.share("in-time", account, kind.name) - 0.06
+                assert after.longest_wait_s[kind.name] <= kind.goal_s - FIRST_BYTE_S + 1e-6
         waited = counted["budget_waits_refused"]
         assert waited <= 0.05 * counted["budget_waits_refused_at_once"]
 
@@ -623,3 +628,25 @@
             assert partition.update_expected_at() == float("inf")
             assert source._account("large").units_expected_at == float("inf")
             nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize("delay_s", [0.04, 0.2])
+    def test_units_are_asked_for_though_requests_are_refused_at_once(self, delay_s: float) -> None:
+        """Behind a slow store every plain call is refused at once: its goal is shorter than an
+        update. Without a need of refused callers the ledger would never be asked for units."""
+
+        async def run() -> None:
+            store = MemoryStore()
+            store.delay_s = delay_s
+            source = make_source(True, store)
+            outcomes = Outcomes()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(source.run)
+                await trio.sleep(2)
+                async with trio.open_nursery() as calls:
+                    for number in range(200):
+                        calls.start_soon(call, source, "large", KINDS[3], str(number), outcomes)
+                        await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+            assert outcomes.share("refused", "large") <= 0.3
+
+        play(run)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -60,6 +60,9 @@
 LEAVING = "railtide/platform/tests/test_leaving_engines.py"
 RESTING = "railtide/platform/tests/test_resting_engines.py"
 PLATFORM_LIMITS = "railtide/platform/tests/test_advertised_limits.py"
+ORDERED_WAITS = f"{LEDGERS}/test_waiting_for_units.py"
+UNIT_QUEUE = f"{LEDGERS}/test_unit_queue.py"
+RETURN_PROMISES = f"{LEDGERS}/test_return_promises.py"
 TIMEOUT_S = 150
 SURVIVORS: tuple[str, ...] = ()
 
@@ -76,6 +79,97 @@
 
 
 MUTANTS = [
+    Mutant(
+        "small-requests-overtake-for-ever",
+        "budgets/unit_queue.py",
+        "other.overtaken_units + request.amount <= other.max_overtaken_units",
+        "True",
+        (UNIT_QUEUE,),
+    ),
+    Mutant(
+        "units-in-order-of-arrival",
+        "budgets/unit_queue.py",
+        "    return due_at, request.priority, request.start_by, request.order",
+        "    return due_at, (0, 0), 0.0, request.order",
+        (UNIT_QUEUE, f"{ORDERED_WAITS}::TestOrder"),
+    ),
+    Mutant(
+        "promised-return-waits-behind-newcomers",
+        "budgets/unit_queue.py",
+        "request.promised_at if request.promised_at <= now else math.inf",
+        "math.inf",
+        (UNIT_QUEUE,),
+    ),
+    Mutant(
+        "newcomers-take-what-is-kept",
+        "budgets/ordered_waits.py",
+        "reservable - self._kept_from(request, now), reserve",
+        "reservable, reserve",
+        (f"{ORDERED_WAITS}::TestPromises",),
+    ),
+    Mutant(
+        "units-of-a-promise-kept-for-ever",
+        "budgets/return_promises.py",
+        "        kept = [promise for promise in self._promises if promise.ends_at > now]",
+        "        kept = list(self._promises)",
+        (RETURN_PROMISES,),
+    ),
+    Mutant(
+        "more-promised-than-expected",
+        "budgets/return_promises.py",
+        "        if self.units_kept(now) + request.amount > expected_units + ROUNDING_UNITS:",
+        "        if False:",
+        (RETURN_PROMISES,),
+    ),
+    Mutant(
+        "promise-beyond-what-a-caller-honours",
+        "budgets/return_promises.py",
+        "        if due_at - now > honoured_s(now, request.deadline):",
+        "        if False:",
+        (RETURN_PROMISES,),
+    ),
+    Mutant(
+        "all-refused-callers-told-the-same",
+        "budgets/return_promises.py",
+        "        line_ends_at = max(max(now, first_at) + ahead / per_s, self._last_due_at(now))",
+        "        line_ends_at = max(now, first_at) + ahead / per_s",
+        (RETURN_PROMISES, f"{ORDERED_WAITS}::TestPromises"),
+    ),
+    Mutant(
+        "second-promise-to-one-caller",
+        "budgets/return_promises.py",
+        "        if not request.content or request.has_promise or len(",
+        "        if not request.content or len(",
+        (RETURN_PROMISES,),
+    ),
+    Mutant(
+        "requests-wait-for-units-that-come-too-late",
+        "budgets/expected_units.py",
+        "    if now >= until or math.isinf(expected_at) or expected_at > until:",
+        "    if now >= until:",
+        (f"{ORDERED_WAITS}::TestOutage", f"{ORDERED_WAITS}::TestPromises"),
+    ),
+    Mutant(
+        "requests-held-beyond-their-goals",
+        "budgets/ledger_budget_source.py",
+        "        start_by = min(terms.start_by, deadline)",
+        "        start_by = deadline",
+        (f"{ORDERED_WAITS}::TestPeak",),
+    ),
+    Mutant(
+        "cancelled-waits-lose-their-units",
+        "budgets/account_budget.py",
+        "            settle_reserve(self.allocation, request.amount, 0)\n            self.wake()",
+        "            self.wake()",
+        (f"{ORDERED_WAITS}::TestOrder", f"{ORDERED_WAITS}::TestNoOverspend"),
+    ),
+    Mutant(
+        "no-units-asked-for-refused-callers",
+        "budgets/account_budget.py",
+        "            self._waits.expected_returns.add(request, trio.current_time() + told_s)\n",
+        "",
+        (ORDERED_WAITS,),
+    ),
     Mutant(
         "grant-not-checked-against-the-balance",
         "budgets/balance.py",
