Budgets: keep units of callers that return early

Retry-After is sent in hundredths of a second, so a caller may return 5 ms before its promise is due. It lost the promise and had no precedence yet, so a more urgent newcomer took its units. Units of a returned caller now stay kept for it while it waits.

--- a/railtide/budgets/ordered_waits.py
+++ b/railtide/budgets/ordered_waits.py
@@ -56,17 +56,26 @@
         self, now: float, reservable: int, reserve: Callable[[WaitingForUnits], bool]
     ) -> WaitingForUnits | None:
         """Serve and return the next request that may have its units; see `UnitQueue.serve_next`."""
+        returned = self.queue.returned()
         return self.queue.serve_next(
-            now, lambda request: reservable - self._kept_from(request, now), reserve
+            now, lambda request: reservable - self._kept_from(request, now, returned), reserve
         )
 
-    def _kept_from(self, request: WaitingForUnits, now: float) -> int:
-        """Return the units kept for others; a returned caller goes before later promises."""
-        return self.promises.units_kept(now, before=request.promised_at)
+    def _kept_from(
+        self, request: WaitingForUnits, now: float, returned: list[WaitingForUnits]
+    ) -> int:
+        """Return the units kept for others; a returned caller goes before later promises.
+
+        A caller that returned early has no precedence yet, but its units are still kept for it.
+        """
+        for_returned = sum(
+            other.amount for other in returned if other.promised_at < request.promised_at
+        )
+        return for_returned + self.promises.units_kept(now, before=request.promised_at)
 
     def units_ahead_of(self, request: WaitingForUnits, now: float) -> int:
         """Return the units that go to others before a waiting request."""
-        return self.queue.units_ahead_of(request, now) + self._kept_from(request, now)
+        return self.queue.units_ahead_of(request, now) + self._kept_from(request, now, [])
 
     def units_claimed(self, now: float) -> int:
         """Return the units of all waiting requests and promises."""
--- a/railtide/budgets/tests/test_waiting_for_units.py
+++ b/railtide/budgets/tests/test_waiting_for_units.py
@@ -13,6 +13,7 @@
 import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loguru import logger
 
 from railtide.budgets.allocation_sizing import LedgerOptions
 from railtide.budgets.budget_source import ReservationTerms
@@ -437,6 +438,34 @@
 
         play(run)
 
+    def test_caller_that_returns_early_keeps_its_units(self) -> None:
+        """`Retry-After` is sent in hundredths, so a caller may return 5 ms before its time. A more
+        urgent newcomer must not get the units then."""
+
+        async def run() -> None:
+            source, grants = await promising_source()
+            err = await refuse(source, "a")
+            grants.next_at = trio.current_time() + err.retry_after
+            served = []
+
+            async def ask_one(content: str, rank: int) -> None:
+                try:
+                    await reserve(source, content, rank=rank)
+                except BudgetUnavailable:
+                    return
+                served.append(content)
+
+            await trio.sleep(err.retry_after - 0.005)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask_one, "a", 2)
+                await trio.sleep(0.001)
+                nursery.start_soon(ask_one, "newcomer", 0)
+                await trio.sleep(0.001)
+                grants.grant("large", 40)
+            assert served == ["a"]
+
+        play(run)
+
     def test_callers_are_told_different_times_in_order(self) -> None:
         async def run() -> None:
             source, _ = await promising_source()
@@ -505,6 +534,28 @@
         play(run)
 
 
+class TestLogLine:
+    def test_refusal_names_its_wait_and_whether_a_return_was_promised(self) -> None:
+        lines = []
+        handler = logger.add(lambda message: lines.append(message.record["extra"]), level="INFO")
+
+        async def run() -> None:
+            source, grants = await promising_source()
+            err = await refuse(source, "a")
+            await trio.sleep(err.retry_after)
+            grants.next_at = trio.current_time() + 0.3
+            await refuse(source, "a")
+
+        try:
+            play(run)
+        finally:
+            logger.remove(handler)
+        first, second = [line for line in lines if "waited_ms" in line][-2:]
+        assert (first["promised"], first["returned"], first["waited_ms"]) == (True, False, 0)
+        assert (second["promised"], second["returned"]) == (False, True)
+        assert second["waited_ms"] == pytest.approx(500, abs=1)
+
+
 class TestOrder:
     def test_urgent_request_gets_units_before_one_that_came_first(self) -> None:
         async def run() -> None:
@@ -650,3 +701,30 @@
             assert outcomes.share("refused", "large") <= 0.3
 
         play(run)
+
+    async def test_includes_lost_compare_and_swaps(self, autojump_clock) -> None:
+        """A router that others overtake needs several tries, and each is part of the wait."""
+        store = MemoryStore()
+        store.delay_s = 0.02
+        source = make_source(True, store)
+        rng = Random(1)
+
+        async def append_often() -> None:
+            while True:
+                await trio.sleep(rng.expovariate(1 / 0.04))
+                store.put(LedgerOptions().topic, "rival", b"")
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(source.run)
+            nursery.start_soon(append_often)
+            for number in range(300):
+                await trio.sleep(0.1)
+                with trio.move_on_after(0.05):
+                    try:
+                        (await reserve(source, str(number))).settle(40)
+                    except BudgetUnavailable:
+                        continue
+            partition = source.partitions[0]
+            assert partition.conflicts
+            assert partition._update_duration.mean_s > 1.2 * 2 * store.delay_s
+            nursery.cancel_scope.cancel()
--- a/railtide/budgets/unit_queue.py
+++ b/railtide/budgets/unit_queue.py
@@ -104,6 +104,10 @@
         """Return the waiting requests in the order in which they get units."""
         return sorted(self._waiting, key=lambda request: _sort_key(request, now))
 
+    def returned(self) -> list[WaitingForUnits]:
+        """Return the waiting requests whose callers returned to a promise."""
+        return [request for request in self._waiting if request.has_promise]
+
     def units_ahead_of(self, request: WaitingForUnits, now: float) -> int:
         """Return the units of the requests that go before one."""
         key = _sort_key(request, now)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -103,10 +103,17 @@
     Mutant(
         "newcomers-take-what-is-kept",
         "budgets/ordered_waits.py",
-        "reservable - self._kept_from(request, now), reserve",
+        "reservable - self._kept_from(request, now, returned), reserve",
         "reservable, reserve",
         (f"{ORDERED_WAITS}::TestPromises",),
     ),
+    Mutant(
+        "early-return-loses-what-is-kept",
+        "budgets/ordered_waits.py",
+        "        return for_returned + self.promises",
+        "        return self.promises",
+        (f"{ORDERED_WAITS}::TestPromises",),
+    ),
     Mutant(
         "units-of-a-promise-kept-for-ever",
         "budgets/return_promises.py",
