--- a/railtide/budgets/process_context.py
+++ b/railtide/budgets/process_context.py
@@ -40,6 +40,8 @@
     peers : Peers
     loans : Loans
         Units that other routers lend to this one.
+    store_reached : callable
+        Returns whether other calls to the store are answered now.
     """
 
     instance: str
@@ -55,3 +57,4 @@
     address: str = ""
     peers: Peers = field(default_factory=NoPeers)
     loans: Loans = field(default_factory=NoLoans)
+    store_reached: Callable[[], bool] = lambda: True
