--- a/railtide/budgets/account_budget.py
+++ b/railtide/budgets/account_budget.py
@@ -593,8 +593,12 @@
         others_shortfall = self._shortfalls.shortfall_of_others(units_lacking, now)
         if not others_shortfall or self.prepaid is None:
             return 0
-        for_callers = units_for_callers(
-            self.allocation.available, self._shortfalls.pending_amounts(now)
+        # Waiting requests take precedence over expected retries: units that were just granted to
+        # them would be returned and granted again without end.
+        available = self.allocation.available
+        for_callers = max(
+            units_for_callers(available, self._shortfalls.waiting),
+            units_for_callers(available, self._shortfalls.pending_amounts(now)),
         )
         near_term = 0 if units_lacking else self._near_term_units()
         spare = spare_units(
--- a/railtide/budgets/tests/test_shortfalls.py
+++ b/railtide/budgets/tests/test_shortfalls.py
@@ -293,3 +293,26 @@
             await load.play(Random(seed))
         assert load.refused <= 90
         assert load.given_up <= 22
+
+
+class TestWaitingBeforeRetries:
+    async def test_units_granted_to_a_waiting_request_are_not_returned(
+        self, autojump_clock
+    ) -> None:
+        """Guards against units that are granted and returned in turn while a request waits.
+
+        A refused caller's smaller retry was preferred to the waiting request, so that the units
+        that the retry did not need went to other routers' shortfalls as soon as they were granted.
+        """
+        process = ProcessContext(
+            "i1", "i1-1", lambda: 1, LedgerOptions(), NoClocks(), NoClocks().read()
+        )
+        budget = AccountBudget("a", process, lambda: None, lambda: 10.0)
+        budget.set_prepaid(1_000)
+        others = Holding("i2-1", granted=950, shortfall=Shortfall(5, 1))
+        budget.apply_ledger(Ledger(by_instance={"i2": others}))
+        budget.allocation.granted = 27
+        budget._shortfalls.note_refused(5, trio.current_time() + 1)
+        budget._shortfalls.note_refused(11, trio.current_time() + 1)
+        budget._shortfalls.waiting.append(27)
+        assert budget._units_for_others() == 0
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -57,6 +57,7 @@
 SLOW_START = "railtide/lanes/tests/test_slow_start.py"
 STATED_LIMITS = "railtide/lanes/tests/test_advertised_limits.py"
 LIMIT_SHARES = "railtide/upstreams/tests/test_limit_shares.py"
+LOANS = "railtide/loans"
 LEAVING = "railtide/platform/tests/test_leaving_engines.py"
 RESTING = "railtide/platform/tests/test_resting_engines.py"
 PLATFORM_LIMITS = "railtide/platform/tests/test_advertised_limits.py"
@@ -2622,6 +2623,99 @@
         "max(MIN_PER_S, report.per_s)",
         ("railtide/upstreams/tests/test_advertised_limit.py",),
     ),
+    Mutant(
+        "repeated-loan-is-lent-again",
+        "loans/lender.py",
+        "            if units is not None:\n                return LoanAnswer(units)\n            if self",
+        "            if self",
+        (LOANS,),
+    ),
+    Mutant(
+        "loan-given-up-is-lent-late",
+        "loans/loan_book.py",
+        "            if number > borrower.forgotten_number:\n"
+        "                self.add(name, incarnation, number, None, now)\n"
+        "            return 0",
+        "            return 0",
+        (LOANS,),
+    ),
+    Mutant(
+        "forgotten-loan-is-lent-again",
+        "loans/loan_book.py",
+        "        if number <= borrower.forgotten_number:",
+        "        if False:",
+        (LOANS,),
+    ),
+    Mutant(
+        "more-returned-than-lent",
+        "loans/loan_book.py",
+        "        returned = min(unused, loan.units)\n",
+        "        returned = unused\n",
+        (LOANS,),
+    ),
+    Mutant(
+        "unreported-loan-counts-as-unused",
+        "loans/loan_book.py",
+        "        self._settle(loan, loan.units)\n        self.unreported_units",
+        "        self._settle(loan, 0)\n        self.unreported_units",
+        (LOANS,),
+    ),
+    Mutant(
+        "loan-never-settled-without-a-report",
+        "loans/loan_book.py",
+        "            if now - loan.lent_at >= UNREPORTED_S",
+        "            if False",
+        (LOANS,),
+    ),
+    Mutant(
+        "units-reported-unused-stay-at-the-borrower",
+        "loans/held_loans.py",
+        "        self.allocation.granted -= loan.units - (used - spent)\n",
+        "        self.allocation.granted -= used - (used - spent)\n",
+        (LOANS,),
+    ),
+    Mutant(
+        "reserved-units-reported-unused",
+        "loans/held_loans.py",
+        "            unused = max(0, min(loan.units, allocation.available - keep))\n",
+        "            unused = max(0, min(loan.units, allocation.granted - allocation.spent - keep))\n",
+        (LOANS,),
+    ),
+    Mutant(
+        "loan-beyond-the-spend-limit",
+        "budgets/account_budget.py",
+        "        units = min(wanted, self._headroom(), self.allocation.available)\n",
+        "        units = min(wanted, self.allocation.available)\n",
+        (LOANS,),
+    ),
+    Mutant(
+        "loan-not-taken-out-of-the-allocation",
+        "budgets/account_budget.py",
+        "        return units if units >= minimum and reserve(self.allocation, units) else 0\n",
+        "        return units if units >= minimum else 0\n",
+        (LOANS,),
+    ),
+    Mutant(
+        "lent-units-settled-into-the-granted-allocation",
+        "budgets/account_budget.py",
+        "            return self.loans.allocation\n",
+        "            return self.allocation\n",
+        (LOANS,),
+    ),
+    Mutant(
+        "lower-budget-keeps-loans",
+        "budgets/account_budget.py",
+        "            self.loans.give_back()\n",
+        "",
+        (LOANS,),
+    ),
+    Mutant(
+        "unanswered-loan-not-given-up",
+        "loans/borrower.py",
+        "            borrower.report([EndedLoan(HeldLoan(lender, address, number, 0), size.wanted)])\n",
+        "",
+        (LOANS,),
+    ),
 ]
 
 
