--- a/tests/test_edge_process.py
+++ b/tests/test_edge_process.py
@@ -54,6 +54,7 @@
 READ_AGE = re.compile(r'^railtide_read_age_seconds\{.*\btopic="([^"]+)".*\} (\S+)$', re.MULTILINE)
 STORE_ERA = re.compile(r"^railtide_store_era\{[^}]*\} (\S+)", re.MULTILINE)
 STORE_RISES = re.compile(r"^railtide_store_era_rises_total\{[^}]*\} (\S+)", re.MULTILINE)
+PACE = re.compile(r'^railtide_upstream_pace\{.*\bupstream="([^"]+)".*\} (\S+)$', re.MULTILINE)
 OUTDATED = re.compile(r"^railtide_answers_configuration_outdated_total\{.*\} (\S+)$", re.MULTILINE)
 
 
@@ -222,6 +223,22 @@
                 process.kill()
             await process.wait()
 
+    async def test_stated_pace_shows_in_metrics(self, tmp_path: Path) -> None:
+        async with edge_setup(tmp_path) as setup:
+            process = await setup.start()
+            try:
+                await body_of(await setup.send_request(1))
+                assert PACE.findall(await setup.metrics()) == []
+                setup.engine.pace = "250"
+                exchange = await setup.send_request(2)
+                [(name, pace)] = PACE.findall(await setup.metrics())
+                assert name == "e1"
+                assert 100 < float(pace) <= 250
+                await body_of(exchange)
+            finally:
+                process.kill()
+            await process.wait()
+
     async def test_store_era_shows_in_metrics(self, tmp_path: Path) -> None:
         async with edge_setup(tmp_path) as setup:
             process = await setup.start()
