--- a/railtide/containment/guard.py
+++ b/railtide/containment/guard.py
@@ -26,10 +26,11 @@
 """Selects, from the names of upstreams, those to which a request should preferably be sent."""
 
 
-VERDICT_SETTLE_S = 0.05
+VERDICT_SETTLE_S = 0.15
 """How long the observations of one crash take to arrive from all routers that saw it: the probes
-and two answers of a store that takes 4 ms, with a margin. Without this wait an innocent content was
-refused in the 6 ms between this router's own observation and another router's."""
+and two answers of a store that takes 4 ms, with a margin for a busy machine. Without this wait an
+innocent content was refused in the 6 ms between this router's own observation and another router's;
+with 0.05 s, one was refused whose explanation arrived after 0.069 s."""
 SURVIVAL_S = 0.15
 """An upstream that has run a request for this long isn't crashed by it: those that a request
 crashes do so within some 0.1 s of its start."""
