Stop signals that arrive at the very end don't kill the process

A SIGTERM that arrives while the receiver is being cancelled is raised again by trio for the handler of before, which was the default one. It is now one that records early signals. test_stop_signals.py has that order of events and fails with -15 on the code before; one mutant.

--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -237,10 +237,15 @@
     With the default handler a second signal would kill the process in the middle of its responses:
     three routers that got up to four signals each lost 13 requests that engines had run. At the end
     the signals are ignored, since one that arrives then would make the exit look like a failure.
+    When the receiver closes, trio raises the ones that it still holds for the earlier handlers, so
+    these must not be the default ones either.
     """
+    early: list[int] = []
+    for signal_number in STOP_SIGNALS:
+        signal.signal(signal_number, lambda received, frame: early.append(received))
     try:
         with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
-            signal_number = await anext(signals)
+            signal_number = early[0] if early else await anext(signals)
             logger.bind(signal=signal.Signals(signal_number).name).info("stopping")
             task_status.started()
             async for repeated in signals:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -890,6 +890,13 @@
         "]",
         (CONTAINMENT,),
     ),
+    Mutant(
+        "stop-signal-at-the-end-kills-the-process",
+        "platform/program.py",
+        "signal.signal(signal_number, lambda received, frame: early.append(received))",
+        "pass",
+        (f"{PLATFORM}/test_stop_signals.py",),
+    ),
     Mutant(
         "contents-that-share-four-crashes-are-both-held",
         "containment/blame.py",
