Budgets: one lost answer ends no wait; the refusal summary knows the new cause

A single failed call marks the store unreachable, and every request that waited was refused at once. For 0.3 s after a failed call the next update is now expected after the retry interval. Seen by running test_ledger_budget_source on a scratch copy with ordered waits switched on.

bench/refusals.py had no text for the cause kept-for-others, and test_refusals failed. 82 tests of test_waiting_for_units, test_refusals, bench/refusals, test_ledger_budget_source and test_account_log pass.

--- a/bench/refusals.py
+++ b/bench/refusals.py
@@ -31,6 +31,7 @@
 EXAMPLES = 3
 
 TEXT_BY_CAUSE = {
+    RefusalCause.KEPT: "units kept for requests that go first or for promised returns",
     RefusalCause.SPEND_LIMIT: "the spend limit",
     RefusalCause.LEDGER_UNREAD: "the ledger was not read yet",
     RefusalCause.SPENT: "the budget is spent",
--- a/railtide/budgets/ledger_partition.py
+++ b/railtide/budgets/ledger_partition.py
@@ -49,6 +49,10 @@
 CONFLICT_BACKOFF_S = 0.004
 """Mean wait after a lost compare-and-swap; about as long as a store call takes."""
 
+SHORT_LOSS_S = 0.3
+"""Time after a failed call in which requests still wait for the next: one lost answer or broken
+connection fails at once and is retried after `unreachable_retry_s`; a store that is away answers
+nothing until a timeout."""
 ERA_CLOSED_S = 3.5
 """Time after a rise of the store's era without grants, in which every live router notices the rise,
 reports its holdings and writes the state it had read: three heartbeats and a slow store answer, as
@@ -158,6 +162,7 @@
         self._update_requested = trio.Event()
         self._update_began_at = math.inf
         self._update_duration = UpdateDuration()
+        self._lost_at = -math.inf
         self._outages = OutageHistory(self._options.horizon_s)
         self._horizon = Horizon(self._options.horizon_s, at=trio.current_time())
         store.on_era_rise(self._on_era_rise)
@@ -181,10 +186,13 @@
 
     def update_expected_at(self) -> float:
         """See `PartitionView.update_expected_at`."""
+        now = trio.current_time()
+        if self.loaded and not self.reachable and now - self._lost_at < SHORT_LOSS_S:
+            return now + self._options.unreachable_retry_s + self._update_duration.mean_s
         is_reached = self.reachable and self._process.store_reached()
         if math.isinf(self._update_began_at) or (self.loaded and not is_reached):
             return math.inf
-        return expected_end(self._update_duration, self._update_began_at, trio.current_time())
+        return expected_end(self._update_duration, self._update_began_at, now)
 
     def _note_update_end(self, read_before: float) -> None:
         """Record the duration of an update that read the ledgers; another may be requested."""
@@ -639,5 +647,6 @@
         record_reachability(self._outages, reachable, trio.current_time())
         if reachable != self.reachable:
             self.reachable = reachable
+            self._lost_at = -math.inf if reachable else trio.current_time()
             event = "ledgers-reached" if reachable else "ledgers-lost"
             logger.bind(partition=self._index, reason=reason).info(event)
--- a/railtide/budgets/tests/test_waiting_for_units.py
+++ b/railtide/budgets/tests/test_waiting_for_units.py
@@ -702,6 +702,19 @@
 
         play(run)
 
+    async def test_one_lost_answer_does_not_end_a_wait(self, autojump_clock) -> None:
+        """Guards against refusals of all waiting requests when one connection breaks."""
+        store = MemoryStore()
+        source = make_source(True, store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(source.run)
+            await trio.sleep(1)
+            store.lose_answers = 1
+            began_at = trio.current_time()
+            (await reserve(source, "a")).settle(40)
+            assert 0.0 < trio.current_time() - began_at <= 0.4
+            nursery.cancel_scope.cancel()
+
     async def test_includes_lost_compare_and_swaps(self, autojump_clock) -> None:
         """A router that others overtake needs several tries, and each is part of the wait."""
         store = MemoryStore()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -156,6 +156,13 @@
         "    if now >= until:",
         (f"{ORDERED_WAITS}::TestOutage", f"{ORDERED_WAITS}::TestPromises"),
     ),
+    Mutant(
+        "one-lost-answer-ends-all-waits",
+        "budgets/ledger_partition.py",
+        "now - self._lost_at < SHORT_LOSS_S",
+        "False",
+        (f"{ORDERED_WAITS}::TestUpdateDuration",),
+    ),
     Mutant(
         "requests-held-beyond-their-goals",
         "budgets/ledger_budget_source.py",
