Timeouts allow for the known delay of the link; callers honour a third of their time

Cause: behind a full link of 5 Mbit/s connections to upstreams failed after 0.4 s and lenders seemed to be lost after 1 s; callers that came back at a third of their remaining time counted as early, which ended the shedding. Change: connect and loan timeouts are prolonged by the link's delay, and an early repeat is judged by the time that its caller honours.

--- a/railtide/edge/load_shedding.py
+++ b/railtide/edge/load_shedding.py
@@ -54,6 +54,8 @@
 MAX_RETRY_S = 5.0
 """Bounds of `Retry-After`. Callers honour a third of the time that they have left, 5.1 s at most
 for the longest streams."""
+HONOURED_SHARE = 1 / 3
+"""Share of the time that a caller has left up to which it honours `Retry-After`."""
 EARLY_S = 0.1
 """A caller that comes this much before its time is early; less is the rounding of clocks."""
 EARLY_RATIO = 0.05
@@ -83,6 +85,8 @@
         Bytes of the head and the body.
     fingerprint : int
         The same for a request and its repeat.
+    deadline_s : float
+        How long the caller waits.
     """
 
     route: str
@@ -90,6 +94,7 @@
     goal_s: float
     size: int
     fingerprint: int = 0
+    deadline_s: float = math.inf
 
 
 class _EarlyRepeats:
@@ -159,6 +164,8 @@
         Spreads the return of callers beyond `MAX_RETRY_S`.
     clock : callable, optional
         Returns the time, seconds.
+    traffic : Traffic, optional
+        Counters of all connections, whose timeouts follow the link's delay.
     """
 
     def __init__(
@@ -167,8 +174,10 @@
         counters: Counters,
         rng: Random,
         clock: Callable[[], float] = trio.current_time,
+        traffic: Traffic | None = None,
     ) -> None:
         self.link = link
+        self.traffic = traffic
         self._counters = counters
         self._rng = rng
         self._clock = clock
@@ -257,7 +266,8 @@
         self._rejected_by_priority[request.priority] += 1
         self._counters.add(f"requests_shed_priority_{request.priority}")
         retry_after_s = self._retry_after_s(request, delay_s, now)
-        self._early_repeats.note_rejection(now, request.fingerprint, now + retry_after_s)
+        honoured_s = min(retry_after_s, request.deadline_s * HONOURED_SHARE)
+        self._early_repeats.note_rejection(now, request.fingerprint, now + honoured_s)
         return LinkFull(
             f"this router's link is full: {delay_s * 1000:.0f} ms of delay",
             retry_after=retry_after_s,
@@ -302,4 +312,5 @@
         return None
     link = LinkLoad(link_mbps * BYTES_PER_MEGABIT, traffic, control)
     traffic.on_first_byte = control.on_first_byte = link.note_first_byte
-    return LoadShedding(link, counters, rng)
+    traffic.queue_delay_s = control.queue_delay_s = link.delay_s
+    return LoadShedding(link, counters, rng, traffic=traffic)
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -141,7 +141,7 @@
             identity.instance,
             identity.incarnation,
             self._lenders,
-            HttpLoanClient(),
+            HttpLoanClient(shedding.traffic if shedding else None),
             self.counters,
         )
         self.budgets = LedgerBudgetSource(
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -34,7 +34,9 @@
 FRAMING = (b"content-length", b"transfer-encoding")
 
 
-async def connect_tcp_stream(host: str, port: int) -> trio.SocketStream:
+async def connect_tcp_stream(
+    host: str, port: int, timeout_s: float = CONNECT_S
+) -> trio.SocketStream:
     """Return a stream connected to an IP address.
 
     Raises
@@ -42,11 +44,11 @@
     ConnectRefused
         If nothing listens at the address.
     ConnectFailed
-        If the peer does not answer within `CONNECT_S`, or is unreachable.
+        If the peer does not answer within `timeout_s`, or is unreachable.
     """
     sock = trio.socket.socket()
     try:
-        with trio.fail_after(CONNECT_S):
+        with trio.fail_after(timeout_s):
             await sock.connect((host, port))
         set_tcp_options(sock)
     except ConnectionRefusedError as err:
@@ -143,7 +145,8 @@
         return None
 
     async def _connect(self) -> _PooledConnection:
-        stream = await connect_tcp_stream(self._host, self._port)
+        timeout_s = CONNECT_S + self.traffic.queue_delay_s()
+        stream = await connect_tcp_stream(self._host, self._port, timeout_s)
         self.opened += 1
         return _PooledConnection(stream, h11.Connection(h11.CLIENT, MAX_HEAD_BYTES))
 
--- a/railtide/http/traffic.py
+++ b/railtide/http/traffic.py
@@ -44,12 +44,15 @@
         Traffic that this one is a part of, and whose counters include it.
     on_first_byte : callable
         Called with the kind of peer and the seconds from a request to the first byte of its answer.
+    queue_delay_s : callable
+        Returns the seconds by which the link's queues delay an exchange now, as far as it is known.
     """
 
     received: int = 0
     sent: int = 0
     whole: "Traffic | None" = None
     on_first_byte: Callable[[PeerKind, float], None] = lambda kind, seconds: None
+    queue_delay_s: Callable[[], float] = lambda: 0.0
 
     def note_received(self, count: int) -> None:
         """Count bytes of one read."""
--- a/railtide/loans/loan_client.py
+++ b/railtide/loans/loan_client.py
@@ -8,6 +8,7 @@
 from railtide.http.client import PeerPool
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
+from railtide.http.traffic import Traffic
 from railtide.loans.errors import InvalidLoan, LoanUnanswered
 from railtide.loans.messages import (
     LOANS_PATH,
@@ -57,9 +58,17 @@
 
 
 class HttpLoanClient(LoanClient):
-    """Sends messages as HTTP requests."""
+    """Sends messages as HTTP requests.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    traffic : Traffic, optional
+        Counts the bytes of all connections. A known delay of its link's queues prolongs timeouts:
+        behind a full link every lender would seem to have failed.
+    """
+
+    def __init__(self, traffic: Traffic | None = None) -> None:
+        self._traffic = traffic or Traffic()
         self._pool_by_address: dict[str, PeerPool] = {}
 
     async def ask(self, address: str, request: LoanRequest, timeout_s: float) -> LoanAnswer:
@@ -88,7 +97,7 @@
     ) -> bytes:
         headers = ((b"host", address.encode()), (b"content-type", b"application/msgpack"))
         request = HttpRequest(b"POST", path, headers, encode(message))
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_after(timeout_s + self._traffic.queue_delay_s()):
             for attempt in range(ATTEMPTS):
                 try:
                     return await self._exchange(address, request)
@@ -100,7 +109,9 @@
     async def _exchange(self, address: str, request: HttpRequest) -> bytes:
         pool = self._pool_by_address.get(address)
         if pool is None:
-            pool = self._pool_by_address[address] = PeerPool(*parse_endpoint(address))
+            pool = self._pool_by_address[address] = PeerPool(
+                *parse_endpoint(address), self._traffic
+            )
         exchange = await pool.send(request)
         try:
             body = bytearray()
--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -96,7 +96,10 @@
     head = sum(len(name) + len(value) for name, value in request.headers)
     lasting = tuple(header for header in request.headers if header[0] not in NEW_IN_REPEATS)
     fingerprint = hash((request.target, lasting))
-    return RequestOutline(route.name, priority, route.goal_s, head + length, fingerprint)
+    deadline_s = min(_deadline_s(request), route.timeout_s)
+    return RequestOutline(
+        route.name, priority, route.goal_s, head + length, fingerprint, deadline_s
+    )
 
 
 def _route_of(request: HttpRequest, snapshot: Snapshot) -> Route:
