--- a/railtide/budgets/tests/test_shortfalls.py
+++ b/railtide/budgets/tests/test_shortfalls.py
@@ -13,10 +13,12 @@
 import pytest
 import trio
 
+from railtide.budgets.account_budget import AccountBudget
 from railtide.budgets.allocation_sizing import LedgerOptions
 from railtide.budgets.errors import BudgetError, BudgetUnavailable
 from railtide.budgets.ledger import Holding, Ledger, ledger_to_bytes
 from railtide.budgets.ledger_budget_source import LedgerBudgetSource
+from railtide.budgets.process_context import ProcessContext
 from railtide.budgets.shortfalls import (
     RENEWAL_INTERVAL_S,
     SHORTFALL_TTL_S,
@@ -29,6 +31,7 @@
     units_refused,
     update_seen,
 )
+from railtide.budgets.spend_limit import NoClocks
 from railtide.budgets.tests.test_ledger_budget_source import (
     ACCOUNT,
     SETTINGS,
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -127,6 +127,8 @@
     upstreams.on_notice = node.apply_notice
     limits = ConnectionLimits(retry_after_s=node.limits_retry_after_s)
     observe("store_era", "1", lambda: float(NO_ERA if store.era is None else store.era))
+    observe("loan_units_open", "1", lambda: float(node.lender.open_units))
+    observe("loan_units_held", "1", lambda: float(node.borrower.units))
     observe_each("read_age", "s", "topic", node.read_ages_s)
     node.on_snapshot = partial(_apply_limits, limits)
     ingress = Ingress(node, rng)
--- a/railtide/platform/tests/test_boot.py
+++ b/railtide/platform/tests/test_boot.py
@@ -49,3 +49,14 @@
     def test_missing_file_is_invalid(self) -> None:
         with pytest.raises(InvalidSetting, match="RAILTIDE_BOOT"):
             read_boot("/nowhere/local.yaml")
+
+    def test_first_internal_port_is_for_other_routers(self, tmp_path: Path) -> None:
+        text = GOOD + "internal_ports: [8300, 8301]\n"
+        assert read_boot(write(tmp_path, text)).peer_address == "10.1.0.40:8300"
+
+    def test_without_internal_ports_there_is_no_address_for_routers(self, tmp_path: Path) -> None:
+        assert read_boot(write(tmp_path, GOOD)).peer_address == ""
+
+    def test_wrong_internal_port_is_named(self, tmp_path: Path) -> None:
+        with pytest.raises(InvalidSetting, match=r"internal_ports\.0"):
+            read_boot(write(tmp_path, GOOD + "internal_ports: [99999]\n"))
