Loans: bounded memory of a lender, all unreported units counted

A lender remembers 256 borrowers and 128 loans of each, ended ones dropped first. Units of loans that another process of a borrower replaces by a return were neither counted nor logged.

--- a/railtide/loans/lender.py
+++ b/railtide/loans/lender.py
@@ -7,7 +7,7 @@
 
 from railtide.budgets.budget_source import BudgetReservation
 from railtide.loans.errors import LenderLeaving
-from railtide.loans.loan_book import LoanBook
+from railtide.loans.loan_book import MAX_BORROWERS, LoanBook
 from railtide.loans.messages import LoanAnswer, LoanRequest, LoanReturn
 from railtide.telemetry.counters import Counters
 
@@ -43,6 +43,7 @@
         self._under_way: dict[tuple[str, str, int], trio.Event] = {}
         self._has_lent = trio.Event()
         self._known_borrowers: dict[str, str] = {}
+        self._noted_unreported = 0
 
     @property
     def open_units(self) -> int:
@@ -54,7 +55,8 @@
         while True:
             await self._has_lent.wait()
             await trio.sleep(CHECK_INTERVAL_S)
-            self._note_unreported(self._book.end_unreported(trio.current_time()), "not-reported")
+            self._book.end_unreported(trio.current_time())
+            self._note_unreported("not-reported")
             if not self._book.open_units:
                 self._has_lent = trio.Event()
 
@@ -70,9 +72,8 @@
         """
         key = (request.borrower, request.incarnation, request.number)
         while True:
-            unreported_before = self._book.unreported_units
             units = self._book.units_of(*key)
-            self._note_unreported(self._book.unreported_units - unreported_before, "replaced")
+            self._note_unreported("replaced")
             if units is not None:
                 return LoanAnswer(units)
             if self.leaving:
@@ -96,6 +97,7 @@
                 reservation.settle(0)
             return LoanAnswer(units)
         self._book.add(*key, reservation, trio.current_time())
+        self._note_unreported("too-many")
         if reservation is None:
             self._counters.add("loans_refused")
             return LoanAnswer(0)
@@ -115,19 +117,26 @@
             trio.current_time(),
         )
         self._counters.add("loan_units_returned", returned)
+        self._note_unreported("replaced")
 
     def end_all(self) -> None:
         """Count all open loans as spent, at the end of a shutdown."""
         self.leaving = True
-        self._note_unreported(self._book.end_all(), "leaving")
+        self._book.end_all()
+        self._note_unreported("leaving")
 
-    def _note_unreported(self, units: int, reason: str) -> None:
+    def _note_unreported(self, reason: str) -> None:
+        """Count and log the units of loans that counted as spent for want of a report."""
+        units = self._book.unreported_units - self._noted_unreported
         if units:
+            self._noted_unreported += units
             self._counters.add("loan_units_unreported", units)
             logger.bind(units=units, reason=reason).info("loans-unreported")
 
     def _log_borrower(self, request: LoanRequest) -> None:
         """Log the first loan to a process."""
         if self._known_borrowers.get(request.borrower) != request.incarnation:
+            if len(self._known_borrowers) >= MAX_BORROWERS:
+                self._known_borrowers.clear()
             self._known_borrowers[request.borrower] = request.incarnation
             logger.bind(borrower=request.borrower, account=request.account).info("lends-units")
--- a/railtide/loans/loan_book.py
+++ b/railtide/loans/loan_book.py
@@ -6,11 +6,11 @@
 from railtide.budgets.budget_source import BudgetReservation
 from railtide.loans.errors import LoanOutdated
 
-__all__ = ["LoanBook", "LentLoan"]
+__all__ = ["MAX_BORROWERS", "MAX_LOANS", "LentLoan", "LoanBook"]
 
-MAX_BORROWERS = 1_024
+MAX_BORROWERS = 256
 """Borrowers remembered. Beyond it, the loans of the one that asked the longest ago are settled."""
-MAX_LOANS = 256
+MAX_LOANS = 128
 """Loans remembered of one borrower, open or ended. A borrower has a few dozen loans open at most,
 and repeats a message for some seconds."""
 UNREPORTED_S = 60.0
@@ -97,10 +97,16 @@
         borrower = self._borrower(name, incarnation)
         borrower.loan_by_number[number] = LentLoan(units, now, reservation)
         self.open_units += units
-        while len(borrower.loan_by_number) > MAX_LOANS:
-            oldest, loan = borrower.loan_by_number.popitem(last=False)
-            borrower.forgotten_number = max(borrower.forgotten_number, oldest)
-            self._settle_unreported(loan)
+        if len(borrower.loan_by_number) > MAX_LOANS:
+            self._forget_one_of(borrower)
+
+    def _forget_one_of(self, borrower: _Borrower) -> None:
+        """Forget the oldest loan that has ended, or the oldest of all if none has."""
+        loans = borrower.loan_by_number
+        ended = (number for number, loan in loans.items() if loan.reservation is None)
+        number = next(ended, next(iter(loans)))
+        borrower.forgotten_number = max(borrower.forgotten_number, number)
+        self._settle_unreported(loans.pop(number))
 
     def end(self, name: str, incarnation: str, number: int, unused: int, now: float) -> int:
         """Settle a loan by its borrower's report; return the units that came back.
@@ -120,18 +126,17 @@
         self._settle(loan, loan.units - returned)
         return returned
 
-    def end_unreported(self, now: float) -> int:
-        """Settle the loans that were not reported in time; return their units."""
-        return sum(
-            self._settle_unreported(loan)
-            for borrower in self._borrower_by_name.values()
-            for loan in borrower.loan_by_number.values()
-            if now - loan.lent_at >= UNREPORTED_S
-        )
+    def end_unreported(self, now: float) -> None:
+        """Settle the loans that were not reported in time."""
+        for borrower in self._borrower_by_name.values():
+            for loan in borrower.loan_by_number.values():
+                if now - loan.lent_at >= UNREPORTED_S:
+                    self._settle_unreported(loan)
 
-    def end_all(self) -> int:
-        """Settle all loans as spent, as this lender shuts down; return their units."""
-        return sum(self._end_all_of(borrower) for borrower in list(self._borrower_by_name.values()))
+    def end_all(self) -> None:
+        """Settle all loans as spent, as this lender shuts down."""
+        for borrower in self._borrower_by_name.values():
+            self._end_all_of(borrower)
 
     def _borrower(self, name: str, incarnation: str) -> _Borrower:
         """Return the record of a borrowing process.
@@ -150,15 +155,14 @@
             self._end_all_of(oldest)
         return borrower
 
-    def _end_all_of(self, borrower: _Borrower) -> int:
-        return sum(self._settle_unreported(loan) for loan in borrower.loan_by_number.values())
+    def _end_all_of(self, borrower: _Borrower) -> None:
+        for loan in borrower.loan_by_number.values():
+            self._settle_unreported(loan)
 
-    def _settle_unreported(self, loan: LentLoan) -> int:
-        if loan.reservation is None:
-            return 0
-        self._settle(loan, loan.units)
-        self.unreported_units += loan.units
-        return loan.units
+    def _settle_unreported(self, loan: LentLoan) -> None:
+        if loan.reservation is not None:
+            self._settle(loan, loan.units)
+            self.unreported_units += loan.units
 
     def _settle(self, loan: LentLoan, used: int) -> None:
         reservation, loan.reservation = loan.reservation, None
--- a/railtide/loans/tests/test_messages.py
+++ b/railtide/loans/tests/test_messages.py
@@ -152,3 +152,12 @@
             book.units_of("b", "b-1", 1)
         assert book.unreported_units == 10
         assert book.open_units == MAX_LOANS * 10
+
+    def test_ended_loans_are_forgotten_before_open_ones(self) -> None:
+        """Guards against an open loan that counts as spent since many others ended after it."""
+        book = LoanBook()
+        book.add("b", "b-1", 1, reservation(), 0.0)
+        for number in range(2, 2 * MAX_LOANS):
+            book.add("b", "b-1", number, reservation(), 0.0)
+            book.end("b", "b-1", number, unused=0, now=0.0)
+        assert book.end("b", "b-1", 1, unused=10, now=0.0) == 10
--- a/railtide/membership/tests/test_roster.py
+++ b/railtide/membership/tests/test_roster.py
@@ -424,7 +424,7 @@
 
 class TestPeerAddresses:
     async def test_advertised_routers_with_an_address_are_listed(self, autojump_clock) -> None:
-        """A router of an earlier release, whose record has no such field, is not asked for units."""
+        """Guards against asking a router that does not answer others for units."""
         store = MemoryStore()
         addresses = {"r0": "h:20", "r1": "", "r2": "nonsense"}
         options = RosterOptions(selection=SelectionOptions(min_routers=len(addresses)))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2625,8 +2625,8 @@
     ),
     Mutant(
         "repeated-loan-is-lent-again",
-        "loans/lender.py",
-        "            if units is not None:\n                return LoanAnswer(units)\n",
+        "loans/loan_book.py",
+        "        if loan is not None:\n            return loan.units\n",
         "",
         (LOANS,),
     ),
@@ -2663,8 +2663,8 @@
     Mutant(
         "loan-never-settled-without-a-report",
         "loans/loan_book.py",
-        "            if now - loan.lent_at >= UNREPORTED_S",
-        "            if False",
+        "                if now - loan.lent_at >= UNREPORTED_S:",
+        "                if False:",
         (LOANS,),
     ),
     Mutant(
