--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -143,6 +143,8 @@
     observe("store_era", "1", lambda: float(NO_ERA if store.era is None else store.era))
     if shedding:
         observe_each("link_utilisation", "1", "direction", shedding.utilisation_by_direction)
+    observe("loan_units_open", "1", lambda: float(node.lender.open_units))
+    observe("loan_units_held", "1", lambda: float(node.borrower.units))
     observe_each("read_age", "s", "topic", node.read_ages_s)
     observe_each("upstream_pace", "", "upstream", node.upstream_paces)
     node.on_snapshot = partial(_apply_limits, limits)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3022,9 +3022,9 @@
     ),
     Mutant(
         "repeated-loan-is-lent-again",
-        "loans/lender.py",
-        "            if units is not None:\n                return LoanAnswer(units)\n            if self",
-        "            if self",
+        "loans/loan_book.py",
+        "        if loan is not None:\n            return loan.units\n",
+        "",
         (LOANS,),
     ),
     Mutant(
@@ -3060,8 +3060,8 @@
     Mutant(
         "loan-never-settled-without-a-report",
         "loans/loan_book.py",
-        "            if now - loan.lent_at >= UNREPORTED_S",
-        "            if False",
+        "                if now - loan.lent_at >= UNREPORTED_S:",
+        "                if False:",
         (LOANS,),
     ),
     Mutant(
@@ -3074,15 +3074,15 @@
     Mutant(
         "reserved-units-reported-unused",
         "loans/held_loans.py",
-        "            unused = max(0, min(loan.units, allocation.available - keep))\n",
-        "            unused = max(0, min(loan.units, allocation.granted - allocation.spent - keep))\n",
+        "min(loan.units, allocation.available - keep)",
+        "min(loan.units, allocation.granted - allocation.spent - keep)",
         (LOANS,),
     ),
     Mutant(
         "loan-beyond-the-spend-limit",
         "budgets/account_budget.py",
-        "        units = min(wanted, self._headroom(), self.allocation.available)\n",
-        "        units = min(wanted, self.allocation.available)\n",
+        "        units = min(wanted, self._headroom(), self._unpromised())\n",
+        "        units = min(wanted, self._unpromised())\n",
         (LOANS,),
     ),
     Mutant(
@@ -3109,8 +3109,8 @@
     Mutant(
         "unanswered-loan-not-given-up",
         "loans/borrower.py",
-        "            borrower.report([EndedLoan(HeldLoan(lender, address, number, 0), size.wanted)])\n",
-        "",
+        "[EndedLoan(HeldLoan(lender, address, number, 0), size.wanted)]",
+        "[]",
         (LOANS,),
     ),
 ]
