--- a/railtide/upstreams/tests/pace_load.py
+++ b/railtide/upstreams/tests/pace_load.py
@@ -59,8 +59,8 @@
         Streams with a pause longer than its goal.
     by_upstream : Counter
         Requests sent to each upstream.
-    peaks : list of float
-        Largest share of the requests within a second that went to one upstream.
+    by_second : dict of int to Counter
+        The same for each second.
     """
 
     total: int = 0
@@ -155,7 +155,6 @@
         self.warm_s = 5.0
         self._phases: dict[tuple[int, int], float] = {}
         self._offsets = [self.rng.uniform(0, PHASE_S) for _ in self.names]
-        self._phase_rng = Random(seed + 1000)
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._numbers = count()
 
