--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -2,6 +2,7 @@
 
 import signal
 from functools import partial
+from typing import Literal
 from urllib.parse import parse_qs, urlsplit
 
 import trio
@@ -62,6 +63,8 @@
 """Behind a link of 5 Mbit/s that is full, a read of the ledgers takes 70 to 450 ms, and an append
 conditional on it always came too late."""
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+FIXED_WAITS = "fixed"
+ORDERED_WAITS = "ordered"
 FLUSH_S = 0.2
 """Kept free at the end of a shutdown for the last log lines and for closing connections."""
 
@@ -69,6 +72,7 @@
 class EdgeSettings(BaseModel):
     """Settings of an edge router that are not in the platform's settings file."""
 
+    unit_waits: Literal["fixed", "ordered"]
     metrics_port: int = Field(ge=1, le=65_535)
     budget_horizon_s: float = Field(gt=0, le=600)
     budget_most_share: float = Field(gt=0, le=1)
@@ -80,6 +84,7 @@
 def edge(
     *,
     log_level: str = "INFO",
+    unit_waits: str = FIXED_WAITS,
     metrics_port: int = METRICS_PORT,
     budget_horizon_s: float = LedgerOptions.horizon_s,
     budget_most_share: float = LedgerOptions.max_preallocated_share,
@@ -94,6 +99,9 @@
     SIGHUP checks the settings file again.
 
     :param log_level: minimum level of log lines
+    :param unit_waits: how long a request waits for budget units; "fixed": for 0.1 s; "ordered": in
+        the order of urgency and goal, as long as units that are under way can come in time for its
+        goal, and refused callers are told different times of return
     :param metrics_port: port of the metrics page
     :param budget_horizon_s: seconds of an account's traffic that a router holds as its allocation;
         a longer horizon serves longer while the store is unavailable, and loses more units when a
@@ -109,6 +117,7 @@
     """
     settings = validate_settings(
         EdgeSettings,
+        unit_waits=unit_waits,
         metrics_port=metrics_port,
         budget_horizon_s=budget_horizon_s,
         budget_most_share=budget_most_share,
@@ -176,6 +185,7 @@
             horizon_s=settings.budget_horizon_s,
             max_preallocated_share=settings.budget_most_share,
             spread_share=settings.budget_spread_share,
+            waits_for_expected_units=settings.unit_waits == ORDERED_WAITS,
         ),
         shutdown_timeout_s=max(0.0, boot.grace_s - SHUTDOWN_MARGIN_S),
         retries_per_request=boot.retry_ratio * USED_RETRY_SHARE,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -182,7 +182,8 @@
     Mutant(
         "cancelled-waits-lose-their-units",
         "budgets/account_budget.py",
-        "            settle_reserve(request.allocation, request.amount, 0)\n            self.wake()",
+        "            settle_reserve(request.allocation, request.amount, 0)\n"
+        "            self.wake()",
         "            self.wake()",
         (f"{ORDERED_WAITS}::TestOrder", f"{ORDERED_WAITS}::TestNoOverspend"),
     ),
