--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2656,8 +2656,8 @@
     Mutant(
         "unreported-loan-counts-as-unused",
         "loans/loan_book.py",
-        "        self._settle(loan, loan.units)\n        self.unreported_units",
-        "        self._settle(loan, 0)\n        self.unreported_units",
+        "            self._settle(loan, loan.units)\n            self.unreported_units",
+        "            self._settle(loan, 0)\n            self.unreported_units",
         (LOANS,),
     ),
     Mutant(
