--- a/railtide/edge/load_shedding.py
+++ b/railtide/edge/load_shedding.py
@@ -14,10 +14,13 @@
 from railtide.http.traffic import PACKET_BYTES, Traffic
 from railtide.telemetry.counters import Counters
 
-__all__ = ["SHED_BELOW_LINK_MBPS", "LoadShedding", "RequestOutline", "load_shedding_for"]
+__all__ = ["NARROW_LINK_MBPS", "LoadShedding", "RequestOutline", "load_shedding_for"]
 
-SHED_BELOW_LINK_MBPS = 20.0
-"""A link of this width carries about 400 requests a second of 5 KB in each direction."""
+NARROW_LINK_MBPS = 20.0
+"""Bandwidth below which the load of the link is measured. A link of this width carries about 400
+requests a second of 5 KB in each direction."""
+MAX_TIMEOUT_EXTENSION_S = 1.5
+"""Most by which timeouts are prolonged, so that a lost peer is noticed within two seconds."""
 BYTES_PER_MEGABIT = 125_000
 
 
@@ -166,6 +169,8 @@
         Returns the time, seconds.
     traffic : Traffic, optional
         Counters of all connections, whose timeouts follow the link's delay.
+    rejects : bool
+        Whether requests are rejected; if not, the load is only measured.
     """
 
     def __init__(
@@ -175,9 +180,11 @@
         rng: Random,
         clock: Callable[[], float] = trio.current_time,
         traffic: Traffic | None = None,
+        rejects: bool = True,
     ) -> None:
         self.link = link
         self.traffic = traffic
+        self.rejects = rejects
         self._counters = counters
         self._rng = rng
         self._clock = clock
@@ -204,7 +211,8 @@
         answer = self._answer_bytes_by_route.get(request.route, TYPICAL_ANSWER_BYTES)
         priority = _class_of(request.priority)
         self._sizes[priority].note(size, answer)
-        if self._exceeds_threshold(request, delay_s) and self._is_relief(priority):
+        exceeds = self.rejects and self._exceeds_threshold(request, delay_s)
+        if exceeds and self._is_relief(priority):
             self.link.note_demand(Demand(received=0, sent=REJECTION_BYTES))
             raise self._rejection(request, delay_s)
         self.link.note_demand(Demand(received=answer, sent=size + answer))
@@ -307,10 +315,17 @@
     counters: Counters,
     rng: Random,
 ) -> LoadShedding | None:
-    """Return the load shedding of a router, None if its link is too wide to need it."""
-    if link_mbps >= shed_below_mbps:
+    """Return the load shedding of a router, None if its link is too wide to need it.
+
+    Below `NARROW_LINK_MBPS` the load is measured also where no request is rejected: timeouts
+    follow the delay of the link, and other routers see its load.
+    """
+    if link_mbps >= max(shed_below_mbps, NARROW_LINK_MBPS):
         return None
     link = LinkLoad(link_mbps * BYTES_PER_MEGABIT, traffic, control)
     traffic.on_first_byte = control.on_first_byte = link.note_first_byte
-    traffic.queue_delay_s = control.queue_delay_s = link.delay_s
-    return LoadShedding(link, counters, rng, traffic=traffic)
+    traffic.queue_delay_s = control.queue_delay_s = lambda: min(
+        link.delay_s(), MAX_TIMEOUT_EXTENSION_S
+    )
+    rejects = link_mbps < shed_below_mbps
+    return LoadShedding(link, counters, rng, traffic=traffic, rejects=rejects)
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -13,7 +13,7 @@
 from railtide.budgets.allocation_sizing import LedgerOptions
 from railtide.clocks import BootTimeClock
 from railtide.configuration.snapshot import Snapshot
-from railtide.edge.load_shedding import SHED_BELOW_LINK_MBPS, load_shedding_for
+from railtide.edge.load_shedding import load_shedding_for
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
 from railtide.http.messages import HttpRequest
@@ -90,7 +90,7 @@
     budget_most_share: float = LedgerOptions.max_preallocated_share,
     budget_spread_share: float = LedgerOptions.spread_share,
     borrow_below_link_mbps: float = BORROW_BELOW_LINK_MBPS,
-    shed_below_link_mbps: float = SHED_BELOW_LINK_MBPS,
+    shed_below_link_mbps: float = 0.0,
 ) -> None:
     """Serve callers' requests within their prepaid budgets, on the platform.
 
@@ -113,7 +113,7 @@
     :param borrow_below_link_mbps: a router with a narrower link that is not advertised to callers
         borrows budget units from those that are; 0 for never
     :param shed_below_link_mbps: a router whose link is stated to be narrower, Mbit/s, rejects
-        requests before its link is full; 0 switches this off
+        requests before its link is full; 0 for never
     """
     settings = validate_settings(
         EdgeSettings,
