Review: an ambiguous pair keeps no other content from being held, and more

Cause, by review: contents of the greatest weight that can't be told apart kept every other bad content running; timeouts were prolonged by twice an estimate that refused requests inflate; a rejected caller with a long unread body could lose the rejection; a negative deadline or priority and a load of hundreds of digits were not handled. Change: the next lower weight is considered, and six crashes always decide; timeouts of upstreams and lenders follow the observed delay, 0.8 s at most, and those of the store stay; the rest of a rejected body is read for 1 s; bounds.

--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -42,6 +42,8 @@
 callers make was held with the bad content when observations were late on a busy machine: routers
 sent both to the same upstreams before they knew that these were suspects. While it isn't held, the
 read completes elsewhere, which tells the two apart without another crash."""
+MAX_AMBIGUOUS_CRASHES = 5
+"""Most crashes, weak ones included, under which contents may stay ambiguous."""
 SIMULTANEOUS_S = 0.03
 """Crashes no further apart, by the clock of one router that saw both, are one incident if the
 content was in flight at both: the ends of processes that are killed together are noticed within
@@ -239,18 +241,26 @@
 def _unambiguous_culprits(
     unexplained: Mapping[str, Sequence[CrashObservation]], detection_times: DetectionTimes
 ) -> list[str]:
-    """Return the contents of the greatest weight that reach the threshold and are unambiguous."""
+    """Return the contents of the greatest weight that reach the threshold and are unambiguous.
+
+    Where all contents of a weight are ambiguous, the next lower weight is considered: an ambiguous
+    pair must not keep another content from being held.
+    """
     enough = {
         content: seen for content, seen in unexplained.items() if len(seen) >= MIN_OBSERVATIONS
     }
     weights = {content: evidence_weight(seen, detection_times) for content, seen in enough.items()}
-    greatest = max(weights.values(), default=0)
-    if greatest < HOLD_THRESHOLD:
-        return []
-    worst = [content for content, weight in weights.items() if weight == greatest]
-    if greatest >= HOLD_ALL_THRESHOLD:
-        return worst
-    return [content for content in worst if not _is_ambiguous(content, weights, unexplained)]
+    for weight in sorted(set(weights.values()), reverse=True):
+        if weight < HOLD_THRESHOLD:
+            break
+        worst = [content for content, known in weights.items() if known == weight]
+        most_crashes = max(len(enough[content]) for content in worst)
+        is_certain = weight >= HOLD_ALL_THRESHOLD or most_crashes > MAX_AMBIGUOUS_CRASHES
+        if not is_certain:
+            worst = [c for c in worst if not _is_ambiguous(c, weights, unexplained)]
+        if worst:
+            return worst
+    return []
 
 
 def _is_ambiguous(
@@ -265,7 +275,9 @@
     weight = weights[content]
     incarnations = _incarnations(unexplained[content])
     least_weight = max(HOLD_THRESHOLD, weight - STRONG_WEIGHT + 1)
-    rivals = [o for o, rival in weights.items() if o != content and rival >= least_weight]
+    rivals = [
+        other for other, known in weights.items() if other != content and known >= least_weight
+    ]
     for other in rivals:
         is_equal = weights[other] == weight
         nearly_all = weight // STRONG_WEIGHT - 1 if is_equal else len(incarnations) - 1
--- a/railtide/containment/tests/test_blame.py
+++ b/railtide/containment/tests/test_blame.py
@@ -262,3 +262,22 @@
     def test_clock_differences_between_routers_are_no_overlap(self) -> None:
         in_turn = [observation(n, 10.0, elapsed_s=0.06, router=f"r{n}") for n in range(3)]
         assert set(assign_blame(in_turn).held) == {"c"}
+
+
+class TestAmbiguousPair:
+    """An ambiguous pair must not keep other contents from being held."""
+
+    def test_another_bad_content_is_held_beside_an_ambiguous_pair(self) -> None:
+        """A content that crashed three upstreams ran on at others until the pair was decided."""
+        four = incarnations(1, 2, 3, 4)
+        crashes = {"one": four, "other": four, "bad": incarnations(11, 12, 13)}
+        assert set(blame_of_crashes(crashes).held) == {"bad"}
+
+    def test_six_shared_crashes_are_held_whatever_their_weight(self) -> None:
+        """With weak crashes the weight of five strong ones took up to eight upstreams."""
+        seen = [
+            observation(f"c{n}", 10.0 * n, content, elapsed_s=2.0)
+            for n in range(6)
+            for content in ("one", "other")
+        ]
+        assert set(assign_blame(seen).held) == {"one", "other"}
--- a/railtide/edge/link_load.py
+++ b/railtide/edge/link_load.py
@@ -259,8 +259,11 @@
         left = self.bytes_per_s - received - self._body_rate.at(now)
         return Demand(max(MIN_ANSWER_SHARE * self.bytes_per_s, left), self.bytes_per_s - sent)
 
+    def observed_delay_s(self) -> float:
+        """Return by how much the fastest exchanges are late now, as far as the link causes it."""
+        return self._observed_delay_s(self._clock())
+
     def _observed_delay_s(self, now: float) -> float:
-        """Return the delay of exchanges as far as the link can be its cause."""
         if self.utilisation().larger < BUSY:
             return 0.0
         known = [e for e in self._excesses_s(now) if e is not None]
--- a/railtide/edge/load_shedding.py
+++ b/railtide/edge/load_shedding.py
@@ -19,8 +19,9 @@
 NARROW_LINK_MBPS = 20.0
 """Bandwidth below which the load of the link is measured. A link of this width carries about 400
 requests a second of 5 KB in each direction."""
-MAX_TIMEOUT_EXTENSION_S = 1.5
-"""Most by which timeouts are prolonged, so that a lost peer is noticed within two seconds."""
+MAX_TIMEOUT_EXTENSION_S = 0.8
+"""Most by which timeouts of upstreams and lenders are prolonged, so that a lost one is noticed
+within two seconds. Those of the store are not: it has adaptive timeouts of its own."""
 BYTES_PER_MEGABIT = 125_000
 
 
@@ -123,7 +124,7 @@
         known = self._told_by_fingerprint
         known.pop(fingerprint, None)
         known[fingerprint] = retry_at
-        while next(iter(known.values())) < now or len(known) > MAX_KNOWN_REJECTIONS:
+        while known and (next(iter(known.values())) < now or len(known) > MAX_KNOWN_REJECTIONS):
             del known[next(iter(known))]
 
     def are_usual(self) -> bool:
@@ -153,7 +154,7 @@
 
 
 def _class_of(priority: int) -> int:
-    return min(priority, len(THRESHOLDS) - 1)
+    return max(0, min(priority, len(THRESHOLDS) - 1))
 
 
 class LoadShedding:
@@ -274,7 +275,7 @@
         self._rejected_by_priority[request.priority] += 1
         self._counters.add(f"requests_shed_priority_{request.priority}")
         retry_after_s = self._retry_after_s(request, delay_s, now)
-        honoured_s = min(retry_after_s, request.deadline_s * HONOURED_SHARE)
+        honoured_s = min(retry_after_s, max(0.0, request.deadline_s) * HONOURED_SHARE)
         self._early_repeats.note_rejection(now, request.fingerprint, now + honoured_s)
         return LinkFull(
             f"this router's link is full: {delay_s * 1000:.0f} ms of delay",
@@ -324,8 +325,6 @@
         return None
     link = LinkLoad(link_mbps * BYTES_PER_MEGABIT, traffic, control)
     traffic.on_first_byte = control.on_first_byte = link.note_first_byte
-    traffic.queue_delay_s = control.queue_delay_s = lambda: min(
-        link.delay_s(), MAX_TIMEOUT_EXTENSION_S
-    )
+    traffic.queue_delay_s = lambda: min(link.observed_delay_s(), MAX_TIMEOUT_EXTENSION_S)
     rejects = link_mbps < shed_below_mbps
     return LoadShedding(link, counters, rng, traffic=traffic, rejects=rejects)
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -29,6 +29,9 @@
 """Largest body of a rejected request that is received and discarded. A caller sends about as much
 before it can learn of the rejection, and a new connection would cost the link more packets."""
 
+LINGER_S = 1.0
+"""Longest wait for the rest of a rejected body after the rejection was sent."""
+
 HEADER_OVERHEAD = 4
 """Bytes of a header line besides its name and value: colon, space, CR and LF."""
 
@@ -195,11 +198,24 @@
             if request is None:
                 return
             sent = await self._answer(request)
+            if sent and self.rejected_unread:
+                await self._linger()
             if not sent or self.h11.their_state is not h11.DONE:
                 return
             self.h11.start_next_cycle()
             self.read_ahead = 0
 
+    async def _linger(self) -> None:
+        """Read what a rejected caller still sends, up to a limit, before the connection is closed.
+
+        A close with unread bytes resets the connection, and the caller may lose the rejection.
+        """
+        remaining = MAX_READ_AHEAD
+        with trio.move_on_after(LINGER_S):
+            await self.stream.send_eof()
+            while remaining > 0 and (data := await self._receive()):
+                remaining -= len(data)
+
     @property
     def is_closing(self) -> bool:
         """Whether the connection ends after this answer."""
--- a/railtide/platform/notices.py
+++ b/railtide/platform/notices.py
@@ -17,6 +17,8 @@
 PACE_INDEX = 3
 """Index of the pace in the load header, after the running and queued requests and the slots."""
 PACE = re.compile(rb"[1-9][0-9]{0,4}")
+COUNT = re.compile(rb"[0-9]{1,9}")
+"""Numbers of requests; longer ones overflow the calculations with them."""
 DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
@@ -54,7 +56,7 @@
 def _load_of(headers: Headers) -> LoadReport | None:
     value = first_header(headers, header_names.LOAD)
     parts = value.split(b",") if value else []
-    if len(parts) < 2 or not parts[0].isdigit() or not parts[1].isdigit():
+    if len(parts) < 2 or not all(COUNT.fullmatch(part) for part in parts[:2]):
         return None
     return LoadReport(int(parts[0]), int(parts[1]), False, trio.current_time(), _pace_of(parts))
 
--- a/railtide/platform/tests/test_upstream_pace.py
+++ b/railtide/platform/tests/test_upstream_pace.py
@@ -115,7 +115,7 @@
     async def test_first_event_is_measured_before_the_stream_ends(self) -> None:
         """At its end the statement that belongs to the first event would be forgotten."""
         async with router_environment() as env:
-            (await env.add_engine("e1", events=4, gap_s=0.2)).pace = "100"
+            (await env.add_engine("e1", events=4, gap_s=0.2)).pace_text = "100"
             await body_of(await env.send("/safe/x"))
             stream = await env.send("/stream/x")
             assert env.node.schedulers_by_pool["s"].pace.first_event.count == 1
@@ -126,7 +126,7 @@
         """An upstream that answers nothing in time has no times but the waits for it."""
         async with router_environment() as env:
             engine = await env.add_engine("e1", gap_s=0.01)
-            engine.pace = "100"
+            engine.pace_text = "100"
             for _ in range(4):
                 await body_of(await env.send("/safe/x"))
             engine.script.gap_s = 5.0
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1004,7 +1004,7 @@
     Mutant(
         "contents-that-share-all-ends-are-both-held",
         "containment/blame.py",
-        "if not _is_ambiguous(content, weights, unexplained)]",
+        "if not _is_ambiguous(c, weights, unexplained)]",
         "]",
         (CONTAINMENT,),
     ),
