Review: no spending above a lowered budget by returned loans, and more

Change: such units leave the allocation; amounts are bounded by the budget; reports go to each lender by a task of its own; the last lender stays the first.

--- a/railtide/budgets/account_budget.py
+++ b/railtide/budgets/account_budget.py
@@ -143,6 +143,7 @@
         self.prepaid: int | None = None
         self.loaded = False
         self.billed_requests = 0
+        self.times_lowered = 0
         self._process = process
         self._options = process.options
         self._traffic = Traffic()
@@ -366,6 +367,17 @@
         self.note_units_arrived(units)
         self.wake()
 
+    def note_loan_returned(self, lowered: int, units: int) -> None:
+        """Keep the returned units of a loan, or release them if the budget was lowered since.
+
+        `lowered` is `times_lowered` when the loan was made.
+        """
+        if lowered != self.times_lowered:
+            take_back(self.allocation, units)
+            self._request_update()
+        else:
+            self.note_units_released(units)
+
     def promise_return(self, request: WaitingForUnits) -> float | None:
         """Return after how many seconds a refused caller finds its units; None without a promise.
 
@@ -434,6 +446,7 @@
     def set_prepaid(self, prepaid: int) -> None:
         """Apply the configured budget; a lower one releases all unreserved units."""
         if self.prepaid is not None and prepaid < self.prepaid:
+            self.times_lowered += 1
             take_back(self.allocation, self.allocation.available)
             self.loans.give_back()
         self.prepaid = prepaid
--- a/railtide/budgets/ledger_budget_source.py
+++ b/railtide/budgets/ledger_budget_source.py
@@ -225,11 +225,11 @@
         request = WaitingForUnits(
             amount, terms.priority, start_by, began_at, terms.content, deadline
         )
+        budget.loans.note_request(amount)
         allocation = await budget.wait_in_order(request)
         if allocation is None:
             raise self._refusal_in_order(budget, request)
         budget.refill_if_low()
-        budget.loans.note_request(amount)
         return LedgerReservation(
             allocation,
             amount,
@@ -286,12 +286,16 @@
         None if there are fewer than `minimum`, also after a wait for a grant.
         """
         budget = self._budget_by_account.get(account)
-        if budget is None or self._process.leaving:
+        if budget is None or self._process.leaving or minimum > (budget.prepaid or 0):
             return None
+        wanted = min(wanted, budget.prepaid)
         now = trio.current_time()
         until = now + wait_s if self._can_be_granted(self._partition(account)) else now
         units = await budget.lend(wanted, minimum, until)
-        return LedgerReservation(budget.allocation, units) if units else None
+        if not units:
+            return None
+        on_released = partial(budget.note_loan_returned, budget.times_lowered)
+        return LedgerReservation(budget.allocation, units, on_released=on_released)
 
     def _note_spent(self, budget: AccountBudget) -> None:
         """End loans that are used up, and log the end of the first request that cost units.
--- a/railtide/loans/borrower.py
+++ b/railtide/loans/borrower.py
@@ -28,8 +28,10 @@
 RATE_WINDOW_S = 1.0
 """Averaging window of an account's requests. The window of 8 s of the allocations takes seconds to
 follow a rise, and a first loan would be too small."""
-LENDERS_PER_ROUND = 3
-"""Lenders asked one after another, before the ledger is asked and the next round waits."""
+LENDERS_PER_ROUND = 8
+"""Lenders asked one after another, before the ledger is asked and the next round waits. More than
+are advertised at the planned load, since any of them may hold the account's units when the store is
+lost."""
 ROUND_PAUSE_S = 0.5
 """Pause after a round in which no lender had units."""
 PARTIAL_PAUSE_S = 0.05
@@ -93,6 +95,8 @@
         self._report_due = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._leaving = False
+        self._sending = trio.Lock()
+        self._sending_scope = trio.CancelScope()
 
     def of_account(
         self, account: str, needs: Callable[[], UnitNeeds], wake: Callable[[], None]
@@ -168,23 +172,26 @@
                 self.client.close_idle()
 
     async def _send_reports(self, timeout_s: float) -> None:
-        """Send the reports that are due; those to a lender that fails are kept for later."""
-        reports, self._reports = self._reports, deque()
-        failed: set[str] = set()
-        kept: list[_Report] = []
+        """Send the reports, to all lenders at once; those to a lender that fails are kept."""
+        async with self._sending:
+            reports, self._reports = self._reports, deque()
+            by_address: dict[str, deque[_Report]] = {}
+            for report in reports:
+                by_address.setdefault(report.ended.loan.address, deque()).append(report)
+            with trio.CancelScope() as self._sending_scope:
+                async with trio.open_nursery() as nursery:
+                    for same_lender in by_address.values():
+                        nursery.start_soon(self._send_to_lender, same_lender, timeout_s)
+
+    async def _send_to_lender(self, reports: deque[_Report], timeout_s: float) -> None:
         try:
-            while reports:
-                report = reports[0]
-                loan = report.ended.loan
-                if loan.address in failed or not await self._send(report.ended, timeout_s):
-                    failed.add(loan.address)
-                    if trio.current_time() < report.until:
-                        kept.append(report)
-                    else:
-                        self.counters.add("loan_reports_lost")
+            while reports and await self._send(reports[0].ended, timeout_s):
                 reports.popleft()
         finally:
-            self._reports.extend([*kept, *reports])
+            now = trio.current_time()
+            kept = [report for report in reports if now < report.until]
+            self.counters.add("loan_reports_lost", len(reports) - len(kept))
+            self._reports.extend(kept)
 
     async def _send(self, ended: EndedLoan, timeout_s: float) -> bool:
         loan = ended.loan
@@ -200,6 +207,8 @@
         self._leaving = True
         for loans in self._accounts:
             loans.give_back()
+        # a pass under way may wait for a silent lender; its reports are sent again below
+        self._sending_scope.cancel()
         with trio.move_on_after(timeout_s):
             await self._send_reports(timeout_s)
 
@@ -337,6 +346,7 @@
         if not answer.units:
             borrower.choice.note_empty(self._account, lender, now)
             return False
+        borrower.choice.note_lent(self._account, lender)
         loan = HeldLoan(lender, address, number, answer.units)
         if epoch != self._epoch:
             borrower.report([EndedLoan(loan, loan.units)])
--- a/railtide/loans/lender_choice.py
+++ b/railtide/loans/lender_choice.py
@@ -17,10 +17,12 @@
     """The order of the lenders, and those that are passed over for now.
 
     All borrowers of an account ask the same lender first, so that its statistics of the account's
-    traffic cover them all.
+    traffic cover them all. The lender that lent last stays the first one while it is advertised: a
+    router that was just advertised holds few units, and may rank before it.
     """
 
     def __init__(self) -> None:
+        self._last_by_account: dict[str, str] = {}
         self._failed_until: dict[str, float] = {}
         self._empty_until: dict[tuple[str, str], float] = {}
 
@@ -47,8 +49,24 @@
             and not _is_later(self._failed_until, name, now)
             and not _is_later(self._empty_until, (account, name), now)
         ]
+        last = self._last_by_account.get(account)
+        if last in candidates:
+            return last
         return rendezvous_order(account, candidates)[0] if candidates else None
 
+    def note_lent(self, account: str, lender: str) -> None:
+        """Ask this lender first from now on.
+
+        Examples
+        --------
+        >>> choice = LenderChoice()
+        >>> second = rendezvous_order("a", ["i1", "i2"])[1]
+        >>> choice.note_lent("a", second)
+        >>> choice.next("a", ["i1", "i2"], now=0.0) == second
+        True
+        """
+        self._last_by_account[account] = lender
+
     def note_failed(self, lender: str, now: float) -> bool:
         """Pass over a lender; return whether it was not passed over before."""
         is_new = not _is_later(self._failed_until, lender, now)
--- a/railtide/platform/boot.py
+++ b/railtide/platform/boot.py
@@ -49,7 +49,7 @@
     bounds: _Bounds = _Bounds()
     limits: _MachineLimits = _MachineLimits()
     platform: _Platform
-    internal_ports: list[Annotated[int, Field(ge=1, le=65_535)]] = []
+    internal_ports: list[Annotated[int, Field(ge=1, le=65_535)]] | None = None
 
 
 @dataclass(frozen=True)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3079,6 +3079,13 @@
         "min(loan.units, allocation.granted - allocation.spent - keep)",
         (LOANS,),
     ),
+    Mutant(
+        "returned-loan-is-kept-above-a-lower-budget",
+        "budgets/account_budget.py",
+        "        if lowered != self.times_lowered:\n",
+        "        if False:\n",
+        (f"{LOANS}/tests/test_lower_budget.py",),
+    ),
     Mutant(
         "loan-beyond-the-spend-limit",
         "budgets/account_budget.py",
