--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -88,7 +88,8 @@
     -----
     Two contents with three or four crashes each that share all of them but one can't be told apart.
     Neither is held then; they are placed on different upstreams, and the next crash or complete
-    answer decides. With more than four crashes all of them are held.
+    answer decides. With the weight of five strong crashes, or with six crashes of any weight, all
+    of them are held.
 
     Examples
     --------
