Roster: the load of a link counts only where requests are rejected by it

Cause: idle routers use a part of a narrow link for the store. Change: without shedding a router reports its requests a second, as before.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -475,9 +475,14 @@
         return self.roster.peer_addresses()
 
     def _load_per_s(self) -> float:
-        """Return the load that other routers see, of the processor or of the link."""
+        """Return the load that other routers see, of the processor or of the link.
+
+        The link counts only where requests are rejected by it. Idle routers use a twentieth of a
+        narrow link for calls to the store; counted in a large fleet, that advertises more routers
+        than callers need, and spreads the budgets over them.
+        """
         requests = self._request_rate.per_second()
-        if self.shedding is None:
+        if self.shedding is None or not self.shedding.rejects:
             return requests
         return max(requests, self.shedding.utilisation().larger * self.options.capacity)
 
