--- a/railtide/edge/link_load.py
+++ b/railtide/edge/link_load.py
@@ -27,8 +27,7 @@
 """Least time between two samples of the byte counters."""
 CONTROL_SHARE = 0.1
 """Share of the link that calls to the store may use before requests get less. Reserving it while it
-is not used rejects requests at the peaks of waves that the link can carry: with a wave of a half,
-0.79 of the callers were on time in the link model, against 0.86."""
+is not used would reject requests at the peaks of waves that the link can carry."""
 MAX_QUEUE_S = 0.5
 """Upper bound of the virtual queues, so that requests are served again soon after an overload."""
 PASSES = 2
--- a/railtide/edge/load_shedding.py
+++ b/railtide/edge/load_shedding.py
@@ -34,11 +34,11 @@
 
 
 THRESHOLDS = (_Threshold(0.97, 0.42), _Threshold(0.90, 0.34), _Threshold(0.80, 0.20))
-"""By priority; less urgent ones have the last. Delays of 0.14 to 0.35 s were tried for priority 2:
-lower ones reject at the peaks of waves that the link can carry."""
+"""By priority; less urgent ones have the last. Lower delays would reject at the peaks of waves that
+the link can carry."""
 GOAL_SHARE = 1.0
-"""Share of a request's goal that the delay may take. Half of it rejected plain calls with a goal of
-160 ms in waves in which most of them were on time."""
+"""Share of a request's goal that the delay may take. A smaller one would reject plain calls with
+short goals in waves in which most of them are on time."""
 TYPICAL_ANSWER_BYTES = 2_000
 """Expected size of the answers of a route before the first one was observed."""
 SIZE_WEIGHT = 0.01
@@ -47,9 +47,7 @@
 MAX_REPEAT_RATIO = 1.0
 """Largest mean request, as a multiple of the mean answer, for which rejections are a relief
 although callers repeat early. A rejected body has already used the receiving direction and uses it
-again with the repeat; what it saves there is only the upstream's answer. In the link model, in a
-surge of an account to 2.5 times its usual, 0.48 of such callers were on time, and 0.36 with a ratio
-of 2 (with thresholds of 0.35, 0.28 and 0.20 s)."""
+again with the repeat; what it saves there is only the upstream's answer."""
 REJECTION_BYTES = 400
 """Size of a rejection with its headers."""
 RETURN_SHARE = 0.1
