Loans: borrow only from routers of at least twice the own capacity

Change: lenders state twice the borrower's capacity or more; among equal routers nobody borrows, as before.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -53,6 +53,9 @@
 OBSERVATIONS_WAIT_S = 3.0
 """Time from the start after which a router serves without the crash observations: their topic alone
 may be unreachable, and a router that serves without them may cost one more upstream."""
+MIN_LENDER_CAPACITY_RATIO = 2.0
+"""Least capacity of a lender, as a multiple of the borrower's. A lender behind a link as narrow as
+the borrower's wins the ledger no more often, and its units are then missing where callers are."""
 RETURN_TIMEOUT_S = 0.5
 """Longest wait at a shutdown for the store to take back this router's budget allocations."""
 
@@ -472,7 +475,7 @@
         options = self.options
         if not (options.borrows and options.peer_address) or self.roster.is_advertised():
             return {}
-        return self.roster.peer_addresses()
+        return self.roster.peer_addresses(options.capacity * MIN_LENDER_CAPACITY_RATIO)
 
     def _load_per_s(self) -> float:
         """Return the load that other routers see, of the processor or of the link.
--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -377,13 +377,18 @@
         self._traffic = router_traffic(candidates, advertised)
         self._selected_at = now
 
-    def peer_addresses(self) -> dict[str, str]:
-        """Return where the other advertised routers answer routers, by name."""
-        addresses = {
-            endpoint.name: self._sightings_by_instance[endpoint.name].member.peer_address
+    def peer_addresses(self, min_capacity: float = 0.0) -> dict[str, str]:
+        """Return where the other advertised routers of some capacity answer routers, by name."""
+        members = {
+            endpoint.name: self._sightings_by_instance[endpoint.name].member
             for endpoint in self.advertised()
             if endpoint.name != self._instance and endpoint.name in self._sightings_by_instance
         }
+        addresses = {
+            name: member.peer_address
+            for name, member in members.items()
+            if member.capacity >= min_capacity
+        }
         return {name: address for name, address in addresses.items() if is_address(address)}
 
     def is_advertised(self) -> bool:
