--- a/railtide/edge/tests/test_loans.py
+++ b/railtide/edge/tests/test_loans.py
@@ -52,13 +52,13 @@
 
 
 @asynccontextmanager
-async def open_pair(*, borrows: bool = True):
+async def open_pair(*, borrows: bool = True, wide_capacity: float = 500.0):
     """Yield an advertised router and one that is not."""
     store = MemoryStore()
     store.put("keyed.op", "config", desired_state(prepaid=100_000))
     async with trio.open_nursery() as nursery:
         port = await serve(nursery, StoreServer(store).handle)
-        wide = await add_node(nursery, port, "wide", 500.0, borrows=False)
+        wide = await add_node(nursery, port, "wide", wide_capacity, borrows=False)
         narrow = await add_node(nursery, port, "narrow", 1.0, borrows=borrows)
         await wait_until(lambda: wide.roster.is_advertised() and narrow.budgets.ready)
         await wait_until(lambda: "wide" in narrow.roster.peer_addresses())
@@ -98,3 +98,15 @@
             assert wide.lender.open_units == 0
             assert wide.counters.value("loan_units_unreported") > 0
             reservation.settle(50)
+
+
+class TestLenders:
+    async def test_a_router_of_similar_capacity_is_no_lender(self) -> None:
+        """Among equal routers loans moved units away from where callers were."""
+        async with open_pair(wide_capacity=1.9) as (wide, narrow):
+            assert "wide" in narrow.roster.peer_addresses()
+            assert narrow._lenders() == {}
+
+    async def test_a_router_of_twice_the_capacity_is_a_lender(self) -> None:
+        async with open_pair(wide_capacity=2.0) as (_, narrow):
+            assert set(narrow._lenders()) == {"wide"}
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3086,6 +3086,13 @@
         "        if False:\n",
         (f"{LOANS}/tests/test_lower_budget.py",),
     ),
+    Mutant(
+        "equal-routers-lend",
+        "edge/node.py",
+        "self.roster.peer_addresses(options.capacity * MIN_LENDER_CAPACITY_RATIO)",
+        "self.roster.peer_addresses()",
+        ("railtide/edge/tests/test_loans.py",),
+    ),
     Mutant(
         "loan-beyond-the-spend-limit",
         "budgets/account_budget.py",
