Load shedding: no work for each request while it is off

Cause: where a narrow link is only measured, each head was matched to a route and account a second time and answers were summed up, for a decision that is not made. Change: both are skipped unless requests are rejected; timeouts use the observed delay, which needs neither.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -389,7 +389,7 @@
 
     def note_answer(self, route: str, parts: Sequence[int]) -> None:
         """Add the sizes of an answer's parts; see `LoadShedding.note_answer`."""
-        if self.shedding:
+        if self.shedding and self.shedding.rejects:
             self.shedding.note_answer(route, parts)
 
     def addresses(self, failure_domain: str) -> list[RouterEndpoint]:
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -95,7 +95,7 @@
     def check_head(self, request: HttpRequest, length: int) -> RailtideError | None:
         """Return why a request is rejected by its head; see `railtide.http.server.HeadCheck`."""
         shedding, snapshot = self._node.shedding, self._node.snapshot
-        if shedding is None or snapshot is None:
+        if shedding is None or not shedding.rejects or snapshot is None:
             return None
         try:
             shedding.admit(outline_of(request, length, snapshot))
