Upstreams: connections to upstreams move into a transport

Cause: the client of the platform's engines also kept their connections, so that another way to reach an engine had no place. Change: DirectTransport has the connections and the probe; PlatformUpstreams translates headers and statuses only.

--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client: pooled connections to one peer, and exchanges that report what was sent."""
 
 import math
+from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -13,7 +14,7 @@
 from railtide.http.stall import StallWatch
 from railtide.http.traffic import Traffic
 
-__all__ = ["Exchange", "PeerPool", "connect_tcp_stream"]
+__all__ = ["Exchange", "HttpAnswer", "PeerPool", "connect_tcp_stream"]
 
 READ_BYTES = 65_536
 SEND_BYTES = 16_384
@@ -79,6 +80,37 @@
         return not self.stream.socket.is_readable()
 
 
+class HttpAnswer(ABC):
+    """An answer whose head was received and whose body is still to be read.
+
+    Attributes
+    ----------
+    status : int
+    headers : Headers
+    framed : bool
+        Whether the end of the body is marked by its length or a last chunk, and not by the close
+        of the connection.
+    """
+
+    status: int
+    headers: Headers
+    framed: bool
+
+    @abstractmethod
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they are received.
+
+        Raises
+        ------
+        ConnectionLost
+            If the connection is lost before the end of the body.
+        """
+
+    @abstractmethod
+    def abandon(self) -> None:
+        """Close the connection unless the answer has ended, so that the peer stops its work."""
+
+
 class PeerPool:
     """A pool of connections to one address.
 
@@ -163,7 +195,7 @@
         self.drop_idle()
 
 
-class Exchange:
+class Exchange(HttpAnswer):
     """One request and its answer on a connection.
 
     Parameters
@@ -175,11 +207,6 @@
 
     Attributes
     ----------
-    status : int
-    headers : Headers
-    framed : bool
-        Whether the end of the body is marked by its length or a last chunk, and not by the close
-        of the connection.
     reused : bool
         Whether the connection was used for an earlier request.
     """
@@ -263,13 +290,7 @@
                 raise ConnectionLost("the connection was closed before the answer began")
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body as they are received.
-
-        Raises
-        ------
-        ConnectionLost
-            If the connection is lost before the end of the body.
-        """
+        """Yield the parts of the body; see `HttpAnswer.chunks`."""
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
@@ -335,7 +356,7 @@
         return DEFAULT_IDLE_S
 
     def abandon(self) -> None:
-        """Close the connection unless the exchange has ended, so that the peer stops its work."""
+        """Close the connection unless the exchange has ended; see `HttpAnswer.abandon`."""
         if not self._ended:
             self._ended = True
             self._connection.stream.socket.close()
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -6,7 +6,7 @@
 import trio
 
 from railtide.containment.crash_detection import ProbeResult
-from railtide.http.client import Exchange, PeerPool, connect_tcp_stream
+from railtide.http.client import HttpAnswer
 from railtide.http.errors import ConnectFailed, ConnectRefused, HttpError
 from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
 from railtide.http.traffic import PeerKind, Traffic
@@ -23,6 +23,7 @@
     UpstreamRefused,
 )
 from railtide.upstreams.notice import UpstreamNotice
+from railtide.upstreams.transport import DirectTransport, UpstreamTransport
 from railtide.upstreams.upstream_state import LoadReport
 
 __all__ = ["PlatformUpstreams"]
@@ -30,13 +31,10 @@
 MISDIRECTED = 421
 SUCCESS_CLASS = 2
 MAX_RANK = 9
-PROBE_OPEN_S = 0.02
-"""How long a probe's connection must stay open to prove that the engine is alive. The sockets of a
-process that ends are closed within milliseconds."""
 
 
 class _Answer(UpstreamAnswer):
-    def __init__(self, exchange: Exchange) -> None:
+    def __init__(self, exchange: HttpAnswer) -> None:
         self._exchange = exchange
         self.status = exchange.status
         self.framed = exchange.framed
@@ -72,7 +70,9 @@
     Parameters
     ----------
     traffic : Traffic, optional
-        Counts the bytes of all connections.
+        Records how long engines take to answer.
+    transport : UpstreamTransport, optional
+        Sends the requests; `DirectTransport` by default.
 
     Attributes
     ----------
@@ -80,10 +80,12 @@
         Called with what each response of an engine reports about that engine.
     """
 
-    def __init__(self, traffic: Traffic | None = None) -> None:
+    def __init__(
+        self, traffic: Traffic | None = None, transport: UpstreamTransport | None = None
+    ) -> None:
         self._traffic = traffic or Traffic()
+        self._transport = transport or DirectTransport(self._traffic)
         self.on_notice: Callable[[Instance, UpstreamNotice], None] = lambda upstream, notice: None
-        self._pool_by_incarnation: dict[str, PeerPool] = {}
 
     async def open(self, upstream: Instance, call: UpstreamCall) -> UpstreamAnswer:
         """Send a request; see `UpstreamClient.open`."""
@@ -92,7 +94,7 @@
         )
         sent_at = trio.current_time()
         try:
-            exchange = await self._pool(upstream).send(request)
+            exchange = await self._transport.send(upstream, request, call.timeout_s)
         except ConnectRefused as err:
             raise UpstreamNotListening(err.detail) from err
         except ConnectFailed as err:
@@ -108,7 +110,7 @@
         return _Answer(exchange)
 
     def _check_headers(
-        self, upstream: Instance, call: UpstreamCall, exchange: Exchange, sent_at: float
+        self, upstream: Instance, call: UpstreamCall, exchange: HttpAnswer, sent_at: float
     ) -> None:
         echoed = first_header(exchange.headers, header_names.ATTEMPT_ID)
         if echoed is not None and echoed.decode() != call.request_id:
@@ -123,7 +125,7 @@
             raise AnswerMismatch("the response is not signed")
 
     @staticmethod
-    async def _drain_body(exchange: Exchange) -> None:
+    async def _drain_body(exchange: HttpAnswer) -> None:
         """Read the body as far as it has been received, so that the connection can be reused."""
         with trio.move_on_after(0) as scope:
             scope.shield = True
@@ -136,26 +138,11 @@
 
     def forget(self, upstream: Instance) -> None:
         """Close the idle connections to an engine; see `UpstreamClient.forget`."""
-        pool = self._pool_by_incarnation.pop(upstream.incarnation, None)
-        if pool:
-            pool.close()
+        self._transport.forget(upstream)
 
     async def probe(self, upstream: Instance) -> ProbeResult:
-        """Return whether a process listens at an engine's address, without sending anything.
-
-        A connection that is closed at once is made a second time, since it has two causes: a
-        process that ends may close its connections before its listening socket, and an engine with
-        too many connections resets new ones.
-        """
-        host, _, port = upstream.address.rpartition(":")
-        try:
-            if not await _stays_open(await connect_tcp_stream(host, int(port))):
-                await _stays_open(await connect_tcp_stream(host, int(port)))
-        except ConnectRefused:
-            return ProbeResult.REFUSED
-        except ConnectFailed:
-            return ProbeResult.UNKNOWN
-        return ProbeResult.CONNECTED
+        """Return whether a process listens at an engine's address; see `UpstreamClient.probe`."""
+        return await self._transport.probe(upstream)
 
     async def run_report(self, upstream: Instance, request_id: str) -> RunReport:
         """Raise `UpstreamLost`: the engines keep no outcomes of requests."""
@@ -169,25 +156,6 @@
         """Raise `UpstreamLost`: the engines report their load in each response."""
         raise UpstreamLost("the platform's engines report their load only in responses")
 
-    def _pool(self, upstream: Instance) -> PeerPool:
-        pool = self._pool_by_incarnation.get(upstream.incarnation)
-        if pool is None:
-            host, _, port = upstream.address.rpartition(":")
-            pool = PeerPool(host, int(port), self._traffic)
-            self._pool_by_incarnation[upstream.incarnation] = pool
-        return pool
-
-
-async def _stays_open(stream: trio.SocketStream) -> bool:
-    """Return whether the peer leaves a new connection open for `PROBE_OPEN_S`, and close it."""
-    with trio.move_on_after(PROBE_OPEN_S) as scope:
-        try:
-            await stream.receive_some(1)
-        except trio.BrokenResourceError:
-            pass  # reset by the peer
-    stream.socket.close()
-    return scope.cancelled_caught
-
 
 def _headers(upstream: Instance, call: UpstreamCall) -> Headers:
     own = [
--- /dev/null
+++ b/railtide/upstreams/transport.py
@@ -0,0 +1,109 @@
+"""How requests reach upstreams: over pooled connections of this router."""
+
+from abc import ABC, abstractmethod
+
+import trio
+
+from railtide.containment.crash_detection import ProbeResult
+from railtide.http.client import HttpAnswer, PeerPool, connect_tcp_stream
+from railtide.http.errors import ConnectFailed, ConnectRefused
+from railtide.http.messages import HttpRequest
+from railtide.http.traffic import Traffic
+from railtide.membership.instances import Instance
+from railtide.settings import parse_endpoint
+
+__all__ = ["DirectTransport", "UpstreamTransport"]
+
+PROBE_OPEN_S = 0.02
+"""How long a probe's connection must stay open to prove that the upstream is alive. The sockets of
+a process that ends are closed within milliseconds."""
+
+
+class UpstreamTransport(ABC):
+    """Sends requests to upstreams, whatever their headers mean."""
+
+    @abstractmethod
+    async def send(self, upstream: Instance, request: HttpRequest, timeout_s: float) -> HttpAnswer:
+        """Send a request and return its answer once the head was received.
+
+        Parameters
+        ----------
+        upstream : Instance
+        request : HttpRequest
+        timeout_s : float
+            Time after which the caller no longer waits for the end of the answer, seconds.
+
+        Raises
+        ------
+        ConnectFailed
+            If no byte of the request reached the upstream.
+        ConnectionLost
+            If part of the request may have reached it.
+        """
+
+    @abstractmethod
+    async def probe(self, upstream: Instance) -> ProbeResult:
+        """Return whether a process listens at an upstream's address, without sending anything."""
+
+    @abstractmethod
+    def forget(self, upstream: Instance) -> None:
+        """Close the idle connections to a lost incarnation of an upstream; open requests go on."""
+
+
+class DirectTransport(UpstreamTransport):
+    """Sends each request over a connection of this router to the upstream.
+
+    Parameters
+    ----------
+    traffic : Traffic, optional
+        Counts the bytes of all connections.
+    """
+
+    def __init__(self, traffic: Traffic | None = None) -> None:
+        self.traffic = traffic or Traffic()
+        self._pool_by_incarnation: dict[str, PeerPool] = {}
+
+    async def send(self, upstream: Instance, request: HttpRequest, timeout_s: float) -> HttpAnswer:
+        """Send a request; see `UpstreamTransport.send`."""
+        return await self._pool(upstream).send(request)
+
+    async def probe(self, upstream: Instance) -> ProbeResult:
+        """Return whether a process listens at an upstream's address.
+
+        A connection that is closed at once is made a second time, since it has two causes: a
+        process that ends may close its connections before its listening socket, and an upstream
+        with too many connections resets new ones.
+        """
+        host, port = parse_endpoint(upstream.address)
+        try:
+            if not await _stays_open(await connect_tcp_stream(host, port)):
+                await _stays_open(await connect_tcp_stream(host, port))
+        except ConnectRefused:
+            return ProbeResult.REFUSED
+        except ConnectFailed:
+            return ProbeResult.UNKNOWN
+        return ProbeResult.CONNECTED
+
+    def forget(self, upstream: Instance) -> None:
+        """Close the idle connections to an upstream; see `UpstreamTransport.forget`."""
+        pool = self._pool_by_incarnation.pop(upstream.incarnation, None)
+        if pool:
+            pool.close()
+
+    def _pool(self, upstream: Instance) -> PeerPool:
+        pool = self._pool_by_incarnation.get(upstream.incarnation)
+        if pool is None:
+            pool = PeerPool(*parse_endpoint(upstream.address), self.traffic)
+            self._pool_by_incarnation[upstream.incarnation] = pool
+        return pool
+
+
+async def _stays_open(stream: trio.SocketStream) -> bool:
+    """Return whether the peer leaves a new connection open for `PROBE_OPEN_S`, and close it."""
+    with trio.move_on_after(PROBE_OPEN_S) as scope:
+        try:
+            await stream.receive_some(1)
+        except trio.BrokenResourceError:
+            pass  # reset by the peer
+    stream.socket.close()
+    return scope.cancelled_caught
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -995,10 +995,10 @@
     ),
     Mutant(
         "connection-that-does-not-last-shows-life",
-        "platform/upstreams.py",
-        "            if not await _stays_open(await connect_tcp_stream(host, int(port))):\n"
-        "                await _stays_open(await connect_tcp_stream(host, int(port)))\n",
-        "            await _stays_open(await connect_tcp_stream(host, int(port)))\n",
+        "upstreams/transport.py",
+        "            if not await _stays_open(await connect_tcp_stream(host, port)):\n"
+        "                await _stays_open(await connect_tcp_stream(host, port))\n",
+        "            await _stays_open(await connect_tcp_stream(host, port))\n",
         (f"{CRASHING}::TestProbe",),
     ),
     Mutant(
