Observability: routers log and count the upstreams that they do not reach

Cause: each line spoke of one attempt. Whether a router reached none or few of a pool's upstreams, and since when, could be told only by comparing all attempts of all routers. Change: lines upstream-unreachable and upstream-reached, pool-unreachable and pool-reached, metric railtide_upstreams_unreachable by pool. No decision uses them.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -44,6 +44,7 @@
 from railtide.requests.services import Services
 from railtide.telemetry.counters import Counters
 from railtide.upstreams.client import UpstreamClient
+from railtide.upstreams.paths import PathTable
 
 __all__ = ["EdgeNode"]
 
@@ -77,6 +78,8 @@
         Those of the machine by default.
     shedding : LoadShedding, optional
         Load shedding; none by default.
+    paths : PathTable, optional
+        Whether this router reaches each upstream.
 
     Attributes
     ----------
@@ -106,8 +109,10 @@
         clocks: Clocks | None = None,
         suspensions: SuspensionDetector | None = None,
         shedding: LoadShedding | None = None,
+        paths: PathTable | None = None,
     ) -> None:
         self.shedding = shedding
+        self._paths = paths or PathTable()
         self.identity = identity
         self.options = options
         self.counters = Counters()
@@ -325,6 +330,7 @@
             self._wake_handler.check()
             self._pools.apply_pending()
             self._freshness.check(self._version_in_force())
+            self._paths.log_pools(self._pools.listed_upstreams())
             if self.shedding:
                 self.shedding.check()
 
@@ -373,6 +379,10 @@
         }
         return ages_s(read_at_by_topic, self._began_at)
 
+    def unreachable_by_pool(self) -> dict[str, int]:
+        """Return how many upstreams of each pool this router does not reach."""
+        return self._paths.unreachable_by_pool(self._pools.listed_upstreams())
+
     def _version_in_force(self) -> int | None:
         return self.snapshot.version if self.snapshot else None
 
--- a/railtide/edge/pools.py
+++ b/railtide/edge/pools.py
@@ -142,6 +142,11 @@
         is_same = known is not None and known.instance.incarnation == upstream.incarnation
         return scheduler if is_same else None
 
+    def listed_upstreams(self) -> list[Instance]:
+        """Return the upstreams of all pools."""
+        schedulers = self.schedulers_by_pool.values()
+        return [u.instance for scheduler in schedulers for u in scheduler.by_name.values()]
+
     def paces(self) -> dict[str, float]:
         """Return the pace of each upstream of the pools that state it; see `PoolScheduler`."""
         return {
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -32,6 +32,8 @@
 from railtide.telemetry.counters import Counters
 from railtide.telemetry.lines import LineBuffer, set_up_lines
 from railtide.telemetry.meters import observe, observe_each, set_up_meters
+from railtide.upstreams.paths import PathTable
+from railtide.upstreams.transport import DirectTransport
 
 __all__ = ["edge", "main"]
 
@@ -141,11 +143,20 @@
         boot.link_mbps, settings.shed_below_link_mbps, traffic, control, counters, rng
     )
     store = PlatformStore(boot.store, counters, control)
-    upstreams = PlatformUpstreams(traffic)
+    paths = PathTable()
+    upstreams = PlatformUpstreams(traffic, DirectTransport(traffic, paths))
     options = _options(boot, settings)
     clocks = kernel_clocks()
     node = EdgeNode(
-        identity, store, PlatformSources(), upstreams, options, rng, clocks, shedding=shedding
+        identity,
+        store,
+        PlatformSources(),
+        upstreams,
+        options,
+        rng,
+        clocks,
+        shedding=shedding,
+        paths=paths,
     )
     upstreams.on_notice = node.apply_notice
     limits = ConnectionLimits(retry_after_s=node.limits_retry_after_s)
@@ -156,6 +167,7 @@
     observe("loan_units_held", "1", lambda: float(node.borrower.units))
     observe_each("read_age", "s", "topic", node.read_ages_s)
     observe_each("upstream_pace", "", "upstream", node.upstream_paces)
+    observe_each("upstreams_unreachable", "1", "pool", node.unreachable_by_pool)
     node.on_snapshot = partial(_apply_limits, limits)
     ingress = Ingress(node, rng)
     server = HttpServer(ingress.handle, limits, traffic, ingress.check_head)
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -11,6 +11,7 @@
 from railtide.http.traffic import Traffic
 from railtide.membership.instances import Instance
 from railtide.settings import parse_endpoint
+from railtide.upstreams.paths import PathTable
 
 __all__ = ["DirectTransport", "UpstreamTransport"]
 
@@ -57,15 +58,25 @@
     ----------
     traffic : Traffic, optional
         Counts the bytes of all connections.
+    paths : PathTable, optional
+        Records whether connections to the upstreams can be made.
     """
 
-    def __init__(self, traffic: Traffic | None = None) -> None:
+    def __init__(self, traffic: Traffic | None = None, paths: PathTable | None = None) -> None:
         self.traffic = traffic or Traffic()
+        self.paths = paths or PathTable()
         self._pool_by_incarnation: dict[str, PeerPool] = {}
 
     async def send(self, upstream: Instance, request: HttpRequest, timeout_s: float) -> HttpAnswer:
         """Send a request; see `UpstreamTransport.send`."""
-        return await self._pool(upstream).send(request)
+        try:
+            answer = await self._pool(upstream).send(request)
+        except ConnectFailed as err:
+            reason = "refused" if isinstance(err, ConnectRefused) else "timeout"
+            self.paths.note_failed(upstream, reason, trio.current_time())
+            raise
+        self.paths.note_reached(upstream, trio.current_time())
+        return answer
 
     async def probe(self, upstream: Instance) -> ProbeResult:
         """Return whether a process listens at an upstream's address.
@@ -86,6 +97,7 @@
 
     def forget(self, upstream: Instance) -> None:
         """Close the idle connections to an upstream; see `UpstreamTransport.forget`."""
+        self.paths.forget(upstream)
         pool = self._pool_by_incarnation.pop(upstream.incarnation, None)
         if pool:
             pool.close()
