Failing test: routers cut off from all upstreams refuse their callers

Two of four routers, as processes, lose the path to all upstreams: no packet is answered, connections are reset and new ones refused, or only new ones are refused. 3 s later they serve 0.00, 0.00 and 0.39 to 0.51 of their requests, the others 0.94 to 0.96. For it the soak's fleet gets a link from each router to each upstream, with a view of the store that names it, and its proxy cuts by packets dropped in the kernel: a proxy that only stops forwarding still accepts and acknowledges.

--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -56,13 +56,19 @@
     reported_era : callable, optional
         Returns the value of the era header of answers, None for no header; by default the
         store's own era.
+    shown_value : callable, optional
+        Returns the value that answers show of a topic's record; its own by default.
     """
 
     def __init__(
-        self, store: MemoryStore, reported_era: Callable[[], str | None] | None = None
+        self,
+        store: MemoryStore,
+        reported_era: Callable[[], str | None] | None = None,
+        shown_value: Callable[[str, KeyedRecord], bytes] = lambda topic, record: record.value,
     ) -> None:
         self._store = store
         self._reported_era = reported_era or self._own_era
+        self._shown_value = shown_value
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one call."""
@@ -94,11 +100,12 @@
             end = await self._store.append(topic, _records_of(body), expected, part)
             await self._json(responder, 200, {"offset": end - 1, "end_offset": end})
         elif path == "/log-newest":
-            page = await self._store.newest(topic, part)
+            page = self._shown(topic, await self._store.newest(topic, part))
             await self._json(responder, 200, _newest_page(page, query.get("after", "")))
         elif path == "/log-read":
             wait_s = int(query.get("wait_ms", 0)) / 1000
             page = await self._store.read(topic, int(query["from"]), wait_s, part)
+            page = self._shown(topic, page)
             partition_log = self._store.topic(topic, part)
             raw = partition_log.raw_by_offset
             framed = [_framed(raw.get(r.offset, _content_of(r))) for r in page.records]
@@ -108,6 +115,10 @@
                 200, self._headers(), ends + b"".join(_first_of(framed, max_bytes))
             )
 
+    def _shown(self, topic: str, page: KeyedPage) -> KeyedPage:
+        records = [replace(r, value=self._shown_value(topic, r)) for r in page.records]
+        return replace(page, records=records)
+
     async def _json(self, responder: Responder, status: int, body: object) -> None:
         headers = ((b"content-type", b"application/json"), *self._headers())
         await responder.answer(status, headers, msgspec.json.encode(body))
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -16,10 +16,11 @@
 from railtide.http.client import PeerPool
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
+from railtide.journal.keyed import KeyedRecord
 from railtide.standins.crashing_engine import CrashingEngine
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer, engine_entry
-from tests.edge_soak.proxy import Link, open_link
+from tests.edge_soak.proxy import Link, PathCut, open_link
 from tests.test_edge_process import HOST, free_ports, serve
 
 if TYPE_CHECKING:
@@ -90,6 +91,8 @@
         Each has the whole budget.
     narrow : int
         Routers, the last ones, whose links have `narrow_mbps`.
+    separate_paths : bool
+        Whether each router has a link of its own to each engine, which can be cut.
     """
 
     routers: int = 3
@@ -104,6 +107,7 @@
     accounts: tuple[str, ...] = (ACCOUNT,)
     narrow: int = 0
     narrow_mbps: float = 0.0
+    separate_paths: bool = False
 
 
 @dataclass(frozen=True)
@@ -165,6 +169,8 @@
         Held while the process is being restarted.
     stops : list of float
         Trio times at which its processes were stopped or continued.
+    engine_links : dict of str to Link
+        Its own links to the engines, by their names; only where paths are separate.
     """
 
     name: str
@@ -175,6 +181,7 @@
     address: str
     calls: Link
     store: Link
+    engine_links: dict[str, Link] = field(default_factory=dict)
     process: trio.Process | None = None
     lifetime: int = 0
     ends: list[ProcessExit] = field(default_factory=list)
@@ -281,6 +288,26 @@
         if process is self.process:
             self.send(signal.SIGCONT)
 
+    def cut_engines(self, how: PathCut) -> None:
+        """Cut this router off from all engines."""
+        for link in self.engine_links.values():
+            link.cut(how)
+
+    def heal_engines(self) -> None:
+        """End the cuts between this router and the engines."""
+        for link in self.engine_links.values():
+            link.heal()
+
+    def shown_value(self, topic: str, record: KeyedRecord) -> bytes:
+        """Return a record as the store shows it to this router: with its links to the engines."""
+        link = self.engine_links.get(record.key) if topic == "keyed.servers" else None
+        if link is None or not record.value:
+            return record.value
+        entry = msgspec.json.decode(record.value)
+        if not isinstance(entry, dict):
+            return record.value
+        return msgspec.json.encode(entry | {"address": f"127.0.0.1:{link.port}"})
+
     async def leave(self) -> None:
         """Send the process SIGTERM and wait for its exit."""
         self.send(signal.SIGTERM)
@@ -360,6 +387,14 @@
     return Router(name, settings, ready, lookup, metrics, address, link, store)
 
 
+async def _separate_paths(nursery: trio.Nursery, fleet: Fleet, router: Router) -> None:
+    """Give a router its own links to the engines, and a view of the store that names them."""
+    for engine, link in zip(fleet.engines, fleet.engine_links, strict=True):
+        router.engine_links[engine.name] = await open_link(nursery, ("127.0.0.1", link.port))
+    server = StoreServer(fleet.store, shown_value=router.shown_value)
+    router.store.target = ("127.0.0.1", await serve(nursery, server.handle))
+
+
 @asynccontextmanager
 async def open_fleet(folder: Path, world: World) -> AsyncIterator[Fleet]:
     """Yield a fleet with started routers, and kill them at the end."""
@@ -384,9 +419,10 @@
         for number in range(world.routers):
             own = ports[PORTS_PER_ROUTER * number : PORTS_PER_ROUTER * (number + 1)]
             mbps = world.narrow_mbps if number >= world.routers - world.narrow else None
-            fleet.routers.append(
-                await _router(nursery, folder, f"r{number}", store_port, own, mbps)
-            )
+            router = await _router(nursery, folder, f"r{number}", store_port, own, mbps)
+            fleet.routers.append(router)
+            if world.separate_paths:
+                await _separate_paths(nursery, fleet, router)
         try:
             for router in fleet.routers:
                 await router.start()
--- a/tests/edge_soak/proxy.py
+++ b/tests/edge_soak/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that can delay, reset, blackhole, throttle or block one way of connections."""
+"""A loopback proxy that can delay, reset, blackhole, throttle or cut its connections."""
 
 import math
 import socket
@@ -8,7 +8,12 @@
 
 import trio
 
-__all__ = ["Link", "LinkFault", "open_link"]
+from railtide.http.sockets import listen
+from railtide.standins.packet_filter import accept_packets, drop_packets
+
+__all__ = ["Link", "LinkFault", "PathCut", "open_link"]
+
+HOST = "127.0.0.1"
 
 READ_BYTES = 65_536
 THROTTLED_READ_BYTES = 8_192
@@ -29,6 +34,19 @@
     """Bytes from the target are not forwarded."""
 
 
+class PathCut(StrEnum):
+    """How a link is cut, for its open connections and for new ones."""
+
+    UNRESPONSIVE = "unresponsive"
+    """No packet is answered: open connections hang, and new ones can't be made."""
+    NEW_UNRESPONSIVE = "new-unresponsive"
+    """New connections can't be made; open ones go on."""
+    REFUSED = "refused"
+    """Open connections are reset, and new ones refused."""
+    NEW_REFUSED = "new-refused"
+    """New connections are refused; open ones go on."""
+
+
 @dataclass
 class Direction:
     """One direction of a link: the trio time from which it can transmit more."""
@@ -62,16 +80,83 @@
     _blackholed: set[trio.SocketStream] = field(default_factory=set)
     _streams: set[trio.SocketStream] = field(default_factory=set)
     _fault_changed: trio.Event = field(default_factory=trio.Event)
+    cut_by: PathCut | None = None
+    _near: set[trio.SocketStream] = field(default_factory=set)
+    _dropping: set[trio.SocketStream] = field(default_factory=set)
+    _listener: trio.SocketListener | None = None
+    _accepting: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    async def listen(
+        self, nursery: trio.Nursery, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accept connections for ever, except while they are refused."""
+        while True:
+            self._listener = await listen(HOST, self.port)
+            self.port = self._listener.socket.getsockname()[1]
+            self._accepting = trio.CancelScope()
+            nursery.start_soon(self._accept, self._listener, self._accepting, nursery)
+            task_status.started()
+            task_status = trio.TASK_STATUS_IGNORED
+            while self._listener is not None:
+                await self._fault_changed.wait()
+            while self._refuses:
+                await self._fault_changed.wait()
+
+    async def _accept(
+        self, listener: trio.SocketListener, scope: trio.CancelScope, nursery: trio.Nursery
+    ) -> None:
+        with scope:
+            await trio.serve_listeners(self.serve, [listener], handler_nursery=nursery)
+        listener.socket.close()
+
+    @property
+    def _refuses(self) -> bool:
+        return self.cut_by in (PathCut.REFUSED, PathCut.NEW_REFUSED)
+
+    def cut(self, how: PathCut) -> None:
+        """Cut the link."""
+        self.cut_by = how
+        if self._refuses:
+            self._accepting.cancel()
+            self._listener = None
+        else:
+            drop_packets(self._listener.socket)
+        if how is PathCut.UNRESPONSIVE:
+            for stream in self._near:
+                self._drop_packets(stream)
+        if how is PathCut.REFUSED:
+            self._reset_open()
+        self._notify()
+
+    def heal(self) -> None:
+        """End a cut; connections that hang go on if neither end has given up."""
+        how, self.cut_by = self.cut_by, None
+        if how in (PathCut.UNRESPONSIVE, PathCut.NEW_UNRESPONSIVE):
+            accept_packets(self._listener.socket)
+        for stream in self._dropping & self._near:
+            accept_packets(stream.socket)
+        self._dropping.clear()
+        self._notify()
+
+    def _drop_packets(self, near: trio.SocketStream) -> None:
+        self._dropping.add(near)
+        drop_packets(near.socket)
+
+    def _reset_open(self) -> None:
+        for stream in self._streams:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            stream.socket.close()
+
+    def _notify(self) -> None:
+        self._fault_changed.set()
+        self._fault_changed = trio.Event()
 
     def set_fault(self, fault: LinkFault) -> None:
         """Set the link's fault; RESET also resets the open connections."""
         self.fault = fault
         if fault is LinkFault.RESET:
-            for stream in self._streams:
-                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-                stream.socket.close()
-        self._fault_changed.set()
-        self._fault_changed = trio.Event()
+            self._reset_open()
+        self._notify()
 
     def share_rate(self, rate: float, outgoing: "Link") -> None:
         """Limit this link and one on which its target connects to others, as one machine's."""
@@ -94,12 +179,16 @@
             near.socket.close()
             return
         self._streams |= {near, far}
+        self._near.add(near)
+        if self.cut_by is PathCut.UNRESPONSIVE:
+            self._drop_packets(near)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._forward, near, far, False, nursery.cancel_scope)
                 nursery.start_soon(self._forward, far, near, True, nursery.cancel_scope)
         finally:
             self._streams -= {near, far}
+            self._near.discard(near)
             self._blackholed -= {near, far}
             near.socket.close()
             far.socket.close()
@@ -132,13 +221,17 @@
         """Apply the delay, and wait while a fault blocks this direction."""
         if self.fault is LinkFault.DELAY:
             await trio.sleep(DELAY_S)
-        while self.fault is LinkFault.SILENT or (from_target and self.fault is LinkFault.ONE_WAY):
+        while self._is_blocked(from_target):
             await self._fault_changed.wait()
 
+    def _is_blocked(self, from_target: bool) -> bool:
+        if self.fault is LinkFault.SILENT or self.cut_by is PathCut.UNRESPONSIVE:
+            return True
+        return from_target and self.fault is LinkFault.ONE_WAY
+
 
 async def open_link(nursery: trio.Nursery, target: tuple[str, int]) -> Link:
     """Return a link to an address that a task in the nursery serves."""
-    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    link = Link(listener.socket.getsockname()[1], target)
-    nursery.start_soon(trio.serve_listeners, link.serve, [listener])
+    link = Link(0, target)
+    await nursery.start(link.listen, nursery)
     return link
