Forwarding: tests of what callers and upstreams see; peers are asked in two waves

Cause: two peers that are cut off as well told a router that its upstreams were gone; a router whose own path had failed tried for 0.4 s before it refused to forward. Change: if neither of two peers reaches an upstream, four others are asked, drawn anew at each check; a router refuses at once what it would have to forward itself, and reports paths whatever else it knows of the upstream.

--- a/railtide/edge/forwarding.py
+++ b/railtide/edge/forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from random import Random
 from secrets import token_bytes
 
 import trio
@@ -26,7 +27,7 @@
 from railtide.membership.instances import Instance
 from railtide.membership.roster import Member, Roster
 from railtide.telemetry.counters import Counters
-from railtide.upstreams.paths import PathTable
+from railtide.upstreams.paths import PathState, PathTable
 from railtide.upstreams.transport import DirectTransport
 
 __all__ = ["EdgeForwarding", "NodeForwardingHost", "RosterPeerDirectory"]
@@ -86,6 +87,7 @@
         Returns whether the router is ready and not shutting down.
     count_open : callable
         Adds to the requests in progress, which a shutdown waits for.
+    table : PathTable
     on_answer : callable
         Applies what an answer reports of its upstream.
     until_current : callable
@@ -96,6 +98,7 @@
     pools: EdgePools
     is_serving: Callable[[], bool]
     count_open: Callable[[int], None]
+    table: PathTable
     on_answer: Callable[[Instance, HttpRequest, HttpAnswer, float], None]
     until_current: Callable
 
@@ -110,17 +113,23 @@
         is_live = sender in self.roster.other_live_members()
         return member.forwarding_key if is_live or not member.address else None
 
-    def upstream_for(self, name: str, incarnation: str) -> Instance:
-        """Return an upstream; see `ForwardingHost.upstream_for`."""
+    def find_upstream(self, name: str, incarnation: str) -> Instance | None:
+        """Return an upstream; see `ForwardingHost.find_upstream`."""
+        return self.pools.find(name, incarnation)
+
+    def check_may_send(self, upstream: Instance) -> None:
+        """Raise unless this router may send; see `ForwardingHost.check_may_send`."""
         if not self.is_serving():
             raise ForwardingRefused("this router is starting or shutting down")
-        upstream = self.pools.find(name, incarnation)
-        if upstream is None:
-            raise ForwardingRefused("this router does not know the upstream")
+        if self.is_cut_off(upstream):
+            raise ForwardingRefused("this router does not reach the upstream itself")
         reason = self.pools.block_reason(upstream)
         if reason not in (None, *PACED):
             raise ForwardingRefused(f"the upstream is {reason} for this router")
-        return upstream
+
+    def is_cut_off(self, upstream: Instance) -> bool:
+        """Return whether others must forward; see `ForwardingHost.is_cut_off`."""
+        return self.table.state_of(upstream) in (PathState.FORWARDED, PathState.SUSPECT)
 
     def note_answer(
         self, upstream: Instance, request: HttpRequest, answer: HttpAnswer, sent_at: float
@@ -150,9 +159,10 @@
     identity : Identity
     traffic : Traffic, optional
         Counts the bytes of all connections.
-    counters : Counters, optional
+    rng : random.Random, optional
     key : bytes, optional
         Key of this router's proofs; a random one by default.
+    direct : DirectTransport, optional
 
     Attributes
     ----------
@@ -171,19 +181,21 @@
         self,
         identity: Identity,
         traffic: Traffic | None = None,
-        counters: Counters | None = None,
+        rng: Random | None = None,
         key: bytes | None = None,
+        direct: DirectTransport | None = None,
     ) -> None:
         self.key = key or token_bytes(KEY_BYTES)
         self.table = PathTable()
-        self.direct = DirectTransport(traffic)
+        self.direct = direct or DirectTransport(traffic)
         self.handler: ForwardHandler | None = None
         self.on_answer: Callable[[Instance, HttpRequest, HttpAnswer, float], None] = _ignore_answer
         self._identity = identity
-        self._counters = counters or Counters()
         self._directory = RosterPeerDirectory()
         client = ForwardingClient(identity.instance, identity.incarnation, self.key, traffic)
-        forwarders = Forwarders(identity.instance, identity.failure_domain, client, self._directory)
+        forwarders = Forwarders(
+            identity.instance, identity.failure_domain, client, self._directory, rng or Random()
+        )
         self._monitor = PathMonitor(self.table, self.direct, forwarders)
         self.transport = ForwardingTransport(self.direct, self._monitor, forwarders)
 
@@ -194,6 +206,7 @@
         is_serving: Callable[[], bool],
         count_open: Callable[[int], None],
         until_current: Callable,
+        counters: Counters,
     ) -> None:
         """Connect the parts to those of the router; see `NodeForwardingHost`."""
         self._directory.roster = roster
@@ -206,10 +219,11 @@
             pools,
             is_serving,
             count_open,
+            self.table,
             lambda *answer: self.on_answer(*answer),
             until_current,
         )
-        self.handler = ForwardHandler(self._identity.incarnation, host, self.direct, self._counters)
+        self.handler = ForwardHandler(self._identity.incarnation, host, self.direct, counters)
 
     async def run(self) -> None:
         """Check the paths until cancelled."""
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -224,7 +224,12 @@
         )
         self.wait_until_current = self._wake_handler.wait_until_current
         self.forwarding.attach(
-            self.roster, self._pools, lambda: self.serves, self._count_open, self.wait_until_current
+            self.roster,
+            self._pools,
+            lambda: self.serves,
+            self._count_open,
+            self.wait_until_current,
+            self.counters,
         )
         self._crash_detector = CrashDetector(upstreams.probe, self._note_crash, self._start_soon)
         services = Services(
--- a/railtide/forwarding/client.py
+++ b/railtide/forwarding/client.py
@@ -40,6 +40,7 @@
 
 OK = 200
 MAX_PROBLEM_BYTES = 4_096
+MIN_TIMEOUT_S = 0.001
 MAX_POOLS = 64
 """Peers to which connections are kept; the others are closed, those used least recently first."""
 STATUS = re.compile(rb"[1-9][0-9]{2}")
@@ -115,7 +116,7 @@
             self._incarnation,
             upstream.name,
             upstream.incarnation,
-            min(timeout_s, MAX_TIMEOUT_S),
+            min(max(timeout_s, MIN_TIMEOUT_S), MAX_TIMEOUT_S),
             request.method,
             request.target,
             request.headers,
--- a/railtide/forwarding/forwarders.py
+++ b/railtide/forwarding/forwarders.py
@@ -2,6 +2,8 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Collection, Sequence
+from itertools import zip_longest
+from random import Random
 
 import trio
 
@@ -15,8 +17,9 @@
 
 __all__ = ["Forwarders", "PeerDirectory"]
 
-ASKED_PEERS = 2
-"""Peers that are asked about a path. One alone may be cut off as well."""
+ASKED_PEERS = (2, 4)
+"""Peers that are asked about a path, and those that are asked next if none of these reaches it.
+Several, since they may be cut off as well, as a whole failure domain may be."""
 ASK_S = 0.6
 """Longest wait for the answers: a peer's connection timeout and a margin."""
 MAX_FORWARD_TRIES = 3
@@ -46,24 +49,32 @@
         Of this router.
     client : ForwardingClient
     directory : PeerDirectory
+    rng : random.Random
     """
 
     def __init__(
-        self, own_name: str, own_domain: str, client: ForwardingClient, directory: PeerDirectory
+        self,
+        own_name: str,
+        own_domain: str,
+        client: ForwardingClient,
+        directory: PeerDirectory,
+        rng: Random,
     ) -> None:
+        self._rng = rng
         self._own_name = own_name
         self._own_domain = own_domain
         self._client = client
         self._directory = directory
         self._paused_until_by_peer: dict[str, float] = {}
 
-    def _choose(self, upstream: Instance, verified: Collection[str] = ()) -> list[ForwardingPeer]:
+    def _usable(self, upstream: Instance) -> list[ForwardingPeer]:
         now = trio.current_time()
-        usable = [
-            peer
-            for peer in self._directory.peers(upstream.pool)
-            if now >= self._paused_until_by_peer.get(peer.name, 0.0)
-        ]
+        paused_until = self._paused_until_by_peer
+        peers = self._directory.peers(upstream.pool)
+        return [peer for peer in peers if now >= paused_until.get(peer.name, 0.0)]
+
+    def _choose(self, upstream: Instance, verified: Collection[str]) -> list[ForwardingPeer]:
+        usable = self._usable(upstream)
         domains = frozenset({self._own_domain, upstream.failure_domain})
         open_by_peer = {peer.name: self._client.open_requests(peer) for peer in usable}
         return choose_peers(self._own_name, domains, usable, open_by_peer, verified)
@@ -77,13 +88,21 @@
     async def ask(self, upstream: Instance) -> dict[str, PathResult]:
         """Return what other routers found of their paths to an upstream, by their names.
 
-        It returns once one of them reached it, or all have answered.
+        It returns once one of them reached it, or all that are asked have answered. Each call asks
+        others, as far as there are any.
         """
+        peers = self._usable(upstream)
+        self._rng.shuffle(peers)
+        peers = _alternating_domains(peers)
         results: dict[str, PathResult] = {}
-        with trio.move_on_after(ASK_S):
-            async with trio.open_nursery() as nursery:
-                for peer in _of_different_domains(self._choose(upstream), ASKED_PEERS):
-                    nursery.start_soon(self._ask, peer, upstream, results, nursery.cancel_scope)
+        for count in ASKED_PEERS:
+            asked, peers = peers[:count], peers[count:]
+            with trio.move_on_after(ASK_S):
+                async with trio.open_nursery() as nursery:
+                    for peer in asked:
+                        nursery.start_soon(self._ask, peer, upstream, results, nursery.cancel_scope)
+            if PathResult.REACHED in results.values():
+                break
         return results
 
     async def _ask(
@@ -128,9 +147,10 @@
     return UNREACHABLE_PAUSE_S if isinstance(err, PeerUnreachable) else REFUSED_PAUSE_S
 
 
-def _of_different_domains(peers: Sequence[ForwardingPeer], count: int) -> list[ForwardingPeer]:
-    """Return the first peers, of different failure domains as far as possible."""
-    first = peers[:1]
-    domains = {peer.failure_domain for peer in first}
-    others = sorted(peers[1:], key=lambda peer: peer.failure_domain in domains)
-    return [*first, *others][:count]
+def _alternating_domains(peers: Sequence[ForwardingPeer]) -> list[ForwardingPeer]:
+    """Return the peers in the given order, but one of each failure domain in turn."""
+    by_domain: dict[str, list[ForwardingPeer]] = {}
+    for peer in peers:
+        by_domain.setdefault(peer.failure_domain, []).append(peer)
+    turns = zip_longest(*by_domain.values())
+    return [peer for turn in turns for peer in turn if peer is not None]
--- a/railtide/forwarding/handler.py
+++ b/railtide/forwarding/handler.py
@@ -81,7 +81,6 @@
             else:
                 await self._report_path(request, responder)
         except ForwardingError as err:
-            self._counters.add("forwards_refused")
             await self._answer_problem(responder, ForwardOutcome.NOT_SENT, err)
 
     # -- checks -------------------------------------------------------------------------------
@@ -94,7 +93,10 @@
         expected = proof_of(key or b"", self._incarnation, request.target, request.body)
         if not key or not hmac.compare_digest(given, expected):
             raise SenderUnknown("the message does not prove which router sent it")
-        return self._host.upstream_for(message.upstream, message.upstream_incarnation)
+        upstream = self._host.find_upstream(message.upstream, message.upstream_incarnation)
+        if upstream is None:
+            raise ForwardingRefused("this router does not know the upstream")
+        return upstream
 
     # -- requests -----------------------------------------------------------------------------
 
@@ -102,10 +104,12 @@
         message = decode(request.body, ForwardedRequest)
         if self._open >= MAX_OPEN:
             raise ForwardingRefused("this router forwards its maximum number of requests")
+        self._counters.add("forwards_received")
         self._open += 1
         try:
             with self._host.serving(), trio.move_on_after(message.timeout_s):
                 upstream = await self._check(request, message)
+                self._host.check_may_send(upstream)
                 await self._send(upstream, message, responder)
         finally:
             self._open -= 1
@@ -161,6 +165,8 @@
         Earlier ones prove nothing: the upstream may have crashed since, which is what the sender
         wants to know.
         """
+        if self._host.is_cut_off(upstream):
+            return PathResult.FAILED
         try:
             await self._transport.connect(upstream)
         except ConnectRefused:
--- a/railtide/forwarding/host.py
+++ b/railtide/forwarding/host.py
@@ -18,17 +18,25 @@
         """Return the key in the roster's record of a live router's process, None for any other."""
 
     @abstractmethod
-    def upstream_for(self, name: str, incarnation: str) -> Instance:
-        """Return an upstream to which this router may send the request of another one now.
+    def find_upstream(self, name: str, incarnation: str) -> Instance | None:
+        """Return an upstream, None unless this incarnation of it is listed."""
+
+    @abstractmethod
+    def check_may_send(self, upstream: Instance) -> None:
+        """Raise unless this router may send another one's request to an upstream now.
 
         What the upstreams advertise of rates counts at the router that has the request.
 
         Raises
         ------
         ForwardingRefused
-            It is not known, or this router may send it nothing, or is shutting down.
+            This router may send it nothing, does not reach it, or is shutting down.
         """
 
+    @abstractmethod
+    def is_cut_off(self, upstream: Instance) -> bool:
+        """Return whether this router itself reaches an upstream only through others."""
+
     @abstractmethod
     def note_answer(
         self, upstream: Instance, request: HttpRequest, answer: HttpAnswer, sent_at: float
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -142,7 +142,7 @@
         boot.link_mbps, settings.shed_below_link_mbps, traffic, control, counters, rng
     )
     store = PlatformStore(boot.store, counters, control)
-    forwarding = EdgeForwarding(identity, traffic, counters)
+    forwarding = EdgeForwarding(identity, traffic, rng)
     upstreams = PlatformUpstreams(traffic, forwarding.transport)
     forwarding.on_answer = upstreams.note_forwarded
     options = _options(boot, settings)
--- a/railtide/platform/tests/router_fleet.py
+++ b/railtide/platform/tests/router_fleet.py
@@ -9,34 +9,87 @@
 import msgspec
 import trio
 
+from railtide.containment.crash_detection import ProbeResult
+from railtide.edge.forwarding import EdgeForwarding
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
-from railtide.http.client import PeerPool
-from railtide.http.errors import HttpError
+from railtide.edge.peer_server import peer_server
+from railtide.http.client import CONNECT_S, HttpAnswer, PeerPool
+from railtide.http.errors import ConnectFailed, ConnectRefused, HttpError
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, HttpServer
+from railtide.http.sockets import listen
 from railtide.membership.identity import Identity
+from railtide.membership.instances import Instance
 from railtide.platform.desired_state import PlatformSources
 from railtide.platform.ingress import Ingress
 from railtide.platform.store import PlatformStore
 from railtide.platform.tests.hosts import HOST
-from railtide.platform.tests.test_end_to_end import desired_state, serve, start_server
+from railtide.platform.tests.test_end_to_end import desired_state, serve
 from railtide.platform.upstreams import PlatformUpstreams
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer, engine_entry
 from railtide.telemetry.counters import Counters
+from railtide.upstreams.transport import DirectTransport
 
-__all__ = ["RouterFleet", "max_within", "open_router_fleet", "wait_until"]
+__all__ = ["EngineLinks", "RouterFleet", "max_within", "open_router_fleet", "wait_until"]
 
 PREPAID_TOKENS = 10_000_000
 
 
+class EngineLinks(DirectTransport):
+    """Connections to engines that can be cut for new connections.
+
+    Attributes
+    ----------
+    cut : set of str
+        Names of the engines to which no new connection can be made.
+    refuses : bool
+        Whether these are refused, or time out otherwise.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cut: set[str] = set()
+        self.refuses = False
+
+    async def send(self, upstream: Instance, request: HttpRequest, timeout_s: float) -> HttpAnswer:
+        await self._check(upstream)
+        return await super().send(upstream, request, timeout_s)
+
+    async def connect(self, upstream: Instance) -> None:
+        await self._check(upstream)
+        await super().connect(upstream)
+
+    async def probe(self, upstream: Instance) -> ProbeResult:
+        try:
+            await self._check(upstream)
+        except ConnectFailed:
+            return ProbeResult.REFUSED if self.refuses else ProbeResult.UNKNOWN
+        return await super().probe(upstream)
+
+    async def _check(self, upstream: Instance) -> None:
+        if upstream.name in self.cut and self.refuses:
+            raise ConnectRefused("cut")
+        if upstream.name in self.cut:
+            await trio.sleep(CONNECT_S)
+            raise ConnectFailed("cut")
+
+
 @dataclass
 class RouterFleet:
     """Routers, engines and the store that they share.
 
     Attributes
     ----------
+    links : list of EngineLinks
+        Each router's connections to the engines, which can be cut.
+    peer_scopes : list of trio.CancelScope
+        The scopes of the routers' servers for other routers; cancelling one ends it.
+    engine_scopes : dict of str to trio.CancelScope
+        The same of the engines.
+    forwards : bool
+        Whether the routers state in the roster that they forward requests.
     statuses : Counter
         Statuses of all answers to callers; 0 for a request without a complete answer.
     """
@@ -44,6 +97,10 @@
     store: MemoryStore
     nursery: trio.Nursery
     store_port: int = 0
+    links: list["EngineLinks"] = field(default_factory=list)
+    peer_scopes: list[trio.CancelScope] = field(default_factory=list)
+    engine_scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
+    forwards: bool = True
     nodes: list[EdgeNode] = field(default_factory=list)
     ports: list[int] = field(default_factory=list)
     engine_by_name: dict[str, PlatformEngine] = field(default_factory=dict)
@@ -54,8 +111,10 @@
         """Start an engine and write its entry to the store."""
         engine = PlatformEngine(name, EngineScript(**script))
         server = HttpServer(engine.handle, ConnectionLimits())
-        port = await start_server(self.nursery, server)
-        entry = engine_entry(f"{HOST}:{port}")
+        listener = await listen(HOST, 0)
+        scope = self.engine_scopes[name] = trio.CancelScope()
+        self.nursery.start_soon(_serve_within, scope, server, listener)
+        entry = engine_entry(f"{HOST}:{listener.socket.getsockname()[1]}")
         self.store.put("keyed.servers", name, msgspec.json.encode(entry))
         self.engine_by_name[name] = engine
         return engine
@@ -63,18 +122,30 @@
     async def add_router(self) -> None:
         """Start a router and wait until it is ready and knows all engines."""
         number = len(self.nodes)
-        upstreams = PlatformUpstreams()
+        identity = Identity(f"i{number}", f"z{number % 3}", f"{HOST}:{number + 1}", f"life{number}")
+        listener = await listen(HOST, 0)
+        peer_address = f"{HOST}:{listener.socket.getsockname()[1]}"
+        links = EngineLinks()
+        forwarding = EdgeForwarding(identity, rng=Random(number), direct=links)
+        upstreams = PlatformUpstreams(transport=forwarding.transport)
+        forwarding.on_answer = upstreams.note_forwarded
         node = EdgeNode(
-            Identity(f"i{number}", f"z{number % 3}", f"{HOST}:{number + 1}", f"life{number}"),
+            identity,
             PlatformStore(f"{HOST}:{self.store_port}", Counters()),
             PlatformSources(),
             upstreams,
-            EdgeOptions(),
+            EdgeOptions(peer_address=peer_address if self.forwards else ""),
             Random(number),
+            forwarding=forwarding,
         )
         upstreams.on_notice = node.apply_notice
+        self.links.append(links)
         self.nodes.append(node)
         self.nursery.start_soon(node.run)
+        peers = peer_server(node.lender, forwarding.handler)
+        scope = trio.CancelScope()
+        self.peer_scopes.append(scope)
+        self.nursery.start_soon(_serve_within, scope, peers, listener)
         self.ports.append(await serve(self.nursery, Ingress(node, Random(number)).handle))
         await wait_until(
             lambda: node.ready and len(self.upstreams(number)) == len(self.engine_by_name)
@@ -85,20 +156,31 @@
         scheduler = self.nodes[router].schedulers_by_pool.get("s")
         return scheduler.by_name if scheduler else {}
 
-    async def send(self, router: int, path: str = "/safe/x") -> int:
-        """Send a request and read its answer; return the status, 0 without a complete answer."""
+    def cut_off(self, *routers: int, refuses: bool = False) -> None:
+        """Cut routers off from all engines."""
+        for router in routers:
+            self.links[router].refuses = refuses
+            self.links[router].cut = set(self.engine_by_name)
+
+    def request(self, path: str, *headers: tuple[bytes, bytes], body: bytes = b"") -> HttpRequest:
+        """Return a new request of a caller."""
         self.sent_count += 1
-        headers = (
+        base = (
             (b"host", b"h.example"),
             (b"x-attempt-id", b"r%d" % self.sent_count),
             (b"x-deadline-ms", b"2500"),
             (b"x-credential", b"k"),
         )
+        method = b"POST" if body else b"GET"
+        return HttpRequest(method, path.encode(), (*base, *headers), body)
+
+    async def send(self, router: int, path: str = "/safe/x") -> int:
+        """Send a request and read its answer; return the status, 0 without a complete answer."""
         status = 0
         pool = PeerPool(HOST, self.ports[router])
         with trio.move_on_after(4):
             try:
-                exchange = await pool.send(HttpRequest(b"GET", path.encode(), headers))
+                exchange = await pool.send(self.request(path))
                 async for _ in exchange.chunks():
                     pass
                 status = exchange.status
@@ -122,12 +204,14 @@
 
 
 @asynccontextmanager
-async def open_router_fleet(routers: int, engines: int, **script: object) -> AsyncIterator:
+async def open_router_fleet(
+    routers: int, engines: int, forwards: bool = True, **script: object
+) -> AsyncIterator:
     """Yield a fleet whose routers are ready and know one another."""
     store = MemoryStore()
     store.put("keyed.op", "config", desired_state(prepaid=PREPAID_TOKENS))
     async with trio.open_nursery() as nursery:
-        fleet = RouterFleet(store, nursery)
+        fleet = RouterFleet(store, nursery, forwards=forwards)
         fleet.store_port = await serve(nursery, StoreServer(store).handle)
         for number in range(engines):
             await fleet.add_engine(f"e{number}", **script)
@@ -138,6 +222,13 @@
         nursery.cancel_scope.cancel()
 
 
+async def _serve_within(
+    scope: trio.CancelScope, server: HttpServer, listener: trio.SocketListener
+) -> None:
+    with scope:
+        await server.serve(listener)
+
+
 async def wait_until(condition: Callable[[], bool], within_s: float = 8.0) -> None:
     """Wait until a condition is true."""
     with trio.fail_after(within_s):
