Retries: an attempt without a connection takes none of the pool's share

Callers of a router whose connections failed were refused after one attempt: 38 of 40 refused attempts of the incident were not repeated, since the share was used up. Cause: the share bounds what arrives at upstreams beyond first attempts, and attempts that never left the router took of it. Change: UpstreamUnreachable tells them apart; the limits of attempts stay as they are.

--- a/railtide/platform/tests/test_forwarded_requests.py
+++ b/railtide/platform/tests/test_forwarded_requests.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 import trio
@@ -161,6 +162,26 @@
             assert first_header(answer.headers, b"x-response-seal") == b"e0"
 
 
+class TestRetryBudget:
+    """The share of retries protects engines; an attempt that reached none does not count."""
+
+    @pytest.mark.parametrize("refuses", [True, False])
+    async def test_attempt_without_a_connection_takes_no_retry(self, refuses: bool) -> None:
+        async with open_router_fleet(routers=1, engines=2) as fleet:
+            node = fleet.nodes[0]
+            node.options = replace(node.options, retries_per_request=0.0, retry_slack=0.0)
+            fleet.links[0].refuses = refuses
+            fleet.links[0].cut = {"e0"}
+            assert [await fleet.send(0, "/once/x") for _ in range(4)] == [200] * 4
+
+    async def test_refusal_by_an_engine_takes_a_retry(self) -> None:
+        async with open_router_fleet(routers=1, engines=2, not_run=True) as fleet:
+            node = fleet.nodes[0]
+            node.options = replace(node.options, retries_per_request=0.0, retry_slack=0.0)
+            assert await fleet.send(0, "/once/x") == 503
+            assert sum(len(engine.seen) for engine in fleet.engine_by_name.values()) == 1
+
+
 class TestHops:
     async def test_router_that_is_cut_off_forwards_nothing(self) -> None:
         async with cut_off_fleet(0, 1, routers=3) as fleet:
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -21,6 +21,7 @@
     UpstreamMoved,
     UpstreamNotListening,
     UpstreamRefused,
+    UpstreamUnreachable,
 )
 from railtide.upstreams.notice import UpstreamNotice
 from railtide.upstreams.transport import DirectTransport, UpstreamTransport
@@ -98,7 +99,7 @@
         except ConnectRefused as err:
             raise UpstreamNotListening(err.detail) from err
         except ConnectFailed as err:
-            raise UpstreamRefused(err.detail) from err
+            raise UpstreamUnreachable(err.detail) from err
         except HttpError as err:
             raise UpstreamDisconnected(err.detail) from err
         self._traffic.on_first_byte(PeerKind.UPSTREAM, trio.current_time() - sent_at)
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -36,6 +36,7 @@
     UpstreamMoved,
     UpstreamNotListening,
     UpstreamRefused,
+    UpstreamUnreachable,
 )
 from railtide.upstreams.upstream_state import (
     Upstream,
@@ -320,7 +321,7 @@
         if answer_begun or len(self._lost_attempts) >= attempt_limit or attempt >= send_limit:
             self._log_not_retried("answer-begun" if answer_begun else "tries-used")
             raise err
-        if not self._retries.try_spend():
+        if not self._may_retry(err):
             self._services.counters.add("retries_denied")
             self._log_not_retried("retry-budget")
             raise err
@@ -328,6 +329,10 @@
             self._log_not_retried("account-budget")
             raise err
 
+    def _may_retry(self, err: UpstreamError) -> bool:
+        """Take a retry from the pool's budget, unless nothing arrived at an upstream."""
+        return isinstance(err, UpstreamUnreachable) or self._retries.try_spend()
+
     async def _check_quarantine(self) -> None:
         """Raise if the content is quarantined, which its last attempt may have caused."""
         try:
--- a/railtide/upstreams/errors.py
+++ b/railtide/upstreams/errors.py
@@ -11,6 +11,7 @@
     "UpstreamLost",
     "UpstreamMoved",
     "UpstreamRefused",
+    "UpstreamUnreachable",
 ]
 
 
@@ -29,7 +30,11 @@
     run = ExecutionStatus.NOT_RUN
 
 
-class UpstreamNotListening(UpstreamRefused):
+class UpstreamUnreachable(UpstreamRefused):
+    """No connection to the upstream could be made, so nothing arrived there."""
+
+
+class UpstreamNotListening(UpstreamUnreachable):
     """No process listens at the upstream's address."""
 
 
