Forwarding: repeatable requests on a lost path are sent again through another router

Cause: requests that were in progress when the path failed waited for an answer that could not arrive, until their deadline or the user timeout of TCP. Once-only ones wait: the path may heal in time.

--- a/railtide/forwarding/path_monitor.py
+++ b/railtide/forwarding/path_monitor.py
@@ -178,6 +178,7 @@
         """Set the state of a path that failed by what other routers see."""
         now = trio.current_time()
         if path.state is PathState.FORWARDED:
+            self._break_silent(path)
             return  # the forwarded requests themselves show whether it still holds
         if path.state is PathState.UNREACHABLE and now - path.asked_at < ASK_INTERVAL_S:
             return
@@ -189,12 +190,17 @@
         path.refused = PathResult.REFUSED in results.values() if results else failure == "refused"
         if path.verified:
             self._set_state(path, PathState.FORWARDED, failure)
+            self._break_silent(path)
             self._check_others()
         elif results or await self._connect(path.instance):
             self._set_state(path, PathState.UNREACHABLE, failure)
         else:
             self._set_state(path, PathState.DIRECT)
 
+    def _break_silent(self, path: UpstreamPath) -> None:
+        """Give up requests on a lost path that can be sent again through another router."""
+        self._transport.break_repeatable(path.instance, path.checked_at - SILENCE_S)
+
     def _set_state(self, path: UpstreamPath, state: PathState, reason: str = "") -> None:
         is_known = self.table.knows(path)
         if is_known and self.table.set_state(path.instance, state, trio.current_time(), reason):
--- a/railtide/forwarding/transport.py
+++ b/railtide/forwarding/transport.py
@@ -36,12 +36,14 @@
         self._monitor = monitor
         self._forwarders = forwarders
 
-    async def send(self, upstream: Instance, request: HttpRequest, timeout_s: float) -> HttpAnswer:
+    async def send(
+        self, upstream: Instance, request: HttpRequest, timeout_s: float, repeatable: bool = False
+    ) -> HttpAnswer:
         """Send a request; see `UpstreamTransport.send`."""
         state = self._monitor.table.state_of(upstream)
         if state is PathState.DIRECT:
             try:
-                return await self._direct.send(upstream, request, timeout_s)
+                return await self._direct.send(upstream, request, timeout_s, repeatable)
             except ConnectFailed as err:
                 reason = "refused" if isinstance(err, ConnectRefused) else "timeout"
                 state = await self._monitor.confirm(upstream, reason, CONFIRM_S)
@@ -50,7 +52,7 @@
         elif state is PathState.SUSPECT:
             state = await self._monitor.confirm(upstream, "suspected", CONFIRM_S)
         if state is PathState.DIRECT:
-            return await self._direct.send(upstream, request, timeout_s)
+            return await self._direct.send(upstream, request, timeout_s, repeatable)
         if state is PathState.FORWARDED:
             return await self._forward(upstream, request, timeout_s)
         if self._monitor.table.is_refused(upstream):
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -139,7 +139,9 @@
         self._idle: list[_PooledConnection] = []
         self._closed = False
 
-    async def send(self, request: HttpRequest, watch: StallWatch | None = None) -> "Exchange":
+    async def send(
+        self, request: HttpRequest, watch: StallWatch | None = None, repeatable: bool = False
+    ) -> "Exchange":
         """Send a request and return its exchange once the head of the answer was received.
 
         Parameters
@@ -147,6 +149,8 @@
         request : HttpRequest
         watch : StallWatch, optional
             Notified of bytes sent and received until the end of the exchange.
+        repeatable : bool, optional
+            Whether the caller sends the request again if the connection is lost.
 
         Raises
         ------
@@ -156,7 +160,7 @@
             If part of the request may have been sent.
         """
         connection = self._checkout() or await self._connect()
-        exchange = Exchange(self, connection, watch)
+        exchange = Exchange(self, connection, watch, repeatable)
         began = trio.current_time()
         try:
             await exchange.begin(request)
@@ -201,6 +205,15 @@
         """Record that an exchange has ended."""
         self._open_exchanges.discard(exchange)
 
+    def break_repeatable(self, since: float) -> None:
+        """Close the connections of repeatable requests that bring nothing since a trio time.
+
+        Their exchanges raise `ConnectionLost`.
+        """
+        for exchange in [e for e in self._open_exchanges if e.repeatable]:
+            if exchange.received_at <= since:
+                exchange.abandon()
+
     def drop_idle(self) -> None:
         """Close the idle connections, for example since another one became unresponsive."""
         while self._idle:
@@ -251,16 +264,25 @@
         Whether the connection was used for an earlier request.
     began_at : float
         Trio time at which the exchange began.
+    received_at : float
+        Trio time at which it began or bytes were received last.
+    repeatable : bool
+        See `PeerPool.send`.
     """
 
     def __init__(
-        self, pool: PeerPool, connection: _PooledConnection, watch: StallWatch | None = None
+        self,
+        pool: PeerPool,
+        connection: _PooledConnection,
+        watch: StallWatch | None = None,
+        repeatable: bool = False,
     ) -> None:
         self.status = 0
         self.headers: Headers = ()
         self.framed = False
         self.reused = connection.exchanges > 0
-        self.began_at = trio.current_time()
+        self.began_at = self.received_at = trio.current_time()
+        self.repeatable = repeatable
         self._pool = pool
         pool.note_begun(self)
         self._connection = connection
@@ -366,6 +388,7 @@
             data = await self._watch.wait(lambda: self._connection.stream.receive_some(READ_BYTES))
             self._watch.note_received(len(data))
         self._pool.note_received(len(data))
+        self.received_at = self._pool.received_at
         return data
 
     def _check_end(self) -> None:
--- a/railtide/platform/tests/router_fleet.py
+++ b/railtide/platform/tests/router_fleet.py
@@ -53,9 +53,9 @@
         self.cut: set[str] = set()
         self.refuses = False
 
-    async def send(self, upstream: Instance, request: HttpRequest, timeout_s: float) -> HttpAnswer:
+    async def send(self, upstream: Instance, *request: object) -> HttpAnswer:
         await self._check(upstream)
-        return await super().send(upstream, request, timeout_s)
+        return await super().send(upstream, *request)
 
     async def connect(self, upstream: Instance) -> None:
         await self._check(upstream)
--- a/railtide/platform/tests/test_forwarded_requests.py
+++ b/railtide/platform/tests/test_forwarded_requests.py
@@ -360,6 +360,37 @@
             ] * 2
 
 
+class TestRequestsUnderWay:
+    """An engine that a router has lost may still answer, but nothing of it arrives."""
+
+    async def test_repeatable_one_is_sent_again_through_another_router(self) -> None:
+        async with open_router_fleet(routers=2, engines=1) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            engine.next_scripts = [EngineScript(gap_s=30.0)]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.send, 0, "/safe/x")
+                await wait_until(lambda: len(engine.ran) == 1)
+                fleet.cut_off(0)
+            assert fleet.statuses == {200: 1}
+            assert len(engine.ran) == 2
+
+    async def test_once_only_one_waits_for_its_answer(self) -> None:
+        async with open_router_fleet(routers=2, engines=1) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            engine.script = EngineScript(gap_s=2.0)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.send, 0, "/once/x")
+                await wait_until(lambda: len(engine.ran) == 1)
+                fleet.cut_off(0)
+            assert fleet.statuses == {200: 1}
+            assert len(engine.ran) == 1
+
+    async def test_slow_answer_of_an_engine_that_is_reached_is_waited_for(self) -> None:
+        async with open_router_fleet(routers=2, engines=1, gap_s=2.0) as fleet:
+            assert await fleet.send(0, "/safe/x") == 200
+            assert len(fleet.engine_by_name["e0"].ran) == 1
+
+
 class TestCrashes:
     async def test_path_that_refuses_is_no_crash(self) -> None:
         """Guards against contents held everywhere because one router lost its path."""
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -95,7 +95,9 @@
         )
         sent_at = trio.current_time()
         try:
-            exchange = await self._transport.send(upstream, request, call.timeout_s)
+            exchange = await self._transport.send(
+                upstream, request, call.timeout_s, call.repeatable
+            )
         except ConnectRefused as err:
             raise UpstreamNotListening(err.detail) from err
         except ConnectFailed as err:
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -279,6 +279,7 @@
             traceparent,
             call.headers,
             call.rank,
+            repeatable=call.repeatable,
         )
 
     def _record_failure(self, upstream: Upstream, err: UpstreamError) -> None:
--- a/railtide/upstreams/client.py
+++ b/railtide/upstreams/client.py
@@ -32,6 +32,8 @@
         Priority in the upstream's own queue, 0 first.
     resume_after : str
         Id of the last event of its stream that the caller has received; empty for a new stream.
+    repeatable : bool
+        Whether it may be sent again if its outcome is unknown.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     headers: Headers = ()
     rank: int = 5
     resume_after: str = ""
+    repeatable: bool = False
 
 
 class UpstreamAnswer(ABC):
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -24,7 +24,9 @@
     """Sends requests to upstreams, whatever their headers mean."""
 
     @abstractmethod
-    async def send(self, upstream: Instance, request: HttpRequest, timeout_s: float) -> HttpAnswer:
+    async def send(
+        self, upstream: Instance, request: HttpRequest, timeout_s: float, repeatable: bool = False
+    ) -> HttpAnswer:
         """Send a request and return its answer once the head was received.
 
         Parameters
@@ -33,6 +35,9 @@
         request : HttpRequest
         timeout_s : float
             Time after which the caller no longer waits for the end of the answer, seconds.
+        repeatable : bool, optional
+            Whether the caller sends the request again if it is lost. Only then it may be given up
+            where the path fails while the upstream may still answer.
 
         Raises
         ------
@@ -65,9 +70,17 @@
         self._pool_by_incarnation: dict[str, PeerPool] = {}
         self._upstream_by_incarnation: dict[str, Instance] = {}
 
-    async def send(self, upstream: Instance, request: HttpRequest, timeout_s: float) -> HttpAnswer:
+    async def send(
+        self, upstream: Instance, request: HttpRequest, timeout_s: float, repeatable: bool = False
+    ) -> HttpAnswer:
         """Send a request; see `UpstreamTransport.send`."""
-        return await self._pool(upstream).send(request)
+        return await self._pool(upstream).send(request, repeatable=repeatable)
+
+    def break_repeatable(self, upstream: Instance, since: float) -> None:
+        """Close the connections of repeatable requests; see `PeerPool.break_repeatable`."""
+        pool = self._pool_by_incarnation.get(upstream.incarnation)
+        if pool:
+            pool.break_repeatable(since)
 
     async def connect(self, upstream: Instance) -> None:
         """Make a connection to an upstream and keep it for the next request.
