Soak: routers cut off from upstreams, in a kind of seeds of its own

One path, some, most or all routers lose upstreams in four ways, beside series of signals, restarts and other faults; every fourth seed has cuts only and compares the shares served at routers that are cut off and at the others.

--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -23,6 +23,7 @@
 from tests.test_edge_process import HOST, free_ports, serve
 
 if TYPE_CHECKING:
+    from tests.edge_soak.cuts import Cut
     from tests.edge_soak.notices import Statement
 
 __all__ = [
@@ -170,6 +171,8 @@
         Trio times at which its processes were stopped or continued.
     engine_links : dict of str to Link
         Its own links to the engines, by their names; only where paths are separate.
+    is_cut : bool
+        Whether it is cut off from all engines.
     """
 
     name: str
@@ -186,6 +189,7 @@
     ends: list[ProcessExit] = field(default_factory=list)
     changing: trio.Lock = field(default_factory=trio.Lock)
     stops: list[float] = field(default_factory=list)
+    is_cut: bool = False
     _log_begin: int = 0
     _signals: set[signal.Signals] = field(default_factory=set)
     _early: set[signal.Signals] = field(default_factory=set)
@@ -325,6 +329,8 @@
         The notices that engines sent.
     surges : int
         Surges of demand that are in progress.
+    cuts : list of Cut
+        Times in which routers reached no engine.
     """
 
     world: World
@@ -337,6 +343,7 @@
     written_at: dict[int, float] = field(default_factory=dict)
     statements: list["Statement"] = field(default_factory=list)
     surges: int = 0
+    cuts: list["Cut"] = field(default_factory=list)
 
     @property
     def prepaid(self) -> int:
--- a/tests/edge_soak/proxy.py
+++ b/tests/edge_soak/proxy.py
@@ -93,6 +93,8 @@
         while True:
             self._listener = await listen(HOST, self.port)
             self.port = self._listener.socket.getsockname()[1]
+            if self.cut_by is not None:
+                drop_packets(self._listener.socket)
             self._accepting = trio.CancelScope()
             nursery.start_soon(self._accept, self._listener, self._accepting, nursery)
             task_status.started()
@@ -119,7 +121,7 @@
         if self._refuses:
             self._accepting.cancel()
             self._listener = None
-        else:
+        elif self._listener is not None:
             drop_packets(self._listener.socket)
         if how is PathCut.UNRESPONSIVE:
             for stream in self._near:
@@ -130,9 +132,11 @@
 
     def heal(self) -> None:
         """End a cut; connections that hang go on if neither end has given up."""
-        how, self.cut_by = self.cut_by, None
-        if how in (PathCut.UNRESPONSIVE, PathCut.NEW_UNRESPONSIVE):
+        if self.cut_by is None:
+            return
+        if self._listener is not None:
             accept_packets(self._listener.socket)
+        self.cut_by = None
         for stream in self._dropping & self._near:
             accept_packets(stream.socket)
         self._dropping.clear()
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -10,6 +10,8 @@
 - `states`: large desired states over throttled links, during series and faults;
 - `rollbacks`: a store that is restored from a copy while routers spend, are killed and start;
 - `notices`: engines that advertise limits, ask for rests and leave, during series and faults;
+- `cuts`: routers that are cut off from engines, one path, whole routers or all of them, during
+  series and faults;
 - `demands`: an account that keeps to a router with a narrow link, engines of uneven pace, and a
   store that is down while units are left.
 
@@ -47,6 +49,7 @@
     send_crashing,
     send_unrelated,
 )
+from tests.edge_soak.cuts import CUTS, cuts_world_of, is_calm_cut, plan_cuts, poor_at_cut
 from tests.edge_soak.demands import (
     DEMANDS,
     Demand,
@@ -112,7 +115,7 @@
 """Time in which the requests served after a restart of all routers are counted."""
 
 
-INJECT_BY_NAME = FAULTS | LATER_FAULTS | SERIES | CRASHES | STATES | NOTICES | DEMANDS
+INJECT_BY_NAME = FAULTS | LATER_FAULTS | SERIES | CRASHES | STATES | NOTICES | DEMANDS | CUTS
 
 
 class Kind(StrEnum):
@@ -125,6 +128,7 @@
     ROLLBACKS = "rollbacks"
     NOTICES = "notices"
     DEMANDS = "demands"
+    CUTS = "cuts"
 
 
 async def _run_faults(seed: int, folder: Path) -> list[str]:
@@ -374,6 +378,29 @@
         return shares + unserving + units + broken_promises(fleet, callers.attempts)
 
 
+async def _run_cuts(seed: int, folder: Path) -> list[str]:
+    async with open_fleet(folder, cuts_world_of(seed)) as fleet:
+        await _until_ready(fleet)
+        rng = Random(seed)
+        callers = Callers(fleet, rng)
+        async with trio.open_nursery() as background:
+            for router in fleet.routers:
+                background.start_soon(restart_on_exit, router, rng)
+            async with _calling(callers), trio.open_nursery() as injecting:
+                for planned in plan_cuts(seed):
+                    injecting.start_soon(_inject, fleet, planned)
+            clear_faults(fleet)
+            await _until_restarted(fleet)
+            unserving = [
+                line
+                for router in fleet.routers
+                for line in await _check_serving(fleet, callers, router)
+            ]
+            background.cancel_scope.cancel()
+        shares = poor_at_cut(fleet, callers.attempts) if is_calm_cut(seed) else []
+        return shares + unserving + broken_promises(fleet, callers.attempts)
+
+
 RUN_BY_KIND = {
     Kind.FAULTS: _run_faults,
     Kind.SERIES: _run_series,
@@ -382,6 +409,7 @@
     Kind.ROLLBACKS: _run_rollbacks,
     Kind.NOTICES: _run_notices,
     Kind.DEMANDS: _run_demands,
+    Kind.CUTS: _run_cuts,
 }
 PLAN_BY_KIND = {
     Kind.FAULTS: plan_faults,
@@ -391,6 +419,7 @@
     Kind.ROLLBACKS: plan_rollbacks,
     Kind.NOTICES: plan_notices,
     Kind.DEMANDS: plan_demands,
+    Kind.CUTS: plan_cuts,
 }
 
 
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -11,6 +11,8 @@
 from tests.edge_soak.callers import Attempt
 from tests.edge_soak.checks import is_expected_exit, poor_recovery
 from tests.edge_soak.crashes import is_calm_crash, plan_crashes
+from tests.edge_soak.cuts import CUTS, Cut, is_calm_cut, plan_cuts, poor_at_cut
+from tests.edge_soak.cuts import OTHER_FAULTS as CUTS_OTHER_FAULTS
 from tests.edge_soak.demands import (
     DEMANDS,
     OUTAGE,
@@ -20,7 +22,7 @@
 )
 from tests.edge_soak.demands import OTHER_FAULTS as DEMANDS_OTHER_FAULTS
 from tests.edge_soak.faults import FAULTS, FIRST_WITH_LATER_FAULTS, LATER_FAULTS, plan_faults
-from tests.edge_soak.fleet import PERMANENT_KEY_VERSION, Fleet, ProcessExit
+from tests.edge_soak.fleet import PERMANENT_KEY_VERSION, Fleet, ProcessExit, World
 from tests.edge_soak.notices import NOTICES, plan_notices
 from tests.edge_soak.notices import OTHER_FAULTS as NOTICES_OTHER_FAULTS
 from tests.edge_soak.run import Kind, run_seed
@@ -158,6 +160,54 @@
         assert not any(is_interrupted(seed) for seed in calm)
 
 
+CUTS_SEEDS = (12_000, 12_001)
+"""12000: cuts only, and the shares served are compared; on the code before requests were forwarded,
+none of 138 was served at the routers that were cut off. 12001: other faults beside the cuts."""
+
+
+class TestCuts:
+    @pytest.mark.parametrize("seed", CUTS_SEEDS)
+    def test_promises_hold(self, seed: int) -> None:
+        assert violations_of(seed, Kind.CUTS) == []
+
+    def test_every_cut_and_fault_is_drawn(self) -> None:
+        drawn = {planned.name for seed in range(12_000, 12_200) for planned in plan_cuts(seed)}
+        assert drawn == set(CUTS) | set(CUTS_OTHER_FAULTS)
+
+    def test_calm_seeds_have_cuts_of_some_routers_only(self) -> None:
+        calm = [seed for seed in range(12_000, 12_050) if is_calm_cut(seed)]
+        drawn = {planned.name for seed in calm for planned in plan_cuts(seed)}
+        assert drawn == {"cut-one-path", "cut-some"}
+
+
+class TestServedAtCut:
+    """The check of the soak itself."""
+
+    WORLD = World(routers=2, prepaid=1_000_000)
+
+    def is_reported(self, served: int, failed: int) -> bool:
+        fleet = Fleet(self.WORLD, None, [], [], [], cuts=[Cut("r0", 0.0, 20.0)])
+        statuses = [200] * served + [503] * failed
+        at_cut = [Attempt("a", "safe", "r0", 1, 1, 4.0, status=status) for status in statuses]
+        others = [Attempt("b", "safe", "r1", 1, 1, 4.0, status=200) for _ in range(100)]
+        return poor_at_cut(fleet, at_cut + others) != []
+
+    def test_less_than_two_thirds_is_reported(self) -> None:
+        assert self.is_reported(60, 40)
+        assert not self.is_reported(70, 30)
+
+    def test_few_failures_are_tolerated(self) -> None:
+        assert not self.is_reported(2, 10)
+        assert self.is_reported(2, 11)
+
+    @pytest.mark.parametrize("sent_at", [2.9, 20.0, 22.9])
+    def test_attempts_outside_of_the_counted_time_are_left_out(self, sent_at: float) -> None:
+        fleet = Fleet(self.WORLD, None, [], [], [], cuts=[Cut("r0", 0.0, 20.0)])
+        attempts = [Attempt("a", "safe", "r0", 1, 1, sent_at, status=503) for _ in range(50)]
+        others = [Attempt("b", "safe", "r1", 1, 1, 4.0, status=200) for _ in range(50)]
+        assert poor_at_cut(fleet, attempts + others) == []
+
+
 class TestOutdatedAnswers:
     ATTEMPT = Attempt(
         "a", "v2", "r0", 1, PERMANENT_KEY_VERSION, APPLY_S + 0.1, status=404, newest=2
