Brittle upstreams: the simulation tells routers of a statement as an answer begins

Answers told the routers only at their end, after up to 6 s of service, so that requests already waited beyond the slots when less waiting began. Upstreams state it in the head of each answer, which begins with the run.

--- a/railtide/lanes/tests/brittle_fleet.py
+++ b/railtide/lanes/tests/brittle_fleet.py
@@ -202,21 +202,28 @@
             self.refused += 1
 
     async def _send(self, scheduler: PoolScheduler, slot: Slot) -> bool:
+        """Send a request; its router learns what the upstream states as the answer begins."""
         name = slot.upstream.instance.name
         engine = next(engine for engine in self.engines if engine.name == name)
         sent_at = trio.current_time()
         incarnation = slot.upstream.instance.incarnation
+
+        def notice(*, rejected: bool) -> None:
+            known = scheduler.by_name.get(name)
+            if known is None or known.instance.incarnation != incarnation:
+                return
+            if report := engine.report():
+                scheduler.apply_load_report(name, report)
+            stated = engine.rejections_per_s if engine.states else None
+            scheduler.notices.apply_brittle_report(name, BrittleReport(stated, sent_at), rejected)
+
+        def start() -> None:
+            scheduler.note_answer_started(slot)
+            notice(rejected=False)
+
         await trio.sleep(LATENCY_S)
-        outcome = await engine.run(lambda: scheduler.note_answer_started(slot))
-        report = engine.report()
+        outcome = await engine.run(start)
         await trio.sleep(LATENCY_S)
-        known = scheduler.by_name.get(name)
-        if outcome is None or known is None or known.instance.incarnation != incarnation:
-            return False
-        if report:
-            scheduler.apply_load_report(name, report)
-        stated = engine.rejections_per_s if engine.states else None
-        scheduler.notices.apply_brittle_report(
-            name, BrittleReport(stated, sent_at), rejected=not outcome
-        )
-        return outcome
+        if outcome is False:
+            notice(rejected=True)
+        return bool(outcome)
