Tests: several engines that are silent for a second

They go on, so they count neither as crashed nor as failed, their contents are not marked, once-only requests run once, and they are used at once afterwards, also where their machines accept no connections meanwhile.

--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -279,6 +279,8 @@
         Requests that it runs at a time; it rejects all others as not run.
     on_rejection : callable
         Called after each such rejection.
+    silent_until : float
+        Trio time until which it sends nothing; its connections are accepted.
     arrivals, answers : list of EngineEvent
         All requests received, and the heads of all answers, in order.
     """
@@ -299,6 +301,7 @@
     capacity: int | None = None
     on_rejection: Callable[[], None] = lambda: None
     open_requests: int = 0
+    silent_until: float = 0.0
     arrivals: list[EngineEvent] = field(default_factory=list)
     answers: list[EngineEvent] = field(default_factory=list)
 
@@ -306,6 +309,7 @@
         """Answer one request."""
         self.seen.append(request)
         self.arrivals.append(EngineEvent(_id_of(request), trio.current_time()))
+        await self._be_silent()
         expected = first_header(request.headers, b"x-expect-instance")
         if expected is not None and expected.decode() != self.name:
             refusal_headers = (
@@ -336,6 +340,9 @@
         finally:
             self.open_requests -= 1
 
+    async def _be_silent(self) -> None:
+        await trio.sleep_until(max(trio.current_time(), self.silent_until))
+
     def _load(self) -> bytes:
         pace = self.pace_text if self.pace is None else str(self.pace)
         return USUAL_LOAD if pace is None else b"%s,%s" % (USUAL_LOAD, pace.encode())
@@ -363,6 +370,7 @@
         last = int(first_header(request.headers, b"last-event-id") or 0)
         if script.well_formed and not script.events:
             await trio.sleep(self._gap_s(script))
+            await self._be_silent()
         headers = ((ID, own_id), *seal, (LOAD, self._load()), *self._notices(request))
         if not script.well_formed:
             await self._answer_raw(script, headers, last, responder)
@@ -370,6 +378,7 @@
             await responder.start(200, headers, None)
             for event in script.parts(last):
                 await trio.sleep(self._gap_s(script))
+                await self._be_silent()
                 await responder.write(event)
             await responder.finish()
         else:
