Sockets: the user timeout decides when idle connections fail, not the number of probes

Cause: keep-alive was set to 3 + 3 x 1 s beside a user timeout of 4 s, and its comment gave 6 s. With a user timeout Linux ignores the number of probes. Measured on Linux 6.18, packets to the peer dropped in the kernel, one run each: idle connections fail after 4.13 s with user timeouts of 1, 2 and 4 s, 6.17 s with 6 s or none, 8.22 s with 8 s; with unacknowledged bytes after 1.44, 2.43, 4.44, 6.43 and 8.44 s. Change: the number of probes is not set; the comments give the measured times. Result: tests of a dead host and of a silent process, idle and sending, pass.

--- a/railtide/http/sockets.py
+++ b/railtide/http/sockets.py
@@ -8,12 +8,13 @@
 
 BACKLOG = 1024
 USER_TIMEOUT_MS = 4_000
-"""A connection fails when sent bytes are unacknowledged for this long, which is longer than any
-interruption of a healthy link."""
+"""A connection to a host that does not respond fails after this time: 4.4 s with unacknowledged
+bytes and 4.1 s without, measured on Linux 6.18. That is longer than any interruption of a healthy
+link. It also decides when keep-alive probes give up, whatever their number, so that none is set. A
+process that is merely silent acknowledges, and its connections are kept."""
 KEEPALIVE_IDLE_S = 3
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 3
-"""The connection to an unresponsive peer fails after 3 + 3 x 1 seconds without traffic."""
+"""Probes begin before the user timeout ends: without any, an idle connection would not fail."""
 
 
 def set_tcp_options(sock: trio.socket.SocketType) -> None:
@@ -23,7 +24,6 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
 async def listen(host: str, port: int) -> trio.SocketListener:
