Forwarding: no work for each upstream while all are reached; a line for each hop

Silence was looked for at the connections of every upstream ten times a second, and the list of upstreams was built as often; both cost by the number of upstreams. Only those with requests in progress are looked at, and the list only while a path has failed. A line request-forwarded names the router that carried an attempt.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -397,7 +397,11 @@
 
     def _note_cut_off_pools(self) -> None:
         """Determine which pools this router is cut off from, for its record in the roster."""
-        table, listed = self.forwarding.table, self._pools.listed_upstreams()
+        table = self.forwarding.table
+        if not table.has_failed and not table.unreachable_pools:
+            self._cut_off_pools = ()
+            return
+        listed = self._pools.listed_upstreams()
         table.log_pools(listed)
         self._cut_off_pools = tuple(sorted(table.cut_off_pools(listed)))
 
--- a/railtide/forwarding/forwarders.py
+++ b/railtide/forwarding/forwarders.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import trio
+from loguru import logger
 
 from railtide.forwarding.client import ForwardingClient, PeerUnreachable
 from railtide.forwarding.errors import NotForwarded
@@ -136,7 +137,11 @@
         failed = NotForwarded("no router is known that reaches the upstream")
         for peer in self._choose(upstream, verified)[:MAX_FORWARD_TRIES]:
             try:
-                return await self._client.forward(peer, upstream, request, timeout_s)
+                answer = await self._client.forward(peer, upstream, request, timeout_s)
+                logger.bind(upstream=upstream.name, forwarded_by=peer.name).info(
+                    "request-forwarded"
+                )
+                return answer
             except NotForwarded as err:
                 failed = err
                 self._pause(peer, _pause_s(err))
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -120,6 +120,8 @@
     port : int
     traffic : Traffic, optional
         Counts the bytes of all connections of the pool.
+    busy : set of PeerPool, optional
+        Contains the pool while it has exchanges in progress.
 
     Attributes
     ----------
@@ -129,8 +131,15 @@
         Trio time at which a connection was made, or bytes were received, for the last time.
     """
 
-    def __init__(self, host: str, port: int, traffic: Traffic | None = None) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        traffic: Traffic | None = None,
+        busy: set["PeerPool"] | None = None,
+    ) -> None:
         self.opened = 0
+        self._busy = set() if busy is None else busy
         self.received_at = -math.inf
         self._open_exchanges: set[Exchange] = set()
         self.traffic = traffic or Traffic()
@@ -200,10 +209,13 @@
     def note_begun(self, exchange: "Exchange") -> None:
         """Record that an exchange is in progress."""
         self._open_exchanges.add(exchange)
+        self._busy.add(self)
 
     def note_ended(self, exchange: "Exchange") -> None:
         """Record that an exchange has ended."""
         self._open_exchanges.discard(exchange)
+        if not self._open_exchanges:
+            self._busy.discard(self)
 
     def break_repeatable(self, since: float) -> None:
         """Close the connections of repeatable requests that bring nothing since a trio time.
--- a/railtide/upstreams/paths.py
+++ b/railtide/upstreams/paths.py
@@ -69,6 +69,11 @@
 class PathTable:
     """Holds the paths to all upstreams, and logs each change.
 
+    Attributes
+    ----------
+    unreachable_pools : set of str
+        Pools of which no upstream was reached directly when `log_pools` was called last.
+
     Examples
     --------
     >>> table = PathTable()
@@ -82,7 +87,7 @@
     def __init__(self) -> None:
         self._by_incarnation: dict[str, UpstreamPath] = {}
         self._failed: dict[str, UpstreamPath] = {}
-        self._unreachable_pools: set[str] = set()
+        self.unreachable_pools: set[str] = set()
 
     def path_to(self, upstream: Instance) -> UpstreamPath:
         """Return the path to an upstream, a new one if none is known."""
@@ -142,6 +147,11 @@
         self._by_incarnation.pop(upstream.incarnation, None)
         self._failed.pop(upstream.incarnation, None)
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether any path is not direct."""
+        return bool(self._failed)
+
     def failed(self, count: int) -> list[UpstreamPath]:
         """Return some paths that are not direct, those not checked for longest first."""
         return nsmallest(count, self._failed.values(), key=lambda path: path.checked_at)
@@ -174,13 +184,11 @@
 
     def log_pools(self, listed: list[Instance]) -> None:
         """Log each pool of which this router begins or ceases to reach no upstream directly."""
-        if not self._failed and not self._unreachable_pools:
-            return
         states_by_pool = self._states_by_pool(listed)
         unreachable = {pool for pool, states in states_by_pool.items() if states <= FAILED_STATES}
-        for pool in sorted(unreachable - self._unreachable_pools):
+        for pool in sorted(unreachable - self.unreachable_pools):
             cut_off = PathState.FORWARDED in states_by_pool[pool]
             logger.bind(pool=pool, cut_off=cut_off).info("pool-unreachable")
-        for pool in sorted(self._unreachable_pools - unreachable):
+        for pool in sorted(self.unreachable_pools - unreachable):
             logger.bind(pool=pool).info("pool-reached")
-        self._unreachable_pools = unreachable
+        self.unreachable_pools = unreachable
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -68,7 +68,8 @@
     def __init__(self, traffic: Traffic | None = None) -> None:
         self.traffic = traffic or Traffic()
         self._pool_by_incarnation: dict[str, PeerPool] = {}
-        self._upstream_by_incarnation: dict[str, Instance] = {}
+        self._upstream_by_pool: dict[PeerPool, Instance] = {}
+        self._busy: set[PeerPool] = set()
 
     async def send(
         self, upstream: Instance, request: HttpRequest, timeout_s: float, repeatable: bool = False
@@ -99,9 +100,8 @@
 
     def silent_upstreams(self, since: float) -> list[Instance]:
         """Return the upstreams that owe bytes and have sent none since a trio time."""
-        pools = self._pool_by_incarnation.items()
-        silent = [incarnation for incarnation, pool in pools if pool.silent_since <= since]
-        return [self._upstream_by_incarnation[incarnation] for incarnation in silent]
+        silent = [pool for pool in self._busy if pool.silent_since <= since]
+        return [self._upstream_by_pool[pool] for pool in silent if pool in self._upstream_by_pool]
 
     async def probe(self, upstream: Instance) -> ProbeResult:
         """Return whether a process listens at an upstream's address.
@@ -122,17 +122,17 @@
 
     def forget(self, upstream: Instance) -> None:
         """Close the idle connections to an upstream; see `UpstreamTransport.forget`."""
-        self._upstream_by_incarnation.pop(upstream.incarnation, None)
         pool = self._pool_by_incarnation.pop(upstream.incarnation, None)
         if pool:
+            del self._upstream_by_pool[pool]
             pool.close()
 
     def _pool(self, upstream: Instance) -> PeerPool:
         pool = self._pool_by_incarnation.get(upstream.incarnation)
         if pool is None:
-            pool = PeerPool(*parse_endpoint(upstream.address), self.traffic)
+            pool = PeerPool(*parse_endpoint(upstream.address), self.traffic, self._busy)
             self._pool_by_incarnation[upstream.incarnation] = pool
-            self._upstream_by_incarnation[upstream.incarnation] = upstream
+            self._upstream_by_pool[pool] = upstream
         return pool
 
 
