--- a/railtide/membership/tests/test_router_selection.py
+++ b/railtide/membership/tests/test_router_selection.py
@@ -23,8 +23,9 @@
     capacity: float = 100.0,
     load: float = 1.0,
     outdated: bool = False,
+    cut_off: bool = False,
 ):
-    return Candidate(RouterEndpoint(name, f"{name}:1", domain), capacity, load, outdated)
+    return Candidate(RouterEndpoint(name, f"{name}:1", domain), capacity, load, outdated, cut_off)
 
 
 def names(candidates: list[Candidate], options: SelectionOptions = OPTIONS) -> list[str]:
@@ -118,6 +119,30 @@
         assert names(fleet, SelectionOptions(min_routers=2)) == ["a1", "b1"]
 
 
+class TestRoutersThatAreCutOff:
+    """Routers that reach no upstream of some pool serve through others, if they have to."""
+
+    def test_others_precede_a_larger_one(self) -> None:
+        fleet = [candidate("large", "a", 400.0, cut_off=True)]
+        fleet += [candidate("a1", "a"), candidate("b1", "b")]
+        assert sorted(names(fleet, SelectionOptions(min_routers=2))) == ["a1", "b1"]
+
+    def test_one_joins_where_the_others_can_not_carry_the_load(self) -> None:
+        fleet = [candidate("a1", "a"), candidate("b1", "b", cut_off=True)]
+        assert names(fleet, SelectionOptions(min_routers=2)) == ["a1", "b1"]
+
+    def test_outdated_routers_come_after_them(self) -> None:
+        fleet = [candidate("a1", "a", 400.0, outdated=True)]
+        fleet += [candidate("b1", "b", cut_off=True), candidate("c1", "c")]
+        assert sorted(names(fleet, SelectionOptions(min_routers=2))) == ["b1", "c1"]
+
+    @given(fleet=FLEETS)
+    def test_are_selected_as_usual_if_all_are_cut_off(self, fleet: list[Candidate]) -> None:
+        cut_off = [replace(c, cut_off=True, outdated=False) for c in fleet]
+        others = [replace(c, cut_off=False, outdated=False) for c in fleet]
+        assert names(cut_off) == names(others)
+
+
 class TestRouterTraffic:
     def test_router_with_comparable_load_is_active_though_not_advertised(self) -> None:
         fleet = [candidate("a", load=20.0), candidate("b", load=6.0), candidate("c", load=4.0)]
--- a/railtide/platform/tests/test_forwarded_requests.py
+++ b/railtide/platform/tests/test_forwarded_requests.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
+import msgspec
 import pytest
 import trio
 
@@ -133,6 +134,15 @@
             assert fleet.statuses == {502: 1}
             assert len(engine.ran) == 1
 
+    async def test_engine_that_dies_leaves_a_once_only_call_unknown(self) -> None:
+        async with cut_off_fleet(gap_s=1.0) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.send, 0, "/once/x")
+                await wait_until(lambda: len(engine.ran) == 1)
+                fleet.engine_scopes["e0"].cancel()
+            assert fleet.statuses == {502: 1}
+
     async def test_forwarder_that_dies_does_not_cost_a_repeatable_call(self) -> None:
         async with cut_off_fleet(gap_s=1.0) as fleet:
             engine = fleet.engine_by_name["e0"]
@@ -195,6 +205,7 @@
             assert await fleet.send(0) == 503
             assert trio.current_time() - began < 0.2
             assert not fleet.engine_by_name["e0"].seen
+            assert fleet.nodes[0].counters.value("answers_no_upstream") >= 1
 
     async def test_engines_that_are_gone_get_no_requests_through_others(self) -> None:
         """Guards against requests that go round all routers while a whole pool is down."""
@@ -300,6 +311,21 @@
             assert (await open_request(fleet, "/safe/x", *forged)).status == 200
             assert forwarded_by(fleet, 1) == 0
 
+    async def test_router_without_a_key_is_refused(self) -> None:
+        """A router of an earlier release has none in its record."""
+        async with open_router_fleet(routers=2, engines=1) as fleet:
+            sighting = fleet.nodes[1].roster._sightings_by_instance["i0"]
+            sighting.member = msgspec.structs.replace(sighting.member, forwarding_key=b"")
+            body = self.message(fleet)
+            proof = proof_of(b"", "life1", FORWARD_PATH, body)
+            assert await self.outcome(fleet, body, proof) == (403, b"not-sent")
+
+    async def test_router_that_is_cut_off_refuses(self) -> None:
+        async with cut_off_fleet(1) as fleet:
+            body = self.message(fleet)
+            proof = proof_of(fleet.nodes[0].forwarding.key, "life1", FORWARD_PATH, body)
+            assert await self.outcome(fleet, body, proof) == (503, b"not-sent")
+
     async def test_unknown_upstream_is_refused(self) -> None:
         async with open_router_fleet(routers=2, engines=1) as fleet:
             body = encode(PathQuery("i0", "life0", "e9", "e9"))
@@ -404,8 +430,9 @@
             await trio.sleep(1.0)
             assert fleet.nodes[0].counters.value("contents_marked") == 0
 
-    async def test_crash_is_noticed_by_a_router_that_is_cut_off(self) -> None:
-        async with cut_off_fleet(events=50, gap_s=0.1) as fleet:
+    @pytest.mark.parametrize("refuses", [True, False])
+    async def test_crash_is_noticed_by_a_router_that_is_cut_off(self, refuses: bool) -> None:
+        async with cut_off_fleet(events=50, gap_s=0.1, refuses=refuses) as fleet:
             engine = fleet.engine_by_name["e0"]
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(fleet.send, 0, "/stream/x")
@@ -428,14 +455,16 @@
 
     async def test_router_that_is_cut_off_is_advertised_last(self) -> None:
         async with open_router_fleet(routers=4, engines=1) as fleet:
-            names = [endpoint.name for endpoint in fleet.nodes[0].roster.advertised()]
-            cut = int(names[0][1:])
+            await wait_until(lambda: all(len(names) == 2 for names in advertised_names(fleet)))
+            name = advertised_names(fleet)[0][0]
+            cut = int(name[1:])
             fleet.cut_off(cut, refuses=True)
             await fleet.send(cut)
-            others = [node for node in fleet.nodes if node is not fleet.nodes[cut]]
             await wait_until(
-                lambda: all(
-                    names[0] not in [e.name for e in node.roster.advertised()] for node in others
-                ),
-                within_s=3.0,
+                lambda: not any(name in names for names in advertised_names(fleet)), within_s=3.0
             )
+
+
+def advertised_names(fleet: RouterFleet) -> list[list[str]]:
+    """Return which routers each router advertises."""
+    return [[router.name for router in node.roster.advertised()] for node in fleet.nodes]
