--- a/railtide/lanes/brittle_admission.py
+++ b/railtide/lanes/brittle_admission.py
@@ -62,7 +62,7 @@
         slots = upstream.instance.slots
         if self._per_s(upstream, now) is None:
             return slots
-        return self.shares.slots(upstream.instance.name, slots, self.pool)
+        return self.shares.slots(upstream.instance.name, slots, self.pool, now)
 
     def available_at(self, upstream: Upstream, now: float) -> float:
         """Return from when on this router may send to an upstream."""
--- a/railtide/lanes/tests/brittle_fleet.py
+++ b/railtide/lanes/tests/brittle_fleet.py
@@ -22,6 +22,8 @@
 RESTART_S = 3.0
 LISTING_LAG_S = 0.5
 """Time until routers know that an upstream is down, or up again."""
+MAX_ROSTER_LAG_S = 1.2
+"""Longest time until a router knows which routers callers use: records arrive once a second."""
 
 
 @dataclass
@@ -127,6 +129,7 @@
         self.engines = engines
         self.names = [f"r{number}" for number in range(routers)]
         self.traffic = RouterTraffic(tuple(self.names[:active]), tuple(self.names[active:]))
+        self.known_traffic = dict.fromkeys(self.names, self.traffic)
         self.unreached: dict[str, set[str]] = {}
         self.sent = self.served = self.refused = 0
         self.schedulers = {name: self._scheduler(name) for name in self.names}
@@ -135,7 +138,7 @@
     def _scheduler(self, name: str) -> PoolScheduler:
         policy = PrefixAffinity(TwoChoices(Random(name)))
         scheduler = PoolScheduler(policy, urgent_share=0, trusts_list=True)
-        scheduler.set_brittle_shares(BrittleShares(name, lambda: self.traffic))
+        scheduler.set_brittle_shares(BrittleShares(name, lambda: self.known_traffic[name]))
         return scheduler
 
     def _list(self) -> None:
@@ -151,6 +154,21 @@
             self.unreached[router] = set(self.rng.sample(names, len(names) // 2))
         self._list()
 
+    async def move_callers(self, interval_s: float) -> None:
+        """Have callers use other routers from time to time, for ever; routers know it later."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(interval_s)
+                active = sorted(self.rng.sample(self.names, self.rng.randint(1, len(self.names))))
+                idle = [name for name in self.names if name not in active]
+                self.traffic = RouterTraffic(tuple(active), tuple(idle))
+                for name in self.names:
+                    nursery.start_soon(self._learn_traffic, name, self.traffic)
+
+    async def _learn_traffic(self, name: str, traffic: RouterTraffic) -> None:
+        await trio.sleep(self.rng.uniform(0.0, MAX_ROSTER_LAG_S))
+        self.known_traffic[name] = traffic
+
     async def restart_crashed(self) -> None:
         """Restart crashed upstreams after a while, for ever."""
         handled: set[tuple[str, int]] = set()
@@ -173,9 +191,10 @@
     async def play(self, per_s: float, for_s: float) -> None:
         """Send requests, most of them to the routers that callers use."""
         ends_at = trio.current_time() + for_s
-        weights = [self.rng.uniform(0.2, 1.0) for _ in self.traffic.active]
+        weight_by_name = {name: self.rng.uniform(0.2, 1.0) for name in self.names}
         async with trio.open_nursery() as nursery:
             while trio.current_time() < ends_at:
+                weights = [weight_by_name[name] for name in self.traffic.active]
                 router = self.rng.choices(self.traffic.active, weights)[0]
                 if self.traffic.idle and self.rng.random() < 0.05:
                     router = self.rng.choice(self.traffic.idle)
--- a/railtide/lanes/tests/test_brittle_upstreams.py
+++ b/railtide/lanes/tests/test_brittle_upstreams.py
@@ -13,6 +13,8 @@
 STABLE_S = 3.0
 """After an upstream first states that it is brittle, until it lets fewer requests wait."""
 ROOM_BEFORE = 24
+MOVE_INTERVAL_S = 3.0
+"""Time after which callers use other routers."""
 MAX_PER_S = 150.0
 """Most requests a second of a simulation; upstreams are slower where that is less than the load."""
 SEEDS = range(int(os.environ.get("RAILTIDE_BRITTLE_SEEDS", "8")))
@@ -79,6 +81,16 @@
         await play_brittle(fleet, utilization)
         assert crashes(fleet) <= most_crashes(len(fleet.engines))
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    async def test_few_crash_while_callers_move(self, seed, autojump_clock) -> None:
+        """Guards against slots that one router uses before another one has given them up."""
+        fleet = drawn_fleet(Random(seed))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.move_callers, MOVE_INTERVAL_S)
+            await play_brittle(fleet, 1.0)
+            nursery.cancel_scope.cancel()
+        assert crashes(fleet) <= most_crashes(len(fleet.engines))
+
     async def test_load_crashes_upstreams_that_do_not_say_so(self, autojump_clock) -> None:
         """The load of the test above must be one that crashes them."""
         counts = []
--- a/railtide/upstreams/brittleness.py
+++ b/railtide/upstreams/brittleness.py
@@ -9,7 +9,7 @@
 
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from railtide.membership.addresses import rendezvous_order
 from railtide.membership.router_selection import RouterTraffic
@@ -37,6 +37,9 @@
 UNANSWERED_S = 0.02
 """A request that is rejected is answered within this time: the upstream need not run it. Only so
 many requests may be without an answer for less than that as may be rejected."""
+GROWTH_DELAY_S = 2.0
+"""A share that grows is used this much later, one that shrinks at once. Other routers learn of the
+change up to a second later, and end the requests beyond their new share after that."""
 MAX_CACHED_SHARES = 16_384
 """Shares that are cached, more than the upstreams of any planned pool."""
 POOL_RETENTION_S = 10.0
@@ -112,6 +115,15 @@
     state.held_until = min(max(state.held_until, now) + hold_s, now + max_hold_s)
 
 
+@dataclass
+class _TrafficView:
+    """Which routers callers use, as known until a trio time, and the shares that follow."""
+
+    traffic: RouterTraffic
+    replaced_at: float = math.inf
+    slots_by_key: dict[tuple[str, int, tuple[str, ...]], int] = field(default_factory=dict)
+
+
 class BrittleShares:
     """One router's shares of the slots and the rejections of brittle upstreams.
 
@@ -126,7 +138,7 @@
     --------
     >>> shares = BrittleShares("r1", lambda: RouterTraffic(("r1", "r2"), ("r3",)))
     >>> others = BrittleShares("r2", lambda: RouterTraffic(("r1", "r2"), ("r3",)))
-    >>> shares.slots("e1", 21, ["e1", "e2"]) + others.slots("e1", 21, ["e1", "e2"])
+    >>> shares.slots("e1", 21, ["e1", "e2"], 0.0) + others.slots("e1", 21, ["e1", "e2"], 0.0)
     19
     >>> round(shares.rejections_per_s(10), 2)
     2.0
@@ -135,13 +147,14 @@
     def __init__(self, own: str, traffic: Callable[[], RouterTraffic]) -> None:
         self._own = own
         self._traffic = traffic
-        self._known_traffic = RouterTraffic()
-        self._slots_by_key: dict[tuple[str, int, tuple[str, ...]], int] = {}
+        self._views: list[_TrafficView] = []
 
-    def slots(self, upstream: str, slots: int, pool: Sequence[str]) -> int:
+    def slots(self, upstream: str, slots: int, pool: Sequence[str], now: float) -> int:
         """Return how many requests this router may have open at an upstream.
 
-        Active routers share its slots, but for some that idle routers share.
+        Active routers share its slots, but for some that idle routers share. While routers learn
+        that callers use others, the least share of the last `GROWTH_DELAY_S` applies, so that the
+        shares of all still add up to the slots.
 
         Parameters
         ----------
@@ -150,51 +163,56 @@
             Of the upstream.
         pool : sequence of str
             Names of all upstreams of the pool.
+        now : float
         """
-        traffic = self._traffic()
-        if traffic != self._known_traffic:
-            self._known_traffic = traffic
-            self._slots_by_key.clear()
         key = (upstream, slots, tuple(pool))
-        share = self._slots_by_key.get(key)
+        return min(self._share(view, key) for view in self._recent_views(now))
+
+    def _recent_views(self, now: float) -> list[_TrafficView]:
+        """Return the present view, and those that were replaced lately."""
+        traffic = self._traffic()
+        views = self._views
+        if not views or views[-1].traffic != traffic:
+            if views:
+                views[-1].replaced_at = now
+            views.append(_TrafficView(traffic))
+        if views[0].replaced_at <= now - GROWTH_DELAY_S:
+            views[:] = [view for view in views if view.replaced_at > now - GROWTH_DELAY_S]
+        return views
+
+    def _share(self, view: _TrafficView, key: tuple[str, int, tuple[str, ...]]) -> int:
+        share = view.slots_by_key.get(key)
         if share is None:
-            if len(self._slots_by_key) >= MAX_CACHED_SHARES:
-                self._slots_by_key.clear()
-            share = self._slots_by_key[key] = self._compute_slots(upstream, slots, pool)
+            if len(view.slots_by_key) >= MAX_CACHED_SHARES:
+                view.slots_by_key.clear()
+            share = view.slots_by_key[key] = self._compute_slots(view.traffic, *key)
         return share
 
-    def _compute_slots(self, upstream: str, slots: int, pool: Sequence[str]) -> int:
+    def _compute_slots(
+        self, traffic: RouterTraffic, upstream: str, slots: int, pool: Sequence[str]
+    ) -> int:
         """Return this router's slots at an upstream, or one at one upstream if it has none at any.
 
         Such a router seldom uses it, and refusing all its callers would be worse.
         """
-        if any(self._part_of(name, slots, len(pool)) for name in pool):
-            return self._part_of(upstream, slots, len(pool))
+        if any(self._part_of(traffic, name, slots, len(pool)) for name in pool):
+            return self._part_of(traffic, upstream, slots, len(pool))
         return int(rendezvous_order(self._own, list(pool))[0] == upstream)
 
-    def _part_of(self, upstream: str, slots: int, upstreams: int) -> int:
+    def _part_of(self, traffic: RouterTraffic, upstream: str, slots: int, upstreams: int) -> int:
         """Return this router's part of the slots for the group of routers that it is in.
 
         The order of the group differs for each upstream and does not depend on the other ones, so
         that the loss of an upstream moves no slots at the others.
         """
-        idle = self._known_traffic.idle
-        left_to_idle = self._left_to_idle(slots, upstreams)
-        if self._own in idle:
-            group, shared = idle, left_to_idle
+        left_to_idle = _left_to_idle(len(traffic.idle), slots, upstreams)
+        if self._own in traffic.idle:
+            group, shared = traffic.idle, left_to_idle
         else:
-            group, shared = self._known_traffic.active or (self._own,), slots - left_to_idle
+            group, shared = traffic.active or (self._own,), slots - left_to_idle
         each, extra = divmod(shared, len(group))
         return each + (self._own in rendezvous_order(upstream, group)[:extra])
 
-    def _left_to_idle(self, slots: int, upstreams: int) -> int:
-        """Return the slots of an upstream that are left to idle routers, enough for one each."""
-        idle = len(self._known_traffic.idle)
-        if not idle:
-            return 0
-        wanted = max(math.ceil(idle / upstreams), int(slots * IDLE_SLOT_SHARE))
-        return min(wanted, math.ceil(slots * MAX_IDLE_SLOT_SHARE))
-
     def rejections_per_s(self, per_s: int) -> float:
         """Return how many rejections a second this router may cause at an upstream."""
         traffic = self._traffic()
@@ -210,3 +228,11 @@
     def max_unanswered(self, per_s: int) -> int:
         """Return how many requests may be without an answer for less than `UNANSWERED_S`."""
         return max(1, int(self.rejections_per_s(per_s)))
+
+
+def _left_to_idle(idle: int, slots: int, upstreams: int) -> int:
+    """Return the slots of an upstream that are left to idle routers, enough for one each."""
+    if not idle:
+        return 0
+    wanted = max(math.ceil(idle / upstreams), int(slots * IDLE_SLOT_SHARE))
+    return min(wanted, math.ceil(slots * MAX_IDLE_SLOT_SHARE))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -75,6 +75,7 @@
 FORWARDED = "railtide/platform/tests/test_forwarded_requests.py"
 FORWARDING = "railtide/forwarding"
 BRITTLE = "railtide/lanes/tests/test_brittle_upstreams.py"
+BRITTLE_SHARES = "railtide/upstreams/tests/test_brittleness.py"
 PLATFORM_BRITTLE = "railtide/platform/tests/test_brittle_engines.py"
 SOCKETS = "railtide/http/tests/test_sockets.py"
 TIMEOUT_S = 150
@@ -3385,7 +3386,7 @@
     Mutant(
         "brittle-upstream-is-filled-by-each-router",
         "lanes/brittle_admission.py",
-        "        return self.shares.slots(upstream.instance.name, slots, self.pool)\n",
+        "        return self.shares.slots(upstream.instance.name, slots, self.pool, now)\n",
         "        return slots\n",
         (BRITTLE,),
     ),
@@ -3422,7 +3423,21 @@
         "upstreams/brittleness.py",
         "        return int(rendezvous_order(self._own, list(pool))[0] == upstream)\n",
         "        return 0\n",
-        (BRITTLE,),
+        (BRITTLE_SHARES,),
+    ),
+    Mutant(
+        "share-of-a-brittle-upstream-grows-at-once",
+        "upstreams/brittleness.py",
+        "        return min(self._share(view, key) for view in self._recent_views(now))\n",
+        "        return self._share(self._recent_views(now)[-1], key)\n",
+        (BRITTLE_SHARES,),
+    ),
+    Mutant(
+        "former-share-of-a-brittle-upstream-applies-for-ever",
+        "upstreams/brittleness.py",
+        "        if views[0].replaced_at <= now - GROWTH_DELAY_S:\n",
+        "        if False:\n",
+        (BRITTLE_SHARES,),
     ),
     Mutant(
         "slots-move-with-the-loss-of-another-upstream",
