--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -24,7 +24,7 @@
 import sys
 import tempfile
 import traceback
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import asynccontextmanager
 from enum import StrEnum
@@ -151,11 +151,7 @@
             for planned in plan_faults(seed):
                 injecting.start_soon(_inject, fleet, planned)
         clear_faults(fleet)
-        unserving = [
-            line
-            for router in fleet.routers
-            for line in await _check_serving(fleet, callers, router)
-        ]
+        unserving = await _check_all_serving(fleet, callers)
         async with _calling(callers):
             await trio.sleep(SPENDING_S)
         return unserving + broken_promises(fleet, callers.attempts)
@@ -175,11 +171,7 @@
             clear_faults(fleet)
             lost = lost_answers(fleet, callers.attempts) if is_calm(seed) else []
             recovery = await _check_recovery(fleet, callers)
-            unserving = [
-                line
-                for router in fleet.routers
-                for line in await _check_serving(fleet, callers, router)
-            ]
+            unserving = await _check_all_serving(fleet, callers)
             async with _calling(callers):
                 await trio.sleep(SPENDING_S)
             background.cancel_scope.cancel()
@@ -258,6 +250,13 @@
     return [f"{router.name} does not serve {RECOVERY_S} s after the last fault"]
 
 
+async def _check_all_serving(fleet: Fleet, callers: Callers) -> list[str]:
+    """Publish a version for each router; return a line for each that does not serve its key."""
+    return [
+        line for router in fleet.routers for line in await _check_serving(fleet, callers, router)
+    ]
+
+
 async def _run_crashes(seed: int, folder: Path) -> list[str]:
     async with open_fleet(folder, CRASH_WORLD) as fleet:
         await _until_ready(fleet)
@@ -268,11 +267,7 @@
             for planned in plan_crashes(seed):
                 nursery.start_soon(_inject, fleet, planned)
         clear_faults(fleet)
-        unserving = [
-            line
-            for router in fleet.routers
-            for line in await _check_serving(fleet, callers, router)
-        ]
+        unserving = await _check_all_serving(fleet, callers)
         await trio.sleep(KNOWN_S)
         known_at = trio.current_time()
         async with _calling(callers):
@@ -352,11 +347,7 @@
                 await _until_restarted(fleet)
                 await trio.sleep(NOTICE_EXPIRY_S)
                 lingering = lingering_limits(fleet) + unused_engines(fleet, callers.attempts)
-            unserving = [
-                line
-                for router in fleet.routers
-                for line in await _check_serving(fleet, callers, router)
-            ]
+            unserving = await _check_all_serving(fleet, callers)
             background.cancel_scope.cancel()
         notices = broken_notices(fleet, callers.attempts)
         return notices + lingering + unserving + broken_promises(fleet, callers.attempts)
@@ -379,36 +370,39 @@
             await trio.sleep(SPENDING_S)
             background.cancel_scope.cancel()
         shares = poor_shares(demand.served_by_account) if is_calm_demand(seed) else []
-        unserving = [
-            line
-            for router in fleet.routers
-            for line in await _check_serving(fleet, callers, router)
-        ]
+        unserving = await _check_all_serving(fleet, callers)
         await _until_restarted(fleet)
         await leave_all(fleet)
         units = unsettled(fleet, callers, is_interrupted(seed))
         return shares + unserving + units + broken_promises(fleet, callers.attempts)
 
 
+async def _inject_all(
+    callers: Callers,
+    planned: list[PlannedFault],
+    clear_others: Callable[[Fleet], None] = lambda fleet: None,
+) -> list[str]:
+    """Inject faults while processes that exit are restarted; return what is not served later."""
+    fleet = callers.fleet
+    async with trio.open_nursery() as background:
+        for router in fleet.routers:
+            background.start_soon(restart_on_exit, router, callers.rng)
+        async with _calling(callers), trio.open_nursery() as injecting:
+            for each in planned:
+                injecting.start_soon(_inject, fleet, each)
+        clear_faults(fleet)
+        clear_others(fleet)
+        await _until_restarted(fleet)
+        unserving = await _check_all_serving(fleet, callers)
+        background.cancel_scope.cancel()
+    return unserving
+
+
 async def _run_cuts(seed: int, folder: Path) -> list[str]:
     async with open_fleet(folder, cuts_world_of(seed)) as fleet:
         await _until_ready(fleet)
-        rng = Random(seed)
-        callers = Callers(fleet, rng)
-        async with trio.open_nursery() as background:
-            for router in fleet.routers:
-                background.start_soon(restart_on_exit, router, rng)
-            async with _calling(callers), trio.open_nursery() as injecting:
-                for planned in plan_cuts(seed):
-                    injecting.start_soon(_inject, fleet, planned)
-            clear_faults(fleet)
-            await _until_restarted(fleet)
-            unserving = [
-                line
-                for router in fleet.routers
-                for line in await _check_serving(fleet, callers, router)
-            ]
-            background.cancel_scope.cancel()
+        callers = Callers(fleet, Random(seed))
+        unserving = await _inject_all(callers, plan_cuts(seed))
         shares = poor_at_cut(fleet, callers.attempts) if is_calm_cut(seed) else []
         return shares + unserving + broken_promises(fleet, callers.attempts)
 
@@ -416,23 +410,8 @@
 async def _run_brittle(seed: int, folder: Path) -> list[str]:
     async with open_fleet(folder, brittle_world_of(seed)) as fleet:
         await _until_ready(fleet)
-        rng = Random(seed)
-        callers = Callers(fleet, rng)
-        async with trio.open_nursery() as background:
-            for router in fleet.routers:
-                background.start_soon(restart_on_exit, router, rng)
-            async with _calling(callers), trio.open_nursery() as injecting:
-                for planned in plan_brittle(seed):
-                    injecting.start_soon(_inject, fleet, planned)
-            clear_faults(fleet)
-            clear_brittle(fleet)
-            await _until_restarted(fleet)
-            unserving = [
-                line
-                for router in fleet.routers
-                for line in await _check_serving(fleet, callers, router)
-            ]
-            background.cancel_scope.cancel()
+        callers = Callers(fleet, Random(seed))
+        unserving = await _inject_all(callers, plan_brittle(seed), clear_brittle)
         crashes = too_many_crashes(fleet) if is_calm_brittle(seed) else []
         return crashes + unserving + broken_promises(fleet, callers.attempts)
 
