Soak: a link that refuses connections keeps its port

A link that refuses closed its listening socket, so that the system could give its port to another one; and one that healed at once listened again before the old socket was closed. Change: each link reserves its port with a socket that never listens, and closes the old listening socket before it opens the next one. Result: both new tests fail on the code before and pass.

--- a/tests/edge_soak/proxy.py
+++ b/tests/edge_soak/proxy.py
@@ -3,6 +3,8 @@
 import math
 import socket
 import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -47,6 +49,15 @@
     """New connections are refused; open ones go on."""
 
 
+@contextmanager
+def reserved_port() -> Iterator[int]:
+    """Yield a free port that the system gives to nobody else, also while nothing listens there."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((HOST, 0))
+        yield sock.getsockname()[1]
+
+
 @dataclass
 class Direction:
     """One direction of a link: the trio time from which it can transmit more."""
@@ -90,26 +101,26 @@
         self, nursery: trio.Nursery, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Accept connections for ever, except while they are refused."""
+        with reserved_port() as self.port:
+            await self._listen(nursery, task_status)
+
+    async def _listen(self, nursery: trio.Nursery, task_status: trio.TaskStatus) -> None:
         while True:
-            self._listener = await listen(HOST, self.port)
-            self.port = self._listener.socket.getsockname()[1]
-            if self.cut_by is not None:
-                drop_packets(self._listener.socket)
             self._accepting = trio.CancelScope()
-            nursery.start_soon(self._accept, self._listener, self._accepting, nursery)
-            task_status.started()
+            with self._accepting:
+                await self._accept(nursery, task_status)
             task_status = trio.TASK_STATUS_IGNORED
-            while self._listener is not None:
-                await self._fault_changed.wait()
             while self._refuses:
                 await self._fault_changed.wait()
 
-    async def _accept(
-        self, listener: trio.SocketListener, scope: trio.CancelScope, nursery: trio.Nursery
-    ) -> None:
-        with scope:
+    async def _accept(self, nursery: trio.Nursery, task_status: trio.TaskStatus) -> None:
+        """Accept connections until cancelled; the listening socket is closed then."""
+        async with await listen(HOST, self.port) as listener:
+            self._listener = listener
+            if self.cut_by is not None:
+                drop_packets(listener.socket)
+            task_status.started()
             await trio.serve_listeners(self.serve, [listener], handler_nursery=nursery)
-        listener.socket.close()
 
     @property
     def _refuses(self) -> bool:
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -162,9 +162,10 @@
         assert not any(is_interrupted(seed) for seed in calm)
 
 
-CUTS_SEEDS = (12_000, 12_001)
+CUTS_SEEDS = (12_000, 12_001, 12_111, 12_130)
 """12000: cuts only, and the shares served are compared; on the code before requests were forwarded,
-none of 138 was served at the routers that were cut off. 12001: other faults beside the cuts."""
+none of 138 was served at the routers that were cut off. 12001: other faults beside the cuts. 12111
+and 12130: ended with an error of the soak, whose links had lost their ports while they refused."""
 
 
 class TestCuts:
--- a/tests/edge_soak/test_proxy.py
+++ b/tests/edge_soak/test_proxy.py
@@ -118,6 +118,29 @@
             assert await _is_echoed(await connect_tcp_stream("127.0.0.1", link.port))
             nursery.cancel_scope.cancel()
 
+    async def test_port_is_kept_while_connections_are_refused(self) -> None:
+        """Guards against a link that can't heal, since another socket was given its port."""
+        async with trio.open_nursery() as nursery:
+            link = await _echo_link(nursery)
+            link.cut(PathCut.REFUSED)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            with socket.socket() as other, pytest.raises(OSError) as failed:
+                other.bind(("127.0.0.1", link.port))
+            assert failed.value.errno == errno.EADDRINUSE
+            nursery.cancel_scope.cancel()
+
+    async def test_cut_that_heals_at_once_is_no_error(self) -> None:
+        async with trio.open_nursery() as nursery:
+            link = await _echo_link(nursery)
+            for _ in range(20):
+                link.cut(PathCut.REFUSED)
+                link.heal()
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                async with await connect_tcp_stream("127.0.0.1", link.port) as stream:
+                    assert await _is_echoed(stream)
+                await trio.testing.wait_all_tasks_blocked(0.01)
+            nursery.cancel_scope.cancel()
+
     async def test_unacknowledged_bytes_end_a_connection(self) -> None:
         """A proxy that only stops to forward acknowledges, and no user timeout would pass."""
         async with trio.open_nursery() as nursery:
