--- a/railtide/membership/instances.py
+++ b/railtide/membership/instances.py
@@ -41,6 +41,8 @@
         requests.
     warm_at : float
         For an upstream, the trio time at which the warm-up ends; 0 if there is none.
+    software_version : str
+        For an upstream, the version of its software, not of its weights; empty if unknown.
     """
 
     name: str
@@ -55,6 +57,7 @@
     seq: int = 0
     cold_s: float = 0.0
     warm_at: float = 0.0
+    software_version: str = ""
 
 
 class InstanceList(ABC):
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -131,6 +131,7 @@
             incarnation=instance.incarnation,
             pool=instance.pool,
             address=instance.address,
+            software_version=instance.software_version,
             state=str(instance.state),
         ).info("upstream-listed")
         self._by_name[instance.name] = instance
--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -10,7 +10,7 @@
 from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
 from railtide.lanes.queue import Urgency
 from railtide.platform import header_names
-from railtide.requests.call import Call, Prices, Usage, cost_of
+from railtide.requests.call import Call, Prices, Resumption, Usage, cost_of
 from railtide.requests.errors import InvalidRequest, Unauthorized, UnknownRoute
 from railtide.upstreams.balancing import Affinity
 
@@ -28,6 +28,8 @@
 BUDGET_WAIT_S = 0.1
 """Longest wait for a budget grant: time for a read and an append at a store that responds in 4 ms,
 with ten appends that conflict."""
+MAX_ID_BYTES = 256
+"""Longest id of an attempt that a caller may name; the platform's have 16 characters."""
 NEW_IN_REPEATS = frozenset({header_names.ATTEMPT_ID, header_names.DEADLINE_MS})
 """Headers whose value changes when a caller sends a request again."""
 ACCOUNT_SETTINGS = AccountSettings(budget_wait_s=BUDGET_WAIT_S)
@@ -80,9 +82,23 @@
         headers=_forwarded_headers(request, account, route.resumable),
         content=content_digest(account.name if account else "", target, request.body),
         route=route.name,
+        resumption=_resumption_of(request, route),
     )
 
 
+def _resumption_of(request: HttpRequest, route: Route) -> Resumption | None:
+    after = first_header(request.headers, header_names.LAST_EVENT_ID) if route.resumable else None
+    if not after:
+        return None
+    attempts = {value.strip() for name, value in request.headers if name == header_names.RESUMES}
+    if len(attempts) > 1 or any(len(attempt) > MAX_ID_BYTES for attempt in attempts):
+        raise InvalidRequest(
+            f"{header_names.RESUMES.decode()} must be one id of at most {MAX_ID_BYTES} bytes"
+        )
+    attempt = next(iter(attempts), b"")
+    return Resumption(after.decode("latin-1"), attempt.decode("latin-1"))
+
+
 def outline_of(request: HttpRequest, length: int, snapshot: Snapshot) -> RequestOutline:
     """Return what the head of a client's request tells of it, given the length of its body.
 
--- a/railtide/platform/desired_state.py
+++ b/railtide/platform/desired_state.py
@@ -161,6 +161,7 @@
             born=born,
             seq=server.seq,
             cold_s=min(MAX_COLD_S, max(0.0, server.warmup_left_ms / MS)),
+            software_version=server.version,
         )
 
 
--- a/railtide/platform/header_names.py
+++ b/railtide/platform/header_names.py
@@ -20,6 +20,7 @@
     "PIN_MS",
     "RANK",
     "RESERVED_SLOT",
+    "RESUMES",
     "RETRY_AFTER",
     "SEAL",
     "SET_BY_ROUTERS",
@@ -44,6 +45,8 @@
 """Priority in the engine's queue, 0 (first) to 9 (last)."""
 LAST_EVENT_ID = b"last-event-id"
 """Id of the event after which a stream continues."""
+RESUMES = b"resumes"
+"""Id of the attempt that brought the caller the first event of the stream that it resumes."""
 SEAL = b"x-response-seal"
 """The engine's signature of its response."""
 NOT_RUN = b"x-not-executed"
--- a/railtide/platform/tests/router_fleet.py
+++ b/railtide/platform/tests/router_fleet.py
@@ -111,14 +111,14 @@
     statuses: Counter = field(default_factory=Counter)
     sent_count: int = 0
 
-    async def add_engine(self, name: str, **script: object) -> PlatformEngine:
+    async def add_engine(self, name: str, version: str = "v1", **script: object) -> PlatformEngine:
         """Start an engine and write its entry to the store."""
         engine = PlatformEngine(name, EngineScript(**script))
         server = HttpServer(engine.handle, ConnectionLimits())
         listener = await listen(HOST, 0)
         scope = self.engine_scopes[name] = trio.CancelScope()
         self.nursery.start_soon(_serve_within, scope, server, listener)
-        entry = engine_entry(f"{HOST}:{listener.socket.getsockname()[1]}")
+        entry = engine_entry(f"{HOST}:{listener.socket.getsockname()[1]}") | {"version": version}
         self.store.put("keyed.servers", name, msgspec.json.encode(entry))
         self.engine_by_name[name] = engine
         return engine
--- a/railtide/requests/call.py
+++ b/railtide/requests/call.py
@@ -10,7 +10,7 @@
 from railtide.lanes.queue import Urgency
 from railtide.upstreams.balancing import Affinity
 
-__all__ = ["AnswerSink", "Call", "Prices", "Usage", "cost_of"]
+__all__ = ["AnswerSink", "Call", "Prices", "Resumption", "Usage", "cost_of"]
 
 
 @dataclass(frozen=True)
@@ -44,6 +44,22 @@
     )
 
 
+@dataclass(frozen=True)
+class Resumption:
+    """Which stream a request resumes.
+
+    Attributes
+    ----------
+    after : str
+        Id of the last event that the caller has received.
+    attempt : str
+        Id of the caller's attempt that began the stream; empty if the caller doesn't name it.
+    """
+
+    after: str
+    attempt: str = ""
+
+
 @dataclass(frozen=True)
 class Call:
     """A request that was authenticated, checked and priced.
@@ -80,6 +96,8 @@
         Digest of the request's content, equal when it is sent again; empty if it isn't tracked.
     route : str
         Name of its route, for log lines.
+    resumption : Resumption or None
+        Which stream of an earlier attempt it continues; None for a new stream.
     """
 
     request_id: str
@@ -110,6 +128,7 @@
     headers: Headers = ()
     content: str = ""
     route: str = ""
+    resumption: Resumption | None = None
 
 
 class AnswerSink(ABC):
