Failing test: streams continue at another software version

Callers leave 24 streams after three events and resume them at another router; the router continues streams that break; callers resume at a second version that came meanwhile. In all three cases streams hold events of two versions.

--- a/railtide/platform/tests/test_stream_versions.py
+++ b/railtide/platform/tests/test_stream_versions.py
@@ -1,9 +1,108 @@
-"""Streams that continue after an interruption while upstreams of several software versions serve."""
+"""Streams that continue after an interruption while upstreams of several software versions serve.
+
+A router took the stream up at any upstream, so that callers received events of two versions.
+"""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
 
 import pytest
+import trio
 
+from railtide.http.client import PeerPool
+from railtide.http.errors import HttpError
+from railtide.http.messages import first_header
+from railtide.platform.tests.hosts import HOST
+from railtide.platform.tests.router_fleet import RouterFleet, open_router_fleet, wait_until
 from railtide.platform.tests.test_end_to_end import body_of, router_environment
 
+STREAMS = 24
+EVENTS = 8
+EVENTS_BEFORE_BREAK = 3
+MIN_RESUMED_SHARE = 0.9
+VERSION_BY_ENGINE = {"a0": "v1", "a1": "v1", "b0": "v2", "b1": "v2"}
+
+
+@dataclass
+class ResumedStream:
+    """One stream over the caller's attempts, and the status of each attempt."""
+
+    statuses: list[int] = field(default_factory=list)
+    body: bytes = b""
+    attempts: list[str] = field(default_factory=list)
+
+    @property
+    def is_complete(self) -> bool:
+        return self.body.count(b"\n\n") == EVENTS
+
+
+@asynccontextmanager
+async def mixed_fleet(routers: int = 2, **script: object) -> AsyncIterator[RouterFleet]:
+    """Yield routers before two upstreams of each of two software versions."""
+    script = {"events": EVENTS, "gap_s": 0.03} | script
+    async with open_router_fleet(routers=routers, engines=0) as fleet:
+        for name, version in VERSION_BY_ENGINE.items():
+            await fleet.add_engine(name, version, **script)
+        everywhere = range(len(fleet.nodes))
+        await wait_until(lambda: all(len(fleet.upstreams(router)) == 4 for router in everywhere))
+        await trio.sleep(0.5)
+        yield fleet
+
+
+async def receive(
+    fleet: RouterFleet, router: int, stream: ResumedStream, max_events: int = EVENTS
+) -> None:
+    """Send one attempt of a stream's caller, which leaves after `max_events` events in all."""
+    after = stream.body.count(b"\n\n")
+    begun_by = stream.attempts[0].encode() if after else b""
+    headers = ((b"last-event-id", b"%d" % after), (b"resumes", begun_by))
+    request = fleet.request("/resume/x", *(headers if after else ()))
+    stream.attempts.append((first_header(request.headers, b"x-attempt-id") or b"").decode())
+    pool = PeerPool(HOST, fleet.ports[router])
+    status = 0
+    with trio.move_on_after(4):
+        try:
+            exchange = await pool.send(request)
+            status = exchange.status
+            async for chunk in exchange.chunks():
+                if status == 200:
+                    stream.body += chunk
+                if stream.body.count(b"\n\n") >= max_events:
+                    break
+            exchange.abandon()
+        except HttpError:
+            pass
+    stream.body = stream.body[: stream.body.rfind(b"\n\n") + 2] if stream.body else b""
+    pool.close()
+    stream.statuses.append(status)
+
+
+def versions_of(fleet: RouterFleet, stream: ResumedStream) -> set[str]:
+    """Return the software versions at which a stream's attempts ran."""
+    return {
+        VERSION_BY_ENGINE.get(name, name)
+        for name, engine in fleet.engine_by_name.items()
+        for attempt in stream.attempts
+        if attempt in engine.ran
+    }
+
+
+def mixed(fleet: RouterFleet, streams: list[ResumedStream]) -> list[ResumedStream]:
+    return [stream for stream in streams if len(versions_of(fleet, stream)) > 1]
+
+
+async def begin_and_resume(fleet: RouterFleet) -> list[ResumedStream]:
+    """Return streams that callers began at the first router and resumed at the last one."""
+    streams = [ResumedStream() for _ in range(STREAMS)]
+    for router, max_events in ((0, EVENTS_BEFORE_BREAK), (len(fleet.nodes) - 1, EVENTS)):
+        async with trio.open_nursery() as nursery:
+            for stream in streams:
+                nursery.start_soon(receive, fleet, router, stream, max_events)
+                await trio.sleep(0.02)
+    return streams
+
 
 class TestLogLines:
     async def test_sent_request_tells_the_version_and_the_resumed_attempt(self, lines) -> None:
@@ -23,3 +122,43 @@
             headers = [(b"resumes", value) for value in values]
             exchange = await env.send("/resume/x", (b"last-event-id", b"2"), *headers)
         assert exchange.status == 400
+
+
+class TestStreamsOverTwoVersions:
+    async def test_stream_resumed_by_its_caller_at_another_version(self) -> None:
+        async with mixed_fleet() as fleet:
+            streams = await begin_and_resume(fleet)
+            assert mixed(fleet, streams) == []
+            complete = [stream for stream in streams if stream.is_complete]
+            assert len(complete) >= MIN_RESUMED_SHARE * STREAMS
+            began_at = Counter(min(versions_of(fleet, stream)) for stream in streams)
+            assert min(began_at["v1"], began_at["v2"]) >= STREAMS // 6
+
+    async def test_broken_stream_continued_by_the_router_at_another_version(self) -> None:
+        async with mixed_fleet(routers=1) as fleet:
+            for engine in fleet.engine_by_name.values():
+                engine.script.break_after = EVENTS_BEFORE_BREAK
+            streams = [ResumedStream() for _ in range(STREAMS)]
+            for stream in streams:
+                await receive(fleet, 0, stream)
+            assert mixed(fleet, streams) == []
+
+    async def test_stream_that_began_before_the_second_version_came(self) -> None:
+        async with open_router_fleet(routers=2, engines=0) as fleet:
+            for name in ("a0", "a1"):
+                await fleet.add_engine(name, "v1", events=EVENTS, gap_s=0.03)
+            await wait_until(lambda: all(len(fleet.upstreams(router)) == 2 for router in (0, 1)))
+            await trio.sleep(0.5)
+            streams = [ResumedStream() for _ in range(STREAMS)]
+            async with trio.open_nursery() as nursery:
+                for stream in streams:
+                    nursery.start_soon(receive, fleet, 0, stream, EVENTS_BEFORE_BREAK)
+            for name in ("b0", "b1"):
+                await fleet.add_engine(name, "v2", events=EVENTS, gap_s=0.03)
+            await wait_until(lambda: all(len(fleet.upstreams(router)) == 4 for router in (0, 1)))
+            async with trio.open_nursery() as nursery:
+                for stream in streams:
+                    nursery.start_soon(receive, fleet, 1, stream)
+            assert mixed(fleet, streams) == []
+            complete = [stream for stream in streams if stream.is_complete]
+            assert len(complete) >= MIN_RESUMED_SHARE * STREAMS
