Streams: the attempts of a stream go to the same pool; records that are late count as lost sooner

Cause: a route over two pools drew the pool of each attempt at random, so that a resumed stream could continue at another service. Change: the pool of a resumable stream is chosen by the id of its first attempt; streams prefer the version that needs no record from 0.05 s after an append without an answer.

--- a/railtide/configuration/routes.py
+++ b/railtide/configuration/routes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from railtide.membership.addresses import weighted_choice
 from railtide.upstreams.slow_start import SlowStart
 
 __all__ = ["PoolSettings", "Route", "RouteTable", "PoolShare", "choose_pool"]
@@ -108,9 +109,19 @@
         return None
 
 
-def choose_pool(route: Route, rng: Random) -> str:
-    """Draw a pool of the route at random, by weight."""
+def choose_pool(route: Route, rng: Random, stream: str = "") -> str:
+    """Draw a pool of the route at random, by weight; for the attempts of a stream always the same.
+
+    Examples
+    --------
+    >>> shares = (PoolShare("old", 50.0), PoolShare("new", 50.0))
+    >>> route = Route("r", "a", "/", shares, True, True, True, 1.0, 1.0, 0, 1, False)
+    >>> len({choose_pool(route, Random(seed), "r1") for seed in range(20)})
+    1
+    """
     if len(route.shares) == 1:
         return route.shares[0].pool
-    weights = [share.weight for share in route.shares]
-    return rng.choices(route.shares, weights)[0].pool
+    weights = {share.pool: share.weight for share in route.shares if share.weight > 0}
+    if stream and weights:
+        return weighted_choice(stream, weights)
+    return rng.choices(route.shares, [share.weight for share in route.shares])[0].pool
--- a/railtide/membership/addresses.py
+++ b/railtide/membership/addresses.py
@@ -1,15 +1,18 @@
 """Selects the routers that callers of an account are sent to. Free of side effects."""
 
+import math
 import re
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import xxhash
 
-__all__ = ["RouterEndpoint", "endpoints_for", "is_address", "rendezvous_order"]
+__all__ = ["RouterEndpoint", "endpoints_for", "is_address", "rendezvous_order", "weighted_choice"]
 
 ADDRESS = re.compile(r"[A-Za-z0-9._-]+:(\d{1,5})", re.ASCII)
 MAX_PORT = 65_535
+HASHES = 2.0**64
+"""Number of values of the hash."""
 
 
 @dataclass(frozen=True)
@@ -54,6 +57,28 @@
     return sorted(names, key=lambda name: _weight(key, name), reverse=True)
 
 
+def weighted_choice(key: str, weight_by_name: Mapping[str, float]) -> str:
+    """Return a name by weighted rendezvous hashing for `key`; all weights are positive.
+
+    References
+    ----------
+    C. Schindelhauer and G. Schomaker, "Weighted distributed hash tables", SPAA 2005.
+
+    Examples
+    --------
+    >>> weighted_choice("a", {"v1": 1.0})
+    'v1'
+    >>> chosen = [weighted_choice(str(n), {"v1": 0.25, "v2": 0.75}) for n in range(1000)]
+    >>> 200 < chosen.count("v1") < 300
+    True
+    """
+    return max(sorted(weight_by_name), key=lambda name: _score(key, name, weight_by_name[name]))
+
+
+def _score(key: str, name: str, weight: float) -> float:
+    return -weight / math.log((_weight(key, name) + 0.5) / HASHES)
+
+
 def _weight(key: str, name: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode())
 
--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -50,7 +50,8 @@
     target = request.target.decode("latin-1")
     route = _route_of(request, snapshot)
     account = _account_of(request, snapshot, route)
-    pool = choose_pool(route, rng)
+    resumption = _resumption_of(request, route)
+    pool = choose_pool(route, rng, _stream_of(request, route, resumption))
     deadline_s = min(_deadline_s(request), route.timeout_s)
     tokens = _declared_tokens(request)
     priority = _priority_of(route, account)
@@ -82,7 +83,7 @@
         headers=_forwarded_headers(request, account, route.resumable),
         content=content_digest(account.name if account else "", target, request.body),
         route=route.name,
-        resumption=_resumption_of(request, route),
+        resumption=resumption,
     )
 
 
@@ -99,6 +100,14 @@
     return Resumption(after.decode("latin-1"), attempt.decode("latin-1"))
 
 
+def _stream_of(request: HttpRequest, route: Route, resumption: Resumption | None) -> str:
+    """Return the id of the attempt that began a resumable stream, the same for all its attempts."""
+    if resumption:
+        return resumption.attempt
+    attempt = first_header(request.headers, header_names.ATTEMPT_ID) if route.resumable else None
+    return (attempt or b"").decode("latin-1")
+
+
 def outline_of(request: HttpRequest, length: int, snapshot: Snapshot) -> RequestOutline:
     """Return what the head of a client's request tells of it, given the length of its body.
 
--- a/railtide/platform/tests/test_stream_versions.py
+++ b/railtide/platform/tests/test_stream_versions.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 import trio
 
@@ -16,7 +17,7 @@
 from railtide.http.messages import first_header
 from railtide.platform.tests.hosts import HOST
 from railtide.platform.tests.router_fleet import RouterFleet, open_router_fleet, wait_until
-from railtide.platform.tests.test_end_to_end import body_of, router_environment
+from railtide.platform.tests.test_end_to_end import body_of, desired_state, router_environment
 
 STREAMS = 24
 EVENTS = 8
@@ -209,3 +210,27 @@
 async def leave_list_after(fleet: RouterFleet, name: str, seconds: float) -> None:
     await trio.sleep(seconds)
     fleet.store.put("keyed.servers", name, b"")
+
+
+class TestRouteOverTwoPools:
+    async def test_resumed_stream_goes_to_the_pool_that_began_it(self) -> None:
+        split = [{"service": "s", "weight": 50}, {"service": "other", "weight": 50}]
+        state = msgspec.json.decode(desired_state())
+        for route in state["routes"]:
+            if route["name"] == "resume":
+                route["split"] = split
+        async with router_environment(msgspec.json.encode(state)) as env:
+            pools = {"s": await env.add_engine("e1", events=4)}
+            other = await env.add_engine("e2", events=4)
+            env.put_engine("e2", service="other")
+            pools["other"] = other
+            with trio.fail_after(5):
+                while "other" not in env.node.schedulers_by_pool:
+                    await trio.sleep(0.01)
+            for _ in range(16):
+                await body_of(await env.send("/resume/x"))
+                begun = f"r{env.sent_count}"
+                headers = ((b"last-event-id", b"2"), (b"resumes", begun.encode()))
+                await body_of(await env.send("/resume/x", *headers))
+                pool_of = {name: pool for pool, engine in pools.items() for name in engine.ran}
+                assert pool_of[begun] == pool_of[f"r{env.sent_count}"]
--- a/railtide/streams/origins.py
+++ b/railtide/streams/origins.py
@@ -35,8 +35,11 @@
 behind a link of 5 Mbit/s that is full."""
 RECORD_WAIT_S = 0.5
 """Longest time for which a stream's first event is held back for its record."""
-PROMPT_S = 0.25
-"""Records within this time delay no stream: the first event takes about as long."""
+PROMPT_S = 0.05
+"""An append that takes longer means that the store may be lost: it usually takes some milliseconds.
+Streams that were sent to a version that needs a record by then may go on without one."""
+MAX_APPEND_INTERVAL_S = 0.25
+"""Longest interval of appends at which records are stored before the first events."""
 FLEET_APPENDS_PER_S = 100.0
 """Appends of records by all routers together: a sixth of the smallest store's limit."""
 MAX_BATCH = 200
@@ -306,12 +309,14 @@
 
     def _records_promptly(self) -> bool:
         """Return whether a record that is due now would be stored in time for the first event."""
-        oldest = min((p.due_at for p in self._pending.values()), default=trio.current_time())
+        now = trio.current_time()
+        interval_s = self._append_interval_s()
+        oldest = min((pending.due_at for pending in self._pending.values()), default=now)
         return (
             self._is_prompt
             and self._agreement.reachable
-            and self._append_interval_s() <= PROMPT_S
-            and trio.current_time() - oldest <= PROMPT_S
+            and interval_s <= MAX_APPEND_INTERVAL_S
+            and now - oldest <= PROMPT_S + interval_s
         )
 
     def _append_interval_s(self) -> float:
--- a/railtide/streams/shares.py
+++ b/railtide/streams/shares.py
@@ -9,41 +9,14 @@
 this step have ended, the new shares replace the old ones.
 """
 
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass
-from hashlib import blake2b
 
-__all__ = ["VersionShares", "shares_of", "shift_between", "version_by_hash"]
+from railtide.membership.addresses import weighted_choice
 
-HASH_BYTES = 8
-SHARE_DIGITS = 3
-
-
-def version_by_hash(stream: str, shares: Mapping[str, float]) -> str:
-    """Return the version that shares assign to a stream.
+__all__ = ["VersionShares", "shares_of", "shift_between"]
 
-    References
-    ----------
-    D. Thaler and C. Ravishankar, "Using name-based mappings to increase hit rates", IEEE/ACM
-    Transactions on Networking 6(1), 1998; weights as in C. Schindelhauer and G. Schomaker,
-    "Weighted distributed hash tables", SPAA 2005.
-
-    Examples
-    --------
-    >>> version_by_hash("a", {"v1": 1.0})
-    'v1'
-    >>> assigned = [version_by_hash(str(n), {"v1": 0.25, "v2": 0.75}) for n in range(1000)]
-    >>> 200 < assigned.count("v1") < 300
-    True
-    """
-    return max(sorted(shares), key=lambda version: _score(stream, version, shares[version]))
-
-
-def _score(stream: str, version: str, share: float) -> float:
-    digest = blake2b(f"{stream}\0{version}".encode(), digest_size=HASH_BYTES).digest()
-    uniform = (int.from_bytes(digest, "big") + 0.5) / 256**HASH_BYTES
-    return -share / math.log(uniform)
+SHARE_DIGITS = 3
 
 
 def shares_of(slots_by_version: Mapping[str, int]) -> dict[str, float]:
@@ -105,9 +78,9 @@
 
     def version_of(self, stream: str) -> str:
         """Return the version at which a stream without a record began."""
-        return version_by_hash(stream, self.shares)
+        return weighted_choice(stream, self.shares)
 
     def needs_record(self, stream: str, version: str) -> bool:
         """Return whether a stream that begins at a version must be recorded."""
         in_use = [self.shares, *([self.next_shares] if self.next_shares else [])]
-        return any(version_by_hash(stream, shares) != version for shares in in_use)
+        return any(weighted_choice(stream, shares) != version for shares in in_use)
