Streams: an event is not passed on while its record can't be stored

Change: after 0.25 s without its record, such a stream begins again at the version that needs none, if that has a free slot and attempts and retries are left. A late write of a former attempt is replaced.

--- a/railtide/lanes/pool_upstreams.py
+++ b/railtide/lanes/pool_upstreams.py
@@ -99,9 +99,10 @@
         upstreams = _of_version(self.by_name.values(), version)
         return any(self.admission.available_at(u, now) < math.inf for u in upstreams)
 
-    def any_free(self, urgency: Urgency, now: float) -> bool:
-        """Return whether any upstream accepts one more request now."""
-        return any(self.is_free(upstream, urgency, now) for upstream in self.by_name.values())
+    def any_free(self, urgency: Urgency, now: float, version: str | None = None) -> bool:
+        """Return whether any upstream, of a software version if given, accepts a request now."""
+        upstreams = _of_version(self.by_name.values(), version)
+        return any(self.is_free(upstream, urgency, now) for upstream in upstreams)
 
     def block_summary(self, now: float) -> str:
         """Return, as text, how many upstreams this router may not send to, by reason."""
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -350,10 +350,18 @@
         """
         return min(request.deadline, max(request.goal_at - self._first_byte_s, now))
 
+    def accepts(self, version: str) -> bool:
+        """Return whether upstreams of a software version accept requests, now or later."""
+        return self._upstreams.any_usable(trio.current_time(), version)
+
+    def has_free(self, urgency: Urgency, version: str) -> bool:
+        """Return whether an upstream of a software version accepts one more request now."""
+        return self._upstreams.any_free(urgency, trio.current_time(), version)
+
     def check_version(self, request: WaitingRequest) -> None:
         """Raise `NoUpstream` if no upstream of a request's required version is left."""
         version = request.required_version
-        if version is None or self._upstreams.any_usable(trio.current_time(), version):
+        if version is None or self.accepts(version):
             return
         raise NoUpstream(
             f"no upstream of the stream's software version {version!r} accepts requests",
--- a/railtide/platform/tests/test_stream_versions.py
+++ b/railtide/platform/tests/test_stream_versions.py
@@ -18,6 +18,9 @@
 from railtide.platform.tests.hosts import HOST
 from railtide.platform.tests.router_fleet import RouterFleet, open_router_fleet, wait_until
 from railtide.platform.tests.test_end_to_end import body_of, desired_state, router_environment
+from railtide.streams.agreement import SHARES_TOPIC
+from railtide.streams.records import pool_key, shares_value
+from railtide.streams.shares import VersionShares
 
 STREAMS = 24
 EVENTS = 8
@@ -45,8 +48,10 @@
     """Yield routers before two upstreams of each of two software versions."""
     script = {"events": EVENTS, "gap_s": 0.03} | script
     async with open_router_fleet(routers=routers, engines=0) as fleet:
+        shares = shares_value("s", VersionShares(1, {"v1": 1.0}))
+        fleet.store.put(SHARES_TOPIC, pool_key("s"), shares)
         for name, version in VERSION_BY_ENGINE.items():
-            await fleet.add_engine(name, version, **script)
+            await fleet.add_engine(name, version, label=f"@{version}", **script)
         everywhere = range(len(fleet.nodes))
         await wait_until(lambda: all(len(fleet.upstreams(router)) == 4 for router in everywhere))
         await trio.sleep(0.5)
@@ -81,18 +86,13 @@
     stream.statuses.append(status)
 
 
-def versions_of(fleet: RouterFleet, stream: ResumedStream) -> set[str]:
-    """Return the software versions at which a stream's attempts ran."""
-    return {
-        VERSION_BY_ENGINE.get(name, name)
-        for name, engine in fleet.engine_by_name.items()
-        for attempt in stream.attempts
-        if attempt in engine.ran
-    }
+def versions_of(stream: ResumedStream) -> set[str]:
+    """Return the software versions that a stream's events name."""
+    return {line.partition(b"@")[2].decode() for line in stream.body.split(b"\n") if b"@" in line}
 
 
-def mixed(fleet: RouterFleet, streams: list[ResumedStream]) -> list[ResumedStream]:
-    return [stream for stream in streams if len(versions_of(fleet, stream)) > 1]
+def mixed(streams: list[ResumedStream]) -> list[ResumedStream]:
+    return [stream for stream in streams if len(versions_of(stream)) > 1]
 
 
 async def begin_and_resume(fleet: RouterFleet) -> list[ResumedStream]:
@@ -130,10 +130,10 @@
     async def test_stream_resumed_by_its_caller_at_another_version(self) -> None:
         async with mixed_fleet() as fleet:
             streams = await begin_and_resume(fleet)
-            assert mixed(fleet, streams) == []
+            assert mixed(streams) == []
             complete = [stream for stream in streams if stream.is_complete]
             assert len(complete) >= MIN_RESUMED_SHARE * STREAMS
-            began_at = Counter(min(versions_of(fleet, stream)) for stream in streams)
+            began_at = Counter(min(versions_of(stream)) for stream in streams)
             assert min(began_at["v1"], began_at["v2"]) >= STREAMS // 6
 
     async def test_broken_stream_continued_by_the_router_at_another_version(self) -> None:
@@ -143,12 +143,12 @@
             streams = [ResumedStream() for _ in range(STREAMS)]
             for stream in streams:
                 await receive(fleet, 0, stream)
-            assert mixed(fleet, streams) == []
+            assert mixed(streams) == []
 
     async def test_stream_that_began_before_the_second_version_came(self) -> None:
         async with open_router_fleet(routers=2, engines=0) as fleet:
             for name in ("a0", "a1"):
-                await fleet.add_engine(name, "v1", events=EVENTS, gap_s=0.03)
+                await fleet.add_engine(name, "v1", events=EVENTS, gap_s=0.03, label="@v1")
             await wait_until(lambda: all(len(fleet.upstreams(router)) == 2 for router in (0, 1)))
             await trio.sleep(0.5)
             streams = [ResumedStream() for _ in range(STREAMS)]
@@ -156,12 +156,12 @@
                 for stream in streams:
                     nursery.start_soon(receive, fleet, 0, stream, EVENTS_BEFORE_BREAK)
             for name in ("b0", "b1"):
-                await fleet.add_engine(name, "v2", events=EVENTS, gap_s=0.03)
+                await fleet.add_engine(name, "v2", events=EVENTS, gap_s=0.03, label="@v2")
             await wait_until(lambda: all(len(fleet.upstreams(router)) == 4 for router in (0, 1)))
             async with trio.open_nursery() as nursery:
                 for stream in streams:
                     nursery.start_soon(receive, fleet, 1, stream)
-            assert mixed(fleet, streams) == []
+            assert mixed(streams) == []
             complete = [stream for stream in streams if stream.is_complete]
             assert len(complete) >= MIN_RESUMED_SHARE * STREAMS
 
@@ -174,7 +174,7 @@
             for name in ("b0", "b1"):
                 fleet.store.put("keyed.servers", name, b"")
             await wait_until(lambda: len(fleet.upstreams(1)) == 2)
-            gone = [stream for stream in streams if versions_of(fleet, stream) == {"v2"}]
+            gone = [stream for stream in streams if versions_of(stream) == {"v2"}]
             for stream in gone:
                 await receive(fleet, 1, stream)
             assert gone and all(stream.statuses == [200, 503] for stream in gone)
@@ -190,7 +190,7 @@
                 nursery.start_soon(leave_list_after, fleet, "b0", 0.05)
                 for stream in streams:
                     nursery.start_soon(receive, fleet, 0, stream)
-            assert mixed(fleet, streams) == []
+            assert mixed(streams) == []
             broken = [stream for stream in streams if not stream.is_complete]
             assert broken and all(stream.statuses == [200] for stream in broken)
 
@@ -203,7 +203,7 @@
                 async with trio.open_nursery() as nursery:
                     for stream in streams:
                         nursery.start_soon(receive, fleet, router, stream, max_events)
-            assert mixed(fleet, streams) == []
+            assert mixed(streams) == []
             assert all(stream.statuses[0] == 200 for stream in streams)
 
 
@@ -234,3 +234,21 @@
                 await body_of(await env.send("/resume/x", *headers))
                 pool_of = {name: pool for pool, engine in pools.items() for name in engine.ran}
                 assert pool_of[begun] == pool_of[f"r{env.sent_count}"]
+
+
+class TestRecordThatIsNotStored:
+    async def test_stream_begins_again_at_the_version_that_needs_no_record(self, lines) -> None:
+        """An event that was passed on without a record may be continued at another version."""
+        async with mixed_fleet() as fleet:
+            for engine in fleet.engine_by_name.values():
+                engine.script.gap_s = 0.1
+            streams = [ResumedStream() for _ in range(STREAMS // 3)]
+            async with trio.open_nursery() as nursery:
+                for stream in streams:
+                    nursery.start_soon(receive, fleet, 0, stream)
+                await trio.sleep(0.02)
+                fleet.store.down = True
+            assert all(stream.is_complete for stream in streams)
+            assert mixed(streams) == []
+            assert "stream-moved" in {line.get("code") for line in lines}
+            assert {stream.body.count(b"id: 1\n") for stream in streams} == {1}
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -31,6 +31,7 @@
 from railtide.telemetry.traceparent import traceparent_of
 from railtide.upstreams.client import UpstreamCall
 from railtide.upstreams.errors import (
+    StreamMoved,
     UpstreamError,
     UpstreamFailed,
     UpstreamLost,
@@ -94,7 +95,7 @@
             call.affinity,
             trio.current_time() - reservation.waited_s + call.goal_s if call.goal_s else math.inf,
         )
-        self._version = StreamVersion(call, self._waiting, services.origins)
+        self._version = StreamVersion(call, self._waiting, services.origins, self._may_move_stream)
         self._slot: Slot | None = None
         self._settled = False
         self._bill: Submission | None = None
@@ -298,7 +299,8 @@
         now = trio.current_time()
         if isinstance(err, UpstreamNotListening):
             note_crash(upstream, now)
-        if not isinstance(err, UpstreamRefused) or now >= upstream.resting_until:
+        is_fault = not isinstance(err, UpstreamRefused) or now >= upstream.resting_until
+        if is_fault and not isinstance(err, StreamMoved):
             note_failure(upstream, now)
         self._services.counters.add(f"attempts_failed_{err.code.replace('-', '_')}")
         logger.bind(
@@ -324,9 +326,8 @@
         await self._check_quarantine()
         resumable = self._call.resumable and self._relay.resumable
         answer_begun = self._sink.started and not resumable
-        attempt_limit = self._call.max_attempts or self._services.options.max_attempts
-        send_limit = attempt_limit + self._services.options.max_extra_refusals
-        if answer_begun or len(self._lost_attempts) >= attempt_limit or attempt >= send_limit:
+        send_limit = self._attempt_limit + self._services.options.max_extra_refusals
+        if answer_begun or len(self._lost_attempts) >= self._attempt_limit or attempt >= send_limit:
             self._log_not_retried("answer-begun" if answer_begun else "tries-used")
             raise err
         self._scheduler.check_version(self._waiting)
@@ -338,9 +339,19 @@
             self._log_not_retried("account-budget")
             raise err
 
+    @property
+    def _attempt_limit(self) -> int:
+        return self._call.max_attempts or self._services.options.max_attempts
+
     def _may_retry(self, err: UpstreamError) -> bool:
-        """Take a retry from the pool's budget, unless nothing arrived at an upstream."""
-        return isinstance(err, UpstreamUnreachable) or self._retries.try_spend()
+        """Take a retry from the pool's budget, unless nothing arrived or one was taken before."""
+        return isinstance(err, UpstreamUnreachable | StreamMoved) or self._retries.try_spend()
+
+    def _may_move_stream(self, version: str) -> bool:
+        """Take a retry for a stream that should begin at another software version."""
+        has_attempts = len(self._lost_attempts) + 1 < self._attempt_limit
+        has_free = has_attempts and self._scheduler.has_free(self._call.urgency, version)
+        return has_free and self._retries.try_spend()
 
     async def _check_quarantine(self) -> None:
         """Raise if the content is quarantined, which its last attempt may have caused."""
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -17,6 +17,7 @@
 from railtide.requests.services import Services
 from railtide.upstreams.client import UpstreamAnswer, UpstreamCall
 from railtide.upstreams.errors import (
+    StreamMoved,
     UpstreamDisconnected,
     UpstreamFailed,
     UpstreamLost,
@@ -132,10 +133,17 @@
         if not events:
             return
         if not self._sink.started:
-            await self._before_first_byte()
+            await self._begin()
             await self._sink.start(OK_STATUS, content_type, self._call.request_id, headers)
         await self._sink.write(events)
 
+    async def _begin(self) -> None:
+        try:
+            await self._before_first_byte()
+        except StreamMoved:
+            self._events = EventStream()  # none of the events was passed on
+            raise
+
 
 def pass_through_relay(
     call: Call,
--- a/railtide/requests/stream_version.py
+++ b/railtide/requests/stream_version.py
@@ -1,10 +1,13 @@
 """Keeps one request's stream at the software version that began it."""
 
+from collections.abc import Callable
+
 from railtide.lanes.scheduler import WaitingRequest
 from railtide.membership.instances import Instance
 from railtide.requests.call import Call
 from railtide.streams.origins import StreamOrigins
 from railtide.streams.records import StreamOrigin
+from railtide.upstreams.errors import StreamMoved
 
 __all__ = ["StreamVersion"]
 
@@ -18,12 +21,21 @@
     waiting : WaitingRequest
         Its required and its preferred version are set.
     origins : StreamOrigins
+    may_move : callable
+        Returns whether another attempt may be made, at an upstream of the given version.
     """
 
-    def __init__(self, call: Call, waiting: WaitingRequest, origins: StreamOrigins) -> None:
+    def __init__(
+        self,
+        call: Call,
+        waiting: WaitingRequest,
+        origins: StreamOrigins,
+        may_move: Callable[[str], bool],
+    ) -> None:
         self._call = call
         self._waiting = waiting
         self._origins = origins
+        self._may_move = may_move
 
     async def prepare(self) -> None:
         """Determine the version before the request is sent.
@@ -46,14 +58,32 @@
     def note_sent(self, upstream: Instance) -> None:
         """Note that the request is sent to an upstream, which may begin its stream."""
         call = self._call
-        if call.resumable and not call.resumption and self._waiting.required_version is None:
+        if call.resumable and not call.resumption:
             origin = StreamOrigin(call.pool, upstream.software_version)
             self._origins.note_sent(origin, call.account, call.request_id)
 
     async def keep(self, upstream: Instance) -> None:
-        """Keep the stream at the version of the upstream that sends its first event."""
-        if not self._call.resumable:
+        """Keep the stream at the version of the upstream that sends its first event.
+
+        Raises
+        ------
+        StreamMoved
+            The version needs a record that can't be stored now, and the stream should begin at the
+            version that needs none.
+        """
+        call = self._call
+        if not call.resumable:
             return
+        if not call.resumption and not await self._origins.wait_until_recorded(
+            call.account, call.request_id
+        ):
+            self._move_from(upstream.software_version)
         self._waiting.required_version = upstream.software_version
-        if not self._call.resumption:
-            await self._origins.wait_until_recorded(self._call.account, self._call.request_id)
+
+    def _move_from(self, version: str) -> None:
+        """Raise `StreamMoved` if the stream can begin at a version that needs no record."""
+        call = self._call
+        other = self._origins.version_without_record(call.pool, call.account, call.request_id)
+        if other not in (None, version) and self._may_move(other):
+            self._waiting.required_version = other
+            raise StreamMoved("the record of the stream's version can't be stored in time")
--- a/railtide/streams/origins.py
+++ b/railtide/streams/origins.py
@@ -33,7 +33,7 @@
 LOOKUP_S = 0.5
 """Longest wait of a resumed stream for the records: a read takes milliseconds, and up to 0.45 s
 behind a link of 5 Mbit/s that is full."""
-RECORD_WAIT_S = 0.5
+RECORD_WAIT_S = 0.25
 """Longest time for which a stream's first event is held back for its record."""
 PROMPT_S = 0.05
 """An append that takes longer means that the store may be lost: it usually takes some milliseconds.
@@ -81,8 +81,12 @@
         """Record that an attempt was sent to a version, where a stream may now begin."""
 
     @abstractmethod
-    async def wait_until_recorded(self, account: str, attempt: str) -> None:
-        """Return once the record of a stream is stored, if it needs one."""
+    async def wait_until_recorded(self, account: str, attempt: str) -> bool:
+        """Wait for the record of a stream, if it needs one; return whether it is stored in time."""
+
+    @abstractmethod
+    def version_without_record(self, pool: str, account: str, attempt: str) -> str | None:
+        """Return the version at which a stream needs no record, None if there is none."""
 
 
 class NoOrigins(StreamOrigins):
@@ -99,8 +103,13 @@
     def note_sent(self, origin: StreamOrigin, account: str, attempt: str) -> None:
         """Do nothing; see `StreamOrigins.note_sent`."""
 
-    async def wait_until_recorded(self, account: str, attempt: str) -> None:
-        """Return at once; see `StreamOrigins.wait_until_recorded`."""
+    async def wait_until_recorded(self, account: str, attempt: str) -> bool:
+        """Return True at once; see `StreamOrigins.wait_until_recorded`."""
+        return True
+
+    def version_without_record(self, pool: str, account: str, attempt: str) -> str | None:
+        """Return None; see `StreamOrigins.version_without_record`."""
+        return None
 
 
 @dataclass
@@ -302,10 +311,18 @@
 
     def preferred_version(self, pool: str, account: str, attempt: str) -> str | None:
         """Return the version that needs no record, while records take long."""
-        shares = self._agreement.by_pool.get(pool)
-        if shares is None or self._records_promptly():
+        if self._records_promptly():
             return None
-        return shares.version_of(stream_key(account, attempt))
+        return self.version_without_record(pool, account, attempt)
+
+    def version_without_record(self, pool: str, account: str, attempt: str) -> str | None:
+        """Return what the shares assign; see `StreamOrigins.version_without_record`.
+
+        While shares are changing, a stream may need a record at any version. Without it, the shares
+        that hold decide.
+        """
+        shares = self._agreement.by_pool.get(pool)
+        return shares.version_of(stream_key(account, attempt)) if shares else None
 
     def _records_promptly(self) -> bool:
         """Return whether a record that is due now would be stored in time for the first event."""
@@ -338,38 +355,41 @@
             self._counters.add("stream_records")
             self._write(key, origin_value(origin))
 
-    async def wait_until_recorded(self, account: str, attempt: str) -> None:
-        """Wait for the record of a stream; see `StreamOrigins.wait_until_recorded`.
-
-        The stream goes on without a record if the store doesn't answer in time.
-        """
+    async def wait_until_recorded(self, account: str, attempt: str) -> bool:
+        """Wait for the record of a stream; see `StreamOrigins.wait_until_recorded`."""
         pending = self._pending.get(stream_key(account, attempt))
         if pending is None:
-            return
-        with trio.move_on_after(RECORD_WAIT_S) as scope:
+            return True
+        with trio.move_on_after(RECORD_WAIT_S):
             await pending.stored.wait()
-        if scope.cancelled_caught:
-            self._counters.add("stream_records_late")
-            logger.bind(attempt=attempt).warning("stream-record-late")
+            return True
+        self._counters.add("stream_records_late")
+        logger.bind(attempt=attempt).warning("stream-record-late")
+        return False
 
     # -- records ------------------------------------------------------------------------------
 
     def _apply_records(self, records: list[KeyedRecord]) -> None:
         for record in records:
             known = self._stream_by_key.get(record.key)
-            if known and known.is_own:
-                continue
             if not record.value:
-                self._stream_by_key.pop(record.key, None)
+                if known and not known.is_own:
+                    del self._stream_by_key[record.key]
                 continue
             try:
-                origin = origin_of(record)
+                self._apply_origin(record.key, origin_of(record), known)
             except InvalidObject as err:
                 logger.bind(key=record.key, error=err.detail).debug("stream-record-unreadable")
-                continue
-            since = known.known_at if known else trio.current_time()
-            self._stream_by_key.pop(record.key, None)
-            self._stream_by_key[record.key] = _KnownStream(origin, since, False, True)
+
+    def _apply_origin(self, key: str, origin: StreamOrigin, known: _KnownStream | None) -> None:
+        """Apply a record; a late write of this router's own is replaced by the present one."""
+        if known and known.is_own:
+            if origin != known.origin and key not in self._pending:
+                self._write(key, origin_value(known.origin))
+            return
+        since = known.known_at if known else trio.current_time()
+        self._stream_by_key.pop(key, None)
+        self._stream_by_key[key] = _KnownStream(origin, since, False, True)
 
     def _write(self, key: str, value: bytes, delay_s: float = 0.0) -> None:
         former = self._pending.get(key)
--- a/railtide/streams/tests/test_origins.py
+++ b/railtide/streams/tests/test_origins.py
@@ -54,10 +54,14 @@
                 nursery.start_soon(self.agreement.run)
                 nursery.start_soon(self.origins.run)
 
-    async def begin(self, attempt: str, origin: StreamOrigin) -> None:
-        """Begin a stream and pass its first event on."""
+    async def begin(self, attempt: str, origin: StreamOrigin) -> str:
+        """Begin a stream and pass its first event on; return its version."""
         self.origins.note_sent(origin, ACCOUNT, attempt)
-        await self.origins.wait_until_recorded(ACCOUNT, attempt)
+        if await self.origins.wait_until_recorded(ACCOUNT, attempt):
+            return origin.version
+        other = self.origins.version_without_record(POOL, ACCOUNT, attempt)
+        self.origins.note_sent(StreamOrigin(POOL, other), ACCOUNT, attempt)
+        return other
 
     async def version_of(self, attempt: str) -> str | None:
         return await self.origins.version_of(POOL, ACCOUNT, attempt)
@@ -249,19 +253,52 @@
         fleet = await started(nursery)
         fleet.store.down = True
         began = trio.current_time()
-        await fleet.routers[0].begin("a", V2)
+        origins = fleet.routers[0].origins
+        origins.note_sent(V2, ACCOUNT, "a")
+        assert not await origins.wait_until_recorded(ACCOUNT, "a")
         assert trio.current_time() - began == pytest.approx(RECORD_WAIT_S)
+        assert origins.version_without_record(POOL, ACCOUNT, "a") == "v1"
         assert [line["attempt"] for line in lines if line["event"] == "stream-record-late"] == ["a"]
         fleet.store.down = False
         await trio.sleep(3)
         assert await fleet.routers[1].version_of("a") == "v2"
 
+    async def test_missing_record_is_not_trusted_right_after_an_outage(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await started(nursery)
+        fleet.store.down = True
+        await trio.sleep(3)
+        fleet.routers[0].origins.note_sent(V2, ACCOUNT, "a")
+        await trio.sleep(1)
+        fleet.store.down = False
+        for _ in range(20):
+            try:
+                assert await fleet.routers[1].version_of("a") == "v2"
+            except StreamVersionUnknown:
+                pass
+            await trio.sleep(0.05)
+        await trio.sleep(2)
+        assert await fleet.routers[1].version_of("a") == "v2"
+
     async def test_lost_answer_is_written_again(self, nursery, autojump_clock) -> None:
         fleet = await started(nursery)
         fleet.store.lose_answers = 2
         await fleet.routers[0].begin("a", V2)
         assert await fleet.routers[1].version_of("a") == "v2"
 
+    async def test_late_write_of_a_former_attempt_is_replaced(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await started(nursery)
+        fleet.store.late_appends = 1
+        fleet.routers[0].origins.note_sent(V2, ACCOUNT, "a")
+        await trio.sleep(0.01)
+        await fleet.routers[0].begin("a", V1)
+        fleet.store.apply_late_appends()
+        await trio.sleep(6)
+        assert await fleet.routers[1].version_of("a") == "v1"
+
     async def test_rolled_back_records_are_written_again(self, nursery, autojump_clock) -> None:
         fleet = await started(nursery)
         copy = fleet.store.copy()
@@ -316,9 +353,7 @@
         attempt = f"s{len(self.version_by_attempt)}"
         preferred = router.origins.preferred_version(POOL, ACCOUNT, attempt)
         version = preferred or self.rng.choice(("v1", "v2"))
-        await router.begin(attempt, StreamOrigin(POOL, version))
-        if not router.scope.cancel_called:
-            self.version_by_attempt[attempt] = version
+        self.version_by_attempt[attempt] = await router.begin(attempt, StreamOrigin(POOL, version))
 
     async def resume(self) -> None:
         if not self.version_by_attempt:
--- a/railtide/upstreams/errors.py
+++ b/railtide/upstreams/errors.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AnswerMismatch",
+    "StreamMoved",
     "UpstreamNotListening",
     "UpstreamDisconnected",
     "UpstreamError",
@@ -55,6 +56,12 @@
     """The connection ended before the answer was complete; the upstream may have crashed."""
 
 
+class StreamMoved(UpstreamLost):
+    """The attempt was given up before its first event, to begin the stream at another version."""
+
+    code = "stream-moved"
+
+
 class UpstreamFailed(UpstreamLost):
     """The call ran and the upstream answered that it failed.
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -57,6 +57,9 @@
 SLOW_START = "railtide/lanes/tests/test_slow_start.py"
 STATED_LIMITS = "railtide/lanes/tests/test_advertised_limits.py"
 LIMIT_SHARES = "railtide/upstreams/tests/test_limit_shares.py"
+STREAMS = "railtide/streams/tests"
+STREAM_VERSIONS = "railtide/platform/tests/test_stream_versions.py"
+REQUIRED_VERSION = "railtide/lanes/tests/test_required_version.py"
 SHEDDING = "railtide/edge/tests/test_load_shedding.py"
 LINK_LOAD = "railtide/edge/tests/test_link_load.py"
 REJECTIONS = "railtide/http/tests/test_rejections.py"
@@ -3467,6 +3470,104 @@
         "",
         (SOCKETS,),
     ),
+    Mutant(
+        "resumed-stream-at-any-version",
+        "requests/stream_version.py",
+        "            self._waiting.required_version = await self._origins.version_of(\n",
+        "            _ = await self._origins.version_of(\n",
+        (STREAM_VERSIONS,),
+    ),
+    Mutant(
+        "retry-of-a-begun-stream-at-any-version",
+        "requests/stream_version.py",
+        "        self._waiting.required_version = upstream.software_version\n",
+        "",
+        (STREAM_VERSIONS,),
+    ),
+    Mutant(
+        "begun-stream-is-not-recorded",
+        "streams/origins.py",
+        "        if is_recorded or needs_record:\n",
+        "        if False:\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "first-event-before-the-record-is-stored",
+        "streams/origins.py",
+        "            await pending.stored.wait()\n            return True\n",
+        "            return True\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "resumed-stream-trusts-records-read-before",
+        "streams/origins.py",
+        "            await self._read_records()\n",
+        "            pass\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "missing-record-trusted-after-an-outage",
+        "streams/origins.py",
+        "        if not self._agreement.reachable or self._is_backlog_due():\n",
+        "        if False:\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "one-listed-version-trusted-before-records-are-read",
+        "streams/origins.py",
+        "        return self._feed.freshness.read_at >= mixed_at + LIST_LAG_S\n",
+        "        return True\n",
+        (STREAMS, STREAM_VERSIONS),
+    ),
+    Mutant(
+        "outage-changes-no-preference",
+        "streams/origins.py",
+        "        if shares is None or self._records_promptly():\n",
+        "        if True:\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "new-shares-hold-at-once",
+        "streams/agreement.py",
+        "            is_over = age_s >= self.retention_s\n",
+        "            is_over = True\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "streams-of-changing-shares-are-not-recorded",
+        "streams/shares.py",
+        "        in_use = [self.shares, *([self.next_shares] if self.next_shares else [])]\n",
+        "        in_use = [self.shares]\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "rolled-back-records-stay-lost",
+        "streams/origins.py",
+        "        store.on_era_rise(self._write_again)\n",
+        "",
+        (STREAMS,),
+    ),
+    Mutant(
+        "full-version-blocks-its-lane",
+        "lanes/scheduler.py",
+        "        if request.required_version is None:\n            self._queue.add(request)\n",
+        "        if True:\n            self._queue.add(request)\n",
+        (REQUIRED_VERSION,),
+    ),
+    Mutant(
+        "bulk-request-of-a-version-before-urgent-ones",
+        "lanes/scheduler.py",
+        "[waiting for waiting in self._bound if waiting.urgency is urgency]",
+        "list(self._bound)",
+        (REQUIRED_VERSION,),
+    ),
+    Mutant(
+        "stream-resumed-at-another-pool",
+        "configuration/routes.py",
+        "    if stream and weights:\n",
+        "    if False:\n",
+        (STREAM_VERSIONS,),
+    ),
 ]
 
 
