Test of continued streams: the second attempt brings events, so that a mixed stream shows

Cause: the test reads the version from the events, and every second attempt broke off before its first one; the mutant retry-of-a-begun-stream-at-any-version survived.

--- a/railtide/platform/tests/test_stream_versions.py
+++ b/railtide/platform/tests/test_stream_versions.py
@@ -138,8 +138,9 @@
 
     async def test_broken_stream_continued_by_the_router_at_another_version(self) -> None:
         async with mixed_fleet(routers=1) as fleet:
-            for engine in fleet.engine_by_name.values():
-                engine.script.break_after = EVENTS_BEFORE_BREAK
+            for name, engine in fleet.engine_by_name.items():
+                later = 2 * EVENTS_BEFORE_BREAK if name.endswith("1") else EVENTS_BEFORE_BREAK
+                engine.script.break_after = later
             streams = [ResumedStream() for _ in range(STREAMS)]
             for stream in streams:
                 await receive(fleet, 0, stream)
