Observability: lines name the shared parts of a request's prompt

Cause: which parts the requests at a crash had in common, and whether any request with one was answered, could not be told from any line. Change: a call has digests of its shared parts, of those of its account and of those of all accounts of a pool; request-sent logs them. The stand-in engine can crash by a part. Result: tests of containment, requests, crashing requests and prompts pass.

--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -5,7 +5,7 @@
 from railtide.configuration.models import AccountSettings
 from railtide.configuration.routes import Route, choose_pool
 from railtide.configuration.snapshot import AccountTerms, Snapshot
-from railtide.containment.content import content_digest
+from railtide.containment.content import content_digest, part_digests
 from railtide.edge.load_shedding import RequestOutline
 from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
 from railtide.lanes.queue import Urgency
@@ -55,6 +55,7 @@
     deadline_s = min(_deadline_s(request), route.timeout_s)
     tokens = _declared_tokens(request)
     priority = _priority_of(route, account)
+    prompt_parts = _prompt_parts_of(request)
     return Call(
         request_id=(first_header(request.headers, header_names.ATTEMPT_ID) or b"").decode(
             "latin-1"
@@ -73,7 +74,7 @@
         deadline=now + deadline_s,
         stream=route.stream,
         repeatable=route.repeatable,
-        affinity=_affinity_of(request, tokens, route.pause_goal_s),
+        affinity=_affinity_of(prompt_parts, tokens, route.pause_goal_s),
         max_attempts=route.attempts,
         goal_s=route.goal_s,
         pause_goal_s=route.pause_goal_s,
@@ -82,6 +83,9 @@
         tokens_per_event=_tokens_per_event(snapshot, pool),
         headers=_forwarded_headers(request, account, route.resumable),
         content=content_digest(account.name if account else "", target, request.body),
+        parts=part_digests(
+            account.name if account else "", pool, [part[0] for part in prompt_parts[:-1]]
+        ),
         route=route.name,
         resumption=resumption,
     )
@@ -179,26 +183,33 @@
     return cost_of(TOKEN_PRICES, tokens)
 
 
-def _affinity_of(request: HttpRequest, tokens: Usage, pause_goal_s: float) -> Affinity:
+def _prompt_parts_of(request: HttpRequest) -> list[tuple[bytes, bytes]]:
+    """Return the id of each part of the prompt and the text of its number of tokens."""
+    value = first_header(request.headers, header_names.PROMPT_PARTS)
+    if not value:
+        return []
+    parts = (part.partition(b":") for part in value.split(b","))
+    return [(part_id.strip(), tokens) for part_id, _, tokens in parts]
+
+
+def _affinity_of(parts: list[tuple[bytes, bytes]], tokens: Usage, pause_goal_s: float) -> Affinity:
     """Return the key of the prompt's shared parts and the costs of the request.
 
     All parts but the last are shared with other requests.
     """
-    value = first_header(request.headers, header_names.PROMPT_PARTS)
-    if not value:
+    if not parts:
         return Affinity(pause_goal_s=pause_goal_s)
-    parts = [part.partition(b":") for part in value.split(b",")]
     shared, unique = parts[:-1], parts[-1:]
-    key = b",".join(part[0].strip() for part in shared).decode("latin-1")
+    key = b",".join(part_id for part_id, _ in shared).decode("latin-1")
     decode_cost = (
         tokens.completion_tokens * PROMPT_TOKENS_PER_OUTPUT_TOKEN / PROMPT_TOKENS_PER_LOAD_UNIT
     )
     return Affinity(key, _prefill_cost(shared), _prefill_cost(unique), decode_cost, pause_goal_s)
 
 
-def _prefill_cost(parts: list[tuple[bytes, bytes, bytes]]) -> float:
+def _prefill_cost(parts: list[tuple[bytes, bytes]]) -> float:
     """Return the load of processing some parts of a prompt, in running requests."""
-    tokens = sum(int(part[2]) for part in parts if part[2].strip().isdigit())
+    tokens = sum(int(count) for _, count in parts if count.strip().isdigit())
     return tokens / PROMPT_TOKENS_PER_LOAD_UNIT
 
 
--- a/railtide/platform/tests/test_crashing_requests.py
+++ b/railtide/platform/tests/test_crashing_requests.py
@@ -92,7 +92,9 @@
         with scope:
             await node.run()
 
-    async def send(self, router: int, body: bytes, path: str = "/resume/x") -> int:
+    async def send(
+        self, router: int, body: bytes, path: str = "/resume/x", parts: bytes = b""
+    ) -> int:
         """Send a request; return its status, 0 without a complete answer."""
         self.sent_count += 1
         headers = (
@@ -100,6 +102,7 @@
             (b"x-attempt-id", b"r%d" % self.sent_count),
             (b"x-deadline-ms", b"2500"),
             (b"x-credential", b"k"),
+            *(((b"x-prompt-prefix", parts),) if parts else ()),
         )
         status = 0
         pool = PeerPool(HOST, self.ports[router])
--- a/railtide/requests/call.py
+++ b/railtide/requests/call.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from railtide.configuration.models import AccountSettings
+from railtide.containment.content import PartDigests
 from railtide.http.messages import Headers
 from railtide.lanes.queue import Urgency
 from railtide.upstreams.balancing import Affinity
@@ -94,6 +95,8 @@
         End-to-end headers that are sent to its upstream unchanged.
     content : str
         Digest of the request's content, equal when it is sent again; empty if it isn't tracked.
+    parts : tuple of PartDigests
+        The parts of its prompt that other requests may share.
     route : str
         Name of its route, for log lines.
     resumption : Resumption or None
@@ -127,6 +130,7 @@
     tokens_per_event: int = 1
     headers: Headers = ()
     content: str = ""
+    parts: tuple[PartDigests, ...] = ()
     route: str = ""
     resumption: Resumption | None = None
 
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -212,6 +212,7 @@
             load=estimated_load(upstream, now),
             load_age_ms=round((now - report.taken_at) * 1000) if report else None,
             content=self._call.content,
+            parts=[part.of_account for part in self._call.parts],
             software_version=upstream.instance.software_version,
             resumes=self._call.resumption.attempt if self._call.resumption else "",
             **(expected.log_fields() if expected else {}),
--- a/railtide/standins/crashing_engine.py
+++ b/railtide/standins/crashing_engine.py
@@ -18,6 +18,7 @@
 LISTEN_RETRY_S = 0.05
 TOPIC = "keyed.servers"
 ID = b"x-attempt-id"
+PROMPT_PARTS = b"x-prompt-prefix"
 
 
 @dataclass(frozen=True)
@@ -27,6 +28,7 @@
     body: bytes
     incarnation: str
     at: float
+    parts: tuple[bytes, ...] = ()
 
 
 @dataclass
@@ -40,6 +42,8 @@
     name : str
         An incarnation's id is this and a number; with `keeps_id` the id is the name alone, and
         the entry's `born` differs.
+    crashing_parts : tuple of bytes
+        Ids of prompt parts; it crashes on each request whose prompt contains one.
     host : str
     script : EngineScript
         How it answers requests that don't crash it.
@@ -69,6 +73,7 @@
     restart_delay_s: float = 1.5
     entry_ttl_s: float = 3.6
     keeps_id: bool = False
+    crashing_parts: tuple[bytes, ...] = ()
     port: int = 0
     incarnations: int = 0
     crashes: int = 0
@@ -142,9 +147,14 @@
     engine: PlatformEngine
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
-        self.host.arrivals.append(Arrival(request.body, self.host.incarnation, trio.current_time()))
-        never_crashes = self.host.crash_after_s < 0
-        if never_crashes or not request.body.startswith(CRASH_PREFIX):
+        parts = _parts_of(request)
+        self.host.arrivals.append(
+            Arrival(request.body, self.host.incarnation, trio.current_time(), parts)
+        )
+        crashes = request.body.startswith(CRASH_PREFIX) or set(parts) & set(
+            self.host.crashing_parts
+        )
+        if self.host.crash_after_s < 0 or not crashes:
             self.engine.script = self.host.script
             await self.engine.handle(request, responder)
             return
@@ -155,3 +165,9 @@
         self.host.crashes += 1
         self.host.crash()
         await trio.sleep_forever()
+
+
+def _parts_of(request: HttpRequest) -> tuple[bytes, ...]:
+    """Return the ids of the parts of a request's prompt."""
+    value = first_header(request.headers, PROMPT_PARTS) or b""
+    return tuple(part.partition(b":")[0].strip() for part in value.split(b",") if part)
