Containment: parts of prompts that crash engines are held

Cause: crashes were attributed to whole contents (account, path, body). Change: each shared part is observed at crashes like a content, scoped by account and for all accounts; it is blamed only if it was in flight by two or more different contents, or accounts. The longest attempt stands for a part at a crash: an engine that ran it for a while did not crash of it. A complete answer clears its parts; an answer that ended with its connection does once its engine answers a later request. Held parts are refused at once, not run; attempts that their engines have not begun are cancelled.

--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -64,10 +64,13 @@
         Contents that must not be sent to any upstream, and the incarnations that each crashed.
     crash_count_by_content : dict of str to int
         For each other content, the number of incidents that no held content explains.
+    crash_count_by_part : dict of str to int
+        The same of parts of prompts.
     """
 
     held: dict[str, frozenset[str]] = field(default_factory=dict)
     crash_count_by_content: dict[str, int] = field(default_factory=dict)
+    crash_count_by_part: dict[str, int] = field(default_factory=dict)
 
 
 def assign_blame(
@@ -118,12 +121,13 @@
             content: [seen for seen in of_content if seen.incarnation not in explained]
             for content, of_content in unexplained.items()
         }
-    crash_counts = {
-        content: len(incidents_of(found, detection_times))
-        for content, found in unexplained.items()
-        if found
-    }
-    return Blame(held, crash_counts)
+    crash_counts: dict[str, int] = {}
+    part_crash_counts: dict[str, int] = {}
+    for content, found in unexplained.items():
+        if found:
+            counts = part_crash_counts if found[0].source else crash_counts
+            counts[content] = len(incidents_of(found, detection_times))
+    return Blame(held, crash_counts, part_crash_counts)
 
 
 def detection_times_of(observations: Iterable[CrashObservation]) -> DetectionTimes:
@@ -248,7 +252,9 @@
     pair must not keep another content from being held.
     """
     enough = {
-        content: seen for content, seen in unexplained.items() if len(seen) >= MIN_OBSERVATIONS
+        content: seen
+        for content, seen in unexplained.items()
+        if len(seen) >= MIN_OBSERVATIONS and not _has_narrower_cause(seen)
     }
     weights = {content: evidence_weight(seen, detection_times) for content, seen in enough.items()}
     for weight in sorted(set(weights.values()), reverse=True):
@@ -264,6 +270,12 @@
     return []
 
 
+def _has_narrower_cause(observations: Sequence[CrashObservation]) -> bool:
+    """Return whether a part was in flight at all its crashes by the same narrower content."""
+    sources = {observation.source for observation in observations}
+    return len(sources) == 1 and "" not in sources
+
+
 def _is_ambiguous(
     content: str,
     weights: Mapping[str, int],
--- a/railtide/containment/content.py
+++ b/railtide/containment/content.py
@@ -1,10 +1,10 @@
 """The identities of a request for crash containment: its content, and the parts of its prompt."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
 
-__all__ = ["MAX_PARTS", "PartDigests", "content_digest", "part_digests"]
+__all__ = ["MAX_PARTS", "PartDigests", "content_digest", "identities", "part_digests"]
 
 DIGEST_BYTES = 16
 """Long enough that no account can construct a second body with the digest of another account's
@@ -76,6 +76,21 @@
     )
 
 
+def identities(content: str, parts: Sequence[PartDigests]) -> Iterator[tuple[str, str]]:
+    """Yield all digests by which a request is identified, each with the narrower one it comes from.
+
+    Examples
+    --------
+    >>> list(identities("c", [PartDigests("a", "p")]))
+    [('c', ''), ('a', 'c'), ('p', 'a')]
+    """
+    if content:
+        yield content, ""
+    for part in parts:
+        yield part.of_account, content
+        yield part.of_pool, part.of_account
+
+
 def _digest(person: bytes, *fields: bytes) -> str:
     hasher = blake2b(digest_size=DIGEST_BYTES, person=person)
     for field in fields:
--- a/railtide/containment/crash_detection.py
+++ b/railtide/containment/crash_detection.py
@@ -15,6 +15,7 @@
 import trio
 from loguru import logger
 
+from railtide.containment.content import PartDigests
 from railtide.membership.instances import Instance
 
 __all__ = ["BrokenAttempt", "CrashDetector", "CrashSign", "ProbeResult", "UpstreamAttempt"]
@@ -25,6 +26,8 @@
 RESTART_LISTING_S = 1.5
 """Time within which a new incarnation that a probe has connected to is listed: it writes its record
 when it starts, and a router reads that within a second."""
+MAX_UNFRAMED = 64
+"""Unframed answers of one incarnation that are remembered until its next answer."""
 MAX_CRASHED = 256
 """Crashed incarnations that are remembered, for attempts whose break is noticed after the crash."""
 PROBE_WAIT_S = 0.05
@@ -60,11 +63,14 @@
         Trio time.
     head_at : float or None
         Trio time at which the head of the answer arrived.
+    parts : tuple of PartDigests
+        The parts of its prompt that other requests may share.
     """
 
     content: str
     sent_at: float
     head_at: float | None = None
+    parts: tuple[PartDigests, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -128,6 +134,12 @@
         whose break is noticed later.
     start_soon : callable
         Runs an async function in the background.
+
+    Attributes
+    ----------
+    on_survived : callable
+        Called with an attempt whose answer ended with its connection, once its upstream is known to
+        have survived that.
     """
 
     def __init__(
@@ -139,6 +151,8 @@
         self._probe = probe
         self._on_crash = on_crash
         self._start_soon = start_soon
+        self.on_survived: Callable[[UpstreamAttempt], None] = lambda attempt: None
+        self._unframed_by_incarnation: dict[str, list[BrokenAttempt]] = {}
         self._watched_by_incarnation: dict[str, _WatchedUpstream] = {}
         self._crashed_at_by_incarnation: dict[str, float] = {}
 
@@ -179,8 +193,29 @@
             with trio.move_on_after(PROBE_WAIT_S):
                 await watched.probe.wait()
 
+    def note_unframed(self, instance: Instance, attempt: UpstreamAttempt) -> None:
+        """Record that only the close of its connection ended an answer.
+
+        The upstream may have crashed in that moment; a later answer shows that it didn't.
+        """
+        ended = self._unframed_by_incarnation.setdefault(instance.incarnation, [])
+        ended.append(BrokenAttempt(attempt, trio.current_time()))
+        del ended[:-MAX_UNFRAMED]
+        if len(self._unframed_by_incarnation) > MAX_CRASHED:
+            del self._unframed_by_incarnation[next(iter(self._unframed_by_incarnation))]
+
+    def _note_survived(self, instance: Instance, sent_at: float) -> None:
+        """Report the unframed answers that ended before a request was sent that is answered."""
+        ended = self._unframed_by_incarnation.pop(instance.incarnation, [])
+        later = [one for one in ended if one.at >= sent_at]
+        if later:
+            self._unframed_by_incarnation[instance.incarnation] = later
+        for one in ended[: len(ended) - len(later)]:
+            self.on_survived(one.attempt)
+
     def note_alive(self, instance: Instance, sent_at: float) -> None:
         """Record that an upstream answers a request that was sent at a trio time."""
+        self._note_survived(instance, sent_at)
         watched = self._watched_by_incarnation.get(instance.incarnation)
         if not watched:
             return
@@ -206,6 +241,7 @@
 
     def note_crashed(self, instance: Instance, sign: CrashSign) -> None:
         """Record that an incarnation has crashed with the attempts that broke off lately."""
+        self._unframed_by_incarnation.pop(instance.incarnation, None)
         watched = self._watched_by_incarnation.pop(instance.incarnation, None)
         if not watched:
             return
--- a/railtide/containment/guard.py
+++ b/railtide/containment/guard.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass
+from enum import Enum, auto
 
 import trio
 
+from railtide.containment.content import PartDigests, identities
 from railtide.containment.crash_detection import CrashDetector, CrashSign, UpstreamAttempt
 from railtide.containment.errors import ContentHeld
 from railtide.containment.placement import preferred_upstreams
@@ -20,8 +22,9 @@
     UpstreamNotListening,
 )
 
-__all__ = ["ContentGuard", "CrashGuard", "NoGuard", "Preference"]
+__all__ = ["AnswerEnding", "ContentGuard", "CrashGuard", "NoGuard", "Preference"]
 
+Parts = Sequence[PartDigests]
 Preference = Callable[[Sequence[str]], frozenset[str]]
 """Selects, from the names of upstreams, those to which a request should preferably be sent."""
 
@@ -36,12 +39,30 @@
 crashes do so within some 0.1 s of its start."""
 
 
+class AnswerEnding(Enum):
+    """What the end of an answer shows of whether its upstream ran the content to its end.
+
+    Attributes
+    ----------
+    COMPLETE
+        It did.
+    UNFRAMED
+        The close of the connection ended the answer: it did, unless it crashed in that moment.
+    OTHER
+        Nothing.
+    """
+
+    COMPLETE = auto()
+    UNFRAMED = auto()
+    OTHER = auto()
+
+
 class ContentGuard(ABC):
     """Keeps contents that crash upstreams away from them."""
 
     @abstractmethod
-    async def check(self, content: str) -> None:
-        """Raise `ContentHeld` if a content must not be sent."""
+    async def check(self, content: str, parts: Parts = ()) -> None:
+        """Raise `ContentHeld` if a content, or a part of its prompt, must not be sent."""
 
     @abstractmethod
     def preference_of(self, content: str) -> Preference | None:
@@ -49,15 +70,16 @@
 
     @abstractmethod
     def cancel_scope_for(
-        self, content: str, head_at: Callable[[], float | None]
+        self, content: str, head_at: Callable[[], float | None], parts: Parts = ()
     ) -> AbstractContextManager[trio.CancelScope]:
-        """Return a scope for one attempt, cancelled if the content becomes held.
+        """Return a scope for one attempt, cancelled if its content or a part becomes held.
 
         Parameters
         ----------
         content : str
         head_at : callable
             Returns the trio time at which the head of the answer arrived, None before that.
+        parts : sequence of PartDigests
         """
 
     @abstractmethod
@@ -67,17 +89,19 @@
         """Record how an attempt failed; wait briefly until it is known if its upstream is alive."""
 
     @abstractmethod
-    def note_answer(self, instance: Instance, attempt: UpstreamAttempt, complete: bool) -> None:
+    def note_answer(
+        self, instance: Instance, attempt: UpstreamAttempt, ending: AnswerEnding
+    ) -> None:
         """Record that an upstream's answer to an attempt has ended without a failure.
 
-        `complete` is whether the answer proves that the upstream ran the content to its end.
+        `ending` is what the answer shows of whether the upstream ran the content to its end.
         """
 
 
 class NoGuard(ContentGuard):
     """Lets every content run at any upstream."""
 
-    async def check(self, content: str) -> None:
+    async def check(self, content: str, parts: Parts = ()) -> None:
         """Accept the content; see `ContentGuard.check`."""
 
     def preference_of(self, content: str) -> Preference | None:
@@ -85,7 +109,7 @@
         return None
 
     def cancel_scope_for(
-        self, content: str, head_at: Callable[[], float | None]
+        self, content: str, head_at: Callable[[], float | None], parts: Parts = ()
     ) -> AbstractContextManager[trio.CancelScope]:
         """Return a scope that is never cancelled; see `ContentGuard.cancel_scope_for`."""
         return trio.CancelScope()
@@ -95,7 +119,9 @@
     ) -> None:
         """Do nothing; see `ContentGuard.note_failure`."""
 
-    def note_answer(self, instance: Instance, attempt: UpstreamAttempt, complete: bool) -> None:
+    def note_answer(
+        self, instance: Instance, attempt: UpstreamAttempt, ending: AnswerEnding
+    ) -> None:
         """Do nothing; see `ContentGuard.note_answer`."""
 
 
@@ -119,23 +145,26 @@
     def __init__(self, registry: CrashRegistry, detector: CrashDetector) -> None:
         self._registry = registry
         self._detector = detector
-        self._attempts_by_content: dict[str, list[_RunningAttempt]] = {}
+        self._attempts_by_key: dict[str, list[_RunningAttempt]] = {}
         registry.on_held = self._cancel_attempts
+        detector.on_survived = self._note_completed
 
-    async def check(self, content: str) -> None:
-        """Raise if the content is held; see `ContentGuard.check`.
+    async def check(self, content: str, parts: Parts = ()) -> None:
+        """Raise if the content or a part is held; see `ContentGuard.check`.
 
         A fresh verdict is given time to settle: other routers that saw the same crash may report a
         content that explains it.
         """
-        if self._refusal_of(content):
-            await trio.sleep(max(0.0, VERDICT_SETTLE_S - self._registry.held_for_s(content)))
-        refusal = self._refusal_of(content)
-        if refusal:
-            raise refusal
+        for key, _ in identities(content, parts):
+            if self._refusal_of(key):
+                await trio.sleep(max(0.0, VERDICT_SETTLE_S - self._registry.held_for_s(key)))
+        for key, _ in identities(content, parts):
+            refusal = self._refusal_of(key)
+            if refusal:
+                raise refusal
 
-    def _refusal_of(self, content: str) -> ContentHeld | None:
-        return self._registry.refusal_of(content, content in self._attempts_by_content)
+    def _refusal_of(self, key: str) -> ContentHeld | None:
+        return self._registry.refusal_of(key, key in self._attempts_by_key)
 
     def preference_of(self, content: str) -> Preference | None:
         """Return the upstreams that keep suspects apart; see `ContentGuard.preference_of`."""
@@ -146,28 +175,34 @@
 
     @contextmanager
     def cancel_scope_for(
-        self, content: str, head_at: Callable[[], float | None]
+        self, content: str, head_at: Callable[[], float | None], parts: Parts = ()
     ) -> Iterator[trio.CancelScope]:
         """Yield a scope for the attempt; see `ContentGuard.cancel_scope_for`."""
-        attempts = self._attempts_by_content.setdefault(content, [])
+        keys = [key for key, _ in identities(content, parts)]
         with trio.CancelScope() as scope:
             attempt = _RunningAttempt(scope, head_at)
-            attempts.append(attempt)
+            for key in keys:
+                self._attempts_by_key.setdefault(key, []).append(attempt)
             try:
                 yield scope
             finally:
-                attempts.remove(attempt)
-                if not attempts:
-                    del self._attempts_by_content[content]
+                for key in keys:
+                    self._remove_attempt(key, attempt)
+
+    def _remove_attempt(self, key: str, attempt: _RunningAttempt) -> None:
+        attempts = self._attempts_by_key[key]
+        attempts.remove(attempt)
+        if not attempts:
+            del self._attempts_by_key[key]
 
-    def _cancel_attempts(self, content: str) -> None:
+    def _cancel_attempts(self, key: str) -> None:
         """Cancel the attempts of a content that became held, before their upstreams start it.
 
         An attempt that its upstream has run for `SURVIVAL_S` goes on: if it completes, the content
         is cleared.
         """
         now = trio.current_time()
-        for attempt in self._attempts_by_content.get(content, ()):
+        for attempt in self._attempts_by_key.get(key, ()):
             head_at = attempt.head_at()
             if head_at is None or now - head_at < SURVIVAL_S:
                 attempt.scope.cancel()
@@ -186,8 +221,15 @@
             self._detector.note_broken(instance, attempt)
             await self._detector.wait_for_probe(instance)
 
-    def note_answer(self, instance: Instance, attempt: UpstreamAttempt, complete: bool) -> None:
+    def note_answer(
+        self, instance: Instance, attempt: UpstreamAttempt, ending: AnswerEnding
+    ) -> None:
         """Record an answer; see `ContentGuard.note_answer`."""
         self._detector.note_alive(instance, attempt.sent_at)
-        if complete:
-            self._registry.note_completed(attempt.content)
+        if ending is AnswerEnding.COMPLETE:
+            self._note_completed(attempt)
+        elif ending is AnswerEnding.UNFRAMED:
+            self._detector.note_unframed(instance, attempt)
+
+    def _note_completed(self, attempt: UpstreamAttempt) -> None:
+        self._registry.note_completed(attempt.content, attempt.parts)
--- a/railtide/containment/observations.py
+++ b/railtide/containment/observations.py
@@ -1,6 +1,7 @@
 """Observations of contents in flight at upstream crashes, as a set that merges without conflicts.
 
-An observation stands for one content that was in flight when one incarnation of an upstream
+A content here is the whole of a request, or a part of prompts that may occur in many requests. An
+observation stands for one content that was in flight when one incarnation of an upstream
 crashed. Its key is the pair of the two, so routers that saw the same thing produce the same entry
 and no counter has to be incremented by several routers. Whatever was lost, repeated or reordered on
 the way, the merged set is the same. No I/O.
@@ -37,6 +38,10 @@
         before, or had already crashed when it was sent.
     cleared : bool
         Whether the content was answered completely since, so that it isn't the cause.
+    source : str
+        For a part of a prompt, the content by which it was in flight: the whole request's, or for
+        the part in the requests of all accounts, the part in those of one account. Empty for the
+        whole of a request.
     """
 
     content: str
@@ -46,6 +51,7 @@
     elapsed_s: float = 0.0
     weak: bool = False
     router: str = ""
+    source: str = ""
 
 
 class ObservationSet:
@@ -80,9 +86,9 @@
     def add(self, observation: CrashObservation) -> bool:
         """Merge an observation and return whether it changes the set.
 
-        A cleared observation takes precedence over all others, and a strong one over a weak one.
-        Otherwise the longer attempt wins, as it shows how long the upstream ran the content without
-        crashing.
+        A cleared observation takes precedence over all others, and of the whole of a request a
+        strong one over a weak one. Otherwise the longer attempt wins, as it shows how long the
+        upstream ran the content without crashing.
         """
         times = self._detected_at.setdefault(observation.incarnation, {})
         times[observation.router] = min(
@@ -144,4 +150,5 @@
     """Return the precedence of an observation among those with the same key."""
     if observation.cleared:
         return 2, 0.0
-    return (0 if observation.weak else 1), observation.elapsed_s
+    is_strong = not observation.weak and not observation.source
+    return (1 if is_strong else 0), observation.elapsed_s
--- a/railtide/containment/records.py
+++ b/railtide/containment/records.py
@@ -28,7 +28,7 @@
         Unix seconds.
     upstream, router : str
         The upstream that crashed and the observing router, for operators.
-    cleared, elapsed_s, weak
+    cleared, elapsed_s, weak, source
         See `CrashObservation`.
     """
 
@@ -38,6 +38,7 @@
     cleared: bool = False
     elapsed_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_S)] = 0.0
     weak: bool = False
+    source: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)] = ""
 
 
 _decoder = msgspec.msgpack.Decoder(_RecordValue)
@@ -67,7 +68,12 @@
     """Return the encoded value of an observation's record."""
     names = upstream[:MAX_NAME_LENGTH], observation.router[:MAX_NAME_LENGTH]
     value = _RecordValue(
-        observation.at, *names, observation.cleared, observation.elapsed_s, observation.weak
+        observation.at,
+        *names,
+        observation.cleared,
+        observation.elapsed_s,
+        observation.weak,
+        observation.source,
     )
     return msgspec.msgpack.encode(value)
 
@@ -99,5 +105,5 @@
         value = _decoder.decode(record.value)
     except (msgspec.DecodeError, RecursionError) as err:
         raise InvalidObject(str(err)) from err
-    fields = value.at, value.cleared, value.elapsed_s, value.weak, value.router
+    fields = value.at, value.cleared, value.elapsed_s, value.weak, value.router, value.source
     return CrashObservation(found[1], found[2], *fields)
--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -8,7 +8,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from random import Random
 
@@ -17,6 +17,7 @@
 
 from railtide.configuration.errors import InvalidObject
 from railtide.containment.blame import Blame, assign_blame
+from railtide.containment.content import PartDigests, identities
 from railtide.containment.crash_detection import BrokenAttempt
 from railtide.containment.errors import ContentHeld
 from railtide.containment.holding import MAX_CONTENTS, held_until, surplus_observations
@@ -58,7 +59,7 @@
 kept for that much longer."""
 COMPLETION_FRESH_S = 1.0
 """How old a complete answer may be to still clear an observation that was in transit meanwhile."""
-MAX_COMPLETIONS = 1_024
+MAX_COMPLETIONS = 4_096
 TRIAL_ELSEWHERE_RETRY_S = 1.0
 """When a caller should retry a content whose trial another router makes."""
 
@@ -196,31 +197,45 @@
         digest = incarnation_digest(incarnation)
         self._note_incarnation(digest)
         for broken in broken_attempts:
-            if self._completed_lately(broken.attempt.content):
-                continue
-            observation = self._observation_of_attempt(digest, broken)
-            if self._observations.add(observation):
-                self._counters.add("contents_marked")
-                self._write(record_key(observation), record_value(observation, upstream))
+            attempt = broken.attempt
+            for content, source in identities(attempt.content, attempt.parts):
+                if not self._completed_lately(content):
+                    observation = self._observation_of_attempt(digest, broken, content, source)
+                    self._note_observation(observation, upstream)
         self._update_blame()
 
-    def _observation_of_attempt(self, digest: str, broken: BrokenAttempt) -> CrashObservation:
+    def _note_observation(self, observation: CrashObservation, upstream: str) -> None:
+        if self._observations.add(observation):
+            self._counters.add("contents_marked")
+            self._write(record_key(observation), record_value(observation, upstream))
+
+    def _observation_of_attempt(
+        self, digest: str, broken: BrokenAttempt, content: str, source: str
+    ) -> CrashObservation:
         attempt = broken.attempt
         at = self._unix_time_s() - (trio.current_time() - broken.at)
         elapsed_s = broken.at - attempt.sent_at
         begun_s = broken.at - (attempt.sent_at if attempt.head_at is None else attempt.head_at)
         weak = begun_s > CRASH_ONSET_S or elapsed_s < ROUND_TRIP_S
         return CrashObservation(
-            attempt.content, digest, at, elapsed_s=elapsed_s, weak=weak, router=self._router
+            content,
+            digest,
+            at,
+            elapsed_s=elapsed_s,
+            weak=weak,
+            router=self._router,
+            source=source,
         )
 
-    def note_completed(self, content: str) -> None:
-        """Record that a content was answered completely, so that it is no cause of a crash."""
-        self._completed_at.pop(content, None)
-        self._completed_at[content] = trio.current_time()
-        if len(self._completed_at) > MAX_COMPLETIONS:
+    def note_completed(self, content: str, parts: Sequence[PartDigests] = ()) -> None:
+        """Record that a content and its parts were answered completely: they cause no crash."""
+        completed = [key for key, _ in identities(content, parts)]
+        for key in completed:
+            self._completed_at.pop(key, None)
+            self._completed_at[key] = trio.current_time()
+        while len(self._completed_at) > MAX_COMPLETIONS:
             del self._completed_at[next(iter(self._completed_at))]
-        if content in self._observations and self._clear(content):
+        if any([self._clear(key) for key in completed if key in self._observations]):
             self._update_blame()
 
     def _completed_lately(self, content: str) -> bool:
--- a/railtide/platform/tests/test_crashing_prompt_parts.py
+++ b/railtide/platform/tests/test_crashing_prompt_parts.py
@@ -26,8 +26,8 @@
 MAX_LATE = 3
 """Requests with the part that may reach engines later than `STABLE_S` after the fifth crash."""
 MIN_RELATIVE_SHARE = 0.5
-"""Least share of sound requests served from twice `STABLE_S` after the fifth crash, relative to that
-before the part came."""
+"""Least share of sound requests served from twice `STABLE_S` after the fifth crash, relative to
+the share before the part came."""
 INTERVAL_S = 0.4
 SOUND_CALLERS = 10
 BEFORE_S = 2.0
--- a/railtide/requests/dispatcher.py
+++ b/railtide/requests/dispatcher.py
@@ -82,7 +82,7 @@
         scheduler = self._scheduler_of(call.pool)
         if scheduler is None:
             raise NoUpstream("no upstream of the pool is known", retry_after=RETRY_AFTER_S)
-        await self._services.guard.check(call.content)
+        await self._services.guard.check(call.content, call.parts)
         reservation = await self._budgets.reserve(
             call.account, call.settings, call.reserve, call.deadline, _terms_of(call, scheduler)
         )
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -11,6 +11,7 @@
 from railtide.budgets.messages import Waste
 from railtide.containment.crash_detection import UpstreamAttempt
 from railtide.containment.errors import ContentHeld
+from railtide.containment.guard import AnswerEnding
 from railtide.errors import ExecutionStatus, RailtideError
 from railtide.journal.entries import Verdict, VerdictCode
 from railtide.journal.writer import Submission
@@ -222,7 +223,7 @@
         with _tracer.start_as_current_span("upstream.call") as span:
             span.set_attribute("railtide.upstream", upstream.name)
             self._commit.check_ownership()
-            await self._services.guard.check(self._call.content)
+            await self._services.guard.check(self._call.content, self._call.parts)
             self._version.note_sent(upstream)
             self._sent_to = upstream
             self._sent_at = trio.current_time()
@@ -239,16 +240,20 @@
 
     def _report_answer(self, upstream: Instance, relayed: Relayed) -> None:
         """Report an answer to the content guard; only a framed one is certainly complete."""
-        complete = relayed.framed and relayed.answer.status == OK_STATUS
-        self._services.guard.note_answer(upstream, self._last_attempt(), complete)
+        ending = AnswerEnding.OTHER
+        if relayed.answer.status == OK_STATUS:
+            ending = AnswerEnding.COMPLETE if relayed.framed else AnswerEnding.UNFRAMED
+        self._services.guard.note_answer(upstream, self._last_attempt(), ending)
 
     def _cancel_scope(self) -> AbstractContextManager[trio.CancelScope]:
         return self._services.guard.cancel_scope_for(
-            self._call.content, lambda: self._relay.head_at
+            self._call.content, lambda: self._relay.head_at, self._call.parts
         )
 
     def _last_attempt(self) -> UpstreamAttempt:
-        return UpstreamAttempt(self._call.content, self._sent_at, self._relay.head_at)
+        return UpstreamAttempt(
+            self._call.content, self._sent_at, self._relay.head_at, self._call.parts
+        )
 
     async def _report_failed_attempt(self, upstream: Upstream, err: UpstreamError) -> None:
         """Report a failed attempt to the content guard, unless its upstream was leaving.
@@ -357,7 +362,7 @@
     async def _check_quarantine(self) -> None:
         """Raise if the content is quarantined, which its last attempt may have caused."""
         try:
-            await self._services.guard.check(self._call.content)
+            await self._services.guard.check(self._call.content, self._call.parts)
         except ContentHeld:
             self._log_not_retried("content-held")
             raise
