--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -22,11 +22,13 @@
 
 __all__ = [
     "HOLD_THRESHOLD",
+    "PART_HOLD_THRESHOLD",
     "STRONG_WEIGHT",
     "Blame",
     "assign_blame",
     "detection_times_of",
     "evidence_weight",
+    "hold_threshold_of",
     "incidents_of",
 ]
 
@@ -36,6 +38,9 @@
 """Three crashes soon after an upstream started a content hold it: as many as users allow, and the
 fewest that distinguish it from a request that was beside it twice. It takes five weak ones; users
 allow three more crashes after the third."""
+PART_HOLD_THRESHOLD = 4 * STRONG_WEIGHT
+"""A part of prompts takes one crash more: many sound requests may share it, and while it is held
+none of them can clear it. Users allow five crashes."""
 MIN_OBSERVATIONS = HOLD_THRESHOLD // STRONG_WEIGHT
 HOLD_ALL_THRESHOLD = HOLD_THRESHOLD + 2 * STRONG_WEIGHT
 """From five crashes on, contents that can't be told apart are all held. At four, a read that all
@@ -258,9 +263,13 @@
     }
     weights = {content: evidence_weight(seen, detection_times) for content, seen in enough.items()}
     for weight in sorted(set(weights.values()), reverse=True):
-        if weight < HOLD_THRESHOLD:
-            break
-        worst = [content for content, known in weights.items() if known == weight]
+        worst = [
+            content
+            for content, known in weights.items()
+            if known == weight >= hold_threshold_of(enough[content])
+        ]
+        if not worst:
+            continue
         most_crashes = max(len(enough[content]) for content in worst)
         is_certain = weight >= HOLD_ALL_THRESHOLD or most_crashes > MAX_AMBIGUOUS_CRASHES
         if not is_certain:
@@ -270,6 +279,11 @@
     return []
 
 
+def hold_threshold_of(observations: Sequence[CrashObservation]) -> int:
+    """Return the weight from which on a content, or a part of prompts, is held."""
+    return PART_HOLD_THRESHOLD if observations[0].source else HOLD_THRESHOLD
+
+
 def _has_narrower_cause(observations: Sequence[CrashObservation]) -> bool:
     """Return whether a part was in flight at all its crashes by the same narrower content."""
     sources = {observation.source for observation in observations}
--- a/railtide/containment/holding.py
+++ b/railtide/containment/holding.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable, Sequence
 
 from railtide.containment.blame import (
-    HOLD_THRESHOLD,
     STRONG_WEIGHT,
     detection_times_of,
     evidence_weight,
+    hold_threshold_of,
 )
 from railtide.containment.observations import CrashObservation, DetectionTimes, ObservationSet
 
@@ -17,8 +17,8 @@
 minutes, and so is a content that was held although it was innocent."""
 HOLD_GROWTH_FACTOR = 4.0
 MAX_CRASHES = 6
-"""Upstreams that may crash under one content in all: three, and one for each of three trials, as
-users allow. From then on it is held until its observations expire or an operator lifts the hold."""
+"""Upstreams that may crash under one content in all: those that hold it, and one for each trial.
+From then on it is held until its observations expire or an operator lifts the hold."""
 RETENTION_S = 86_400.0
 """How long an observation is kept: longer than 10 + 40 + 160 minutes, in which the trials fall."""
 MAX_CONTENTS = 4_096
@@ -49,7 +49,8 @@
         detection_times_of(observations) if detection_times is None else detection_times
     )
     failed_trials = (
-        max(0, evidence_weight(observations, detection_times) - HOLD_THRESHOLD) // STRONG_WEIGHT
+        max(0, evidence_weight(observations, detection_times) - hold_threshold_of(observations))
+        // STRONG_WEIGHT
     )
     return last + BASE_HOLD_S * HOLD_GROWTH_FACTOR**failed_trials
 
--- a/railtide/platform/tests/test_crashing_prompt_parts.py
+++ b/railtide/platform/tests/test_crashing_prompt_parts.py
@@ -3,6 +3,7 @@
 No two of the requests with the part are alike, so that each looked like a new content.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -22,6 +23,7 @@
 BAD = (b"bad1", b"bad2")
 SECONDS = tuple(b"b%d" % number for number in range(4))
 CRASHES = 5
+MIN_CRASHES = 3
 STABLE_S = 3.0
 MAX_LATE = 3
 """Requests with the part that may reach engines later than `STABLE_S` after the fifth crash."""
@@ -31,7 +33,10 @@
 INTERVAL_S = 0.4
 SOUND_CALLERS = 10
 BEFORE_S = 2.0
-DURING_S = 14.0
+MEASURED_S = 4.0
+"""For how long sound requests are counted."""
+MAX_COURSE_S = 40.0
+POLL_S = 0.1
 
 
 @dataclass
@@ -93,10 +98,21 @@
         arrivals = (one for engine in self.fleet.engines for one in engine.arrivals)
         return sum(one.at > known_at for one in arrivals if part in one.parts)
 
+    def settled_at(self) -> float:
+        """Return from when sound requests count, infinite before each part has crashed enough."""
+        times = [self.crash_times(part)[:CRASHES] for part in self.bad]
+        if any(len(of_part) < MIN_CRASHES for of_part in times):
+            return math.inf
+        return max(of_part[-1] for of_part in times) + 2 * STABLE_S
+
+    async def wait_until_measured(self) -> None:
+        with trio.fail_after(MAX_COURSE_S):
+            while trio.current_time() < self.settled_at() + MEASURED_S:
+                await trio.sleep(POLL_S)
+
     def relative_share(self) -> float:
-        last = max(self.crash_times(part)[:CRASHES][-1] for part in self.bad)
         before = self.sent.share(0.0, self.bad_from)
-        return self.sent.share(last + 2 * STABLE_S, trio.current_time()) / before
+        return self.sent.share(self.settled_at(), trio.current_time()) / before
 
 
 async def run_course(
@@ -115,13 +131,9 @@
                 await trio.sleep(BEFORE_S)
                 bad_from = trio.current_time()
                 nursery.start_soon(send_bad, fleet, bad, path)
-                await trio.sleep(DURING_S)
                 course = Course(fleet, sent, bad_from, bad)
-                assert [
-                    course.late_arrivals(part)
-                    for part in bad
-                    if course.late_arrivals(part) > MAX_LATE
-                ] == []
+                await course.wait_until_measured()
+                assert all(course.late_arrivals(part) <= MAX_LATE for part in bad)
                 assert course.relative_share() >= MIN_RELATIVE_SHARE
                 scope.cancel()
         return course
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -24,6 +24,7 @@
 HTTP = "railtide/http/tests"
 MEMBERSHIP = "railtide/membership/tests"
 CONTAINMENT = "railtide/containment/tests"
+PARTS = "railtide/platform/tests/test_crashing_prompt_parts.py"
 CRASHING = "railtide/platform/tests/test_crashing_requests.py"
 NARROW_LINKS = "railtide/keeper/tests/test_narrow_links.py"
 OUTBOX = "railtide/keeper/tests/test_outbox.py"
@@ -917,8 +918,8 @@
     Mutant(
         "mark-of-the-first-router-hides-a-longer-run",
         "containment/observations.py",
-        "return (0 if observation.weak else 1), observation.elapsed_s",
-        "return (0 if observation.weak else 1), 0.0",
+        "return (1 if is_strong else 0), observation.elapsed_s",
+        "return (1 if is_strong else 0), 0.0",
         (CONTAINMENT,),
     ),
     Mutant(
@@ -990,9 +991,9 @@
     Mutant(
         "verdict-is-acted-on-before-others-are-heard",
         "containment/guard.py",
-        "            await trio.sleep("
-        "max(0.0, VERDICT_SETTLE_S - self._registry.held_for_s(content)))\n",
-        "            pass\n",
+        "                await trio.sleep("
+        "max(0.0, VERDICT_SETTLE_S - self._registry.held_for_s(key)))\n",
+        "                pass\n",
         (CONTAINMENT,),
     ),
     Mutant(
@@ -1048,8 +1049,8 @@
     Mutant(
         "account-is-no-part-of-the-content",
         "containment/content.py",
-        "for part in (account.encode(), path.encode(), body):",
-        "for part in (path.encode(), body):",
+        "_digest(PERSONALIZATION, account.encode(), path.encode(), body)",
+        "_digest(PERSONALIZATION, path.encode(), body)",
         (CONTAINMENT,),
     ),
     Mutant(
@@ -1174,7 +1175,7 @@
     Mutant(
         "sound-answer-clears-nothing",
         "containment/registry.py",
-        "if content in self._observations and self._clear(content):",
+        "if any([self._clear(key) for key in completed if key in self._observations]):",
         "if False:",
         (CONTAINMENT,),
     ),
@@ -1232,8 +1233,8 @@
     Mutant(
         "body-that-only-the-close-ends-clears",
         "requests/execution.py",
-        "complete = relayed.framed and relayed.answer.status == OK_STATUS",
-        "complete = relayed.answer.status == OK_STATUS",
+        "ending = AnswerEnding.COMPLETE if relayed.framed else AnswerEnding.UNFRAMED",
+        "ending = AnswerEnding.COMPLETE",
         (CRASHING,),
     ),
     Mutant(
@@ -2704,8 +2705,8 @@
     Mutant(
         "rest-counts-as-a-failure",
         "requests/execution.py",
-        "        if not isinstance(err, UpstreamRefused) or now >= upstream.resting_until:",
-        "        if True:",
+        "        is_fault = not isinstance(err, UpstreamRefused) or now >= upstream.resting_until",
+        "        is_fault = True",
         (RESTING,),
     ),
     Mutant(
@@ -2760,8 +2761,8 @@
     Mutant(
         "no-failure-counts-within-a-rest",
         "requests/execution.py",
-        "        if not isinstance(err, UpstreamRefused) or now >= upstream.resting_until:",
-        "        if now >= upstream.resting_until:",
+        "        is_fault = not isinstance(err, UpstreamRefused) or now >= upstream.resting_until",
+        "        is_fault = now >= upstream.resting_until",
         (RESTING,),
     ),
     Mutant(
@@ -3375,8 +3376,8 @@
     Mutant(
         "attempt-without-a-connection-takes-a-retry",
         "requests/execution.py",
-        "isinstance(err, UpstreamUnreachable) or self._retries.try_spend()",
-        "self._retries.try_spend()",
+        "isinstance(err, UpstreamUnreachable | StreamMoved) or self._retries.try_spend()",
+        "isinstance(err, StreamMoved) or self._retries.try_spend()",
         (FORWARDED,),
     ),
     Mutant(
@@ -3522,7 +3523,7 @@
     Mutant(
         "outage-changes-no-preference",
         "streams/origins.py",
-        "        if shares is None or self._records_promptly():\n",
+        "        if self._records_promptly():\n",
         "        if True:\n",
         (STREAMS,),
     ),
@@ -3561,6 +3562,76 @@
         "list(self._bound)",
         (REQUIRED_VERSION,),
     ),
+    Mutant(
+        "stream-goes-on-without-its-record",
+        "requests/stream_version.py",
+        "            self._move_from(upstream.software_version)\n",
+        "            pass\n",
+        (STREAM_VERSIONS,),
+    ),
+    Mutant(
+        "events-of-a-moved-stream-count-as-passed-on",
+        "requests/passthrough.py",
+        "            self._events = EventStream()  # none of the events was passed on\n",
+        "",
+        (STREAM_VERSIONS,),
+    ),
+    Mutant(
+        "parts-are-not-observed",
+        "containment/content.py",
+        "    for part in parts:\n",
+        "    for part in ():\n",
+        (PARTS, CONTAINMENT),
+    ),
+    Mutant(
+        "part-of-one-content-is-blamed",
+        "containment/blame.py",
+        '    return len(sources) == 1 and "" not in sources\n',
+        "    return False\n",
+        (CONTAINMENT,),
+    ),
+    Mutant(
+        "part-of-a-rival-is-blamed-for-all",
+        "containment/content.py",
+        "        yield part.of_pool, part.of_account\n",
+        "        yield part.of_pool, content\n",
+        (CONTAINMENT,),
+    ),
+    Mutant(
+        "shortest-attempt-stands-for-a-part",
+        "containment/observations.py",
+        "    is_strong = not observation.weak and not observation.source\n",
+        "    is_strong = not observation.weak\n",
+        (CONTAINMENT,),
+    ),
+    Mutant(
+        "complete-answer-clears-no-part",
+        "containment/registry.py",
+        "        completed = [key for key, _ in identities(content, parts)]\n",
+        "        completed = [content]\n",
+        (CONTAINMENT,),
+    ),
+    Mutant(
+        "survived-unframed-answer-clears-nothing",
+        "containment/guard.py",
+        "        detector.on_survived = self._note_completed\n",
+        "",
+        (CONTAINMENT,),
+    ),
+    Mutant(
+        "unframed-answer-clears-before-a-later-one",
+        "containment/crash_detection.py",
+        "        later = [one for one in ended if one.at >= sent_at]\n",
+        "        later = []\n",
+        (CONTAINMENT,),
+    ),
+    Mutant(
+        "attempts-with-a-held-part-go-on",
+        "containment/guard.py",
+        "        for attempt in self._attempts_by_key.get(key, ()):\n",
+        "        for attempt in ():\n",
+        (CONTAINMENT,),
+    ),
     Mutant(
         "stream-resumed-at-another-pool",
         "configuration/routes.py",
