--- a/railtide/containment/admin.py
+++ b/railtide/containment/admin.py
@@ -16,7 +16,7 @@
 
 
 class ContentState(msgspec.Struct, frozen=True):
-    """One content and the evidence against it.
+    """One content, or part of prompts, and the evidence against it.
 
     Attributes
     ----------
@@ -29,6 +29,8 @@
         The upstreams that crashed, and the routers that saw it.
     tried_again_in_s : float
         Until its next trial; 0 for a content that is not held.
+    part : bool
+        Whether it is a part of prompts.
     """
 
     content: str
@@ -37,6 +39,7 @@
     upstreams: list[str]
     routers: list[str]
     tried_again_in_s: float
+    part: bool = False
 
 
 async def content_states(store: KeyedStore, now: float) -> list[ContentState]:
@@ -60,6 +63,7 @@
         observations.add(observation)
     blame = assign_blame(observations.all(), observations.detection_times)
     held_counts = {content: len(incarnations) for content, incarnations in blame.held.items()}
+    counts = held_counts | blame.crash_count_by_content | blame.crash_count_by_part
     states = [
         _state(
             content,
@@ -69,7 +73,7 @@
             content in held_counts,
             now,
         )
-        for content, count in (held_counts | blame.crash_count_by_content).items()
+        for content, count in counts.items()
     ]
     return sorted(states, key=lambda state: (not state.held, -state.ends, state.content))
 
@@ -100,6 +104,7 @@
         sorted({upstream_of(record_by_observation[seen]) for seen in observations}),
         sorted({seen.router for seen in observations}),
         round(max(0.0, left_s), 1),
+        any(seen.source for seen in observations),
     )
 
 
--- a/tests/edge_soak/callers.py
+++ b/tests/edge_soak/callers.py
@@ -9,7 +9,7 @@
 
 from railtide.http.client import Exchange, PeerPool
 from railtide.http.errors import HttpError
-from railtide.http.messages import HttpRequest, first_header
+from railtide.http.messages import Headers, HttpRequest, first_header
 from tests.edge_soak.fleet import ACCOUNT, Fleet, Router, api_key
 
 __all__ = ["Attempt", "Callers"]
@@ -130,6 +130,7 @@
         body: bytes = BODY,
         key_version: int | None = None,
         account: str = ACCOUNT,
+        headers: Headers = (),
     ) -> Attempt:
         """Send one request, with the newest key unless another is given, and record its outcome."""
         number = len(self.attempts)
@@ -139,14 +140,15 @@
         )
         attempt.sent_body, attempt.account = body, account
         self.attempts.append(attempt)
-        headers = (
+        sent_headers = (
             (b"host", b"h.example"),
             (b"x-attempt-id", attempt.request_id.encode()),
             (b"x-deadline-ms", b"%d" % (CALLER_TIMEOUT_S * 1000)),
             (b"x-credential", api_key(account, key_version).encode()),
             (b"x-token-count", b"%d,%d" % (TOKENS_IN, TOKENS_OUT)),
+            *headers,
         )
-        request = HttpRequest(b"POST", f"/{kind}/x".encode(), headers, body)
+        request = HttpRequest(b"POST", f"/{kind}/x".encode(), sent_headers, body)
         with trio.move_on_after(CALLER_TIMEOUT_S):
             try:
                 await self._read(attempt, await pool.send(request))
--- a/tests/edge_soak/crashes.py
+++ b/tests/edge_soak/crashes.py
@@ -21,6 +21,7 @@
     "RECHECK_S",
     "broken_containment",
     "is_calm_crash",
+    "is_held",
     "plan_crashes",
     "send_crashing",
     "send_unrelated",
@@ -131,7 +132,7 @@
     crashes = sum(engine.crashes for engine in fleet.crashing)
     most = MAX_CRASHES + len(fleet.routers)
     refused = [
-        a for a in attempts if a.status == REFUSED and a.sent_body != CRASHING_BODY and _is_held(a)
+        a for a in attempts if a.status == REFUSED and a.sent_body != CRASHING_BODY and is_held(a)
     ]
     broken = [
         f"{a.request_id} ({a.sent_body!r}) was held though it crashes no engine" for a in refused
@@ -143,7 +144,8 @@
     return broken
 
 
-def _is_held(attempt: Attempt) -> bool:
+def is_held(attempt: Attempt) -> bool:
+    """Return whether a refused request was told that its content, or a part, is held."""
     try:
         return msgspec.json.decode(attempt.body)["code"] == CODE_HELD
     except (msgspec.DecodeError, KeyError, TypeError):
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -83,6 +83,8 @@
         Longest pause of a stayer between two requests.
     crashing : int
         Engines that crash on bodies with a mark; there are no links to them.
+    crashing_parts : tuple of bytes
+        Parts of prompts on which these crash as well.
     prepaid : int
         Budget without the top-ups that each version of the desired state adds.
     filling : int
@@ -107,6 +109,7 @@
     pause_s: float = 0.1
     prepaid: int = 8_000
     crashing: int = 0
+    crashing_parts: tuple[bytes, ...] = ()
     filling: int = 0
     era: int | None = None
     accounts: tuple[str, ...] = (ACCOUNT,)
@@ -431,7 +434,9 @@
             fleet.engines.append(engine)
             fleet.engine_links.append(link)
         for number in range(world.crashing):
-            crashing = CrashingEngine(store, f"c{number}", HOST, GOOD_ENGINE)
+            crashing = CrashingEngine(
+                store, f"c{number}", HOST, GOOD_ENGINE, crashing_parts=world.crashing_parts
+            )
             await nursery.start(crashing.run)
             fleet.crashing.append(crashing)
         ports = free_ports(PORTS_PER_ROUTER * world.routers)
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -7,6 +7,7 @@
   connections, and a kill of all routers at the end;
 - `crashes`: a request that crashes each engine that starts it, during faults of routers and the
   store;
+- `parts`: a part of prompts that does so, in requests of which no two are alike;
 - `states`: large desired states over throttled links, during series and faults;
 - `rollbacks`: a store that is restored from a copy while routers spend, are killed and start;
 - `notices`: engines that advertise limits, ask for rests and leave, during series and faults;
@@ -86,6 +87,12 @@
     plan_notices,
     unused_engines,
 )
+from tests.edge_soak.parts import (
+    PARTS_WORLD,
+    broken_part_containment,
+    send_with_bad_part,
+    send_with_sound_parts,
+)
 from tests.edge_soak.rollbacks import (
     ROLLBACKS_WORLD,
     Rollback,
@@ -165,6 +172,7 @@
     CUTS = "cuts"
     BRITTLE = "brittle"
     VERSIONS = "versions"
+    PARTS = "parts"
 
 
 async def _run_faults(seed: int, folder: Path) -> list[str]:
@@ -300,6 +308,26 @@
         return unserving + ends + broken_promises(fleet, callers.attempts)
 
 
+async def _run_parts(seed: int, folder: Path) -> list[str]:
+    async with open_fleet(folder, PARTS_WORLD) as fleet:
+        await _until_ready(fleet)
+        callers = Callers(fleet, Random(seed))
+        async with _calling(callers), trio.open_nursery() as nursery:
+            nursery.start_soon(send_with_bad_part, callers, Random(seed), CRASHING_S)
+            nursery.start_soon(send_with_sound_parts, callers, Random(seed), CRASHING_S)
+            for planned in plan_crashes(seed):
+                nursery.start_soon(_inject, fleet, planned)
+        clear_faults(fleet)
+        unserving = await _check_all_serving(fleet, callers)
+        await trio.sleep(KNOWN_S)
+        known_at = trio.current_time()
+        async with _calling(callers), trio.open_nursery() as nursery:
+            nursery.start_soon(send_with_bad_part, callers, Random(seed), RECHECK_S)
+            nursery.start_soon(send_with_sound_parts, callers, Random(seed), RECHECK_S)
+        ends = broken_part_containment(fleet, callers.attempts, known_at, seed)
+        return unserving + ends + broken_promises(fleet, callers.attempts)
+
+
 async def _run_states(seed: int, folder: Path) -> list[str]:
     async with open_fleet(folder, STATES_WORLD) as fleet:
         await _until_ready(fleet)
@@ -478,6 +506,7 @@
     Kind.CUTS: _run_cuts,
     Kind.BRITTLE: _run_brittle,
     Kind.VERSIONS: _run_versions,
+    Kind.PARTS: _run_parts,
 }
 PLAN_BY_KIND = {
     Kind.FAULTS: plan_faults,
@@ -490,6 +519,7 @@
     Kind.CUTS: plan_cuts,
     Kind.BRITTLE: plan_brittle,
     Kind.VERSIONS: plan_versions,
+    Kind.PARTS: plan_crashes,
 }
 
 
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -204,6 +204,16 @@
         assert too_many_crashes(fleet)
 
 
+PARTS_SEEDS = (15_000, 15_001)
+"""15000: only routers that are killed or leave. 15001: faults of the store and of engines too."""
+
+
+class TestParts:
+    @pytest.mark.parametrize("seed", PARTS_SEEDS)
+    def test_promises_hold(self, seed: int) -> None:
+        assert violations_of(seed, Kind.PARTS) == []
+
+
 class TestServedAtCut:
     """The check of the soak itself."""
 
