--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -1,7 +1,6 @@
 """Runs one request: slot, attempts at upstreams, retries, and the bill, also without an answer."""
 
 import math
-from contextlib import AbstractContextManager
 
 import trio
 from loguru import logger
@@ -9,9 +8,7 @@
 
 from railtide.budgets.log_budget_source import LogReservation
 from railtide.budgets.messages import Waste
-from railtide.containment.crash_detection import UpstreamAttempt
 from railtide.containment.errors import ContentHeld
-from railtide.containment.guard import AnswerEnding
 from railtide.errors import ExecutionStatus, RailtideError
 from railtide.journal.entries import Verdict, VerdictCode
 from railtide.journal.writer import Submission
@@ -24,6 +21,7 @@
     HolderFenced,
     OutcomeUnknown,
 )
+from railtide.requests.guarded_attempts import GuardedAttempts
 from railtide.requests.messages import Answer, Bill, Outcome
 from railtide.requests.relay import Relayed
 from railtide.requests.services import Services
@@ -44,7 +42,6 @@
 from railtide.upstreams.upstream_state import (
     Upstream,
     estimated_load,
-    is_leaving,
     note_crash,
     note_failure,
     note_success,
@@ -52,8 +49,6 @@
 
 __all__ = ["Execution"]
 
-OK_STATUS = 200
-
 _tracer = trace.get_tracer("railtide.requests")
 
 
@@ -87,6 +82,7 @@
         self._retries = services.retry_budget_of(call.pool)
         self._commit = services.make_commit(call, reservation, services)
         self._relay = services.make_relay(call, sink, services, self._before_first_byte)
+        self._guarded = GuardedAttempts(call, services.guard, self._relay)
         self._waiting = WaitingRequest(
             call.account,
             call.urgency,
@@ -102,7 +98,6 @@
         self._bill: Submission | None = None
         self._sent_to: Instance | None = None
         self._lost_attempts: list[Instance] = []
-        self._sent_at = -math.inf
 
     @property
     def _may_have_run(self) -> bool:
@@ -122,7 +117,7 @@
         """
         try:
             with trio.move_on_at(self._call.deadline) as scope:
-                self._waiting.preference = self._services.guard.preference_of(self._call.content)
+                self._waiting.preference = self._guarded.preference
                 await self._version.prepare()
                 self._slot = await self._scheduler.acquire(self._waiting)
                 await self._commit.prepare()
@@ -182,14 +177,15 @@
             try:
                 relayed = await self._send_once(upstream.instance)
                 note_success(upstream)
-                self._report_answer(upstream.instance, relayed)
+                self._guarded.note_answer(upstream.instance, relayed)
                 self._report_stream_pauses()
                 return relayed
             except UpstreamError as err:
                 self._record_failure(upstream, err)
                 failed = err
             try:
-                await self._report_failed_attempt(upstream, failed)
+                await self._guarded.note_failure(upstream, failed)
+                self._waiting.preference = self._guarded.preference
                 await self._prepare_retry(failed, attempt)
                 self._scheduler.release(self._slot)
                 self._slot = await self._scheduler.reacquire(self._waiting, upstream)
@@ -223,11 +219,10 @@
         with _tracer.start_as_current_span("upstream.call") as span:
             span.set_attribute("railtide.upstream", upstream.name)
             self._commit.check_ownership()
-            await self._services.guard.check(self._call.content, self._call.parts)
+            await self._guarded.check()
             self._version.note_sent(upstream)
             self._sent_to = upstream
-            self._sent_at = trio.current_time()
-            with self._cancel_scope() as scope:
+            with self._guarded.begin() as scope:
                 sent = self._upstream_call(traceparent_of(span))
                 try:
                     relayed = await self._relay.relay(upstream, sent)
@@ -238,35 +233,6 @@
             self._sent_to = None
             return relayed
 
-    def _report_answer(self, upstream: Instance, relayed: Relayed) -> None:
-        """Report an answer to the content guard; only a framed one is certainly complete."""
-        ending = AnswerEnding.OTHER
-        if relayed.answer.status == OK_STATUS:
-            ending = AnswerEnding.COMPLETE if relayed.framed else AnswerEnding.UNFRAMED
-        self._services.guard.note_answer(upstream, self._last_attempt(), ending)
-
-    def _cancel_scope(self) -> AbstractContextManager[trio.CancelScope]:
-        return self._services.guard.cancel_scope_for(
-            self._call.content, lambda: self._relay.head_at, self._call.parts
-        )
-
-    def _last_attempt(self) -> UpstreamAttempt:
-        return UpstreamAttempt(
-            self._call.content, self._sent_at, self._relay.head_at, self._call.parts
-        )
-
-    async def _report_failed_attempt(self, upstream: Upstream, err: UpstreamError) -> None:
-        """Report a failed attempt to the content guard, unless its upstream was leaving.
-
-        Returns once it is known whether the upstream crashed, so that a request that crashed three
-        upstreams isn't sent to a fourth before the guard counts the third.
-        """
-        if is_leaving(upstream) and not isinstance(err, UpstreamMoved):
-            return
-        guard = self._services.guard
-        await guard.note_failure(upstream.instance, self._last_attempt(), err)
-        self._waiting.preference = guard.preference_of(self._call.content)
-
     def _report_stream_pauses(self) -> None:
         """Report to the scheduler whether a complete stream paused for longer than its goal."""
         goal_s = self._call.pause_goal_s
@@ -362,7 +328,7 @@
     async def _check_quarantine(self) -> None:
         """Raise if the content is quarantined, which its last attempt may have caused."""
         try:
-            await self._services.guard.check(self._call.content, self._call.parts)
+            await self._guarded.check()
         except ContentHeld:
             self._log_not_retried("content-held")
             raise
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1232,16 +1232,16 @@
     ),
     Mutant(
         "body-that-only-the-close-ends-clears",
-        "requests/execution.py",
+        "requests/guarded_attempts.py",
         "ending = AnswerEnding.COMPLETE if relayed.framed else AnswerEnding.UNFRAMED",
         "ending = AnswerEnding.COMPLETE",
         (CRASHING,),
     ),
     Mutant(
         "end-of-one-that-leaves-is-a-crash",
-        "requests/execution.py",
-        "if is_leaving(upstream) and not isinstance(err, UpstreamMoved):",
-        "if False:",
+        "requests/guarded_attempts.py",
+        "if not is_leaving(upstream) or isinstance(err, UpstreamMoved):",
+        "if True:",
         (CRASHING,),
     ),
     Mutant(
