Containment: a content beside a guilty part is not held with it

Change: a content is not held while a part that it doesn't carry was at all of its crashes and is about as suspect. If the content crashes upstreams too, it does so again without the part and is held then.

--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -267,6 +267,7 @@
             content
             for content, known in weights.items()
             if known == weight >= hold_threshold_of(enough[content])
+            and not _is_beside_a_part(content, weights, enough, unexplained)
         ]
         if not worst:
             continue
@@ -279,6 +280,35 @@
     return []
 
 
+def _is_beside_a_part(
+    content: str,
+    weights: Mapping[str, int],
+    enough: Mapping[str, Sequence[CrashObservation]],
+    unexplained: Mapping[str, Sequence[CrashObservation]],
+) -> bool:
+    """Return whether a part that a content doesn't carry was at all of the content's crashes.
+
+    The part then explains them; if the content crashes upstreams as well, it does so again without
+    the part. A content that carries a part is a source of it at some crash.
+    """
+    if enough[content][0].source:
+        return False
+    incarnations = _incarnations(enough[content])
+    for other, seen in enough.items():
+        sources = {observation.source for observation in seen}
+        is_unrelated_part = "" not in sources and content not in sources
+        if not is_unrelated_part or any(_is_part(source, unexplained) for source in sources):
+            continue
+        is_suspect = weights[other] > HOLD_THRESHOLD - STRONG_WEIGHT
+        if is_suspect and incarnations <= _incarnations(seen):
+            return True
+    return False
+
+
+def _is_part(content: str, unexplained: Mapping[str, Sequence[CrashObservation]]) -> bool:
+    return any(observation.source for observation in unexplained.get(content, ()))
+
+
 def hold_threshold_of(observations: Sequence[CrashObservation]) -> int:
     """Return the weight from which on a content, or a part of prompts, is held."""
     return PART_HOLD_THRESHOLD if observations[0].source else HOLD_THRESHOLD
--- a/railtide/containment/tests/test_parts.py
+++ b/railtide/containment/tests/test_parts.py
@@ -7,7 +7,7 @@
 import trio
 
 from railtide.containment.blame import PART_HOLD_THRESHOLD, STRONG_WEIGHT
-from railtide.containment.content import PartDigests, part_digests
+from railtide.containment.content import PartDigests, content_digest, part_digests
 from railtide.containment.crash_detection import (
     BrokenAttempt,
     CrashDetector,
@@ -38,7 +38,7 @@
 ) -> BrokenAttempt:
     """Return an attempt that began so long ago and breaks off now."""
     now = trio.current_time()
-    digest = f"{abs(hash(content)):032x}"[:32]
+    digest = content_digest(ACCOUNT, "/", content.encode())
     began = now - age_s
     parts = parts_of(*names, account=account)
     return BrokenAttempt(UpstreamAttempt(digest, began, began, parts), now)
@@ -113,6 +113,48 @@
         assert not any(held(registry, "bad") for registry in fleet.registries)
 
 
+class TestQuickSeries:
+    READ = "read by all callers"
+
+    async def test_read_at_all_crashes_of_a_guilty_part_is_not_held(
+        self, nursery, autojump_clock
+    ) -> None:
+        """Five upstreams crash within 0.6 s, before any of the reads on them is answered."""
+        fleet = Fleet(nursery)
+        registry = fleet.registries[0]
+        for number in range(5):
+            guilty = attempt(f"c{number}", "bad", age_s=BEGUN_S)
+            registry.note_crash(f"i-{number}", f"i-{number}", [guilty, attempt(self.READ)])
+            await trio.sleep(0.12)
+        assert held(registry, "bad")
+        assert not registry.refusal_of(attempt(self.READ).attempt.content)
+
+    async def test_repeated_content_is_held_beside_a_part_that_it_carries(
+        self, nursery, autojump_clock
+    ) -> None:
+        """Other requests with the part run longer at two of the three crashes."""
+        fleet = Fleet(nursery)
+        registry = fleet.registries[0]
+        for number in range(3):
+            beside = [attempt(f"o{number}", "first", age_s=0.3)] if number else []
+            registry.note_crash(f"i-{number}", f"i-{number}", [attempt("same", "first"), *beside])
+            await trio.sleep(0.5)
+        assert not held(registry, "first")
+        registry.note_completed("e" * 32, parts_of("first"))
+        assert registry.refusal_of(attempt("same").attempt.content)
+
+    async def test_content_that_crashes_on_without_the_part_is_held(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        registry = fleet.registries[0]
+        for number in range(8):
+            guilty = [attempt(f"c{number}", "bad")] if number < 5 else []
+            registry.note_crash(f"i-{number}", f"i-{number}", [*guilty, attempt(self.READ)])
+            await trio.sleep(0.12)
+        assert registry.refusal_of(attempt(self.READ).attempt.content)
+
+
 class TestAccounts:
     async def test_rival_that_names_a_part_holds_it_for_itself_only(
         self, nursery, autojump_clock
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3597,6 +3597,20 @@
         "        yield part.of_pool, content\n",
         (CONTAINMENT,),
     ),
+    Mutant(
+        "content-beside-a-guilty-part-is-held",
+        "containment/blame.py",
+        "        if is_suspect and incarnations <= _incarnations(seen):\n",
+        "        if False:\n",
+        (CONTAINMENT,),
+    ),
+    Mutant(
+        "content-that-carries-a-part-counts-as-beside-it",
+        "containment/blame.py",
+        '        is_unrelated_part = "" not in sources and content not in sources\n',
+        '        is_unrelated_part = "" not in sources\n',
+        (CONTAINMENT,),
+    ),
     Mutant(
         "shortest-attempt-stands-for-a-part",
         "containment/observations.py",
