--- a/railtide/containment/tests/test_parts.py
+++ b/railtide/containment/tests/test_parts.py
@@ -132,15 +132,13 @@
     async def test_repeated_content_is_held_beside_a_part_that_it_carries(
         self, nursery, autojump_clock
     ) -> None:
-        """Other requests with the part run longer at two of the three crashes."""
+        """Other requests with the part run longer at all crashes but the first."""
         fleet = Fleet(nursery)
         registry = fleet.registries[0]
-        for number in range(3):
+        for number in range(5):
             beside = [attempt(f"o{number}", "first", age_s=0.3)] if number else []
             registry.note_crash(f"i-{number}", f"i-{number}", [attempt("same", "first"), *beside])
             await trio.sleep(0.5)
-        assert not held(registry, "first")
-        registry.note_completed("e" * 32, parts_of("first"))
         assert registry.refusal_of(attempt("same").attempt.content)
 
     async def test_content_that_crashes_on_without_the_part_is_held(
