Streams: the writer and the reader of records are modules of their own; slowness is forgotten

And a single slow append made a router prefer the version that needs no record until the next append, which then may never come: while shares change, all its new streams would go to the upstreams of one version. Change: record_writer.py, record_reader.py, stored_origins.py and the interface in origins.py; an append that was slow or failed counts for 2 s. One history failed on the way: the model did not wait for the record of a stream that had begun again, as the router does.

--- a/railtide/edge/streams.py
+++ b/railtide/edge/streams.py
@@ -9,7 +9,7 @@
 from railtide.edge.pools import EdgePools
 from railtide.journal.keyed import KeyedStore
 from railtide.streams.agreement import SharesAgreement
-from railtide.streams.origins import StoredOrigins
+from railtide.streams.stored_origins import StoredOrigins
 from railtide.telemetry.counters import Counters
 
 __all__ = ["EdgeStreams"]
--- /dev/null
+++ b/railtide/streams/stored_origins.py
@@ -0,0 +1,304 @@
+"""Knows at which software version each stream began, also for streams of other routers.
+
+A router remembers the streams that it began. It records those that the agreed shares don't map to
+their version in a topic of the store before their first event is passed on, so that the record
+outlives the router. A router that is asked to resume a stream reads the records up to the present.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import trio
+from loguru import logger
+
+from railtide.configuration.errors import InvalidObject
+from railtide.journal.errors import LogUnavailable
+from railtide.journal.feed import Feed, FeedOptions
+from railtide.journal.keyed import KeyedRecord, KeyedStore
+from railtide.streams.agreement import SharesAgreement
+from railtide.streams.errors import StreamVersionUnknown
+from railtide.streams.origins import StreamOrigins
+from railtide.streams.record_reader import RecordReader
+from railtide.streams.record_writer import RecordWriter
+from railtide.streams.records import StreamOrigin, origin_of, origin_value, stream_key
+from railtide.telemetry.counters import Counters
+
+__all__ = ["STREAMS_TOPIC", "StoredOrigins"]
+
+STREAMS_TOPIC = "keyed.railtide-streams"
+READ_WAIT_S = 2.0
+READ_PAUSE_S = 2.0
+"""Between two reads of the records. Only resumed streams need the newest ones, which are then read
+at once."""
+LOOKUP_S = 0.5
+"""Longest wait of a resumed stream for the records: a read takes milliseconds, and up to 0.45 s
+behind a link of 5 Mbit/s that is full."""
+RECORD_WAIT_S = 0.25
+"""Longest time for which a stream's first event is held back for its record."""
+FLEET_APPENDS_PER_S = 100.0
+"""Appends of records by all routers together: a sixth of the smallest store's limit."""
+LIST_LAG_S = 5.0
+"""For how long after an upstream left this router's list other routers may begin streams there."""
+BACKLOG_S = 1.0
+"""From the store's return until all routers have written the records that they could not write:
+the longest backoff, and an append."""
+MIN_RETENTION_S = 30.0
+PRUNE_INTERVAL_S = 1.0
+REMOVAL_DELAY_S = 10.0
+"""Longest time for which removals wait to share an append with records."""
+FORMER_ROUTER_FACTOR = 2.0
+"""After this multiple of the retention a record is removed for a router that no longer exists."""
+RETRY_AFTER_S = 0.5
+
+
+@dataclass
+class _KnownStream:
+    """A stream that began lately.
+
+    Attributes
+    ----------
+    known_at : float
+        Trio time at which this router began it or read its record.
+    is_own : bool
+        Whether this router began it.
+    is_recorded : bool
+        Whether the store has a record of it, or will have.
+    """
+
+    origin: StreamOrigin
+    known_at: float
+    is_own: bool
+    is_recorded: bool
+
+
+class StoredOrigins(StreamOrigins):
+    """Origins of streams that all routers share through the store.
+
+    Parameters
+    ----------
+    store : KeyedStore
+    agreement : SharesAgreement
+    versions_of : callable
+        Returns the software versions of a pool's listed upstreams.
+    router_count : callable
+        Returns how many routers may record streams.
+    is_owner : callable
+        Returns whether this router removes the record of a router that no longer exists.
+    rng : random.Random
+    counters : Counters
+    """
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        agreement: SharesAgreement,
+        versions_of: Callable[[str], frozenset[str]],
+        router_count: Callable[[], int],
+        is_owner: Callable[[str], bool],
+        rng: Random,
+        counters: Counters,
+    ) -> None:
+        self._agreement = agreement
+        self._versions_of = versions_of
+        self._router_count = router_count
+        self._is_owner = is_owner
+        self._counters = counters
+        self._began_at = trio.current_time()
+        self._mixed_at_by_pool: dict[str, float] = {}
+        self._stream_by_key: dict[str, _KnownStream] = {}
+        options = FeedOptions(READ_WAIT_S, READ_PAUSE_S)
+        self._feed = Feed(store, STREAMS_TOPIC, options, rng, self._apply_records)
+        self._reader = RecordReader(
+            store, STREAMS_TOPIC, lambda: self._feed.next_offset, self._apply_records
+        )
+        self._writer = RecordWriter(store, STREAMS_TOPIC, self._append_interval_s, rng)
+        store.on_era_rise(self._write_again)
+
+    async def run(self) -> None:
+        """Follow the records of all routers and write this one's, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._feed.run)
+            nursery.start_soon(self._writer.run)
+            nursery.start_soon(self._run_pruning)
+
+    def refresh(self) -> trio.Event:
+        """Read the topic again now; see `Feed.refresh`."""
+        return self._feed.refresh()
+
+    @property
+    def caught_up(self) -> bool:
+        """True once the records of all routers were read to the end of the topic."""
+        return self._feed.caught_up
+
+    @property
+    def _retention_s(self) -> float:
+        return max(MIN_RETENTION_S, self._agreement.retention_s)
+
+    # -- queries ------------------------------------------------------------------------------
+
+    async def version_of(self, pool: str, account: str, attempt: str) -> str | None:
+        """Return the version at which a stream began; see `StreamOrigins.version_of`."""
+        key = stream_key(account, attempt) if attempt else ""
+        known = self._stream_by_key.get(key)
+        if known is None and self._knows_all_records(pool):
+            only = self._only_version(pool)
+            if only is not None:
+                return only
+        if known is None or not known.is_own:
+            known = await self._read_stream(key, known)
+        if known:
+            return known.origin.version if known.origin.pool == pool else None
+        return self._version_without_record(pool, key)
+
+    def _version_without_record(self, pool: str, key: str) -> str:
+        """Return the version at which a stream began that has no record up to the present."""
+        if not self._agreement.reachable or self._is_backlog_due():
+            raise _unknown("other routers may still have records to write after an outage")
+        only = self._only_version(pool)
+        if only is not None:
+            return only
+        shares = self._agreement.by_pool.get(pool)
+        if not key:
+            raise _unknown("the caller does not name the attempt that began the stream")
+        if shares is None:
+            raise _unknown("the versions' shares are not known yet")
+        return shares.version_of(key)
+
+    def _is_backlog_due(self) -> bool:
+        """Return whether records that an outage held up may still be missing."""
+        return trio.current_time() < self._agreement.restored_at + BACKLOG_S
+
+    def _only_version(self, pool: str) -> str | None:
+        """Return the version at which all streams of a pool began, None if they may differ."""
+        versions = self._versions_of(pool)
+        only = self._agreement.only_version_of(pool, versions)
+        if only is None or versions - {only}:
+            return None
+        origins = (stream.origin for stream in self._stream_by_key.values())
+        others = any(origin.pool == pool and origin.version != only for origin in origins)
+        return None if others else only
+
+    def _knows_all_records(self, pool: str) -> bool:
+        """Return whether the records were read since a pool's list last had other versions."""
+        mixed_at = self._mixed_at_by_pool.get(pool, self._began_at)
+        return self._feed.freshness.read_at >= mixed_at + LIST_LAG_S
+
+    def note_versions(self, pool: str) -> None:
+        """Note which versions a pool has now; to be called several times a second."""
+        versions = self._versions_of(pool)
+        only = self._agreement.only_version_of(pool, versions)
+        if only is None or versions - {only}:
+            self._mixed_at_by_pool[pool] = trio.current_time()
+
+    async def _read_stream(self, key: str, known: _KnownStream | None) -> _KnownStream | None:
+        """Return what the present records tell of a stream that another router began.
+
+        A record that was read earlier may have been replaced: before its first event, a stream can
+        be sent to another version. While the store doesn't answer, that record still counts.
+        """
+        try:
+            await self._reader.read(LOOKUP_S)
+        except LogUnavailable as err:
+            self._counters.add("stream_lookups_failed")
+            if known is None:
+                raise _unknown("the records of streams can't be read now") from err
+        return self._stream_by_key.get(key)
+
+    def preferred_version(self, pool: str, account: str, attempt: str) -> str | None:
+        """Return the version that needs no record, while records take long."""
+        if self._writer.is_prompt() and self._agreement.reachable:
+            return None
+        return self.version_without_record(pool, account, attempt)
+
+    def version_without_record(self, pool: str, account: str, attempt: str) -> str | None:
+        """Return what the shares assign; see `StreamOrigins.version_without_record`.
+
+        While shares are changing, a stream may need a record at any version. Without it, the shares
+        that hold decide.
+        """
+        shares = self._agreement.by_pool.get(pool)
+        return shares.version_of(stream_key(account, attempt)) if shares else None
+
+    def _append_interval_s(self) -> float:
+        return self._router_count() / FLEET_APPENDS_PER_S
+
+    # -- streams of this router ---------------------------------------------------------------
+
+    def note_sent(self, origin: StreamOrigin, account: str, attempt: str) -> None:
+        """Remember where an attempt was sent, and record it if necessary."""
+        key = stream_key(account, attempt)
+        former = self._stream_by_key.pop(key, None)
+        shares = self._agreement.by_pool.get(origin.pool)
+        is_recorded = former is not None and former.is_recorded
+        needs_record = shares is None or shares.needs_record(key, origin.version)
+        self._stream_by_key[key] = _KnownStream(
+            origin, trio.current_time(), True, is_recorded or needs_record
+        )
+        if is_recorded or needs_record:
+            self._counters.add("stream_records")
+            self._writer.write(key, origin_value(origin))
+
+    async def wait_until_recorded(self, account: str, attempt: str) -> bool:
+        """Wait for the record of a stream; see `StreamOrigins.wait_until_recorded`."""
+        if await self._writer.wait_until_stored(stream_key(account, attempt), RECORD_WAIT_S):
+            return True
+        self._counters.add("stream_records_late")
+        logger.bind(attempt=attempt).warning("stream-record-late")
+        return False
+
+    # -- records ------------------------------------------------------------------------------
+
+    def _apply_records(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            known = self._stream_by_key.get(record.key)
+            if not record.value:
+                if known and not known.is_own:
+                    del self._stream_by_key[record.key]
+                continue
+            try:
+                self._apply_origin(record.key, origin_of(record), known)
+            except InvalidObject as err:
+                logger.bind(key=record.key, error=err.detail).debug("stream-record-unreadable")
+
+    def _apply_origin(self, key: str, origin: StreamOrigin, known: _KnownStream | None) -> None:
+        """Apply a record; a late write of this router's own is replaced by the present one."""
+        if known and known.is_own:
+            if origin != known.origin and not self._writer.is_pending(key):
+                self._writer.write(key, origin_value(known.origin))
+            return
+        since = known.known_at if known else trio.current_time()
+        self._stream_by_key.pop(key, None)
+        self._stream_by_key[key] = _KnownStream(origin, since, False, True)
+
+    def _write_again(self) -> None:
+        """Write all records again that a rolled back store may have lost."""
+        for key, stream in self._stream_by_key.items():
+            if stream.is_recorded:
+                self._writer.write(key, origin_value(stream.origin))
+
+    async def _run_pruning(self) -> None:
+        while True:
+            await trio.sleep(PRUNE_INTERVAL_S)
+            self._prune()
+
+    def _prune(self) -> None:
+        """Forget streams that have ended, and remove their records."""
+        now = trio.current_time()
+        for key, stream in list(self._stream_by_key.items()):
+            age_s = now - stream.known_at
+            if age_s < self._retention_s:
+                break
+            if stream.is_own:
+                del self._stream_by_key[key]
+                if stream.is_recorded:
+                    self._writer.write(key, b"", REMOVAL_DELAY_S)
+            elif age_s >= self._retention_s * FORMER_ROUTER_FACTOR:
+                del self._stream_by_key[key]
+                if self._is_owner(key):
+                    self._writer.write(key, b"", REMOVAL_DELAY_S)
+        self._writer.write_due()
+
+
+def _unknown(detail: str) -> StreamVersionUnknown:
+    return StreamVersionUnknown(detail, retry_after=RETRY_AFTER_S)
--- a/railtide/streams/tests/test_origins.py
+++ b/railtide/streams/tests/test_stored_origins.py
@@ -9,15 +9,15 @@
 from railtide.standins.keyed_store import MemoryStore
 from railtide.streams.agreement import SHARES_TOPIC, SharesAgreement
 from railtide.streams.errors import StreamVersionUnknown
-from railtide.streams.origins import (
-    MAX_BATCH,
+from railtide.streams.record_writer import MAX_BATCH, SLOW_RETENTION_S
+from railtide.streams.records import StreamOrigin, pool_key, shares_value
+from railtide.streams.shares import VersionShares
+from railtide.streams.stored_origins import (
     MIN_RETENTION_S,
     RECORD_WAIT_S,
     STREAMS_TOPIC,
     StoredOrigins,
 )
-from railtide.streams.records import StreamOrigin, pool_key, shares_value
-from railtide.streams.shares import VersionShares
 from railtide.telemetry.counters import Counters
 
 POOL = "menu"
@@ -61,6 +61,7 @@
             return origin.version
         other = self.origins.version_without_record(POOL, ACCOUNT, attempt)
         self.origins.note_sent(StreamOrigin(POOL, other), ACCOUNT, attempt)
+        await self.origins.wait_until_recorded(ACCOUNT, attempt)
         return other
 
     async def version_of(self, attempt: str) -> str | None:
@@ -240,6 +241,18 @@
         await trio.sleep(5)
         assert origins.preferred_version(POOL, ACCOUNT, "a") is None
 
+    async def test_one_slow_append_changes_the_preference_for_moments_only(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await started(nursery)
+        origins = fleet.routers[0].origins
+        fleet.store.delay_s = 0.1
+        await fleet.routers[0].begin("a", V2)
+        fleet.store.delay_s = 0.0
+        assert origins.preferred_version(POOL, ACCOUNT, "b") == "v1"
+        await trio.sleep(SLOW_RETENTION_S)
+        assert origins.preferred_version(POOL, ACCOUNT, "b") is None
+
     async def test_large_fleet_prefers_the_version_that_needs_no_record(
         self, nursery, autojump_clock
     ) -> None:
