--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -39,8 +39,8 @@
 fewest that distinguish it from a request that was beside it twice. It takes five weak ones; users
 allow three more crashes after the third."""
 PART_HOLD_THRESHOLD = 4 * STRONG_WEIGHT
-"""A part of prompts takes one crash more: many sound requests may share it, and while it is held
-none of them can clear it. Users allow five crashes."""
+"""A part of prompts takes one crash more than the whole of a request: many sound requests may share
+it, and while it is held none of them can clear it."""
 MIN_OBSERVATIONS = HOLD_THRESHOLD // STRONG_WEIGHT
 HOLD_ALL_THRESHOLD = HOLD_THRESHOLD + 2 * STRONG_WEIGHT
 """From five crashes on, contents that can't be told apart are all held. At four, a read that all
--- a/railtide/containment/content.py
+++ b/railtide/containment/content.py
@@ -14,8 +14,7 @@
 ACCOUNT_PART = b"account-part"
 POOL_PART = b"pool-part"
 MAX_PARTS = 16
-"""Parts of a prompt that are identified; prompts of the platform share two. Of a longer prompt, the
-first and the last ones."""
+"""Parts of a prompt that are identified; of a longer prompt, the first and the last ones."""
 
 
 @dataclass(frozen=True)
--- a/railtide/edge/streams.py
+++ b/railtide/edge/streams.py
@@ -16,7 +16,7 @@
 
 ATTEMPTS_OF_A_CALLER = 2.0
 """Longest duration of a stream over all attempts of its caller, as a multiple of its route's
-timeout: callers repeat a request once or twice, within their own deadline."""
+timeout."""
 
 
 class EdgeStreams:
--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -29,7 +29,7 @@
 """Longest wait for a budget grant: time for a read and an append at a store that responds in 4 ms,
 with ten appends that conflict."""
 MAX_ID_BYTES = 256
-"""Longest id of an attempt that a caller may name; the platform's have 16 characters."""
+"""Longest id of an attempt that a caller may name."""
 NEW_IN_REPEATS = frozenset({header_names.ATTEMPT_ID, header_names.DEADLINE_MS})
 """Headers whose value changes when a caller sends a request again."""
 ACCOUNT_SETTINGS = AccountSettings(budget_wait_s=BUDGET_WAIT_S)
--- a/railtide/platform/tests/test_crashing_prompt_parts.py
+++ b/railtide/platform/tests/test_crashing_prompt_parts.py
@@ -1,7 +1,4 @@
-"""A part of prompts that crashes every engine that begins to answer it, whatever else is in them.
-
-No two of the requests with the part are alike, so that each looked like a new content.
-"""
+"""Requests of which no two are alike, with a part of their prompts that crashes all engines."""
 
 import math
 from collections.abc import Sequence
--- a/railtide/platform/tests/test_stream_versions.py
+++ b/railtide/platform/tests/test_stream_versions.py
@@ -1,7 +1,4 @@
-"""Streams that continue after an interruption while upstreams of several software versions serve.
-
-A router took the stream up at any upstream, so that callers received events of two versions.
-"""
+"""Streams that are resumed while upstreams of several software versions serve."""
 
 from collections import Counter
 from collections.abc import AsyncIterator
--- a/railtide/streams/record_writer.py
+++ b/railtide/streams/record_writer.py
@@ -14,8 +14,7 @@
 __all__ = ["RecordWriter"]
 
 PROMPT_S = 0.05
-"""An append that takes longer means that the store may be lost: it usually takes some milliseconds.
-"""
+"""An append that takes longer means that the store may be lost."""
 SLOW_RETENTION_S = 2.0
 """How long after a slow or failed append the next one is assumed to be slow too."""
 MAX_INTERVAL_S = 0.25
--- a/railtide/streams/stored_origins.py
+++ b/railtide/streams/stored_origins.py
@@ -32,17 +32,15 @@
 """Between two reads of the records. Only resumed streams need the newest ones, which are then read
 at once."""
 LOOKUP_S = 0.5
-"""Longest wait of a resumed stream for the records: a read takes milliseconds, and up to 0.45 s
-behind a link of 5 Mbit/s that is full."""
+"""Longest wait of a resumed stream for the records."""
 RECORD_WAIT_S = 0.25
 """Longest time for which a stream's first event is held back for its record."""
 FLEET_APPENDS_PER_S = 100.0
-"""Appends of records by all routers together: a sixth of the smallest store's limit."""
+"""Appends of records by all routers together."""
 LIST_LAG_S = 5.0
 """For how long after an upstream left this router's list other routers may begin streams there."""
 BACKLOG_S = 1.0
-"""From the store's return until all routers have written the records that they could not write:
-the longest backoff, and an append."""
+"""From the store's return until all routers have written the records that they could not write."""
 MIN_RETENTION_S = 30.0
 PRUNE_INTERVAL_S = 1.0
 REMOVAL_DELAY_S = 10.0
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -37,6 +37,14 @@
     plan_states,
     refused_as_outdated,
 )
+from tests.edge_soak.versions import OTHER_FAULTS as VERSIONS_OTHER_FAULTS
+from tests.edge_soak.versions import (
+    VERSIONS,
+    Stream,
+    mixed_streams,
+    plan_versions,
+    poor_resumption,
+)
 
 SEEDS = (5, 20, 41, FIRST_WITH_LATER_FAULTS)
 """5 and 41: processes are killed, leave and lose the store. 20: answers that weren't streams were
@@ -204,6 +212,36 @@
         assert too_many_crashes(fleet)
 
 
+VERSIONS_SEEDS = (14_001, 14_003, 14_015)
+"""14001: only routers that are killed or leave. 14003: all routers are killed during releases.
+14015: a router's connection to the store is silent during a release."""
+
+
+class TestVersions:
+    @pytest.mark.parametrize("seed", VERSIONS_SEEDS)
+    def test_promises_hold(self, seed: int) -> None:
+        assert violations_of(seed, Kind.VERSIONS) == []
+
+    def test_every_fault_is_drawn(self) -> None:
+        drawn = {planned.name for seed in range(14_000, 14_200) for planned in plan_versions(seed)}
+        assert drawn == set(VERSIONS) | set(VERSIONS_OTHER_FAULTS)
+
+    def test_more_than_two_mixed_streams_are_reported(self) -> None:
+        mixed = [Stream([b"id: 1\ndata: x1@v1", b"id: 2\ndata: x2@v2"]) for _ in range(3)]
+        assert mixed_streams(mixed[:2]) == []
+        assert mixed_streams(mixed)
+
+    def test_lost_and_repeated_events_are_reported(self) -> None:
+        assert mixed_streams([Stream([b"id: 1\ndata: x1@v1", b"id: 3\ndata: x3@v1"])])
+        assert mixed_streams([Stream([b"id: 1\ndata: x1@v1", b"id: 1\ndata: x1@v1"])])
+
+    def test_less_than_half_of_the_share_that_begins_is_reported(self) -> None:
+        streams = [Stream([b"id: 1\ndata: x1@v1"], resumed=2, gone_on=1) for _ in range(10)]
+        assert poor_resumption(streams) == []
+        streams[0].gone_on = 0
+        assert poor_resumption(streams)
+
+
 PARTS_SEEDS = (15_000, 15_001)
 """15000: only routers that are killed or leave. 15001: faults of the store and of engines too."""
 
--- a/tests/edge_soak/versions.py
+++ b/tests/edge_soak/versions.py
@@ -22,6 +22,7 @@
     "STREAMERS",
     "VERSIONS",
     "clear_labels",
+    "Stream",
     "Streams",
     "is_calm_version",
     "label_engines",
