--- a/tests/edge_soak/parts.py
+++ b/tests/edge_soak/parts.py
@@ -7,7 +7,7 @@
 
 from railtide.http.client import PeerPool
 from tests.edge_soak.callers import KINDS, Attempt, Callers
-from tests.edge_soak.crashes import CRASH_WORLD, is_calm_crash, is_held
+from tests.edge_soak.crashes import CRASH_WORLD, is_held
 from tests.edge_soak.fleet import ACCOUNT, Fleet
 
 __all__ = [
@@ -61,7 +61,7 @@
 
 
 def broken_part_containment(
-    fleet: Fleet, attempts: list[Attempt], known_at: float, seed: int
+    fleet: Fleet, attempts: list[Attempt], known_at: float, calm: bool
 ) -> list[str]:
     """Return a line for each violation; see `crashes.broken_containment`."""
     arrivals = [a for engine in fleet.crashing for a in engine.arrivals if BAD in a.parts]
@@ -75,6 +75,6 @@
     ]
     if len(late) > MAX_LATE_ARRIVALS:
         broken.append(f"requests with a held part were sent to engines {len(late)} more times")
-    if is_calm_crash(seed) and crashes > most:
+    if calm and crashes > most:
         broken.append(f"one part crashed {crashes} engines")
     return broken
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -27,7 +27,7 @@
 import sys
 import tempfile
 import traceback
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import asynccontextmanager
 from enum import StrEnum
@@ -47,7 +47,7 @@
     plan_brittle,
     too_many_crashes,
 )
-from tests.edge_soak.callers import CALLER_TIMEOUT_S, Callers
+from tests.edge_soak.callers import CALLER_TIMEOUT_S, Attempt, Callers
 from tests.edge_soak.checks import OK, broken_promises, lost_answers, poor_recovery, spent
 from tests.edge_soak.crashes import (
     CRASH_WORLD,
@@ -289,32 +289,25 @@
     ]
 
 
-async def _run_crashes(seed: int, folder: Path) -> list[str]:
-    async with open_fleet(folder, CRASH_WORLD) as fleet:
-        await _until_ready(fleet)
-        callers = Callers(fleet, Random(seed))
-        async with _calling(callers), trio.open_nursery() as nursery:
-            nursery.start_soon(send_crashing, callers, Random(seed), CRASHING_S)
-            nursery.start_soon(send_unrelated, callers, Random(seed), CRASHING_S)
-            for planned in plan_crashes(seed):
-                nursery.start_soon(_inject, fleet, planned)
-        clear_faults(fleet)
-        unserving = await _check_all_serving(fleet, callers)
-        await trio.sleep(KNOWN_S)
-        known_at = trio.current_time()
-        async with _calling(callers):
-            await send_crashing(callers, Random(seed), RECHECK_S)
-        ends = broken_containment(fleet, callers.attempts, known_at, is_calm_crash(seed))
-        return unserving + ends + broken_promises(fleet, callers.attempts)
+Send = Callable[[Callers, Random, float], Awaitable[None]]
+"""Sends requests for a number of seconds."""
 
 
-async def _run_parts(seed: int, folder: Path) -> list[str]:
-    async with open_fleet(folder, PARTS_WORLD) as fleet:
+async def _run_contained(
+    seed: int,
+    folder: Path,
+    world: World,
+    sends: Sequence[Send],
+    sends_again: Sequence[Send],
+    check: Callable[[Fleet, list[Attempt], float, bool], list[str]],
+) -> list[str]:
+    """Send requests that crash engines during faults, and again once all routers know of them."""
+    async with open_fleet(folder, world) as fleet:
         await _until_ready(fleet)
         callers = Callers(fleet, Random(seed))
         async with _calling(callers), trio.open_nursery() as nursery:
-            nursery.start_soon(send_with_bad_part, callers, Random(seed), CRASHING_S)
-            nursery.start_soon(send_with_sound_parts, callers, Random(seed), CRASHING_S)
+            for send in sends:
+                nursery.start_soon(send, callers, Random(seed), CRASHING_S)
             for planned in plan_crashes(seed):
                 nursery.start_soon(_inject, fleet, planned)
         clear_faults(fleet)
@@ -322,12 +315,24 @@
         await trio.sleep(KNOWN_S)
         known_at = trio.current_time()
         async with _calling(callers), trio.open_nursery() as nursery:
-            nursery.start_soon(send_with_bad_part, callers, Random(seed), RECHECK_S)
-            nursery.start_soon(send_with_sound_parts, callers, Random(seed), RECHECK_S)
-        ends = broken_part_containment(fleet, callers.attempts, known_at, seed)
+            for send in sends_again:
+                nursery.start_soon(send, callers, Random(seed), RECHECK_S)
+        ends = check(fleet, callers.attempts, known_at, is_calm_crash(seed))
         return unserving + ends + broken_promises(fleet, callers.attempts)
 
 
+async def _run_crashes(seed: int, folder: Path) -> list[str]:
+    sends = (send_crashing, send_unrelated)
+    return await _run_contained(
+        seed, folder, CRASH_WORLD, sends, (send_crashing,), broken_containment
+    )
+
+
+async def _run_parts(seed: int, folder: Path) -> list[str]:
+    sends = (send_with_bad_part, send_with_sound_parts)
+    return await _run_contained(seed, folder, PARTS_WORLD, sends, sends, broken_part_containment)
+
+
 async def _run_states(seed: int, folder: Path) -> list[str]:
     async with open_fleet(folder, STATES_WORLD) as fleet:
         await _until_ready(fleet)
