Streams: announced shares hold for 30 s at least before they replace the others

Found by reading: a router that starts knows no route's timeout before its first configuration, and took the longest stream for 0 s; as the one to propose, it would have ended an announcement at once, while streams without a record of the former shares went on. Change: one retention, 30 s at least, for records and announcements. Result: a test of a router without routes; tests of streams pass.

--- a/railtide/edge/streams.py
+++ b/railtide/edge/streams.py
@@ -82,4 +82,4 @@
         """Apply the timeouts of a configuration."""
         routes = (route for routes in snapshot.table.by_host.values() for route in routes)
         timeouts = (route.timeout_s for route in routes if route.resumable)
-        self._agreement.retention_s = max(timeouts, default=0.0) * ATTEMPTS_OF_A_CALLER
+        self._agreement.longest_stream_s = max(timeouts, default=0.0) * ATTEMPTS_OF_A_CALLER
--- a/railtide/streams/agreement.py
+++ b/railtide/streams/agreement.py
@@ -27,6 +27,8 @@
 """Least shift at which new shares are proposed: each change has streams recorded for a while."""
 SETTLE_S = 5.0
 """How long a shift must last: a release replaces upstreams one after the other."""
+MIN_RETENTION_S = 30.0
+"""Least time for which shares are announced: a router that starts may not know any route yet."""
 OWNER_LEAD_S = 1.0
 """How long other routers leave a proposal to the pool's owner, which may be cut off."""
 
@@ -46,8 +48,8 @@
     Attributes
     ----------
     by_pool : dict of str to VersionShares
-    retention_s : float
-        Longest duration of a stream over all attempts of its caller, seconds.
+    longest_stream_s : float
+        Longest duration of a stream over all attempts of its caller, as far as routes are known.
     """
 
     def __init__(
@@ -58,7 +60,7 @@
         start_soon: Callable[..., None],
     ) -> None:
         self.by_pool: dict[str, VersionShares] = {}
-        self.retention_s = 0.0
+        self.longest_stream_s = 0.0
         self._store = store
         self._rng = rng
         self._is_owner = is_owner
@@ -78,6 +80,11 @@
         """Read the topic again now; see `Feed.refresh`."""
         return self._feed.refresh()
 
+    @property
+    def retention_s(self) -> float:
+        """How long a stream and its record are remembered, seconds."""
+        return max(MIN_RETENTION_S, self.longest_stream_s)
+
     @property
     def caught_up(self) -> bool:
         """True once the shares were read to the end of the topic."""
--- a/railtide/streams/stored_origins.py
+++ b/railtide/streams/stored_origins.py
@@ -41,7 +41,6 @@
 """For how long after an upstream left this router's list other routers may begin streams there."""
 BACKLOG_S = 1.0
 """From the store's return until all routers have written the records that they could not write."""
-MIN_RETENTION_S = 30.0
 PRUNE_INTERVAL_S = 1.0
 REMOVAL_DELAY_S = 10.0
 """Longest time for which removals wait to share an append with records."""
@@ -129,10 +128,6 @@
         """True once the records of all routers were read to the end of the topic."""
         return self._feed.caught_up
 
-    @property
-    def _retention_s(self) -> float:
-        return max(MIN_RETENTION_S, self._agreement.retention_s)
-
     # -- queries ------------------------------------------------------------------------------
 
     async def version_of(self, pool: str, account: str, attempt: str) -> str | None:
@@ -285,13 +280,13 @@
         now = trio.current_time()
         for key, stream in list(self._stream_by_key.items()):
             age_s = now - stream.known_at
-            if age_s < self._retention_s:
+            if age_s < self._agreement.retention_s:
                 break
             if stream.is_own:
                 del self._stream_by_key[key]
                 if stream.is_recorded:
                     self._writer.write(key, b"", REMOVAL_DELAY_S)
-            elif age_s >= self._retention_s * FORMER_ROUTER_FACTOR:
+            elif age_s >= self._agreement.retention_s * FORMER_ROUTER_FACTOR:
                 del self._stream_by_key[key]
                 if self._is_owner(key):
                     self._writer.write(key, b"", REMOVAL_DELAY_S)
--- a/railtide/streams/tests/test_agreement.py
+++ b/railtide/streams/tests/test_agreement.py
@@ -5,12 +5,18 @@
 import trio
 
 from railtide.standins.keyed_store import MemoryStore
-from railtide.streams.agreement import OWNER_LEAD_S, SETTLE_S, SHARES_TOPIC, SharesAgreement
+from railtide.streams.agreement import (
+    MIN_RETENTION_S,
+    OWNER_LEAD_S,
+    SETTLE_S,
+    SHARES_TOPIC,
+    SharesAgreement,
+)
 from railtide.streams.records import pool_key
 from railtide.streams.shares import VersionShares
 
 POOL = "menu"
-RETENTION_S = 20.0
+RETENTION_S = 40.0
 CHECK_S = 0.1
 OLD, BOTH, NEW = {"v1": 4}, {"v1": 2, "v2": 2}, {"v2": 4}
 
@@ -35,7 +41,7 @@
             lambda pool: number == self.owner,
             self._nursery.start_soon,
         )
-        agreement.retention_s = RETENTION_S
+        agreement.longest_stream_s = RETENTION_S
         self.agreements.append(agreement)
         self._nursery.start_soon(agreement.run)
         self._nursery.start_soon(self._check, agreement)
@@ -82,6 +88,18 @@
         await trio.sleep(10)
         assert routers.agreements[1].by_pool[POOL] == VersionShares(3, {"v1": 0.5, "v2": 0.5})
 
+    async def test_router_that_knows_no_route_yet_ends_no_announcement(
+        self, nursery, autojump_clock
+    ) -> None:
+        routers = Routers(nursery, count=1)
+        await trio.sleep(3)
+        routers.slots = BOTH
+        await trio.sleep(SETTLE_S + 4)
+        later = routers.add()
+        later.longest_stream_s = 0.0
+        await trio.sleep(MIN_RETENTION_S - 10)
+        assert routers.known() == {(2, None)}
+
     async def test_short_shift_changes_nothing(self, nursery, autojump_clock) -> None:
         routers = Routers(nursery)
         await trio.sleep(3)
--- a/railtide/streams/tests/test_stored_origins.py
+++ b/railtide/streams/tests/test_stored_origins.py
@@ -7,13 +7,12 @@
 import trio
 
 from railtide.standins.keyed_store import MemoryStore
-from railtide.streams.agreement import SHARES_TOPIC, SharesAgreement
+from railtide.streams.agreement import MIN_RETENTION_S, SHARES_TOPIC, SharesAgreement
 from railtide.streams.errors import StreamVersionUnknown
 from railtide.streams.record_writer import MAX_BATCH, SLOW_RETENTION_S
 from railtide.streams.records import StreamOrigin, pool_key, shares_value
 from railtide.streams.shares import VersionShares
 from railtide.streams.stored_origins import (
-    MIN_RETENTION_S,
     RECORD_WAIT_S,
     STREAMS_TOPIC,
     StoredOrigins,
