Containment: one name for a part, one list of a request's digests

Read again: whether an observation is of a part was asked as bool(source) in six places, and the list of a request's digests was built in three, twice in one check. Change: CrashObservation.is_part, request_digests. No change of behaviour; the texts of two mutants follow.

--- a/railtide/containment/admin.py
+++ b/railtide/containment/admin.py
@@ -104,7 +104,7 @@
         sorted({upstream_of(record_by_observation[seen]) for seen in observations}),
         sorted({seen.router for seen in observations}),
         round(max(0.0, left_s), 1),
-        any(seen.source for seen in observations),
+        any(seen.is_part for seen in observations),
     )
 
 
--- a/railtide/containment/blame.py
+++ b/railtide/containment/blame.py
@@ -130,7 +130,7 @@
     part_crash_counts: dict[str, int] = {}
     for content, found in unexplained.items():
         if found:
-            counts = part_crash_counts if found[0].source else crash_counts
+            counts = part_crash_counts if found[0].is_part else crash_counts
             counts[content] = len(incidents_of(found, detection_times))
     return Blame(held, crash_counts, part_crash_counts)
 
@@ -291,7 +291,7 @@
     The part then explains them; if the content crashes upstreams as well, it does so again without
     the part. A content that carries a part is a source of it at some crash.
     """
-    if enough[content][0].source:
+    if enough[content][0].is_part:
         return False
     incarnations = _incarnations(enough[content])
     for other, seen in enough.items():
@@ -306,12 +306,12 @@
 
 
 def _is_part(content: str, unexplained: Mapping[str, Sequence[CrashObservation]]) -> bool:
-    return any(observation.source for observation in unexplained.get(content, ()))
+    return any(observation.is_part for observation in unexplained.get(content, ()))
 
 
 def hold_threshold_of(observations: Sequence[CrashObservation]) -> int:
     """Return the weight from which on a content, or a part of prompts, is held."""
-    return PART_HOLD_THRESHOLD if observations[0].source else HOLD_THRESHOLD
+    return PART_HOLD_THRESHOLD if observations[0].is_part else HOLD_THRESHOLD
 
 
 def _has_narrower_cause(observations: Sequence[CrashObservation]) -> bool:
--- a/railtide/containment/content.py
+++ b/railtide/containment/content.py
@@ -4,7 +4,14 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-__all__ = ["MAX_PARTS", "PartDigests", "content_digest", "identities", "part_digests"]
+__all__ = [
+    "MAX_PARTS",
+    "PartDigests",
+    "content_digest",
+    "identities",
+    "part_digests",
+    "request_digests",
+]
 
 DIGEST_BYTES = 16
 """Long enough that no account can construct a second body with the digest of another account's
@@ -90,6 +97,17 @@
         yield part.of_pool, part.of_account
 
 
+def request_digests(content: str, parts: Sequence[PartDigests]) -> list[str]:
+    """Return all digests by which a request is identified; see `identities`.
+
+    Examples
+    --------
+    >>> request_digests("c", [PartDigests("a", "p")])
+    ['c', 'a', 'p']
+    """
+    return [digest for digest, _ in identities(content, parts)]
+
+
 def _digest(person: bytes, *fields: bytes) -> str:
     hasher = blake2b(digest_size=DIGEST_BYTES, person=person)
     for field in fields:
--- a/railtide/containment/guard.py
+++ b/railtide/containment/guard.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from railtide.containment.content import PartDigests, identities
+from railtide.containment.content import PartDigests, request_digests
 from railtide.containment.crash_detection import CrashDetector, CrashSign, UpstreamAttempt
 from railtide.containment.errors import ContentHeld
 from railtide.containment.placement import preferred_upstreams
@@ -155,10 +155,11 @@
         A fresh verdict is given time to settle: other routers that saw the same crash may report a
         content that explains it.
         """
-        for key, _ in identities(content, parts):
+        keys = request_digests(content, parts)
+        for key in keys:
             if self._refusal_of(key):
                 await trio.sleep(max(0.0, VERDICT_SETTLE_S - self._registry.held_for_s(key)))
-        for key, _ in identities(content, parts):
+        for key in keys:
             refusal = self._refusal_of(key)
             if refusal:
                 raise refusal
@@ -178,7 +179,7 @@
         self, content: str, head_at: Callable[[], float | None], parts: Parts = ()
     ) -> Iterator[trio.CancelScope]:
         """Yield a scope for the attempt; see `ContentGuard.cancel_scope_for`."""
-        keys = [key for key, _ in identities(content, parts)]
+        keys = request_digests(content, parts)
         with trio.CancelScope() as scope:
             attempt = _RunningAttempt(scope, head_at)
             for key in keys:
--- a/railtide/containment/observations.py
+++ b/railtide/containment/observations.py
@@ -53,6 +53,11 @@
     router: str = ""
     source: str = ""
 
+    @property
+    def is_part(self) -> bool:
+        """Whether the content is a part of prompts rather than the whole of a request."""
+        return bool(self.source)
+
 
 class ObservationSet:
     """All observations, by content.
@@ -150,5 +155,5 @@
     """Return the precedence of an observation among those with the same key."""
     if observation.cleared:
         return 2, 0.0
-    is_strong = not observation.weak and not observation.source
+    is_strong = not observation.weak and not observation.is_part
     return (1 if is_strong else 0), observation.elapsed_s
--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -17,7 +17,7 @@
 
 from railtide.configuration.errors import InvalidObject
 from railtide.containment.blame import Blame, assign_blame
-from railtide.containment.content import PartDigests, identities
+from railtide.containment.content import PartDigests, identities, request_digests
 from railtide.containment.crash_detection import BrokenAttempt
 from railtide.containment.errors import ContentHeld
 from railtide.containment.holding import MAX_CONTENTS, held_until, surplus_observations
@@ -229,7 +229,7 @@
 
     def note_completed(self, content: str, parts: Sequence[PartDigests] = ()) -> None:
         """Record that a content and its parts were answered completely: they cause no crash."""
-        completed = [key for key, _ in identities(content, parts)]
+        completed = request_digests(content, parts)
         for key in completed:
             self._completed_at.pop(key, None)
             self._completed_at[key] = trio.current_time()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3614,14 +3614,14 @@
     Mutant(
         "shortest-attempt-stands-for-a-part",
         "containment/observations.py",
-        "    is_strong = not observation.weak and not observation.source\n",
+        "    is_strong = not observation.weak and not observation.is_part\n",
         "    is_strong = not observation.weak\n",
         (CONTAINMENT,),
     ),
     Mutant(
         "complete-answer-clears-no-part",
         "containment/registry.py",
-        "        completed = [key for key, _ in identities(content, parts)]\n",
+        "        completed = request_digests(content, parts)\n",
         "        completed = [content]\n",
         (CONTAINMENT,),
     ),
