Logs: why an upstream without a record stays listed; what a closed allocation's limit allowed

The lines could not tell how long a missing record was taken for an expired one, nor how much of a dead process's units was reserved, within its burst, or above its pace. Change: upstream-record-missing with kept_s; reserved, burst and pace of former-hand-closed.

--- a/railtide/budgets/account_budget.py
+++ b/railtide/budgets/account_budget.py
@@ -690,7 +690,7 @@
         units, returned = charged - predecessor.spent, predecessor.granted - charged
         process.counters.add("budget_units_written_off", units)
         process.counters.add("budget_units_returned", returned)
-        proof = proof_of(predecessor.limit, process.started_at)
+        proof = proof_of(predecessor.limit, process.started_at, predecessor.spent)
         logger.bind(account=self.account, units=units, returned=returned, **asdict(proof)).info(
             "former-hand-closed"
         )
--- a/railtide/budgets/account_log.py
+++ b/railtide/budgets/account_log.py
@@ -162,31 +162,50 @@
     since_report_s : float or None
         Time from the last report to the start of the next process: by the steady clock if proved,
         else by the wall clock, which proves nothing. None if the time of the report is unknown.
+    reserved, burst, pace : int or None
+        What the last report's limit allowed beyond the reported spending: units reserved by open
+        requests, units that could be used at once, and units a second.
     """
 
     clocks: ClockProof
     since_report_s: float | None
+    reserved: int | None = None
+    burst: int | None = None
+    pace: int | None = None
 
 
-def proof_of(limit: SpendLimit | None, started: ClockReading) -> Proof:
+def proof_of(limit: SpendLimit | None, started: ClockReading, spent: int = 0) -> Proof:
     """Return what the clocks prove of a predecessor's limit for a process started at `started`.
 
+    Parameters
+    ----------
+    limit : SpendLimit or None
+    started : ClockReading
+    spent : int, optional
+        Units reported as spent with the limit.
+
     Examples
     --------
     >>> limit = SpendLimit(ClockReading("boot", 10.0, 1000.0), used=100, burst=50, pace=20)
-    >>> proof_of(limit, ClockReading("another", 2.0, 1004.0)).clocks.value
-    'another-boot'
+    >>> proof = proof_of(limit, ClockReading("another", 2.0, 1004.0), spent=70)
+    >>> proof.clocks.value, proof.reserved
+    ('another-boot', 30)
     """
     if limit is None:
         return Proof(ClockProof.NO_LIMIT, None)
+    clocks, since_report_s = _clock_proof_of(limit, started)
+    return Proof(clocks, since_report_s, limit.used - spent, limit.burst, limit.pace)
+
+
+def _clock_proof_of(limit: SpendLimit, started: ClockReading) -> tuple[ClockProof, float | None]:
     if not started.boot:
-        return Proof(ClockProof.BOOT_UNKNOWN, None)
+        return ClockProof.BOOT_UNKNOWN, None
     proved_s = elapsed_s(limit.made_at, started)
     if proved_s is not None:
-        return Proof(ClockProof.PROVED, round(proved_s, 3))
+        return ClockProof.PROVED, round(proved_s, 3)
     same_boot = limit.made_at.boot == started.boot
     clocks = ClockProof.CLOCKS_DISAGREE if same_boot else ClockProof.ANOTHER_BOOT
-    return Proof(clocks, round(started.wall_s - limit.made_at.wall_s, 3))
+    return clocks, round(started.wall_s - limit.made_at.wall_s, 3)
 
 
 class RefusalCause(StrEnum):
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -203,7 +203,12 @@
         if name not in self._by_name:
             self._unreadable.discard(name)
         elif name not in self._missing_by_name:
-            self._missing_by_name[name] = self._lapse_until()
+            until = self._lapse_until()
+            self._missing_by_name[name] = until
+            kept_s = round(max(0.0, until - trio.current_time()), 3)
+            logger.bind(upstream=name, pool=self._by_name[name].pool, kept_s=kept_s).info(
+                "upstream-record-missing"
+            )
 
     def retain(self, names: set[str]) -> None:
         """Process a complete list of names: upstreams that are not in it were removed."""
