Upstreams: one whose record is missing is avoided while others remain

Callers: requests reached upstreams that had left, seconds after the store had acknowledged it. Cause: a missing record means that its upstream left or that the record expired in an outage of the store. Routers took the second for granted for 2 s from their own reading, which may come seconds after the store's return, and sent it requests as to any other. A removal that was due also took effect while the store was lost again, before the records could be read: a router dropped all its upstreams and refused every request. Change: Instance.confirmed. Upstreams without a record get no requests as long as half of the usable ones are confirmed; a removal waits for the store to be reachable again.

--- a/railtide/lanes/pool_upstreams.py
+++ b/railtide/lanes/pool_upstreams.py
@@ -9,7 +9,12 @@
 from railtide.membership.instances import Instance
 from railtide.upstreams.upstream_state import REPORT_MAX_AGE_S, Upstream, is_ejected
 
-__all__ = ["PoolUpstreams", "Preference"]
+__all__ = ["MIN_CONFIRMED_SHARE", "PoolUpstreams", "Preference"]
+
+MIN_CONFIRMED_SHARE = 0.5
+"""Least part of a pool's upstreams that must be confirmed for the unconfirmed ones to get no
+requests. After an outage in which all records expired, the first upstreams to write theirs again
+could not carry the pool's load."""
 
 Preference = Callable[[Sequence[str]], frozenset[str]]
 """Returns, of the given names of upstreams, those at which a request should run if possible."""
@@ -152,6 +157,7 @@
         upstreams = _of_version(self.by_name.values(), version)
         open_now = [u for u in upstreams if now >= self.admission.available_at(u, now)]
         healthy = [upstream for upstream in open_now if not is_ejected(upstream, now)] or open_now
+        healthy = _confirmed(healthy)
         free = [upstream for upstream in healthy if self._has_slot(upstream, urgency, now)]
         untried = [upstream for upstream in free if upstream.instance.name not in avoid]
         if preference:
@@ -211,6 +217,13 @@
         return served
 
 
+def _confirmed(upstreams: list[Upstream]) -> list[Upstream]:
+    """Return the confirmed upstreams if they are enough, otherwise all."""
+    confirmed = [upstream for upstream in upstreams if upstream.instance.confirmed]
+    is_enough = confirmed and len(confirmed) >= len(upstreams) * MIN_CONFIRMED_SHARE
+    return confirmed if is_enough else upstreams
+
+
 def _of_version(upstreams: Iterable[Upstream], version: str | None) -> list[Upstream]:
     """Return the upstreams of a software version, all if none is given."""
     return [u for u in upstreams if version in (None, u.instance.software_version)]
--- a/railtide/lanes/tests/test_scheduler.py
+++ b/railtide/lanes/tests/test_scheduler.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from msgspec.structs import replace
 
 from railtide.lanes.errors import DeadlineTooNear, LaneError, NoUpstream, QueueFull
 from railtide.lanes.queue import Urgency
@@ -70,6 +71,54 @@
         assert busy.upstream not in [slot.upstream for slot in others]
 
 
+def with_unconfirmed(scheduler: PoolScheduler, *names: str) -> None:
+    known = [upstream.instance for upstream in scheduler.by_name.values()]
+    scheduler.set_upstreams([replace(i, confirmed=i.name not in names) for i in known])
+
+
+class TestUnconfirmedUpstreams:
+    async def test_upstream_that_may_have_left_gets_no_request(self, autojump_clock) -> None:
+        scheduler = make("a", "b")
+        with_unconfirmed(scheduler, "b")
+        slots = await fill(scheduler, 3)
+        assert {slot.upstream.instance.name for slot in slots} == {"a"}
+
+    async def test_request_waits_for_a_confirmed_upstream(self, autojump_clock) -> None:
+        scheduler = make("a", "b", slots=1)
+        with_unconfirmed(scheduler, "b")
+        (slot,) = await fill(scheduler, 1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fill, scheduler, 1)
+            await trio.sleep(1)
+            assert scheduler.by_name["b"].open_requests == 0
+            scheduler.release(slot)
+
+    async def test_few_confirmed_upstreams_do_not_carry_the_load_of_all(
+        self, autojump_clock
+    ) -> None:
+        scheduler = make("a", "b", "c", "d", "e", slots=8)
+        with_unconfirmed(scheduler, "b", "c", "d")
+        slots = await fill(scheduler, 30)
+        assert len({slot.upstream.instance.name for slot in slots}) == 5
+
+    async def test_unconfirmed_upstream_serves_while_the_confirmed_ones_fail(
+        self, autojump_clock
+    ) -> None:
+        scheduler = make("a", "b")
+        with_unconfirmed(scheduler, "b")
+        for _ in range(2):
+            note_failure(scheduler.by_name["a"], trio.current_time())
+        (slot,) = await fill(scheduler, 1)
+        assert slot.upstream.instance.name == "b"
+
+    async def test_upstream_is_used_again_once_its_record_returns(self, autojump_clock) -> None:
+        scheduler = make("a", "b")
+        with_unconfirmed(scheduler, "b")
+        with_unconfirmed(scheduler)
+        slots = await fill(scheduler, 4)
+        assert {slot.upstream.instance.name for slot in slots} == {"a", "b"}
+
+
 def make_paced(*names: str, slow: tuple[str, ...]) -> PoolScheduler:
     """Return a scheduler of upstreams that state their pace, of which some are slow."""
     pace = PoolPace()
--- a/railtide/membership/instances.py
+++ b/railtide/membership/instances.py
@@ -43,6 +43,9 @@
         For an upstream, the trio time at which the warm-up ends; 0 if there is none.
     software_version : str
         For an upstream, the version of its software, not of its weights; empty if unknown.
+    confirmed : bool
+        For an upstream, whether its record exists. An unconfirmed one may have left, or its record
+        may merely have expired.
     """
 
     name: str
@@ -58,6 +61,7 @@
     cold_s: float = 0.0
     warm_at: float = 0.0
     software_version: str = ""
+    confirmed: bool = True
 
 
 class InstanceList(ABC):
--- a/railtide/membership/tests/test_upstream_list.py
+++ b/railtide/membership/tests/test_upstream_list.py
@@ -21,11 +21,14 @@
 
     def __init__(self, lapse_until: float = 0.0) -> None:
         self.names_by_pool: dict[str, list[str]] = {}
-        self.listed = UpstreamList(self._changed, lambda: lapse_until)
+        self.unconfirmed: set[str] = set()
+        self.lapse_until = lapse_until
+        self.listed = UpstreamList(self._changed, lambda: self.lapse_until)
 
     def _changed(self, pool: str, instances: list[Instance]) -> None:
         self.names_by_pool[pool] = sorted(i.name for i in instances)
         self.states = {i.name: i.state for i in instances}
+        self.unconfirmed = {i.name for i in instances if not i.confirmed}
 
 
 class TestUpstreamList:
@@ -57,6 +60,35 @@
         case.listed.apply_pending()
         assert case.names_by_pool == {"p": []}
 
+    async def test_expired_upstream_is_unconfirmed_until_its_record_returns(
+        self, autojump_clock
+    ) -> None:
+        case = Case(lapse_until=trio.current_time() + 2)
+        case.listed.put(engine("a"))
+        case.listed.put(engine("b"))
+        case.listed.apply_pending()
+        case.listed.remove("a")
+        case.listed.apply_pending()
+        assert case.unconfirmed == {"a"}
+        case.listed.put(engine("a"))
+        case.listed.apply_pending()
+        assert case.unconfirmed == set()
+
+    async def test_expired_upstream_is_kept_while_the_store_is_lost_again(
+        self, autojump_clock
+    ) -> None:
+        case = Case(lapse_until=trio.current_time() + 2)
+        case.listed.put(engine("a"))
+        case.listed.remove("a")
+        await trio.sleep(1.9)
+        case.lapse_until = trio.current_time() + 5
+        await trio.sleep(0.2)
+        case.listed.apply_pending()
+        assert case.names_by_pool == {"p": ["a"]}
+        await trio.sleep(5)
+        case.listed.apply_pending()
+        assert case.names_by_pool == {"p": []}
+
     async def test_leaving_is_sticky(self, autojump_clock) -> None:
         case = Case()
         case.listed.put(replace(engine("a"), state=InstanceState.LEAVING))
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -120,11 +120,13 @@
             return
         self._seq_by_name[instance.name] = instance.seq
         instance = replace(instance, seq=0, cold_s=0.0, warm_at=_warm_at(instance, known))
-        self._missing_by_name.pop(instance.name, None)
+        was_missing = self._missing_by_name.pop(instance.name, None) is not None
         instance = self._with_sticky_leaving(instance)
         was_unreadable = instance.name in self._unreadable
         self._unreadable.discard(instance.name)
         if known == instance and not was_unreadable:
+            if was_missing:
+                self._changed_pools.add(instance.pool)
             return
         logger.bind(
             upstream=instance.name,
@@ -198,17 +200,18 @@
     def remove(self, name: str) -> None:
         """Process the removal of a record.
 
-        It takes effect at once, or when the record can't merely have expired.
+        It takes effect at once, or when the record can't merely have expired. Until then the
+        upstream is unconfirmed.
         """
         if name not in self._by_name:
             self._unreadable.discard(name)
         elif name not in self._missing_by_name:
             until = self._lapse_until()
+            pool = self._by_name[name].pool
             self._missing_by_name[name] = until
+            self._changed_pools.add(pool)
             kept_s = round(max(0.0, until - trio.current_time()), 3)
-            logger.bind(upstream=name, pool=self._by_name[name].pool, kept_s=kept_s).info(
-                "upstream-record-missing"
-            )
+            logger.bind(upstream=name, pool=pool, kept_s=kept_s).info("upstream-record-missing")
 
     def retain(self, names: set[str]) -> None:
         """Process a complete list of names: upstreams that are not in it were removed."""
@@ -219,7 +222,7 @@
         """Remove upstreams whose time has passed and report the pools that changed."""
         now = trio.current_time()
         for name, until in list(self._missing_by_name.items()):
-            if now >= until:
+            if now >= until and self._has_gone(name, now):
                 del self._missing_by_name[name]
                 removed = self._by_name.pop(name)
                 number = self._seq_by_name.pop(name)
@@ -243,13 +246,24 @@
             self._on_change(pool, listed)
         self._changed_pools.clear()
 
+    def _has_gone(self, name: str, now: float) -> bool:
+        """Return whether a record that is missing beyond its time would have been read by now.
+
+        The store may have been lost again since the record was found missing.
+        """
+        self._missing_by_name[name] = self._lapse_until()
+        return self._missing_by_name[name] <= now
+
     def _usable(self, instance: Instance) -> Instance:
-        """Return the instance, as leaving if its newest record is unreadable.
+        """Return the instance as schedulers use it.
 
-        It then gets no new requests.
+        It is leaving, and gets no new requests, if its newest record is unreadable; it is
+        unconfirmed if its record is missing.
         """
         if instance.name in self._unreadable:
-            return replace(instance, state=InstanceState.LEAVING)
+            instance = replace(instance, state=InstanceState.LEAVING)
+        if instance.name in self._missing_by_name:
+            instance = replace(instance, confirmed=False)
         return instance
 
 
