Upstreams: one that closes connections in an outage of the store is avoided while others remain

Cause: upstreams that leave close their connections after each answer, and routers didn't decode that. Class: what an upstream says of itself in band reaches no decision. Change: UpstreamNotice.closing; while the list may be outdated, such an upstream is unconfirmed for 5 s, or until a record of it is read. The check whether a due removal may take effect compared two readings of the clock, and on a running clock a removed upstream stayed listed for good; only tests on a virtual clock had been run. A test on a running clock is added.

--- a/railtide/edge/pools.py
+++ b/railtide/edge/pools.py
@@ -142,6 +142,9 @@
             scheduler.notices.apply_rest(upstream.name, notice.rest_s)
         if notice.leaving:
             self.listed.note_leaving(upstream)
+        if notice.closing:
+            self.listed.note_closing(upstream)
+        if notice.leaving or notice.closing:
             self.listed.apply_pending()
 
     def apply_path(self, upstream: Instance, path: PathState) -> None:
--- a/railtide/membership/instances.py
+++ b/railtide/membership/instances.py
@@ -44,8 +44,8 @@
     software_version : str
         For an upstream, the version of its software, not of its weights; empty if unknown.
     confirmed : bool
-        For an upstream, whether its record exists. An unconfirmed one may have left, or its record
-        may merely have expired.
+        For an upstream, whether nothing suggests that it has left. The record of an unconfirmed one
+        is missing and may merely have expired, or it closed a connection during an outage.
     """
 
     name: str
--- a/railtide/membership/tests/test_upstream_list.py
+++ b/railtide/membership/tests/test_upstream_list.py
@@ -4,7 +4,12 @@
 from msgspec.structs import replace
 
 from railtide.membership.instances import Instance, InstanceState
-from railtide.membership.upstream_list import GONE_RETENTION_S, LEFT_RETENTION_S, UpstreamList
+from railtide.membership.upstream_list import (
+    CLOSING_RETENTION_S,
+    GONE_RETENTION_S,
+    LEFT_RETENTION_S,
+    UpstreamList,
+)
 
 
 def engine(name: str, pool: str = "p", born: int = 0) -> Instance:
@@ -89,6 +94,46 @@
         case.listed.apply_pending()
         assert case.names_by_pool == {"p": []}
 
+    async def test_upstream_that_closes_connections_in_an_outage_is_unconfirmed(
+        self, autojump_clock
+    ) -> None:
+        case = Case(lapse_until=trio.current_time() + 60)
+        case.listed.put(engine("a"))
+        case.listed.note_closing(engine("a"))
+        case.listed.apply_pending()
+        assert case.unconfirmed == {"a"}
+        case.listed.put(engine("a"))
+        case.listed.apply_pending()
+        assert case.unconfirmed == set()
+
+    async def test_upstream_that_closed_one_connection_is_not_avoided_forever(
+        self, autojump_clock
+    ) -> None:
+        case = Case(lapse_until=trio.current_time() + 60)
+        case.listed.put(engine("a"))
+        case.listed.note_closing(engine("a"))
+        await trio.sleep(CLOSING_RETENTION_S)
+        case.listed.apply_pending()
+        assert case.unconfirmed == set()
+
+    async def test_closed_connection_means_nothing_while_the_list_is_current(
+        self, autojump_clock
+    ) -> None:
+        case = Case()
+        case.listed.put(engine("a"))
+        case.listed.note_closing(engine("a"))
+        case.listed.apply_pending()
+        assert case.unconfirmed == set()
+
+    async def test_closed_connection_of_a_former_incarnation_means_nothing(
+        self, autojump_clock
+    ) -> None:
+        case = Case(lapse_until=trio.current_time() + 60)
+        case.listed.put(engine("a", born=2))
+        case.listed.note_closing(engine("a", born=1))
+        case.listed.apply_pending()
+        assert case.unconfirmed == set()
+
     async def test_leaving_is_sticky(self, autojump_clock) -> None:
         case = Case()
         case.listed.put(replace(engine("a"), state=InstanceState.LEAVING))
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -34,6 +34,9 @@
 WARM_TOLERANCE_S = 1.0
 """Difference up to which two reported warm-up ends count as the same: the delay until a record is
 read varies."""
+CLOSING_RETENTION_S = 5.0
+"""How long an upstream that closed a connection is unconfirmed if no record of it is read. It may
+have had another reason; one that is leaving is noticed again by its next answer."""
 RECENT_LOSS_S = 1.0
 """If the store's loss was noticed no longer ago than this, it may have lost records before."""
 
@@ -95,6 +98,7 @@
         self._changed_pools: set[str] = set()
         self._seq_by_name: dict[str, int] = {}
         self._removed_by_name: dict[str, _RemovedIncarnation] = {}
+        self._closing_until_by_name: dict[str, float] = {}
         self._rollback_until = -math.inf
 
     def note_rise(self) -> None:
@@ -120,12 +124,14 @@
             return
         self._seq_by_name[instance.name] = instance.seq
         instance = replace(instance, seq=0, cold_s=0.0, warm_at=_warm_at(instance, known))
-        was_missing = self._missing_by_name.pop(instance.name, None) is not None
+        was_unconfirmed = self._is_unconfirmed(instance.name)
+        self._missing_by_name.pop(instance.name, None)
+        self._closing_until_by_name.pop(instance.name, None)
         instance = self._with_sticky_leaving(instance)
         was_unreadable = instance.name in self._unreadable
         self._unreadable.discard(instance.name)
         if known == instance and not was_unreadable:
-            if was_missing:
+            if was_unconfirmed:
                 self._changed_pools.add(instance.pool)
             return
         logger.bind(
@@ -187,6 +193,21 @@
             self._by_name[instance.name] = replace(known, state=InstanceState.LEAVING)
             self._changed_pools.add(known.pool)
 
+    def note_closing(self, instance: Instance) -> None:
+        """Record that an upstream closed a connection after an answer, as leaving ones do.
+
+        Ignored unless the list may be outdated.
+        """
+        name = instance.name
+        known = self._by_name.get(name)
+        is_current = self._lapse_until() <= trio.current_time()
+        if is_current or known is None or known.incarnation != instance.incarnation:
+            return
+        if name not in self._closing_until_by_name:
+            self._changed_pools.add(known.pool)
+            logger.bind(upstream=name, pool=known.pool).info("upstream-closes-connections")
+        self._closing_until_by_name[name] = trio.current_time() + CLOSING_RETENTION_S
+
     def mark_unreadable(self, name: str, error: str) -> None:
         """Handle an unreadable record under an upstream's name."""
         if name in self._unreadable:
@@ -222,10 +243,11 @@
         """Remove upstreams whose time has passed and report the pools that changed."""
         now = trio.current_time()
         for name, until in list(self._missing_by_name.items()):
-            if now >= until and self._has_gone(name, now):
+            if now >= until and self._has_gone(name):
                 del self._missing_by_name[name]
                 removed = self._by_name.pop(name)
                 number = self._seq_by_name.pop(name)
+                self._closing_until_by_name.pop(name, None)
                 if removed.born:
                     self._removed_by_name[name] = _RemovedIncarnation(
                         removed.born, number, now + GONE_RETENTION_S
@@ -241,31 +263,37 @@
         for name in [name for name, until in self._left_until_by_name.items() if now >= until]:
             del self._left_until_by_name[name]
             self._left_by_name.pop(name, None)
+        for name in [name for name, until in self._closing_until_by_name.items() if now >= until]:
+            del self._closing_until_by_name[name]
+            self._changed_pools.add(self._by_name[name].pool)
         for pool in sorted(self._changed_pools):
             listed = [self._usable(i) for i in self._by_name.values() if i.pool == pool]
             self._on_change(pool, listed)
         self._changed_pools.clear()
 
-    def _has_gone(self, name: str, now: float) -> bool:
+    def _has_gone(self, name: str) -> bool:
         """Return whether a record that is missing beyond its time would have been read by now.
 
         The store may have been lost again since the record was found missing.
         """
-        self._missing_by_name[name] = self._lapse_until()
-        return self._missing_by_name[name] <= now
+        until = self._missing_by_name[name] = self._lapse_until()
+        return until <= trio.current_time()
 
     def _usable(self, instance: Instance) -> Instance:
         """Return the instance as schedulers use it.
 
         It is leaving, and gets no new requests, if its newest record is unreadable; it is
-        unconfirmed if its record is missing.
+        unconfirmed if its record is missing or it closed a connection.
         """
         if instance.name in self._unreadable:
             instance = replace(instance, state=InstanceState.LEAVING)
-        if instance.name in self._missing_by_name:
+        if self._is_unconfirmed(instance.name):
             instance = replace(instance, confirmed=False)
         return instance
 
+    def _is_unconfirmed(self, name: str) -> bool:
+        return name in self._missing_by_name or name in self._closing_until_by_name
+
 
 def _warm_at(instance: Instance, known: Instance | None) -> float:
     """Return the trio time until which an upstream is cold, from its record and the known time.
--- a/railtide/platform/notices.py
+++ b/railtide/platform/notices.py
@@ -45,9 +45,15 @@
         brittle,
         status == UNAVAILABLE and first_header(headers, header_names.NOT_RUN) is not None,
         unreadable,
+        _is_closing(headers),
     )
 
 
+def _is_closing(headers: Headers) -> bool:
+    values = [value for name, value in headers if name == b"connection"]
+    return any(option.strip().lower() == b"close" for v in values for option in v.split(b","))
+
+
 def _retry_after_s(status: int, headers: Headers) -> float | None:
     """Return the largest Retry-After of a 503, seconds; a date is ignored."""
     if status != UNAVAILABLE:
--- a/railtide/platform/tests/test_leaving_engines.py
+++ b/railtide/platform/tests/test_leaving_engines.py
@@ -84,6 +84,48 @@
             assert sum(len(engine.arrivals) for engine in fleet.engine_by_name.values()) <= 3
 
 
+STORE_LOST_S = 2.5
+"""Time after which routers have noticed that the store is down."""
+
+
+class TestClosedConnections:
+    async def test_engine_that_closes_connections_in_an_outage_gets_no_new_request(self) -> None:
+        async with open_router_fleet(routers=1, engines=2) as fleet:
+            fleet.store.down = True
+            await trio.sleep(STORE_LOST_S)
+            engine = fleet.engine_by_name["e0"]
+            engine.closing = True
+            await fleet.send_load(per_s=20, for_s=1.5)
+            closed_at = engine.answers[0].at
+            late = [a for a in engine.arrivals if a.at > closed_at + 0.2]
+            assert not late, f"{len(late)} requests were sent too late"
+            assert set(fleet.statuses) == {200}
+
+    async def test_engine_that_closes_connections_is_used_while_the_store_is_read(self) -> None:
+        async with open_router_fleet(routers=1, engines=2) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            engine.closing = True
+            await fleet.send_load(per_s=20, for_s=1.5)
+            assert len(engine.arrivals) > 5
+            assert set(fleet.statuses) == {200}
+
+    async def test_engines_that_all_close_connections_are_used(self) -> None:
+        async with open_router_fleet(routers=1, engines=2) as fleet:
+            fleet.store.down = True
+            await trio.sleep(STORE_LOST_S)
+            for engine in fleet.engine_by_name.values():
+                engine.closing = True
+            await fleet.send_load(per_s=20, for_s=1.5)
+            assert set(fleet.statuses) == {200}
+
+
+class TestRemovedEntry:
+    async def test_engine_without_an_entry_is_dropped_on_a_running_clock(self) -> None:
+        async with open_router_fleet(routers=1, engines=2) as fleet:
+            fleet.store.put("keyed.servers", "e0", b"")
+            await wait_until(lambda: set(fleet.upstreams(0)) == {"e1"})
+
+
 class TestStoreOutage:
     async def test_router_that_received_the_header_sends_no_new_request(self) -> None:
         async with open_router_fleet(routers=1, engines=2) as fleet:
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -21,6 +21,7 @@
 ID = b"x-attempt-id"
 ERA = b"store-era"
 LEAVING = b"server-leaving"
+CLOSE_HEADER = (b"connection", b"close")
 RETRY_AFTER = b"retry-after"
 LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
@@ -271,6 +272,8 @@
         Whether all answers report that the engine is leaving.
     leaving_text : str or None
         Value of that header in place of "1".
+    closing : bool
+        Whether all answers close their connections.
     pace : int or None
         Stated as the fourth figure of the load: how long work takes now, 100 as usual. The delays
         of the script are longer or shorter accordingly.
@@ -298,6 +301,7 @@
     rest: str | None = None
     leaving: bool = False
     leaving_text: str | None = None
+    closing: bool = False
     pace: int | None = None
     pace_text: str | None = None
     brittle: str | None = None
@@ -363,7 +367,7 @@
         brittle = tuple((BRITTLE, text.encode()) for text in stated)
         notices = (*limits, *leaving, *brittle)
         self.answers.append(EngineEvent(_id_of(request), trio.current_time(), (*rest, *notices)))
-        return notices
+        return (*notices, CLOSE_HEADER) if self.closing else notices
 
     async def _answer(
         self, script: EngineScript, request: HttpRequest, responder: Responder
--- a/railtide/upstreams/notice.py
+++ b/railtide/upstreams/notice.py
@@ -29,6 +29,8 @@
         Whether it rejected the request for want of room.
     unreadable : tuple of tuple of str
         Name and value of each malformed header.
+    closing : bool
+        Whether it closes the connection, as a leaving upstream does, and others now and then.
     """
 
     load: LoadReport | None = None
@@ -38,3 +40,4 @@
     brittle: BrittleReport | None = None
     rejected: bool = False
     unreadable: tuple[tuple[str, str], ...] = ()
+    closing: bool = False
