Budgets: smaller allocations, and one request's burst at each router, so that a loss of all leaves enough

Callers: after all routers were lost at once and had returned, fewer than a quarter of the requests were served 12 s later. Cause: each router may use a burst unreported, four typical requests for each account. With few requests per account and router these bursts add up to more than the allocations themselves, so that the clocks, which prove what a killed process can't have spent, return next to nothing; and allocations grew back after an outage faster than the budgets could bear another loss. Class: a margin per holder that is sized without regard to the number of holders. Change: burst of one request, horizon of 8 s (10), growth of 1.5 s a second (1.75). The doctest of target_units states the horizon that it was written for.

--- a/railtide/budgets/allocation_sizing.py
+++ b/railtide/budgets/allocation_sizing.py
@@ -37,9 +37,8 @@
         Partitions of that topic. Must be the same in all processes and never change.
     horizon_s : float
         Maximum seconds of an account's traffic that an allocation covers: how long a router serves
-        without the store, and how much a power loss writes off. Ten seconds outlast a network
-        switch-over or a restart of the store; a longer horizon trades fewer refusals in a long
-        outage for a larger loss.
+        without the store, and how much a power loss writes off. A longer horizon trades fewer
+        refusals in a long outage for a larger loss.
     stddev_margin : float
         Standard deviations of that traffic that are allocated in addition: an allocation of the
         mean alone runs dry within its horizon about half of the time.
@@ -81,9 +80,9 @@
         Seconds of an account's traffic that may be spent at once beyond the pace; at least
         `pace_after_s`, so that traffic of the usual rate always is within the limit.
     burst_requests : float
-        The same in typical requests, for accounts with little traffic. Four cover a large request
-        of an account with varying sizes; with two, long requests among short ones each had to wait
-        for a report.
+        The same in typical requests, for accounts with little traffic. Each router may use as much
+        for each account unreported, and it counts as spent if the router dies. A request beyond it
+        waits for a report, which takes two calls to the store.
     read_interval_s : float
         Maximum time between two reads of the ledgers, to see other routers' shortfalls.
     idle_read_interval_s : float
@@ -112,11 +111,11 @@
 
     topic: str = "keyed.railtide-ledger"
     partitions: int = 1
-    horizon_s: float = 10.0
+    horizon_s: float = 8.0
     stddev_margin: float = 1.5
     max_preallocated_share: float = 0.5
     max_loss_share: float = 0.4
-    horizon_growth: float = 1.75
+    horizon_growth: float = 1.5
     spread_share: float = 0.04
     refill_share: float = 0.75
     return_share: float = 1.4
@@ -126,7 +125,7 @@
     pace_share: float = 2.0
     pace_after_s: float = 0.5
     burst_s: float = 1.0
-    burst_requests: float = 4.0
+    burst_requests: float = 1.0
     read_interval_s: float = 1.0
     idle_read_interval_s: float = 10.0
     rate_window_s: float = 8.0
@@ -301,7 +300,7 @@
 
     Examples
     --------
-    >>> options = LedgerOptions(spread_share=0.2, stddev_margin=0.0)
+    >>> options = LedgerOptions(horizon_s=10.0, spread_share=0.2, stddev_margin=0.0)
     >>> target_units(Traffic(), left=1000, routers=2, now=0.0, options=options)
     100
     >>> target_units(Traffic(typical=200.0), left=1000, routers=2, now=0.0, options=options)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -20,6 +20,11 @@
 SINGLE = "tests/matrix/test_single.py"
 LEDGERS = "railtide/budgets/tests"
 PLATFORM = "railtide/platform/tests"
+DEPARTURES = "railtide/platform/tests/test_unannounced_departures.py"
+RETURN_AFTER_LOSSES = (
+    "railtide/budgets/tests/test_return_after_losses.py::TestLossOfAllRouters"
+    "::test_budgets_are_not_empty_before_the_end_of_the_day[power]"
+)
 ENDS = "railtide/platform/tests/test_answer_endings.py"
 HTTP = "railtide/http/tests"
 MEMBERSHIP = "railtide/membership/tests"
@@ -67,6 +72,7 @@
 SHEDDING_ROUTER = "railtide/platform/tests/test_load_shedding.py"
 LOANS = "railtide/loans"
 LEAVING = "railtide/platform/tests/test_leaving_engines.py"
+SCHEDULER = "railtide/lanes/tests/test_scheduler.py"
 RESTING = "railtide/platform/tests/test_resting_engines.py"
 PLATFORM_LIMITS = "railtide/platform/tests/test_advertised_limits.py"
 PACE = "railtide/upstreams/tests/test_pace.py"
@@ -493,7 +499,7 @@
         "unreadable-entry-leaves-its-engine-in-use",
         "membership/upstream_list.py",
         "        if instance.name in self._unreadable:\n"
-        "            return replace(instance, state=InstanceState.LEAVING)\n",
+        "            instance = replace(instance, state=InstanceState.LEAVING)\n",
         "",
         (MEMBERSHIP,),
     ),
@@ -2663,8 +2669,8 @@
     Mutant(
         "leaving-in-an-answer-waits-for-the-next-look",
         "edge/pools.py",
-        "note_leaving(upstream)\n            self.listed.apply_pending()\n",
-        "note_leaving(upstream)\n",
+        "if notice.leaving or notice.closing:\n",
+        "if notice.closing:\n",
         (LEAVING,),
     ),
     Mutant(
@@ -2719,10 +2725,66 @@
     Mutant(
         "ejected-upstream-idle-while-all-others-rest",
         "lanes/pool_upstreams.py",
-        "or open_now\n        free",
-        "or [u for u in usable if not is_ejected(u, now)] or open_now\n        free",
+        "or open_now\n        healthy",
+        "or [u for u in usable if not is_ejected(u, now)] or open_now\n        healthy",
         (RESTING,),
     ),
+    Mutant(
+        "unconfirmed-upstream-used-like-others",
+        "lanes/pool_upstreams.py",
+        "        healthy = _confirmed(healthy)\n",
+        "",
+        (SCHEDULER,),
+    ),
+    Mutant(
+        "first-confirmed-upstream-carries-the-load-of-all",
+        "lanes/pool_upstreams.py",
+        "MIN_CONFIRMED_SHARE = 0.5",
+        "MIN_CONFIRMED_SHARE = 0.0",
+        (SCHEDULER,),
+    ),
+    Mutant(
+        "upstreams-removed-while-the-store-is-lost-again",
+        "membership/upstream_list.py",
+        "        return until <= trio.current_time()\n",
+        "        return True\n",
+        (UPSTREAM_LIST, DEPARTURES),
+    ),
+    Mutant(
+        "removed-upstream-kept-on-a-running-clock",
+        "membership/upstream_list.py",
+        "        return until <= trio.current_time()\n",
+        "        return until < trio.current_time() - 1e-3\n",
+        (LEAVING,),
+    ),
+    Mutant(
+        "closed-connection-counts-while-the-list-is-current",
+        "membership/upstream_list.py",
+        "if is_current or known is None",
+        "if known is None",
+        (UPSTREAM_LIST,),
+    ),
+    Mutant(
+        "closed-connection-in-an-outage-reaches-no-decision",
+        "platform/notices.py",
+        "        _is_closing(headers),\n",
+        "",
+        (LEAVING,),
+    ),
+    Mutant(
+        "burst-of-four-requests-at-each-router",
+        "budgets/allocation_sizing.py",
+        "burst_requests: float = 1.0",
+        "burst_requests: float = 4.0",
+        (LEDGERS + "/test_ledger_budget_source.py",),
+    ),
+    Mutant(
+        "allocations-of-sixteen-seconds",
+        "budgets/allocation_sizing.py",
+        "    horizon_s: float = 8.0",
+        "    horizon_s: float = 16.0",
+        (RETURN_AFTER_LOSSES,),
+    ),
     Mutant(
         "shorter-rest-replaces-a-longer-one",
         "lanes/pool_notices.py",
