Forwarding: a connection closed by the forwarding router isn't taken for the upstream's

Found by reading: the head of a forwarded answer kept the forwarding router's connection header, so that an outage of the store and a router that shuts down put sound upstreams in doubt. Change: hop-by-hop headers of the forwarding router are dropped. A removal that is postponed has a method that says so.

--- a/railtide/forwarding/client.py
+++ b/railtide/forwarding/client.py
@@ -31,7 +31,7 @@
 from railtide.forwarding.peer_choice import ForwardingPeer
 from railtide.http.client import Exchange, HttpAnswer, PeerPool
 from railtide.http.errors import ConnectFailed, ConnectionLost
-from railtide.http.messages import HttpRequest, first_header
+from railtide.http.messages import HttpRequest, first_header, without_hop_by_hop
 from railtide.http.traffic import Traffic
 from railtide.membership.instances import Instance
 from railtide.settings import parse_endpoint
@@ -63,7 +63,8 @@
     def __init__(self, exchange: Exchange) -> None:
         self._exchange = exchange
         self.status = _status_of(exchange)
-        self.headers = tuple(h for h in exchange.headers if h[0] not in OWN_HEADERS)
+        end_to_end = without_hop_by_hop(exchange.headers)
+        self.headers = tuple(h for h in end_to_end if h[0] not in OWN_HEADERS)
         self.framed = first_header(exchange.headers, FRAMED_HEADER) == b"1"
 
     def chunks(self) -> AsyncIterator[bytes]:
--- a/railtide/membership/upstream_list.py
+++ b/railtide/membership/upstream_list.py
@@ -243,7 +243,7 @@
         """Remove upstreams whose time has passed and report the pools that changed."""
         now = trio.current_time()
         for name, until in list(self._missing_by_name.items()):
-            if now >= until and self._has_gone(name):
+            if now >= until and not self._postpone_removal(name):
                 del self._missing_by_name[name]
                 removed = self._by_name.pop(name)
                 number = self._seq_by_name.pop(name)
@@ -271,13 +271,13 @@
             self._on_change(pool, listed)
         self._changed_pools.clear()
 
-    def _has_gone(self, name: str) -> bool:
-        """Return whether a record that is missing beyond its time would have been read by now.
+    def _postpone_removal(self, name: str) -> bool:
+        """Postpone a due removal if the store was lost again; return whether it was.
 
-        The store may have been lost again since the record was found missing.
+        The record may have been written again in the meantime, and not been read.
         """
         until = self._missing_by_name[name] = self._lapse_until()
-        return until <= trio.current_time()
+        return until > trio.current_time()
 
     def _usable(self, instance: Instance) -> Instance:
         """Return the instance as schedulers use it.
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2746,15 +2746,15 @@
     Mutant(
         "upstreams-removed-while-the-store-is-lost-again",
         "membership/upstream_list.py",
-        "        return until <= trio.current_time()\n",
-        "        return True\n",
+        "        return until > trio.current_time()\n",
+        "        return False\n",
         (UPSTREAM_LIST, DEPARTURES),
     ),
     Mutant(
         "removed-upstream-kept-on-a-running-clock",
         "membership/upstream_list.py",
-        "        return until <= trio.current_time()\n",
-        "        return until < trio.current_time() - 1e-3\n",
+        "        return until > trio.current_time()\n",
+        "        return until > trio.current_time() - 1e-3\n",
         (LEAVING,),
     ),
     Mutant(
