Tests: the load test of shortfalls compares five plays with the bound, not one

Change: the same bounds for each play on average over five plays, which a shift of the mean breaks sooner than one play did.

--- a/railtide/budgets/tests/test_shortfalls.py
+++ b/railtide/budgets/tests/test_shortfalls.py
@@ -287,15 +287,19 @@
             nursery.cancel_scope.cancel()
 
 
+LOAD_PLAYS = 5
+
+
 class TestLoad:
     async def test_moved_callers_get_the_units_of_the_first_router(self, autojump_clock) -> None:
         """Of 3,200 requests in twenty seeds, 219 are refused without shortfall reports and 77 with
-        them, 89 and 14 of these twice."""
+        them, 89 and 14 of these twice. The order in which trio runs tasks varies these numbers."""
         load = Shifting()
-        for seed in range(20):
-            await load.play(Random(seed))
-        assert load.refused <= 90
-        assert load.given_up <= 22
+        for _ in range(LOAD_PLAYS):
+            for seed in range(20):
+                await load.play(Random(seed))
+        assert load.refused <= LOAD_PLAYS * 90
+        assert load.given_up <= LOAD_PLAYS * 22
 
 
 class TestWaitingBeforeRetries:
