Budgets: the burst is four requests again

Not shown to be the cause; but a burst of one request refuses callers in each outage in order to save units at a kill.

--- a/railtide/budgets/allocation_sizing.py
+++ b/railtide/budgets/allocation_sizing.py
@@ -80,9 +80,10 @@
         Seconds of an account's traffic that may be spent at once beyond the pace; at least
         `pace_after_s`, so that traffic of the usual rate always is within the limit.
     burst_requests : float
-        The same in typical requests, for accounts with little traffic. Each router may use as much
-        for each account unreported, and it counts as spent if the router dies. A request beyond it
-        waits for a report, which takes two calls to the store.
+        The same in typical requests, for accounts with little traffic. Four cover a large request
+        of an account with varying sizes; with two, long requests among short ones each had to wait
+        for a report. Each router may use as much for each account unreported, and it counts as
+        spent if the router dies.
     read_interval_s : float
         Maximum time between two reads of the ledgers, to see other routers' shortfalls.
     idle_read_interval_s : float
@@ -125,7 +126,7 @@
     pace_share: float = 2.0
     pace_after_s: float = 0.5
     burst_s: float = 1.0
-    burst_requests: float = 1.0
+    burst_requests: float = 4.0
     read_interval_s: float = 1.0
     idle_read_interval_s: float = 10.0
     rate_window_s: float = 8.0
