--- a/railtide/budgets/tests/test_return_after_losses.py
+++ b/railtide/budgets/tests/test_return_after_losses.py
@@ -19,6 +19,7 @@
 from railtide.configuration.models import AccountSettings
 from railtide.edge.tests.rollback_fleet import SteppedClocks
 from railtide.standins.keyed_store import MemoryStore
+from tests.matrix.schedule import fix_schedule
 
 OPTIONS = LedgerOptions()
 SETTINGS = AccountSettings(budget_wait_s=0.1)
@@ -167,6 +168,7 @@
     def test_budgets_are_not_empty_before_the_end_of_the_day(self, keeps_clocks: bool) -> None:
         late = Tally()
         for seed in range(1, SEEDS + 1):
+            fix_schedule(seed)
             day = Day(seed, keeps_clocks)
             trio.run(day.run, clock=MockClock(autojump_threshold=0))
             late.sent += day.late.sent
--- a/railtide/platform/tests/test_unannounced_departures.py
+++ b/railtide/platform/tests/test_unannounced_departures.py
@@ -30,6 +30,7 @@
 from railtide.upstreams.client import RunReport, UpstreamAnswer, UpstreamCall, UpstreamClient
 from railtide.upstreams.errors import UpstreamLost
 from railtide.upstreams.upstream_state import LoadReport
+from tests.matrix.schedule import fix_schedule
 
 DRAIN_S = 2.0
 """Time after the store's acknowledgement of a departure until which requests may arrive: the
@@ -213,6 +214,7 @@
     seed: int, routers: int, engines: int, play: Callable, for_s: float = 20.0
 ) -> Fleet:
     """Run a fleet through the disturbances that `play` makes, and a calm period after them."""
+    fix_schedule(seed)
     async with trio.open_nursery() as nursery:
         fleet = Fleet(nursery, Random(f"departures {seed}"), routers, engines)
         await trio.sleep(8.0)
