Read again: connection options by hop_by_hop, one close header, the tests' own client dropped

Found by reading the whole change: notice_of parsed the options of the connection header anew beside hop_by_hop; the stand-in defined the close header that the HTTP server has; the tests of departures wrote a client of upstreams though the platform's own serves, as nothing is sent. Change: each calls the piece that exists. No assertion, bound or behaviour changed; one mutant's text follows.

--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -14,7 +14,7 @@
 from railtide.http.sockets import set_tcp_options
 from railtide.http.traffic import Traffic
 
-__all__ = ["ConnectionLimits", "Handler", "HttpServer", "Responder"]
+__all__ = ["CLOSE", "ConnectionLimits", "Handler", "HttpServer", "Responder"]
 
 READ_BYTES = 65_536
 MAX_READ_AHEAD = 262_144
--- a/railtide/platform/notices.py
+++ b/railtide/platform/notices.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from railtide.http.messages import Headers, first_header
+from railtide.http.messages import Headers, first_header, hop_by_hop
 from railtide.platform import header_names
 from railtide.upstreams.advertised_limit import LimitReport
 from railtide.upstreams.brittleness import BrittleReport
@@ -45,15 +45,10 @@
         brittle,
         status == UNAVAILABLE and first_header(headers, header_names.NOT_RUN) is not None,
         unreadable,
-        _is_closing(headers),
+        b"close" in hop_by_hop(headers),
     )
 
 
-def _is_closing(headers: Headers) -> bool:
-    values = [value for name, value in headers if name == b"connection"]
-    return any(option.strip().lower() == b"close" for v in values for option in v.split(b","))
-
-
 def _retry_after_s(status: int, headers: Headers) -> float | None:
     """Return the largest Retry-After of a 503, seconds; a date is ignored."""
     if status != UNAVAILABLE:
--- a/railtide/platform/tests/test_unannounced_departures.py
+++ b/railtide/platform/tests/test_unannounced_departures.py
@@ -13,7 +13,6 @@
 import pytest
 import trio
 
-from railtide.containment.crash_detection import ProbeResult
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
 from railtide.edge.tests.rollback_fleet import RouterStore
@@ -21,15 +20,12 @@
 from railtide.lanes.queue import Urgency
 from railtide.lanes.scheduler import WaitingRequest
 from railtide.membership.identity import Identity
-from railtide.membership.instances import Instance
 from railtide.platform.desired_state import PlatformSources
 from railtide.platform.tests.test_end_to_end import desired_state
+from railtide.platform.upstreams import PlatformUpstreams
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import engine_entry
 from railtide.upstreams.balancing import Affinity
-from railtide.upstreams.client import RunReport, UpstreamAnswer, UpstreamCall, UpstreamClient
-from railtide.upstreams.errors import UpstreamLost
-from railtide.upstreams.upstream_state import LoadReport
 from tests.matrix.schedule import fix_schedule
 
 DRAIN_S = 2.0
@@ -43,25 +39,6 @@
 TOPIC = "keyed.servers"
 
 
-class NoUpstreams(UpstreamClient):
-    """A client that reaches no upstream; the tests only ask where requests would be sent."""
-
-    async def open(self, upstream: Instance, call: UpstreamCall) -> UpstreamAnswer:
-        raise UpstreamLost("unreachable")
-
-    async def probe(self, upstream: Instance) -> ProbeResult:
-        return ProbeResult.UNKNOWN
-
-    async def run_report(self, upstream: Instance, request_id: str) -> RunReport:
-        raise UpstreamLost("unreachable")
-
-    async def cancel(self, upstream: Instance, request_id: str) -> RunReport:
-        raise UpstreamLost("unreachable")
-
-    async def load(self, upstream: Instance) -> LoadReport:
-        raise UpstreamLost("unreachable")
-
-
 class Disturbances:
     """The periods in which something was disturbed."""
 
@@ -144,7 +121,7 @@
         address = f"10.0.0.{number + 1}:80"
         identity = Identity(f"i{number}", f"z{number}", address, f"life{number}")
         node = EdgeNode(
-            identity, store, PlatformSources(), NoUpstreams(), EdgeOptions(), Random(number)
+            identity, store, PlatformSources(), PlatformUpstreams(), EdgeOptions(), Random(number)
         )
         router = Router(node, store)
         self.nursery.start_soon(node.run)
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -10,7 +10,7 @@
 import trio
 
 from railtide.http.messages import Headers, HttpRequest, first_header
-from railtide.http.server import Responder
+from railtide.http.server import CLOSE, Responder
 from railtide.journal.errors import LogUnavailable, RecordsExpired
 from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord
 from railtide.standins.answers import Framing, RawAnswer
@@ -21,7 +21,6 @@
 ID = b"x-attempt-id"
 ERA = b"store-era"
 LEAVING = b"server-leaving"
-CLOSE_HEADER = (b"connection", b"close")
 RETRY_AFTER = b"retry-after"
 LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
@@ -367,7 +366,7 @@
         brittle = tuple((BRITTLE, text.encode()) for text in stated)
         notices = (*limits, *leaving, *brittle)
         self.answers.append(EngineEvent(_id_of(request), trio.current_time(), (*rest, *notices)))
-        return (*notices, CLOSE_HEADER) if self.closing else notices
+        return (*notices, CLOSE) if self.closing else notices
 
     async def _answer(
         self, script: EngineScript, request: HttpRequest, responder: Responder
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2767,7 +2767,7 @@
     Mutant(
         "closed-connection-in-an-outage-reaches-no-decision",
         "platform/notices.py",
-        "        _is_closing(headers),\n",
+        '        b"close" in hop_by_hop(headers),\n',
         "",
         (LEAVING,),
     ),
