--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -42,17 +42,21 @@
             "X-Deadline-Ms": str(deadline_ms),
             **(headers or {}),
         }
-        self.record.add("sent", id=request_id, path=path, machine=self.address[0])
+        kept = self._stream is not None
+        self.record.add("sent", id=request_id, path=path, machine=self.address[0], kept=kept)
         answer = None
-        with trio.move_on_after(deadline_ms / 1000):
+        with trio.move_on_after(deadline_ms / 1000) as scope:
             try:
                 answer = await self._exchange(message_bytes(f"POST {path} HTTP/1.1", own, body))
-            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            except (OSError, trio.BrokenResourceError, trio.TooSlowError):
                 pass
         status = answer.status if answer else 0
         whole = bool(answer and answer.whole)
         seal = answer.headers.get("x-response-seal", "") if answer else ""
-        self.record.add("answered", id=request_id, status=status, whole=whole, seal=seal)
+        closed = answer is None and not scope.cancelled_caught
+        self.record.add(
+            "answered", id=request_id, status=status, whole=whole, seal=seal, closed=closed
+        )
         if not whole or answer.headers.get("connection", "").lower() == "close":
             await self.close()
         return answer if whole else None
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -101,6 +102,8 @@
             self.process = subprocess.Popen(
                 deploy["roles"]["edge"]["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log
             )
+        most = self.settings["limits"]["max_fds"]
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (most, most))
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -113,6 +116,11 @@
             self.process.kill()
             self.process.wait()
 
+    def last_error(self) -> str:
+        """Return the last line of its log that is no log line of the program."""
+        lines = (self.folder / f"{self.name}.log").read_text(errors="replace").splitlines()
+        return next((line for line in reversed(lines) if not line.startswith("{")), "")
+
     async def is_ready(self) -> bool:
         """Return whether the platform's check of the machine succeeds."""
         with trio.move_on_after(1):
