--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -117,9 +117,10 @@
             self.process.wait()
 
     def last_error(self) -> str:
-        """Return the last line of its log that is no log line of the program."""
+        """Return the last line of its log that names an uncaught error."""
         lines = (self.folder / f"{self.name}.log").read_text(errors="replace").splitlines()
-        return next((line for line in reversed(lines) if not line.startswith("{")), "")
+        errors = (line for line in reversed(lines) if "Error" in line and line[0] != "{")
+        return next(errors, "").strip(" |")
 
     async def is_ready(self) -> bool:
         """Return whether the platform's check of the machine succeeds."""
