--- a/review/3/play.py
+++ b/review/3/play.py
@@ -10,7 +10,7 @@
 import trio
 
 from review.standins.client import Client
-from review.standins.deployment import Deployment, open_deployment
+from review.standins.deployment import Deployment, open_deployment, run_play
 from review.standins.engine import ExtraAnswers, ModelEngine
 from review.standins.record import Record
 
@@ -149,4 +149,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(trio.run(_play))
+    sys.exit(run_play(_play))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -8,7 +8,8 @@
 import subprocess
 import tempfile
 import tomllib
-from collections.abc import AsyncIterator
+import traceback
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,7 +22,7 @@
 from railtide.standins.platform import StoreServer
 from review.standins.engine import Engine
 
-__all__ = ["Deployment", "Machine", "ROOT", "open_deployment"]
+__all__ = ["Deployment", "Machine", "ROOT", "open_deployment", "run_play"]
 
 ROOT = Path(__file__).resolve().parents[2]
 STORE_HOST = "127.0.0.2"
@@ -32,6 +33,8 @@
 """
 HEARTBEAT_S = 1.2
 START_S = 30.0
+MAX_PLAY_S = 110.0
+COULD_NOT_RUN = 2
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -254,3 +257,18 @@
                 for machine in fleet:
                     machine.kill()
                 nursery.cancel_scope.cancel()
+
+
+def run_play(play: Callable[[], Awaitable[int]]) -> int:
+    """Run a play and return its exit code; 2 if it takes too long or fails itself."""
+
+    async def run() -> int:
+        with trio.move_on_after(MAX_PLAY_S):
+            return await play()
+        return COULD_NOT_RUN
+
+    try:
+        return trio.run(run)
+    except Exception:
+        traceback.print_exc()
+        return COULD_NOT_RUN
