Connections on which another request's answer arrives are closed at once

Cause: an engine may send the late copy of an earlier answer where the next one is due. On an answer with another id, PlatformUpstreams read that answer to its end. For the connection this was the regular end of the exchange, so it went back to the pool, while its own answer was still owed; the engine worked on, and the request went to another engine. HTTP framing alone decided whether a connection was settled. A router that forwards for another passed the copy on unread and kept its connection to the engine likewise.

Change: the exchange itself compares the id that the peer repeats (Correlation) and ends with ForeignAnswer. The connection is closed, and the caller goes on once the peer has ended it too, or after 0.05 s, so that the request isn't in progress at two engines. An answer without an id counts only on a connection that carried nothing else, and ends it. A forwarding router does the same and tells the asking one, with a header that earlier releases ignore. A refused answer is discarded without a wait: its connection is kept only if all of it has arrived. The project's stand-ins repeat the id in refusals and in answers that a crash cuts off, as the platform's engines do.

--- a/railtide/forwarding/client.py
+++ b/railtide/forwarding/client.py
@@ -12,6 +12,7 @@
     UpstreamNotReached,
 )
 from railtide.forwarding.messages import (
+    CODE_HEADER,
     FORWARD_PATH,
     FRAMED_HEADER,
     MAX_TIMEOUT_S,
@@ -30,7 +31,7 @@
 )
 from railtide.forwarding.peer_choice import ForwardingPeer
 from railtide.http.client import Exchange, HttpAnswer, PeerPool
-from railtide.http.errors import ConnectFailed, ConnectionLost
+from railtide.http.errors import ConnectFailed, ConnectionLost, ForeignAnswer, HttpError
 from railtide.http.messages import HttpRequest, first_header, without_hop_by_hop
 from railtide.http.traffic import Traffic
 from railtide.membership.instances import Instance
@@ -50,7 +51,7 @@
     ForwardOutcome.UPSTREAM_FAILED.encode(): UpstreamNotReached,
 }
 """Errors by outcome. A router of an earlier release states no outcome, and forwards nothing."""
-OWN_HEADERS = (OUTCOME_HEADER, STATUS_HEADER, FRAMED_HEADER)
+OWN_HEADERS = (OUTCOME_HEADER, CODE_HEADER, STATUS_HEADER, FRAMED_HEADER)
 
 
 class PeerUnreachable(NotForwarded):
@@ -75,6 +76,10 @@
         """Close the connection, which cancels the request; see `HttpAnswer.abandon`."""
         self._exchange.abandon()
 
+    def discard(self) -> None:
+        """End the answer unread; see `HttpAnswer.discard`."""
+        self._exchange.discard()
+
 
 class ForwardingClient:
     """Sends messages to the routers that forward requests.
@@ -111,6 +116,8 @@
             Likewise, since the peer could not connect to the upstream.
         ConnectionLost
             Part of the request may have reached it.
+        ForeignAnswer
+            Likewise; the peer received the answer to another request.
         """
         message = ForwardedRequest(
             self._instance,
@@ -128,7 +135,7 @@
         if outcome == ForwardOutcome.ANSWERED.encode():
             return _ForwardedAnswer(exchange)
         detail = f"{peer.name}: {(await _read_short(exchange)).decode(errors='replace')}"
-        raise ERROR_BY_OUTCOME.get(outcome, NotForwarded)(detail)
+        raise _error_of(exchange, outcome)(detail)
 
     async def ask_path(self, peer: ForwardingPeer, upstream: Instance) -> PathResult:
         """Return whether a peer can connect to an upstream.
@@ -177,6 +184,14 @@
         return pool.open_exchanges if pool else 0
 
 
+def _error_of(exchange: Exchange, outcome: bytes | None) -> type[HttpError]:
+    """Return the error of a request that a peer did not get answered."""
+    is_lost = outcome == ForwardOutcome.LOST.encode()
+    if is_lost and first_header(exchange.headers, CODE_HEADER) == ForeignAnswer.code.encode():
+        return ForeignAnswer
+    return ERROR_BY_OUTCOME.get(outcome, NotForwarded)
+
+
 def _status_of(exchange: Exchange) -> int:
     """Return the status of the upstream's answer.
 
--- a/railtide/forwarding/handler.py
+++ b/railtide/forwarding/handler.py
@@ -16,6 +16,7 @@
 )
 from railtide.forwarding.host import ForwardingHost
 from railtide.forwarding.messages import (
+    CODE_HEADER,
     FORWARD_PATH,
     FRAMED_HEADER,
     OUTCOME_HEADER,
@@ -180,7 +181,11 @@
         responder: Responder, outcome: ForwardOutcome, err: RailtideError
     ) -> None:
         status = BAD_GATEWAY if outcome is ForwardOutcome.LOST else err.status
-        headers = ((OUTCOME_HEADER, outcome.value.encode()), PLAIN_TEXT)
+        headers = (
+            (OUTCOME_HEADER, outcome.value.encode()),
+            (CODE_HEADER, err.code.encode()),
+            PLAIN_TEXT,
+        )
         await responder.answer(status, headers, f"{err.code}: {err.detail}".encode())
 
 
--- a/railtide/forwarding/messages.py
+++ b/railtide/forwarding/messages.py
@@ -13,6 +13,7 @@
 from railtide.forwarding.errors import InvalidForward
 
 __all__ = [
+    "CODE_HEADER",
     "FORWARD_PATH",
     "FRAMED_HEADER",
     "KEY_BYTES",
@@ -37,6 +38,8 @@
 """Proves that the sender is the router that it names; see `proof_of`."""
 OUTCOME_HEADER = b"railtide-outcome"
 """What became of the request, a `ForwardOutcome`. An answer without it forwarded nothing."""
+CODE_HEADER = b"railtide-code"
+"""Code of the error by which a request was lost. Earlier releases neither send nor read it."""
 STATUS_HEADER = b"railtide-status"
 """Status of the upstream's answer."""
 FRAMED_HEADER = b"railtide-framed"
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -8,7 +8,8 @@
 import h11
 import trio
 
-from railtide.http.errors import ConnectFailed, ConnectionLost, ConnectRefused
+from railtide.http.correlation import Correlation
+from railtide.http.errors import ConnectFailed, ConnectionLost, ConnectRefused, ForeignAnswer
 from railtide.http.messages import Headers, HttpRequest, first_header
 from railtide.http.sockets import set_tcp_options
 from railtide.http.stall import StallWatch
@@ -31,7 +32,12 @@
 """If a reused connection brings no answer for this long, the other idle connections are closed too.
 A store answers in milliseconds. For an upstream that is only slow, this costs new connections of
 1 ms each; reuse of unresponsive connections would cost each request its whole timeout."""
+HANG_UP_S = 0.05
+"""Longest wait until a peer ends a connection that this side has ended. It takes a round trip where
+the peer stops its work then; any other connection is closed after this time."""
 MAX_HEAD_BYTES = 65_536
+MAX_HANG_UP_BYTES = 262_144
+"""Bytes received meanwhile after which the connection is closed at once."""
 FRAMING = (b"content-length", b"transfer-encoding")
 
 
@@ -110,6 +116,10 @@
     def abandon(self) -> None:
         """Close the connection unless the answer has ended, so that the peer stops its work."""
 
+    @abstractmethod
+    def discard(self) -> None:
+        """End the answer unread; keep the connection only if all of it was received."""
+
 
 class PeerPool:
     """A pool of connections to one address.
@@ -122,6 +132,8 @@
         Counts the bytes of all connections of the pool.
     busy : set of PeerPool, optional
         Contains the pool while it has exchanges in progress.
+    correlation : Correlation, optional
+        How answers are matched with requests; by default only by their order.
 
     Attributes
     ----------
@@ -137,8 +149,10 @@
         port: int,
         traffic: Traffic | None = None,
         busy: set["PeerPool"] | None = None,
+        correlation: Correlation | None = None,
     ) -> None:
         self.opened = 0
+        self.correlation = correlation or Correlation()
         self._busy = set() if busy is None else busy
         self.received_at = -math.inf
         self._open_exchanges: set[Exchange] = set()
@@ -167,12 +181,17 @@
             If no byte of the request was sent.
         ConnectionLost
             If part of the request may have been sent.
+        ForeignAnswer
+            Likewise, if the answer to another request arrived.
         """
         connection = self._checkout() or await self._connect()
         exchange = Exchange(self, connection, watch, repeatable)
         began = trio.current_time()
         try:
             await exchange.begin(request)
+        except ForeignAnswer:
+            await exchange.hang_up()
+            raise
         except BaseException:
             exchange.abandon()
             if exchange.reused and trio.current_time() - began >= UNRESPONSIVE_S:
@@ -301,6 +320,7 @@
         self._watch = watch
         self._ended = False
         self._all_sent = False
+        self._has_id = False
         self._send_failed = False
 
     async def begin(self, request: HttpRequest) -> None:
@@ -308,6 +328,12 @@
 
         If the answer begins before the request is sent, the rest of the request is not sent, and
         the connection is not reused.
+
+        Raises
+        ------
+        ForeignAnswer
+            The answer is that to another request: a peer may send a late copy of an earlier answer
+            where the next one is due. This request may be in progress at the peer.
         """
         data = self._encode(request)
         head: h11.Response | None = None
@@ -320,6 +346,18 @@
         self.status = head.status_code
         self.headers = tuple(head.headers)
         self.framed = any(name in FRAMING for name, _ in self.headers)
+        self._check_id(request)
+
+    def _check_id(self, request: HttpRequest) -> None:
+        """Raise `ForeignAnswer` unless the answer is certainly that to the request.
+
+        Without an id it is if no other request was sent on the connection, which isn't kept then.
+        """
+        correlation = self._pool.correlation
+        request_id = correlation.id_of(request.headers)
+        self._has_id = correlation.matches(self.headers, request_id)
+        if correlation.contradicts(self.headers, request_id) or self.reused and not self._has_id:
+            raise ForeignAnswer("the answer does not carry the id of the request")
 
     def _encode(self, request: HttpRequest) -> bytes:
         headers = list(request.headers)
@@ -412,15 +450,24 @@
         if self._send_failed and not self.framed:
             raise ConnectionLost("the connection was reset")
 
+    @property
+    def _is_settled(self) -> bool:
+        """Whether nothing is left over on the connection, so that the next request may use it.
+
+        All of the request was sent, all of its own answer was received (`begin` compares the ids),
+        and nothing was received after it.
+        """
+        conn = self._connection.h11
+        has_ended = conn.their_state is h11.DONE and conn.our_state is h11.DONE
+        return has_ended and self._all_sent and self._has_id and not conn.trailing_data[0]
+
     def _finish(self) -> None:
-        """Return the connection to the pool if it can be reused, or else close it."""
+        """Return the connection to the pool if it is settled, or else close it."""
         self._end()
-        conn = self._connection.h11
-        clean = conn.their_state is h11.DONE and conn.our_state is h11.DONE
-        if not clean or not self._all_sent or conn.trailing_data[0]:
+        if not self._is_settled:
             self._connection.stream.socket.close()
             return
-        conn.start_next_cycle()
+        self._connection.h11.start_next_cycle()
         self._connection.exchanges += 1
         self._connection.usable_until = trio.current_time() + self._max_idle_s()
         self._pool.release(self._connection)
@@ -440,6 +487,37 @@
             self._end()
             self._connection.stream.socket.close()
 
+    async def hang_up(self) -> None:
+        """Close the connection; return once the peer has ended it too, or after `HANG_UP_S`.
+
+        A request that is then sent to another peer is no longer in progress at this one.
+        """
+        self._end()
+        stream = self._connection.stream
+        remaining = MAX_HANG_UP_BYTES
+        try:
+            with trio.move_on_after(HANG_UP_S):
+                await stream.send_eof()
+                while remaining > 0 and (data := await stream.receive_some(READ_BYTES)):
+                    remaining -= len(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass  # the peer has reset the connection
+        finally:
+            stream.socket.close()
+
+    def discard(self) -> None:
+        """End the answer unread; see `HttpAnswer.discard`."""
+        conn = self._connection.h11
+        event: object = None
+        try:
+            while not self._ended and event not in (h11.NEED_DATA, h11.PAUSED):
+                event = conn.next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    self._finish()
+        except h11.RemoteProtocolError:
+            pass  # the connection is closed below
+        self.abandon()
+
     def _end(self) -> None:
         self._ended = True
         self._pool.note_ended(self)
--- a/railtide/http/errors.py
+++ b/railtide/http/errors.py
@@ -7,6 +7,7 @@
     "ConnectFailed",
     "ConnectRefused",
     "ConnectionLost",
+    "ForeignAnswer",
     "HttpError",
     "Stalled",
 ]
@@ -36,6 +37,12 @@
     code = "connection-lost"
 
 
+class ForeignAnswer(ConnectionLost):
+    """Another request's answer arrived; this one's may follow, so the connection is closed."""
+
+    code = "foreign-answer"
+
+
 class Stalled(HttpError):
     """A connection made too little progress; the peer may have received part of the request."""
 
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -7,7 +7,8 @@
 import trio
 
 from railtide.http.client import UNRESPONSIVE_S, Exchange, PeerPool
-from railtide.http.errors import ConnectFailed, ConnectionLost
+from railtide.http.correlation import Correlation
+from railtide.http.errors import ConnectFailed, ConnectionLost, ForeignAnswer
 from railtide.http.messages import HttpRequest, first_header
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.http.sockets import listen
@@ -15,6 +16,7 @@
 GET = HttpRequest(b"GET", b"/a", ((b"host", b"x"),))
 HEAD = b"HTTP/1.1 200 OK\r\n"
 WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
+CORRELATION = Correlation(b"x-id")
 
 Script = Callable[[trio.SocketStream], Awaitable[None]]
 
@@ -30,7 +32,7 @@
     listener = await listen("127.0.0.1", 0)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, serve, [listener])
-        yield PeerPool("127.0.0.1", listener.socket.getsockname()[1])
+        yield PeerPool("127.0.0.1", listener.socket.getsockname()[1], correlation=CORRELATION)
         nursery.cancel_scope.cancel()
 
 
@@ -234,6 +236,119 @@
             assert pool.opened == 2
 
 
+class TestCorrelation:
+    """Guards against answers that are taken for those to other requests."""
+
+    REQUEST = HttpRequest(b"GET", b"/a", ((b"host", b"x"), (b"x-id", b"1")))
+
+    @staticmethod
+    def with_id(request_id: bytes) -> bytes:
+        return HEAD + b"X-Id: " + request_id + b"\r\nContent-Length: 2\r\n\r\nok"
+
+    async def test_answer_without_an_id_is_taken_only_on_a_new_connection(self) -> None:
+        async with peer(answers(self.with_id(b"1"), WHOLE)) as pool:
+            await body_of(await pool.send(self.REQUEST))
+            with pytest.raises(ForeignAnswer):
+                await pool.send(self.REQUEST)
+        async with peer(answers(WHOLE, WHOLE)) as pool:
+            for _ in range(2):
+                assert await body_of(await pool.send(self.REQUEST)) == b"ok"
+            assert pool.opened == 2
+
+    async def test_connection_with_a_foreign_answer_is_closed_at_once(self) -> None:
+        closed = trio.Event()
+
+        async def script(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(self.with_id(b"0"))
+            assert await stream.receive_some() == b""
+            closed.set()
+
+        async with peer(script) as pool:
+            with pytest.raises(ForeignAnswer):
+                await pool.send(self.REQUEST)
+            with trio.fail_after(1):
+                await closed.wait()
+            assert pool.open_exchanges == 0
+
+    async def test_peer_has_stopped_before_the_request_can_go_elsewhere(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr("railtide.http.client.HANG_UP_S", 5.0)
+        stopped = False
+
+        async def script(stream: trio.SocketStream) -> None:
+            nonlocal stopped
+            await stream.receive_some()
+            await stream.send_all(self.with_id(b"0"))
+            assert await stream.receive_some() == b""
+            await trio.sleep(0.05)
+            stopped = True
+
+        async with peer(script) as pool:
+            with pytest.raises(ForeignAnswer):
+                await pool.send(self.REQUEST)
+            assert stopped
+
+    @pytest.mark.parametrize("parts", [1, 1000])
+    async def test_peer_that_does_not_end_a_connection_is_not_waited_for(self, parts: int) -> None:
+        async def script(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(self.with_id(b"0"))
+            for _ in range(parts):
+                await stream.send_all(bytes(65_536))
+            await trio.sleep(5)
+
+        async with peer(script) as pool:
+            with pytest.raises(ForeignAnswer), trio.fail_after(2):
+                await pool.send(self.REQUEST)
+
+    async def test_answer_with_the_id_keeps_its_connection(self) -> None:
+        async with peer(answers(self.with_id(b"1"), self.with_id(b"2"))) as pool:
+            assert await body_of(await pool.send(self.REQUEST)) == b"ok"
+            second = HttpRequest(b"GET", b"/a", ((b"host", b"x"), (b"x-id", b"2")))
+            assert await body_of(await pool.send(second)) == b"ok"
+            assert pool.opened == 1
+
+    async def test_request_without_an_id_gets_no_answer_with_one(self) -> None:
+        async with peer(answers(self.with_id(b"1"))) as pool:
+            with pytest.raises(ForeignAnswer):
+                await pool.send(GET)
+
+
+class TestDiscard:
+    """Guards against connections that are kept although part of an answer is still to come."""
+
+    async def discard_one_of(self, *parts: bytes) -> tuple[int, bytes]:
+        """Discard an answer whose later parts are late; return connections used, and the next."""
+
+        async def script(stream: trio.SocketStream) -> None:
+            while await stream.receive_some():
+                for part in parts:
+                    await stream.send_all(part)
+                    await trio.sleep(0.1)
+
+        async with peer(script) as pool:
+            exchange = await pool.send(GET)
+            exchange.discard()
+            second = await pool.send(GET)
+            return pool.opened, await body_of(second)
+
+    async def test_whole_answer_keeps_its_connection(self) -> None:
+        assert await self.discard_one_of(WHOLE) == (1, b"ok")
+
+    @pytest.mark.parametrize(
+        "parts",
+        [
+            (HEAD + b"Content-Length: 2\r\n\r\n", b"ok"),
+            (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", b"0\r\n\r\n"),
+            (WHOLE + b"H",),
+        ],
+    )
+    async def test_answer_that_goes_on_closes_its_connection(self, parts: tuple[bytes]) -> None:
+        assert await self.discard_one_of(*parts) == (2, b"ok")
+
+
 class TestServer:
     async def test_answers_with_length_and_in_chunks(self) -> None:
         async def handler(request: HttpRequest, responder: Responder) -> None:
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -27,7 +27,7 @@
 from railtide.platform.desired_state import PlatformSources
 from railtide.platform.ingress import Ingress, addresses_body
 from railtide.platform.store import PlatformStore
-from railtide.platform.upstreams import PlatformUpstreams
+from railtide.platform.upstreams import PlatformUpstreams, engine_connections
 from railtide.process import kernel_clocks, new_incarnation, new_rng, relax_gc
 from railtide.settings import InvalidSetting, parse_endpoint, run_program, validate_settings
 from railtide.telemetry.counters import Counters
@@ -142,7 +142,7 @@
         boot.link_mbps, settings.shed_below_link_mbps, traffic, control, counters, rng
     )
     store = PlatformStore(boot.store, counters, control)
-    forwarding = EdgeForwarding(identity, traffic, rng)
+    forwarding = EdgeForwarding(identity, traffic, rng, direct=engine_connections(traffic))
     upstreams = PlatformUpstreams(traffic, forwarding.transport)
     forwarding.on_answer = upstreams.note_forwarded
     options = _options(boot, settings)
--- a/railtide/platform/tests/router_fleet.py
+++ b/railtide/platform/tests/router_fleet.py
@@ -26,9 +26,10 @@
 from railtide.platform.store import PlatformStore
 from railtide.platform.tests.hosts import HOST
 from railtide.platform.tests.test_end_to_end import desired_state, serve
-from railtide.platform.upstreams import PlatformUpstreams
+from railtide.platform.upstreams import CORRELATION, PlatformUpstreams
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import EngineScript, PlatformEngine, StoreServer, engine_entry
+from railtide.standins.repeated_answers import RepeatedAnswers
 from railtide.telemetry.counters import Counters
 from railtide.upstreams.transport import DirectTransport
 
@@ -50,7 +51,7 @@
     """
 
     def __init__(self) -> None:
-        super().__init__()
+        super().__init__(correlation=CORRELATION)
         self.cut: set[str] = set()
         self.refuses = False
 
@@ -89,6 +90,8 @@
         The scopes of the routers' servers for other routers; cancelling one ends it.
     engine_scopes : dict of str to trio.CancelScope
         The same of the engines.
+    repeated_answers : dict of str to RepeatedAnswers
+        Which answers of the engines are sent a second time; none by default.
     forwards : bool
         Whether the routers state in the roster that they forward requests.
     deadline_ms : int
@@ -103,6 +106,7 @@
     links: list["EngineLinks"] = field(default_factory=list)
     peer_scopes: list[trio.CancelScope] = field(default_factory=list)
     engine_scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
+    repeated_answers: dict[str, RepeatedAnswers] = field(default_factory=dict)
     forwards: bool = True
     nodes: list[EdgeNode] = field(default_factory=list)
     ports: list[int] = field(default_factory=list)
@@ -117,7 +121,8 @@
         server = HttpServer(engine.handle, ConnectionLimits())
         listener = await listen(HOST, 0)
         scope = self.engine_scopes[name] = trio.CancelScope()
-        self.nursery.start_soon(_serve_within, scope, server, listener)
+        repeated = self.repeated_answers[name] = RepeatedAnswers(listener, lambda answer: False)
+        self.nursery.start_soon(_serve_within, scope, server, repeated)
         entry = engine_entry(f"{HOST}:{listener.socket.getsockname()[1]}") | {"version": version}
         self.store.put("keyed.servers", name, msgspec.json.encode(entry))
         self.engine_by_name[name] = engine
@@ -166,6 +171,11 @@
             self.links[router].refuses = refuses
             self.links[router].cut = set(self.engine_by_name)
 
+    @property
+    def last_id(self) -> str:
+        """Id of the caller's latest request."""
+        return f"r{self.sent_count}"
+
     def request(self, path: str, *headers: tuple[bytes, bytes], body: bytes = b"") -> HttpRequest:
         """Return a new request of a caller."""
         self.sent_count += 1
@@ -227,7 +237,7 @@
 
 
 async def _serve_within(
-    scope: trio.CancelScope, server: HttpServer, listener: trio.SocketListener
+    scope: trio.CancelScope, server: HttpServer, listener: trio.abc.Listener
 ) -> None:
     with scope:
         await server.serve(listener)
--- /dev/null
+++ b/railtide/platform/tests/test_repeated_answers.py
@@ -0,0 +1,95 @@
+"""Engines that send some of their answers a second time, where the next answer is due."""
+
+from itertools import combinations
+
+import pytest
+import trio
+
+from railtide.platform.tests.router_fleet import RouterFleet, open_router_fleet
+from railtide.standins.platform import EngineRun, EngineScript
+
+STOP_S = 0.4
+"""How soon an engine must be told to stop once its request goes on at another one."""
+
+
+def repeat_once(fleet: RouterFleet) -> None:
+    """Let the engines send the next answer that is followed by another one a second time."""
+    copies = fleet.repeated_answers.values()
+    for repeated in copies:
+        repeated.is_repeated = lambda answer: not any(one.count for one in copies)
+
+
+def copies_sent(fleet: RouterFleet) -> int:
+    return sum(one.count for one in fleet.repeated_answers.values())
+
+
+def mismatches(fleet: RouterFleet, router: int = 0) -> int:
+    return fleet.nodes[router].counters.value("attempts_failed_answer_mismatch")
+
+
+def runs(fleet: RouterFleet) -> list[EngineRun]:
+    return [run for engine in fleet.engine_by_name.values() for run in engine.runs]
+
+
+def longest_overlap_s(fleet: RouterFleet) -> float:
+    """Return for how long two runs of the same request were in progress at the same time."""
+    pairs = [(a, b) for a, b in combinations(runs(fleet), 2) if a.request_id == b.request_id]
+    overlaps = [min(a.ended_at, b.ended_at) - max(a.began_at, b.began_at) for a, b in pairs]
+    return max(overlaps, default=0.0)
+
+
+async def fleet_with_kept_connections(fleet: RouterFleet, is_forwarded: bool, path: str) -> None:
+    """Send enough requests from the first router that each engine's connections are kept."""
+    if is_forwarded:
+        fleet.cut_off(0, refuses=True)
+        for _ in range(2 * len(fleet.engine_by_name)):
+            await fleet.send(0)
+    async with trio.open_nursery() as nursery:
+        for _ in range(2 * len(fleet.engine_by_name)):
+            nursery.start_soon(fleet.send, 0, path)
+    repeat_once(fleet)
+
+
+@pytest.mark.parametrize("is_forwarded", [False, True])
+class TestForeignAnswer:
+    """The late copy of an earlier answer comes where that to a new request is due.
+
+    The router read the copy to its end and kept the connection. The engine went on with the new
+    request, which the router had sent to another engine.
+    """
+
+    async def test_no_engine_is_left_at_work_on_a_request_that_went_to_another(
+        self, is_forwarded: bool
+    ) -> None:
+        async with open_router_fleet(2, 2, events=2, gap_s=0.05) as fleet:
+            await fleet_with_kept_connections(fleet, is_forwarded, "/resume/x")
+            for engine in fleet.engine_by_name.values():
+                engine.script = EngineScript(events=20, gap_s=0.05)
+            await fleet.send(0, "/resume/x")
+            assert longest_overlap_s(fleet) <= STOP_S
+            assert fleet.statuses[200] == sum(fleet.statuses.values())
+            assert (copies_sent(fleet), mismatches(fleet)) == (1, 1)
+
+    async def test_later_requests_get_no_answer_that_was_left_on_a_connection(
+        self, is_forwarded: bool
+    ) -> None:
+        async with open_router_fleet(2, 2, gap_s=0.3) as fleet:
+            await fleet_with_kept_connections(fleet, is_forwarded, "/safe/x")
+            async with trio.open_nursery() as nursery:
+                for _ in range(12):
+                    nursery.start_soon(fleet.send, 0, "/safe/x")
+                    await trio.sleep(0.05)
+            assert fleet.statuses[200] == sum(fleet.statuses.values())
+            assert (copies_sent(fleet), mismatches(fleet)) == (1, 1)
+
+    async def test_call_that_may_not_be_repeated_runs_once_and_is_not_called_refused(
+        self, is_forwarded: bool
+    ) -> None:
+        async with open_router_fleet(2, 1, gap_s=0.05) as fleet:
+            await fleet_with_kept_connections(fleet, is_forwarded, "/once/x")
+            fleet.statuses.clear()
+            assert await fleet.send(0, "/once/x") == 502
+            assert len([run for run in runs(fleet) if run.request_id == fleet.last_id]) <= 1
+            for _ in range(6):
+                assert await fleet.send(0, "/once/x") == 200
+            assert (copies_sent(fleet), mismatches(fleet)) == (1, 1)
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -7,7 +7,8 @@
 
 from railtide.containment.crash_detection import ProbeResult
 from railtide.http.client import HttpAnswer
-from railtide.http.errors import ConnectFailed, ConnectRefused, HttpError
+from railtide.http.correlation import Correlation
+from railtide.http.errors import ConnectFailed, ConnectRefused, ForeignAnswer, HttpError
 from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
 from railtide.http.traffic import PeerKind, Traffic
 from railtide.membership.instances import Instance
@@ -27,8 +28,10 @@
 from railtide.upstreams.transport import DirectTransport, UpstreamTransport
 from railtide.upstreams.upstream_state import LoadReport
 
-__all__ = ["PlatformUpstreams"]
+__all__ = ["PlatformUpstreams", "engine_connections"]
 
+CORRELATION = Correlation(header_names.ATTEMPT_ID)
+"""The engines repeat the id of a request in its response."""
 MISDIRECTED = 421
 SUCCESS_CLASS = 2
 MAX_RANK = 9
@@ -85,7 +88,7 @@
         self, traffic: Traffic | None = None, transport: UpstreamTransport | None = None
     ) -> None:
         self._traffic = traffic or Traffic()
-        self._transport = transport or DirectTransport(self._traffic)
+        self._transport = transport or engine_connections(self._traffic)
         self.on_notice: Callable[[Instance, UpstreamNotice], None] = lambda upstream, notice: None
 
     async def open(self, upstream: Instance, call: UpstreamCall) -> UpstreamAnswer:
@@ -102,20 +105,25 @@
             raise UpstreamNotListening(err.detail) from err
         except ConnectFailed as err:
             raise UpstreamUnreachable(err.detail) from err
+        except ForeignAnswer as err:
+            raise AnswerMismatch(err.detail) from err
         except HttpError as err:
             raise UpstreamDisconnected(err.detail) from err
         self._traffic.on_first_byte(PeerKind.UPSTREAM, trio.current_time() - sent_at)
         try:
             self._check_headers(upstream, call, exchange, sent_at)
+        except UpstreamRefused:
+            exchange.discard()
+            raise
         except BaseException:
-            await self._drain_body(exchange)
+            exchange.abandon()
             raise
         return _Answer(exchange)
 
     def _check_headers(
         self, upstream: Instance, call: UpstreamCall, exchange: HttpAnswer, sent_at: float
     ) -> None:
-        if not _echoes(exchange, call.request_id.encode()):
+        if CORRELATION.contradicts(exchange.headers, call.request_id.encode()):
             raise AnswerMismatch("the response carries the id of another request")
         if exchange.status == MISDIRECTED:
             raise UpstreamMoved("another engine has this address")
@@ -130,22 +138,10 @@
         self, upstream: Instance, request: HttpRequest, answer: HttpAnswer, sent_at: float
     ) -> None:
         """Apply what the answer to another router's request reports about its engine."""
-        sent_id = first_header(request.headers, header_names.ATTEMPT_ID)
-        if answer.status != MISDIRECTED and _echoes(answer, sent_id):
+        request_id = CORRELATION.id_of(request.headers)
+        if answer.status != MISDIRECTED and not CORRELATION.contradicts(answer.headers, request_id):
             self.on_notice(upstream, notice_of(answer.status, answer.headers, sent_at))
 
-    @staticmethod
-    async def _drain_body(exchange: HttpAnswer) -> None:
-        """Read the body as far as it has been received, so that the connection can be reused."""
-        with trio.move_on_after(0) as scope:
-            scope.shield = True
-            try:
-                async for _ in exchange.chunks():
-                    pass
-            except HttpError:
-                pass  # the connection is closed; the caller raises the refusal
-        exchange.abandon()
-
     def forget(self, upstream: Instance) -> None:
         """Close the idle connections to an engine; see `UpstreamClient.forget`."""
         self._transport.forget(upstream)
@@ -167,9 +163,9 @@
         raise UpstreamLost("the platform's engines report their load only in responses")
 
 
-def _echoes(answer: HttpAnswer, request_id: bytes | None) -> bool:
-    """Return whether an answer carries the id of its request, or none."""
-    return first_header(answer.headers, header_names.ATTEMPT_ID) in (None, request_id)
+def engine_connections(traffic: Traffic | None = None) -> DirectTransport:
+    """Return a transport that matches the engines' responses with requests by their ids."""
+    return DirectTransport(traffic, CORRELATION)
 
 
 def _headers(upstream: Instance, call: UpstreamCall) -> Headers:
--- a/railtide/standins/crashing_engine.py
+++ b/railtide/standins/crashing_engine.py
@@ -160,7 +160,8 @@
             return
         self.host.ran.append((first_header(request.headers, ID) or b"").decode())
         if self.host.sends_head:
-            await responder.start(200, ((b"x-response-seal", b"s"),), None)
+            request_id = first_header(request.headers, ID) or b""
+            await responder.start(200, ((ID, request_id), (b"x-response-seal", b"s")), None)
         await trio.sleep(self.host.crash_after_s)
         self.host.crashes += 1
         self.host.crash()
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -1,5 +1,6 @@
 """Stand-ins for the users' platform: its store and its engines over HTTP, with their faults."""
 
+import math
 from base64 import b64encode
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
@@ -16,7 +17,14 @@
 from railtide.standins.answers import Framing, RawAnswer
 from railtide.standins.keyed_store import MemoryStore
 
-__all__ = ["EngineEvent", "EngineScript", "PlatformEngine", "StoreServer", "engine_entry"]
+__all__ = [
+    "EngineEvent",
+    "EngineRun",
+    "EngineScript",
+    "PlatformEngine",
+    "StoreServer",
+    "engine_entry",
+]
 
 ID = b"x-attempt-id"
 ERA = b"store-era"
@@ -255,6 +263,15 @@
     notices: Headers = ()
 
 
+@dataclass
+class EngineRun:
+    """A request that an engine works on from a trio time to another one."""
+
+    request_id: str
+    began_at: float
+    ended_at: float = math.inf
+
+
 @dataclass
 class PlatformEngine:
     """An engine that answers as its script says and records its requests.
@@ -286,6 +303,8 @@
         Called after each such rejection.
     silent_until : float
         Trio time until which it sends nothing; its connections are accepted.
+    runs : list of EngineRun
+        All requests that it began to run, in order.
     arrivals, answers : list of EngineEvent
         All requests received, and the heads of all answers, in order.
     """
@@ -308,6 +327,7 @@
     on_rejection: Callable[[], None] = lambda: None
     open_requests: int = 0
     silent_until: float = 0.0
+    runs: list[EngineRun] = field(default_factory=list)
     arrivals: list[EngineEvent] = field(default_factory=list)
     answers: list[EngineEvent] = field(default_factory=list)
 
@@ -319,6 +339,7 @@
         expected = first_header(request.headers, b"x-expect-instance")
         if expected is not None and expected.decode() != self.name:
             refusal_headers = (
+                (ID, _id_of(request).encode()),
                 (b"x-instance-id", self.name.encode()),
                 (LOAD, self._load()),
                 *self._notices(request),
@@ -327,16 +348,18 @@
             return
         script = self.next_scripts.pop(0) if self.next_scripts else self.script
         if self.capacity is not None and self.open_requests >= self.capacity:
-            rejection_headers = ((b"x-not-executed", b"1"), *self._notices(request))
+            rejection_headers = (*_refusal_of(request), *self._notices(request))
             await responder.answer(503, rejection_headers)
             self.on_rejection()
             return
         if script.not_run or self.rest is not None:
             rest = () if self.rest is None else ((RETRY_AFTER, self.rest.encode()),)
-            refusal_headers = ((b"x-not-executed", b"1"), *rest, *self._notices(request, rest))
+            refusal_headers = (*_refusal_of(request), *rest, *self._notices(request, rest))
             await responder.answer(503, refusal_headers)
             return
         self.ran.append(_id_of(request))
+        run = EngineRun(_id_of(request), trio.current_time())
+        self.runs.append(run)
         self.open_requests += 1
         try:
             await self._answer(script, request, responder)
@@ -345,6 +368,7 @@
             raise
         finally:
             self.open_requests -= 1
+            run.ended_at = trio.current_time()
 
     async def _be_silent(self) -> None:
         await trio.sleep_until(max(trio.current_time(), self.silent_until))
@@ -408,5 +432,10 @@
             await answer.reset()
 
 
+def _refusal_of(request: HttpRequest) -> Headers:
+    """Return the headers of an answer that the request was not run."""
+    return ((ID, _id_of(request).encode()), (b"x-not-executed", b"1"))
+
+
 def _id_of(request: HttpRequest) -> str:
     return (first_header(request.headers, ID) or b"").decode()
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -7,6 +7,7 @@
 
 from railtide.containment.crash_detection import ProbeResult
 from railtide.http.client import HttpAnswer, PeerPool, connect_tcp_stream
+from railtide.http.correlation import Correlation
 from railtide.http.errors import ConnectFailed, ConnectRefused
 from railtide.http.messages import HttpRequest
 from railtide.http.traffic import Traffic
@@ -63,10 +64,15 @@
     ----------
     traffic : Traffic, optional
         Counts the bytes of all connections.
+    correlation : Correlation, optional
+        How the upstreams' answers are matched with requests; by default only by their order.
     """
 
-    def __init__(self, traffic: Traffic | None = None) -> None:
+    def __init__(
+        self, traffic: Traffic | None = None, correlation: Correlation | None = None
+    ) -> None:
         self.traffic = traffic or Traffic()
+        self._correlation = correlation
         self._pool_by_incarnation: dict[str, PeerPool] = {}
         self._upstream_by_pool: dict[PeerPool, Instance] = {}
         self._busy: set[PeerPool] = set()
@@ -130,7 +136,8 @@
     def _pool(self, upstream: Instance) -> PeerPool:
         pool = self._pool_by_incarnation.get(upstream.incarnation)
         if pool is None:
-            pool = PeerPool(*parse_endpoint(upstream.address), self.traffic, self._busy)
+            host, port = parse_endpoint(upstream.address)
+            pool = PeerPool(host, port, self.traffic, self._busy, self._correlation)
             self._pool_by_incarnation[upstream.incarnation] = pool
             self._upstream_by_pool[pool] = upstream
         return pool
