A request is never sent twice over the same connection

Cause: the id of a request is the same for each of its offers, and the connection used last is used first, so the next offer to the same engine went over the connection of the refusal. The late second copy of that refusal, which came where the answer to the next offer was due, carried the right id. No check of the answer can tell them apart; only the connection can.

Change: each connection remembers the ids of the requests sent on it until they can't be sent again (the time that the sender waits, which forwarded requests state too), and a request goes over another connection, idle or new. Other requests go on over the first one. The same holds for the second run of a request whose first one failed, and at a router that forwards for another.

--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -3,7 +3,7 @@
 import math
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import h11
 import trio
@@ -38,6 +38,11 @@
 MAX_HEAD_BYTES = 65_536
 MAX_HANG_UP_BYTES = 262_144
 """Bytes received meanwhile after which the connection is closed at once."""
+MIN_REMEMBERED_IDS = 64
+"""Requests that a connection remembers before it forgets those that can't be sent again."""
+MAX_SKIPPED = 8
+"""Idle connections kept that can't carry a request since they carried one with its id. A request is
+offered fewer times; callers that use an id for many requests would leave a connection for each."""
 FRAMING = (b"content-length", b"transfer-encoding")
 
 
@@ -72,12 +77,24 @@
 
 @dataclass(eq=False)
 class _PooledConnection:
-    """A connection, the end of its time for reuse (trio time) and its number of exchanges."""
+    """A connection that is reused.
+
+    Attributes
+    ----------
+    usable_until : float
+        End of its time for reuse, trio time.
+    exchanges : int
+        Number of requests whose exchanges have ended.
+    repeated_until_by_id : dict of int to float
+        Until when each request sent on it may be sent again, by the hash of its id; trio times.
+    """
 
     stream: trio.SocketStream
     h11: h11.Connection
     usable_until: float = math.inf
     exchanges: int = 0
+    repeated_until_by_id: dict[int, float] = field(default_factory=dict)
+    _max_ids: int = MIN_REMEMBERED_IDS
 
     def is_usable(self) -> bool:
         """Return whether the connection may be reused: not expired, and nothing to read on it."""
@@ -85,6 +102,19 @@
             return False
         return not self.stream.socket.is_readable()
 
+    def note_sent(self, request_id: bytes, repeated_until: float) -> None:
+        """Record that a request is sent on it, which may be sent again until a trio time."""
+        if len(self.repeated_until_by_id) >= self._max_ids:
+            now = trio.current_time()
+            ids = self.repeated_until_by_id.items()
+            self.repeated_until_by_id = {key: until for key, until in ids if until > now}
+            self._max_ids = max(MIN_REMEMBERED_IDS, 2 * len(self.repeated_until_by_id))
+        self.repeated_until_by_id[hash(request_id)] = repeated_until
+
+    def has_carried(self, request_id: bytes | None) -> bool:
+        """Return whether a request with this id was sent on it, as far as it may come again."""
+        return request_id is not None and hash(request_id) in self.repeated_until_by_id
+
 
 class HttpAnswer(ABC):
     """An answer whose head was received and whose body is still to be read.
@@ -163,7 +193,11 @@
         self._closed = False
 
     async def send(
-        self, request: HttpRequest, watch: StallWatch | None = None, repeatable: bool = False
+        self,
+        request: HttpRequest,
+        watch: StallWatch | None = None,
+        repeatable: bool = False,
+        timeout_s: float = math.inf,
     ) -> "Exchange":
         """Send a request and return its exchange once the head of the answer was received.
 
@@ -174,6 +208,10 @@
             Notified of bytes sent and received until the end of the exchange.
         repeatable : bool, optional
             Whether the caller sends the request again if the connection is lost.
+        timeout_s : float, optional
+            Time after which a request with this id is not sent again, seconds. Until then it goes
+            over another connection, since a late copy of its first answer looks like the answer to
+            the second one: both carry the same id.
 
         Raises
         ------
@@ -184,7 +222,10 @@
         ForeignAnswer
             Likewise, if the answer to another request arrived.
         """
-        connection = self._checkout() or await self._connect()
+        request_id = self.correlation.id_of(request.headers)
+        connection = self._checkout(request_id) or await self._connect()
+        if request_id is not None:
+            connection.note_sent(request_id, trio.current_time() + timeout_s)
         exchange = Exchange(self, connection, watch, repeatable)
         began = trio.current_time()
         try:
@@ -250,13 +291,22 @@
         while self._idle:
             self._idle.pop().stream.socket.close()
 
-    def _checkout(self) -> _PooledConnection | None:
-        while self._idle:
+    def _checkout(self, request_id: bytes | None) -> _PooledConnection | None:
+        """Return the connection used last that may carry a request, None if there is none."""
+        skipped = []
+        found = None
+        while self._idle and found is None:
             connection = self._idle.pop()
-            if connection.is_usable():
-                return connection
+            if not connection.is_usable():
+                connection.stream.socket.close()
+            elif connection.has_carried(request_id):
+                skipped.append(connection)
+            else:
+                found = connection
+        for connection in skipped[MAX_SKIPPED:]:
             connection.stream.socket.close()
-        return None
+        self._idle += reversed(skipped[:MAX_SKIPPED])
+        return found
 
     async def _connect(self) -> _PooledConnection:
         timeout_s = CONNECT_S + self.traffic.queue_delay_s()
--- a/railtide/platform/tests/test_repeated_answers.py
+++ b/railtide/platform/tests/test_repeated_answers.py
@@ -19,6 +19,12 @@
         repeated.is_repeated = lambda answer: not any(one.count for one in copies)
 
 
+def repeat_first(fleet: RouterFleet, part: bytes) -> None:
+    """Let each engine send its first answer that contains some bytes a second time."""
+    for repeated in fleet.repeated_answers.values():
+        repeated.is_repeated = lambda answer, one=repeated: part in answer and not one.count
+
+
 def copies_sent(fleet: RouterFleet) -> int:
     return sum(one.count for one in fleet.repeated_answers.values())
 
@@ -47,7 +53,6 @@
     async with trio.open_nursery() as nursery:
         for _ in range(2 * len(fleet.engine_by_name)):
             nursery.start_soon(fleet.send, 0, path)
-    repeat_once(fleet)
 
 
 @pytest.mark.parametrize("is_forwarded", [False, True])
@@ -63,6 +68,7 @@
     ) -> None:
         async with open_router_fleet(2, 2, events=2, gap_s=0.05) as fleet:
             await fleet_with_kept_connections(fleet, is_forwarded, "/resume/x")
+            repeat_once(fleet)
             for engine in fleet.engine_by_name.values():
                 engine.script = EngineScript(events=20, gap_s=0.05)
             await fleet.send(0, "/resume/x")
@@ -75,6 +81,7 @@
     ) -> None:
         async with open_router_fleet(2, 2, gap_s=0.3) as fleet:
             await fleet_with_kept_connections(fleet, is_forwarded, "/safe/x")
+            repeat_once(fleet)
             async with trio.open_nursery() as nursery:
                 for _ in range(12):
                     nursery.start_soon(fleet.send, 0, "/safe/x")
@@ -87,9 +94,51 @@
     ) -> None:
         async with open_router_fleet(2, 1, gap_s=0.05) as fleet:
             await fleet_with_kept_connections(fleet, is_forwarded, "/once/x")
+            repeat_once(fleet)
             fleet.statuses.clear()
             assert await fleet.send(0, "/once/x") == 502
             assert len([run for run in runs(fleet) if run.request_id == fleet.last_id]) <= 1
             for _ in range(6):
                 assert await fleet.send(0, "/once/x") == 200
             assert (copies_sent(fleet), mismatches(fleet)) == (1, 1)
+
+
+@pytest.mark.parametrize("is_forwarded", [False, True])
+class TestSecondOffer:
+    """A request is offered to an engine again while a late copy of its first answer is to come.
+
+    Both offers have the same id. The copy was taken for the answer to the second one: of a refused
+    request that the engine then ran, the caller was told that it had not run.
+    """
+
+    async def test_request_that_runs_is_not_called_refused(self, is_forwarded: bool) -> None:
+        async with open_router_fleet(2, 1, gap_s=0.05) as fleet:
+            await fleet_with_kept_connections(fleet, is_forwarded, "/once/x")
+            repeat_first(fleet, b"x-not-executed")
+            engine = fleet.engine_by_name["e0"]
+            engine.next_scripts = [EngineScript(not_run=True)]
+            assert await fleet.send(0, "/once/x") == 200
+            assert engine.ran.count(fleet.last_id) == 1
+
+    async def test_failure_of_the_first_run_is_not_taken_for_that_of_the_second(
+        self, is_forwarded: bool
+    ) -> None:
+        async with open_router_fleet(2, 1, gap_s=0.05) as fleet:
+            await fleet_with_kept_connections(fleet, is_forwarded, "/safe/x")
+            repeat_first(fleet, b" 500 ")
+            engine = fleet.engine_by_name["e0"]
+            engine.next_scripts = [EngineScript(status=500, gap_s=0.05)]
+            assert await fleet.send(0, "/safe/x") == 200
+            assert engine.ran.count(fleet.last_id) == 2
+
+    async def test_other_requests_go_on_over_the_connection_of_a_refusal(
+        self, is_forwarded: bool
+    ) -> None:
+        async with open_router_fleet(2, 1) as fleet:
+            await fleet_with_kept_connections(fleet, is_forwarded, "/once/x")
+            engine = fleet.engine_by_name["e0"]
+            accepted = fleet.repeated_answers["e0"].accepted
+            for _ in range(8):
+                engine.next_scripts = [EngineScript(not_run=True)]
+                assert await fleet.send(0, "/once/x") == 200
+            assert fleet.repeated_answers["e0"].accepted - accepted <= 2
--- a/railtide/standins/repeated_answers.py
+++ b/railtide/standins/repeated_answers.py
@@ -23,16 +23,21 @@
     ----------
     count : int
         Number of copies sent.
+    accepted : int
+        Number of connections accepted.
     """
 
     def __init__(self, listener: trio.SocketListener, is_repeated: Callable[[bytes], bool]) -> None:
         self.count = 0
+        self.accepted = 0
         self.is_repeated = is_repeated
         self._listener = listener
 
     async def accept(self) -> trio.abc.Stream:
         """Return the next connection."""
-        return _RepeatingStream(self, await self._listener.accept())
+        stream = await self._listener.accept()
+        self.accepted += 1
+        return _RepeatingStream(self, stream)
 
     async def aclose(self) -> None:
         """Stop listening."""
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -81,7 +81,8 @@
         self, upstream: Instance, request: HttpRequest, timeout_s: float, repeatable: bool = False
     ) -> HttpAnswer:
         """Send a request; see `UpstreamTransport.send`."""
-        return await self._pool(upstream).send(request, repeatable=repeatable)
+        pool = self._pool(upstream)
+        return await pool.send(request, repeatable=repeatable, timeout_s=timeout_s)
 
     def break_repeatable(self, upstream: Instance, since: float) -> None:
         """Close the connections of repeatable requests; see `PeerPool.break_repeatable`."""
