Client of railtide's own upstreams: answers of other requests are told apart

A refusal was believed before its id was read, so that the late copy of another request's refusal ended a request as not run. The report of a run carries no id, and its connection was reused: a late copy of 'unknown' settles another request as not run.

Change: the id is compared first, where the answer has one; queries about a run use no connection twice. The connection of a refusal was never reused, which now has a test.

--- a/railtide/upstreams/http_upstreams.py
+++ b/railtide/upstreams/http_upstreams.py
@@ -8,7 +8,7 @@
 
 from railtide.membership.instances import Instance
 from railtide.upstreams.client import RunReport, UpstreamAnswer, UpstreamCall, UpstreamClient
-from railtide.upstreams.errors import UpstreamLost, UpstreamRefused
+from railtide.upstreams.errors import AnswerMismatch, UpstreamLost, UpstreamRefused
 from railtide.upstreams.upstream_state import LoadReport
 
 __all__ = ["HttpUpstreams"]
@@ -19,6 +19,9 @@
 CONNECT_S = 1.0
 ASK_S = 2.0
 IDLE_CONNECTIONS = 8
+NO_REUSE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+"""Of connections for queries about a run, whose answers carry no id: a late copy of an earlier
+answer on the same connection would be taken for the answer to the next query."""
 SERVER_ERROR = 500
 REFUSALS = (429, 503)
 FRAMING = ("content-length", "transfer-encoding")
@@ -54,6 +57,7 @@
 
     def __init__(self) -> None:
         self._clients_by_address: dict[str, httpx.AsyncClient] = {}
+        self._query_client = httpx.AsyncClient(limits=NO_REUSE, trust_env=False)
 
     async def open(self, upstream: Instance, call: UpstreamCall) -> UpstreamAnswer:
         """Send a call; see `UpstreamClient.open`."""
@@ -66,6 +70,9 @@
             call.method, call.path, content=call.body, headers=headers, timeout=timeout
         )
         response = await self._send(client, request)
+        if response.headers.get(REQUEST_ID, call.request_id) != call.request_id:
+            await _close(response)
+            raise AnswerMismatch("the answer carries the id of another request")
         if response.status_code >= SERVER_ERROR or response.status_code in REFUSALS:
             await self._raise_failure(response)
         return _HttpAnswer(response)
@@ -81,8 +88,8 @@
 
     @staticmethod
     async def _raise_failure(response: httpx.Response) -> None:
-        with trio.CancelScope(shield=True):
-            await response.aclose()
+        """Raise the error for a failure; the connection, whose body is unread, is closed."""
+        await _close(response)
         if response.headers.get(RUN) == NOT_RUN:
             raise UpstreamRefused(f"the upstream refused with status {response.status_code}")
         raise UpstreamLost(f"the upstream failed with status {response.status_code}")
@@ -96,7 +103,8 @@
         return await self._ask_of_run(upstream, "DELETE", request_id)
 
     async def _ask_of_run(self, upstream: Instance, method: str, request_id: str) -> RunReport:
-        answer = await self._ask(upstream, method, f"/v1/requests/{request_id}")
+        url = f"http://{upstream.address}/v1/requests/{request_id}"
+        answer = await self._ask(self._query_client, method, url)
         try:
             return msgspec.json.decode(answer.content, type=RunReport)
         except msgspec.DecodeError as err:
@@ -104,16 +112,17 @@
 
     async def load(self, upstream: Instance) -> LoadReport:
         """Read a load report; see `UpstreamClient.load`."""
-        answer = await self._ask(upstream, "GET", "/v1/load")
+        answer = await self._ask(self._client(upstream), "GET", "/v1/load")
         try:
             wire = msgspec.json.decode(answer.content, type=_WireLoad)
         except msgspec.DecodeError as err:
             raise UpstreamLost(f"the load report is malformed: {err}") from err
         return LoadReport(wire.running, wire.queued, wire.leaving, trio.current_time())
 
-    async def _ask(self, upstream: Instance, method: str, path: str) -> httpx.Response:
+    @staticmethod
+    async def _ask(client: httpx.AsyncClient, method: str, url: str) -> httpx.Response:
         try:
-            answer = await self._client(upstream).request(method, path, timeout=ASK_S)
+            answer = await client.request(method, url, timeout=ASK_S)
             answer.raise_for_status()
         except httpx.HTTPError as err:
             raise UpstreamLost(f"no answer: {type(err).__name__}") from err
@@ -128,3 +137,9 @@
             )
             self._clients_by_address[upstream.address] = client
         return client
+
+
+async def _close(response: httpx.Response) -> None:
+    """Close a response, also if the caller is being cancelled."""
+    with trio.CancelScope(shield=True):
+        await response.aclose()
--- a/railtide/upstreams/tests/test_http_upstreams.py
+++ b/railtide/upstreams/tests/test_http_upstreams.py
@@ -1,11 +1,15 @@
 """Tests of railtide.upstreams.http_upstreams."""
 
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
 import pytest
 import trio
 
 from railtide.http.sockets import listen
 from railtide.membership.instances import Instance
-from railtide.upstreams.client import UpstreamCall
+from railtide.upstreams.client import RunState, UpstreamCall
+from railtide.upstreams.errors import AnswerMismatch, UpstreamLost, UpstreamRefused
 from railtide.upstreams.http_upstreams import HttpUpstreams
 
 CALL = UpstreamCall("r1", "GET", "/x", "text/plain", b"", 5.0)
@@ -37,3 +41,80 @@
             assert answer_of.framed is framed
             assert b"".join([data async for data in answer_of.chunks()]) == b"ok"
             nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def upstream(
+    serve: Callable[[trio.SocketStream], Awaitable[None]],
+) -> AsyncIterator[Instance]:
+    """Run a server that handles each connection with a function; yield it as an upstream."""
+    listener = await listen("127.0.0.1", 0)
+    address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        yield Instance("e", "1", address, "z", "upstream")
+        nursery.cancel_scope.cancel()
+
+
+def answer(status: int, body: bytes, *headers: bytes) -> bytes:
+    lines = (b"HTTP/1.1 %d -" % status, *headers, b"content-length: %d" % len(body))
+    return b"\r\n".join((*lines, b"", body))
+
+
+class TestForeignAnswers:
+    """Guards against the late copy of an answer that is taken for the answer to another request."""
+
+    NOT_RUN = b"x-run: not-run"
+
+    async def test_refusal_of_another_request_is_not_taken_for_a_refusal(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(answer(503, b"full", self.NOT_RUN, b"x-request-id: r0"))
+            assert await stream.receive_some() == b""
+
+        async with upstream(serve) as instance:
+            with pytest.raises(AnswerMismatch):
+                await HttpUpstreams().open(instance, CALL)
+
+    async def test_connection_of_a_refusal_is_not_used_again(self) -> None:
+        """A late copy of the refusal would be taken for the answer to the next offer."""
+        connections = 0
+
+        async def serve(stream: trio.SocketStream) -> None:
+            nonlocal connections
+            connections += 1
+            while await stream.receive_some():
+                await stream.send_all(answer(503, b"full", self.NOT_RUN, b"x-request-id: r1"))
+
+        async with upstream(serve) as instance:
+            client = HttpUpstreams()
+            for _ in range(2):
+                with pytest.raises(UpstreamRefused):
+                    await client.open(instance, CALL)
+            assert connections == 2
+
+    async def test_report_of_another_run_is_not_taken_for_that_of_a_request(self) -> None:
+        """A late copy of "unknown" would settle a request as not run."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            copy = b""
+            while data := await stream.receive_some():
+                state = b"unknown" if b"/r1 " in data else b"running"
+                own = answer(200, b'{"state":"%s"}' % state)
+                await stream.send_all(copy + own)
+                copy = own
+
+        async with upstream(serve) as instance:
+            client = HttpUpstreams()
+            assert (await client.run_report(instance, "r1")).state is RunState.UNKNOWN
+            assert (await client.run_report(instance, "r2")).state is RunState.RUNNING
+            assert (await client.cancel(instance, "r3")).state is RunState.RUNNING
+
+    async def test_answer_to_another_request_is_no_report(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(answer(200, b'{"id":"r0","object":"chat.completion"}'))
+
+        async with upstream(serve) as instance:
+            with pytest.raises(UpstreamLost):
+                await HttpUpstreams().run_report(instance, "r1")
