HTTP client: every read of a peer is bounded, and leaves room for other tasks

What comes on an idle connection was never read, and the engine never disconnected.

Change, for all users of the client (engines, forwarding routers, other routers, the store): - 16 informational answers, 64 KB of a head or of trailers, 64 MB of a body; then the connection is closed, also where the reader doesn't do so itself. - Parts of a body are decoded 64 at a time, and others get a turn. - Answers that bring more than a burst and a rate of their own share a lane of a fixed rate, so that any number of floods takes about a seventh of a standard core. - Twice a second idle connections that have expired, were closed by the peer or have bytes to read are closed. - A refused answer is discarded within a bounded number of decoded parts. The exchange, the connections of a pool and connecting are modules of their own.

--- a/railtide/edge/forwarding.py
+++ b/railtide/edge/forwarding.py
@@ -34,6 +34,8 @@
 
 DIRECTORY_CACHE_S = 0.2
 """How long the routers that reach a pool are cached: their records arrive once a second."""
+STALE_CHECK_S = 0.5
+"""Time between checks for idle connections that the peer has closed or on which it sends."""
 PACED = (BlockReason.LIMITED, BlockReason.COLD)
 """What upstreams advertise of rates counts at the router that has the request."""
 
@@ -192,9 +194,13 @@
         self.on_answer: Callable[[Instance, HttpRequest, HttpAnswer, float], None] = _ignore_answer
         self._identity = identity
         self._directory = RosterPeerDirectory()
-        client = ForwardingClient(identity.instance, identity.incarnation, self.key, traffic)
+        self._client = ForwardingClient(identity.instance, identity.incarnation, self.key, traffic)
         forwarders = Forwarders(
-            identity.instance, identity.failure_domain, client, self._directory, rng or Random()
+            identity.instance,
+            identity.failure_domain,
+            self._client,
+            self._directory,
+            rng or Random(),
         )
         self._monitor = PathMonitor(self.table, self.direct, forwarders)
         self.transport = ForwardingTransport(self.direct, self._monitor, forwarders)
@@ -226,8 +232,16 @@
         self.handler = ForwardHandler(self._identity.incarnation, host, self.direct, counters)
 
     async def run(self) -> None:
-        """Check the paths until cancelled."""
-        await self._monitor.run()
+        """Check the paths and the idle connections until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._monitor.run)
+            nursery.start_soon(self._close_stale_connections)
+
+    async def _close_stale_connections(self) -> None:
+        while True:
+            await trio.sleep(STALE_CHECK_S)
+            self.direct.close_stale()
+            self._client.close_stale()
 
 
 def _ignore_answer(
--- a/railtide/forwarding/client.py
+++ b/railtide/forwarding/client.py
@@ -31,8 +31,16 @@
 )
 from railtide.forwarding.peer_choice import ForwardingPeer
 from railtide.http.client import Exchange, HttpAnswer, PeerPool
-from railtide.http.errors import ConnectFailed, ConnectionLost, ForeignAnswer, HttpError
+from railtide.http.errors import (
+    AnswerTooLong,
+    ConnectFailed,
+    ConnectionLost,
+    ForeignAnswer,
+    HttpError,
+)
+from railtide.http.idle_connections import close_stale
 from railtide.http.messages import HttpRequest, first_header, without_hop_by_hop
+from railtide.http.read_pace import ExcessLane
 from railtide.http.traffic import Traffic
 from railtide.membership.instances import Instance
 from railtide.settings import parse_endpoint
@@ -46,11 +54,12 @@
 """Peers to which connections are kept; the others are closed, those used least recently first."""
 STATUS = re.compile(rb"[1-9][0-9]{2}")
 ERROR_BY_OUTCOME = {
-    ForwardOutcome.LOST.encode(): ConnectionLost,
     ForwardOutcome.UPSTREAM_REFUSED.encode(): UpstreamGone,
     ForwardOutcome.UPSTREAM_FAILED.encode(): UpstreamNotReached,
 }
 """Errors by outcome. A router of an earlier release states no outcome, and forwards nothing."""
+LOST_ERROR_BY_CODE = {err.code.encode(): err for err in (ForeignAnswer, AnswerTooLong)}
+"""Errors of lost requests that say more than that a connection was lost."""
 OWN_HEADERS = (OUTCOME_HEADER, CODE_HEADER, STATUS_HEADER, FRAMED_HEADER)
 
 
@@ -72,6 +81,10 @@
         """Yield the parts of the body; see `HttpAnswer.chunks`."""
         return self._exchange.chunks()
 
+    async def note_events(self, count: int) -> None:
+        """Record events of a stream; see `HttpAnswer.note_events`."""
+        await self._exchange.note_events(count)
+
     def abandon(self) -> None:
         """Close the connection, which cancels the request; see `HttpAnswer.abandon`."""
         self._exchange.abandon()
@@ -101,6 +114,7 @@
         self._incarnation = incarnation
         self._key = key
         self._traffic = traffic or Traffic()
+        self._lane = ExcessLane()
         self._pool_by_peer: dict[str, PeerPool] = {}
 
     async def forward(
@@ -172,12 +186,16 @@
         """Return the connections to a process of a peer, and close those unused for longest."""
         pool = self._pool_by_peer.pop(peer.incarnation, None)
         if pool is None:
-            pool = PeerPool(*parse_endpoint(peer.address), self._traffic)
+            pool = PeerPool(*parse_endpoint(peer.address), self._traffic, lane=self._lane)
         self._pool_by_peer[peer.incarnation] = pool
         if len(self._pool_by_peer) > MAX_POOLS:
             self._pool_by_peer.pop(next(iter(self._pool_by_peer))).close()
         return pool
 
+    def close_stale(self) -> None:
+        """Close the idle connections that no message can use; see `close_stale`."""
+        close_stale(pool.idle for pool in self._pool_by_peer.values())
+
     def open_requests(self, peer: ForwardingPeer) -> int:
         """Return how many messages and requests are in progress at a peer."""
         pool = self._pool_by_peer.get(peer.incarnation)
@@ -186,9 +204,9 @@
 
 def _error_of(exchange: Exchange, outcome: bytes | None) -> type[HttpError]:
     """Return the error of a request that a peer did not get answered."""
-    is_lost = outcome == ForwardOutcome.LOST.encode()
-    if is_lost and first_header(exchange.headers, CODE_HEADER) == ForeignAnswer.code.encode():
-        return ForeignAnswer
+    if outcome == ForwardOutcome.LOST.encode():
+        code = first_header(exchange.headers, CODE_HEADER)
+        return LOST_ERROR_BY_CODE.get(code, ConnectionLost)
     return ERROR_BY_OUTCOME.get(outcome, NotForwarded)
 
 
--- a/railtide/forwarding/tests/fakes.py
+++ b/railtide/forwarding/tests/fakes.py
@@ -9,7 +9,7 @@
 from railtide.forwarding.forwarders import PeerDirectory
 from railtide.forwarding.messages import PathResult
 from railtide.forwarding.peer_choice import ForwardingPeer
-from railtide.http.client import CONNECT_S
+from railtide.http.connect import CONNECT_S
 from railtide.http.errors import ConnectFailed, ConnectRefused
 from railtide.membership.instances import Instance
 
--- a/railtide/http/errors.py
+++ b/railtide/http/errors.py
@@ -3,6 +3,7 @@
 from railtide.errors import ExecutionStatus, RailtideError
 
 __all__ = [
+    "AnswerTooLong",
     "CallerDisconnected",
     "ConnectFailed",
     "ConnectRefused",
@@ -43,6 +44,12 @@
     code = "foreign-answer"
 
 
+class AnswerTooLong(ConnectionLost):
+    """A peer sent more bytes than an answer may have, so the connection was closed."""
+
+    code = "answer-too-long"
+
+
 class Stalled(HttpError):
     """A connection made too little progress; the peer may have received part of the request."""
 
--- /dev/null
+++ b/railtide/http/idle_connections.py
@@ -0,0 +1,132 @@
+"""Connections that are kept for the next request."""
+
+import math
+import select
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import h11
+import trio
+
+__all__ = ["IdleConnections", "PooledConnection", "close_stale"]
+
+MIN_REMEMBERED_IDS = 64
+"""Requests that a connection remembers before it forgets those that can't be sent again."""
+MAX_SKIPPED = 8
+"""Idle connections kept that can't carry a request since they carried one with its id. A request is
+offered fewer times; callers that use an id for many requests would leave a connection for each."""
+
+
+@dataclass(eq=False)
+class PooledConnection:
+    """A connection that is reused.
+
+    Attributes
+    ----------
+    usable_until : float
+        End of its time for reuse, trio time.
+    exchanges : int
+        Number of requests whose exchanges have ended.
+    repeated_until_by_id : dict of int to float
+        Until when each request sent on it may be sent again, by the hash of its id; trio times.
+    """
+
+    stream: trio.SocketStream
+    h11: h11.Connection
+    usable_until: float = math.inf
+    exchanges: int = 0
+    repeated_until_by_id: dict[int, float] = field(default_factory=dict)
+    _max_ids: int = MIN_REMEMBERED_IDS
+
+    def is_usable(self) -> bool:
+        """Return whether the connection may be reused: not expired, and nothing to read on it."""
+        if trio.current_time() >= self.usable_until:
+            return False
+        return not self.stream.socket.is_readable()
+
+    def note_sent(self, request_id: bytes, repeated_until: float) -> None:
+        """Record that a request is sent on it, which may be sent again until a trio time."""
+        if len(self.repeated_until_by_id) >= self._max_ids:
+            now = trio.current_time()
+            ids = self.repeated_until_by_id.items()
+            self.repeated_until_by_id = {key: until for key, until in ids if until > now}
+            self._max_ids = max(MIN_REMEMBERED_IDS, 2 * len(self.repeated_until_by_id))
+        self.repeated_until_by_id[hash(request_id)] = repeated_until
+
+    def has_carried(self, request_id: bytes | None) -> bool:
+        """Return whether a request with this id was sent on it, as far as it may come again."""
+        return request_id is not None and hash(request_id) in self.repeated_until_by_id
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.stream.socket.close()
+
+
+class IdleConnections:
+    """Idle connections to one peer; the one used last is reused first."""
+
+    def __init__(self) -> None:
+        self._connections: list[PooledConnection] = []
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def put(self, connection: PooledConnection) -> None:
+        """Add a connection."""
+        self._connections.append(connection)
+
+    def take(self, request_id: bytes | None) -> PooledConnection | None:
+        """Remove and return a connection that may carry a request, None if there is none."""
+        skipped = []
+        found = None
+        while self._connections and found is None:
+            connection = self._connections.pop()
+            if not connection.is_usable():
+                connection.close()
+            elif connection.has_carried(request_id):
+                skipped.append(connection)
+            else:
+                found = connection
+        for connection in skipped[MAX_SKIPPED:]:
+            connection.close()
+        self._connections += reversed(skipped[:MAX_SKIPPED])
+        return found
+
+    def drop_expired(self) -> list[PooledConnection]:
+        """Close the connections whose time for reuse has ended; return the others."""
+        now = trio.current_time()
+        for connection in self._connections:
+            if now >= connection.usable_until:
+                connection.close()
+        self._connections = [one for one in self._connections if now < one.usable_until]
+        return self._connections
+
+    def drop(self, connection: PooledConnection) -> None:
+        """Close one of the connections."""
+        self._connections.remove(connection)
+        connection.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        while self._connections:
+            self._connections.pop().close()
+
+
+def close_stale(peers: Iterable[IdleConnections]) -> None:
+    """Close idle connections that have expired, that the peer has closed, or on which it sends.
+
+    Nothing else would read what a peer sends on an idle connection, and the peer would not learn
+    that nobody does; the received bytes would stay in the buffers of the system.
+    """
+    readable = select.poll()
+    idle_by_fd: dict[int, tuple[IdleConnections, PooledConnection]] = {}
+    for peer in peers:
+        for connection in peer.drop_expired():
+            fd = connection.stream.socket.fileno()
+            readable.register(fd, select.POLLIN)
+            idle_by_fd[fd] = (peer, connection)
+    if not idle_by_fd:
+        return
+    for fd, _ in readable.poll(0):
+        peer, connection = idle_by_fd[fd]
+        peer.drop(connection)
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -6,15 +6,10 @@
 import pytest
 import trio
 
-from railtide.http.client import (
-    MAX_SKIPPED,
-    MIN_REMEMBERED_IDS,
-    UNRESPONSIVE_S,
-    Exchange,
-    PeerPool,
-)
+from railtide.http.client import UNRESPONSIVE_S, Exchange, PeerPool
 from railtide.http.correlation import Correlation
 from railtide.http.errors import ConnectFailed, ConnectionLost, ForeignAnswer
+from railtide.http.idle_connections import MAX_SKIPPED, MIN_REMEMBERED_IDS
 from railtide.http.messages import HttpRequest, first_header
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.http.sockets import listen
@@ -247,6 +242,11 @@
 
     REQUEST = HttpRequest(b"GET", b"/a", ((b"host", b"x"), (b"x-id", b"1")))
 
+    @classmethod
+    async def repeat_ids(cls, stream: trio.SocketStream) -> None:
+        while data := await stream.receive_some():
+            await stream.send_all(cls.with_id(data.split(b"x-id: ")[1].split(b"\r\n")[0]))
+
     @staticmethod
     def request(request_id: bytes) -> HttpRequest:
         return HttpRequest(b"GET", b"/a", ((b"host", b"x"), (b"x-id", request_id)))
@@ -261,8 +261,8 @@
             with pytest.raises(ForeignAnswer):
                 await pool.send(self.request(b"2"))
         async with peer(answers(WHOLE, WHOLE)) as pool:
-            for _ in range(2):
-                assert await body_of(await pool.send(self.REQUEST)) == b"ok"
+            for request_id in (b"1", b"2"):
+                assert await body_of(await pool.send(self.request(request_id))) == b"ok"
             assert pool.opened == 2
 
     async def test_connection_with_a_foreign_answer_is_closed_at_once(self) -> None:
@@ -284,7 +284,7 @@
     async def test_peer_has_stopped_before_the_request_can_go_elsewhere(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr("railtide.http.client.HANG_UP_S", 5.0)
+        monkeypatch.setattr("railtide.http.exchange.HANG_UP_S", 5.0)
         stopped = False
 
         async def script(stream: trio.SocketStream) -> None:
@@ -334,20 +334,25 @@
             assert pool.opened == 3
 
     async def test_connections_that_carried_an_id_are_used_by_other_requests(self) -> None:
-        async def script(stream: trio.SocketStream) -> None:
-            while data := await stream.receive_some():
-                await stream.send_all(self.with_id(data.split(b"x-id: ")[1][:1]))
-
-        async with peer(script) as pool:
+        async with peer(self.repeat_ids) as pool:
             for request_id in (b"1", b"1", b"2", b"3", b"2", b"4"):
                 await body_of(await pool.send(self.request(request_id)))
             assert pool.opened == 2
 
     async def test_many_requests_with_one_id_leave_few_idle_connections(self) -> None:
-        async with peer(answers(self.with_id(b"1"))) as pool:
+        async with peer(self.repeat_ids) as pool:
             for _ in range(3 * MAX_SKIPPED):
                 await body_of(await pool.send(self.REQUEST))
-            assert len(pool._idle) <= MAX_SKIPPED + 1
+            assert len(pool.idle) <= MAX_SKIPPED + 1
+
+    async def test_id_that_may_come_again_is_remembered_among_many_others(self) -> None:
+        async with peer(self.repeat_ids) as pool:
+            await body_of(await pool.send(self.request(b"a"), timeout_s=60.0))
+            for number in range(2 * MIN_REMEMBERED_IDS):
+                await body_of(await pool.send(self.request(b"%d" % number), timeout_s=0.0))
+            assert pool.opened == 1
+            await body_of(await pool.send(self.request(b"a"), timeout_s=60.0))
+            assert pool.opened == 2
 
     async def test_ids_that_can_not_come_again_are_forgotten(self) -> None:
         count = 10 * MIN_REMEMBERED_IDS
@@ -355,7 +360,7 @@
         async with peer(answers(*map(self.with_id, ids))) as pool:
             for request_id in ids:
                 await body_of(await pool.send(self.request(request_id), timeout_s=0.0))
-            (connection,) = pool._idle
+            (connection,) = pool.idle.drop_expired()
             assert connection.exchanges == count
             assert len(connection.repeated_until_by_id) <= MIN_REMEMBERED_IDS
 
--- a/railtide/platform/tests/router_fleet.py
+++ b/railtide/platform/tests/router_fleet.py
@@ -14,7 +14,8 @@
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
 from railtide.edge.peer_server import peer_server
-from railtide.http.client import CONNECT_S, HttpAnswer, PeerPool
+from railtide.http.client import HttpAnswer, PeerPool
+from railtide.http.connect import CONNECT_S
 from railtide.http.errors import ConnectFailed, ConnectRefused, HttpError
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, HttpServer
--- a/railtide/platform/tests/test_repeated_answers.py
+++ b/railtide/platform/tests/test_repeated_answers.py
@@ -5,8 +5,15 @@
 import pytest
 import trio
 
+from railtide.http.messages import HttpRequest
+from railtide.http.server import ConnectionLimits, HttpServer
+from railtide.http.sockets import listen
+from railtide.membership.instances import Instance
+from railtide.platform.tests.hosts import HOST
 from railtide.platform.tests.router_fleet import RouterFleet, open_router_fleet
-from railtide.standins.platform import EngineRun, EngineScript
+from railtide.platform.upstreams import engine_connections
+from railtide.standins.platform import EngineRun, EngineScript, PlatformEngine
+from railtide.standins.repeated_answers import RepeatedAnswers
 
 STOP_S = 0.4
 """How soon an engine must be told to stop once its request goes on at another one."""
@@ -142,3 +149,30 @@
                 engine.next_scripts = [EngineScript(not_run=True)]
                 assert await fleet.send(0, "/once/x") == 200
             assert fleet.repeated_answers["e0"].accepted - accepted <= 2
+
+
+class TestConnections:
+    async def test_request_is_offered_again_over_another_connection_until_it_times_out(
+        self,
+    ) -> None:
+        """Guards against a router whose connections to the engines don't match the ids."""
+        listener = RepeatedAnswers(await listen(HOST, 0), lambda answer: False)
+        port = listener.port
+        upstream = Instance("e0", "e0/1", f"{HOST}:{port}", "z", "engine")
+        transport = engine_connections()
+
+        async def offer(request_id: bytes, timeout_s: float) -> None:
+            headers = ((b"host", b"x"), (b"x-attempt-id", request_id))
+            request = HttpRequest(b"GET", b"/x", headers)
+            (await transport.send(upstream, request, timeout_s)).discard()
+
+        async with trio.open_nursery() as nursery:
+            server = HttpServer(PlatformEngine("e0").handle, ConnectionLimits())
+            nursery.start_soon(server.serve, listener)
+            await offer(b"a", 60.0)
+            for number in range(200):
+                await offer(b"%d" % number, 0.0)
+            assert listener.accepted == 1
+            await offer(b"a", 60.0)
+            assert listener.accepted == 2
+            nursery.cancel_scope.cancel()
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -8,7 +8,13 @@
 from railtide.containment.crash_detection import ProbeResult
 from railtide.http.client import HttpAnswer
 from railtide.http.correlation import Correlation
-from railtide.http.errors import ConnectFailed, ConnectRefused, ForeignAnswer, HttpError
+from railtide.http.errors import (
+    AnswerTooLong,
+    ConnectFailed,
+    ConnectRefused,
+    ForeignAnswer,
+    HttpError,
+)
 from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
 from railtide.http.traffic import PeerKind, Traffic
 from railtide.membership.instances import Instance
@@ -17,6 +23,7 @@
 from railtide.upstreams.client import RunReport, UpstreamAnswer, UpstreamCall, UpstreamClient
 from railtide.upstreams.errors import (
     AnswerMismatch,
+    UpstreamAnswerTooLong,
     UpstreamDisconnected,
     UpstreamLost,
     UpstreamMoved,
@@ -50,9 +57,14 @@
         try:
             async for data in self._exchange.chunks():
                 yield data
+        except AnswerTooLong as err:
+            raise UpstreamAnswerTooLong(err.detail) from err
         except HttpError as err:
             raise UpstreamDisconnected(err.detail) from err
 
+    async def note_events(self, count: int) -> None:
+        await self._exchange.note_events(count)
+
     def holds_another(self, body: bytes) -> bool:
         """Look for the headers of a response with this request's id; see `UpstreamAnswer`."""
         if self.framed or not self.request_id:
@@ -107,6 +119,8 @@
             raise UpstreamUnreachable(err.detail) from err
         except ForeignAnswer as err:
             raise AnswerMismatch(err.detail) from err
+        except AnswerTooLong as err:
+            raise UpstreamAnswerTooLong(err.detail) from err
         except HttpError as err:
             raise UpstreamDisconnected(err.detail) from err
         self._traffic.on_first_byte(PeerKind.UPSTREAM, trio.current_time() - sent_at)
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -15,6 +15,7 @@
 from railtide.journal.errors import LogUnavailable, RecordsExpired
 from railtide.journal.keyed import AppendConflict, KeyedPage, KeyedRecord
 from railtide.standins.answers import Framing, RawAnswer
+from railtide.standins.endless_answers import Flood, send_flood
 from railtide.standins.keyed_store import MemoryStore
 
 __all__ = [
@@ -202,6 +203,10 @@
         Delay before each event, and before a plain answer.
     label : str
         Added to the data of each event.
+    flood : Flood or None
+        Sent without end in place of all this.
+    flood_pause_s : float
+        Pause after every few bytes of it; 0 to send it as fast as it is read.
     """
 
     status: int = 200
@@ -219,6 +224,8 @@
     unsigned: bool = False
     gap_s: float = 0.0
     label: str = ""
+    flood: Flood | None = None
+    flood_pause_s: float = 0.0
 
     @property
     def well_formed(self) -> bool:
@@ -395,6 +402,9 @@
     async def _answer(
         self, script: EngineScript, request: HttpRequest, responder: Responder
     ) -> None:
+        if script.flood:
+            request_id = _id_of(request).encode()
+            await send_flood(responder.hijack(), script.flood, request_id, script.flood_pause_s)
         seal = () if script.unsigned else ((b"x-response-seal", self.name.encode()),)
         own_id = b"other" if script.wrong_id else _id_of(request).encode()
         last = int(first_header(request.headers, b"last-event-id") or 0)
--- a/railtide/standins/repeated_answers.py
+++ b/railtide/standins/repeated_answers.py
@@ -6,6 +6,9 @@
 
 __all__ = ["RepeatedAnswers"]
 
+MAX_REPEATED_BYTES = 65_536
+"""An answer of this size or more is not repeated."""
+
 
 class RepeatedAnswers(trio.abc.Listener[trio.abc.Stream]):
     """Accepts connections and repeats answers on them.
@@ -33,6 +36,11 @@
         self.is_repeated = is_repeated
         self._listener = listener
 
+    @property
+    def port(self) -> int:
+        """Port on which connections are accepted."""
+        return self._listener.socket.getsockname()[1]
+
     async def accept(self) -> trio.abc.Stream:
         """Return the next connection."""
         stream = await self._listener.accept()
@@ -54,14 +62,15 @@
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         data = await self._stream.receive_some(max_bytes)
         answer, self._sent = self._sent, b""
-        if data and answer and self._answers.is_repeated(answer):
+        if data and 0 < len(answer) < MAX_REPEATED_BYTES and self._answers.is_repeated(answer):
             self._answers.count += 1
             await self._stream.send_all(answer)
         return data
 
     async def send_all(self, data: bytes) -> None:
         await self._stream.send_all(data)
-        self._sent += data
+        if len(self._sent) < MAX_REPEATED_BYTES:
+            self._sent += data
 
     async def wait_send_all_might_not_block(self) -> None:
         await self._stream.wait_send_all_might_not_block()
--- a/railtide/upstreams/client.py
+++ b/railtide/upstreams/client.py
@@ -63,6 +63,9 @@
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it is read; raise `UpstreamLost` if it breaks off."""
 
+    async def note_events(self, count: int) -> None:  # noqa: B027 - optional to override
+        """Record that events of a stream were decoded; wait if there are too many at a time."""
+
     def holds_another(self, body: bytes) -> bool:
         """Return whether a body that the close ended contains another answer to this request."""
         return False
--- a/railtide/upstreams/errors.py
+++ b/railtide/upstreams/errors.py
@@ -6,6 +6,7 @@
     "AnswerMismatch",
     "StreamMoved",
     "UpstreamNotListening",
+    "UpstreamAnswerTooLong",
     "UpstreamDisconnected",
     "UpstreamError",
     "UpstreamFailed",
@@ -78,6 +79,12 @@
         self.answer = answer
 
 
+class UpstreamAnswerTooLong(UpstreamLost):
+    """The upstream sent more than an answer may have, so its connection was closed."""
+
+    code = "answer-too-long"
+
+
 class AnswerMismatch(UpstreamLost):
     """The answer carries the id of another request and is dropped."""
 
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -6,10 +6,13 @@
 import trio
 
 from railtide.containment.crash_detection import ProbeResult
-from railtide.http.client import HttpAnswer, PeerPool, connect_tcp_stream
+from railtide.http.client import HttpAnswer, PeerPool
+from railtide.http.connect import connect_tcp_stream
 from railtide.http.correlation import Correlation
 from railtide.http.errors import ConnectFailed, ConnectRefused
+from railtide.http.idle_connections import close_stale
 from railtide.http.messages import HttpRequest
+from railtide.http.read_pace import ExcessLane
 from railtide.http.traffic import Traffic
 from railtide.membership.instances import Instance
 from railtide.settings import parse_endpoint
@@ -73,6 +76,7 @@
     ) -> None:
         self.traffic = traffic or Traffic()
         self._correlation = correlation
+        self._lane = ExcessLane()
         self._pool_by_incarnation: dict[str, PeerPool] = {}
         self._upstream_by_pool: dict[PeerPool, Instance] = {}
         self._busy: set[PeerPool] = set()
@@ -127,6 +131,10 @@
             return ProbeResult.UNKNOWN
         return ProbeResult.CONNECTED
 
+    def close_stale(self) -> None:
+        """Close the idle connections that no request can use; see `close_stale`."""
+        close_stale(pool.idle for pool in self._pool_by_incarnation.values())
+
     def forget(self, upstream: Instance) -> None:
         """Close the idle connections to an upstream; see `UpstreamTransport.forget`."""
         pool = self._pool_by_incarnation.pop(upstream.incarnation, None)
@@ -138,7 +146,7 @@
         pool = self._pool_by_incarnation.get(upstream.incarnation)
         if pool is None:
             host, port = parse_endpoint(upstream.address)
-            pool = PeerPool(host, port, self.traffic, self._busy, self._correlation)
+            pool = PeerPool(host, port, self.traffic, self._busy, self._correlation, self._lane)
             self._pool_by_incarnation[upstream.incarnation] = pool
             self._upstream_by_pool[pool] = upstream
         return pool
--- a/tests/edge_soak/test_proxy.py
+++ b/tests/edge_soak/test_proxy.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 
-from railtide.http.client import connect_tcp_stream
+from railtide.http.connect import connect_tcp_stream
 from railtide.http.errors import ConnectFailed, ConnectRefused
 from tests.edge_soak.proxy import Link, PathCut, open_link
 
