Answers of upstreams: bounded events, and a bound on all incomplete answers together

Change: an event has 1 MB at most and each byte is searched once; a stream has no more events than tokens were reserved for, and a known number of repeats; events take part in the pace of their answer. All incomplete answers of a router share an eighth of the memory that its settings state; beyond it the largest one is given up. Such an answer counts as a failure of its upstream (unknown, never 'not run'), and so does one that began, is no stream and didn't end by its deadline.

Streams of new events without reserved tokens can't be told from long ones and last until their deadline.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -38,6 +38,7 @@
 from railtide.membership.roster import Member, Roster
 from railtide.membership.upstream_list import RECENT_LOSS_S, RETURN_GRACE_S
 from railtide.requests.answer_cache import AnswerCache
+from railtide.requests.answer_memory import AnswerMemory
 from railtide.requests.call import AnswerSink, Call
 from railtide.requests.dispatcher import Dispatcher
 from railtide.requests.ledger_commit import ledger_commit_maker
@@ -256,6 +257,7 @@
             pass_through_relay,
             CrashGuard(self._crash_registry, self._crash_detector),
             self._streams.origins,
+            AnswerMemory(options.requests.max_held_bytes),
         )
         self._dispatcher = Dispatcher(self.budgets, self.schedulers_by_pool.get, services)
 
--- a/railtide/platform/boot.py
+++ b/railtide/platform/boot.py
@@ -13,6 +13,7 @@
 __all__ = ["BOOT_VARIABLE", "Boot", "read_boot"]
 
 BOOT_VARIABLE = "RAILTIDE_BOOT"
+BYTES_PER_MB = 1_048_576
 
 
 class _Listen(BaseModel):
@@ -34,6 +35,7 @@
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 512.0
 
 
 class _Platform(BaseModel):
@@ -76,6 +78,8 @@
         Processor capacity of the instance, in standard cores.
     link_mbps : float
         Bandwidth of the instance's link, Mbit/s.
+    memory_bytes : int
+        Memory at which the platform kills the process.
     peer_address : str
         Address to listen on for other routers, host:port; empty if there is none.
     """
@@ -93,6 +97,7 @@
     grace_s: float
     cpu_speed: float
     link_mbps: float
+    memory_bytes: int
     peer_address: str
 
 
@@ -127,5 +132,6 @@
         grace_s=file.bounds.grace_s,
         cpu_speed=file.limits.cpu_share * file.limits.cores,
         link_mbps=file.limits.link_mbps,
+        memory_bytes=int(file.limits.memory_mb * BYTES_PER_MB),
         peer_address=f"{file.ip}:{file.internal_ports[0]}" if file.internal_ports else "",
     )
--- a/railtide/platform/calls.py
+++ b/railtide/platform/calls.py
@@ -12,6 +12,7 @@
 from railtide.platform import header_names
 from railtide.requests.call import Call, Prices, Resumption, Usage, cost_of
 from railtide.requests.errors import InvalidRequest, Unauthorized, UnknownRoute
+from railtide.requests.event_stream import EXTRA_EVENTS, MAX_EVENTS
 from railtide.upstreams.balancing import Affinity
 
 __all__ = ["call_of", "outline_of"]
@@ -88,6 +89,7 @@
         ),
         route=route.name,
         resumption=resumption,
+        max_events=_max_events(tokens),
     )
 
 
@@ -177,6 +179,11 @@
     return Usage(int(prompt), int(output))
 
 
+def _max_events(tokens: Usage) -> int:
+    """Return the most events of a stream, each of which holds a token of its output at least."""
+    return tokens.completion_tokens + EXTRA_EVENTS if tokens.completion_tokens else MAX_EVENTS
+
+
 def _reserve_of(account: AccountTerms | None, tokens: Usage) -> int:
     if account is None or account.prepaid is None:
         return 0
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -29,6 +29,7 @@
 from railtide.platform.store import PlatformStore
 from railtide.platform.upstreams import PlatformUpstreams, engine_connections
 from railtide.process import kernel_clocks, new_incarnation, new_rng, relax_gc
+from railtide.requests.options import RequestOptions
 from railtide.settings import InvalidSetting, parse_endpoint, run_program, validate_settings
 from railtide.telemetry.counters import Counters
 from railtide.telemetry.lines import LineBuffer, set_up_lines
@@ -60,6 +61,8 @@
 a third of it for the routers' starts (docs/MEASUREMENTS.md)."""
 MEGABITS_PER_REQUEST = 0.15
 """Traffic of a request in each direction; the specified bodies have up to 18 KB."""
+HELD_ANSWERS_SHARE = 0.125
+"""Share of the memory for incomplete answers of upstreams; twice as much is used at their end."""
 BORROW_BELOW_LINK_MBPS = 20.0
 """Behind a link of 5 Mbit/s that is full, a read of the ledgers takes 70 to 450 ms, and an append
 conditional on it always came too late."""
@@ -193,6 +196,7 @@
 
 def _options(boot: Boot, settings: EdgeSettings) -> EdgeOptions:
     return EdgeOptions(
+        requests=RequestOptions(max_held_bytes=int(boot.memory_bytes * HELD_ANSWERS_SHARE)),
         ledger=LedgerOptions(
             partitions=min(LEDGER_PARTITIONS, boot.store_partitions),
             horizon_s=settings.budget_horizon_s,
--- a/railtide/requests/answers.py
+++ b/railtide/requests/answers.py
@@ -3,11 +3,12 @@
 import msgspec
 
 from railtide.requests.call import Usage
-from railtide.upstreams.errors import AnswerMismatch, UpstreamLost
+from railtide.requests.event_buffer import EVENT_END, EventBuffer
+from railtide.requests.event_stream import MAX_EVENTS
+from railtide.upstreams.errors import AnswerMismatch, UpstreamAnswerTooLong, UpstreamLost
 
 __all__ = ["END_MARK", "StreamChecker", "usage_of_body"]
 
-EVENT_END = b"\n\n"
 END_MARK = b"data: [DONE]\n\n"
 _END_EVENT = b"data: [DONE]"
 _DATA = b"data: "
@@ -29,6 +30,8 @@
     Parameters
     ----------
     request_id : str
+    max_events : int, optional
+        Most events that an upstream may send in answer to one attempt.
 
     Notes
     -----
@@ -46,19 +49,25 @@
     (b'', True)
     """
 
-    def __init__(self, request_id: str) -> None:
+    def __init__(self, request_id: str, max_events: int = MAX_EVENTS) -> None:
+        self._max_events = max_events
         self.finished = False
         self.events = 0
         self.repeats = 0
         self.usage: Usage | None = None
         self._id = f'"id":"{request_id}"'.encode()
         self._received = 0
-        self._buffer = b""
+        self._buffer = EventBuffer()
+
+    @property
+    def bytes_held(self) -> int:
+        """Bytes of the event that is not complete yet."""
+        return len(self._buffer)
 
     def restart(self) -> None:
         """Expect the stream's first event again, because the stream is resumed."""
         self._received = 0
-        self._buffer = b""
+        self._buffer = EventBuffer()
 
     def feed(self, data: bytes) -> bytes:
         """Process bytes as they were read and return those that may be passed on.
@@ -69,14 +78,11 @@
             An event carries the id of another request.
         UpstreamLost
             An event is missing.
+        UpstreamAnswerTooLong
+            An event is too large, or there are more events than a stream can have.
         """
-        data = self._buffer + data
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            self._buffer = data
-            return b""
-        whole, self._buffer = data[:end], data[end:]
-        return self._check(whole)
+        whole = self._buffer.feed(data)
+        return self._check(whole) if whole else b""
 
     def _check(self, whole: bytes) -> bytes:
         passed = []
@@ -94,6 +100,8 @@
             raise AnswerMismatch("an event of the stream does not carry the request's id")
         number = _event_index(event, self._received)
         self._received += 1
+        if self._received > self._max_events:
+            raise UpstreamAnswerTooLong("the stream has more events than it can have")
         if number < self.events:
             self.repeats += 1
             return False
--- a/railtide/requests/call.py
+++ b/railtide/requests/call.py
@@ -9,6 +9,7 @@
 from railtide.containment.content import PartDigests
 from railtide.http.messages import Headers
 from railtide.lanes.queue import Urgency
+from railtide.requests.event_stream import MAX_EVENTS
 from railtide.upstreams.balancing import Affinity
 
 __all__ = ["AnswerSink", "Call", "Prices", "Resumption", "Usage", "cost_of"]
@@ -101,6 +102,8 @@
         Name of its route, for log lines.
     resumption : Resumption or None
         Which stream of an earlier attempt it continues; None for a new stream.
+    max_events : int
+        Most events that its stream can have, besides comments.
     """
 
     request_id: str
@@ -133,6 +136,7 @@
     parts: tuple[PartDigests, ...] = ()
     route: str = ""
     resumption: Resumption | None = None
+    max_events: int = MAX_EVENTS
 
 
 class AnswerSink(ABC):
--- a/railtide/requests/event_stream.py
+++ b/railtide/requests/event_stream.py
@@ -1,23 +1,36 @@
 """Splits a stream into server-sent events, which are passed on unchanged. Pure."""
 
-from railtide.upstreams.errors import UpstreamLost
+from railtide.requests.event_buffer import EVENT_END, EventBuffer
+from railtide.upstreams.errors import UpstreamAnswerTooLong, UpstreamLost
 
-__all__ = ["EventStream"]
+__all__ = ["EXTRA_EVENTS", "MAX_EMPTY_EVENTS", "MAX_EVENTS", "EventStream"]
 
-EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 COMMENT = b":"
+MAX_EVENTS = 65_536
+"""Events of a stream whose number is not known otherwise."""
+MAX_EMPTY_EVENTS = 8_192
+"""Comments and blanks of a stream. A comment a second keeps a stream open for two hours."""
+EXTRA_EVENTS = 64
+"""Events of a stream without tokens of its output, such as those that begin or end it."""
 
 
 class EventStream:
     """Splits a stream into complete events and drops those that were passed on before.
 
+    Parameters
+    ----------
+    max_events : int, optional
+        Most events that the stream can have, besides comments and blanks.
+
     Attributes
     ----------
     last_id : str
         Id of the last event passed on, for the ``Last-Event-Id`` of a resumed stream.
     events : int
         Number of events passed on.
+    decoded : int
+        Number of events in all attempts, also of those that were dropped.
     resumable : bool
         Whether the last event passed on has an id; without one another attempt would start over.
     at_event_end : bool
@@ -33,18 +46,28 @@
     (b'id: 2\\ndata: b\\n\\n', '2')
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_events: int = MAX_EVENTS) -> None:
         self.last_id = ""
         self.events = 0
+        self.decoded = 0
         self.resumable = True
         self.at_event_end = False
-        self._buffer = b""
+        self._max_events = max_events
+        self._empty_events = 0
+        self._repeats_left = EXTRA_EVENTS
+        self._buffer = EventBuffer()
         self._ids_sequential = True
         self._is_resuming = False
 
+    @property
+    def bytes_held(self) -> int:
+        """Bytes of the event that is not complete yet."""
+        return len(self._buffer)
+
     def restart(self) -> None:
         """Start reading another attempt; an incomplete event of the one before is dropped."""
-        self._buffer = b""
+        self._buffer = EventBuffer()
+        self._repeats_left = self.events + EXTRA_EVENTS
         self.at_event_end = False
         self._is_resuming = bool(self.last_id)
 
@@ -55,15 +78,13 @@
         ------
         UpstreamLost
             An event is missing between two attempts.
+        UpstreamAnswerTooLong
+            An event is too large, or there are more events than the stream can have.
         """
-        data = self._buffer + data
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            self._buffer = data
-            self.at_event_end = False
+        whole = self._buffer.feed(data)
+        self.at_event_end = bool(whole) and self._buffer.is_blank()
+        if not whole:
             return b""
-        whole, self._buffer = data[:end], data[end:]
-        self.at_event_end = not self._buffer.strip()
         return b"".join(
             event + EVENT_END
             for event in whole[: -len(EVENT_END)].split(EVENT_END)
@@ -72,21 +93,33 @@
 
     def end(self) -> bytes:
         """Return the bytes after the last event of a stream that ended regularly."""
-        remainder, self._buffer = self._buffer, b""
-        return remainder
+        return self._buffer.take_rest()
 
     def _is_new(self, event: bytes) -> bool:
+        self.decoded += 1
         event_id = _id_of(event)
         if self.last_id and _is_at_or_before(event_id, self.last_id):
+            self._repeats_left -= 1
+            self._check_count(self._repeats_left >= 0)
             return False
         if event_id:
             self._check_gap(event_id)
             self.last_id = event_id
+        self.events += 1
         if not event.startswith(COMMENT):
             self.resumable = bool(event_id)
-        self.events += 1
+        if not event or event.startswith(COMMENT):
+            self._empty_events += 1
+            self._check_count(self._empty_events <= MAX_EMPTY_EVENTS)
+        else:
+            self._check_count(self.events - self._empty_events <= self._max_events)
         return True
 
+    @staticmethod
+    def _check_count(is_possible: bool) -> None:
+        if not is_possible:
+            raise UpstreamAnswerTooLong("the stream has more events than it can have")
+
     def _check_gap(self, event_id: str) -> None:
         """Raise if ids that increased by one so far skip an id between two attempts.
 
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -123,10 +123,20 @@
                 await self._commit.prepare()
                 await self._send_answer(await self._run_at_upstreams())
             if scope.cancelled_caught:
+                self._note_unfinished_answer()
                 raise self._deadline_error()
         finally:
             self._close()
 
+    def _note_unfinished_answer(self) -> None:
+        """Count a failure of an upstream that began an answer and did not end it in time.
+
+        A stream may be long; any other answer ends soon after it began.
+        """
+        if self._sent_to and self._relay.head_at is not None and not self._call.stream:
+            note_failure(self._slot.upstream, trio.current_time())
+            self._services.counters.add("answers_unfinished")
+
     def _deadline_error(self) -> DeadlineExceeded | ClaimUnavailable:
         if self._may_have_run:
             return DeadlineExceeded("the deadline passed before the answer was complete")
--- a/railtide/requests/options.py
+++ b/railtide/requests/options.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from railtide.requests.answer_memory import MAX_HELD_BYTES
+
 __all__ = ["RequestOptions"]
 
 
@@ -29,6 +31,8 @@
         Maximum number of times that a broken stream is resumed at its engine.
     max_answer_bytes : int
         Largest body of an answer that is not a stream.
+    max_held_bytes : int
+        Bytes of all incomplete answers and events that the router holds.
     recovery_interval_s, recovery_timeout_s : float
         Time between two queries for a lost holder's request, and until recovery gives up, seconds.
     """
@@ -39,5 +43,6 @@
     max_extra_refusals: int = 2
     max_resumes: int = 2
     max_answer_bytes: int = 16 * 1024 * 1024
+    max_held_bytes: int = MAX_HELD_BYTES
     recovery_interval_s: float = 1.0
     recovery_timeout_s: float = 60.0
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -28,6 +28,8 @@
 
 OK_STATUS = 200
 SERVER_ERROR = 500
+DECODED_BYTES = 8_192
+"""Bytes of a stream that are decoded before other tasks get a turn."""
 
 
 class PassThroughRelay(Relay):
@@ -53,7 +55,7 @@
         self._sink = sink
         self._services = services
         self._before_first_byte = before_first_byte
-        self._events = EventStream()
+        self._events = EventStream(call.max_events)
         self._ran = False
 
     def delivered_cost(self) -> int:
@@ -95,7 +97,9 @@
     async def _read_whole(self, answer: UpstreamAnswer) -> Relayed:
         """Read an answer that is no stream; its tokens are unknown, so it costs the reserve."""
         self.times.note_events(1, self.head_at)
-        stored = await read_answer(answer, self._services.options.max_answer_bytes)
+        stored = await read_answer(
+            answer, self._services.options.max_answer_bytes, self._services.answer_memory
+        )
         if answer.holds_another(stored.body):
             # Without a length, the close of the connection ends the body: in one seed of the soak
             # test five callers got two answers as one body.
@@ -114,21 +118,29 @@
     async def _pass_stream(self, answer: UpstreamAnswer) -> Relayed:
         self._events.restart()
         read_at = math.inf
-        async with aclosing(answer.chunks()) as chunks:
-            async for data in chunks:
-                now = trio.current_time()
-                self.longest_pause_s = max(self.longest_pause_s, now - read_at)
-                read_at = now
-                known_events = self._events.events
-                events = self._events.feed(data)
-                self.times.note_events(self._events.events - known_events, now)
-                await self._pass_on(answer.headers, answer.content_type, events)
+        with self._services.answer_memory.holding() as held:
+            async with aclosing(answer.chunks()) as chunks:
+                async for data in chunks:
+                    now = trio.current_time()
+                    self.longest_pause_s = max(self.longest_pause_s, now - read_at)
+                    read_at = now
+                    for start in range(0, len(data), DECODED_BYTES):
+                        await self._pass_events(answer, data[start : start + DECODED_BYTES], now)
+                        held.resize(self._events.bytes_held)
         if not answer.framed and not self._events.at_event_end:
             raise UpstreamDisconnected("the connection ended in the middle of an event")
         unsent = self._events.end()
         stored = Answer(OK_STATUS, answer.content_type, b"")
         return Relayed(self.delivered_cost(), stored, unsent, answer.headers, answer.framed)
 
+    async def _pass_events(self, answer: UpstreamAnswer, data: bytes, now: float) -> None:
+        """Pass on the new events that some bytes complete."""
+        known_events, decoded_events = self._events.events, self._events.decoded
+        events = self._events.feed(data)
+        self.times.note_events(self._events.events - known_events, now)
+        await self._pass_on(answer.headers, answer.content_type, events)
+        await answer.note_events(self._events.decoded - decoded_events)
+
     async def _pass_on(self, headers: Headers, content_type: str, events: bytes) -> None:
         if not events:
             return
@@ -141,7 +153,7 @@
         try:
             await self._before_first_byte()
         except StreamMoved:
-            self._events = EventStream()  # none of the events was passed on
+            self._events = EventStream(self._call.max_events)  # none was passed on
             raise
 
 
--- a/railtide/requests/recovery.py
+++ b/railtide/requests/recovery.py
@@ -162,7 +162,7 @@
     """Return the usage of a complete answer, streamed or not."""
     if not body.endswith(END_MARK):
         return usage_of_body(body, request_id)
-    checker = StreamChecker(request_id)
+    checker = StreamChecker(request_id, max_events=len(body))
     checker.feed(body)
     if checker.usage is None:
         raise UpstreamLost("the stored stream has no usage event")
--- a/railtide/requests/relay.py
+++ b/railtide/requests/relay.py
@@ -8,13 +8,20 @@
 
 from railtide.http.messages import Headers
 from railtide.membership.instances import Instance
+from railtide.requests.answer_memory import AnswerMemory
 from railtide.requests.answers import END_MARK, StreamChecker, usage_of_body
 from railtide.requests.attempt_times import AttemptTimes
 from railtide.requests.call import AnswerSink, Call, Usage, cost_of
+from railtide.requests.event_stream import EXTRA_EVENTS, MAX_EVENTS
 from railtide.requests.messages import Answer
 from railtide.requests.services import Services
 from railtide.upstreams.client import UpstreamAnswer, UpstreamCall
-from railtide.upstreams.errors import AnswerMismatch, UpstreamError, UpstreamLost
+from railtide.upstreams.errors import (
+    AnswerMismatch,
+    UpstreamAnswerTooLong,
+    UpstreamError,
+    UpstreamLost,
+)
 
 __all__ = ["EngineRelay", "Relay", "Relayed", "closing", "engine_relay", "read_answer"]
 
@@ -115,7 +122,7 @@
         self._sink = sink
         self._services = services
         self._before_first_byte = before_first_byte
-        self._checker = StreamChecker(call.request_id)
+        self._checker = StreamChecker(call.request_id, _max_events(call))
         self._stored = bytearray()
 
     def delivered_cost(self) -> int:
@@ -145,7 +152,9 @@
     # -- answers that are no streams ----------------------------------------------------------
 
     async def _read_whole(self, answer: UpstreamAnswer) -> Relayed:
-        stored = await read_answer(answer, self._services.options.max_answer_bytes)
+        stored = await read_answer(
+            answer, self._services.options.max_answer_bytes, self._services.answer_memory
+        )
         return Relayed(self._cost_of_complete(stored, answer.framed), stored, stored.body)
 
     def _cost_of_complete(self, answer: Answer, framed: bool) -> int:
@@ -166,13 +175,15 @@
     async def _pass_stream(self, answer: UpstreamAnswer) -> None:
         """Pass events on until the end mark, or until the stream breaks."""
         try:
-            async with aclosing(answer.chunks()) as chunks:
-                async for data in chunks:
-                    checked = self._checker.feed(data)
-                    if checked:
-                        await self._pass_on(checked)
-                    if self._checker.finished:
-                        return
+            with self._services.answer_memory.holding() as held:
+                async with aclosing(answer.chunks()) as chunks:
+                    async for data in chunks:
+                        checked = self._checker.feed(data)
+                        held.resize(self._checker.bytes_held)
+                        if checked:
+                            await self._pass_on(checked)
+                        if self._checker.finished:
+                            return
         except UpstreamLost:
             if not self._sink.started:
                 raise
@@ -221,20 +232,30 @@
         return Relayed(cost, stored, END_MARK)
 
 
-async def read_answer(answer: UpstreamAnswer, max_bytes: int) -> Answer:
+def _max_events(call: Call) -> int:
+    """Return the most events of a stream, each of which holds a token of its output at least."""
+    price = call.prices.token_out
+    return call.reserve // price + EXTRA_EVENTS if price else MAX_EVENTS
+
+
+async def read_answer(answer: UpstreamAnswer, max_bytes: int, memory: AnswerMemory) -> Answer:
     """Read the whole body of an answer.
 
     Raises
     ------
     UpstreamLost
-        The body broke off, or is larger than `max_bytes`.
+        The body broke off.
+    UpstreamAnswerTooLong
+        It is larger than `max_bytes`, or the memory for answers is full and it is the largest.
     """
     body = bytearray()
-    async with aclosing(answer.chunks()) as chunks:
-        async for data in chunks:
-            body += data
-            if len(body) > max_bytes:
-                raise UpstreamLost(f"the answer is larger than {max_bytes} bytes")
+    with memory.holding() as held:
+        async with aclosing(answer.chunks()) as chunks:
+            async for data in chunks:
+                body += data
+                if len(body) > max_bytes:
+                    raise UpstreamAnswerTooLong(f"the answer is larger than {max_bytes} bytes")
+                held.resize(len(body))
     return Answer(answer.status, answer.content_type, bytes(body))
 
 
--- a/railtide/requests/services.py
+++ b/railtide/requests/services.py
@@ -8,6 +8,7 @@
 from railtide.configuration.models import AccountSettings
 from railtide.containment.guard import ContentGuard, NoGuard
 from railtide.requests.answer_cache import AnswerCache
+from railtide.requests.answer_memory import AnswerMemory
 from railtide.requests.options import RequestOptions
 from railtide.requests.retry import RetryBudget
 from railtide.streams.origins import NoOrigins, StreamOrigins
@@ -42,6 +43,8 @@
         Quarantines contents that crash upstreams.
     origins : StreamOrigins
         Knows at which software version a stream began.
+    answer_memory : AnswerMemory
+        Bounds the incomplete answers that are held.
     """
 
     upstreams: UpstreamClient
@@ -56,3 +59,4 @@
     make_relay: Callable[..., "Relay"]
     guard: ContentGuard = field(default_factory=NoGuard)
     origins: StreamOrigins = field(default_factory=NoOrigins)
+    answer_memory: AnswerMemory = field(default_factory=AnswerMemory)
--- a/railtide/requests/tests/test_answers.py
+++ b/railtide/requests/tests/test_answers.py
@@ -5,7 +5,8 @@
 from hypothesis import strategies as st
 
 from railtide.requests.answers import END_MARK, StreamChecker, usage_of_body
-from railtide.upstreams.errors import AnswerMismatch, UpstreamLost
+from railtide.requests.event_buffer import MAX_EVENT_BYTES
+from railtide.upstreams.errors import AnswerMismatch, UpstreamAnswerTooLong, UpstreamLost
 
 
 def event(index: int, request_id: str = "r1") -> bytes:
@@ -68,3 +69,19 @@
     def test_body_without_usage_is_lost(self) -> None:
         with pytest.raises(UpstreamLost):
             usage_of_body(b'{"id":"r1"}', "r1")
+
+
+class TestBytesWithoutEnd:
+    """Guards against streams that take the memory or the processor of the router."""
+
+    def test_event_without_end_is_given_up(self) -> None:
+        checker = StreamChecker("r1")
+        with pytest.raises(UpstreamAnswerTooLong):
+            for _ in range(2 * MAX_EVENT_BYTES // 1_000):
+                checker.feed(b"a" * 1_000)
+
+    def test_known_event_again_and_again_ends_the_attempt(self) -> None:
+        checker = StreamChecker("r1", max_events=10)
+        checker.feed(event(0) * 10)
+        with pytest.raises(UpstreamAnswerTooLong):
+            checker.feed(event(0))
--- a/railtide/requests/tests/test_event_stream.py
+++ b/railtide/requests/tests/test_event_stream.py
@@ -4,8 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from railtide.requests.event_stream import EventStream
-from railtide.upstreams.errors import UpstreamLost
+from railtide.requests.event_stream import EXTRA_EVENTS, MAX_EMPTY_EVENTS, EventStream
+from railtide.upstreams.errors import UpstreamAnswerTooLong, UpstreamLost
 
 
 def event(number: int) -> bytes:
@@ -57,3 +57,37 @@
         assert not stream.resumable
         stream.feed(event(2) + b": ping\n\n")
         assert stream.resumable
+
+
+class TestEventsWithoutEnd:
+    """Guards against streams that take the processor, and tokens that nobody reserved."""
+
+    def test_more_events_than_the_stream_can_have_are_not_passed_on(self) -> None:
+        stream = EventStream(max_events=10)
+        assert stream.feed(b"".join(map(event, range(1, 11))))
+        with pytest.raises(UpstreamAnswerTooLong):
+            stream.feed(event(11))
+
+    def test_stream_may_be_sent_again_from_its_start(self) -> None:
+        stream = EventStream(max_events=300)
+        sent = b"".join(map(event, range(1, 300)))
+        stream.feed(sent)
+        for _ in range(3):
+            stream.restart()
+            assert stream.feed(sent) == b""
+        assert stream.feed(event(300)) == event(300)
+
+    def test_known_events_again_and_again_end_the_attempt(self) -> None:
+        stream = EventStream()
+        stream.feed(event(1) + event(2))
+        stream.restart()
+        stream.feed(event(1) * (EXTRA_EVENTS + 2))
+        with pytest.raises(UpstreamAnswerTooLong):
+            stream.feed(event(1))
+
+    @pytest.mark.parametrize("empty", [b": ping\n\n", b"\n\n"])
+    def test_comments_and_blanks_are_counted_apart(self, empty: bytes) -> None:
+        stream = EventStream(max_events=1)
+        assert stream.feed(empty * MAX_EMPTY_EVENTS + event(1))
+        with pytest.raises(UpstreamAnswerTooLong):
+            stream.feed(empty)
--- a/railtide/requests/tests/test_relay.py
+++ b/railtide/requests/tests/test_relay.py
@@ -8,6 +8,7 @@
 from railtide.configuration.models import AccountSettings
 from railtide.lanes.queue import Urgency
 from railtide.membership.instances import Instance
+from railtide.requests.answer_memory import AnswerMemory
 from railtide.requests.call import Call, Prices
 from railtide.requests.options import RequestOptions
 from railtide.requests.relay import EngineRelay, Relayed
@@ -53,7 +54,10 @@
         return _Answer(framed)
 
     services = SimpleNamespace(
-        upstreams=SimpleNamespace(open=open_), options=RequestOptions(), counters=Counters()
+        upstreams=SimpleNamespace(open=open_),
+        options=RequestOptions(),
+        counters=Counters(),
+        answer_memory=AnswerMemory(),
     )
     return await EngineRelay(CALL, None, services, None).relay(None, SENT)
 
