Store's client and client of railtide's own upstreams: bounded responses

A response of the store has 16 MB at most. Reports of runs and of load end within their time, where each part had a timeout of its own before, and have 32 MB at most; bodies as in the client of the platform's engines. Informational answers without end are bounded there by the caller's time only.

--- a/railtide/platform/store_responses.py
+++ b/railtide/platform/store_responses.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 
 from railtide.http.client import Exchange
+from railtide.http.errors import AnswerTooLong
 from railtide.http.messages import first_header
 from railtide.journal.read_progress import ReadProgress
 from railtide.platform.page import PageReader
@@ -17,6 +18,8 @@
 ]
 
 OK = 200
+MAX_RESPONSE_BYTES = 16_777_216
+"""Largest response. The store's pages hold a megabyte, or one record."""
 ERA_HEADER = b"store-era"
 
 
@@ -52,6 +55,7 @@
         self._content_length: int | None = None
         self._is_progress_begun = False
         self._bytes_before_begin = 0
+        self._received = 0
 
     def begin(self, exchange: Exchange) -> None:
         """Read the status and the content length."""
@@ -60,7 +64,16 @@
         self._content_length = int(length) if length.isdigit() else None
 
     def feed(self, chunk: bytes) -> None:
-        """Consume the next bytes of the body."""
+        """Consume the next bytes of the body.
+
+        Raises
+        ------
+        AnswerTooLong
+            The body is larger than any response of the store.
+        """
+        self._received += len(chunk)
+        if self._received > MAX_RESPONSE_BYTES:
+            raise AnswerTooLong(f"the response is larger than {MAX_RESPONSE_BYTES} bytes")
         if self.status != OK:
             self.refusal += chunk
             return
--- a/railtide/platform/tests/test_store.py
+++ b/railtide/platform/tests/test_store.py
@@ -15,6 +15,7 @@
 from railtide.journal.keyed import AppendConflict
 from railtide.platform.store import PlatformStore
 from railtide.platform.tests.hosts import HOST
+from railtide.standins.endless_answers import Flood, send_flood
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import StoreServer
 from railtide.telemetry.counters import Counters
@@ -136,6 +137,36 @@
             await PlatformStore(f"{HOST}:{port}", Counters()).newest("keyed.t")
 
 
+class TestBytesWithoutEnd:
+    """Guards against responses that never end, which would take the memory of the router."""
+
+    @pytest.mark.parametrize(
+        "flood", [Flood.INFORMATIONAL, Flood.BODY_WITH_LENGTH, Flood.BODY_IN_CHUNKS, Flood.REFUSAL]
+    )
+    async def test_they_are_given_up(self, flood: Flood, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr("railtide.platform.store_responses.MAX_RESPONSE_BYTES", 1_000_000)
+        ended = 0
+
+        async def handle(request: HttpRequest, responder: Responder) -> None:
+            nonlocal ended
+            try:
+                await send_flood(responder.hijack(), flood, b"")
+            finally:
+                ended += 1
+
+        async with client_of(handle) as store:
+            with trio.fail_after(8):
+                with pytest.raises(LogUnavailable):
+                    await store.read("keyed.t", 0, 0.0)
+                with pytest.raises(LogUnavailable):
+                    await store.newest("keyed.t")
+                with pytest.raises(LogUnavailable):
+                    await store.append("keyed.t", {"a": b"1"})
+                while ended < 3:
+                    await trio.sleep(0.01)
+            assert store._counters.value("store_bytes_discarded") < 4_000_000
+
+
 class TestProgress:
     """Records that have been received are not read again."""
 
--- a/railtide/upstreams/http_upstreams.py
+++ b/railtide/upstreams/http_upstreams.py
@@ -6,9 +6,15 @@
 import msgspec
 import trio
 
+from railtide.http.exchange import MAX_BODY_BYTES
 from railtide.membership.instances import Instance
 from railtide.upstreams.client import RunReport, UpstreamAnswer, UpstreamCall, UpstreamClient
-from railtide.upstreams.errors import AnswerMismatch, UpstreamLost, UpstreamRefused
+from railtide.upstreams.errors import (
+    AnswerMismatch,
+    UpstreamAnswerTooLong,
+    UpstreamLost,
+    UpstreamRefused,
+)
 from railtide.upstreams.upstream_state import LoadReport
 
 __all__ = ["HttpUpstreams"]
@@ -19,6 +25,9 @@
 CONNECT_S = 1.0
 ASK_S = 2.0
 IDLE_CONNECTIONS = 8
+MAX_REPORT_BYTES = 33_554_432
+"""Largest report of a run, which holds its whole answer as a string."""
+UNENCODED = {"accept-encoding": "identity"}
 NO_REUSE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 """Of connections for queries about a run, whose answers carry no id: a late copy of an earlier
 answer on the same connection would be taken for the answer to the next query."""
@@ -42,8 +51,12 @@
         self.request_id = response.headers.get(REQUEST_ID, "")
 
     async def chunks(self) -> AsyncIterator[bytes]:
+        received = 0
         try:
             async for data in self._response.aiter_raw():
+                received += len(data)
+                if received > MAX_BODY_BYTES:
+                    raise UpstreamAnswerTooLong(f"the answer is larger than {MAX_BODY_BYTES} bytes")
                 yield data
         except httpx.HTTPError as err:
             raise UpstreamLost(f"the answer broke off: {type(err).__name__}") from err
@@ -106,7 +119,7 @@
         url = f"http://{upstream.address}/v1/requests/{request_id}"
         answer = await self._ask(self._query_client, method, url)
         try:
-            return msgspec.json.decode(answer.content, type=RunReport)
+            return msgspec.json.decode(answer, type=RunReport)
         except msgspec.DecodeError as err:
             raise UpstreamLost(f"the report of the run is malformed: {err}") from err
 
@@ -114,19 +127,22 @@
         """Read a load report; see `UpstreamClient.load`."""
         answer = await self._ask(self._client(upstream), "GET", "/v1/load")
         try:
-            wire = msgspec.json.decode(answer.content, type=_WireLoad)
+            wire = msgspec.json.decode(answer, type=_WireLoad)
         except msgspec.DecodeError as err:
             raise UpstreamLost(f"the load report is malformed: {err}") from err
         return LoadReport(wire.running, wire.queued, wire.leaving, trio.current_time())
 
     @staticmethod
-    async def _ask(client: httpx.AsyncClient, method: str, url: str) -> httpx.Response:
-        try:
-            answer = await client.request(method, url, timeout=ASK_S)
-            answer.raise_for_status()
-        except httpx.HTTPError as err:
-            raise UpstreamLost(f"no answer: {type(err).__name__}") from err
-        return answer
+    async def _ask(client: httpx.AsyncClient, method: str, url: str) -> bytes:
+        """Return the body of an answer, which must be complete within `ASK_S`."""
+        with trio.move_on_after(ASK_S):
+            try:
+                async with client.stream(method, url, timeout=ASK_S, headers=UNENCODED) as answer:
+                    answer.raise_for_status()
+                    return await _read_report(answer)
+            except httpx.HTTPError as err:
+                raise UpstreamLost(f"no answer: {type(err).__name__}") from err
+        raise UpstreamLost(f"no complete answer within {ASK_S:g} s")
 
     def _client(self, upstream: Instance) -> httpx.AsyncClient:
         client = self._clients_by_address.get(upstream.address)
@@ -139,6 +155,15 @@
         return client
 
 
+async def _read_report(response: httpx.Response) -> bytes:
+    body = bytearray()
+    async for data in response.aiter_raw():
+        body += data
+        if len(body) > MAX_REPORT_BYTES:
+            raise UpstreamAnswerTooLong(f"the answer is larger than {MAX_REPORT_BYTES} bytes")
+    return bytes(body)
+
+
 async def _close(response: httpx.Response) -> None:
     """Close a response, also if the caller is being cancelled."""
     with trio.CancelScope(shield=True):
--- a/railtide/upstreams/tests/test_http_upstreams.py
+++ b/railtide/upstreams/tests/test_http_upstreams.py
@@ -1,15 +1,22 @@
 """Tests of railtide.upstreams.http_upstreams."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
+from functools import partial
 
 import pytest
 import trio
 
 from railtide.http.sockets import listen
 from railtide.membership.instances import Instance
+from railtide.standins.endless_answers import Flood, send_flood
 from railtide.upstreams.client import RunState, UpstreamCall
-from railtide.upstreams.errors import AnswerMismatch, UpstreamLost, UpstreamRefused
+from railtide.upstreams.errors import (
+    AnswerMismatch,
+    UpstreamAnswerTooLong,
+    UpstreamLost,
+    UpstreamRefused,
+)
 from railtide.upstreams.http_upstreams import HttpUpstreams
 
 CALL = UpstreamCall("r1", "GET", "/x", "text/plain", b"", 5.0)
@@ -118,3 +125,45 @@
         async with upstream(serve) as instance:
             with pytest.raises(UpstreamLost):
                 await HttpUpstreams().run_report(instance, "r1")
+
+
+class TestBytesWithoutEnd:
+    """Guards against reads of an upstream that never end, and memory without bound."""
+
+    @staticmethod
+    async def serve(stream: trio.SocketStream, flood: Flood, pause_s: float) -> None:
+        await stream.receive_some()
+        with suppress(trio.BrokenResourceError):
+            await send_flood(stream, flood, b"r1", pause_s)
+
+    @pytest.mark.parametrize("pause_s", [0.0, 0.001])
+    @pytest.mark.parametrize("flood", [Flood.INFORMATIONAL, Flood.BODY_WITH_LENGTH])
+    async def test_queries_end(
+        self, flood: Flood, pause_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr("railtide.upstreams.http_upstreams.ASK_S", 0.3)
+        async with upstream(partial(self.serve, flood=flood, pause_s=pause_s)) as instance:
+            client = HttpUpstreams()
+            with trio.fail_after(8):
+                for query in (client.run_report, client.cancel):
+                    with pytest.raises(UpstreamLost):
+                        await query(instance, "r1")
+                with pytest.raises(UpstreamLost):
+                    await client.load(instance)
+
+    async def test_report_and_body_without_end_are_given_up(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr("railtide.upstreams.http_upstreams.ASK_S", 30.0)
+        monkeypatch.setattr("railtide.upstreams.http_upstreams.MAX_REPORT_BYTES", 1_000_000)
+        monkeypatch.setattr("railtide.upstreams.http_upstreams.MAX_BODY_BYTES", 1_000_000)
+        serve = partial(self.serve, flood=Flood.BODY_WITH_LENGTH, pause_s=0.0)
+        async with upstream(serve) as instance:
+            with trio.fail_after(8):
+                with pytest.raises(UpstreamAnswerTooLong):
+                    await HttpUpstreams().run_report(instance, "r1")
+                answer_of = await HttpUpstreams().open(instance, CALL)
+                with pytest.raises(UpstreamAnswerTooLong):
+                    async for _ in answer_of.chunks():
+                        pass
+                await answer_of.aclose()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -27,6 +27,10 @@
 )
 ENDS = "railtide/platform/tests/test_answer_endings.py"
 HTTP = "railtide/http/tests"
+REQUESTS = "railtide/requests/tests"
+REPEATED = "railtide/platform/tests/test_repeated_answers.py"
+ENDLESS = "railtide/platform/tests/test_endless_answers.py"
+HTTP_UPSTREAMS = "railtide/upstreams/tests/test_http_upstreams.py"
 MEMBERSHIP = "railtide/membership/tests"
 CONTAINMENT = "railtide/containment/tests"
 PARTS = "railtide/platform/tests/test_crashing_prompt_parts.py"
@@ -434,14 +438,14 @@
     ),
     Mutant(
         "cut-stream-ended",
-        "http/client.py",
-        '                raise ConnectionLost(f"invalid HTTP answer: {err}") from err\n',
-        "                return h11.EndOfMessage()\n",
+        "http/exchange.py",
+        '            raise ConnectionLost(f"invalid HTTP answer: {err}") from err\n',
+        "            return h11.EndOfMessage()\n",
         (HTTP, PLATFORM),
     ),
     Mutant(
         "unasked-bytes-kept",
-        "http/client.py",
+        "http/idle_connections.py",
         "return not self.stream.socket.is_readable()",
         "return True",
         (HTTP,),
@@ -804,7 +808,7 @@
     ),
     Mutant(
         "every-body-taken-for-framed",
-        "http/client.py",
+        "http/exchange.py",
         "self.framed = any(name in FRAMING for name, _ in self.headers)",
         "self.framed = True",
         (ENDS,),
@@ -812,8 +816,8 @@
     Mutant(
         "run-without-an-event-taken-for-whole",
         "requests/event_stream.py",
-        '        self._buffer = b""\n        self.at_event_end = False',
-        '        self._buffer = b""\n        self.at_event_end = True',
+        "EXTRA_EVENTS\n        self.at_event_end = False",
+        "EXTRA_EVENTS\n        self.at_event_end = True",
         (ENDS,),
     ),
     Mutant(
@@ -846,7 +850,7 @@
     ),
     Mutant(
         "reset-met-by-the-sending-forgotten",
-        "http/client.py",
+        "http/exchange.py",
         "if self._send_failed and not self.framed:",
         "if False:",
         (HTTP,),
@@ -1692,7 +1696,7 @@
     ),
     Mutant(
         "large-request-is-not-waited-for",
-        "http/client.py",
+        "http/exchange.py",
         "            self._watch.note_sent()\n",
         "            pass\n",
         (f"{NARROW}::TestLargeAppend",),
@@ -3304,8 +3308,8 @@
     Mutant(
         "lost-request-counts-as-not-sent",
         "forwarding/client.py",
-        "    ForwardOutcome.LOST.encode(): ConnectionLost,\n",
-        "    ForwardOutcome.LOST.encode(): NotForwarded,\n",
+        "LOST_ERROR_BY_CODE.get(code, ConnectionLost)",
+        "LOST_ERROR_BY_CODE.get(code, NotForwarded)",
         (FORWARDED,),
     ),
     Mutant(
@@ -3627,7 +3631,7 @@
     Mutant(
         "events-of-a-moved-stream-count-as-passed-on",
         "requests/passthrough.py",
-        "            self._events = EventStream()  # none of the events was passed on\n",
+        "            self._events = EventStream(self._call.max_events)  # none was passed on\n",
         "",
         (STREAM_VERSIONS,),
     ),
@@ -3708,6 +3712,230 @@
         "    if False:\n",
         (STREAM_VERSIONS,),
     ),
+    Mutant(
+        "foreign-answer-is-taken",
+        "http/exchange.py",
+        "if correlation.contradicts(self.headers, request_id) or self.reused and not self._has_id:",
+        "if False:",
+        (HTTP, REPEATED),
+    ),
+    Mutant(
+        "answer-without-an-id-is-taken-on-a-kept-connection",
+        "http/exchange.py",
+        " or self.reused and not self._has_id:",
+        ":",
+        (HTTP,),
+    ),
+    Mutant(
+        "connection-without-ids-is-kept",
+        "http/exchange.py",
+        "self._all_sent and self._has_id and not",
+        "self._all_sent and not",
+        (HTTP,),
+    ),
+    Mutant(
+        "engine-is-left-at-work-after-a-foreign-answer",
+        "http/client.py",
+        "            await exchange.hang_up()\n",
+        "            exchange._end()\n",
+        (HTTP, REPEATED),
+    ),
+    Mutant(
+        "another-peer-is-asked-before-the-first-has-stopped",
+        "http/exchange.py",
+        "while remaining > 0 and (data := await stream.receive_some(READ_BYTES)):",
+        "while False:",
+        (HTTP,),
+    ),
+    Mutant(
+        "forwarding-router-passes-a-foreign-answer-on",
+        "platform/upstreams.py",
+        "    return DirectTransport(traffic, CORRELATION)\n",
+        "    return DirectTransport(traffic)\n",
+        (f"{PLATFORM}/test_end_to_end.py", REPEATED, "tests/test_edge_process.py"),
+    ),
+    Mutant(
+        "asking-router-is-not-told-of-a-foreign-answer",
+        "forwarding/handler.py",
+        "            (CODE_HEADER, err.code.encode()),\n",
+        "",
+        (REPEATED,),
+    ),
+    Mutant(
+        "second-offer-over-the-same-connection",
+        "http/idle_connections.py",
+        "        return request_id is not None and hash(request_id) in self.repeated_until_by_id\n",
+        "        return False\n",
+        (HTTP, REPEATED),
+    ),
+    Mutant(
+        "forwarded-offers-are-not-remembered",
+        "upstreams/transport.py",
+        "        return await pool.send(request, repeatable=repeatable, timeout_s=timeout_s)\n",
+        "        return await pool.send(request, repeatable=repeatable, timeout_s=0.0)\n",
+        (HTTP, REPEATED),
+    ),
+    Mutant(
+        "connections-that-carried-an-id-pile-up",
+        "http/idle_connections.py",
+        "reversed(skipped[:MAX_SKIPPED])",
+        "reversed(skipped)",
+        (HTTP,),
+    ),
+    Mutant(
+        "ids-are-remembered-for-ever",
+        "http/idle_connections.py",
+        "for key, until in ids if until > now}",
+        "for key, until in ids}",
+        (HTTP,),
+    ),
+    Mutant(
+        "refusal-of-another-request-believed",
+        "upstreams/http_upstreams.py",
+        "        if response.headers.get(REQUEST_ID, call.request_id) != call.request_id:\n",
+        "        if False:\n",
+        (HTTP_UPSTREAMS,),
+    ),
+    Mutant(
+        "reports-of-runs-over-kept-connections",
+        "upstreams/http_upstreams.py",
+        "limits=NO_REUSE, ",
+        "",
+        (HTTP_UPSTREAMS,),
+    ),
+    Mutant(
+        "informational-answers-without-end",
+        "http/exchange.py",
+        "        for _ in range(1 + MAX_INFORMATIONAL):\n",
+        "        while True:\n",
+        (f"{HTTP}/test_endless_answers.py",),
+    ),
+    Mutant(
+        "body-without-end",
+        "http/exchange.py",
+        "        if self._body_bytes > MAX_BODY_BYTES:\n",
+        "        if False:\n",
+        (f"{HTTP}/test_endless_answers.py",),
+    ),
+    Mutant(
+        "lost-answer-leaves-its-connection-open",
+        "http/exchange.py",
+        "            except ConnectionLost:\n                self.abandon()\n",
+        "            except ConnectionLost:\n",
+        (f"{HTTP}/test_endless_answers.py",),
+    ),
+    Mutant(
+        "answer-given-up-meanwhile-ends-regularly",
+        "http/exchange.py",
+        "            if self._ended:\n                raise ConnectionLost(",
+        "            if False:\n                raise ConnectionLost(",
+        (f"{HTTP}/test_endless_answers.py",),
+    ),
+    Mutant(
+        "tiny-chunks-keep-the-processor",
+        "http/exchange.py",
+        "                await trio.lowlevel.checkpoint()\n                break\n",
+        "                break\n",
+        (f"{HTTP}/test_endless_answers.py",),
+    ),
+    Mutant(
+        "answers-without-pause-are-not-slowed",
+        "http/read_pace.py",
+        "            await self._lane.wait(work)\n",
+        "            await trio.lowlevel.checkpoint()\n",
+        (f"{HTTP}/test_endless_answers.py",),
+    ),
+    Mutant(
+        "each-answer-without-pause-has-its-own-rate",
+        "http/read_pace.py",
+        "        async with self._turn:\n",
+        "        if True:\n",
+        (f"{HTTP}/test_endless_answers.py",),
+    ),
+    Mutant(
+        "idle-connections-are-not-watched",
+        "edge/forwarding.py",
+        "            self.direct.close_stale()\n",
+        "",
+        (ENDLESS,),
+    ),
+    Mutant(
+        "readable-idle-connections-are-kept",
+        "http/idle_connections.py",
+        "        peer.drop(connection)\n",
+        "        pass\n",
+        (f"{HTTP}/test_endless_answers.py",),
+    ),
+    Mutant(
+        "expired-idle-connections-are-kept",
+        "http/idle_connections.py",
+        "            if now >= connection.usable_until:\n                connection.close()\n",
+        "            pass\n",
+        (f"{HTTP}/test_endless_answers.py",),
+    ),
+    Mutant(
+        "event-without-end",
+        "requests/event_buffer.py",
+        "        if len(self._held) > MAX_EVENT_BYTES:\n",
+        "        if False:\n",
+        (REQUESTS,),
+    ),
+    Mutant(
+        "events-beyond-the-reserved-tokens",
+        "requests/event_stream.py",
+        "self.events - self._empty_events <= self._max_events",
+        "True",
+        (REQUESTS,),
+    ),
+    Mutant(
+        "known-events-without-end",
+        "requests/event_stream.py",
+        "self._check_count(self._repeats_left >= 0)",
+        "pass",
+        (REQUESTS,),
+    ),
+    Mutant(
+        "comments-without-end",
+        "requests/event_stream.py",
+        "self._check_count(self._empty_events <= MAX_EMPTY_EVENTS)",
+        "pass",
+        (REQUESTS,),
+    ),
+    Mutant(
+        "incomplete-answers-without-a-common-bound",
+        "requests/answer_memory.py",
+        "        if self.bytes_held > self._max_bytes:\n",
+        "        if False:\n",
+        (REQUESTS,),
+    ),
+    Mutant(
+        "ended-answers-count-as-held",
+        "requests/answer_memory.py",
+        "            answer.release()\n        if answer",
+        "        if answer",
+        (REQUESTS,),
+    ),
+    Mutant(
+        "plain-answer-that-never-ends-is-no-failure",
+        "requests/execution.py",
+        "            note_failure(self._slot.upstream, trio.current_time())\n",
+        "",
+        (ENDLESS,),
+    ),
+    Mutant(
+        "report-of-a-run-without-end",
+        "upstreams/http_upstreams.py",
+        "        with trio.move_on_after(ASK_S):\n",
+        "        if True:\n",
+        (HTTP_UPSTREAMS,),
+    ),
+    Mutant(
+        "response-of-the-store-without-end",
+        "platform/store_responses.py",
+        "        if self._received > MAX_RESPONSE_BYTES:\n",
+        "        if False:\n",
+        (f"{PLATFORM}/test_store.py",),
+    ),
 ]
 
 
