Soak: engines that repeat answers late or send bytes without end

The new kind 'answers' has the series, restarts and faults of the kind 'series', callers with persistent connections, and up to 40 routers. Engines repeat some of their answers or refusals where the next answer is due, and send bytes without end, fast or slowly. Where no fault cuts connections, an engine that works for over 0.4 s on a request that another one runs is reported.

The first form reported requests that ran twice: the stand-in recorded a run for a refusal without end, which says that the request was not run. It doesn't any more.

--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -310,8 +310,10 @@
         Called after each such rejection.
     silent_until : float
         Trio time until which it sends nothing; its connections are accepted.
+    ran : list of str
+        Ids of the requests that it began to run.
     runs : list of EngineRun
-        All requests that it began to run, in order.
+        The same with their times, and endless refusals.
     arrivals, answers : list of EngineEvent
         All requests received, and the heads of all answers, in order.
     """
@@ -364,7 +366,8 @@
             refusal_headers = (*_refusal_of(request), *rest, *self._notices(request, rest))
             await responder.answer(503, refusal_headers)
             return
-        self.ran.append(_id_of(request))
+        if script.flood is not Flood.REFUSAL:
+            self.ran.append(_id_of(request))
         run = EngineRun(_id_of(request), trio.current_time())
         self.runs.append(run)
         self.open_requests += 1
--- /dev/null
+++ b/tests/edge_soak/answers.py
@@ -0,0 +1,114 @@
+"""Engines that repeat answers late, or send bytes without end, during series and faults."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from random import Random
+
+import trio
+
+from railtide.standins.endless_answers import Flood
+from railtide.standins.platform import EngineRun, EngineScript
+from tests.edge_soak.faults import PlannedFault
+from tests.edge_soak.fleet import GOOD_ENGINE, Fleet
+from tests.edge_soak.series import plan_series
+
+__all__ = ["ANSWERS", "clear_answers", "plan_answers", "unstopped_runs"]
+
+MIN_FAULTS = 2
+MAX_FAULTS = 5
+WINDOW_S = 6.0
+MAX_FLOOD_S = 1.0
+FLOOD_PAUSE_S = 0.005
+STOP_S = 0.4
+"""How soon an engine must be told to stop once its request goes on at another one."""
+LONG_ANSWER = replace(GOOD_ENGINE, gap_s=0.15)
+"""Takes longer than `STOP_S`, so that an engine that isn't told to stop shows."""
+FLOODS = (
+    Flood.NOISE,
+    Flood.HEAD_LINE,
+    Flood.HEAD_LINES,
+    Flood.INFORMATIONAL,
+    Flood.BODY_IN_CHUNKS,
+    Flood.BODY_IN_TINY_CHUNKS,
+    Flood.CHUNK_EXTENSION,
+    Flood.TRAILERS,
+    Flood.EVENT,
+    Flood.FOREIGN_ANSWER,
+    Flood.REFUSAL,
+)
+"""Those without a complete event, so that whatever a caller received can be checked."""
+
+
+async def _repeat_answers(fleet: Fleet, rng: Random, duration_s: float) -> None:
+    """Have engines repeat some of their answers where the next one is due."""
+    share = rng.choice([0.1, 0.5, 1.0])
+    for engine, answers in zip(fleet.engines, fleet.repeated_answers, strict=True):
+        engine.script = LONG_ANSWER
+        answers.is_repeated = lambda answer: rng.random() < share
+    await trio.sleep(duration_s)
+    clear_answers(fleet)
+
+
+async def _repeat_refusals(fleet: Fleet, rng: Random, duration_s: float) -> None:
+    """Have an engine refuse some requests, and repeat some of the refusals."""
+    engine = rng.choice(fleet.engines)
+    answers = fleet.repeated_answers[fleet.engines.index(engine)]
+    answers.is_repeated = lambda answer: b" 503 " in answer[:16] and rng.random() < 0.5
+    ends_at = trio.current_time() + duration_s
+    while trio.current_time() < ends_at:
+        engine.next_scripts = [replace(GOOD_ENGINE, not_run=rng.random() < 0.7) for _ in range(4)]
+        await trio.sleep(0.05)
+    engine.next_scripts = []
+    clear_answers(fleet)
+
+
+async def _flood(fleet: Fleet, rng: Random, duration_s: float) -> None:
+    """Have an engine send bytes without end in place of its answers, fast or slowly."""
+    engine = rng.choice(fleet.engines)
+    pause_s = rng.choice([0.0, FLOOD_PAUSE_S])
+    engine.script = EngineScript(flood=rng.choice(FLOODS), flood_pause_s=pause_s)
+    await trio.sleep(duration_s if pause_s else min(duration_s, MAX_FLOOD_S))
+    engine.script = GOOD_ENGINE
+
+
+ANSWERS: dict[str, Callable[[Fleet, Random, float], Awaitable[None]]] = {
+    "repeated-answers": _repeat_answers,
+    "repeated-refusals": _repeat_refusals,
+    "flood": _flood,
+}
+
+
+def plan_answers(seed: int) -> list[PlannedFault]:
+    """Return the series and faults of a seed, and those of answers, ordered by their begin."""
+    rng = Random(f"answers {seed}")
+    planned = plan_series(seed)
+    for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS)):
+        name, at, length = rng.choice(sorted(ANSWERS)), rng.uniform(0, WINDOW_S), rng.uniform(1, 4)
+        planned.append(PlannedFault(name, round(at, 2), round(length, 2), rng.randrange(1 << 30)))
+    return sorted(planned, key=lambda fault: fault.at)
+
+
+def clear_answers(fleet: Fleet) -> None:
+    """Have the engines answer each request once."""
+    for engine, answers in zip(fleet.engines, fleet.repeated_answers, strict=True):
+        engine.script = GOOD_ENGINE
+        answers.is_repeated = lambda answer: False
+
+
+def unstopped_runs(fleet: Fleet) -> list[str]:
+    """Return a line for each engine that was left at work while another one ran the request.
+
+    Only for seeds whose faults cut no connection between routers and engines.
+    """
+    runs_by_id: dict[str, list[EngineRun]] = {}
+    for engine in fleet.engines:
+        for run in engine.runs:
+            runs_by_id.setdefault(run.request_id, []).append(run)
+    broken = []
+    for request_id, runs in runs_by_id.items():
+        runs.sort(key=lambda run: run.began_at)
+        for run, later in zip(runs, runs[1:], strict=False):
+            overlap_s = min(run.ended_at, later.ended_at) - later.began_at
+            if overlap_s > STOP_S:
+                broken.append(f"{request_id} ran at two engines at once for {overlap_s:.2f} s")
+    return broken
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -16,6 +16,7 @@
   series and faults;
 - `demands`: an account that keeps to a router with a narrow link, engines of uneven pace, and a
   store that is down while units are left;
+- `answers`: engines that repeat answers late or send bytes without end, during series and faults;
 - `versions`: streams that are resumed while engines of several software versions serve, during
   series and faults.
 
@@ -39,6 +40,7 @@
 from loguru import logger
 
 from railtide.http.client import PeerPool
+from tests.edge_soak.answers import ANSWERS, clear_answers, plan_answers, unstopped_runs
 from tests.edge_soak.brittle import (
     BRITTLE,
     brittle_world_of,
@@ -156,6 +158,7 @@
     | CUTS
     | BRITTLE
     | VERSIONS
+    | ANSWERS
 )
 
 
@@ -173,6 +176,7 @@
     BRITTLE = "brittle"
     VERSIONS = "versions"
     PARTS = "parts"
+    ANSWERS = "answers"
 
 
 async def _run_faults(seed: int, folder: Path) -> list[str]:
@@ -473,6 +477,15 @@
         return crashes + unserving + broken_promises(fleet, callers.attempts)
 
 
+async def _run_answers(seed: int, folder: Path) -> list[str]:
+    async with open_fleet(folder, world_of(seed)) as fleet:
+        await _until_ready(fleet)
+        callers = Callers(fleet, Random(seed))
+        unserving = await _inject_all(callers, plan_answers(seed), clear_answers)
+        unstopped = unstopped_runs(fleet) if is_calm(seed) else []
+        return unstopped + unserving + broken_promises(fleet, callers.attempts)
+
+
 async def _run_streams(streams: Streams, end: trio.CancelScope) -> None:
     with end:
         async with trio.open_nursery() as nursery:
@@ -512,6 +525,7 @@
     Kind.BRITTLE: _run_brittle,
     Kind.VERSIONS: _run_versions,
     Kind.PARTS: _run_parts,
+    Kind.ANSWERS: _run_answers,
 }
 PLAN_BY_KIND = {
     Kind.FAULTS: plan_faults,
@@ -525,6 +539,7 @@
     Kind.BRITTLE: plan_brittle,
     Kind.VERSIONS: plan_versions,
     Kind.PARTS: plan_crashes,
+    Kind.ANSWERS: plan_answers,
 }
 
 
