Plays of deployments: many real processes, routers of any build, and their verdict

Routers of a chosen checkout, engines with few slots and a queue, callers in processes of their own and a store are started for a play; answers and processes are disturbed by name. What callers and engines recorded is judged for REFUSED and TWICE, and the routers' lines on each case are printed.

--- /dev/null
+++ b/tests/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments of many real processes: routers of any build, engines, callers and a store."""
--- /dev/null
+++ b/tests/deployment/play.py
@@ -0,0 +1,216 @@
+"""Plays a deployment: ``python -m tests.deployment.play [--build DIR] [--seed N] ...``.
+
+Prints what broke REFUSED (a request that must not run twice was answered 408, 421, 429 or 503, and
+ran) or TWICE (such a request ran twice, or any at two engines at once), with the routers' lines on
+it, and exits with 1 if anything did.
+"""
+
+import signal
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+
+import defopt
+import trio
+from loguru import logger
+
+from tests.deployment.fleet import Deployment, RouterProcess, open_deployment, start_callers
+from tests.deployment.shape import Disruption, RouterClass, Shape
+from tests.deployment.verdict import Verdict, judge, router_lines
+
+__all__ = ["DISRUPTIONS", "play", "plan"]
+
+MAX_SHOWN = 6
+RESTART_S = 0.5
+MAX_STOP_S = 1.6
+SETTLE_S = 3.0
+"""Time after the callers' end in which late runs still count."""
+STORE_OUT_S = 3.0
+ANSWER_SHARES = {
+    "copies": 0.05,
+    "unproven": 0.01,
+    "errors": 0.1,
+    "lost": 0.03,
+    "slow": 0.3,
+    "refusals": 0.2,
+}
+"""Disruptions of engines' answers, and the share of answers that each concerns."""
+
+
+async def _stop(router: RouterProcess, rng: Random) -> None:
+    router.send(signal.SIGSTOP)
+    await trio.sleep(rng.uniform(0.05, MAX_STOP_S))
+    router.send(signal.SIGCONT)
+
+
+async def _end(router: RouterProcess, rng: Random) -> None:
+    """Shut a router down or kill it, and start it again."""
+    process = router.process
+    router.send(rng.choice([signal.SIGTERM, signal.SIGKILL]))
+    await process.wait()
+    await trio.sleep(rng.uniform(0, RESTART_S))
+    if process is router.process:
+        await router.start()
+
+
+async def _disrupt_routers(deployment: Deployment, rng: Random) -> None:
+    """Stop, shut down and kill routers, most of them the large ones that callers use."""
+    while True:
+        few = deployment.routers[: max(6, len(deployment.routers) // 8)]
+        router = rng.choice(few if rng.random() < 0.8 else deployment.routers)
+        disrupt = _stop if rng.random() < 0.6 else _end
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(disrupt, router, rng)
+            await trio.sleep(rng.uniform(0.1, 1.0))
+
+
+async def _disrupt_engines(deployment: Deployment, rng: Random) -> None:
+    """Stop engines, and kill them and start them again."""
+    while True:
+        engine = rng.choice(deployment.engines)
+        if rng.random() < 0.5:
+            engine.send(signal.SIGSTOP)
+            await trio.sleep(rng.uniform(0.1, MAX_STOP_S))
+            engine.send(signal.SIGCONT)
+        else:
+            engine.send(signal.SIGKILL)
+            await engine.process.wait()
+            await trio.sleep(rng.uniform(0, RESTART_S))
+            await engine.start()
+        await trio.sleep(rng.uniform(0.2, 1.5))
+
+
+async def _disrupt_store(deployment: Deployment, rng: Random) -> None:
+    while True:
+        await trio.sleep(rng.uniform(2, 6))
+        deployment.store.send_signal(signal.SIGSTOP)
+        await trio.sleep(rng.uniform(0.2, STORE_OUT_S))
+        deployment.store.send_signal(signal.SIGCONT)
+
+
+async def _lose_domain(deployment: Deployment, rng: Random) -> None:
+    """Kill all routers of a failure domain at once, and start them again."""
+    while True:
+        await trio.sleep(rng.uniform(5, 12))
+        first = rng.randrange(3)
+        async with trio.open_nursery() as nursery:
+            for router in deployment.routers[first::3]:
+                nursery.start_soon(_end, router, rng)
+
+
+PROCESS_DISRUPTIONS: dict[str, Callable[[Deployment, Random], Awaitable[None]]] = {
+    "routers": _disrupt_routers,
+    "engines": _disrupt_engines,
+    "store": _disrupt_store,
+    "domain": _lose_domain,
+}
+DISRUPTIONS = (*ANSWER_SHARES, *PROCESS_DISRUPTIONS, "leavers")
+
+
+def plan(names: list[str], length_s: float) -> tuple[Disruption, ...]:
+    """Return the disruptions of answers among the names, in force for the whole play."""
+    return tuple(
+        Disruption(name, 0.0, length_s, share)
+        for name, share in ANSWER_SHARES.items()
+        if name in names
+    )
+
+
+async def play(
+    folder: Path,
+    shape: Shape,
+    build: Path,
+    disruptions: list[str],
+    seed: int,
+    length_s: float,
+) -> Verdict:
+    """Play a deployment and return the verdict."""
+    planned = plan(disruptions, 1e6)
+    async with open_deployment(folder, shape, build, planned, seed, 0.0) as deployment:
+        await start_callers(deployment, shape, seed, 0.1 if "leavers" in disruptions else 0.0)
+        with trio.move_on_after(length_s):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.sleep_forever)
+                for name, disrupt in PROCESS_DISRUPTIONS.items():
+                    if name in disruptions:
+                        nursery.start_soon(disrupt, deployment, Random(f"{seed} {name}"))
+        for process in deployment.callers:
+            process.kill()
+        for each in [*deployment.engines, *deployment.routers]:
+            each.send(signal.SIGCONT)
+        await trio.sleep(SETTLE_S)
+    return judge(folder)
+
+
+def _print(verdict: Verdict, folder: Path) -> None:
+    print(f"REFUSED {verdict.of_rule('REFUSED')}, TWICE {verdict.of_rule('TWICE')}")
+    print(dict(sorted(verdict.counts.items())))
+    shown: Counter = Counter()
+    for each in verdict.violations:
+        shown[each.rule] += 1
+        if shown[each.rule] <= MAX_SHOWN:
+            print(f"{each.rule} {each.request_id}: {each.detail}")
+            print(*router_lines(folder, each.request_id), sep="\n")
+
+
+def main(
+    *,
+    build: Path = Path(),
+    seed: int = 1,
+    length_s: float = 60.0,
+    wide: int = 2,
+    small: int = 1,
+    callers: int = 50,
+    pause_s: float = 0.5,
+    disruptions: str = "",
+) -> None:
+    """Play a deployment.
+
+    Parameters
+    ----------
+    build : Path
+        Checkout whose routers are started.
+    seed : int
+        Draws the disruptions and the callers' choices.
+    length_s : float
+        Seconds of traffic.
+    wide : int
+        Routers of the large class in each failure domain.
+    small : int
+        Routers of the small class in each failure domain.
+    callers : int
+        Callers in each failure domain.
+    pause_s : float
+        Longest pause of a caller between two requests, seconds.
+    disruptions : str
+        Names separated by commas, among those of `DISRUPTIONS`.
+    """
+    logger.remove()
+    names = [name for name in disruptions.split(",") if name]
+    if unknown := set(names) - set(DISRUPTIONS):
+        sys.exit(f"unknown disruptions {sorted(unknown)}; known: {', '.join(DISRUPTIONS)}")
+    wide_class, small_class = Shape().routers
+    shape = Shape(
+        routers=(
+            RouterClass(wide, *_figures(wide_class)),
+            RouterClass(small, *_figures(small_class)),
+        ),
+        callers=callers,
+        pause_s=pause_s,
+    )
+    folder = Path(tempfile.mkdtemp(prefix=f"deployment-{seed}-"))
+    print(f"records and logs in {folder}")
+    verdict = trio.run(play, folder, shape, build.resolve(), names, seed, length_s)
+    _print(verdict, folder)
+    sys.exit(1 if verdict.violations else 0)
+
+
+def _figures(size: RouterClass) -> tuple[float, ...]:
+    return (size.cpu_share, size.cores, size.memory_mb, size.max_fds, size.link_mbps)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/tests/deployment/verdict.py
@@ -0,0 +1,110 @@
+"""Judges a play by the records of its callers and engines, and finds what routers logged of it."""
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from tests.deployment.records import Answer, Event, Run, read_events
+from tests.deployment.shape import KINDS_BY_NAME
+
+__all__ = ["PROMISES", "Verdict", "Violation", "judge", "router_lines"]
+
+PROMISES = (408, 421, 429, 503)
+"""Statuses which promise that a request has not run and never will."""
+STOP_S = 0.4
+"""How soon an engine must be told to stop once its request goes on at another one."""
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A request that broke a rule, and what the records say of it."""
+
+    rule: str
+    request_id: str
+    detail: str
+
+
+@dataclass
+class Verdict:
+    """Outcome of a play.
+
+    Attributes
+    ----------
+    counts : Counter
+        Requests by kind and status, runs, and events by name.
+    """
+
+    violations: list[Violation] = field(default_factory=list)
+    counts: Counter = field(default_factory=Counter)
+
+    def of_rule(self, rule: str) -> int:
+        """Return how many requests broke a rule."""
+        return sum(1 for each in self.violations if each.rule == rule)
+
+
+def judge(folder: Path) -> Verdict:
+    """Return the verdict on the records in a folder."""
+    verdict = Verdict()
+    answers: list[Answer] = []
+    runs_by_id: dict[str, dict[tuple[str, float], Run]] = defaultdict(dict)
+    for record in read_events(folder):
+        if isinstance(record, Run):
+            runs_by_id[record.request_id][record.engine, record.began_at] = record
+        elif isinstance(record, Answer):
+            answers.append(record)
+            verdict.counts[f"{record.kind} {record.status}"] += 1
+        else:
+            verdict.counts[_name_of(record)] += 1
+    verdict.counts["runs"] = sum(map(len, runs_by_id.values()))
+    for answer in answers:
+        runs = sorted(runs_by_id[answer.request_id].values(), key=lambda run: run.began_at)
+        verdict.violations += _violations_of(answer, runs)
+    return verdict
+
+
+def _name_of(event: Event) -> str:
+    return f"copy of {event.detail}" if event.name == "copy" else event.name
+
+
+def _violations_of(answer: Answer, runs: list[Run]) -> Iterable[Violation]:
+    is_once = KINDS_BY_NAME[answer.kind].is_once
+    detail = f"{answer.kind} at {answer.router}, sent {answer.sent_at:.3f}, {answer.status} at "
+    detail += f"{answer.ended_at:.3f}; " + "; ".join(map(_text, runs))
+    if is_once and answer.status in PROMISES and runs:
+        yield Violation("REFUSED", answer.request_id, detail)
+    if is_once and len(runs) > 1:
+        yield Violation("TWICE", answer.request_id, detail)
+    elif any(_overlap_s(*pair) > STOP_S for pair in zip(runs, runs[1:], strict=False)):
+        yield Violation("TWICE", answer.request_id, detail)
+
+
+def _overlap_s(run: Run, later: Run) -> float:
+    return min(_end(run), _end(later)) - later.began_at
+
+
+def _end(run: Run) -> float:
+    return math.inf if run.ended_at is None else run.ended_at
+
+
+def _text(run: Run) -> str:
+    return f"{run.engine} {run.began_at:.3f} to {_end(run):.3f}"
+
+
+def router_lines(folder: Path, request_id: str) -> list[str]:
+    """Return what the routers logged of a request, without the fields that are the same always."""
+    marker = f'"{request_id}"'.encode()
+    found = []
+    for path in sorted(folder.glob("*.log")):
+        for line in path.read_bytes().splitlines():
+            if marker in line and line.startswith(b"{"):
+                fields = msgspec.json.decode(line)
+                kept = {name: value for name, value in fields.items() if name not in UNNEEDED}
+                found.append(f"{path.stem} {kept}")
+    return found
+
+
+UNNEEDED = frozenset({"request_id", "content", "parts", "software_version", "resumes", "load"})
