Observability: the proof that an attempt was not run, and answers that contradict it

Lines couldn't tell by what a router believed that a request was not run, nor over which connection it heard so. The error that states it now carries the proof, without which it can't be raised; attempt-failed logs it. An answer that arrives where another one is due is compared with the requests that were refused as not run, counted and logged.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -43,6 +43,7 @@
 from railtide.requests.dispatcher import Dispatcher
 from railtide.requests.ledger_commit import ledger_commit_maker
 from railtide.requests.passthrough import pass_through_relay
+from railtide.requests.refused_requests import RefusedRequests
 from railtide.requests.retry import RetryBudget
 from railtide.requests.services import Services
 from railtide.telemetry.counters import Counters
@@ -118,6 +119,7 @@
         self.identity = identity
         self.options = options
         self.counters = Counters()
+        self._refused_requests = RefusedRequests()
         self.snapshot: Snapshot | None = None
         self.leaving = False
         self.open_calls = 0
@@ -434,6 +436,20 @@
         finally:
             self._count_open(-1)
 
+    def note_refused(self, request_id: str, code: str) -> None:
+        """Record that a request which may not be repeated was refused as not run."""
+        self._refused_requests.add(request_id, code)
+
+    def note_late_answer(self, upstream: Instance, request_id: str, status: int) -> None:
+        """Report an answer to an earlier request if that one was refused as not run."""
+        code = self._refused_requests.reason_of(request_id)
+        if code is None:
+            return
+        self.counters.add("refusals_contradicted")
+        logger.bind(
+            request_id=request_id, upstream=upstream.name, status=status, refused_with=code
+        ).error("refusal-contradicted")
+
     def _count_open(self, change: int) -> None:
         self.open_calls += change
 
--- a/railtide/forwarding/tests/test_client.py
+++ b/railtide/forwarding/tests/test_client.py
@@ -4,12 +4,14 @@
 
 from railtide.forwarding.client import _ForwardedAnswer
 from railtide.forwarding.messages import FRAMED_HEADER, OUTCOME_HEADER, STATUS_HEADER
+from railtide.http.exchange import ConnectionUse
 from railtide.http.messages import Headers
 
 
 @dataclass
 class FakeExchange:
     headers: Headers
+    use: ConnectionUse = ConnectionUse(1, 0)
 
 
 class TestForwardedAnswer:
--- a/railtide/http/errors.py
+++ b/railtide/http/errors.py
@@ -1,6 +1,7 @@
 """Errors of HTTP connections."""
 
 from railtide.errors import ExecutionStatus, RailtideError
+from railtide.http.messages import Headers
 
 __all__ = [
     "AnswerTooLong",
@@ -39,10 +40,25 @@
 
 
 class ForeignAnswer(ConnectionLost):
-    """Another request's answer arrived; this one's may follow, so the connection is closed."""
+    """Another request's answer arrived; this one's may follow, so the connection is closed.
+
+    Parameters
+    ----------
+    detail : str
+    answer_status : int, optional
+        Status of that answer, 0 if it is not known.
+    answer_headers : Headers, optional
+    """
 
     code = "foreign-answer"
 
+    def __init__(
+        self, detail: str = "", answer_status: int = 0, answer_headers: Headers = ()
+    ) -> None:
+        super().__init__(detail)
+        self.answer_status = answer_status
+        self.answer_headers = answer_headers
+
 
 class AnswerTooLong(ConnectionLost):
     """A peer sent more bytes than an answer may have, so the connection was closed."""
--- a/railtide/http/exchange.py
+++ b/railtide/http/exchange.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import h11
@@ -16,7 +17,7 @@
 if TYPE_CHECKING:
     from railtide.http.client import PeerPool
 
-__all__ = ["DEFAULT_IDLE_S", "Exchange", "HttpAnswer"]
+__all__ = ["DEFAULT_IDLE_S", "ConnectionUse", "Exchange", "HttpAnswer"]
 
 READ_BYTES = 65_536
 SEND_BYTES = 16_384
@@ -41,6 +42,22 @@
 FRAMING = (b"content-length", b"transfer-encoding")
 
 
+@dataclass(frozen=True)
+class ConnectionUse:
+    """A connection as one exchange uses it.
+
+    Attributes
+    ----------
+    number : int
+        See `PooledConnection`.
+    carried : int
+        Number of requests that it carried before.
+    """
+
+    number: int
+    carried: int
+
+
 class HttpAnswer(ABC):
     """An answer whose head was received and whose body is still to be read.
 
@@ -51,11 +68,14 @@
     framed : bool
         Whether the end of the body is marked by its length or a last chunk, and not by the close
         of the connection.
+    use : ConnectionUse
+        The connection of this router that it arrives on.
     """
 
     status: int
     headers: Headers
     framed: bool
+    use: ConnectionUse
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
@@ -115,6 +135,7 @@
         self.status = 0
         self.headers: Headers = ()
         self.framed = False
+        self.use = ConnectionUse(connection.number, connection.exchanges)
         self.reused = connection.exchanges > 0
         self.began_at = self.received_at = trio.current_time()
         self.repeatable = repeatable
@@ -163,7 +184,9 @@
         request_id = correlation.id_of(request.headers)
         self._has_id = correlation.matches(self.headers, request_id)
         if correlation.contradicts(self.headers, request_id) or self.reused and not self._has_id:
-            raise ForeignAnswer("the answer does not carry the id of the request")
+            raise ForeignAnswer(
+                "the answer does not carry the id of the request", self.status, self.headers
+            )
 
     def _encode(self, request: HttpRequest) -> bytes:
         headers = list(request.headers)
--- a/railtide/http/idle_connections.py
+++ b/railtide/http/idle_connections.py
@@ -4,6 +4,7 @@
 import select
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import count
 
 import h11
 import trio
@@ -16,6 +17,8 @@
 """Idle connections kept that can't carry a request since they carried one with its id. A request is
 offered fewer times; callers that use an id for many requests would leave a connection for each."""
 
+_numbers = count(1)
+
 
 @dataclass(eq=False)
 class PooledConnection:
@@ -27,6 +30,8 @@
         End of its time for reuse, trio time.
     exchanges : int
         Number of requests whose exchanges have ended.
+    number : int
+        Tells it from all other connections of the process.
     repeated_until_by_id : dict of int to float
         Until when each request sent on it may be sent again, by the hash of its id; trio times.
     """
@@ -36,6 +41,7 @@
     usable_until: float = math.inf
     exchanges: int = 0
     repeated_until_by_id: dict[int, float] = field(default_factory=dict)
+    number: int = field(default_factory=_numbers.__next__)
     _max_ids: int = MIN_REMEMBERED_IDS
 
     def is_usable(self) -> bool:
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -26,6 +26,8 @@
 """Retry-After of an error that carries none: engines and routers that start, leave or are full are
 available again within moments."""
 NOT_RUN_STATUS = 503
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses which promise a client that its request has not run and never will."""
 MIN_SERVER_ERROR = 500
 
 
@@ -174,6 +176,8 @@
             trace.retry_after_s = round(retry_after, 2)
         if trace.request_id:
             headers.append((header_names.ATTEMPT_ID, trace.request_id.encode()))
+        if trace.call and not trace.call.repeatable and status in PROMISES_NOT_RUN:
+            self._node.note_refused(trace.request_id, err.code)
         await responder.answer(status, tuple(headers), problem_to_bytes(problem_of(err)))
         return status
 
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -162,6 +162,7 @@
         forwarding=forwarding,
     )
     upstreams.on_notice = node.apply_notice
+    upstreams.on_late_answer = node.note_late_answer
     limits = ConnectionLimits(retry_after_s=node.limits_retry_after_s)
     observe("store_era", "1", lambda: float(NO_ERA if store.era is None else store.era))
     if shedding:
--- a/railtide/platform/tests/router_fleet.py
+++ b/railtide/platform/tests/router_fleet.py
@@ -149,6 +149,7 @@
             forwarding=forwarding,
         )
         upstreams.on_notice = node.apply_notice
+        upstreams.on_late_answer = node.note_late_answer
         self.links.append(links)
         self.nodes.append(node)
         self.nursery.start_soon(node.run)
--- a/railtide/platform/tests/test_repeated_answers.py
+++ b/railtide/platform/tests/test_repeated_answers.py
@@ -151,6 +151,38 @@
             assert fleet.repeated_answers["e0"].accepted - accepted <= 2
 
 
+class TestEvidenceOfRefusals:
+    async def test_proof_of_a_refusal_is_missing_from_its_line(self, lines: list[dict]) -> None:
+        async with open_router_fleet(1, 1) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            await fleet.send(0, "/once/x")
+            engine.next_scripts = [EngineScript(not_run=True)]
+            assert await fleet.send(0, "/once/x") == 200
+            fleet.links[0].forget(fleet.upstreams(0)["e0"].instance)
+            fleet.cut_off(0, refuses=True)
+            assert await fleet.send(0, "/once/x") == 503
+        failed = [line for line in lines if line["event"] == "attempt-failed"]
+        assert (failed[0]["proof"], failed[0]["answered"], failed[0]["carried"]) == (
+            "answer",
+            503,
+            1,
+        )
+        assert failed[-1]["proof"] == "no-connection"
+
+    async def test_answer_to_a_request_that_was_refused_goes_unnoticed(
+        self, lines: list[dict]
+    ) -> None:
+        async with open_router_fleet(1, 1) as fleet:
+            repeat_first(fleet, b" 200 ")
+            await fleet.send(0, "/once/x")
+            ran = fleet.last_id
+            fleet.nodes[0].note_refused(ran, "upstream-refused")
+            await fleet.send(0, "/once/x")
+            assert fleet.nodes[0].counters.value("refusals_contradicted") == 1
+        told = [line for line in lines if line["event"] == "refusal-contradicted"]
+        assert [(line["request_id"], line["status"]) for line in told] == [(ran, 200)]
+
+
 class TestConnections:
     async def test_request_is_offered_again_over_another_connection_until_it_times_out(
         self,
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -31,6 +31,7 @@
     UpstreamRefused,
     UpstreamUnreachable,
 )
+from railtide.upstreams.not_run_proof import by_answer, no_connection
 from railtide.upstreams.notice import UpstreamNotice
 from railtide.upstreams.transport import DirectTransport, UpstreamTransport
 from railtide.upstreams.upstream_state import LoadReport
@@ -94,6 +95,9 @@
     ----------
     on_notice : callable
         Called with what each response of an engine reports about that engine.
+    on_late_answer : callable
+        Called with the engine, id and status of each response that arrives where another request's
+        is due and does not state that its own request was not run.
     """
 
     def __init__(
@@ -102,6 +106,7 @@
         self._traffic = traffic or Traffic()
         self._transport = transport or engine_connections(self._traffic)
         self.on_notice: Callable[[Instance, UpstreamNotice], None] = lambda upstream, notice: None
+        self.on_late_answer: Callable[[Instance, str, int], None] = _ignore_late_answer
 
     async def open(self, upstream: Instance, call: UpstreamCall) -> UpstreamAnswer:
         """Send a request; see `UpstreamClient.open`."""
@@ -114,10 +119,11 @@
                 upstream, request, call.timeout_s, call.repeatable
             )
         except ConnectRefused as err:
-            raise UpstreamNotListening(err.detail) from err
+            raise UpstreamNotListening(err.detail, no_connection()) from err
         except ConnectFailed as err:
-            raise UpstreamUnreachable(err.detail) from err
+            raise UpstreamUnreachable(err.detail, no_connection()) from err
         except ForeignAnswer as err:
+            self._note_late_answer(upstream, err)
             raise AnswerMismatch(err.detail) from err
         except AnswerTooLong as err:
             raise UpstreamAnswerTooLong(err.detail) from err
@@ -139,15 +145,24 @@
     ) -> None:
         if CORRELATION.contradicts(exchange.headers, call.request_id.encode()):
             raise AnswerMismatch("the response carries the id of another request")
+        proof = by_answer(exchange.status, exchange.use.number, exchange.use.carried)
         if exchange.status == MISDIRECTED:
-            raise UpstreamMoved("another engine has this address")
+            raise UpstreamMoved("another engine has this address", proof)
         self.on_notice(upstream, notice_of(exchange.status, exchange.headers, sent_at))
         if first_header(exchange.headers, header_names.NOT_RUN) is not None:
-            raise UpstreamRefused(f"the upstream refused with {exchange.status}")
+            raise UpstreamRefused(f"the upstream refused with {exchange.status}", proof)
         is_signed = first_header(exchange.headers, header_names.SEAL) is not None
         if exchange.status // 100 == SUCCESS_CLASS and not is_signed:
             raise AnswerMismatch("the response is not signed")
 
+    def _note_late_answer(self, upstream: Instance, err: ForeignAnswer) -> None:
+        request_id = CORRELATION.id_of(err.answer_headers)
+        states_not_run = err.answer_status == MISDIRECTED or first_header(
+            err.answer_headers, header_names.NOT_RUN
+        )
+        if request_id is not None and not states_not_run:
+            self.on_late_answer(upstream, request_id.decode("latin-1"), err.answer_status)
+
     def note_forwarded(
         self, upstream: Instance, request: HttpRequest, answer: HttpAnswer, sent_at: float
     ) -> None:
@@ -182,6 +197,10 @@
     return DirectTransport(traffic, CORRELATION)
 
 
+def _ignore_late_answer(upstream: Instance, request_id: str, status: int) -> None:
+    pass
+
+
 def _headers(upstream: Instance, call: UpstreamCall) -> Headers:
     own = [
         (header_names.DEADLINE_MS, str(max(1, int(call.timeout_s * 1000))).encode()),
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -293,6 +293,7 @@
             detail=err.detail,
             failures=upstream.failures,
             content=self._call.content,
+            **(err.proof.log_fields() if isinstance(err, UpstreamRefused) else {}),
         ).info("attempt-failed")
 
     async def _prepare_retry(self, err: UpstreamError, attempt: int) -> None:
--- a/railtide/upstreams/errors.py
+++ b/railtide/upstreams/errors.py
@@ -1,6 +1,7 @@
 """Errors of calls to upstreams."""
 
 from railtide.errors import ExecutionStatus, RailtideError
+from railtide.upstreams.not_run_proof import NotRunProof
 
 __all__ = [
     "AnswerMismatch",
@@ -25,12 +26,23 @@
 
 
 class UpstreamRefused(UpstreamError):
-    """The call certainly did not run: no connection was made, or the upstream refused it."""
+    """The call certainly did not run: no connection was made, or the upstream refused it.
+
+    Parameters
+    ----------
+    detail : str
+    proof : NotRunProof
+        Why that is certain.
+    """
 
     code = "upstream-refused"
     status = 503
     run = ExecutionStatus.NOT_RUN
 
+    def __init__(self, detail: str, proof: NotRunProof) -> None:
+        super().__init__(detail)
+        self.proof = proof
+
 
 class UpstreamUnreachable(UpstreamRefused):
     """No connection to the upstream could be made, so nothing arrived there."""
--- a/railtide/upstreams/http_upstreams.py
+++ b/railtide/upstreams/http_upstreams.py
@@ -15,6 +15,7 @@
     UpstreamLost,
     UpstreamRefused,
 )
+from railtide.upstreams.not_run_proof import by_answer, no_connection
 from railtide.upstreams.upstream_state import LoadReport
 
 __all__ = ["HttpUpstreams"]
@@ -95,7 +96,9 @@
         try:
             return await client.send(request, stream=True)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as err:
-            raise UpstreamRefused(f"no connection was made: {type(err).__name__}") from err
+            raise UpstreamRefused(
+                f"no connection was made: {type(err).__name__}", no_connection()
+            ) from err
         except httpx.HTTPError as err:
             raise UpstreamLost(f"no answer: {type(err).__name__}") from err
 
@@ -104,7 +107,10 @@
         """Raise the error for a failure; the connection, whose body is unread, is closed."""
         await _close(response)
         if response.headers.get(RUN) == NOT_RUN:
-            raise UpstreamRefused(f"the upstream refused with status {response.status_code}")
+            raise UpstreamRefused(
+                f"the upstream refused with status {response.status_code}",
+                by_answer(response.status_code),
+            )
         raise UpstreamLost(f"the upstream failed with status {response.status_code}")
 
     async def run_report(self, upstream: Instance, request_id: str) -> RunReport:
--- a/tests/matrix/ports.py
+++ b/tests/matrix/ports.py
@@ -28,6 +28,7 @@
     UpstreamClient,
 )
 from railtide.upstreams.errors import UpstreamLost, UpstreamRefused
+from railtide.upstreams.not_run_proof import by_answer, no_connection
 from railtide.upstreams.upstream_state import LoadReport
 from railtide.wire.links import Link
 from railtide.wire.messages import Message
@@ -220,7 +221,7 @@
         if faults.take(FaultKind.DOWN):
             raise UpstreamLost("failed without effect")
         if faults.take(FaultKind.REFUSE):
-            raise UpstreamRefused("refused")
+            raise UpstreamRefused("refused", by_answer(503))
         self._platform.starts.append((trio.current_time(), upstream.address, call.request_id))
         if upstream.address in self._platform.services:
             return await self._open_service(upstream, call, faults)
@@ -230,9 +231,9 @@
         known = self._platform.engines | self._platform.services
         target = known.get(upstream.address)
         if target is None:
-            raise UpstreamRefused("no connection")
+            raise UpstreamRefused("no connection", no_connection())
         if target.leaving:
-            raise UpstreamRefused("leaving")
+            raise UpstreamRefused("leaving", by_answer(503))
         return self._platform.faults[upstream.address]
 
     async def _open_service(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2584,12 +2584,12 @@
         "notice-of-another-engine-at-the-address",
         "platform/upstreams.py",
         """        if exchange.status == MISDIRECTED:
-            raise UpstreamMoved("another engine has this address")
+            raise UpstreamMoved("another engine has this address", proof)
         self.on_notice(upstream, notice_of(exchange.status, exchange.headers, sent_at))
 """,
         """        self.on_notice(upstream, notice_of(exchange.status, exchange.headers, sent_at))
         if exchange.status == MISDIRECTED:
-            raise UpstreamMoved("another engine has this address")
+            raise UpstreamMoved("another engine has this address", proof)
 """,
         (PLATFORM_LIMITS,),
     ),
