A refusal proves "not run" only with the id of its request

The first answer on a connection was believed without an id, also where it stated that the request was not run: 503 with the header, and 421. Nothing tied it to this attempt, so a request that the engine then ran could be answered as not run or offered again. The client of railtide's own upstreams did the same on any connection; the stand-ins' refusals name their request now.

Such an answer counts as lost. Both tests failed before (200 in place of 502; a refusal); 2 mutants, caught. Never seen outside a test.

--- a/railtide/platform/tests/test_unproven_refusals.py
+++ b/railtide/platform/tests/test_unproven_refusals.py
@@ -8,6 +8,25 @@
 proof by itself."""
 
 
+REFUSALS_WITHOUT_ID = (
+    EngineScript(not_run=True, no_id=True),
+    EngineScript(misdirected=True, no_id=True),
+)
+
+
+class TestRefusalWithoutId:
+    """The first answer on a connection needs no id, unless it is to prove something."""
+
+    async def test_call_is_answered_as_not_run_and_offered_again(self) -> None:
+        async with open_router_fleet(1, 1) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            for refusal in REFUSALS_WITHOUT_ID:
+                fleet.links[0].forget(fleet.upstreams(0)["e0"].instance)
+                engine.next_scripts = [refusal]
+                assert await fleet.send(0, "/once/x") == 502
+                assert fleet.last_id not in engine.ran
+
+
 class TestStatusWithoutProof:
     async def test_call_that_ran_is_answered_as_not_run(self) -> None:
         async with open_router_fleet(2, 1) as fleet:
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -147,6 +147,8 @@
         if CORRELATION.contradicts(exchange.headers, call.request_id.encode()):
             raise AnswerMismatch("the response carries the id of another request")
         proof = by_answer(exchange.status, exchange.use.number, exchange.use.carried)
+        if _states_not_run(exchange.status, exchange.headers):
+            _check_names_request(exchange.headers, call.request_id)
         if exchange.status == MISDIRECTED:
             raise UpstreamMoved("another engine has this address", proof)
         self.on_notice(upstream, notice_of(exchange.status, exchange.headers, sent_at))
@@ -160,9 +162,7 @@
 
     def _note_late_answer(self, upstream: Instance, err: ForeignAnswer) -> None:
         request_id = CORRELATION.id_of(err.answer_headers)
-        states_not_run = err.answer_status == MISDIRECTED or first_header(
-            err.answer_headers, header_names.NOT_RUN
-        )
+        states_not_run = _states_not_run(err.answer_status, err.answer_headers)
         if request_id is not None and not states_not_run:
             self.on_late_answer(upstream, request_id.decode("latin-1"), err.answer_status)
 
@@ -200,6 +200,16 @@
     return DirectTransport(traffic, CORRELATION)
 
 
+def _states_not_run(status: int, headers: Headers) -> bool:
+    return status == MISDIRECTED or first_header(headers, header_names.NOT_RUN) is not None
+
+
+def _check_names_request(headers: Headers, request_id: str) -> None:
+    """Raise unless an answer that states "not run" names the request."""
+    if not CORRELATION.matches(headers, request_id.encode() or None):
+        raise RefusalUnproven("the refusal does not carry the id of the request")
+
+
 def _ignore_late_answer(upstream: Instance, request_id: str, status: int) -> None:
     pass
 
--- a/railtide/standins/engine.py
+++ b/railtide/standins/engine.py
@@ -13,7 +13,7 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from railtide.standins.faults import FaultKind, Faults
+from railtide.standins.faults import FaultKind, Faults, refusal_headers
 from railtide.standins.log import add_fault_routes
 from railtide.upstreams.client import RunReport, RunState, RunUsage
 
@@ -23,7 +23,6 @@
 EVENTS = "text/event-stream"
 LENGTH = re.compile(r"tokens=(\d+)")
 BYTES_PER_TOKEN = 4
-NOT_RUN = {"x-run": "not-run"}
 END_MARK = b"data: [DONE]\n\n"
 FOREIGN_ID = "rt-somebody-elses"
 DEFAULT_TOKENS = 16
@@ -231,7 +230,7 @@
         if faults.take(FaultKind.DOWN):
             return Response("down", 500)
         if faults.take(FaultKind.REFUSE) or engine.leaving:
-            return Response("refused", 503, headers=NOT_RUN)
+            return Response("refused", 503, headers=refusal_headers(request.headers))
         return None
 
     @app.post("/v1/chat/completions")
--- a/railtide/standins/faults.py
+++ b/railtide/standins/faults.py
@@ -1,10 +1,11 @@
 """Fault injection for the stand-ins."""
 
+from collections.abc import Mapping
 from enum import StrEnum
 
 import msgspec
 
-__all__ = ["Fault", "FaultKind", "Faults"]
+__all__ = ["Fault", "FaultKind", "Faults", "refusal_headers"]
 
 
 class FaultKind(StrEnum):
@@ -67,3 +68,8 @@
                 fault.count -= 1 if fault.count > 0 else 0
                 return fault
         return None
+
+
+def refusal_headers(request: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers of an answer that the request with these headers was not run."""
+    return {"x-run": "not-run", "x-request-id": request.get("x-request-id", "")}
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -197,8 +197,10 @@
     skip : int
         Events that a resumed stream omits.
     has_event_ids : bool
-    wrong_id, unsigned : bool
-        Answer with another request's id, or without a signature.
+    wrong_id, no_id, unsigned : bool
+        Answer with another request's id, without an id, or without a signature.
+    misdirected : bool
+        Refuse with 421.
     gap_s : float
         Delay before each event, and before a plain answer.
     label : str
@@ -221,6 +223,8 @@
     skip: int = 0
     has_event_ids: bool = True
     wrong_id: bool = False
+    no_id: bool = False
+    misdirected: bool = False
     unsigned: bool = False
     gap_s: float = 0.0
     label: str = ""
@@ -356,6 +360,9 @@
             await responder.answer(421, refusal_headers)
             return
         script = self.next_scripts.pop(0) if self.next_scripts else self.script
+        if script.no_id and script.misdirected:
+            await responder.answer(421, self._notices(request))
+            return
         if self.capacity is not None and self.open_requests >= self.capacity:
             rejection_headers = (*_refusal_of(request), *self._notices(request))
             await responder.answer(503, rejection_headers)
@@ -363,7 +370,8 @@
             return
         if script.not_run or self.rest is not None:
             rest = () if self.rest is None else ((RETRY_AFTER, self.rest.encode()),)
-            refusal_headers = (*_refusal_of(request), *rest, *self._notices(request, rest))
+            refusal = _refusal_of(request)[1:] if script.no_id else _refusal_of(request)
+            refusal_headers = (*refusal, *rest, *self._notices(request, rest))
             await responder.answer(503, refusal_headers)
             return
         if script.flood is not Flood.REFUSAL:
--- a/railtide/standins/service.py
+++ b/railtide/standins/service.py
@@ -8,14 +8,13 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from railtide.standins.faults import FaultKind, Faults
+from railtide.standins.faults import FaultKind, Faults, refusal_headers
 from railtide.standins.log import add_fault_routes
 from railtide.upstreams.client import RunReport, RunState
 
 __all__ = ["PlainService", "ServiceRun", "make_service_app"]
 
 JSON = "application/json"
-NOT_RUN = {"x-run": "not-run"}
 FOREIGN_ID = "rt-somebody-elses"
 MAX_RUNS = 200_000
 
@@ -87,7 +86,7 @@
         if faults.take(FaultKind.DOWN):
             return Response("down", 500)
         if faults.take(FaultKind.REFUSE) or service.leaving:
-            return Response("refused", 503, headers=NOT_RUN)
+            return Response("refused", 503, headers=refusal_headers(request.headers))
         request_id = request.headers["x-request-id"]
         body = await service.call(request_id, path, (await request.get_data()).decode())
         if faults.take(FaultKind.LOST):
--- a/railtide/upstreams/errors.py
+++ b/railtide/upstreams/errors.py
@@ -99,7 +99,7 @@
 
 
 class RefusalUnproven(UpstreamLost):
-    """The answer's status promises that the call did not run, which nothing else in it proves."""
+    """The answer promises that the call did not run, and lacks the proof or the call's id."""
 
     code = "refusal-unproven"
 
--- a/railtide/upstreams/http_upstreams.py
+++ b/railtide/upstreams/http_upstreams.py
@@ -11,6 +11,7 @@
 from railtide.upstreams.client import RunReport, UpstreamAnswer, UpstreamCall, UpstreamClient
 from railtide.upstreams.errors import (
     AnswerMismatch,
+    RefusalUnproven,
     UpstreamAnswerTooLong,
     UpstreamLost,
     UpstreamRefused,
@@ -88,7 +89,7 @@
             await _close(response)
             raise AnswerMismatch("the answer carries the id of another request")
         if response.status_code >= SERVER_ERROR or response.status_code in REFUSALS:
-            await self._raise_failure(response)
+            await self._raise_failure(response, call.request_id)
         return _HttpAnswer(response)
 
     @staticmethod
@@ -103,10 +104,12 @@
             raise UpstreamLost(f"no answer: {type(err).__name__}") from err
 
     @staticmethod
-    async def _raise_failure(response: httpx.Response) -> None:
+    async def _raise_failure(response: httpx.Response, request_id: str) -> None:
         """Raise the error for a failure; the connection, whose body is unread, is closed."""
         await _close(response)
         if response.headers.get(RUN) == NOT_RUN:
+            if response.headers.get(REQUEST_ID) != request_id:
+                raise RefusalUnproven("the refusal does not carry the id of the request")
             raise UpstreamRefused(
                 f"the upstream refused with status {response.status_code}",
                 by_answer(response.status_code),
--- a/railtide/upstreams/tests/test_http_upstreams.py
+++ b/railtide/upstreams/tests/test_http_upstreams.py
@@ -13,6 +13,7 @@
 from railtide.upstreams.client import RunState, UpstreamCall
 from railtide.upstreams.errors import (
     AnswerMismatch,
+    RefusalUnproven,
     UpstreamAnswerTooLong,
     UpstreamLost,
     UpstreamRefused,
@@ -83,6 +84,16 @@
             with pytest.raises(AnswerMismatch):
                 await HttpUpstreams().open(instance, CALL)
 
+    async def test_refusal_without_an_id_is_not_taken_for_a_refusal(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(answer(503, b"full", self.NOT_RUN))
+            assert await stream.receive_some() == b""
+
+        async with upstream(serve) as instance:
+            with pytest.raises(RefusalUnproven):
+                await HttpUpstreams().open(instance, CALL)
+
     async def test_connection_of_a_refusal_is_not_used_again(self) -> None:
         """A late copy of the refusal would be taken for the answer to the next offer."""
         connections = 0
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2588,6 +2588,20 @@
         "        if False:\n",
         (UNPROVEN,),
     ),
+    Mutant(
+        "refusal-without-an-id-is-believed",
+        "platform/upstreams.py",
+        "            _check_names_request(exchange.headers, call.request_id)\n",
+        "            pass\n",
+        (UNPROVEN,),
+    ),
+    Mutant(
+        "refusal-without-an-id-is-believed-of-own-upstreams",
+        "upstreams/http_upstreams.py",
+        "            if response.headers.get(REQUEST_ID) != request_id:\n",
+        "            if False:\n",
+        (HTTP_UPSTREAMS,),
+    ),
     Mutant(
         "notice-of-another-engine-at-the-address",
         "platform/upstreams.py",
