--- a/tests/deployment/engine.py
+++ b/tests/deployment/engine.py
@@ -1,4 +1,4 @@
-"""One engine as a process: ``python -m tests.deployment.engine SPEC STORE RECORDS T0 LIFE``."""
+"""One engine as a process: ``python -m tests.deployment.engine PLAN STORE RECORDS LIFE``."""
 
 import sys
 from pathlib import Path
@@ -36,22 +36,20 @@
 
 
 class _Engine:
-    def __init__(self, plan: EnginePlan, recorder: Recorder, began_at: float, life: int) -> None:
+    def __init__(self, plan: EnginePlan, recorder: Recorder, life: int) -> None:
         self.spec = plan.spec
         self.name = f"{plan.spec.name}-{life}"
         self._plan = plan
         self._recorder = recorder
-        self._began_at = began_at
         self._rng = Random(f"{plan.seed} {self.name}")
         self._slots = trio.Semaphore(plan.spec.slots)
         self._waiting = 0
 
     def draws(self, name: str) -> bool:
-        """Return whether a disruption applies now, by its times and its share."""
-        at = now() - self._began_at
+        """Return whether a disruption concerns the present answer."""
         return any(
             each.name == name
-            and each.at <= at < each.at + each.for_s
+            and each.service in ("", self.spec.service)
             and self._rng.random() < each.share
             for each in self._plan.disruptions
         )
@@ -169,8 +167,8 @@
             await trio.sleep(RESTART_FROM_LISTEN_S)
 
 
-async def _serve(plan: EnginePlan, store: str, records: Path, began_at: float, life: int) -> None:
-    engine = _Engine(plan, Recorder(records), began_at, life)
+async def _serve(plan: EnginePlan, store: str, records: Path, life: int) -> None:
+    engine = _Engine(plan, Recorder(records), life)
     listener = RepeatedAnswers(await _listen(plan.spec), engine.note_copy)
     client = PlatformStore(store, Counters())
     values = {engine.name: engine.entry()}
@@ -183,9 +181,9 @@
 def main() -> None:
     """Run the engine until it is killed."""
     logger.remove()
-    plan, store, records, began_at, life = sys.argv[1:]
+    plan, store, records, life = sys.argv[1:]
     decoded = msgspec.json.decode(plan, type=EnginePlan)
-    trio.run(_serve, decoded, store, Path(records), float(began_at), int(life))
+    trio.run(_serve, decoded, store, Path(records), int(life))
 
 
 if __name__ == "__main__":
--- a/tests/deployment/fleet.py
+++ b/tests/deployment/fleet.py
@@ -20,7 +20,6 @@
 from railtide.telemetry.counters import Counters
 from tests.deployment.callers import CallersPlan
 from tests.deployment.engine import EnginePlan
-from tests.deployment.records import now
 from tests.deployment.shape import (
     DOMAINS,
     Disruption,
@@ -114,10 +113,14 @@
     plan: EnginePlan
     store: str
     folder: Path
-    began_at: float
     life: int = 0
     process: trio.Process | None = None
 
+    @property
+    def name(self) -> str:
+        """Name of the present life."""
+        return f"{self.plan.spec.name}-{self.life}"
+
     async def start(self) -> None:
         """Start the next life."""
         self.life += 1
@@ -128,7 +131,6 @@
                 msgspec.json.encode(self.plan).decode(),
                 self.store,
                 str(self.folder / f"{name}.jsonl"),
-                str(self.began_at),
                 str(self.life),
             ],
             self.folder / f"{name}.err",
@@ -142,18 +144,11 @@
 
 @dataclass
 class Deployment:
-    """The running processes.
-
-    Attributes
-    ----------
-    began_at : float
-        Time at which traffic and disruptions begin, see `records.now`.
-    """
+    """The running processes."""
 
     folder: Path
     store: trio.Process
     store_address: str
-    began_at: float
     engines: list[EngineProcess] = field(default_factory=list)
     routers: list[RouterProcess] = field(default_factory=list)
     callers: list[trio.Process] = field(default_factory=list)
@@ -234,7 +229,6 @@
     build: Path,
     disruptions: tuple[Disruption, ...],
     seed: int,
-    lead_s: float,
 ) -> AsyncIterator[Deployment]:
     """Start the store, the engines and the routers; kill all processes at the end.
 
@@ -242,19 +236,17 @@
     ----------
     build : Path
         Checkout whose routers are started.
-    lead_s : float
-        Time from the start of the first process to that of the traffic.
     """
     network = _network()
     store = await _open(
         ["tests.deployment.store", f"{network}.2", str(STORE_PORT)], folder / "store.err"
     )
-    deployment = Deployment(folder, store, f"{network}.2:{STORE_PORT}", now() + lead_s)
+    deployment = Deployment(folder, store, f"{network}.2:{STORE_PORT}")
     try:
         await _publish(deployment.store_address)
         for spec in _engine_specs(shape, network):
             plan = EnginePlan(spec, disruptions, seed)
-            engine = EngineProcess(plan, deployment.store_address, folder, deployment.began_at)
+            engine = EngineProcess(plan, deployment.store_address, folder)
             deployment.engines.append(engine)
             await engine.start()
         _add_routers(deployment, shape, network, build)
--- a/tests/deployment/play.py
+++ b/tests/deployment/play.py
@@ -18,10 +18,11 @@
 from loguru import logger
 
 from tests.deployment.fleet import Deployment, RouterProcess, open_deployment, start_callers
+from tests.deployment.records import Halt, Recorder, now
 from tests.deployment.shape import Disruption, RouterClass, Shape
 from tests.deployment.verdict import Verdict, judge, router_lines
 
-__all__ = ["DISRUPTIONS", "play", "plan"]
+__all__ = ["DISRUPTIONS", "play"]
 
 MAX_SHOWN = 6
 RESTART_S = 0.5
@@ -29,15 +30,17 @@
 SETTLE_S = 3.0
 """Time after the callers' end in which late runs still count."""
 STORE_OUT_S = 3.0
-ANSWER_SHARES = {
-    "copies": 0.05,
-    "unproven": 0.01,
-    "errors": 0.1,
-    "lost": 0.03,
-    "slow": 0.3,
-    "refusals": 0.2,
+ANSWERS: dict[str, Disruption] = {
+    "copies": Disruption("copies", 0.05),
+    "desk-copies": Disruption("copies", 0.05, "desk"),
+    "unproven": Disruption("unproven", 0.01),
+    "errors": Disruption("errors", 0.1),
+    "lost": Disruption("lost", 0.03),
+    "slow": Disruption("slow", 0.3),
+    "refusals": Disruption("refusals", 0.2),
+    "desk-refusals": Disruption("refusals", 0.2, "desk"),
 }
-"""Disruptions of engines' answers, and the share of answers that each concerns."""
+"""Disruptions of engines' answers."""
 
 
 async def _stop(router: RouterProcess, rng: Random) -> None:
@@ -69,14 +72,21 @@
 
 async def _disrupt_engines(deployment: Deployment, rng: Random) -> None:
     """Stop engines, and kill them and start them again."""
+    recorder = Recorder(deployment.folder / "halts.jsonl")
     while True:
         engine = rng.choice(deployment.engines)
+        halt = Halt(engine.name, now())
         if rng.random() < 0.5:
             engine.send(signal.SIGSTOP)
-            await trio.sleep(rng.uniform(0.1, MAX_STOP_S))
-            engine.send(signal.SIGCONT)
+            try:
+                await trio.sleep(rng.uniform(0.1, MAX_STOP_S))
+            finally:
+                engine.send(signal.SIGCONT)
+                halt.ended_at = now()
+                recorder.add(halt)
         else:
             engine.send(signal.SIGKILL)
+            recorder.add(halt)
             await engine.process.wait()
             await trio.sleep(rng.uniform(0, RESTART_S))
             await engine.start()
@@ -107,16 +117,7 @@
     "store": _disrupt_store,
     "domain": _lose_domain,
 }
-DISRUPTIONS = (*ANSWER_SHARES, *PROCESS_DISRUPTIONS, "leavers")
-
-
-def plan(names: list[str], length_s: float) -> tuple[Disruption, ...]:
-    """Return the disruptions of answers among the names, in force for the whole play."""
-    return tuple(
-        Disruption(name, 0.0, length_s, share)
-        for name, share in ANSWER_SHARES.items()
-        if name in names
-    )
+DISRUPTIONS = (*ANSWERS, *PROCESS_DISRUPTIONS, "leavers")
 
 
 async def play(
@@ -128,8 +129,8 @@
     length_s: float,
 ) -> Verdict:
     """Play a deployment and return the verdict."""
-    planned = plan(disruptions, 1e6)
-    async with open_deployment(folder, shape, build, planned, seed, 0.0) as deployment:
+    of_answers = tuple(each for name, each in ANSWERS.items() if name in disruptions)
+    async with open_deployment(folder, shape, build, of_answers, seed) as deployment:
         await start_callers(deployment, shape, seed, 0.1 if "leavers" in disruptions else 0.0)
         with trio.move_on_after(length_s):
             async with trio.open_nursery() as nursery:
--- a/tests/deployment/records.py
+++ b/tests/deployment/records.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-__all__ = ["Answer", "Event", "Recorder", "Run", "now", "read_events"]
+__all__ = ["Answer", "Event", "Halt", "Recorder", "Run", "now", "read_records"]
 
 
 def now() -> float:
@@ -36,6 +36,14 @@
     is_whole: bool = False
 
 
+class Halt(msgspec.Struct, tag="halt"):
+    """A time in which an engine's process was stopped, up to infinity if it was killed."""
+
+    engine: str
+    began_at: float
+    ended_at: float | None = None
+
+
 class Event(msgspec.Struct, tag="event"):
     """Anything else that happened, for the summary and the timeline."""
 
@@ -44,6 +52,9 @@
     detail: str = ""
 
 
+Record = Run | Answer | Halt | Event
+
+
 class Recorder:
     """Appends records to a file; each line is written at once, so that a kill loses none.
 
@@ -55,14 +66,14 @@
     def __init__(self, path: Path) -> None:
         self._file = path.open("ab", buffering=0)
 
-    def add(self, record: Run | Answer | Event) -> None:
+    def add(self, record: Record) -> None:
         """Append a record."""
         self._file.write(msgspec.json.encode(record) + b"\n")
 
 
-def read_events(folder: Path) -> Iterator[Run | Answer | Event]:
+def read_records(folder: Path) -> Iterator[Record]:
     """Yield all complete records of the files ``*.jsonl`` in a folder."""
-    decoder = msgspec.json.Decoder(Run | Answer | Event)
+    decoder = msgspec.json.Decoder(Record)
     for path in sorted(folder.glob("*.jsonl")):
         for line in path.read_bytes().rpartition(b"\n")[0].splitlines():
             yield decoder.decode(line)
--- a/tests/deployment/shape.py
+++ b/tests/deployment/shape.py
@@ -66,12 +66,11 @@
 
 
 class Disruption(msgspec.Struct, frozen=True):
-    """Something that goes wrong with processes or answers from `at` on, seconds of a play."""
+    """Something that is wrong with a share of engines' answers; of all services by default."""
 
     name: str
-    at: float
-    for_s: float
-    share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
+    share: Annotated[float, msgspec.Meta(ge=0, le=1)]
+    service: str = ""
 
 
 class EngineSpec(msgspec.Struct, frozen=True):
--- a/tests/deployment/verdict.py
+++ b/tests/deployment/verdict.py
@@ -2,13 +2,13 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
 
-from tests.deployment.records import Answer, Event, Run, read_events
+from tests.deployment.records import Answer, Event, Halt, Run, read_records
 from tests.deployment.shape import KINDS_BY_NAME
 
 __all__ = ["PROMISES", "Verdict", "Violation", "judge", "router_lines"]
@@ -50,19 +50,22 @@
     """Return the verdict on the records in a folder."""
     verdict = Verdict()
     answers: list[Answer] = []
+    halts_by_engine: dict[str, list[Halt]] = defaultdict(list)
     runs_by_id: dict[str, dict[tuple[str, float], Run]] = defaultdict(dict)
-    for record in read_events(folder):
+    for record in read_records(folder):
         if isinstance(record, Run):
             runs_by_id[record.request_id][record.engine, record.began_at] = record
         elif isinstance(record, Answer):
             answers.append(record)
             verdict.counts[f"{record.kind} {record.status}"] += 1
+        elif isinstance(record, Halt):
+            halts_by_engine[record.engine].append(record)
         else:
             verdict.counts[_name_of(record)] += 1
     verdict.counts["runs"] = sum(map(len, runs_by_id.values()))
     for answer in answers:
         runs = sorted(runs_by_id[answer.request_id].values(), key=lambda run: run.began_at)
-        verdict.violations += _violations_of(answer, runs)
+        verdict.violations += _violations_of(answer, runs, halts_by_engine)
     return verdict
 
 
@@ -70,7 +73,9 @@
     return f"copy of {event.detail}" if event.name == "copy" else event.name
 
 
-def _violations_of(answer: Answer, runs: list[Run]) -> Iterable[Violation]:
+def _violations_of(
+    answer: Answer, runs: list[Run], halts_by_engine: Mapping[str, list[Halt]]
+) -> Iterable[Violation]:
     is_once = KINDS_BY_NAME[answer.kind].is_once
     detail = f"{answer.kind} at {answer.router}, sent {answer.sent_at:.3f}, {answer.status} at "
     detail += f"{answer.ended_at:.3f}; " + "; ".join(map(_text, runs))
@@ -78,16 +83,23 @@
         yield Violation("REFUSED", answer.request_id, detail)
     if is_once and len(runs) > 1:
         yield Violation("TWICE", answer.request_id, detail)
-    elif any(_overlap_s(*pair) > STOP_S for pair in zip(runs, runs[1:], strict=False)):
-        yield Violation("TWICE", answer.request_id, detail)
+        return
+    for run, later in zip(runs, runs[1:], strict=False):
+        if _overlap_s(run, later, halts_by_engine[run.engine]) > STOP_S:
+            yield Violation("TWICE", answer.request_id, detail)
 
 
-def _overlap_s(run: Run, later: Run) -> float:
-    return min(_end(run), _end(later)) - later.began_at
+def _overlap_s(run: Run, later: Run, halts: list[Halt]) -> float:
+    """Return for how long the first engine was at work after the second one had begun."""
+    ends_at = min(_end(run), _end(later))
+    halted_s = sum(
+        max(0.0, min(ends_at, _end(halt)) - max(later.began_at, halt.began_at)) for halt in halts
+    )
+    return ends_at - later.began_at - halted_s
 
 
-def _end(run: Run) -> float:
-    return math.inf if run.ended_at is None else run.ended_at
+def _end(record: Run | Halt) -> float:
+    return math.inf if record.ended_at is None else record.ended_at
 
 
 def _text(run: Run) -> str:
