--- a/tests/deployment/play.py
+++ b/tests/deployment/play.py
@@ -14,15 +14,16 @@
 from random import Random
 
 import defopt
+import msgspec
 import trio
 from loguru import logger
 
 from tests.deployment.fleet import Deployment, RouterProcess, open_deployment, start_callers
 from tests.deployment.records import Halt, Recorder, now
-from tests.deployment.shape import Disruption, RouterClass, Shape
+from tests.deployment.shape import Disruption, Shape
 from tests.deployment.verdict import Verdict, judge, router_lines
 
-__all__ = ["DISRUPTIONS", "play"]
+__all__ = ["DISRUPTIONS", "SMALL_SHAPE", "play"]
 
 MAX_SHOWN = 6
 RESTART_S = 0.5
@@ -43,6 +44,16 @@
 """Disruptions of engines' answers."""
 
 
+def _shape(wide: int, small: int, callers: int, pause_s: float) -> Shape:
+    """Return a deployment with some routers of each class in each failure domain."""
+    classes = zip((wide, small), Shape().routers, strict=True)
+    routers = tuple(msgspec.structs.replace(size, per_domain=count) for count, size in classes)
+    return Shape(routers=routers, callers=callers, pause_s=pause_s)
+
+
+SMALL_SHAPE = _shape(1, 1, 40, 0.5)
+
+
 async def _stop(router: RouterProcess, rng: Random) -> None:
     router.send(signal.SIGSTOP)
     await trio.sleep(rng.uniform(0.05, MAX_STOP_S))
@@ -193,15 +204,7 @@
     names = [name for name in disruptions.split(",") if name]
     if unknown := set(names) - set(DISRUPTIONS):
         sys.exit(f"unknown disruptions {sorted(unknown)}; known: {', '.join(DISRUPTIONS)}")
-    wide_class, small_class = Shape().routers
-    shape = Shape(
-        routers=(
-            RouterClass(wide, *_figures(wide_class)),
-            RouterClass(small, *_figures(small_class)),
-        ),
-        callers=callers,
-        pause_s=pause_s,
-    )
+    shape = _shape(wide, small, callers, pause_s)
     folder = Path(tempfile.mkdtemp(prefix=f"deployment-{seed}-"))
     print(f"records and logs in {folder}")
     verdict = trio.run(play, folder, shape, build.resolve(), names, seed, length_s)
@@ -209,9 +212,5 @@
     sys.exit(1 if verdict.violations else 0)
 
 
-def _figures(size: RouterClass) -> tuple[float, ...]:
-    return (size.cpu_share, size.cores, size.memory_mb, size.max_fds, size.link_mbps)
-
-
 if __name__ == "__main__":
     defopt.run(main)
