Test: an unexpected error of an attempt doesn't answer its call as not run

An OSError or a group of errors behind a sent request closes the caller's connection, which promises nothing; the next request is served.

--- a/railtide/platform/tests/test_unproven_refusals.py
+++ b/railtide/platform/tests/test_unproven_refusals.py
@@ -1,5 +1,7 @@
 """Engines whose answers promise that a request was not run, without proof of it."""
 
+import pytest
+
 from railtide.platform.tests.router_fleet import open_router_fleet
 from railtide.standins.platform import EngineScript
 
@@ -27,6 +29,26 @@
                 assert fleet.last_id not in engine.ran
 
 
+class TestUnexpectedErrorOfAnAttempt:
+    @pytest.mark.parametrize("error", [OSError(24), ExceptionGroup("", [OSError(24)])])
+    async def test_call_is_answered_as_not_run(
+        self, error: Exception, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async with open_router_fleet(1, 1) as fleet:
+            engine, links = fleet.engine_by_name["e0"], fleet.links[0]
+            send = links.send
+
+            async def send_and_fail(*request: object) -> None:
+                await send(*request)
+                raise error
+
+            monkeypatch.setattr(links, "send", send_and_fail)
+            assert await fleet.send(0, "/once/x") == 0
+            assert engine.ran.count(fleet.last_id) == 1
+            monkeypatch.undo()
+            assert await fleet.send(0, "/once/x") == 200
+
+
 class TestStatusWithoutProof:
     async def test_call_that_ran_is_answered_as_not_run(self) -> None:
         async with open_router_fleet(2, 1) as fleet:
