Routers stay up when descriptors run out, and leave some for each use

A socket that couldn't be opened raised an OSError, which no task expects, and nothing limited the connections of callers.

Such a socket is now a connection that was not made; it tells nothing of the peer. Descriptors are divided by use; an idle connection of a caller is closed for a new one, and one that finds no room is closed unread. Settings that are no text at SIGHUP and a lost reader of standard output end no process either.

--- a/railtide/edge/forwarding.py
+++ b/railtide/edge/forwarding.py
@@ -19,6 +19,7 @@
 from railtide.forwarding.peer_choice import ForwardingPeer
 from railtide.forwarding.transport import ForwardingTransport
 from railtide.http.client import HttpAnswer
+from railtide.http.descriptors import DescriptorShare
 from railtide.http.messages import HttpRequest
 from railtide.http.traffic import Traffic
 from railtide.lanes.admission import BlockReason
@@ -165,6 +166,8 @@
     key : bytes, optional
         Key of this router's proofs; a random one by default.
     direct : DirectTransport, optional
+    share : DescriptorShare, optional
+        Of the connections to other routers; unlimited by default.
 
     Attributes
     ----------
@@ -186,6 +189,7 @@
         rng: Random | None = None,
         key: bytes | None = None,
         direct: DirectTransport | None = None,
+        share: DescriptorShare | None = None,
     ) -> None:
         self.key = key or token_bytes(KEY_BYTES)
         self.table = PathTable()
@@ -194,7 +198,9 @@
         self.on_answer: Callable[[Instance, HttpRequest, HttpAnswer, float], None] = _ignore_answer
         self._identity = identity
         self._directory = RosterPeerDirectory()
-        self._client = ForwardingClient(identity.instance, identity.incarnation, self.key, traffic)
+        self._client = ForwardingClient(
+            identity.instance, identity.incarnation, self.key, traffic, share
+        )
         forwarders = Forwarders(
             identity.instance,
             identity.failure_domain,
--- a/railtide/edge/peer_server.py
+++ b/railtide/edge/peer_server.py
@@ -2,6 +2,7 @@
 
 from railtide.forwarding.handler import ForwardHandler
 from railtide.forwarding.messages import FORWARD_PATH, MESSAGE_OVERHEAD, PATHS_PATH
+from railtide.http.descriptors import DescriptorShare
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.loans.handler import LoanHandler
@@ -15,8 +16,14 @@
 """Largest body of a forwarded request before the configuration is known."""
 
 
-def peer_server(lender: Lender, forwarding: ForwardHandler) -> HttpServer:
-    """Return the server of other routers' messages."""
+def peer_server(
+    lender: Lender, forwarding: ForwardHandler, share: DescriptorShare | None = None
+) -> HttpServer:
+    """Return the server of other routers' messages.
+
+    Its connections wait for room: a router whose connection is refused behind a sent request can't
+    tell that nothing was forwarded.
+    """
     loans = LoanHandler(lender)
 
     async def handle(request: HttpRequest, responder: Responder) -> None:
@@ -26,7 +33,7 @@
             await loans.handle(request, responder)
 
     limits = ConnectionLimits(body_bytes=DEFAULT_BODY_BYTES + MESSAGE_OVERHEAD)
-    return HttpServer(handle, limits)
+    return HttpServer(handle, limits, share=share, waits_for_room=True)
 
 
 def set_body_limit(server: HttpServer, body_bytes: int) -> None:
--- a/railtide/forwarding/client.py
+++ b/railtide/forwarding/client.py
@@ -31,6 +31,7 @@
 )
 from railtide.forwarding.peer_choice import ForwardingPeer
 from railtide.http.client import Exchange, HttpAnswer, PeerPool
+from railtide.http.descriptors import DescriptorShare, unlimited
 from railtide.http.errors import (
     AnswerTooLong,
     ConnectFailed,
@@ -106,11 +107,20 @@
         The key that this router's record in the roster states.
     traffic : Traffic, optional
         Counts the bytes of all connections.
+    share : DescriptorShare, optional
+        Of the connections; unlimited by default.
     """
 
     def __init__(
-        self, instance: str, incarnation: str, key: bytes, traffic: Traffic | None = None
+        self,
+        instance: str,
+        incarnation: str,
+        key: bytes,
+        traffic: Traffic | None = None,
+        share: DescriptorShare | None = None,
     ) -> None:
+        self._share = share or unlimited()
+        self._share.reclaimers.append(self._drop_idle)
         self._instance = instance
         self._incarnation = incarnation
         self._key = key
@@ -187,12 +197,17 @@
         """Return the connections to a process of a peer, and close those unused for longest."""
         pool = self._pool_by_peer.pop(peer.incarnation, None)
         if pool is None:
-            pool = PeerPool(*parse_endpoint(peer.address), self._traffic, lane=self._lane)
+            address = parse_endpoint(peer.address)
+            pool = PeerPool(*address, self._traffic, lane=self._lane, share=self._share)
         self._pool_by_peer[peer.incarnation] = pool
         if len(self._pool_by_peer) > MAX_POOLS:
             self._pool_by_peer.pop(next(iter(self._pool_by_peer))).close()
         return pool
 
+    def _drop_idle(self) -> None:
+        for pool in self._pool_by_peer.values():
+            pool.drop_idle()
+
     def close_stale(self) -> None:
         """Close the idle connections that no message can use; see `close_stale`."""
         close_stale(pool.idle for pool in self._pool_by_peer.values())
--- a/railtide/forwarding/handler.py
+++ b/railtide/forwarding/handler.py
@@ -32,7 +32,7 @@
     proof_of,
 )
 from railtide.http.client import HttpAnswer
-from railtide.http.errors import ConnectFailed, ConnectRefused, HttpError
+from railtide.http.errors import ConnectFailed, ConnectRefused, HttpError, NoDescriptor
 from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
 from railtide.http.server import Responder
 from railtide.membership.instances import Instance
@@ -122,6 +122,8 @@
         sent_at = trio.current_time()
         try:
             answer = await self._transport.send(upstream, inner, message.timeout_s)
+        except NoDescriptor as err:
+            raise ForwardingRefused(err.detail) from err
         except ConnectFailed as err:
             refused = isinstance(err, ConnectRefused)
             outcome = ForwardOutcome.UPSTREAM_REFUSED if refused else ForwardOutcome.UPSTREAM_FAILED
@@ -170,6 +172,8 @@
             return PathResult.FAILED
         try:
             await self._transport.connect(upstream)
+        except NoDescriptor as err:
+            raise ForwardingRefused(err.detail) from err
         except ConnectRefused:
             return PathResult.REFUSED
         except ConnectFailed:
--- a/railtide/forwarding/path_monitor.py
+++ b/railtide/forwarding/path_monitor.py
@@ -11,7 +11,7 @@
 
 from railtide.forwarding.forwarders import Forwarders
 from railtide.forwarding.messages import PathResult
-from railtide.http.errors import ConnectFailed, ConnectRefused
+from railtide.http.errors import ConnectFailed, ConnectRefused, NoDescriptor
 from railtide.membership.instances import Instance
 from railtide.upstreams.paths import PathState, PathTable, UpstreamPath
 from railtide.upstreams.transport import DirectTransport
@@ -159,6 +159,8 @@
                 await self._ask_others(path, failure)
             else:
                 self._set_state(path, PathState.DIRECT)
+        except NoDescriptor:
+            pass  # tells nothing of the path
         finally:
             del self._checks[upstream.incarnation]
             done.set()
@@ -168,6 +170,8 @@
         async with self._probes:
             try:
                 await self._transport.connect(upstream)
+            except NoDescriptor:
+                raise
             except ConnectRefused:
                 return "refused"
             except ConnectFailed:
--- a/railtide/forwarding/transport.py
+++ b/railtide/forwarding/transport.py
@@ -6,7 +6,7 @@
 from railtide.forwarding.messages import PathResult
 from railtide.forwarding.path_monitor import PathMonitor
 from railtide.http.client import HttpAnswer
-from railtide.http.errors import ConnectFailed, ConnectRefused
+from railtide.http.errors import ConnectFailed, ConnectRefused, NoDescriptor
 from railtide.http.messages import HttpRequest
 from railtide.membership.instances import Instance
 from railtide.upstreams.paths import PathState
@@ -44,6 +44,8 @@
         if state is PathState.DIRECT:
             try:
                 return await self._direct.send(upstream, request, timeout_s, repeatable)
+            except NoDescriptor:
+                raise
             except ConnectFailed as err:
                 reason = "refused" if isinstance(err, ConnectRefused) else "timeout"
                 state = await self._monitor.confirm(upstream, reason, CONFIRM_S)
@@ -65,6 +67,8 @@
         verified = self._monitor.table.verified_by(upstream)
         try:
             return await self._forwarders.forward(upstream, request, timeout_s, verified)
+        except NoDescriptor:
+            raise
         except ConnectFailed:
             self._monitor.note_forward_failure(upstream)
             raise
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -7,7 +7,8 @@
 
 from railtide.http.connect import CONNECT_S, connect_tcp_stream
 from railtide.http.correlation import Correlation
-from railtide.http.errors import ForeignAnswer
+from railtide.http.descriptors import DescriptorShare, unlimited
+from railtide.http.errors import ForeignAnswer, NoDescriptor
 from railtide.http.exchange import DEFAULT_IDLE_S, Exchange, HttpAnswer
 from railtide.http.idle_connections import IdleConnections, PooledConnection
 from railtide.http.messages import HttpRequest
@@ -39,6 +40,8 @@
         How answers are matched with requests; by default only by their order.
     lane : ExcessLane, optional
         Limits the pace of answers; by default it is not limited.
+    share : DescriptorShare, optional
+        Of its connections, which other pools may hold as well; unlimited by default.
 
     Attributes
     ----------
@@ -57,8 +60,10 @@
         busy: set["PeerPool"] | None = None,
         correlation: Correlation | None = None,
         lane: ExcessLane | None = None,
+        share: DescriptorShare | None = None,
     ) -> None:
         self.opened = 0
+        self._share = share or unlimited()
         self.correlation = correlation or Correlation()
         self._busy = set() if busy is None else busy
         self.received_at = -math.inf
@@ -171,11 +176,19 @@
 
     async def _connect(self) -> PooledConnection:
         timeout_s = CONNECT_S + self.traffic.queue_delay_s()
-        stream = await connect_tcp_stream(self._host, self._port, timeout_s)
+        if not self._share.take():
+            raise NoDescriptor(f"{self._host}:{self._port}: the share of descriptors is used up")
+        try:
+            stream = await connect_tcp_stream(self._host, self._port, timeout_s)
+        except BaseException:
+            self._share.give_back()
+            raise
         self.opened += 1
         self.received_at = trio.current_time()
         idle_until = self.received_at + DEFAULT_IDLE_S
-        return PooledConnection(stream, h11.Connection(h11.CLIENT, MAX_HEAD_BYTES), idle_until)
+        return PooledConnection(
+            stream, h11.Connection(h11.CLIENT, MAX_HEAD_BYTES), idle_until, share=self._share
+        )
 
     def release(self, connection: PooledConnection) -> None:
         """Put a connection back into the pool, or close it if the pool is closed."""
--- a/railtide/http/connect.py
+++ b/railtide/http/connect.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from railtide.http.errors import ConnectFailed, ConnectRefused
+from railtide.http.errors import ConnectFailed, ConnectRefused, NoDescriptor
 from railtide.http.sockets import set_tcp_options
 
 __all__ = ["CONNECT_S", "connect_tcp_stream"]
@@ -21,10 +21,15 @@
     ------
     ConnectRefused
         If nothing listens at the address.
+    NoDescriptor
+        If this process or machine can open no further socket.
     ConnectFailed
         If the peer does not answer within `timeout_s`, or is unreachable.
     """
-    sock = trio.socket.socket()
+    try:
+        sock = trio.socket.socket()
+    except OSError as err:
+        raise NoDescriptor(f"{host}:{port}: {err.strerror}") from err
     try:
         with trio.fail_after(timeout_s):
             await sock.connect((host, port))
--- a/railtide/http/errors.py
+++ b/railtide/http/errors.py
@@ -11,6 +11,7 @@
     "ConnectionLost",
     "ForeignAnswer",
     "HttpError",
+    "NoDescriptor",
     "Stalled",
 ]
 
@@ -33,6 +34,12 @@
     """The connection was refused: nothing listens at the address."""
 
 
+class NoDescriptor(ConnectFailed):
+    """This process had no descriptor left for the connection, which says nothing of the peer."""
+
+    code = "connection-not-opened"
+
+
 class ConnectionLost(HttpError):
     """The connection was lost after part of the request was sent; no whole answer came back."""
 
--- a/railtide/http/exchange.py
+++ b/railtide/http/exchange.py
@@ -332,7 +332,7 @@
         """Return the connection to the pool if it is settled, or else close it."""
         self._end()
         if not self._is_settled:
-            self._connection.stream.socket.close()
+            self._connection.close()
             return
         self._connection.h11.start_next_cycle()
         self._connection.exchanges += 1
@@ -352,7 +352,7 @@
         """Close the connection unless the exchange has ended; see `HttpAnswer.abandon`."""
         if not self._ended:
             self._end()
-            self._connection.stream.socket.close()
+            self._connection.close()
 
     async def hang_up(self) -> None:
         """Close the connection; return once the peer has ended it too, or after `HANG_UP_S`.
@@ -370,7 +370,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # the peer has reset the connection
         finally:
-            stream.socket.close()
+            self._connection.close()
 
     def discard(self) -> None:
         """End the answer unread; see `HttpAnswer.discard`."""
--- a/railtide/http/idle_connections.py
+++ b/railtide/http/idle_connections.py
@@ -9,6 +9,8 @@
 import h11
 import trio
 
+from railtide.http.descriptors import DescriptorShare
+
 __all__ = ["IdleConnections", "PooledConnection", "close_stale"]
 
 MIN_REMEMBERED_IDS = 64
@@ -32,6 +34,8 @@
         Number of requests whose exchanges have ended.
     number : int
         Tells it from all other connections of the process.
+    share : DescriptorShare or None
+        Gets its descriptor back when it is closed.
     repeated_until_by_id : dict of int to float
         Until when each request sent on it may be sent again, by the hash of its id; trio times.
     """
@@ -42,6 +46,7 @@
     exchanges: int = 0
     repeated_until_by_id: dict[int, float] = field(default_factory=dict)
     number: int = field(default_factory=_numbers.__next__)
+    share: DescriptorShare | None = None
     _max_ids: int = MIN_REMEMBERED_IDS
 
     def is_usable(self) -> bool:
@@ -64,8 +69,11 @@
         return request_id is not None and hash(request_id) in self.repeated_until_by_id
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; closing it again has no effect."""
         self.stream.socket.close()
+        share, self.share = self.share, None
+        if share:
+            share.give_back()
 
 
 class IdleConnections:
--- /dev/null
+++ b/railtide/http/limited_listener.py
@@ -0,0 +1,103 @@
+"""Accepts connections within a share of the process's descriptors."""
+
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+
+from railtide.http.descriptors import DescriptorShare
+
+__all__ = ["LimitedListener"]
+
+CLOSING_STEPS = 32
+"""Scheduling steps within which a connection that waits for a request ends; it takes a few."""
+WAIT_S = 0.05
+"""Interval at which a listener that waits looks for room."""
+QUIET_S = 1.0
+"""A series of refusals has ended when none came for this long."""
+
+
+class LimitedListener(trio.abc.Listener[trio.SocketStream]):
+    """Accepts connections while its share has room, or while room can be made for them.
+
+    Beyond that, connections are refused: closed before anything is read, which tells their callers
+    that no request was read, so that any request can be sent again at once. In the listen queue it
+    would wait, and its caller with it. With `waits`, for peers that could not tell, connections are
+    left there.
+
+    Parameters
+    ----------
+    listener : trio.SocketListener
+    share : DescriptorShare
+    close_idle : callable
+        Begins to close a connection that waits for a request; returns whether there is one.
+    waits : bool, optional
+    """
+
+    def __init__(
+        self,
+        listener: trio.SocketListener,
+        share: DescriptorShare,
+        close_idle: Callable[[], bool],
+        waits: bool = False,
+    ) -> None:
+        self._listener = listener
+        self._share = share
+        self._close_idle = close_idle
+        self._waits = waits
+        self._refused_in_series = 0
+        self._series_began_at = 0.0
+        self._refused_at = 0.0
+
+    async def accept(self) -> trio.SocketStream:
+        """Return the next connection for which there is room; see `release`."""
+        while True:
+            while self._waits and not self._share.has_room:
+                await trio.sleep(WAIT_S)
+            stream = await self._listener.accept()
+            if not self._share.has_room:
+                await self._make_room()
+            if self._share.take():
+                return stream
+            stream.socket.close()
+            self._note_refused()
+
+    async def _make_room(self) -> None:
+        """Close a connection that waits for a request, if there is one.
+
+        Its caller opens another one for its next request; a new connection has one already.
+        """
+        if self._close_idle():
+            for _ in range(CLOSING_STEPS):
+                await trio.lowlevel.checkpoint()
+                if self._share.has_room:
+                    return
+
+    def release(self) -> None:
+        """Give back the descriptor of a connection that has ended."""
+        self._share.give_back()
+
+    async def aclose(self) -> None:
+        """Stop listening."""
+        await self._listener.aclose()
+
+    def _note_refused(self) -> None:
+        now = trio.current_time()
+        if not self._refused_in_series:
+            self._series_began_at = now
+            logger.bind(held=self._share.held, limit=self._share.limit).warning(
+                "connections-refused"
+            )
+        self._refused_in_series += 1
+        self._refused_at = now
+
+    async def report_ends(self) -> None:
+        """Log the end of each series of refusals, until cancelled."""
+        while True:
+            await trio.sleep(QUIET_S)
+            if self._refused_in_series and trio.current_time() - self._refused_at >= QUIET_S:
+                logger.bind(
+                    refused=self._refused_in_series,
+                    lasted_s=round(self._refused_at - self._series_began_at, 2),
+                ).warning("connections-accepted")
+                self._refused_in_series = 0
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -9,7 +9,9 @@
 from loguru import logger
 
 from railtide.errors import RailtideError
+from railtide.http.descriptors import DescriptorShare, unlimited
 from railtide.http.errors import CallerDisconnected
+from railtide.http.limited_listener import LimitedListener
 from railtide.http.messages import Headers, HttpRequest, first_header
 from railtide.http.sockets import set_tcp_options
 from railtide.http.traffic import Traffic
@@ -131,14 +133,19 @@
         Counts the bytes of all connections.
     check_head : callable, optional
         See `HeadCheck`. The handler answers rejected requests; it gets them without a body.
+    share : DescriptorShare, optional
+        Of the connections; unlimited by default. While it is nearly used up, each answer asks its
+        caller to close the connection, since most connections wait for their next request.
+    waits_for_room : bool, optional
+        See `LimitedListener`.
 
     Attributes
     ----------
     closing : bool
         If True, each answer asks its caller to close the connection.
-    idle_scopes : set of trio.CancelScope
-        The scopes in which connections wait for their next request; cancelling one closes its
-        connection.
+    idle_scopes : dict of trio.CancelScope
+        The scopes in which connections wait for their next request, the longest wait first;
+        cancelling one closes its connection.
     """
 
     def __init__(
@@ -147,24 +154,48 @@
         limits: ConnectionLimits,
         traffic: Traffic | None = None,
         check_head: HeadCheck = _admit_all,
+        share: DescriptorShare | None = None,
+        waits_for_room: bool = False,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.traffic = traffic or Traffic()
         self.check_head = check_head
         self.closing = False
-        self.idle_scopes: set[trio.CancelScope] = set()
+        self.idle_scopes: dict[trio.CancelScope, None] = {}
+        self.share = share or unlimited()
+        self._waits_for_room = waits_for_room
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Accept connections until cancelled."""
+        limited = LimitedListener(
+            listener, self.share, self._close_longest_idle, self._waits_for_room
+        )
+
+        async def serve_and_release(stream: trio.SocketStream) -> None:
+            try:
+                await self._serve_stream(stream)
+            finally:
+                limited.release()
+
         async with trio.open_nursery() as nursery:
-            await trio.serve_listeners(self._serve_stream, [listener], handler_nursery=nursery)
+            nursery.start_soon(limited.report_ends)
+            await trio.serve_listeners(serve_and_release, [limited], handler_nursery=nursery)
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
         for scope in list(self.idle_scopes):
             scope.cancel()
 
+    def _close_longest_idle(self) -> bool:
+        """Begin to close the connection that waits longest; return whether there is one."""
+        scope = next(iter(self.idle_scopes), None)
+        if scope is None:
+            return False
+        del self.idle_scopes[scope]
+        scope.cancel()
+        return True
+
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
         try:
             set_tcp_options(stream.socket)
@@ -219,7 +250,7 @@
     @property
     def is_closing(self) -> bool:
         """Whether the connection ends after this answer."""
-        return self.server.closing or self.rejected_unread
+        return self.server.closing or self.server.share.is_crowded or self.rejected_unread
 
     async def send(self, data: bytes) -> None:
         await self.stream.send_all(data)
@@ -245,11 +276,11 @@
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; return False if none arrive in time."""
         with trio.move_on_after(self.server.limits.idle_timeout_s) as scope:
-            self.server.idle_scopes.add(scope)
+            self.server.idle_scopes[scope] = None
             try:
                 data = await self._receive()
             finally:
-                self.server.idle_scopes.discard(scope)
+                self.server.idle_scopes.pop(scope, None)
         if scope.cancelled_caught or not data:
             return False
         self.h11.receive_data(data)
--- a/railtide/platform/boot.py
+++ b/railtide/platform/boot.py
@@ -36,6 +36,7 @@
     cores: float = 1.0
     link_mbps: float = 1000.0
     memory_mb: float = 512.0
+    max_fds: Annotated[int, Field(ge=1)] | None = None
 
 
 class _Platform(BaseModel):
@@ -82,6 +83,8 @@
         Memory at which the platform kills the process.
     peer_address : str
         Address to listen on for other routers, host:port; empty if there is none.
+    max_descriptors : int or None
+        Descriptors that the process may open, None if the settings don't state it.
     """
 
     instance: str
@@ -99,6 +102,7 @@
     link_mbps: float
     memory_bytes: int
     peer_address: str
+    max_descriptors: int | None = None
 
 
 def read_boot(path: str | None = None) -> Boot:
@@ -112,7 +116,7 @@
     file_name = path or os.environ.get(BOOT_VARIABLE, "")
     try:
         file = _File.model_validate(yaml.safe_load(Path(file_name).read_text()))
-    except (OSError, yaml.YAMLError) as err:
+    except (OSError, UnicodeDecodeError, RecursionError, yaml.YAMLError) as err:
         raise InvalidSetting(f"{BOOT_VARIABLE}={file_name!r} can't be read: {err}") from err
     except ValidationError as err:
         problem = err.errors()[0]
@@ -134,4 +138,5 @@
         link_mbps=file.limits.link_mbps,
         memory_bytes=int(file.limits.memory_mb * BYTES_PER_MB),
         peer_address=f"{file.ip}:{file.internal_ports[0]}" if file.internal_ports else "",
+        max_descriptors=file.limits.max_fds,
     )
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -18,8 +18,9 @@
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
 from railtide.edge.peer_server import peer_server, set_body_limit
+from railtide.http.descriptors import DescriptorShares, shares_of
 from railtide.http.messages import HttpRequest
-from railtide.http.server import ConnectionLimits, HttpServer, Responder
+from railtide.http.server import ConnectionLimits, Handler, HttpServer, Responder
 from railtide.http.sockets import listen
 from railtide.http.traffic import Traffic
 from railtide.membership.identity import Identity
@@ -28,7 +29,7 @@
 from railtide.platform.ingress import Ingress, addresses_body
 from railtide.platform.store import PlatformStore
 from railtide.platform.upstreams import PlatformUpstreams, engine_connections
-from railtide.process import kernel_clocks, new_incarnation, new_rng, relax_gc
+from railtide.process import kernel_clocks, max_descriptors, new_incarnation, new_rng, relax_gc
 from railtide.requests.options import RequestOptions
 from railtide.settings import InvalidSetting, parse_endpoint, run_program, validate_settings
 from railtide.telemetry.counters import Counters
@@ -144,8 +145,14 @@
     shedding = load_shedding_for(
         boot.link_mbps, settings.shed_below_link_mbps, traffic, control, counters, rng
     )
-    store = PlatformStore(boot.store, counters, control)
-    forwarding = EdgeForwarding(identity, traffic, rng, direct=engine_connections(traffic))
+    shares = shares_of(max_descriptors(boot.max_descriptors))
+    observe_each("descriptors_held", "1", "use", shares.held_by_use)
+    observe_each("descriptors_limit", "1", "use", shares.limit_by_use)
+    observe_each("descriptors_refused", "1", "use", shares.refused_by_use)
+    observe("lines_lost", "1", lambda: float(lines.lost))
+    store = PlatformStore(boot.store, counters, control, shares.store)
+    direct = engine_connections(traffic, shares.upstreams)
+    forwarding = EdgeForwarding(identity, traffic, rng, direct=direct, share=shares.upstreams)
     upstreams = PlatformUpstreams(traffic, forwarding.transport)
     forwarding.on_answer = upstreams.note_forwarded
     options = _options(boot, settings)
@@ -172,19 +179,25 @@
     observe_each("read_age", "s", "topic", node.read_ages_s)
     observe_each("upstream_pace", "", "upstream", node.upstream_paces)
     observe_each("upstreams_unreachable", "1", "pool", node.unreachable_by_pool)
-    peers = peer_server(node.lender, forwarding.handler)
+    peers = peer_server(node.lender, forwarding.handler, shares.peers)
     node.on_snapshot = partial(_apply_limits, limits, peers)
     ingress = Ingress(node, rng)
-    server = HttpServer(ingress.handle, limits, traffic, ingress.check_head)
+    server = HttpServer(ingress.handle, limits, traffic, ingress.check_head, shares.callers)
     listener = await _listen_or_exit(boot.client_address, lines)
     logger.bind(incarnation=identity.incarnation, address=boot.client_address).info("started")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lines.run)
         nursery.start_soon(node.run)
         nursery.start_soon(server.serve, listener)
-        nursery.start_soon(_serve, _server(partial(_readiness, node)), boot.readiness_address)
-        nursery.start_soon(_serve, _server(partial(_directory, node)), boot.directory_address)
-        nursery.start_soon(_serve, _server(_metrics), f"{boot.host}:{settings.metrics_port}")
+        nursery.start_soon(
+            _serve, _server(partial(_readiness, node), shares), boot.readiness_address
+        )
+        nursery.start_soon(
+            _serve, _server(partial(_directory, node), shares), boot.directory_address
+        )
+        nursery.start_soon(
+            _serve, _server(_metrics, shares), f"{boot.host}:{settings.metrics_port}"
+        )
         if boot.peer_address:
             nursery.start_soon(_serve, peers, boot.peer_address)
         nursery.start_soon(_check_settings_on_sighup)
@@ -265,8 +278,8 @@
     await server.serve(listener)
 
 
-def _server(handler) -> HttpServer:
-    return HttpServer(handler, ConnectionLimits())
+def _server(handler: Handler, shares: DescriptorShares) -> HttpServer:
+    return HttpServer(handler, ConnectionLimits(), share=shares.status)
 
 
 async def _readiness(node: EdgeNode, request: HttpRequest, responder: Responder) -> None:
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from railtide.http.client import PeerPool
+from railtide.http.descriptors import DescriptorShare
 from railtide.http.errors import HttpError, Stalled
 from railtide.http.messages import HttpRequest
 from railtide.http.stall import MIN_BYTES, StallWatch
@@ -206,12 +207,20 @@
         Counts operations and bytes by outcome.
     traffic : Traffic, optional
         Counts the bytes of all connections.
+    share : DescriptorShare, optional
+        Of the connections; unlimited by default.
     """
 
-    def __init__(self, address: str, counters: Counters, traffic: Traffic | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        counters: Counters,
+        traffic: Traffic | None = None,
+        share: DescriptorShare | None = None,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self._traffic = traffic or Traffic()
-        self._pool = PeerPool(host, int(port), self._traffic)
+        self._pool = PeerPool(host, int(port), self._traffic, share=share)
         self._host = address.encode()
         self._counters = counters
         self._timeouts = ResponseTimeouts(FIRST_BYTE_TIMEOUT_S, MAX_FIRST_BYTE_TIMEOUT_S)
--- a/railtide/platform/tests/test_boot.py
+++ b/railtide/platform/tests/test_boot.py
@@ -41,7 +41,7 @@
         with pytest.raises(InvalidSetting, match=r"bounds\.retry_slack"):
             read_boot(write(tmp_path, text))
 
-    @pytest.mark.parametrize("text", ["{", "- 1", ""])
+    @pytest.mark.parametrize("text", ["{", "- 1", "", "[" * 20_000])
     def test_malformed_file_is_invalid(self, tmp_path: Path, text: str) -> None:
         with pytest.raises(InvalidSetting):
             read_boot(write(tmp_path, text))
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -8,12 +8,14 @@
 from railtide.containment.crash_detection import ProbeResult
 from railtide.http.client import HttpAnswer
 from railtide.http.correlation import Correlation
+from railtide.http.descriptors import DescriptorShare
 from railtide.http.errors import (
     AnswerTooLong,
     ConnectFailed,
     ConnectRefused,
     ForeignAnswer,
     HttpError,
+    NoDescriptor,
 )
 from railtide.http.messages import Headers, HttpRequest, first_header, without_hop_by_hop
 from railtide.http.traffic import PeerKind, Traffic
@@ -30,6 +32,7 @@
     UpstreamLost,
     UpstreamMoved,
     UpstreamNotListening,
+    UpstreamNotTried,
     UpstreamRefused,
     UpstreamUnreachable,
 )
@@ -121,6 +124,8 @@
             )
         except ConnectRefused as err:
             raise UpstreamNotListening(err.detail, no_connection()) from err
+        except NoDescriptor as err:
+            raise UpstreamNotTried(err.detail, no_connection()) from err
         except ConnectFailed as err:
             raise UpstreamUnreachable(err.detail, no_connection()) from err
         except ForeignAnswer as err:
@@ -195,9 +200,11 @@
         raise UpstreamLost("the platform's engines report their load only in responses")
 
 
-def engine_connections(traffic: Traffic | None = None) -> DirectTransport:
+def engine_connections(
+    traffic: Traffic | None = None, share: DescriptorShare | None = None
+) -> DirectTransport:
     """Return a transport that matches the engines' responses with requests by their ids."""
-    return DirectTransport(traffic, CORRELATION)
+    return DirectTransport(traffic, CORRELATION, share)
 
 
 def _states_not_run(status: int, headers: Headers) -> bool:
--- a/railtide/process.py
+++ b/railtide/process.py
@@ -1,6 +1,7 @@
 """Process set-up that the server programs share: signals, clocks, garbage collection, addresses."""
 
 import gc
+import resource
 import signal
 import time
 from collections.abc import Mapping
@@ -18,6 +19,7 @@
 __all__ = [
     "announce",
     "kernel_clocks",
+    "max_descriptors",
     "new_incarnation",
     "new_rng",
     "relax_gc",
@@ -48,6 +50,12 @@
     gc.enable()
 
 
+def max_descriptors(stated: int | None) -> int:
+    """Return how many descriptors the process may open, by its settings and its limit."""
+    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return allowed if stated is None else min(stated, allowed)
+
+
 def new_incarnation() -> str:
     """Return a random id for one life of a process, unique among all processes."""
     return uuid4().hex[:INCARNATION_LENGTH]
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -36,6 +36,7 @@
     UpstreamLost,
     UpstreamMoved,
     UpstreamNotListening,
+    UpstreamNotTried,
     UpstreamRefused,
     UpstreamUnreachable,
 )
@@ -282,7 +283,7 @@
         if isinstance(err, UpstreamNotListening):
             note_crash(upstream, now)
         is_fault = not isinstance(err, UpstreamRefused) or now >= upstream.resting_until
-        if is_fault and not isinstance(err, StreamMoved):
+        if is_fault and not isinstance(err, StreamMoved | UpstreamNotTried):
             note_failure(upstream, now)
         self._services.counters.add(f"attempts_failed_{err.code.replace('-', '_')}")
         logger.bind(
@@ -301,6 +302,9 @@
         refused = isinstance(err, UpstreamRefused)
         if refused:
             err.retry_after = self._scheduler.retry_after_refusal(self._call.urgency)
+        if isinstance(err, UpstreamNotTried):
+            self._log_not_retried("no-descriptor")
+            raise err
         if not refused and not self._call.repeatable:
             self._log_not_retried("once-only")
             raise OutcomeUnknown(
--- a/railtide/telemetry/lines.py
+++ b/railtide/telemetry/lines.py
@@ -40,6 +40,8 @@
     ----------
     dropped : int
         Number of lines dropped since the last report of it.
+    lost : int
+        Number of lines that could not be written, for example since the reader went away.
 
     Examples
     --------
@@ -50,6 +52,7 @@
 
     def __init__(self, descriptor: int, max_lines: int = MAX_LINES) -> None:
         self.dropped = 0
+        self.lost = 0
         self._descriptor = descriptor
         self._max_lines = max_lines
         self._lines: deque[bytes] = deque()
@@ -85,6 +88,9 @@
                 written = os.write(self._descriptor, data)
             except BlockingIOError:
                 written = 0
+            except OSError:
+                self.lost += data.count(b"\n")
+                continue
             if written < len(data):
                 self._lines.appendleft(data[written:])
                 return
--- a/railtide/telemetry/tests/test_lines.py
+++ b/railtide/telemetry/tests/test_lines.py
@@ -56,3 +56,16 @@
             buffer.add(b"next\n")
             buffer.flush()
             assert os.read(read_end, 100_000) == line + b"next\n"
+
+    def test_reader_that_goes_away_ends_the_process(self) -> None:
+        read_end, write_end = os.pipe()
+        buffer = LineBuffer(write_end)
+        os.close(read_end)
+        buffer.add(b"a\n")
+        buffer.add(b"b\n")
+        buffer.flush()
+        os.close(write_end)
+        assert buffer.lost == 2
+        buffer.add(b"c\n")
+        buffer.flush()
+        assert buffer.lost == 3
--- a/railtide/upstreams/errors.py
+++ b/railtide/upstreams/errors.py
@@ -14,6 +14,7 @@
     "UpstreamFailed",
     "UpstreamLost",
     "UpstreamMoved",
+    "UpstreamNotTried",
     "UpstreamRefused",
     "UpstreamUnreachable",
 ]
@@ -53,6 +54,12 @@
     """No process listens at the upstream's address."""
 
 
+class UpstreamNotTried(UpstreamRefused):
+    """This router has no descriptor left for a connection, which says nothing of the upstream."""
+
+    code = "no-descriptor"
+
+
 class UpstreamMoved(UpstreamRefused):
     """Another upstream has the address now; this one no longer exists."""
 
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -9,6 +9,7 @@
 from railtide.http.client import HttpAnswer, PeerPool
 from railtide.http.connect import connect_tcp_stream
 from railtide.http.correlation import Correlation
+from railtide.http.descriptors import DescriptorShare, unlimited
 from railtide.http.errors import ConnectFailed, ConnectRefused
 from railtide.http.idle_connections import close_stale
 from railtide.http.messages import HttpRequest
@@ -69,13 +70,20 @@
         Counts the bytes of all connections.
     correlation : Correlation, optional
         How the upstreams' answers are matched with requests; by default only by their order.
+    share : DescriptorShare, optional
+        Of the connections; unlimited by default.
     """
 
     def __init__(
-        self, traffic: Traffic | None = None, correlation: Correlation | None = None
+        self,
+        traffic: Traffic | None = None,
+        correlation: Correlation | None = None,
+        share: DescriptorShare | None = None,
     ) -> None:
         self.traffic = traffic or Traffic()
         self._correlation = correlation
+        self._share = share or unlimited()
+        self._share.reclaimers.append(self._drop_idle)
         self._lane = ExcessLane()
         self._pool_by_incarnation: dict[str, PeerPool] = {}
         self._upstream_by_pool: dict[PeerPool, Instance] = {}
@@ -142,11 +150,23 @@
             del self._upstream_by_pool[pool]
             pool.close()
 
+    def _drop_idle(self) -> None:
+        for pool in self._pool_by_incarnation.values():
+            pool.drop_idle()
+
     def _pool(self, upstream: Instance) -> PeerPool:
         pool = self._pool_by_incarnation.get(upstream.incarnation)
         if pool is None:
             host, port = parse_endpoint(upstream.address)
-            pool = PeerPool(host, port, self.traffic, self._busy, self._correlation, self._lane)
+            pool = PeerPool(
+                host,
+                port,
+                self.traffic,
+                self._busy,
+                self._correlation,
+                self._lane,
+                self._share,
+            )
             self._pool_by_incarnation[upstream.incarnation] = pool
             self._upstream_by_pool[pool] = upstream
         return pool
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -28,6 +28,7 @@
 ENDS = "railtide/platform/tests/test_answer_endings.py"
 HTTP = "railtide/http/tests"
 REQUESTS = "railtide/requests/tests"
+DESCRIPTORS = "railtide/http/tests/test_descriptors.py"
 UNPROVEN = "railtide/platform/tests/test_unproven_refusals.py"
 REPEATED = "railtide/platform/tests/test_repeated_answers.py"
 ENDLESS = "railtide/platform/tests/test_endless_answers.py"
@@ -2602,6 +2603,34 @@
         "            if False:\n",
         (HTTP_UPSTREAMS,),
     ),
+    Mutant(
+        "socket-that-cannot-be-opened-ends-the-process",
+        "http/connect.py",
+        "    except OSError as err:\n        raise NoDescriptor",
+        "    except ValueError as err:\n        raise NoDescriptor",
+        (DESCRIPTORS, "railtide/platform/tests/test_descriptors_run_out.py"),
+    ),
+    Mutant(
+        "descriptor-of-a-closed-connection-is-not-given-back",
+        "http/idle_connections.py",
+        "            share.give_back()\n",
+        "            pass\n",
+        (DESCRIPTORS,),
+    ),
+    Mutant(
+        "idle-callers-keep-new-ones-out",
+        "http/limited_listener.py",
+        "        if self._close_idle():\n",
+        "        if False:\n",
+        (DESCRIPTORS,),
+    ),
+    Mutant(
+        "callers-connections-have-no-limit",
+        "http/descriptors.py",
+        "        return self.held < self.limit\n",
+        "        return True\n",
+        (DESCRIPTORS,),
+    ),
     Mutant(
         "notice-of-another-engine-at-the-address",
         "platform/upstreams.py",
