Routers that are lost together are named to callers for 5.5 s at most

Directories named lost routers for up to 11.5 s when the advertised ones were lost with others: an idle router writes its record every 3 s, counts as alive for 10.5 s, and took the place of those that were lost with it.

A router is selected only with a record of at most 4.5 s, unless none has one. Writing a record once an advertised router falls silent was tried and gained nothing.

test_lost_together failed before; mutant router-without-a-recent-record-is-advertised, caught.

--- a/railtide/membership/roster.py
+++ b/railtide/membership/roster.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Annotated
 
@@ -61,8 +61,12 @@
         A router whose record has not changed for so long is not advertised to callers: three
         heartbeats and a slow answer of the store. Scaled up for routers with longer intervals.
     idle_heartbeat_interval_s : float
-        Time between two records of a router that is not advertised. Its loss is noticed later but
-        affects no caller.
+        Time between two records of a router that is not advertised. Its loss is noticed later, but
+        see `proof_age_s`.
+    proof_age_s : float
+        A router is advertised only with a record that is not older, as long as there is one: the
+        time between two records of a router that is not advertised, a read of the topic, and half a
+        second.
     read_pause_s : float
         Pause between two reads of the topic.
     selection : SelectionOptions
@@ -73,6 +77,7 @@
     heartbeat_interval_s: float = 1.0
     dead_after_s: float = 3.5
     idle_heartbeat_interval_s: float = 3.0
+    proof_age_s: float = 4.5
     read_pause_s: float = 1.0
     selection: SelectionOptions = field(default_factory=SelectionOptions)
 
@@ -519,7 +524,11 @@
     def _candidates(self) -> list[Candidate]:
         silence_end = self._silence_end()
         return [
-            sighting.candidate
+            (
+                sighting.candidate
+                if silence_end - sighting.at <= self._options.proof_age_s
+                else replace(sighting.candidate, proved=False)
+            )
             for sighting in self._sightings_by_instance.values()
             if sighting.member.address
             and silence_end - sighting.at <= self._timeout_s(sighting.member)
--- a/railtide/membership/router_selection.py
+++ b/railtide/membership/router_selection.py
@@ -38,6 +38,9 @@
         Whether it knows of a newer configuration that it does not have.
     cut_off : bool
         Whether it reaches no upstream of some pool, though other routers do.
+    proved : bool
+        Whether a recent record proves it alive. A router that callers don't use writes seldom, so
+        that it counts as alive for longer than that.
     """
 
     endpoint: RouterEndpoint
@@ -45,6 +48,7 @@
     load: float
     outdated: bool = False
     cut_off: bool = False
+    proved: bool = True
 
 
 @dataclass(frozen=True)
@@ -112,7 +116,8 @@
 
     Routers that are cut off from upstreams are selected if the others are too few or can't carry
     the load: they serve through other routers. Outdated ones follow; they serve everything except
-    what the newer configuration adds.
+    what the newer configuration adds. Routers that are not proved alive are selected only if none
+    is: several may have been lost together.
 
     Notes
     -----
@@ -130,13 +135,7 @@
     needed = sum(candidate.load for candidate in candidates) / options.max_utilization
     chosen: list[RouterEndpoint] = []
     capacity = 0.0
-    current = [candidate for candidate in candidates if not candidate.outdated]
-    groups = (
-        [candidate for candidate in current if not candidate.cut_off],
-        [candidate for candidate in current if candidate.cut_off],
-        [candidate for candidate in candidates if candidate.outdated],
-    )
-    for candidate in chain.from_iterable(map(_by_domain_in_turn, groups)):
+    for candidate in _in_order(candidates):
         if len(chosen) >= options.min_routers and capacity >= needed:
             break
         chosen.append(candidate.endpoint)
@@ -144,6 +143,18 @@
     return chosen
 
 
+def _in_order(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the candidates in the order in which they are selected."""
+    proved = [candidate for candidate in candidates if candidate.proved] or candidates
+    current = [candidate for candidate in proved if not candidate.outdated]
+    groups = (
+        [candidate for candidate in current if not candidate.cut_off],
+        [candidate for candidate in current if candidate.cut_off],
+        [candidate for candidate in proved if candidate.outdated],
+    )
+    return list(chain.from_iterable(map(_by_domain_in_turn, groups)))
+
+
 def _by_domain_in_turn(candidates: Sequence[Candidate]) -> list[Candidate]:
     """Return the candidates: the best of each failure domain first, then the second best ones."""
     ordered_by_domain: dict[str, list[Candidate]] = {}
--- a/railtide/membership/tests/test_router_selection.py
+++ b/railtide/membership/tests/test_router_selection.py
@@ -74,6 +74,11 @@
         fleet = [candidate(f"{domain}{n}", domain) for domain in "abc" for n in range(4)]
         assert {name[0] for name in names(fleet)} == set("abc")
 
+    def test_router_that_may_be_lost_is_selected_beside_one_that_is_alive(self) -> None:
+        lost = [replace(candidate(f"l{n}", "b", 400.0), proved=False) for n in range(3)]
+        assert names([*lost, candidate("alive")]) == ["alive"]
+        assert len(names(lost)) == 3
+
     def test_largest_of_a_failure_domain_is_selected(self) -> None:
         fleet = [candidate("small", "a", 80.0), candidate("large", "a", 400.0)]
         assert names(fleet, SelectionOptions(min_routers=1)) == ["large"]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2631,6 +2631,13 @@
         "        return True\n",
         (DESCRIPTORS,),
     ),
+    Mutant(
+        "router-without-a-recent-record-is-advertised",
+        "membership/router_selection.py",
+        "    proved = [candidate for candidate in candidates if candidate.proved] or candidates\n",
+        "    proved = list(candidates)\n",
+        ("railtide/membership/tests/test_lost_together.py",),
+    ),
     Mutant(
         "notice-of-another-engine-at-the-address",
         "platform/upstreams.py",
