Containment: a part that all requests share isn't suspected while nothing is answered

Callers of all requests were refused when two parts of prompts crashed all engines at once: the sound part that all requests carry was held. Its complete answers counted for one second, and while all engines are down there are none, so that it was at more crashes than each guilty part.

A part that was among the last to be answered isn't suspected for up to 10 s without any answer. TestPartOfAllRequests failed before; 2 mutants, caught.

--- a/railtide/containment/registry.py
+++ b/railtide/containment/registry.py
@@ -7,6 +7,7 @@
 had cleared it.
 """
 
+import math
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
@@ -59,6 +60,9 @@
 kept for that much longer."""
 COMPLETION_FRESH_S = 1.0
 """How old a complete answer may be to still clear an observation that was in transit meanwhile."""
+MAX_COMPLETION_AGE_S = 10.0
+"""The same of a part of prompts, if nothing was answered completely since: while all upstreams are
+down, a part that all requests share is at each crash and can't be answered."""
 MAX_COMPLETIONS = 4_096
 TRIAL_ELSEWHERE_RETRY_S = 1.0
 """When a caller should retry a content whose trial another router makes."""
@@ -111,6 +115,7 @@
         self._write_due = trio.Event()
         self._cleared_here: dict[str, bytes] = {}
         self._completed_at: dict[str, float] = {}
+        self._last_completed_at = -math.inf
         self._unreadable_logged = False
         self._reconciling = False
         self._read_since_rise: dict[str, CrashObservation] = {}
@@ -199,7 +204,7 @@
         for broken in broken_attempts:
             attempt = broken.attempt
             for content, source in identities(attempt.content, attempt.parts):
-                if not self._completed_lately(content):
+                if not self._completed_lately(content, is_part=bool(source)):
                     observation = self._observation_of_attempt(digest, broken, content, source)
                     self._note_observation(observation, upstream)
         self._update_blame()
@@ -230,17 +235,23 @@
     def note_completed(self, content: str, parts: Sequence[PartDigests] = ()) -> None:
         """Record that a content and its parts were answered completely: they cause no crash."""
         completed = request_digests(content, parts)
+        self._last_completed_at = trio.current_time()
         for key in completed:
             self._completed_at.pop(key, None)
-            self._completed_at[key] = trio.current_time()
+            self._completed_at[key] = self._last_completed_at
         while len(self._completed_at) > MAX_COMPLETIONS:
             del self._completed_at[next(iter(self._completed_at))]
         if any([self._clear(key) for key in completed if key in self._observations]):
             self._update_blame()
 
-    def _completed_lately(self, content: str) -> bool:
+    def _completed_lately(self, content: str, is_part: bool) -> bool:
         at = self._completed_at.get(content)
-        return at is not None and trio.current_time() - at <= COMPLETION_FRESH_S
+        if at is None:
+            return False
+        age_s = trio.current_time() - at
+        if is_part and self._last_completed_at - at <= COMPLETION_FRESH_S:
+            return age_s < MAX_COMPLETION_AGE_S
+        return age_s <= COMPLETION_FRESH_S
 
     def _clear(self, content: str) -> bool:
         """Clear all observations of a content; return whether there were any."""
@@ -287,7 +298,7 @@
         if not self._observations.add(observation) or observation.cleared:
             return
         self._note_incarnation(observation.incarnation)
-        if self._completed_lately(observation.content):
+        if self._completed_lately(observation.content, observation.is_part):
             self._clear(observation.content)
 
     def _note_incarnation(self, incarnation: str) -> None:
--- a/railtide/containment/tests/test_parts.py
+++ b/railtide/containment/tests/test_parts.py
@@ -18,7 +18,7 @@
 from railtide.containment.errors import ContentHeld
 from railtide.containment.guard import AnswerEnding, CrashGuard
 from railtide.containment.holding import BASE_HOLD_S
-from railtide.containment.registry import MAX_PENDING, CrashRegistry
+from railtide.containment.registry import MAX_COMPLETION_AGE_S, MAX_PENDING, CrashRegistry
 from railtide.containment.tests.test_registry import PROPAGATION_S, Fleet
 from railtide.membership.instances import Instance
 
@@ -113,6 +113,33 @@
         assert not any(held(registry, "bad") for registry in fleet.registries)
 
 
+class TestPartOfAllRequests:
+    async def test_it_is_held_after_nothing_could_be_answered(
+        self, nursery, autojump_clock
+    ) -> None:
+        """Two guilty parts crash all upstreams, and again as soon as these are back."""
+        fleet = Fleet(nursery, routers=3)
+        for number, registry in enumerate(fleet.registries):
+            registry.note_completed(f"{number:032x}", parts_of("all", "sound"))
+        for number in range(2 * CRASHES):
+            await trio.sleep(1.5 if number % CRASHES == 0 else 0.12)
+            broken = attempt(f"c{number}", "all", f"bad{number % 2}")
+            fleet.registries[number % 3].note_crash(f"i-{number}", f"i-{number}", [broken])
+        await trio.sleep(PROPAGATION_S)
+        assert held(fleet.registries[0], "bad0") and held(fleet.registries[0], "bad1")
+        assert not any(held(registry, "all") for registry in fleet.registries)
+
+    async def test_part_that_crashes_upstreams_of_late_is_never_held(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery)
+        fleet.registries[0].note_completed("e" * 32, parts_of("bad"))
+        await trio.sleep(MAX_COMPLETION_AGE_S)
+        for number in range(CRASHES):
+            await crash(fleet, number, attempt(f"c{number}", "bad"))
+        assert held(fleet.registries[0], "bad")
+
+
 class TestQuickSeries:
     READ = "read by all callers"
 
