Requests aren't sent on once their callers' connections have ended

A caller's request and its close that are read together, as a late or stopped router does, reached an engine: the handler ran before the task that watches the connection.

Right before an attempt, and before a request of another router is sent on, the connection is looked at without being read, and the deadline compared again. Failed before: test_callers_that_left (2 of 6). 2 mutants, caught.

--- a/railtide/forwarding/handler.py
+++ b/railtide/forwarding/handler.py
@@ -111,6 +111,7 @@
             with self._host.serving(), trio.move_on_after(message.timeout_s):
                 upstream = await self._check(request, message)
                 self._host.check_may_send(upstream)
+                await responder.check_caller()
                 await self._send(upstream, message, responder)
         finally:
             self._open -= 1
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -13,7 +13,7 @@
 from railtide.http.errors import CallerDisconnected
 from railtide.http.limited_listener import LimitedListener
 from railtide.http.messages import Headers, HttpRequest, first_header
-from railtide.http.sockets import set_tcp_options
+from railtide.http.sockets import has_ended, set_tcp_options
 from railtide.http.traffic import Traffic
 
 __all__ = ["CLOSE", "ConnectionLimits", "Handler", "HttpServer", "Responder"]
@@ -97,6 +97,15 @@
     def hijack(self) -> trio.SocketStream:
         """Return the stream, to which only the handler writes and which is closed after it."""
 
+    @abstractmethod
+    async def check_caller(self) -> None:
+        """Raise if the caller has disconnected, also if its handler was not cancelled yet.
+
+        Raises
+        ------
+        CallerDisconnected
+        """
+
     async def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a complete answer."""
         await self.start(status, headers, len(body))
@@ -441,6 +450,11 @@
         await self._send(self._take_head() + end)
         self.finished = True
 
+    async def check_caller(self) -> None:
+        """Raise if the caller has disconnected; see `Responder.check_caller`."""
+        if await has_ended(self._connection.stream.socket):
+            raise CallerDisconnected("the caller closed its connection")
+
     def hijack(self) -> trio.SocketStream:
         """Return the connection; see `Responder.hijack`."""
         self.started = True
--- a/railtide/http/sockets.py
+++ b/railtide/http/sockets.py
@@ -4,7 +4,7 @@
 
 import trio
 
-__all__ = ["listen", "set_tcp_options"]
+__all__ = ["has_ended", "listen", "set_tcp_options"]
 
 BACKLOG = 1024
 USER_TIMEOUT_MS = 4_000
@@ -26,6 +26,19 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
 
 
+async def has_ended(sock: trio.socket.SocketType) -> bool:
+    """Return whether the peer has closed or reset the connection; nothing is read.
+
+    What the peer sent before hides its close.
+    """
+    if not sock.is_readable():
+        return False
+    try:
+        return not await sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
+
+
 async def listen(host: str, port: int) -> trio.SocketListener:
     """Return a TCP listener; port 0 lets the system choose a port.
 
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -43,6 +43,9 @@
         self.status = 0
         self.written: list[int] = []
 
+    async def check_caller(self) -> None:
+        await self._responder.check_caller()
+
     async def start(
         self, status: int, content_type: str, request_id: str, headers: Headers = ()
     ) -> None:
--- a/railtide/requests/call.py
+++ b/railtide/requests/call.py
@@ -157,3 +157,6 @@
     @abstractmethod
     async def finish(self) -> None:
         """End the body; without this the caller sees that the answer is incomplete."""
+
+    async def check_caller(self) -> None:  # noqa: B027 - not each connection can tell
+        """Raise an error if the caller is known to have left."""
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -231,6 +231,7 @@
             span.set_attribute("railtide.upstream", upstream.name)
             self._commit.check_ownership()
             await self._guarded.check()
+            await self._check_may_send()
             self._version.note_sent(upstream)
             self._sent_to = upstream
             with self._guarded.begin() as scope:
@@ -244,6 +245,16 @@
             self._sent_to = None
             return relayed
 
+    async def _check_may_send(self) -> None:
+        """Raise if no answer would be of use any more: the caller has left, or the deadline passed.
+
+        Both may have become known in the turn of the event loop in which the wait before ended, or
+        while the loop was late.
+        """
+        await self._sink.check_caller()
+        if trio.current_time() >= self._call.deadline:
+            raise self._deadline_error()
+
     def _report_stream_pauses(self) -> None:
         """Report to the scheduler whether a complete stream paused for longer than its goal."""
         goal_s = self._call.pause_goal_s
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -29,6 +29,7 @@
 HTTP = "railtide/http/tests"
 REQUESTS = "railtide/requests/tests"
 DESCRIPTORS = "railtide/http/tests/test_descriptors.py"
+LEFT = "railtide/platform/tests/test_callers_that_left.py"
 UNPROVEN = "railtide/platform/tests/test_unproven_refusals.py"
 REPEATED = "railtide/platform/tests/test_repeated_answers.py"
 ENDLESS = "railtide/platform/tests/test_endless_answers.py"
@@ -2652,6 +2653,20 @@
         "            return True\n",
         ("railtide/containment/tests/test_parts.py",),
     ),
+    Mutant(
+        "request-is-sent-on-though-its-caller-has-left",
+        "requests/execution.py",
+        "        await self._sink.check_caller()\n",
+        "",
+        (LEFT,),
+    ),
+    Mutant(
+        "request-is-forwarded-though-its-caller-has-left",
+        "forwarding/handler.py",
+        "                await responder.check_caller()\n",
+        "",
+        (LEFT,),
+    ),
     Mutant(
         "notice-of-another-engine-at-the-address",
         "platform/upstreams.py",
