--- a/railtide/edge/peer_server.py
+++ b/railtide/edge/peer_server.py
@@ -21,7 +21,7 @@
 ) -> HttpServer:
     """Return the server of other routers' messages.
 
-    Its connections wait for room: a router whose connection is refused behind a sent request can't
+    Its connections wait for room: a router whose connection is closed after it sent a request can't
     tell that nothing was forwarded.
     """
     loans = LoanHandler(lender)
