--- a/railtide/http/descriptors.py
+++ b/railtide/http/descriptors.py
@@ -7,9 +7,8 @@
 
 FILES = 200
 """Descriptors that are not for sockets and pipes: the platform reserves them for files."""
-OWN = 96
-"""Listening sockets, standard streams and the event loop, and connections that were accepted in one
-turn of the event loop and may be refused."""
+OWN = 16
+"""Listening sockets, standard streams and the event loop, and connections that are just refused."""
 STORE = 64
 """The store's client holds a few connections that wait for records, and hedges."""
 STATUS = 128
@@ -125,7 +124,7 @@
     Examples
     --------
     >>> shares_of(4_100).limit_by_use()["callers"]
-    2900
+    2965
     >>> sum(shares_of(1_638).limit_by_use().values()) + FILES + OWN
     1638
     """
--- a/railtide/http/limited_listener.py
+++ b/railtide/http/limited_listener.py
@@ -27,7 +27,7 @@
 
     Parameters
     ----------
-    listener : trio.abc.Listener[trio.SocketStream]
+    listener : trio.SocketListener
     share : DescriptorShare
     close_idle : callable
         Begins to close a connection that waits for a request; returns whether there is one.
@@ -36,7 +36,7 @@
 
     def __init__(
         self,
-        listener: trio.abc.Listener[trio.SocketStream],
+        listener: trio.SocketListener,
         share: DescriptorShare,
         close_idle: Callable[[], bool],
         waits: bool = False,
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -175,7 +175,7 @@
         self.share = share or unlimited()
         self._waits_for_room = waits_for_room
 
-    async def serve(self, listener: trio.abc.Listener[trio.SocketStream]) -> None:
+    async def serve(self, listener: trio.SocketListener) -> None:
         """Accept connections until cancelled."""
         limited = LimitedListener(
             listener, self.share, self._close_longest_idle, self._waits_for_room
--- a/railtide/http/sockets.py
+++ b/railtide/http/sockets.py
@@ -1,15 +1,12 @@
 """TCP socket options: no Nagle delay, and lost peers are detected within seconds."""
 
 import socket
-from collections import deque
 
 import trio
 
-__all__ = ["BatchListener", "has_ended", "listen", "set_tcp_options"]
+__all__ = ["has_ended", "listen", "set_tcp_options"]
 
 BACKLOG = 1024
-MAX_ACCEPTED = 64
-"""Connections accepted in one turn of the event loop, besides the first."""
 USER_TIMEOUT_MS = 4_000
 """A connection to a host that does not respond fails after this time: 4.4 s with unacknowledged
 bytes and 4.1 s without, measured on Linux 6.18. That is longer than any interruption of a healthy
@@ -42,53 +39,7 @@
         return True
 
 
-class BatchListener(trio.abc.Listener[trio.SocketStream]):
-    """Accepts all connections that wait, up to a number, in one turn of the event loop.
-
-    A `trio.SocketListener` takes one turn for each. Where turns are long, requests would be read
-    long after their arrival, and neither their deadlines nor their callers' closes be known.
-
-    Parameters
-    ----------
-    sock : socket.socket
-        Listening and not blocking.
-
-    Attributes
-    ----------
-    socket : trio.socket.SocketType
-    """
-
-    def __init__(self, sock: socket.socket) -> None:
-        self.socket = trio.socket.from_stdlib_socket(sock)
-        self._sock = sock
-        self._listener = trio.SocketListener(self.socket)
-        self._accepted: deque[trio.SocketStream] = deque()
-
-    async def accept(self) -> trio.SocketStream:
-        """Return the next connection; see `trio.abc.Listener.accept`."""
-        if self._accepted:
-            return self._accepted.popleft()
-        stream = await self._listener.accept()
-        self._accept_waiting()
-        return stream
-
-    def _accept_waiting(self) -> None:
-        while len(self._accepted) < MAX_ACCEPTED:
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                return  # none waits, or the next `accept` reports why it can't be accepted
-            sock.setblocking(False)
-            self._accepted.append(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
-
-    async def aclose(self) -> None:
-        """Stop listening, and close the connections that were not returned yet."""
-        while self._accepted:
-            self._accepted.popleft().socket.close()
-        await self._listener.aclose()
-
-
-async def listen(host: str, port: int) -> BatchListener:
+async def listen(host: str, port: int) -> trio.SocketListener:
     """Return a TCP listener; port 0 lets the system choose a port.
 
     Raises
@@ -96,13 +47,8 @@
     OSError
         If the address can't be bound.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, port))
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    return BatchListener(sock)
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    await sock.bind((host, port))
+    sock.listen(BACKLOG)
+    return trio.SocketListener(sock)
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -21,7 +21,7 @@
 from railtide.http.descriptors import DescriptorShares, shares_of
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, Handler, HttpServer, Responder
-from railtide.http.sockets import BatchListener, listen
+from railtide.http.sockets import listen
 from railtide.http.traffic import Traffic
 from railtide.membership.identity import Identity
 from railtide.platform.boot import Boot, read_boot
@@ -254,7 +254,7 @@
         limits.idle_timeout_s = snapshot.limits.idle_timeout_s
 
 
-async def _listen_or_exit(address: str, lines: LineBuffer) -> BatchListener:
+async def _listen_or_exit(address: str, lines: LineBuffer) -> trio.SocketListener:
     """Return a listener for client requests, or exit if another process listens at the address.
 
     This precedes the reading of the ledgers, where this process counts as proof that the former
--- a/railtide/standins/crashing_engine.py
+++ b/railtide/standins/crashing_engine.py
@@ -7,7 +7,7 @@
 
 from railtide.http.messages import HttpRequest, first_header
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
-from railtide.http.sockets import BatchListener, listen
+from railtide.http.sockets import listen
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import EngineScript, PlatformEngine, engine_entry
 
@@ -116,7 +116,7 @@
             self.crashed_at_by_incarnation[self.incarnation] = trio.current_time()
             nursery.cancel_scope.cancel()
 
-    async def _listen(self) -> BatchListener:
+    async def _listen(self) -> trio.SocketListener:
         """Return a listener at the address, retrying while another socket still uses it."""
         while True:
             try:
--- a/railtide/standins/repeated_answers.py
+++ b/railtide/standins/repeated_answers.py
@@ -4,8 +4,6 @@
 
 import trio
 
-from railtide.http.sockets import BatchListener
-
 __all__ = ["RepeatedAnswers"]
 
 MAX_REPEATED_BYTES = 65_536
@@ -20,7 +18,7 @@
 
     Parameters
     ----------
-    listener : BatchListener
+    listener : trio.SocketListener
     is_repeated : callable
         Given the bytes of an answer, returns whether it is sent a second time.
 
@@ -32,7 +30,7 @@
         Number of connections accepted.
     """
 
-    def __init__(self, listener: BatchListener, is_repeated: Callable[[bytes], bool]) -> None:
+    def __init__(self, listener: trio.SocketListener, is_repeated: Callable[[bytes], bool]) -> None:
         self.count = 0
         self.accepted = 0
         self.is_repeated = is_repeated
