All connections of an edge router share an account of its memory

Callers saw a router that was killed when clients sent many large bodies, or didn't read long answers. Cause: each request had a limit, all together had none, on no listener; and the kernel buffered up to 32 MB a connection beside.

ConnectionMemory counts what each connection holds, from its accept until the kernel has its answer: a quarter of limits.memory_mb for the callers', the readiness, directory, metrics and peer address. A holding leaves as much to the others as it takes, or a quarter, so that large bodies don't keep out small ones. A request whose stated length finds no room gets 503 with Retry-After before its body is read; a length beyond the limit gets 413 then. Where memory runs short, connections whose peers are over a second behind 64 KB/s end, those with most byte seconds first. Status pages take 4 KB. Kernel buffers are set. Large answers are sent without a copy of their own beside the head.

--- a/railtide/edge/peer_server.py
+++ b/railtide/edge/peer_server.py
@@ -2,9 +2,10 @@
 
 from railtide.forwarding.handler import ForwardHandler
 from railtide.forwarding.messages import FORWARD_PATH, MESSAGE_OVERHEAD, PATHS_PATH
+from railtide.http.connection_memory import ConnectionMemory
 from railtide.http.descriptors import DescriptorShare
 from railtide.http.messages import HttpRequest
-from railtide.http.server import ConnectionLimits, HttpServer, Responder
+from railtide.http.server import ConnectionLimits, HttpServer, Responder, answer_rejection
 from railtide.loans.handler import LoanHandler
 from railtide.loans.lender import Lender
 
@@ -17,7 +18,10 @@
 
 
 def peer_server(
-    lender: Lender, forwarding: ForwardHandler, share: DescriptorShare | None = None
+    lender: Lender,
+    forwarding: ForwardHandler,
+    share: DescriptorShare | None = None,
+    memory: ConnectionMemory | None = None,
 ) -> HttpServer:
     """Return the server of other routers' messages.
 
@@ -27,13 +31,15 @@
     loans = LoanHandler(lender)
 
     async def handle(request: HttpRequest, responder: Responder) -> None:
-        if request.method == POST and request.target in FORWARDING_PATHS:
+        if request.rejection:
+            await answer_rejection(request.rejection, responder)
+        elif request.method == POST and request.target in FORWARDING_PATHS:
             await forwarding.handle(request, responder)
         else:
             await loans.handle(request, responder)
 
     limits = ConnectionLimits(body_bytes=DEFAULT_BODY_BYTES + MESSAGE_OVERHEAD)
-    return HttpServer(handle, limits, share=share, waits_for_room=True)
+    return HttpServer(handle, limits, share=share, waits_for_room=True, memory=memory)
 
 
 def set_body_limit(server: HttpServer, body_bytes: int) -> None:
--- a/railtide/http/errors.py
+++ b/railtide/http/errors.py
@@ -11,6 +11,7 @@
     "ConnectionLost",
     "ForeignAnswer",
     "HttpError",
+    "MemoryExhausted",
     "NoDescriptor",
     "Stalled",
 ]
@@ -83,3 +84,11 @@
     """The caller closed its connection before it received the whole answer."""
 
     code = "caller-gone"
+
+
+class MemoryExhausted(HttpError):
+    """The connections of this process hold as much memory as they may; nothing was read or sent."""
+
+    code = "memory-exhausted"
+    status = 503
+    run = ExecutionStatus.NOT_RUN
--- a/railtide/http/limited_listener.py
+++ b/railtide/http/limited_listener.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 import trio
-from loguru import logger
 
 from railtide.http.descriptors import DescriptorShare
+from railtide.http.refusal_series import RefusalSeries
 
 __all__ = ["LimitedListener"]
 
@@ -13,8 +13,6 @@
 """Scheduling steps within which a connection that waits for a request ends; it takes a few."""
 WAIT_S = 0.05
 """Interval at which a listener that waits looks for room."""
-QUIET_S = 1.0
-"""A series of refusals has ended when none came for this long."""
 
 
 class LimitedListener(trio.abc.Listener[trio.SocketStream]):
@@ -32,6 +30,10 @@
     close_idle : callable
         Begins to close a connection that waits for a request; returns whether there is one.
     waits : bool, optional
+
+    Attributes
+    ----------
+    series : RefusalSeries
     """
 
     def __init__(
@@ -45,9 +47,7 @@
         self._share = share
         self._close_idle = close_idle
         self._waits = waits
-        self._refused_in_series = 0
-        self._series_began_at = 0.0
-        self._refused_at = 0.0
+        self.series = RefusalSeries("connections-refused", "connections-accepted")
 
     async def accept(self) -> trio.SocketStream:
         """Return the next connection for which there is room; see `release`."""
@@ -60,7 +60,7 @@
             if self._share.take():
                 return stream
             stream.socket.close()
-            self._note_refused()
+            self.series.note(held=self._share.held, limit=self._share.limit)
 
     async def _make_room(self) -> None:
         """Close a connection that waits for a request, if there is one.
@@ -80,24 +80,3 @@
     async def aclose(self) -> None:
         """Stop listening."""
         await self._listener.aclose()
-
-    def _note_refused(self) -> None:
-        now = trio.current_time()
-        if not self._refused_in_series:
-            self._series_began_at = now
-            logger.bind(held=self._share.held, limit=self._share.limit).warning(
-                "connections-refused"
-            )
-        self._refused_in_series += 1
-        self._refused_at = now
-
-    async def report_ends(self) -> None:
-        """Log the end of each series of refusals, until cancelled."""
-        while True:
-            await trio.sleep(QUIET_S)
-            if self._refused_in_series and trio.current_time() - self._refused_at >= QUIET_S:
-                logger.bind(
-                    refused=self._refused_in_series,
-                    lasted_s=round(self._refused_at - self._series_began_at, 2),
-                ).warning("connections-accepted")
-                self._refused_in_series = 0
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -9,14 +9,21 @@
 from loguru import logger
 
 from railtide.errors import RailtideError
+from railtide.http.connection_memory import ConnectionMemory, Holding, unlimited_memory
 from railtide.http.descriptors import DescriptorShare, unlimited
-from railtide.http.errors import CallerDisconnected
+from railtide.http.errors import CallerDisconnected, MemoryExhausted
 from railtide.http.limited_listener import LimitedListener
 from railtide.http.messages import Headers, HttpRequest, first_header
-from railtide.http.sockets import has_ended, set_tcp_options
+from railtide.http.sockets import (
+    LARGE_BUFFER_BYTES,
+    LISTENER_BUFFER_BYTES,
+    has_ended,
+    set_buffer_bytes,
+    set_tcp_options,
+)
 from railtide.http.traffic import Traffic
 
-__all__ = ["CLOSE", "ConnectionLimits", "Handler", "HttpServer", "Responder"]
+__all__ = ["CLOSE", "ConnectionLimits", "Handler", "HttpServer", "Responder", "answer_rejection"]
 
 READ_BYTES = 65_536
 MAX_READ_AHEAD = 262_144
@@ -34,6 +41,18 @@
 LINGER_S = 1.0
 """Longest wait for the rest of a rejected body after the rejection was sent."""
 
+CONNECTION_BYTES = 12_288
+"""Memory of a connection that waits for a request: its task and its parser."""
+REQUEST_BYTES = 32_768
+"""Memory of a request in progress without its body: its head, its tasks, and what the kernel
+buffers for its connection."""
+COPIES_OF_BODY = 2
+"""A body is held as received, and once more as it is sent to an upstream."""
+HOLD_STEP_BYTES = 65_536
+"""Steps in which the memory of a body without a stated length grows."""
+SEND_BYTES = 65_536
+"""Largest part of an answer that is sent at once."""
+
 HEADER_OVERHEAD = 4
 """Bytes of a header line besides its name and value: colon, space, CR and LF."""
 
@@ -106,6 +125,10 @@
         CallerDisconnected
         """
 
+    async def wait_disconnected(self) -> None:
+        """Return once the caller has disconnected; only for handlers that aren't cancelled then."""
+        await trio.sleep_forever()
+
     async def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a complete answer."""
         await self.start(status, headers, len(body))
@@ -113,6 +136,12 @@
         await self.finish()
 
 
+async def answer_rejection(rejection: RailtideError, responder: Responder) -> None:
+    """Answer a request that the server rejected, without a body."""
+    retry_after = f"{rejection.retry_after or 0:.2f}".encode()
+    await responder.answer(rejection.status, ((b"retry-after", retry_after),))
+
+
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 HeadCheck = Callable[[HttpRequest, int], RailtideError | None]
 """Given a request without its body, and the length of the body as stated (0 if unknown), returns
@@ -124,10 +153,13 @@
 
 
 class _RequestRefused(Exception):  # noqa: N818 - results in an answer, not in an error
-    def __init__(self, status: int, *, by_limit: bool = False) -> None:
+    def __init__(
+        self, status: int, *, by_limit: bool = False, rejection: MemoryExhausted | None = None
+    ) -> None:
         super().__init__(str(status))
         self.status = status
         self.by_limit = by_limit
+        self.rejection = rejection
 
 
 class HttpServer:
@@ -136,7 +168,7 @@
     Parameters
     ----------
     handler : callable
-        Answers one request. It is cancelled when the caller disconnects.
+        Answers one request.
     limits : ConnectionLimits
     traffic : Traffic, optional
         Counts the bytes of all connections.
@@ -146,7 +178,13 @@
         Of the connections; unlimited by default. While it is nearly used up, each answer asks its
         caller to close the connection, since most connections wait for their next request.
     waits_for_room : bool, optional
-        See `LimitedListener`.
+        See `LimitedListener`. Connections that wait for a request are not closed for want of
+        memory then.
+    memory : ConnectionMemory, optional
+        What all connections may hold, also those of other servers; unlimited by default.
+    cancels : bool, optional
+        Whether the handler is cancelled when its caller disconnects; else see
+        `Responder.wait_disconnected`.
 
     Attributes
     ----------
@@ -165,6 +203,8 @@
         check_head: HeadCheck = _admit_all,
         share: DescriptorShare | None = None,
         waits_for_room: bool = False,
+        memory: ConnectionMemory | None = None,
+        cancels: bool = True,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -173,13 +213,16 @@
         self.closing = False
         self.idle_scopes: dict[trio.CancelScope, None] = {}
         self.share = share or unlimited()
-        self._waits_for_room = waits_for_room
+        self.waits_for_room = waits_for_room
+        self.memory = memory or unlimited_memory()
+        self.cancels = cancels
+        self._holdings: set[Holding] = set()
 
-    async def serve(self, listener: trio.SocketListener) -> None:
-        """Accept connections until cancelled."""
-        limited = LimitedListener(
-            listener, self.share, self._close_longest_idle, self._waits_for_room
-        )
+    async def serve(
+        self, listener: trio.SocketListener, accepting: trio.CancelScope | None = None
+    ) -> None:
+        """Accept connections until `accepting` is cancelled, and serve them until they end."""
+        limited = LimitedListener(listener, self.share, self._make_room, self.waits_for_room)
 
         async def serve_and_release(stream: trio.SocketStream) -> None:
             try:
@@ -187,16 +230,20 @@
             finally:
                 limited.release()
 
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(limited.report_ends)
-            await trio.serve_listeners(serve_and_release, [limited], handler_nursery=nursery)
+        async with trio.open_nursery() as connections:
+            with accepting or trio.CancelScope():
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(limited.series.report_ends)
+                    await trio.serve_listeners(
+                        serve_and_release, [limited], handler_nursery=connections
+                    )
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
         for scope in list(self.idle_scopes):
             scope.cancel()
 
-    def _close_longest_idle(self) -> bool:
+    def _make_room(self) -> bool:
         """Begin to close the connection that waits longest; return whether there is one."""
         scope = next(iter(self.idle_scopes), None)
         if scope is None:
@@ -206,22 +253,42 @@
         return True
 
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
+        holding = self.memory.open()
+        self._holdings.add(holding)
         try:
+            self._hold_connection(holding)
             set_tcp_options(stream.socket)
-            await _Connection(self, stream).run()
+            await _Connection(self, stream, holding).run()
+        except MemoryExhausted:
+            pass  # nothing was read, so the caller may send its request again at once
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError, CallerDisconnected):
             pass  # the caller disconnected; the handler has logged the consequences
         except Exception as err:
             logger.bind(error=repr(err)).exception("connection-failed")
         finally:
+            holding.release()
+            self._holdings.discard(holding)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
+    def _hold_connection(self, holding: Holding) -> None:
+        """Take the memory of a new connection; see `LimitedListener` for those that wait."""
+        if self.waits_for_room:
+            holding.resize_held(CONNECTION_BYTES)
+        else:
+            holding.resize(CONNECTION_BYTES)
+
 
 class _Connection:
-    def __init__(self, server: HttpServer, stream: trio.SocketStream) -> None:
+    def __init__(self, server: HttpServer, stream: trio.SocketStream, holding: Holding) -> None:
         self.server = server
         self.stream = stream
+        self.holding = holding
+        self.base_bytes = CONNECTION_BYTES
+        self.body_bytes = 0
+        self.answer_bytes = 0
+        self._buffer_bytes = LISTENER_BUFFER_BYTES
+        self._head: h11.Request | None = None
         # h11 can't change its maximum later; `_next_event` checks the current head limit
         max_event_bytes = max(MAX_READ_AHEAD, server.limits.head_bytes)
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=max_event_bytes)
@@ -233,41 +300,83 @@
             try:
                 request = await self._read_request()
             except _RequestRefused as err:
-                await self._refuse(err)
-                return
+                if not err.rejection or not self._head:
+                    await self._refuse(err)
+                    return
+                request = replace(_request_of(self._head), rejection=err.rejection)
+                self.rejected_unread = True
             if request is None:
                 return
             sent = await self._answer(request)
+            del request
             if sent and self.rejected_unread:
                 await self._linger()
             if not sent or self.h11.their_state is not h11.DONE:
                 return
             self.h11.start_next_cycle()
-            self.read_ahead = 0
+            self._begin_cycle()
+
+    def _begin_cycle(self) -> None:
+        """Hold what was received of the next request, and what may not be sent of the answer."""
+        unsent = min(self.answer_bytes, self._buffer_bytes)
+        self.read_ahead = self.body_bytes = self.answer_bytes = 0
+        self.holding.resize_held(self.base_bytes + unsent + len(self.h11.trailing_data[0]))
+
+    def _hold_request(self, body_bytes: int = 0) -> None:
+        """Hold a request in progress whose body has so many bytes.
+
+        Raises
+        ------
+        _RequestRefused
+            There is no room for it.
+        """
+        size = self.base_bytes + REQUEST_BYTES + COPIES_OF_BODY * body_bytes
+        try:
+            self.holding.resize(size)
+        except MemoryExhausted as err:
+            raise _RequestRefused(UNAVAILABLE, rejection=err) from err
+        self.body_bytes = body_bytes
+
+    def use_large_buffers(self) -> None:
+        """Let the kernel buffer more for this connection, whose bodies are large."""
+        if self._buffer_bytes < LARGE_BUFFER_BYTES:
+            self.base_bytes += LARGE_BUFFER_BYTES - self._buffer_bytes
+            self._buffer_bytes = LARGE_BUFFER_BYTES
+            set_buffer_bytes(self.stream.socket, LARGE_BUFFER_BYTES)
 
     async def _linger(self) -> None:
-        """Read what a rejected caller still sends, up to a limit, before the connection is closed.
+        """Discard what a rejected caller still sends, up to a limit, before closing.
 
         A close with unread bytes resets the connection, and the caller may lose the rejection.
         """
-        remaining = MAX_READ_AHEAD
+        if self.holding.is_evicted:
+            return
+        legal_bytes = self._legal_bytes()
+        remaining = max(MAX_READ_AHEAD, legal_bytes)
         with trio.move_on_after(LINGER_S):
             await self.stream.send_eof()
             while remaining > 0 and (data := await self._receive()):
                 remaining -= len(data)
 
+    def _legal_bytes(self) -> int:
+        """Return the stated length of the body, 0 if it is beyond the limit."""
+        length = _stated_length(self._head) if self._head else 0
+        return length if length <= self.server.limits.body_bytes else 0
+
     @property
     def is_closing(self) -> bool:
         """Whether the connection ends after this answer."""
         return self.server.closing or self.server.share.is_crowded or self.rejected_unread
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes | memoryview) -> None:
         await self.stream.send_all(data)
+        self.answer_bytes += len(data)
         self.server.traffic.note_sent(len(data))
 
     async def _receive(self) -> bytes:
         data = await self.stream.receive_some(READ_BYTES)
         self.server.traffic.note_received(len(data))
+        self.holding.note_progress(len(data))
         return data
 
     # -- reading ------------------------------------------------------------------------------
@@ -277,7 +386,17 @@
         if not self.h11.trailing_data[0] and not await self._wait_for_bytes():
             return None
         with trio.move_on_after(self.server.limits.head_timeout_s) as scope:
-            return await self._read_whole(scope)
+            self.holding.wait_for_peer(scope.cancel)
+            try:
+                return await self._read_whole(scope)
+            finally:
+                self.holding.stop_waiting()
+        if self.holding.is_evicted:
+            err = MemoryExhausted(
+                "the request arrived too slowly while memory ran short",
+                retry_after=self.server.memory.retry_after_s(),
+            )
+            raise _RequestRefused(UNAVAILABLE, rejection=err)
         if scope.cancelled_caught:
             raise _RequestRefused(TIMEOUT)
         return None
@@ -286,9 +405,12 @@
         """Wait for the first bytes of a request; return False if none arrive in time."""
         with trio.move_on_after(self.server.limits.idle_timeout_s) as scope:
             self.server.idle_scopes[scope] = None
+            if not self.server.waits_for_room:
+                self.holding.wait_for_peer(scope.cancel)
             try:
                 data = await self._receive()
             finally:
+                self.holding.stop_waiting()
                 self.server.idle_scopes.pop(scope, None)
         if scope.cancelled_caught or not data:
             return False
@@ -300,22 +422,19 @@
 
         Each received part of the body extends the deadline by its size / `MIN_BODY_RATE`.
         """
-        head = rejected = None
+        self._head = head = rejected = None
+        self._hold_request()
         body = bytearray()
         while True:
             event = await self._next_event(in_head=head is None)
             if isinstance(event, h11.Request):
-                head = event
-                if _head_bytes(event) > self.server.limits.head_bytes:
-                    raise _RequestRefused(HEAD_TOO_LARGE, by_limit=True)
-                rejected = self._rejected(event)
-                if rejected and self._is_closing_cheaper(event):
-                    self.rejected_unread = True
+                self._head = head = event
+                rejected = self._begin_body(event)
+                if rejected and self.rejected_unread:
                     return rejected
             elif isinstance(event, h11.Data):
+                self._check_body_size(len(body) + len(event.data))
                 body += event.data
-                if len(body) > self.server.limits.body_bytes:
-                    raise _RequestRefused(BODY_TOO_LARGE, by_limit=True)
                 scope.deadline += len(event.data) / MIN_BODY_RATE
             elif isinstance(event, h11.EndOfMessage):
                 if rejected:
@@ -324,9 +443,38 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return None
 
+    def _begin_body(self, head: h11.Request) -> HttpRequest | None:
+        """Return the request if its head check rejects it; else hold the body that is stated."""
+        if _head_bytes(head) > self.server.limits.head_bytes:
+            raise _RequestRefused(HEAD_TOO_LARGE, by_limit=True)
+        rejected = self._rejected(head)
+        if rejected:
+            self.rejected_unread = self._is_closing_cheaper(head)
+            return rejected
+        length = _stated_length(head)
+        self._check_limit(length)
+        if length:
+            self._hold_request(length)
+        if length > LISTENER_BUFFER_BYTES:
+            self.use_large_buffers()
+        return None
+
+    def _check_body_size(self, size: int) -> None:
+        """Raise if a body of so many bytes is too large; hold them."""
+        self._check_limit(size)
+        if size > self.body_bytes:
+            self._hold_request(min(size + HOLD_STEP_BYTES, self.server.limits.body_bytes))
+
+    def _check_limit(self, size: int) -> None:
+        """Raise if a body of so many bytes is too large, or never fits into the memory."""
+        if size > self.server.limits.body_bytes:
+            raise _RequestRefused(BODY_TOO_LARGE, by_limit=True)
+        if COPIES_OF_BODY * size > self.server.memory.limit:
+            raise _RequestRefused(BODY_TOO_LARGE)
+
     def _rejected(self, head: h11.Request) -> HttpRequest | None:
         """Return the request without a body if the head check rejects it."""
-        request = HttpRequest(head.method, head.target, tuple(head.headers))
+        request = _request_of(head)
         rejection = self.server.check_head(request, _stated_length(head))
         return replace(request, rejection=rejection) if rejection else None
 
@@ -361,8 +509,16 @@
         """Answer a request that is invalid or exceeds a limit, and end the connection."""
         if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        self.holding.resize_held(self.base_bytes)
+        with trio.move_on_after(LINGER_S):
+            await self._answer_refused(refused)
+        await self._linger()
+
+    async def _answer_refused(self, refused: _RequestRefused) -> None:
         responder = _H11Responder(self)
-        retry_after_s = self.server.limits.retry_after_s() if refused.by_limit else None
+        retry_after_s = refused.rejection.retry_after if refused.rejection else None
+        if refused.by_limit:
+            retry_after_s = self.server.limits.retry_after_s()
         if retry_after_s is None:
             await responder.answer(refused.status, (CLOSE,))
         else:
@@ -381,25 +537,36 @@
         responder = _H11Responder(self)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+                nursery.start_soon(self._watch_caller, responder, nursery.cancel_scope)
                 await self.server.handler(request, responder)
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, CallerDisconnected):
             pass  # the answer is incomplete, so the connection is closed
         return responder.finished
 
-    async def _watch_caller(self, scope: trio.CancelScope) -> None:
-        """Cancel the handler when the caller disconnects; buffer pipelined requests."""
+    async def _watch_caller(self, responder: "_H11Responder", scope: trio.CancelScope) -> None:
+        """Tell the handler or cancel it when the caller disconnects; buffer further requests."""
         while self.read_ahead < MAX_READ_AHEAD:
             try:
                 data = await self._receive()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
-                scope.cancel()
+                responder.disconnected.set()
+                if self.server.cancels:
+                    scope.cancel()
                 return
             self.read_ahead += len(data)
             self.h11.receive_data(data)
+            try:
+                self.holding.resize(self.holding.size + len(data))
+            except MemoryExhausted:
+                return
+
+
+def _request_of(head: h11.Request) -> HttpRequest:
+    """Return a request without its body."""
+    return HttpRequest(head.method, head.target, tuple(head.headers))
 
 
 def _stated_length(head: h11.Request) -> int:
@@ -416,6 +583,7 @@
 class _H11Responder(Responder):
     def __init__(self, connection: _Connection) -> None:
         self.finished = False
+        self.disconnected = trio.Event()
         self._connection = connection
 
     async def start(self, status: int, headers: Headers, length: int | None) -> None:
@@ -442,7 +610,11 @@
         """Send part of the body, together with the head if that was not sent yet."""
         if data:
             body = self._connection.h11.send(h11.Data(data=data))
-            await self._send(self._take_head() + body)
+            if len(body) > SEND_BYTES:
+                await self._send(self._take_head())
+                await self._send(body)
+            else:
+                await self._send(self._take_head() + body)
 
     async def finish(self) -> None:
         """End the answer; see `Responder.finish`."""
@@ -455,15 +627,40 @@
         if await has_ended(self._connection.stream.socket):
             raise CallerDisconnected("the caller closed its connection")
 
+    async def wait_disconnected(self) -> None:
+        """Return once the caller has disconnected; see `Responder.wait_disconnected`."""
+        await self.disconnected.wait()
+
     def hijack(self) -> trio.SocketStream:
         """Return the connection; see `Responder.hijack`."""
         self.started = True
         return self._connection.stream
 
     async def _send(self, data: bytes) -> None:
+        """Send bytes, which are held until the kernel has them."""
         if not data:
             return
+        holding = self._connection.holding
+        added = len(data) if len(data) > LISTENER_BUFFER_BYTES else 0
+        holding.wait_for_peer(self._connection.stream.socket.close)
         try:
-            await self._connection.send(data)
-        except trio.BrokenResourceError as err:
+            if added:
+                self._connection.use_large_buffers()
+                holding.resize_held(holding.size + added)
+            await self._send_parts(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
             raise CallerDisconnected("the caller closed its connection") from err
+        finally:
+            holding.stop_waiting()
+            if added:
+                holding.resize_held(holding.size - added)
+
+    async def _send_parts(self, data: bytes) -> None:
+        if len(data) <= SEND_BYTES:
+            await self._connection.send(data)
+            return
+        view = memoryview(data)
+        for start in range(0, len(data), SEND_BYTES):
+            part = view[start : start + SEND_BYTES]
+            await self._connection.send(part)
+            self._connection.holding.note_progress(len(part))
--- a/railtide/http/sockets.py
+++ b/railtide/http/sockets.py
@@ -4,7 +4,14 @@
 
 import trio
 
-__all__ = ["has_ended", "listen", "set_tcp_options"]
+__all__ = [
+    "LARGE_BUFFER_BYTES",
+    "LISTENER_BUFFER_BYTES",
+    "has_ended",
+    "listen",
+    "set_buffer_bytes",
+    "set_tcp_options",
+]
 
 BACKLOG = 1024
 USER_TIMEOUT_MS = 4_000
@@ -16,6 +23,12 @@
 KEEPALIVE_INTERVAL_S = 1
 """Probes begin before the user timeout ends: without any, an idle connection would not fail."""
 
+LISTENER_BUFFER_BYTES = 16_384
+"""What the kernel buffers in each direction for an accepted connection. By default it is up to
+32 MB, which a peer fills that sends and isn't read, or doesn't read."""
+LARGE_BUFFER_BYTES = 65_536
+"""The same for a connection with large bodies; a window of the size that TCP allows unscaled."""
+
 
 def set_tcp_options(sock: trio.socket.SocketType) -> None:
     """Set TCP_NODELAY and the timeouts on a connected socket."""
@@ -26,6 +39,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
 
 
+def set_buffer_bytes(sock: trio.socket.SocketType | socket.socket, count: int) -> None:
+    """Set what the kernel buffers for a socket in each direction; listeners pass it on."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, count)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, count)
+
+
 async def has_ended(sock: trio.socket.SocketType) -> bool:
     """Return whether the peer has closed or reset the connection; nothing is read.
 
@@ -49,6 +68,7 @@
     """
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    set_buffer_bytes(sock, LISTENER_BUFFER_BYTES)
     await sock.bind((host, port))
     sock.listen(BACKLOG)
     return trio.SocketListener(sock)
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -18,18 +18,26 @@
 from railtide.edge.node import EdgeNode
 from railtide.edge.options import EdgeOptions
 from railtide.edge.peer_server import peer_server, set_body_limit
+from railtide.http.connection_memory import ConnectionMemory
 from railtide.http.descriptors import DescriptorShares, shares_of
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, Handler, HttpServer, Responder
 from railtide.http.sockets import listen
 from railtide.http.traffic import Traffic
 from railtide.membership.identity import Identity
-from railtide.platform.boot import Boot, read_boot
+from railtide.platform.boot import BYTES_PER_MB, Boot, read_boot
 from railtide.platform.desired_state import PlatformSources
 from railtide.platform.ingress import Ingress, addresses_body
 from railtide.platform.store import PlatformStore
 from railtide.platform.upstreams import PlatformUpstreams, engine_connections
-from railtide.process import kernel_clocks, max_descriptors, new_incarnation, new_rng, relax_gc
+from railtide.process import (
+    connection_memory,
+    kernel_clocks,
+    max_descriptors,
+    new_incarnation,
+    new_rng,
+    relax_gc,
+)
 from railtide.requests.options import RequestOptions
 from railtide.settings import InvalidSetting, parse_endpoint, run_program, validate_settings
 from railtide.telemetry.counters import Counters
@@ -57,6 +65,8 @@
 LEDGER_PARTITIONS = 3
 """Partitions of the ledgers. Must never change: an account's ledger would be in two partitions.
 Three halve the append conflicts of 89 routers, and cost 8 routers two more reads a second."""
+MAX_STATUS_BODY = 4_096
+"""Largest body of a readiness check, a lookup or a request for metrics, none of which needs one."""
 CPU_S_PER_REQUEST = 0.005
 """Processor time of a request on a standard core. A day of 7 routers takes 20 s for 2,700 requests,
 a third of it for the routers' starts (docs/MEASUREMENTS.md)."""
@@ -150,6 +160,7 @@
     observe_each("descriptors_limit", "1", "use", shares.limit_by_use)
     observe_each("descriptors_refused", "1", "use", shares.refused_by_use)
     observe("lines_lost", "1", lambda: float(lines.lost))
+    memory = connection_memory(boot.memory_bytes / BYTES_PER_MB, rng)
     store = PlatformStore(boot.store, counters, control, shares.store)
     direct = engine_connections(traffic, shares.upstreams)
     forwarding = EdgeForwarding(identity, traffic, rng, direct=direct, share=shares.upstreams)
@@ -179,25 +190,26 @@
     observe_each("read_age", "s", "topic", node.read_ages_s)
     observe_each("upstream_pace", "", "upstream", node.upstream_paces)
     observe_each("upstreams_unreachable", "1", "pool", node.unreachable_by_pool)
-    peers = peer_server(node.lender, forwarding.handler, shares.peers)
+    peers = peer_server(node.lender, forwarding.handler, shares.peers, memory)
     node.on_snapshot = partial(_apply_limits, limits, peers)
     ingress = Ingress(node, rng)
-    server = HttpServer(ingress.handle, limits, traffic, ingress.check_head, shares.callers)
+    server = HttpServer(
+        ingress.handle, limits, traffic, ingress.check_head, shares.callers, memory=memory
+    )
+    status_server = partial(_server, shares=shares, memory=memory)
     listener = await _listen_or_exit(boot.client_address, lines)
     logger.bind(incarnation=identity.incarnation, address=boot.client_address).info("started")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lines.run)
         nursery.start_soon(node.run)
         nursery.start_soon(server.serve, listener)
-        nursery.start_soon(
-            _serve, _server(partial(_readiness, node), shares), boot.readiness_address
-        )
-        nursery.start_soon(
-            _serve, _server(partial(_directory, node), shares), boot.directory_address
-        )
-        nursery.start_soon(
-            _serve, _server(_metrics, shares), f"{boot.host}:{settings.metrics_port}"
-        )
+        nursery.start_soon(memory.run)
+        readiness = status_server(partial(_readiness, node))
+        nursery.start_soon(_serve, readiness, boot.readiness_address)
+        directory = status_server(partial(_directory, node))
+        nursery.start_soon(_serve, directory, boot.directory_address)
+        metrics_address = f"{boot.host}:{settings.metrics_port}"
+        nursery.start_soon(_serve, status_server(_metrics), metrics_address)
         if boot.peer_address:
             nursery.start_soon(_serve, peers, boot.peer_address)
         nursery.start_soon(_check_settings_on_sighup)
@@ -278,8 +290,9 @@
     await server.serve(listener)
 
 
-def _server(handler: Handler, shares: DescriptorShares) -> HttpServer:
-    return HttpServer(handler, ConnectionLimits(), share=shares.status)
+def _server(handler: Handler, shares: DescriptorShares, memory: ConnectionMemory) -> HttpServer:
+    limits = ConnectionLimits(body_bytes=MAX_STATUS_BODY)
+    return HttpServer(handler, limits, share=shares.status, memory=memory)
 
 
 async def _readiness(node: EdgeNode, request: HttpRequest, responder: Responder) -> None:
--- a/railtide/process.py
+++ b/railtide/process.py
@@ -1,6 +1,7 @@
 """Process set-up that the server programs share: signals, clocks, garbage collection, addresses."""
 
 import gc
+import os
 import resource
 import signal
 import time
@@ -15,9 +16,12 @@
 
 from railtide.budgets.spend_limit import ClockReading, Clocks, NoClocks
 from railtide.clocks import boot_time_s
+from railtide.http.connection_memory import ConnectionMemory
+from railtide.telemetry.meters import observe
 
 __all__ = [
     "announce",
+    "connection_memory",
     "kernel_clocks",
     "max_descriptors",
     "new_incarnation",
@@ -27,6 +31,9 @@
 ]
 
 INCARNATION_LENGTH = 12
+CONNECTIONS_SHARE = 0.25
+"""Share of the process's memory for what connections from outside hold."""
+BYTES_PER_MB = 1_048_576
 GC_THRESHOLD = 50_000
 GC_OLDER_THRESHOLD = 20
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
@@ -56,6 +63,25 @@
     return allowed if stated is None else min(stated, allowed)
 
 
+def connection_memory(memory_mb: float, rng: Random | None = None) -> ConnectionMemory:
+    """Return the memory of connections in a process that may use so much memory.
+
+    Parameters
+    ----------
+    memory_mb : float
+        0 for all memory of the machine.
+    rng : random.Random, optional
+    """
+    machine_bytes = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    limit = CONNECTIONS_SHARE * (memory_mb * BYTES_PER_MB or machine_bytes)
+    memory = ConnectionMemory(limit, rng or new_rng())
+    observe("connection_memory_limit", "By", lambda: memory.limit)
+    observe("connection_memory_held", "By", lambda: float(memory.held))
+    observe("connections_rejected_for_memory", "1", lambda: float(memory.rejected))
+    observe("connections_evicted", "1", lambda: float(memory.evicted))
+    return memory
+
+
 def new_incarnation() -> str:
     """Return a random id for one life of a process, unique among all processes."""
     return uuid4().hex[:INCARNATION_LENGTH]
