Request bodies in small pieces leave room for other callers

60 clients that send bodies in chunks of one byte kept all other callers from an answer for 30 s: a read of 64 KB holds 10,900 chunks, which were decoded in one turn of the event loop. 64 parts are decoded a turn now, and what arrives beyond a pace shares one rate, as for answers of upstreams (ReadPace).

test_bodies_take_the_memory[tiny_chunks]: no answer in 30 s before, passes.

--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -14,6 +14,7 @@
 from railtide.http.errors import CallerDisconnected, MemoryExhausted
 from railtide.http.limited_listener import LimitedListener
 from railtide.http.messages import Headers, HttpRequest, first_header
+from railtide.http.read_pace import CHUNK_WORK, ExcessLane, ReadPace
 from railtide.http.sockets import (
     LARGE_BUFFER_BYTES,
     LISTENER_BUFFER_BYTES,
@@ -52,6 +53,8 @@
 """Steps in which the memory of a body without a stated length grows."""
 SEND_BYTES = 65_536
 """Largest part of an answer that is sent at once."""
+MAX_EVENTS_AT_A_TIME = 64
+"""Parts of a body that are decoded before other tasks get a turn."""
 
 HEADER_OVERHEAD = 4
 """Bytes of a header line besides its name and value: colon, space, CR and LF."""
@@ -215,6 +218,7 @@
         self.share = share or unlimited()
         self.waits_for_room = waits_for_room
         self.memory = memory or unlimited_memory()
+        self.lane = ExcessLane()
         self.cancels = cancels
         self._holdings: set[Holding] = set()
 
@@ -289,6 +293,8 @@
         self.answer_bytes = 0
         self._buffer_bytes = LISTENER_BUFFER_BYTES
         self._head: h11.Request | None = None
+        self._events = 0
+        self._pace: ReadPace | None = None
         # h11 can't change its maximum later; `_next_event` checks the current head limit
         max_event_bytes = max(MAX_READ_AHEAD, server.limits.head_bytes)
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=max_event_bytes)
@@ -436,6 +442,7 @@
                 self._check_body_size(len(body) + len(event.data))
                 body += event.data
                 scope.deadline += len(event.data) / MIN_BODY_RATE
+                await self._note_part(len(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 if rejected:
                     return rejected
@@ -472,6 +479,12 @@
         if COPIES_OF_BODY * size > self.server.memory.limit:
             raise _RequestRefused(BODY_TOO_LARGE)
 
+    async def _note_part(self, size: int) -> None:
+        """Wait if the body arrives in more parts than this connection may bring."""
+        if self._pace is None:
+            self._pace = ReadPace(self.server.lane)
+        await self._pace.note(size + CHUNK_WORK)
+
     def _rejected(self, head: h11.Request) -> HttpRequest | None:
         """Return the request without a body if the head check rejects it."""
         request = _request_of(head)
@@ -497,6 +510,7 @@
                     raise _RequestRefused(HEAD_TOO_LARGE, by_limit=True) from err
                 raise _RequestRefused(BAD_REQUEST) from err
             if event is not h11.NEED_DATA:
+                await self._yield_at_times()
                 return event
             if in_head and len(self.h11.trailing_data[0]) > self.server.limits.head_bytes:
                 raise _RequestRefused(HEAD_TOO_LARGE, by_limit=True)
@@ -505,6 +519,11 @@
                 await self.send(self.h11.send(proceed))
             self.h11.receive_data(await self._receive())
 
+    async def _yield_at_times(self) -> None:
+        self._events += 1
+        if self._events % MAX_EVENTS_AT_A_TIME == 0:
+            await trio.lowlevel.checkpoint()
+
     async def _refuse(self, refused: _RequestRefused) -> None:
         """Answer a request that is invalid or exceeds a limit, and end the connection."""
         if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
