Connections whose callers stall make room for new ones when descriptors run out

900 clients with unfinished heads took all descriptors, and other callers were closed unread for as long as a head may take: only idle connections made room. Now the stalled one with most byte seconds does, if none is idle.

--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -248,10 +248,13 @@
             scope.cancel()
 
     def _make_room(self) -> bool:
-        """Begin to close the connection that waits longest; return whether there is one."""
+        """Begin to close the connection that waits longest, or one whose caller stalls.
+
+        Returns whether there is one.
+        """
         scope = next(iter(self.idle_scopes), None)
         if scope is None:
-            return False
+            return self.memory.evict_one(self._holdings)
         del self.idle_scopes[scope]
         scope.cancel()
         return True
--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import trio
+import trio.lowlevel
 
 __all__ = ["BODY_BYTES", "FORMS", "Target", "gather_crowd"]
 
@@ -106,6 +107,31 @@
     await stream.send_all(target.head(number, line)[: -len("\r\n\r\n")])
 
 
+async def endless_trailers(stream: trio.SocketStream, target: Target, number: int) -> None:
+    """Send trailers without end."""
+    await stream.send_all(target.head(number, "transfer-encoding: chunked") + b"0\r\n")
+    while True:
+        await stream.send_all(b"x-trailer: x\r\n" * 1_000)
+
+
+async def endless_extension(stream: trio.SocketStream, target: Target, number: int) -> None:
+    """Send an extension of a chunk without end."""
+    await stream.send_all(target.head(number, "transfer-encoding: chunked") + b"1;")
+    while True:
+        await stream.send_all(b"x" * CHUNK_BYTES)
+
+
+async def repeated_departures(stream: trio.SocketStream, target: Target, number: int) -> None:
+    """Leave in the midst of a body, and come again."""
+    with suppress(OSError, trio.BrokenResourceError):
+        await unfinished_body(stream, target, number)
+    while True:
+        with suppress(OSError, trio.BrokenResourceError):
+            async with await trio.open_tcp_stream(target.host, target.port) as again:
+                await unfinished_body(again, target, number)
+        await trio.lowlevel.checkpoint()
+
+
 async def pipelined_bodies(stream: trio.SocketStream, target: Target, number: int) -> None:
     """Send more requests while the first one is answered."""
     await stream.send_all(target.head(number, "content-length: 0"))
@@ -144,6 +170,9 @@
         sent_beyond_limit,
         tiny_chunks,
         unfinished_head,
+        endless_trailers,
+        endless_extension,
+        repeated_departures,
         pipelined_bodies,
         unread_answer,
         unread_answers,
