An unknown key or route is refused before the body is read

Bodies of requests that nobody may send were read whole, 4 MB each, before they got 401 or 404. The head decides for bodies with a stated length over 16 KB. As before, such a refusal waits until the configuration is current; if that allows the request, the answer is 503 with code body-unread, since the body wasn't kept.

--- a/railtide/edge/errors.py
+++ b/railtide/edge/errors.py
@@ -2,7 +2,15 @@
 
 from railtide.errors import ExecutionStatus, RailtideError
 
-__all__ = ["LinkFull"]
+__all__ = ["BodyUnread", "LinkFull"]
+
+
+class BodyUnread(RailtideError):
+    """The body was not read since the request seemed not to be allowed, but it is."""
+
+    code = "body-unread"
+    status = 503
+    run = ExecutionStatus.NOT_RUN
 
 
 class LinkFull(RailtideError):
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -7,10 +7,10 @@
 import trio
 from loguru import logger
 
-from railtide.edge.errors import LinkFull
+from railtide.edge.errors import BodyUnread, LinkFull
 from railtide.edge.node import EdgeNode
 from railtide.errors import ExecutionStatus, RailtideError
-from railtide.http.errors import CallerDisconnected
+from railtide.http.errors import CallerDisconnected, MemoryExhausted
 from railtide.http.messages import Headers, HttpRequest, first_header
 from railtide.http.server import Responder
 from railtide.platform import header_names
@@ -27,6 +27,8 @@
 """Retry-After of an error that carries none: engines and routers that start, leave or are full are
 available again within moments."""
 MIN_SERVER_ERROR = 500
+MAX_UNCHECKED_BODY = 16_384
+"""Largest body that is read before the key and the route of its request are checked."""
 
 
 class _Sink(AnswerSink):
@@ -98,14 +100,17 @@
     def check_head(self, request: HttpRequest, length: int) -> RailtideError | None:
         """Return why a request is rejected by its head; see `railtide.http.server.HeadCheck`."""
         shedding, snapshot = self._node.shedding, self._node.snapshot
-        if shedding is None or not shedding.rejects or snapshot is None:
+        sheds = shedding is not None and shedding.rejects
+        if snapshot is None or not (sheds or length > MAX_UNCHECKED_BODY):
             return None
         try:
-            shedding.admit(outline_of(request, length, snapshot))
+            outline = outline_of(request, length, snapshot)
+            if sheds:
+                shedding.admit(outline)
         except LinkFull as err:
             return err
-        except RailtideError:
-            return None  # the handler refuses the request
+        except RailtideError as err:
+            return err if length > MAX_UNCHECKED_BODY else None  # the handler refuses the others
         return None
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -119,9 +124,12 @@
     ) -> None:
         received_at = trio.current_time()
         try:
-            if request.rejection:
+            if isinstance(request.rejection, LinkFull | MemoryExhausted):
                 raise request.rejection
             await self._node.wait_until_current()
+            if request.rejection:
+                self._decode(request, trace)
+                raise BodyUnread("the configuration that the request was checked by has changed")
             call = self._decode(request, trace)
             trace.call = call
             trace.sink = sink = _Sink(responder, call.stream)
