A large body is sent to an upstream without another copy

Head and body of a request were joined before they were sent, and the joined bytes were kept until the answer began: a body of 4 MB existed three times where it was forwarded to another router.

--- a/railtide/http/exchange.py
+++ b/railtide/http/exchange.py
@@ -162,10 +162,10 @@
             The answer is that to another request: a peer may send a late copy of an earlier answer
             where the next one is due. This request may be in progress at the peer.
         """
-        data = self._encode(request)
+        parts = self._encode(request)
         head: h11.Response | ConnectionLost | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send, data)
+            nursery.start_soon(self._send, parts)
             head = await self._try_read_head()
             nursery.cancel_scope.cancel()
         if isinstance(head, ConnectionLost):
@@ -188,7 +188,8 @@
                 "the answer does not carry the id of the request", self.status, self.headers
             )
 
-    def _encode(self, request: HttpRequest) -> bytes:
+    def _encode(self, request: HttpRequest) -> list[bytes]:
+        """Return the request as it is sent; a large body stays apart and is not copied."""
         headers = list(request.headers)
         has_body = bool(request.body) or request.method not in (b"GET", b"HEAD", b"DELETE")
         if has_body:
@@ -200,11 +201,12 @@
         if request.body:
             parts.append(conn.send(h11.Data(data=request.body)))
         parts.append(conn.send(h11.EndOfMessage()))
-        return b"".join(parts)
+        return [b"".join(parts)] if len(request.body) <= SEND_BYTES else parts
 
-    async def _send(self, data: bytes) -> None:
+    async def _send(self, parts: list[bytes]) -> None:
         try:
-            await self._send_parts(data)
+            for data in filter(None, parts):
+                await self._send_parts(data)
             self._all_sent = True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._send_failed = True  # there may be an early answer: the reader finds out
@@ -214,8 +216,9 @@
             await self._connection.stream.send_all(data)
             self._pool.traffic.note_sent(len(data))
             return
+        view = memoryview(data)
         for start in range(0, len(data), SEND_BYTES):
-            part = data[start : start + SEND_BYTES]
+            part = view[start : start + SEND_BYTES]
             await self._connection.stream.send_all(part)
             self._pool.traffic.note_sent(len(part))
             self._watch.note_sent()
