railtide-router and the keeper's pages share the server and its account of memory

railtide-router held 337 to 400 MB of 200 for 60 clients: hypercorn bounds neither the time of a body nor the memory of all, and sends an answer in a scope that can't be cancelled, so that no limit around the application helps. Calls and pages now run as ASGI applications on HttpServer, with the account of memory, pace and eviction of the edge router. A body beyond the limit gets 413, by its stated length or as it arrives.

--- a/railtide/keeper/program.py
+++ b/railtide/keeper/program.py
@@ -12,7 +12,14 @@
 from railtide.keeper.server import serve_tcp
 from railtide.membership.http_instance_list import open_http_instance_list
 from railtide.membership.identity import Identity
-from railtide.process import announce, new_incarnation, new_rng, relax_gc, wait_for_stop
+from railtide.process import (
+    announce,
+    connection_memory,
+    new_incarnation,
+    new_rng,
+    relax_gc,
+    wait_for_stop,
+)
 from railtide.serving import Bind, bind_socket, serve_http
 from railtide.settings import parse_endpoint, run_program, validate_settings
 from railtide.telemetry.logs import set_up_logs
@@ -22,6 +29,8 @@
 __all__ = ["KeeperSettings", "keeper", "main"]
 
 PREFIX = "RAILTIDE_KEEPER"
+MAX_PAGE_BODY = 4_096
+"""Largest body of a request for a page, none of which needs one."""
 
 
 class KeeperSettings(BaseModel):
@@ -37,6 +46,7 @@
     append_interval_s: float = Field(gt=0, le=60)
     checkpoint_every: int = Field(ge=10)
     list_interval_s: float = Field(gt=0, le=60)
+    memory_mb: float = Field(ge=0)
 
 
 def keeper(
@@ -53,6 +63,7 @@
     append_interval_s: float = 0.02,
     checkpoint_every: int = 5000,
     list_interval_s: float = 1.0,
+    memory_mb: float = 0.0,
     log_level: str = "INFO",
 ) -> None:
     """Read the platform's log for the routers of this instance and append to it for them.
@@ -71,6 +82,8 @@
     :param append_interval_s: minimum time between two batch appends, seconds
     :param checkpoint_every: number of log records between two checkpoints
     :param list_interval_s: interval between reads of the instance list, seconds
+    :param memory_mb: memory that the process may use, MiB, a quarter of it for connections to it;
+        0 for all memory of the machine
     :param log_level: minimum level of log lines
     """
     settings = validate_settings(
@@ -85,6 +98,7 @@
         append_interval_s=append_interval_s,
         checkpoint_every=checkpoint_every,
         list_interval_s=list_interval_s,
+        memory_mb=memory_mb,
     )
     link = bind_socket(*parse_endpoint(bind))
     http = bind_socket(*parse_endpoint(http_bind))
@@ -112,6 +126,7 @@
         new_rng(),
     )
     node = parts.keeper
+    memory = connection_memory(settings.memory_mb)
     observe("folded_offset", "1", lambda: float(node.state.offset))
     observe("pending_entries", "1", lambda: float(node.appender.pending()))
     observe("log_reachable", "1", lambda: float(node.follower.reachable))
@@ -120,8 +135,10 @@
     listener = trio.SocketListener(trio.socket.from_stdlib_socket(link.sock))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.run)
+        nursery.start_soon(memory.run)
         nursery.start_soon(serve_tcp, node, parts.direct, [listener])
-        nursery.start_soon(partial(serve_http, make_app(node, spans), http))
+        pages = partial(serve_http, make_app(node, spans), http, memory=memory)
+        nursery.start_soon(partial(pages, body_bytes=MAX_PAGE_BODY))
         relax_gc()
         announce({"link": link.address, "http": http.address})
         await wait_for_stop()
--- a/railtide/router/program.py
+++ b/railtide/router/program.py
@@ -7,7 +7,14 @@
 from pydantic import BaseModel, Field
 
 from railtide.membership.identity import Identity
-from railtide.process import announce, new_incarnation, new_rng, relax_gc, wait_for_stop
+from railtide.process import (
+    announce,
+    connection_memory,
+    new_incarnation,
+    new_rng,
+    relax_gc,
+    wait_for_stop,
+)
 from railtide.requests.options import RequestOptions
 from railtide.router.app import make_app
 from railtide.router.options import RouterOptions
@@ -38,6 +45,7 @@
     commit_wait_s: float = Field(ge=0, le=30)
     dispatch_window_s: float = Field(gt=0, le=600)
     trace_ratio: float = Field(ge=0, le=1)
+    memory_mb: float = Field(ge=0)
 
 
 def router(
@@ -53,6 +61,7 @@
     commit_wait_s: float = 1.0,
     dispatch_window_s: float = 6.0,
     trace_ratio: float = 0.01,
+    memory_mb: float = 0.0,
     log_level: str = "INFO",
 ) -> None:
     """Accept callers' requests and answer them within their prepaid budgets.
@@ -75,6 +84,8 @@
         within this time that this router is not fenced, seconds; above the heartbeat, below the
         keepers' lease
     :param trace_ratio: fraction of requests traced when the caller does not decide, 0 to 1
+    :param memory_mb: memory that the process may use, MiB, a quarter of it for connections of
+        callers; 0 for all memory of the machine
     :param log_level: minimum level of log lines
     """
     settings = validate_settings(
@@ -88,6 +99,7 @@
         commit_wait_s=commit_wait_s,
         dispatch_window_s=dispatch_window_s,
         trace_ratio=trace_ratio,
+        memory_mb=memory_mb,
     )
     keeper_addresses = [parse_endpoint(text.strip()) for text in keepers.split(",")]
     host, port = parse_endpoint(bind)
@@ -100,14 +112,24 @@
     set_up_meters(service)
     spans = set_up_spans(service, settings.trace_ratio)
     node = _make_router(settings, keepers, bind)
+    memory = connection_memory(settings.memory_mb)
     observe("open_calls", "1", lambda: float(node.open_calls))
     observe("log_reachable", "1", lambda: float(node.uplink.log_reachable))
     observe("staleness", "s", lambda: min(node.staleness(), 1e9))
     stopped = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.run)
+        nursery.start_soon(memory.run)
         nursery.start_soon(
-            partial(serve_http, make_app(node, spans), bind, stopped.wait, SHUTDOWN_TIMEOUT_S)
+            partial(
+                serve_http,
+                make_app(node, spans),
+                bind,
+                stopped.wait,
+                SHUTDOWN_TIMEOUT_S,
+                memory,
+                node.options.max_body_bytes,
+            )
         )
         relax_gc()
         announce({"http": bind.address})
--- a/railtide/serving.py
+++ b/railtide/serving.py
@@ -1,17 +1,21 @@
-"""Serves an ASGI application with hypercorn on a socket that is bound beforehand."""
+"""Serves an ASGI application on a socket that is bound beforehand."""
 
 import socket
 from collections.abc import Awaitable, Callable
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
+
+from railtide.http.asgi import AsgiApp, AsgiHandler
+from railtide.http.connection_memory import ConnectionMemory
+from railtide.http.server import ConnectionLimits, HttpServer
+from railtide.http.sockets import LISTENER_BUFFER_BYTES, set_buffer_bytes
 
 __all__ = ["Bind", "bind_socket", "serve_http"]
 
 BACKLOG = 512
 KEEP_ALIVE_S = 75.0
-MAX_REQUESTS_PER_CONNECTION = 10_000_000
+HEAD_TIMEOUT_S = 30.0
+MAX_BODY_BYTES = 67_108_864
 
 
 class Bind:
@@ -35,6 +39,7 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    set_buffer_bytes(sock, LISTENER_BUFFER_BYTES)
     sock.bind((host, port))
     sock.listen(BACKLOG)
     sock.setblocking(False)
@@ -42,23 +47,47 @@
 
 
 async def serve_http(
-    app: Callable[..., Awaitable[None]],
+    app: AsgiApp,
     bind: Bind,
     stop: Callable[[], Awaitable[None]] = trio.sleep_forever,
     graceful_s: float = 3.0,
+    memory: ConnectionMemory | None = None,
+    body_bytes: int = MAX_BODY_BYTES,
 ) -> None:
     """Serve until `stop` returns, then wait up to `graceful_s` seconds for open requests.
 
+    Parameters
+    ----------
+    app : callable
+        An ASGI application.
+    bind : Bind
+    stop : callable, optional
+    graceful_s : float, optional
+    memory : ConnectionMemory, optional
+        What all connections may hold; unlimited by default.
+    body_bytes : int, optional
+        Largest body of a request.
+
     Notes
     -----
-    By default hypercorn closes a keep-alive connection after 1,000 requests. A caller that sends a
-    request at that moment can't tell whether it was received, so the limit is raised.
+    hypercorn bounds neither the time nor the memory of bodies that come slowly and of answers that
+    are read slowly.
     """
-    config = Config()
-    config.bind = [f"fd://{bind.sock.fileno()}"]
-    config.accesslog = None
-    config.errorlog = None
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
-    config.graceful_timeout = graceful_s
-    await serve(app, config, shutdown_trigger=stop, mode="asgi")
+    limits = ConnectionLimits(
+        body_bytes=body_bytes, head_timeout_s=HEAD_TIMEOUT_S, idle_timeout_s=KEEP_ALIVE_S
+    )
+    server = HttpServer(AsgiHandler(app).handle, limits, memory=memory, cancels=False)
+    accepting = trio.CancelScope()
+    listener = trio.SocketListener(trio.socket.from_stdlib_socket(bind.sock))
+    async with trio.open_nursery() as nursery:
+
+        async def serve() -> None:
+            await server.serve(listener, accepting)
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(serve)
+        await stop()
+        server.closing = True
+        accepting.cancel()
+        server.close_idle()
+        nursery.cancel_scope.deadline = trio.current_time() + graceful_s
