A keeper's link holds its messages in the account, and 64 calls at a time

60 links with a message of 4 MB each, one byte short, took 360 MB of 200: each link buffered up to 64 MB for as long as it stayed open. A message over 64 KB needs room in the account now, and its link is closed where its peer stalls while memory is short. Replies that weren't read were queued up to 50,000; a link's further calls are now left unread until the replies to 64 are sent.

--- a/railtide/keeper/program.py
+++ b/railtide/keeper/program.py
@@ -136,7 +136,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.run)
         nursery.start_soon(memory.run)
-        nursery.start_soon(serve_tcp, node, parts.direct, [listener])
+        nursery.start_soon(serve_tcp, node, parts.direct, [listener], memory)
         pages = partial(serve_http, make_app(node, spans), http, memory=memory)
         nursery.start_soon(partial(pages, body_bytes=MAX_PAGE_BODY))
         relax_gc()
--- a/railtide/keeper/server.py
+++ b/railtide/keeper/server.py
@@ -6,6 +6,7 @@
 import trio
 from loguru import logger
 
+from railtide.http.connection_memory import ConnectionMemory, unlimited_memory
 from railtide.journal.client import LogRecord
 from railtide.journal.errors import JournalError
 from railtide.keeper.keeper import Keeper, Subscriber
@@ -26,6 +27,8 @@
 __all__ = ["serve_link", "serve_tcp"]
 
 MAX_WAIT_S = 5.0
+MAX_OPEN_CALLS = 64
+"""Calls of one link that wait for their replies to be sent; further messages are left unread."""
 REPLY_BYTES = 262_144
 """Maximum bytes of records in a reply of more than one record: 0.4 s on a link of 5 Mbit/s. The
 other keeper keeps the records of a complete reply, but none of an interrupted one."""
@@ -37,6 +40,7 @@
     def __init__(self, outbox: Outbox, scope: trio.CancelScope) -> None:
         self._outbox = outbox
         self._scope = scope
+        self.calls = trio.Semaphore(MAX_OPEN_CALLS)
 
     def deliver(self, message: Message) -> None:
         if not self._outbox.put(message):
@@ -57,7 +61,7 @@
     try:
         async with trio.open_nursery() as nursery:
             subscriber = _LinkSubscriber(outbox, nursery.cancel_scope)
-            nursery.start_soon(_send_all, outbox, link, nursery.cancel_scope)
+            nursery.start_soon(_send_all, outbox, link, subscriber.calls, nursery.cancel_scope)
             try:
                 await _receive_all(keeper, direct, link, subscriber, nursery)
             except LinkLost:
@@ -69,10 +73,15 @@
             await link.aclose()
 
 
-async def _send_all(outbox: Outbox, link: Link, scope: trio.CancelScope) -> None:
+async def _send_all(
+    outbox: Outbox, link: Link, calls: trio.Semaphore, scope: trio.CancelScope
+) -> None:
     try:
         while True:
-            await link.send(await outbox.take())
+            message = await outbox.take()
+            await link.send(message)
+            if isinstance(message, ReadReply | AppendReply):
+                calls.release()
     except LinkLost:
         scope.cancel()
 
@@ -86,6 +95,8 @@
 ) -> None:
     while True:
         message = await link.receive()
+        if isinstance(message, ReadMessage | AppendMessage):
+            await subscriber.calls.acquire()
         if isinstance(message, ReadMessage):
             nursery.start_soon(_answer_read, keeper, direct, subscriber, message)
         elif isinstance(message, AppendMessage):
@@ -152,11 +163,17 @@
     keeper: Keeper,
     direct: DirectLog,
     listeners: list[trio.SocketListener],
+    memory: ConnectionMemory | None = None,
 ) -> None:
-    """Serve routers and other keepers on TCP until cancelled."""
+    """Serve routers and other keepers on TCP until cancelled; links share the memory."""
+    memory = memory or unlimited_memory()
 
     async def handle(stream: trio.SocketStream) -> None:
-        await serve_link(keeper, direct, TcpLink(stream))
+        holding = memory.open()
+        try:
+            await serve_link(keeper, direct, TcpLink(stream, holding))
+        finally:
+            holding.release()
 
     logger.info("keeper listening on {}", listeners[0].socket.getsockname())
     await trio.serve_listeners(handle, listeners)
--- a/railtide/wire/links.py
+++ b/railtide/wire/links.py
@@ -11,6 +11,8 @@
 
 import trio
 
+from railtide.http.connection_memory import Holding, unlimited_memory
+from railtide.http.errors import MemoryExhausted
 from railtide.wire.codec import message_from_bytes, message_to_bytes
 from railtide.wire.errors import LinkLost, LinkSilent, UnreadableMessage
 from railtide.wire.messages import Message
@@ -21,6 +23,8 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 RECEIVE_CHUNK_BYTES = 65_536
 SEND_CHUNK_BYTES = 65_536
+COPIES_OF_MESSAGE = 2
+"""A message is held as received, and once more as its decoded parts."""
 MEMORY_LINK_CAPACITY = 10_000
 
 
@@ -66,10 +70,18 @@
 
 
 class TcpLink(Link):
-    """Cap'n Proto messages on a stream, each preceded by its length (4 bytes, big endian)."""
+    """Cap'n Proto messages on a stream, each preceded by its length (4 bytes, big endian).
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+    holding : Holding, optional
+        Of the messages that are received; unlimited by default.
+    """
+
+    def __init__(self, stream: trio.abc.Stream, holding: Holding | None = None) -> None:
         self._stream = stream
+        self._holding = holding or unlimited_memory().open()
         self._buffer = bytearray()
         self._sending = trio.Lock()
 
@@ -99,19 +111,46 @@
                 return message
 
     async def _receive_exactly(self, size: int, idle_timeout_s: float) -> bytes:
+        if size > RECEIVE_CHUNK_BYTES:
+            return await self._receive_large(size, idle_timeout_s)
         while len(self._buffer) < size:
+            self._buffer += await self._receive_some(idle_timeout_s)
+        received = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return received
+
+    async def _receive_large(self, size: int, idle_timeout_s: float) -> bytes:
+        """Receive so many bytes, for which there is memory; see `ConnectionMemory`."""
+        try:
+            self._holding.resize(COPIES_OF_MESSAGE * size)
+        except MemoryExhausted as err:
+            raise LinkLost(f"a message of {size} bytes does not fit: {err.detail}") from err
+        with trio.CancelScope() as scope:
+            self._holding.wait_for_peer(scope.cancel)
             try:
-                with _limit_idle_time(idle_timeout_s):
-                    data = await self._stream.receive_some(RECEIVE_CHUNK_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
-                raise LinkLost(str(err)) from err
-            if not data:
-                raise LinkLost("the other process closed the link")
-            self._buffer += data
+                while len(self._buffer) < size:
+                    data = await self._receive_some(idle_timeout_s)
+                    self._holding.note_progress(len(data))
+                    self._buffer += data
+            finally:
+                self._holding.stop_waiting()
+                self._holding.resize_held(0)
+        if scope.cancelled_caught:
+            raise LinkLost("the other process stalled within a message")
         received = bytes(self._buffer[:size])
         del self._buffer[:size]
         return received
 
+    async def _receive_some(self, idle_timeout_s: float) -> bytes:
+        try:
+            with _limit_idle_time(idle_timeout_s):
+                data = await self._stream.receive_some(RECEIVE_CHUNK_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
+            raise LinkLost(str(err)) from err
+        if not data:
+            raise LinkLost("the other process closed the link")
+        return data
+
     async def aclose(self) -> None:
         """Close the stream."""
         await trio.aclose_forcefully(self._stream)
