--- a/railtide/http/connection_memory.py
+++ b/railtide/http/connection_memory.py
@@ -1,6 +1,7 @@
 """Bounds the bytes that all connections of a process hold, whatever they hold them for."""
 
 import gc
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -153,6 +154,11 @@
         self._given_back = 0
         self.series = RefusalSeries("memory-exhausted", "memory-available")
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit."""
+        return self.limit < math.inf
+
     async def run(self) -> None:
         """Log the ends of shortages and free garbage, until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -256,4 +262,4 @@
 
 def unlimited_memory() -> ConnectionMemory:
     """Return memory without a limit."""
-    return ConnectionMemory(float("inf"))
+    return ConnectionMemory(math.inf)
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -226,6 +226,8 @@
         self, listener: trio.SocketListener, accepting: trio.CancelScope | None = None
     ) -> None:
         """Accept connections until `accepting` is cancelled, and serve them until they end."""
+        if self.memory.is_limited:
+            set_buffer_bytes(listener.socket, LISTENER_BUFFER_BYTES)
         limited = LimitedListener(listener, self.share, self._make_room, self.waits_for_room)
 
         async def serve_and_release(stream: trio.SocketStream) -> None:
@@ -348,7 +350,7 @@
 
     def use_large_buffers(self) -> None:
         """Let the kernel buffer more for this connection, whose bodies are large."""
-        if self._buffer_bytes < LARGE_BUFFER_BYTES:
+        if self.server.memory.is_limited and self._buffer_bytes < LARGE_BUFFER_BYTES:
             self.base_bytes += LARGE_BUFFER_BYTES - self._buffer_bytes
             self._buffer_bytes = LARGE_BUFFER_BYTES
             set_buffer_bytes(self.stream.socket, LARGE_BUFFER_BYTES)
--- a/railtide/http/sockets.py
+++ b/railtide/http/sockets.py
@@ -68,7 +68,6 @@
     """
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    set_buffer_bytes(sock, LISTENER_BUFFER_BYTES)
     await sock.bind((host, port))
     sock.listen(BACKLOG)
     return trio.SocketListener(sock)
--- a/railtide/serving.py
+++ b/railtide/serving.py
@@ -8,7 +8,6 @@
 from railtide.http.asgi import AsgiApp, AsgiHandler
 from railtide.http.connection_memory import ConnectionMemory
 from railtide.http.server import ConnectionLimits, HttpServer
-from railtide.http.sockets import LISTENER_BUFFER_BYTES, set_buffer_bytes
 
 __all__ = ["Bind", "bind_socket", "serve_http"]
 
@@ -39,7 +38,6 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    set_buffer_bytes(sock, LISTENER_BUFFER_BYTES)
     sock.bind((host, port))
     sock.listen(BACKLOG)
     sock.setblocking(False)
