--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -456,10 +456,45 @@
     Mutant(
         "caller-not-watched",
         "http/server.py",
-        "                nursery.start_soon(self._watch_caller, nursery.cancel_scope)\n",
+        "                nursery.start_soon(self._watch_caller, responder, nursery.cancel_scope)\n",
         "",
         (HTTP,),
     ),
+    Mutant(
+        "large-holdings-leave-no-room",
+        "http/connection_memory.py",
+        "        return self.limit - others - size >= min(size, reserve)\n",
+        "        return self.limit - others - size >= 0\n",
+        (HTTP,),
+    ),
+    Mutant(
+        "stalled-peers-are-not-evicted",
+        "http/connection_memory.py",
+        "        return self.is_waiting and now - self._on_pace_until > STALL_S\n",
+        "        return False\n",
+        (HTTP,),
+    ),
+    Mutant(
+        "cheapest-holding-is-evicted-first",
+        "http/connection_memory.py",
+        "stalled.sort(key=lambda each: each.cost(now), reverse=True)",
+        "stalled.sort(key=lambda each: each.cost(now))",
+        (HTTP,),
+    ),
+    Mutant(
+        "body-beyond-the-limit-is-read",
+        "http/server.py",
+        "        self._check_limit(length)\n",
+        "",
+        (HTTP,),
+    ),
+    Mutant(
+        "answers-are-not-held",
+        "http/server.py",
+        "                holding.resize_held(holding.size + added)\n",
+        "                pass\n",
+        (HTTP,),
+    ),
     Mutant(
         "configuration-reverts",
         "edge/node.py",
@@ -1380,11 +1415,11 @@
     Mutant(
         "idle-timeout-covers-the-whole-message",
         "wire/links.py",
-        "            try:\n                with _limit_idle_time(idle_timeout_s):\n"
-        "                    data = await self._stream.receive_some(RECEIVE_CHUNK_BYTES)\n",
-        '            try:\n                began = locals().get("began", trio.current_time())\n'
-        "                with _limit_idle_time(began + idle_timeout_s - trio.current_time()):\n"
-        "                    data = await self._stream.receive_some(RECEIVE_CHUNK_BYTES)\n",
+        "            with _limit_idle_time(idle_timeout_s):\n"
+        "                data = await self._stream.receive_some(RECEIVE_CHUNK_BYTES)\n",
+        "            self._began = getattr(self, '_began', trio.current_time())\n"
+        "            with _limit_idle_time(self._began + idle_timeout_s - trio.current_time()):\n"
+        "                data = await self._stream.receive_some(RECEIVE_CHUNK_BYTES)\n",
         ("railtide/router/tests/test_uplink.py",),
     ),
     Mutant(
@@ -1644,15 +1679,15 @@
     Mutant(
         "limit-that-may-be-old-refuses-for-good",
         "http/server.py",
-        "self.server.limits.retry_after_s() if refused.by_limit else None",
-        "None",
+        "            retry_after_s = self.server.limits.retry_after_s()\n",
+        "            retry_after_s = None\n",
         (HTTP,),
     ),
     Mutant(
         "unreadable-request-may-come-again",
         "http/server.py",
-        "self.server.limits.retry_after_s() if refused.by_limit else None",
-        "self.server.limits.retry_after_s()",
+        "        if refused.by_limit:\n            retry",
+        "        if True:\n            retry",
         (HTTP,),
     ),
     Mutant(
