--- a/railtide/http/limited_listener.py
+++ b/railtide/http/limited_listener.py
@@ -10,7 +10,7 @@
 __all__ = ["LimitedListener"]
 
 CLOSING_STEPS = 32
-"""Scheduling steps within which a connection that waits for a request ends; it takes a few."""
+"""Scheduling steps within which a connection that waits for its caller ends; it takes a few."""
 WAIT_S = 0.05
 """Interval at which a listener that waits looks for room."""
 
@@ -27,8 +27,8 @@
     ----------
     listener : trio.SocketListener
     share : DescriptorShare
-    close_idle : callable
-        Begins to close a connection that waits for a request; returns whether there is one.
+    make_room : callable
+        Begins to close a connection that waits for its caller; returns whether there is one.
     waits : bool, optional
 
     Attributes
@@ -40,12 +40,12 @@
         self,
         listener: trio.SocketListener,
         share: DescriptorShare,
-        close_idle: Callable[[], bool],
+        make_room: Callable[[], bool],
         waits: bool = False,
     ) -> None:
         self._listener = listener
         self._share = share
-        self._close_idle = close_idle
+        self._close_one = make_room
         self._waits = waits
         self.series = RefusalSeries("connections-refused", "connections-accepted")
 
@@ -63,11 +63,11 @@
             self.series.note(held=self._share.held, limit=self._share.limit)
 
     async def _make_room(self) -> None:
-        """Close a connection that waits for a request, if there is one.
+        """Close a connection that waits for its caller, if there is one.
 
         Its caller opens another one for its next request; a new connection has one already.
         """
-        if self._close_idle():
+        if self._close_one():
             for _ in range(CLOSING_STEPS):
                 await trio.lowlevel.checkpoint()
                 if self._share.has_room:
--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -7,7 +7,7 @@
 import trio
 import trio.lowlevel
 
-__all__ = ["BODY_BYTES", "FORMS", "Target", "gather_crowd"]
+__all__ = ["BODY_BYTES", "BODY_FORMS", "FORMS", "Target", "gather_crowd"]
 
 BODY_BYTES = 4_194_304
 """The largest legal body in the tests' configurations."""
@@ -181,6 +181,19 @@
 }
 
 
+BODY_FORMS = (
+    "whole_body",
+    "whole_body_in_chunks",
+    "unfinished_body",
+    "unfinished_chunks",
+    "announced_beyond_limit",
+    "sent_beyond_limit",
+    "tiny_chunks",
+    "pipelined_bodies",
+)
+"""Names of the forms that send bodies."""
+
+
 async def gather_crowd(
     nursery: trio.Nursery, target: Target, form: Form, count: int
 ) -> list[trio.SocketStream]:
--- a/tests/crowds/test_edge_crowds.py
+++ b/tests/crowds/test_edge_crowds.py
@@ -15,7 +15,7 @@
 from railtide.http.messages import HttpRequest
 from railtide.platform.tests.hosts import HOST
 from railtide.standins.platform import EngineScript, PlatformEngine, engine_entry
-from tests.crowds.clients import BODY_BYTES, FORMS, Target, gather_crowd
+from tests.crowds.clients import BODY_BYTES, BODY_FORMS, FORMS, Target, gather_crowd
 from tests.crowds.watch import ProcessWatch
 from tests.test_edge_process import STATE, WAIT_S, EdgeSetup, edge_setup, free_ports, serve
 
@@ -161,14 +161,7 @@
     @pytest.mark.parametrize(
         "form",
         [
-            "whole_body",
-            "whole_body_in_chunks",
-            "unfinished_body",
-            "unfinished_chunks",
-            "announced_beyond_limit",
-            "sent_beyond_limit",
-            "tiny_chunks",
-            "pipelined_bodies",
+            *BODY_FORMS,
             "endless_trailers",
             "endless_extension",
             "repeated_departures",
--- a/tests/crowds/test_router_crowds.py
+++ b/tests/crowds/test_router_crowds.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from tests.crowds.clients import FORMS, Target, gather_crowd
+from tests.crowds.clients import BODY_FORMS, FORMS, Target, gather_crowd
 from tests.crowds.watch import ProcessWatch
 from tests.processes import Deployment, Process, deployment
 from tests.test_processes import chat, eventually, is_configured, ready
@@ -78,14 +78,7 @@
     @pytest.mark.parametrize(
         "form",
         [
-            "whole_body",
-            "whole_body_in_chunks",
-            "unfinished_body",
-            "unfinished_chunks",
-            "announced_beyond_limit",
-            "sent_beyond_limit",
-            "tiny_chunks",
-            "pipelined_bodies",
+            *BODY_FORMS,
             "unread_answers",
         ],
     )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2656,7 +2656,7 @@
     Mutant(
         "idle-callers-keep-new-ones-out",
         "http/limited_listener.py",
-        "        if self._close_idle():\n",
+        "        if self._close_one():\n",
         "        if False:\n",
         (DESCRIPTORS,),
     ),
