An answer that is given up is freed at once, though its error refers to it

Answers then overlap, the largest incomplete ones are given up, and the traceback of each error refers to the frame with the bytes read, which the retry loop's variable keeps in a cycle. They never counted as given back, so that no collection began. read_answer clears its buffer when it fails.

--- a/railtide/requests/relay.py
+++ b/railtide/requests/relay.py
@@ -249,13 +249,17 @@
         It is larger than `max_bytes`, or the memory for answers is full and it is the largest.
     """
     body = bytearray()
-    with memory.holding() as held:
-        async with aclosing(answer.chunks()) as chunks:
-            async for data in chunks:
-                body += data
-                if len(body) > max_bytes:
-                    raise UpstreamAnswerTooLong(f"the answer is larger than {max_bytes} bytes")
-                held.resize(len(body))
+    try:
+        with memory.holding() as held:
+            async with aclosing(answer.chunks()) as chunks:
+                async for data in chunks:
+                    body += data
+                    if len(body) > max_bytes:
+                        raise UpstreamAnswerTooLong(f"the answer is larger than {max_bytes} bytes")
+                    held.resize(len(body))
+    except BaseException:
+        body.clear()  # the error's traceback refers to it
+        raise
     return Answer(answer.status, answer.content_type, bytes(body))
 
 
