The server answers requests without room itself, unless its handler checks heads

Only a handler with a head check gets rejected requests now; for the others the server's own answer serves, 503 with Retry-After and close as before.

--- a/railtide/edge/peer_server.py
+++ b/railtide/edge/peer_server.py
@@ -5,7 +5,7 @@
 from railtide.http.connection_memory import ConnectionMemory
 from railtide.http.descriptors import DescriptorShare
 from railtide.http.messages import HttpRequest
-from railtide.http.server import ConnectionLimits, HttpServer, Responder, answer_rejection
+from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.loans.handler import LoanHandler
 from railtide.loans.lender import Lender
 
@@ -31,9 +31,7 @@
     loans = LoanHandler(lender)
 
     async def handle(request: HttpRequest, responder: Responder) -> None:
-        if request.rejection:
-            await answer_rejection(request.rejection, responder)
-        elif request.method == POST and request.target in FORWARDING_PATHS:
+        if request.method == POST and request.target in FORWARDING_PATHS:
             await forwarding.handle(request, responder)
         else:
             await loans.handle(request, responder)
--- a/railtide/http/asgi.py
+++ b/railtide/http/asgi.py
@@ -7,7 +7,7 @@
 
 from railtide.http.errors import CallerDisconnected
 from railtide.http.messages import Headers, HttpRequest, first_header
-from railtide.http.server import Responder, answer_rejection
+from railtide.http.server import Responder
 
 __all__ = ["AsgiApp", "AsgiHandler"]
 
@@ -37,9 +37,6 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request; see `railtide.http.server.Handler`."""
-        if request.rejection:
-            await answer_rejection(request.rejection, responder)
-            return
         exchange = _AsgiExchange(request, responder)
         await self._app(_scope_of(request), exchange.receive, exchange.send)
 
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -24,7 +24,7 @@
 )
 from railtide.http.traffic import Traffic
 
-__all__ = ["CLOSE", "ConnectionLimits", "Handler", "HttpServer", "Responder", "answer_rejection"]
+__all__ = ["CLOSE", "ConnectionLimits", "Handler", "HttpServer", "Responder"]
 
 READ_BYTES = 65_536
 MAX_READ_AHEAD = 262_144
@@ -139,12 +139,6 @@
         await self.finish()
 
 
-async def answer_rejection(rejection: RailtideError, responder: Responder) -> None:
-    """Answer a request that the server rejected, without a body."""
-    retry_after = f"{rejection.retry_after or 0:.2f}".encode()
-    await responder.answer(rejection.status, ((b"retry-after", retry_after),))
-
-
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 HeadCheck = Callable[[HttpRequest, int], RailtideError | None]
 """Given a request without its body, and the length of the body as stated (0 if unknown), returns
@@ -176,7 +170,8 @@
     traffic : Traffic, optional
         Counts the bytes of all connections.
     check_head : callable, optional
-        See `HeadCheck`. The handler answers rejected requests; it gets them without a body.
+        See `HeadCheck`. The handler then answers rejected requests, also those for which there is
+        no memory; it gets them without a body.
     share : DescriptorShare, optional
         Of the connections; unlimited by default. While it is nearly used up, each answer asks its
         caller to close the connection, since most connections wait for their next request.
@@ -213,6 +208,7 @@
         self.limits = limits
         self.traffic = traffic or Traffic()
         self.check_head = check_head
+        self.answers_rejections = check_head is not _admit_all
         self.closing = False
         self.idle_scopes: dict[trio.CancelScope, None] = {}
         self.share = share or unlimited()
@@ -311,7 +307,7 @@
             try:
                 request = await self._read_request()
             except _RequestRefused as err:
-                if not err.rejection or not self._head:
+                if not (err.rejection and self._head and self.server.answers_rejections):
                     await self._refuse(err)
                     return
                 request = replace(_request_of(self._head), rejection=err.rejection)
@@ -363,18 +359,14 @@
         """
         if self.holding.is_evicted:
             return
-        legal_bytes = self._legal_bytes()
-        remaining = max(MAX_READ_AHEAD, legal_bytes)
+        stated = _stated_length(self._head) if self._head else 0
+        is_legal = stated <= self.server.limits.body_bytes
+        remaining = max(MAX_READ_AHEAD, stated) if is_legal else MAX_READ_AHEAD
         with trio.move_on_after(LINGER_S):
             await self.stream.send_eof()
             while remaining > 0 and (data := await self._receive()):
                 remaining -= len(data)
 
-    def _legal_bytes(self) -> int:
-        """Return the stated length of the body, 0 if it is beyond the limit."""
-        length = _stated_length(self._head) if self._head else 0
-        return length if length <= self.server.limits.body_bytes else 0
-
     @property
     def is_closing(self) -> bool:
         """Whether the connection ends after this answer."""
--- a/railtide/http/tests/test_connection_memory.py
+++ b/railtide/http/tests/test_connection_memory.py
@@ -126,11 +126,7 @@
 
 
 async def answer_ok(request: HttpRequest, responder: Responder) -> None:
-    if request.rejection:
-        retry_after = str(request.rejection.retry_after).encode()
-        await responder.answer(503, ((b"retry-after", retry_after),))
-    else:
-        await responder.answer(200, (), b"%d" % len(request.body))
+    await responder.answer(200, (), b"%d" % len(request.body))
 
 
 @asynccontextmanager
