Account of memory: bytes all the way, one lowest rate, one place that evicts

Settings in bytes were turned into megabytes and back; the lowest rate of a peer stood twice, in the server and in the account; two callers checked when to collect garbage, and evicting one connection went through a loop with a condition that is never true. No change of behaviour.

railtide/http, keeper, router, boot, boundaries and the mutants' texts pass; the crowds of whole bodies, unread answers, all forms and the largest legal body too.

--- a/railtide/http/connection_memory.py
+++ b/railtide/http/connection_memory.py
@@ -11,11 +11,12 @@
 from railtide.http.errors import MemoryExhausted
 from railtide.http.refusal_series import RefusalSeries
 
-__all__ = ["ConnectionMemory", "Holding", "unlimited_memory"]
+__all__ = ["MIN_PEER_RATE", "ConnectionMemory", "Holding", "unlimited_memory"]
 
 MIN_PEER_RATE = 65_536
-"""Rate that a peer has to keep up while bytes are held for it and memory runs short, bytes/s: a
-tenth of a link of 5 Mbit/s."""
+"""Lowest rate of a peer for which bytes are held, bytes/s: a tenth of a link of 5 Mbit/s. With
+a fixed timeout for the whole request, a large body on a slow link would be rejected on every retry.
+Where memory runs short, peers that are slower are evicted."""
 STALL_S = 1.0
 """How far a peer may fall behind that rate."""
 SCAN_INTERVAL_S = 0.05
@@ -23,7 +24,7 @@
 LARGE_SHARE = 0.25
 """Part of the memory that even the largest holding leaves to the others."""
 LARGE_BYTES = 131_072
-"""Change of a holding after which its memory is looked after one by one."""
+"""Least change of a holding that counts for the collection of garbage."""
 GARBAGE_INTERVAL_S = 5.0
 GARBAGE_SHARE = 0.125
 """Part of the memory that may be given back before the cyclic garbage collector runs."""
@@ -179,8 +180,6 @@
 
     def resize(self, holding: Holding, size: int) -> None:
         """See `Holding.resize`."""
-        if size - holding.size >= LARGE_BYTES:
-            self._collect_garbage()
         if size > holding.size and not self._fits(holding, size):
             self._evict_stalled(holding, lambda: self._fits(holding, size))
             if not self._fits(holding, size):
@@ -194,8 +193,6 @@
 
     def resize_held(self, holding: Holding, size: int) -> None:
         """See `Holding.resize_held`."""
-        if size - holding.size >= LARGE_BYTES:
-            self._collect_garbage()
         self._set(holding, size)
         if self.held > self.limit:
             self._evict_stalled(holding, self._is_within_limit)
@@ -205,12 +202,13 @@
             self._evict_until(waiting, self._is_within_limit)
 
     def evict_one(self, holdings: Iterable[Holding]) -> bool:
-        """Evict the most costly one of some holdings whose peers stall; return whether one did."""
+        """Evict the most costly one of the holdings whose peers stall; return whether any does."""
         now = trio.current_time()
         stalled = [each for each in holdings if each.is_stalled(now)]
-        if stalled:
-            self._evict_until([max(stalled, key=lambda each: each.cost(now))], lambda: False)
-        return bool(stalled)
+        if not stalled:
+            return False
+        self._evict(max(stalled, key=lambda each: each.cost(now)))
+        return True
 
     def release(self, holding: Holding) -> None:
         """See `Holding.release`."""
@@ -230,7 +228,9 @@
     def _set(self, holding: Holding, size: int) -> None:
         if holding in self._holdings:
             change = size - holding.size
-            if change <= -LARGE_BYTES:
+            if change >= LARGE_BYTES:
+                self._collect_garbage()
+            elif change <= -LARGE_BYTES:
                 self._given_back -= change
             self.held += change
             holding.size = size
@@ -255,9 +255,12 @@
         for each in holdings:
             if is_enough():
                 return
-            self.evicted += 1
-            self.series.note(held=self.held, limit=self.limit)
-            each.evict()
+            self._evict(each)
+
+    def _evict(self, holding: Holding) -> None:
+        self.evicted += 1
+        self.series.note(held=self.held, limit=self.limit)
+        holding.evict()
 
 
 def unlimited_memory() -> ConnectionMemory:
--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -9,7 +9,12 @@
 from loguru import logger
 
 from railtide.errors import RailtideError
-from railtide.http.connection_memory import ConnectionMemory, Holding, unlimited_memory
+from railtide.http.connection_memory import (
+    MIN_PEER_RATE,
+    ConnectionMemory,
+    Holding,
+    unlimited_memory,
+)
 from railtide.http.descriptors import DescriptorShare, unlimited
 from railtide.http.errors import CallerDisconnected, MemoryExhausted
 from railtide.http.limited_listener import LimitedListener
@@ -31,10 +36,6 @@
 """Bytes of pipelined requests that are buffered while a request is answered. Beyond it, the
 caller's disconnect is not detected until the answer ends."""
 
-MIN_BODY_RATE = 65_536
-"""Lowest rate of a request body, bytes/s: a tenth of a link of 5 Mbit/s. With a fixed timeout for
-the whole request, a large body on a slow link would be rejected on every retry."""
-
 MAX_DISCARDED_BODY = 16_384
 """Largest body of a rejected request that is received and discarded. A caller sends about as much
 before it can learn of the rejection, and a new connection would cost the link more packets."""
@@ -77,7 +78,7 @@
         Largest head and body of a request.
     head_timeout_s : float
         Longest time from the first byte of a request to the end of its body, extended by the time
-        that the received bytes of the body take at `MIN_BODY_RATE`.
+        that the received bytes of the body take at `MIN_PEER_RATE`.
     idle_timeout_s : float
         How long a connection may be idle between requests.
     retry_after_s : callable
@@ -424,7 +425,7 @@
     async def _read_whole(self, scope: trio.CancelScope) -> HttpRequest | None:
         """Return a complete request, or None if the caller disconnected.
 
-        Each received part of the body extends the deadline by its size / `MIN_BODY_RATE`.
+        Each received part of the body extends the deadline by its size / `MIN_PEER_RATE`.
         """
         self._head = head = rejected = None
         self._hold_request()
@@ -439,7 +440,7 @@
             elif isinstance(event, h11.Data):
                 self._check_body_size(len(body) + len(event.data))
                 body += event.data
-                scope.deadline += len(event.data) / MIN_BODY_RATE
+                scope.deadline += len(event.data) / MIN_PEER_RATE
                 await self._note_part(len(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 if rejected:
--- a/railtide/keeper/program.py
+++ b/railtide/keeper/program.py
@@ -13,6 +13,7 @@
 from railtide.membership.http_instance_list import open_http_instance_list
 from railtide.membership.identity import Identity
 from railtide.process import (
+    BYTES_PER_MB,
     announce,
     connection_memory,
     new_incarnation,
@@ -126,7 +127,7 @@
         new_rng(),
     )
     node = parts.keeper
-    memory = connection_memory(settings.memory_mb)
+    memory = connection_memory(settings.memory_mb * BYTES_PER_MB, new_rng())
     observe("folded_offset", "1", lambda: float(node.state.offset))
     observe("pending_entries", "1", lambda: float(node.appender.pending()))
     observe("log_reachable", "1", lambda: float(node.follower.reachable))
--- a/railtide/platform/boot.py
+++ b/railtide/platform/boot.py
@@ -8,12 +8,12 @@
 import yaml
 from pydantic import BaseModel, Field, ValidationError
 
+from railtide.process import BYTES_PER_MB
 from railtide.settings import InvalidSetting
 
-__all__ = ["BOOT_VARIABLE", "BYTES_PER_MB", "Boot", "read_boot"]
+__all__ = ["BOOT_VARIABLE", "Boot", "read_boot"]
 
 BOOT_VARIABLE = "RAILTIDE_BOOT"
-BYTES_PER_MB = 1_048_576
 
 
 class _Listen(BaseModel):
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -25,7 +25,7 @@
 from railtide.http.sockets import listen
 from railtide.http.traffic import Traffic
 from railtide.membership.identity import Identity
-from railtide.platform.boot import BYTES_PER_MB, Boot, read_boot
+from railtide.platform.boot import Boot, read_boot
 from railtide.platform.desired_state import PlatformSources
 from railtide.platform.ingress import Ingress, addresses_body
 from railtide.platform.store import PlatformStore
@@ -160,7 +160,7 @@
     observe_each("descriptors_limit", "1", "use", shares.limit_by_use)
     observe_each("descriptors_refused", "1", "use", shares.refused_by_use)
     observe("lines_lost", "1", lambda: float(lines.lost))
-    memory = connection_memory(boot.memory_bytes / BYTES_PER_MB, rng)
+    memory = connection_memory(boot.memory_bytes, rng)
     store = PlatformStore(boot.store, counters, control, shares.store)
     direct = engine_connections(traffic, shares.upstreams)
     forwarding = EdgeForwarding(identity, traffic, rng, direct=direct, share=shares.upstreams)
--- a/railtide/process.py
+++ b/railtide/process.py
@@ -20,6 +20,7 @@
 from railtide.telemetry.meters import observe
 
 __all__ = [
+    "BYTES_PER_MB",
     "announce",
     "connection_memory",
     "kernel_clocks",
@@ -63,18 +64,17 @@
     return allowed if stated is None else min(stated, allowed)
 
 
-def connection_memory(memory_mb: float, rng: Random | None = None) -> ConnectionMemory:
-    """Return the memory of connections in a process that may use so much memory.
+def connection_memory(memory_bytes: float, rng: Random) -> ConnectionMemory:
+    """Return the memory of connections in a process that may use so many bytes.
 
     Parameters
     ----------
-    memory_mb : float
+    memory_bytes : float
         0 for all memory of the machine.
-    rng : random.Random, optional
+    rng : random.Random
     """
     machine_bytes = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
-    limit = CONNECTIONS_SHARE * (memory_mb * BYTES_PER_MB or machine_bytes)
-    memory = ConnectionMemory(limit, rng or new_rng())
+    memory = ConnectionMemory(CONNECTIONS_SHARE * (memory_bytes or machine_bytes), rng)
     observe("connection_memory_limit", "By", lambda: memory.limit)
     observe("connection_memory_held", "By", lambda: float(memory.held))
     observe("connections_rejected_for_memory", "1", lambda: float(memory.rejected))
--- a/railtide/router/program.py
+++ b/railtide/router/program.py
@@ -8,6 +8,7 @@
 
 from railtide.membership.identity import Identity
 from railtide.process import (
+    BYTES_PER_MB,
     announce,
     connection_memory,
     new_incarnation,
@@ -112,7 +113,7 @@
     set_up_meters(service)
     spans = set_up_spans(service, settings.trace_ratio)
     node = _make_router(settings, keepers, bind)
-    memory = connection_memory(settings.memory_mb)
+    memory = connection_memory(settings.memory_mb * BYTES_PER_MB, new_rng())
     observe("open_calls", "1", lambda: float(node.open_calls))
     observe("log_reachable", "1", lambda: float(node.uplink.log_reachable))
     observe("staleness", "s", lambda: min(node.staleness(), 1e9))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1379,14 +1379,14 @@
     Mutant(
         "body-under-the-limit-of-the-head",
         "http/server.py",
-        "                scope.deadline += len(event.data) / MIN_BODY_RATE\n",
+        "                scope.deadline += len(event.data) / MIN_PEER_RATE\n",
         "",
         (f"{HTTP}/test_connections.py",),
     ),
     Mutant(
         "body-without-a-limit",
         "http/server.py",
-        "scope.deadline += len(event.data) / MIN_BODY_RATE",
+        "scope.deadline += len(event.data) / MIN_PEER_RATE",
         'scope.deadline = float("inf")',
         (f"{HTTP}/test_connections.py",),
     ),
