--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -33,10 +33,10 @@
     path: str = "/"
     headers: tuple[str, ...] = ()
 
-    def head(self, number: int, *framing: str, path: str | None = None) -> bytes:
+    def head(self, number: int, *framing: str) -> bytes:
         """Return the head of a client's request."""
         lines = [line.format(number=number) for line in self.headers]
-        first = f"POST {path or self.path} HTTP/1.1"
+        first = f"POST {self.path} HTTP/1.1"
         return "\r\n".join([first, f"host: {self.host}", *lines, *framing, "", ""]).encode()
 
 
@@ -194,9 +194,7 @@
 """Names of the forms that send bodies."""
 
 
-async def gather_crowd(
-    nursery: trio.Nursery, target: Target, form: Form, count: int
-) -> list[trio.SocketStream]:
+async def gather_crowd(target: Target, form: Form, count: int) -> list[trio.SocketStream]:
     """Run so many clients of a form; return their connections, which stay open.
 
     Returns once each client has sent what it has to send, or as much as it could in `SEND_S`.
--- a/tests/crowds/test_edge_crowds.py
+++ b/tests/crowds/test_edge_crowds.py
@@ -143,16 +143,21 @@
         await trio.aclose_forcefully(stream)
 
 
+async def ask_beside_and_after(crowd: CrowdSetup, streams: list[trio.SocketStream]) -> None:
+    """Check the router and get an answer from it, beside a crowd and once it has left."""
+    crowd.check()
+    await crowd.ask()
+    await leave(streams)
+    await crowd.ask()
+    crowd.check()
+
+
 async def play(folder: Path, form: str, count: int = CROWD, **target: str) -> None:
     """Send a crowd to a router, and ordinary requests beside it and after it."""
-    async with crowd_setup(folder) as crowd, trio.open_nursery() as nursery:
-        await crowd.ask()
-        streams = await gather_crowd(nursery, crowd.target(**target), FORMS[form], count)
-        crowd.check()
-        await crowd.ask()
-        await leave(streams)
+    async with crowd_setup(folder) as crowd:
         await crowd.ask()
-        crowd.check()
+        streams = await gather_crowd(crowd.target(**target), FORMS[form], count)
+        await ask_beside_and_after(crowd, streams)
 
 
 class TestCrowdOfCallers:
@@ -187,22 +192,18 @@
         await play(tmp_path, form, path=path)
 
     async def test_bodies_of_all_forms_take_the_memory(self, tmp_path: Path) -> None:
-        async with crowd_setup(tmp_path) as crowd, trio.open_nursery() as nursery:
+        async with crowd_setup(tmp_path) as crowd:
             streams: list[trio.SocketStream] = []
 
             async def gather(name: str, path: str) -> None:
                 target = crowd.target(path)
-                streams.extend(await gather_crowd(nursery, target, FORMS[name], CROWD // 4))
+                streams.extend(await gather_crowd(target, FORMS[name], CROWD // 4))
 
             async with trio.open_nursery() as gathering:
                 for name in FORMS:
                     path = "/long/x" if name.startswith("unread") else "/busy/x"
                     gathering.start_soon(gather, name, path)
-            crowd.check()
-            await crowd.ask()
-            await leave(streams)
-            await crowd.ask()
-            crowd.check()
+            await ask_beside_and_after(crowd, streams)
 
 
 class TestCrowdsInSuccession:
@@ -213,9 +214,9 @@
         [("whole_body", "/none/x"), ("pipelined_bodies", "/s/x"), ("unread_answer", "/long/x")],
     )
     async def test_memory_of_each_crowd_adds_up(self, tmp_path: Path, form: str, path: str) -> None:
-        async with crowd_setup(tmp_path) as crowd, trio.open_nursery() as nursery:
+        async with crowd_setup(tmp_path) as crowd:
             for _ in range(CROWDS):
-                streams = await gather_crowd(nursery, crowd.target(path), FORMS[form], CROWD)
+                streams = await gather_crowd(crowd.target(path), FORMS[form], CROWD)
                 crowd.check()
                 await leave(streams)
             await crowd.ask()
@@ -228,8 +229,8 @@
     @pytest.mark.parametrize("form", ["unfinished_body", "tiny_chunks", "unread_answer"])
     async def test_process_does_not_end(self, tmp_path: Path, form: str) -> None:
         path = "/long/x" if form == "unread_answer" else "/busy/x"
-        async with crowd_setup(tmp_path) as crowd, trio.open_nursery() as nursery:
-            await gather_crowd(nursery, crowd.target(path), FORMS[form], CROWD)
+        async with crowd_setup(tmp_path) as crowd:
+            await gather_crowd(crowd.target(path), FORMS[form], CROWD)
             crowd.process.send_signal(signal.SIGHUP)
             crowd.process.send_signal(signal.SIGTERM)
             with trio.fail_after(WAIT_S):
@@ -258,16 +259,16 @@
             crowd.check()
 
     async def test_largest_legal_body_is_rejected_after_a_crowd(self, tmp_path: Path) -> None:
-        async with crowd_setup(tmp_path) as crowd, trio.open_nursery() as nursery:
+        async with crowd_setup(tmp_path) as crowd:
             target = crowd.target("/busy/x")
-            await leave(await gather_crowd(nursery, target, FORMS["unfinished_body"], CROWD))
+            await leave(await gather_crowd(target, FORMS["unfinished_body"], CROWD))
             await crowd.ask(b"x" * BODY_BYTES)
             crowd.check()
 
     async def test_rejection_does_not_reach_a_client_that_still_sends(self, tmp_path: Path) -> None:
-        async with crowd_setup(tmp_path) as crowd, trio.open_nursery() as nursery:
+        async with crowd_setup(tmp_path) as crowd:
             target = crowd.target("/busy/x")
-            streams = await gather_crowd(nursery, target, FORMS["whole_body"], CROWD)
+            streams = await gather_crowd(target, FORMS["whole_body"], CROWD)
             rejections = 0
             for stream in streams:
                 with trio.move_on_after(CALM_S), suppress(trio.BrokenResourceError):
--- a/tests/crowds/test_router_crowds.py
+++ b/tests/crowds/test_router_crowds.py
@@ -60,7 +60,7 @@
     target = Target(host, int(port), path, (KEY, "content-type: application/json"))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch.run)
-        streams = await gather_crowd(nursery, target, FORMS[form], CROWD)
+        streams = await gather_crowd(target, FORMS[form], CROWD)
         await trio.to_thread.run_sync(eventually, lambda: answers_a_call(router))
         for stream in streams:
             await trio.aclose_forcefully(stream)
