Plays of deployments: streams of several versions, and a judge of their order

The plays judged REFUSED and TWICE only; nothing read what callers received of a stream. Callers now resume broken streams until their deadline, each event names the version and the run that wrote it, and tests/stream_order.py looks for missing, repeated and joined events and for streams that look complete before their last event, over all attempts of a caller.

--- a/tests/deployment/callers.py
+++ b/tests/deployment/callers.py
@@ -2,6 +2,7 @@
 
 import math
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
@@ -13,11 +14,16 @@
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest, first_header
 from tests.deployment.records import Answer, Recorder, now
-from tests.deployment.shape import HOST, KEY, KINDS, RequestKind
+from tests.deployment.shape import HOST, KEY, KINDS, KINDS_BY_NAME, RequestKind
+from tests.stream_order import complete_events
 
 __all__ = ["CallersPlan"]
 
+OK = 200
 UNAVAILABLE = 503
+ATTEMPTS = 2
+RESUMPTIONS = 12
+OUTPUT_TOKENS = 60
 LOOKUP_S = 1.0
 ADDRESS_TTL_S = 5.0
 WAITED_SHARE = 1 / 3
@@ -44,6 +50,31 @@
     leaves: float = 0.0
 
 
+@dataclass
+class _Stream:
+    """A stream over all attempts of its caller.
+
+    Attributes
+    ----------
+    began : str
+        Id of the attempt that brought the first event.
+    last : int
+        Id of the last event that was received.
+    """
+
+    began: str = ""
+    last: int = 0
+    is_whole: bool = False
+
+    def note(self, answer: Answer) -> None:
+        """Record what an attempt brought."""
+        events = complete_events(answer.body.encode("latin-1"))
+        ids = [event.partition(b"\n")[0].removeprefix(b"id: ") for event in events]
+        self.last = int(ids[-1]) if ids and ids[-1].isdigit() else self.last
+        self.began = self.began or (answer.request_id if events else "")
+        self.is_whole = answer.status == OK and answer.is_whole
+
+
 class _Caller:
     def __init__(self, plan: CallersPlan, number: int, recorder: Recorder) -> None:
         self._plan = plan
@@ -56,19 +87,29 @@
         self._pool: PeerPool | None = None
 
     async def run(self) -> None:
-        """Send requests for ever, and each refused one once more as it is told."""
+        """Send requests for ever; see `_serve_one`."""
         await trio.sleep(self._rng.uniform(0, self._plan.pause_s))
         while True:
             kind = self._rng.choices(KINDS, [kind.weight for kind in KINDS])[0]
-            ends_at = now() + kind.deadline_ms / 1000
-            wait_s = await self._ask(kind, ends_at)
-            if wait_s is not None:
-                await trio.sleep(min(wait_s, (ends_at - now()) * WAITED_SHARE))
-                self._forget()
-                await self._ask(kind, ends_at)
+            await self._serve_one(kind, now() + kind.deadline_ms / 1000)
             await trio.sleep(self._rng.uniform(0, self._plan.pause_s))
 
-    async def _ask(self, kind: RequestKind, ends_at: float) -> float | None:
+    async def _serve_one(self, kind: RequestKind, ends_at: float) -> None:
+        """Send a request, and again once if it is refused, or to resume its stream until it ends.
+
+        A refused request is sent again as the caller is told.
+        """
+        stream = _Stream()
+        for _ in range(RESUMPTIONS if kind.resumable else ATTEMPTS):
+            wait_s = await self._ask(kind, ends_at, stream)
+            if wait_s is None and not (stream.began and kind.resumable):
+                return
+            if stream.is_whole or now() >= ends_at:
+                return
+            await trio.sleep(min(wait_s or 0.0, max(0.0, ends_at - now()) * WAITED_SHARE))
+            self._forget()
+
+    async def _ask(self, kind: RequestKind, ends_at: float, stream: _Stream) -> float | None:
         """Send a request; return after how many seconds it may be sent again, if it may."""
         pool = await self._connection()
         left_s = ends_at - now()
@@ -77,12 +118,14 @@
         self._sent += 1
         request_id = f"{self._name}-{self._sent}"
         answer = Answer(request_id, kind.name, self._address, now(), 0.0, 0)
+        answer.resumes, answer.after = stream.began, stream.last
         leaves_s = left_s * self._rng.random() if self._rng.random() < self._plan.leaves else left_s
         wait_s = None
         with trio.move_on_after(leaves_s):
-            wait_s = await self._exchange(pool, _request(kind, request_id, left_s), answer)
+            wait_s = await self._exchange(pool, _request(kind, answer, left_s), answer)
         answer.ended_at = now()
         self._recorder.add(answer)
+        stream.note(answer)
         if not answer.is_whole:
             self._forget()
         return wait_s
@@ -94,7 +137,7 @@
             return None
         answer.status = exchange.status
         answer.is_signed = first_header(exchange.headers, b"x-response-seal") is not None
-        answer.is_whole = await _read(exchange)
+        await _read(exchange, answer)
         if answer.status != UNAVAILABLE:
             return None
         return float(first_header(exchange.headers, b"retry-after") or 0)
@@ -134,28 +177,35 @@
         pool.close()
 
 
-def _request(kind: RequestKind, request_id: str, left_s: float) -> HttpRequest:
+def _request(kind: RequestKind, answer: Answer, left_s: float) -> HttpRequest:
+    resumption = (
+        (b"last-event-id", b"%d" % answer.after),
+        (b"resumes", answer.resumes.encode()),
+    )
     headers = (
         (b"host", HOST.encode()),
-        (b"x-attempt-id", request_id.encode()),
+        (b"x-attempt-id", answer.request_id.encode()),
         (b"x-deadline-ms", b"%d" % (left_s * 1000)),
         (b"x-credential", KEY.encode()),
-        (b"x-token-count", b"40,6"),
+        (b"x-token-count", b"40,%d" % OUTPUT_TOKENS),
+        *(resumption if answer.resumes else ()),
     )
     method, body = (b"GET", b"") if kind.kind == "safe" else (b"POST", b"x" * 600)
     return HttpRequest(method, f"/{kind.name}/x".encode(), headers, body)
 
 
-async def _read(exchange: Exchange) -> bool:
-    """Read the body; return whether it came to its end."""
+async def _read(exchange: Exchange, answer: Answer) -> None:
+    """Read the body of an answer, and note whether it came to its end."""
+    is_stream = bool(KINDS_BY_NAME[answer.kind].is_stream and exchange.status == OK)
     try:
-        async for _ in exchange.chunks():
-            pass
+        async for data in exchange.chunks():
+            if is_stream:
+                answer.body += data.decode("latin-1")
     except HttpError:
-        return False
+        return
     finally:
         exchange.abandon()
-    return True
+    answer.is_whole = True
 
 
 async def _run(plan: CallersPlan, recorder: Recorder) -> None:
--- a/tests/deployment/engine.py
+++ b/tests/deployment/engine.py
@@ -44,6 +44,7 @@
         self._rng = Random(f"{plan.seed} {self.name}")
         self._slots = trio.Semaphore(plan.spec.slots)
         self._waiting = 0
+        self._runs = 0
 
     def draws(self, name: str) -> bool:
         """Return whether a disruption concerns the present answer."""
@@ -61,7 +62,7 @@
                 "service": spec.service,
                 "address": f"{spec.host}:{spec.port}",
                 "zone": spec.domain,
-                "version": "v1",
+                "version": spec.version,
                 "slots": spec.slots,
                 "state": "ready",
                 "warmup_left_ms": 0,
@@ -141,15 +142,53 @@
             self._recorder.add(Event("unproven", now(), headers[0][1].decode()))
             await responder.answer(self._rng.choice(PROMISED), headers)
             return
+        if self.draws("errors"):
+            await responder.answer(500, headers, b"bad\n\n")
+            return
+        first = 1 if last and self.draws("restarts") else last + 1
+        first += bool(last and self.draws("skips"))
+        self._runs += 1
+        origin = f"{self.spec.version}/{self.name}-{self._runs}".encode()
+        events = [
+            b"id: %d\ndata: x%d@%s\n\n" % (number, number, origin)
+            for number in range(first, self.spec.events + 1)
+        ]
+        if self.draws("unframed"):
+            await self._stream_unframed(events, headers, responder)
+        else:
+            await self._stream_chunked(events, headers, responder)
+
+    async def _stream_chunked(
+        self, events: list[bytes], headers: Headers, responder: Responder
+    ) -> None:
         await responder.start(200, headers, None)
-        for number in range(last + 1, self.spec.events + 1):
+        for event in events:
             await self._work()
             if self.draws("lost"):
                 await RawAnswer(responder.hijack(), Framing.CLOSE, 0).reset()
                 return
-            await responder.write(b"id: %d\ndata: x%d\n\n" % (number, number))
+            if self.draws("half"):
+                await responder.write(event[: self._rng.randrange(1, len(event))])
+                return  # the connection is closed within the answer
+            await responder.write(event)
         await responder.finish()
 
+    async def _stream_unframed(
+        self, events: list[bytes], headers: Headers, responder: Responder
+    ) -> None:
+        """Send a stream that only the close of its connection ends."""
+        raw = RawAnswer(responder.hijack(), Framing.CLOSE, 0)
+        await raw.start(200, headers)
+        for event in events:
+            await self._work()
+            if self.draws("lost"):
+                await raw.reset()
+                return
+            if self.draws("half"):
+                await raw.write(event[: self._rng.randrange(1, len(event))])
+                return
+            await raw.write(event)
+
     def note_copy(self, answer: bytes) -> bool:
         """Return whether an answer is sent a second time, late."""
         repeats = self.draws("copies")
--- a/tests/deployment/fleet.py
+++ b/tests/deployment/fleet.py
@@ -190,9 +190,13 @@
 
 
 def _engine_specs(shape: Shape, network: str) -> list[EngineSpec]:
-    desk = (shape.desk_slots, shape.desk_queue, shape.desk_work_s, 0)
-    model = (shape.model_slots, shape.model_slots, 0.03, shape.events)
-    services = [("desk", desk)] * shape.desks + [("model", model)] * shape.models
+    desk = (shape.desk_slots, shape.desk_queue, shape.desk_work_s, 0, "v1")
+    model = (shape.model_slots, shape.model_slots, shape.event_s, shape.events)
+    services = [("desk", desk)] * shape.desks
+    services += [
+        ("model", (*model, shape.versions[number % len(shape.versions)]))
+        for number in range(shape.models)
+    ]
     return [
         EngineSpec(
             f"{service}{number}",
--- a/tests/deployment/play.py
+++ b/tests/deployment/play.py
@@ -1,8 +1,9 @@
 """Plays a deployment: ``python -m tests.deployment.play [--build DIR] [--seed N] ...``.
 
 Prints what broke REFUSED (a request that must not run twice was answered 408, 421, 429 or 503, and
-ran) or TWICE (such a request ran twice, or any at two engines at once), with the routers' lines on
-it, and exits with 1 if anything did.
+ran), TWICE (such a request ran twice, or any at two engines at once) or ORDER (a stream has
+missing, repeated or joined events, or looks complete before its last one), with the routers' lines
+on it, and exits with 1 if anything did.
 """
 
 import signal
@@ -10,6 +11,7 @@
 import tempfile
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from itertools import count
 from pathlib import Path
 from random import Random
 
@@ -18,14 +20,22 @@
 import trio
 from loguru import logger
 
-from tests.deployment.fleet import Deployment, RouterProcess, open_deployment, start_callers
+from tests.deployment.fleet import (
+    Deployment,
+    EngineProcess,
+    RouterProcess,
+    open_deployment,
+    start_callers,
+)
 from tests.deployment.records import Halt, Recorder, now
-from tests.deployment.shape import Disruption, Shape
+from tests.deployment.shape import Disruption, RouterClass, Shape
 from tests.deployment.verdict import Verdict, judge, router_lines
 
-__all__ = ["DISRUPTIONS", "SMALL_SHAPE", "play"]
+__all__ = ["DISRUPTIONS", "SMALL_SHAPE", "STREAMS_SHAPE", "play"]
 
+RULES = ("REFUSED", "TWICE", "ORDER")
 MAX_SHOWN = 6
+FIRST_RELEASE = 2
 RESTART_S = 0.5
 MAX_STOP_S = 1.6
 SETTLE_S = 3.0
@@ -38,6 +48,12 @@
     "errors": Disruption("errors", 0.1),
     "lost": Disruption("lost", 0.03),
     "slow": Disruption("slow", 0.3),
+    "half": Disruption("half", 0.01, "model"),
+    "restarts": Disruption("restarts", 0.1, "model"),
+    "skips": Disruption("skips", 0.1, "model"),
+    "stream-errors": Disruption("errors", 0.2, "model"),
+    "breaks": Disruption("lost", 0.02, "model"),
+    "unframed": Disruption("unframed", 0.3, "model"),
     "refusals": Disruption("refusals", 0.2),
     "desk-refusals": Disruption("refusals", 0.2, "desk"),
 }
@@ -52,6 +68,17 @@
 
 
 SMALL_SHAPE = _shape(1, 1, 40, 0.5)
+STREAMS_SHAPE = Shape(
+    routers=(RouterClass(4, 1.07, 1.0, 150, 4100, 1000.0),),
+    desks=4,
+    models=8,
+    events=20,
+    event_s=0.08,
+    callers=50,
+    pause_s=0.5,
+    versions=("v1", "v1", "v2", "v2"),
+)
+"""Twelve routers of a middle size, most of whose traffic are streams of two versions."""
 
 
 async def _stop(router: RouterProcess, rng: Random) -> None:
@@ -112,6 +139,49 @@
         deployment.store.send_signal(signal.SIGCONT)
 
 
+async def _kill_engines(deployment: Deployment, rng: Random) -> None:
+    """Kill engines and start them again, one after the other."""
+    recorder = Recorder(deployment.folder / "halts.jsonl")
+    while True:
+        await trio.sleep(rng.uniform(0.3, 1.5))
+        engine = rng.choice(deployment.engines)
+        await _restart(engine, recorder, rng)
+
+
+async def _restart(engine: EngineProcess, recorder: Recorder, rng: Random) -> None:
+    halt = Halt(engine.name, now())
+    engine.send(signal.SIGKILL)
+    recorder.add(halt)
+    await engine.process.wait()
+    await trio.sleep(rng.uniform(0, RESTART_S))
+    await engine.start()
+
+
+async def _release(deployment: Deployment, rng: Random) -> None:
+    """Replace the engines that stream by ones of a newer version, one after the other."""
+    recorder = Recorder(deployment.folder / "halts.jsonl")
+    streaming = [engine for engine in deployment.engines if engine.plan.spec.events]
+    for number in count(FIRST_RELEASE):
+        for engine in streaming:
+            await trio.sleep(rng.uniform(0.5, 2.0))
+            spec = msgspec.structs.replace(engine.plan.spec, version=f"v{number}")
+            engine.plan = msgspec.structs.replace(engine.plan, spec=spec)
+            await _restart(engine, recorder, rng)
+
+
+async def _kill_fleet(deployment: Deployment, rng: Random) -> None:
+    """Kill all routers at once, and start them again."""
+    while True:
+        await trio.sleep(rng.uniform(6, 10))
+        for router in deployment.routers:
+            router.send(signal.SIGKILL)
+        for router in deployment.routers:
+            await router.process.wait()
+        await trio.sleep(rng.uniform(0, RESTART_S))
+        for router in deployment.routers:
+            await router.start()
+
+
 async def _lose_domain(deployment: Deployment, rng: Random) -> None:
     """Kill all routers of a failure domain at once, and start them again."""
     while True:
@@ -127,6 +197,9 @@
     "engines": _disrupt_engines,
     "store": _disrupt_store,
     "domain": _lose_domain,
+    "killed-engines": _kill_engines,
+    "release": _release,
+    "fleet": _kill_fleet,
 }
 DISRUPTIONS = (*ANSWERS, *PROCESS_DISRUPTIONS, "leavers")
 
@@ -154,11 +227,12 @@
         for each in [*deployment.engines, *deployment.routers]:
             each.send(signal.SIGCONT)
         await trio.sleep(SETTLE_S)
-    return judge(folder)
+    return judge(folder, shape.events)
 
 
 def _print(verdict: Verdict, folder: Path) -> None:
-    print(f"REFUSED {verdict.of_rule('REFUSED')}, TWICE {verdict.of_rule('TWICE')}")
+    counts = ", ".join(f"{rule} {verdict.of_rule(rule)}" for rule in RULES)
+    print(f"{counts}; disorders {verdict.disorders}")
     print(dict(sorted(verdict.counts.items())))
     shown: Counter = Counter()
     for each in verdict.violations:
@@ -178,6 +252,7 @@
     callers: int = 50,
     pause_s: float = 0.5,
     disruptions: str = "",
+    streams: bool = False,
 ) -> None:
     """Play a deployment.
 
@@ -199,12 +274,14 @@
         Longest pause of a caller between two requests, seconds.
     disruptions : str
         Names separated by commas, among those of `DISRUPTIONS`.
+    streams : bool
+        Whether to play `STREAMS_SHAPE` in place of the sizes above.
     """
     logger.remove()
     names = [name for name in disruptions.split(",") if name]
     if unknown := set(names) - set(DISRUPTIONS):
         sys.exit(f"unknown disruptions {sorted(unknown)}; known: {', '.join(DISRUPTIONS)}")
-    shape = _shape(wide, small, callers, pause_s)
+    shape = STREAMS_SHAPE if streams else _shape(wide, small, callers, pause_s)
     folder = Path(tempfile.mkdtemp(prefix=f"deployment-{seed}-"))
     print(f"records and logs in {folder}")
     verdict = trio.run(play, folder, shape, build.resolve(), names, seed, length_s)
--- a/tests/deployment/records.py
+++ b/tests/deployment/records.py
@@ -24,7 +24,17 @@
 
 
 class Answer(msgspec.Struct, tag="answer"):
-    """A request as its caller saw it; the status is 0 if no answer began."""
+    """A request as its caller saw it; the status is 0 if no answer began.
+
+    Attributes
+    ----------
+    resumes : str
+        Id of the request that began the stream which this one resumes; empty for a new one.
+    after : int
+        Id of the event after which it resumes it.
+    body : str
+        What was received of a stream.
+    """
 
     request_id: str
     kind: str
@@ -34,6 +44,9 @@
     status: int
     is_signed: bool = False
     is_whole: bool = False
+    resumes: str = ""
+    after: int = 0
+    body: str = ""
 
 
 class Halt(msgspec.Struct, tag="halt"):
--- a/tests/deployment/shape.py
+++ b/tests/deployment/shape.py
@@ -39,6 +39,10 @@
     max_attempts: int = 1
     resumable: bool = False
 
+    @property
+    def is_stream(self) -> bool:
+        return self.kind == "streaming"
+
     @property
     def is_once(self) -> bool:
         return self.kind != "safe" and not self.resumable
@@ -84,6 +88,8 @@
         Mean time of one run; a stream takes it for each event.
     events : int
         Events of a stream, 0 for plain answers.
+    version : str
+        Version of its software.
     """
 
     name: str
@@ -95,6 +101,7 @@
     queue: int
     work_s: float
     events: int = 0
+    version: str = "v1"
 
 
 class Shape(msgspec.Struct, frozen=True):
@@ -106,6 +113,10 @@
         Callers in each failure domain.
     pause_s : float
         Longest pause of a caller between two requests.
+    event_s : float
+        Mean time of an event.
+    versions : tuple of str
+        Software versions of the engines that stream, in turn.
     """
 
     routers: tuple[RouterClass, ...] = (
@@ -121,6 +132,8 @@
     events: int = 6
     callers: int = 100
     pause_s: float = 1.0
+    event_s: float = 0.03
+    versions: tuple[str, ...] = ("v1",)
 
 
 def desired_state(version: int) -> dict[str, object]:
--- a/tests/deployment/verdict.py
+++ b/tests/deployment/verdict.py
@@ -10,9 +10,11 @@
 
 from tests.deployment.records import Answer, Event, Halt, Run, read_records
 from tests.deployment.shape import KINDS_BY_NAME
+from tests.stream_order import StreamAttempt, StreamFault, faults_of, faults_of_single_run
 
 __all__ = ["PROMISES", "Verdict", "Violation", "judge", "router_lines"]
 
+OK = 200
 PROMISES = (408, 421, 429, 503)
 """Statuses which promise that a request has not run and never will."""
 STOP_S = 0.4
@@ -41,13 +43,19 @@
     violations: list[Violation] = field(default_factory=list)
     counts: Counter = field(default_factory=Counter)
 
+    @property
+    def disorders(self) -> dict[str, int]:
+        """Number of violations of ORDER by form."""
+        forms = (each.detail.partition(":")[0] for each in self.violations if each.rule == "ORDER")
+        return dict(sorted(Counter(forms).items()))
+
     def of_rule(self, rule: str) -> int:
         """Return how many requests broke a rule."""
         return sum(1 for each in self.violations if each.rule == rule)
 
 
-def judge(folder: Path) -> Verdict:
-    """Return the verdict on the records in a folder."""
+def judge(folder: Path, events: int) -> Verdict:
+    """Return the verdict on the records in a folder, given the events of a whole stream."""
     verdict = Verdict()
     answers: list[Answer] = []
     halts_by_engine: dict[str, list[Halt]] = defaultdict(list)
@@ -66,9 +74,32 @@
     for answer in answers:
         runs = sorted(runs_by_id[answer.request_id].values(), key=lambda run: run.began_at)
         verdict.violations += _violations_of(answer, runs, halts_by_engine)
+    verdict.violations += _disorders_of(answers, events)
     return verdict
 
 
+def _disorders_of(answers: list[Answer], events: int) -> Iterable[Violation]:
+    """Yield the streams that are out of order, over all attempts of their callers."""
+    attempts_by_stream: dict[str, list[Answer]] = defaultdict(list)
+    for answer in answers:
+        if KINDS_BY_NAME[answer.kind].is_stream and answer.status == OK:
+            attempts_by_stream[answer.resumes or answer.request_id].append(answer)
+    for stream, attempts in attempts_by_stream.items():
+        attempts.sort(key=lambda answer: answer.sent_at)
+        for fault in _faults_of(attempts, events):
+            detail = f"{fault.form}: {attempts[0].kind} {stream}, {fault.detail}"
+            yield Violation("ORDER", fault.request_id, detail)
+
+
+def _faults_of(attempts: list[Answer], events: int) -> list[StreamFault]:
+    judged = [
+        StreamAttempt(a.request_id, a.after, a.body.encode("latin-1"), a.is_whole) for a in attempts
+    ]
+    if KINDS_BY_NAME[attempts[0].kind].resumable:
+        return faults_of(judged, events)
+    return [fault for attempt in judged for fault in faults_of_single_run(attempt, events)]
+
+
 def _name_of(event: Event) -> str:
     return f"copy of {event.detail}" if event.name == "copy" else event.name
 
