Answers without framing are complete only if their upstream outlives them

An answer with neither a length nor chunks ends with its connection. The kernel closes the connections of a killed process in the same way, and behind a whole event a router could not tell the two apart: it added the last chunk.

After such an answer the router now connects to its upstream. If nothing listens there, the attempt counts as lost: a resumable stream or a repeatable request goes on elsewhere, any other answer is broken off. A leaving upstream may have closed its listener before it completes its last answers, and is believed.

--- a/railtide/platform/tests/test_end_to_end.py
+++ b/railtide/platform/tests/test_end_to_end.py
@@ -73,10 +73,13 @@
         self.address_by_engine[name] = f"{HOST}:{port}"
         self.put_engine(name, **({"born": born} if born else {}))
         self.engine_by_name[name] = engine
+        await self.wait_until_listed(name)
+        return engine
+
+    async def wait_until_listed(self, name: str) -> None:
         with trio.fail_after(5):
             while not self._is_listed(name):
                 await trio.sleep(0.01)
-        return engine
 
     def put_engine(self, name: str, **fields: object) -> None:
         record = engine_entry(self.address_by_engine[name]) | fields
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -8,6 +8,7 @@
 
 from railtide.budgets.log_budget_source import LogReservation
 from railtide.budgets.messages import Waste
+from railtide.containment.crash_detection import ProbeResult
 from railtide.containment.errors import ContentHeld
 from railtide.errors import ExecutionStatus, RailtideError
 from railtide.journal.entries import Verdict, VerdictCode
@@ -31,6 +32,7 @@
 from railtide.upstreams.client import UpstreamCall
 from railtide.upstreams.errors import (
     StreamMoved,
+    UpstreamDisconnected,
     UpstreamError,
     UpstreamFailed,
     UpstreamLost,
@@ -43,6 +45,7 @@
 from railtide.upstreams.upstream_state import (
     Upstream,
     estimated_load,
+    is_leaving,
     note_crash,
     note_failure,
     note_success,
@@ -242,9 +245,24 @@
                     self._report_times()
             if scope.cancelled_caught:
                 raise UpstreamLost("upstreams crash on this request; its attempt was cancelled")
+            if not relayed.framed:
+                await self._check_end()
             self._sent_to = None
             return relayed
 
+    async def _check_end(self) -> None:
+        """Raise if an answer that only the close of its connection ended may be incomplete.
+
+        The connections of a killed process close in the same way. An upstream that is leaving may
+        no longer listen while it completes its last answers.
+        """
+        upstream = self._slot.upstream
+        if is_leaving(upstream):
+            return
+        if await self._services.upstreams.probe(upstream.instance) is not ProbeResult.CONNECTED:
+            self._services.counters.add("answers_ended_with_upstream")
+            raise UpstreamDisconnected("the upstream ended with the connection of its answer")
+
     async def _check_may_send(self) -> None:
         """Raise if no answer would be of use any more: the caller has left, or the deadline passed.
 
