Resumed streams: events that their caller has received are not passed on again

Callers that resumed a stream got events twice (ORDER) where the engine answered from another event than the one in Last-Event-Id, such as from the first. A router dropped repeated events only if it had passed them on itself; after the end of a router another one resumes the stream and knew none.

The router now begins a resumed stream behind the event that its caller names. Whether events were left out before the first one can't be told there, since ids need only increase; between two attempts of one answer it still is. Ids are compared as numbers up to 20 digits only: a superscript digit in the id of an event raised ValueError and broke the stream.

test_answer_endings.py::TestStreamResumedByItsCaller fails without the change, and so does the test of ids that are no numbers.

--- a/railtide/platform/tests/test_answer_endings.py
+++ b/railtide/platform/tests/test_answer_endings.py
@@ -250,3 +250,25 @@
             await add_scripted_engines(env, EngineScript(body=body, framing=Framing.CLOSE))
             answer = await env.send("/once/x", body=b"b")
             assert (answer.status, await read(answer)) == (200, (body, True))
+
+
+class TestStreamResumedByItsCaller:
+    async def test_events_that_the_caller_has_received_are_sent_again(self) -> None:
+        async with router_environment() as env:
+            await add_scripted_engines(env, EngineScript(events=EVENTS, ignores_last_id=True))
+            exchange = await env.send("/resume/x", (b"last-event-id", b"2"), (b"resumes", b"r0"))
+            assert await read(exchange) == (events(EVENTS).removeprefix(events(2)), True)
+
+    async def test_second_attempt_sends_events_again(self) -> None:
+        async with router_environment() as env:
+            cut = EngineScript(events=EVENTS, break_after=3)
+            await add_scripted_engines(env, cut, EngineScript(events=EVENTS, ignores_last_id=True))
+            exchange = await env.send("/resume/x", (b"last-event-id", b"2"), (b"resumes", b"r0"))
+            assert await read(exchange) == (events(EVENTS).removeprefix(events(2)), True)
+
+    async def test_gap_between_two_attempts_is_not_noticed(self) -> None:
+        async with router_environment() as env:
+            cut = EngineScript(events=EVENTS, break_after=3)
+            await add_scripted_engines(env, cut, EngineScript(events=EVENTS, skip=1))
+            exchange = await env.send("/resume/x", (b"last-event-id", b"2"), (b"resumes", b"r0"))
+            assert await read(exchange) == (events(3).removeprefix(events(2)), False)
--- a/railtide/requests/event_stream.py
+++ b/railtide/requests/event_stream.py
@@ -11,6 +11,8 @@
 """Events of a stream whose number is not known otherwise."""
 MAX_EMPTY_EVENTS = 8_192
 """Comments and blanks of a stream. A comment a second keeps a stream open for two hours."""
+MAX_ID_DIGITS = 20
+"""Digits of the largest id that is compared as a number, an unsigned integer of 64 bits."""
 EXTRA_EVENTS = 64
 """Events of a stream without tokens of its output, such as those that begin or end it."""
 
@@ -22,6 +24,8 @@
     ----------
     max_events : int, optional
         Most events that the stream can have, besides comments and blanks.
+    after : str, optional
+        Id of the last event that the caller has received of an earlier answer.
 
     Attributes
     ----------
@@ -46,18 +50,20 @@
     (b'id: 2\\ndata: b\\n\\n', '2')
     """
 
-    def __init__(self, max_events: int = MAX_EVENTS) -> None:
-        self.last_id = ""
+    def __init__(self, max_events: int = MAX_EVENTS, after: str = "") -> None:
+        self.last_id = after
         self.events = 0
         self.decoded = 0
         self.resumable = True
         self.at_event_end = False
         self._max_events = max_events
         self._empty_events = 0
-        self._repeats_left = EXTRA_EVENTS
+        self._received_before = min(_number_of(after) or 0, max_events)
+        self._repeats_left = 0
         self._buffer = EventBuffer()
         self._ids_sequential = True
         self._is_resuming = False
+        self.restart()
 
     @property
     def bytes_held(self) -> int:
@@ -67,9 +73,9 @@
     def restart(self) -> None:
         """Start reading another attempt; an incomplete event of the one before is dropped."""
         self._buffer = EventBuffer()
-        self._repeats_left = self.events + EXTRA_EVENTS
+        self._repeats_left = self._received_before + self.events + EXTRA_EVENTS
         self.at_event_end = False
-        self._is_resuming = bool(self.last_id)
+        self._is_resuming = bool(self.last_id) and self.events > 0
 
     def feed(self, data: bytes) -> bytes:
         """Process bytes as they were read and return the complete new events in them.
@@ -139,9 +145,17 @@
     return ""
 
 
+def _number_of(event_id: str) -> int | None:
+    """Return the number that an id is, None for any other id."""
+    is_number = event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
+    return int(event_id) if is_number else None
+
+
 def _is_at_or_before(event_id: str, last_id: str) -> bool:
-    return event_id.isdigit() and last_id.isdigit() and int(event_id) <= int(last_id)
+    number, last = _number_of(event_id), _number_of(last_id)
+    return number is not None and last is not None and number <= last
 
 
 def _follows(event_id: str, last_id: str) -> bool:
-    return event_id.isdigit() and last_id.isdigit() and int(event_id) == int(last_id) + 1
+    number, last = _number_of(event_id), _number_of(last_id)
+    return number is not None and last is not None and number == last + 1
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -55,7 +55,7 @@
         self._sink = sink
         self._services = services
         self._before_first_byte = before_first_byte
-        self._events = EventStream(call.max_events)
+        self._events = self._new_events()
         self._ran = False
 
     def delivered_cost(self) -> int:
@@ -153,9 +153,13 @@
         try:
             await self._before_first_byte()
         except StreamMoved:
-            self._events = EventStream(self._call.max_events)  # none was passed on
+            self._events = self._new_events()  # none was passed on
             raise
 
+    def _new_events(self) -> EventStream:
+        resumption = self._call.resumption
+        return EventStream(self._call.max_events, resumption.after if resumption else "")
+
 
 def pass_through_relay(
     call: Call,
--- a/railtide/requests/tests/test_event_stream.py
+++ b/railtide/requests/tests/test_event_stream.py
@@ -91,3 +91,22 @@
         assert stream.feed(empty * MAX_EMPTY_EVENTS + event(1))
         with pytest.raises(UpstreamAnswerTooLong):
             stream.feed(empty)
+
+
+class TestStreamResumedByItsCaller:
+    def test_events_up_to_the_last_received_one_are_dropped(self) -> None:
+        stream = EventStream(after="2")
+        assert stream.feed(event(1) + event(2) + event(3)) == event(3)
+
+    def test_ids_between_the_received_and_the_first_new_event_are_unknown(self) -> None:
+        assert EventStream(after="2").feed(event(5)) == event(5)
+
+    def test_more_events_than_the_caller_can_have_received_end_the_attempt(self) -> None:
+        stream = EventStream(max_events=10, after="5")
+        with pytest.raises(UpstreamAnswerTooLong):
+            stream.feed(event(1) * (5 + EXTRA_EVENTS + 1))
+
+    @pytest.mark.parametrize("after", ["\xb2", "9" * 5000, "x", "-1", "1.5"])
+    def test_id_that_is_no_number_raises(self, after: str) -> None:
+        stream = EventStream(after=after)
+        assert stream.feed(event(1) + b"id: \xb2\n\n") == event(1) + b"id: \xb2\n\n"
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -196,6 +196,8 @@
         Send the answer a second time after its end.
     skip : int
         Events that a resumed stream omits.
+    ignores_last_id : bool
+        Begin a resumed stream again at its first event.
     has_event_ids : bool
     wrong_id, no_id, unsigned : bool
         Answer with another request's id, without an id, or without a signature.
@@ -221,6 +223,7 @@
     reset: bool = False
     extra: bool = False
     skip: int = 0
+    ignores_last_id: bool = False
     has_event_ids: bool = True
     wrong_id: bool = False
     no_id: bool = False
@@ -241,6 +244,7 @@
         """Return the body's parts as sent; of a stream, the events after event `last`."""
         if not self.events:
             return [self.body if self.break_after < 0 else self.body[: self.break_after]]
+        last = 0 if self.ignores_last_id else last
         first = last + 1 + (self.skip if last else 0)
         remaining_events = [self._event(number) for number in range(first, self.events + 1)]
         if self.break_after < 0:
