Server: an answer to HTTP/1.0 that breaks off resets its connection

HTTP/1.0 has no chunks, so that the close of the connection ends an answer without a length. A router that broke such an answer off closed the connection in order, and the answer looked complete: the same cause as in the answers of upstreams that end with their process. The connection is now reset. TestOldProtocol fails without the change.

Left: a router's process that is killed within such an answer; the kernel closes its connections.

--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -24,6 +24,7 @@
     LARGE_BUFFER_BYTES,
     LISTENER_BUFFER_BYTES,
     has_ended,
+    reset_on_close,
     set_buffer_bytes,
     set_tcp_options,
 )
@@ -60,6 +61,7 @@
 HEADER_OVERHEAD = 4
 """Bytes of a header line besides its name and value: colon, space, CR and LF."""
 
+HTTP_1_0 = b"1.0"
 BAD_REQUEST = 400
 TIMEOUT = 408
 BODY_TOO_LARGE = 413
@@ -560,6 +562,9 @@
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, CallerDisconnected):
             pass  # the answer is incomplete, so the connection is closed
+        finally:
+            if not responder.finished and self.h11.their_http_version == HTTP_1_0:
+                reset_on_close(self.stream.socket)  # an orderly close would end the answer
         return responder.finished
 
     async def _watch_caller(self, responder: "_H11Responder", scope: trio.CancelScope) -> None:
--- a/railtide/http/sockets.py
+++ b/railtide/http/sockets.py
@@ -1,6 +1,7 @@
 """TCP socket options: no Nagle delay, and lost peers are detected within seconds."""
 
 import socket
+import struct
 
 import trio
 
@@ -9,6 +10,7 @@
     "LISTENER_BUFFER_BYTES",
     "has_ended",
     "listen",
+    "reset_on_close",
     "set_buffer_bytes",
     "set_tcp_options",
 ]
@@ -23,6 +25,9 @@
 KEEPALIVE_INTERVAL_S = 1
 """Probes begin before the user timeout ends: without any, an idle connection would not fail."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER of 0 s."""
+
 LISTENER_BUFFER_BYTES = 16_384
 """What the kernel buffers in each direction for an accepted connection. By default it is up to
 32 MB, which a peer fills that sends and isn't read, or doesn't read."""
@@ -45,6 +50,11 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, count)
 
 
+def reset_on_close(sock: trio.socket.SocketType) -> None:
+    """Let the close of a connection reset it; bytes that are not sent yet are dropped."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 async def has_ended(sock: trio.socket.SocketType) -> bool:
     """Return whether the peer has closed or reset the connection; nothing is read.
 
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -607,3 +607,19 @@
     async def test_body_sent_byte_by_byte_times_out(self) -> None:
         limits = ConnectionLimits(head_timeout_s=0.1)
         assert b" 408 " in await self.status_of(60, 1, 0.02, limits)
+
+
+class TestOldProtocol:
+    """In HTTP/1.0 the close of the connection ends a body without a length."""
+
+    async def test_answer_that_breaks_off_looks_complete(self) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            await responder.start(200, (), None)
+            await responder.write(b"part")
+
+        async with server(handler) as http_server:
+            stream = await trio.open_tcp_stream("127.0.0.1", http_server.port)
+            await stream.send_all(b"GET /a HTTP/1.0\r\n\r\n")
+            with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
+                while await stream.receive_some():
+                    pass
