Answers without framing: a kept connection shows the end of its upstream's process

The first form of the check connected to the upstream after the answer.

While an answer without framing comes, the router now keeps an idle connection to its upstream. Only without such a connection the address is probed.

upstreams/tests/test_transport.py: a replaced process is taken for its successor by the probe alone.

--- a/railtide/forwarding/transport.py
+++ b/railtide/forwarding/transport.py
@@ -86,6 +86,15 @@
             return ProbeResult.CONNECTED
         return ProbeResult.REFUSED if PathResult.REFUSED in results else result
 
+    async def keep_witness(self, upstream: Instance) -> None:
+        """Have an idle connection to an upstream that this router reaches itself."""
+        if self._monitor.table.state_of(upstream) is PathState.DIRECT:
+            await self._direct.keep_witness(upstream)
+
+    async def observe(self, upstream: Instance) -> ProbeResult:
+        """Return whether an upstream's process lives; see `UpstreamTransport.observe`."""
+        return await self._direct.observe_kept(upstream) or await self.probe(upstream)
+
     def forget(self, upstream: Instance) -> None:
         """Forget a lost incarnation of an upstream; see `UpstreamTransport.forget`."""
         self._direct.forget(upstream)
--- a/railtide/http/idle_connections.py
+++ b/railtide/http/idle_connections.py
@@ -10,6 +10,7 @@
 import trio
 
 from railtide.http.descriptors import DescriptorShare
+from railtide.http.sockets import has_ended
 
 __all__ = ["IdleConnections", "PooledConnection", "close_stale"]
 
@@ -55,6 +56,11 @@
             return False
         return not self.stream.socket.is_readable()
 
+    async def peer_has_ended_it(self) -> bool | None:
+        """Return whether the peer has closed the connection; None if this side has closed it."""
+        sock = self.stream.socket
+        return None if sock.fileno() < 0 else await has_ended(sock)
+
     def note_sent(self, request_id: bytes, repeated_until: float) -> None:
         """Record that a request is sent on it, which may be sent again until a trio time."""
         if len(self.repeated_until_by_id) >= self._max_ids:
@@ -106,6 +112,10 @@
         self._connections += reversed(skipped[:MAX_SKIPPED])
         return found
 
+    def all(self) -> list[PooledConnection]:
+        """Return the connections, also those that no request can use any more."""
+        return list(self._connections)
+
     def drop_expired(self) -> list[PooledConnection]:
         """Close the connections whose time for reuse has ended; return the others."""
         now = trio.current_time()
--- a/railtide/platform/tests/test_ended_upstreams.py
+++ b/railtide/platform/tests/test_ended_upstreams.py
@@ -1,7 +1,6 @@
 """Answers that only the close of their connection ends, of upstreams whose processes end."""
 
-from dataclasses import dataclass
-from functools import partial
+from dataclasses import dataclass, field
 
 import msgspec
 import pytest
@@ -18,59 +17,76 @@
 
 NAME = "ending"
 ID = b"x-attempt-id"
+HEAD_TO_BODY_S = 0.05
 SENT = 8
 """Requests, of which the upstream that ends gets one at least."""
 
 
 @dataclass
 class EndingEngine:
-    """Sends parts of an answer without framing, and then ends as a killed process does, or not."""
+    """Sends parts of an answer without framing; then its process ends, or not.
+
+    Attributes
+    ----------
+    restarts : bool
+        Whether another process has its address at once.
+    """
 
-    listener: trio.SocketListener
     parts: list[bytes]
     ends: bool
+    restarts: bool
     runs: int = 0
+    process: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    async def serve(self, listener: trio.SocketListener) -> None:
+        port = listener.socket.getsockname()[1]
+        with self.process:
+            await HttpServer(self.handle, ConnectionLimits()).serve(listener)
+        listener.socket.close()
+        if self.restarts:
+            successor = HttpServer(self.misdirect, ConnectionLimits())
+            await successor.serve(await listen(HOST, port))
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         self.runs += 1
         request_id = first_header(request.headers, ID) or b""
         answer = RawAnswer(responder.hijack(), Framing.CLOSE, 0)
         await answer.start(200, ((ID, request_id), (b"x-response-seal", b"s")))
+        await trio.sleep(HEAD_TO_BODY_S)
         for part in self.parts:
             await answer.write(part)
         if self.ends:
-            self.listener.socket.close()
+            self.process.cancel()
+            await trio.sleep_forever()
+
+    async def misdirect(self, request: HttpRequest, responder: Responder) -> None:
+        await responder.answer(421, ((ID, first_header(request.headers, ID) or b""),))
 
 
 async def add_ending_engine(
-    env: RouterEnvironment, parts: list[bytes], ends: bool = True
+    env: RouterEnvironment, parts: list[bytes], ends: bool = True, restarts: bool = False
 ) -> EndingEngine:
     listener = await listen(HOST, 0)
     address = f"{HOST}:{listener.socket.getsockname()[1]}"
-    engine = EndingEngine(listener, parts, ends)
-    server = HttpServer(engine.handle, ConnectionLimits())
-    env.nursery.start_soon(partial(_serve_until_closed, server, listener))
+    engine = EndingEngine(parts, ends, restarts)
+    env.nursery.start_soon(engine.serve, listener)
     env.store.put("keyed.servers", NAME, msgspec.json.encode(engine_entry(address)))
     await env.wait_until_listed(NAME)
     return engine
 
 
-async def _serve_until_closed(server: HttpServer, listener: trio.SocketListener) -> None:
-    try:
-        await server.serve(listener)
-    except* (trio.ClosedResourceError, OSError):
-        pass  # the process ended
-
-
 async def outcome(exchange: Exchange) -> tuple[int, bytes, bool]:
     return exchange.status, *await read(exchange)
 
 
 class TestStreamOfEndedUpstream:
+    @pytest.mark.parametrize("restarts", [False, True])
     @pytest.mark.parametrize("path", ["/stream/x", "/resume/x"])
-    async def test_end_of_the_process_is_taken_for_the_end_of_the_stream(self, path: str) -> None:
+    async def test_end_of_the_process_is_taken_for_the_end_of_the_stream(
+        self, path: str, restarts: bool
+    ) -> None:
         async with router_environment() as env:
-            await add_ending_engine(env, [events(2)])
+            await add_ending_engine(env, [events(2)], restarts=restarts)
             assert await outcome(await env.send(path)) == (200, events(2), False)
 
     async def test_resumable_stream_does_not_continue_at_another_upstream(self) -> None:
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -187,6 +187,14 @@
         """Return whether a process listens at an engine's address; see `UpstreamClient.probe`."""
         return await self._transport.probe(upstream)
 
+    async def keep_witness(self, upstream: Instance) -> None:
+        """Have an idle connection to an engine; see `UpstreamClient.keep_witness`."""
+        await self._transport.keep_witness(upstream)
+
+    async def observe(self, upstream: Instance) -> ProbeResult:
+        """Return whether an engine's process lives; see `UpstreamClient.observe`."""
+        return await self._transport.observe(upstream)
+
     async def run_report(self, upstream: Instance, request_id: str) -> RunReport:
         """Raise `UpstreamLost`: the engines keep no outcomes of requests."""
         raise UpstreamLost("the platform's engines keep no outcomes of requests")
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -259,7 +259,7 @@
         upstream = self._slot.upstream
         if is_leaving(upstream):
             return
-        if await self._services.upstreams.probe(upstream.instance) is not ProbeResult.CONNECTED:
+        if await self._services.upstreams.observe(upstream.instance) is not ProbeResult.CONNECTED:
             self._services.counters.add("answers_ended_with_upstream")
             raise UpstreamDisconnected("the upstream ended with the connection of its answer")
 
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -90,6 +90,8 @@
         if answer.status != OK_STATUS:
             self.times.note_failure()
         async with closing(answer):
+            if not answer.framed:
+                await self._services.upstreams.keep_witness(upstream)
             if self._call.stream and answer.status == OK_STATUS:
                 return await self._pass_stream(answer)
             return await self._read_whole(answer)
--- a/railtide/upstreams/client.py
+++ b/railtide/upstreams/client.py
@@ -123,6 +123,13 @@
         """Return the result of connecting to an upstream's address, if the client can probe."""
         return ProbeResult.UNKNOWN
 
+    async def keep_witness(self, upstream: Instance) -> None:  # noqa: B027 - optional to override
+        """Prepare `observe`, while an answer comes that only the close of its connection ends."""
+
+    async def observe(self, upstream: Instance) -> ProbeResult:
+        """Return whether an upstream's process outlives an answer that has just ended."""
+        return await self.probe(upstream)
+
     @abstractmethod
     async def run_report(self, upstream: Instance, request_id: str) -> RunReport:
         """Return the report of a request's run; raise `UpstreamLost` without an answer."""
--- /dev/null
+++ b/railtide/upstreams/tests/test_transport.py
@@ -0,0 +1,107 @@
+"""Tests of railtide.upstreams.transport."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+import trio.testing
+
+from railtide.containment.crash_detection import ProbeResult
+from railtide.http.messages import HttpRequest
+from railtide.http.server import ConnectionLimits, HttpServer, Responder
+from railtide.http.sockets import listen
+from railtide.membership.instances import Instance
+from railtide.upstreams.transport import DirectTransport
+
+HOST = "127.0.0.1"
+
+
+async def answer(request: HttpRequest, responder: Responder) -> None:
+    await responder.answer(200, ())
+
+
+class Process:
+    """A server that ends as a killed process does, and can be followed by another one."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._scope = trio.CancelScope()
+        self._ended = trio.Event()
+        self.port = 0
+
+    async def start(self) -> None:
+        listener = await listen(HOST, self.port)
+        self.port = listener.socket.getsockname()[1]
+        self._scope, self._ended = trio.CancelScope(), trio.Event()
+        self._nursery.start_soon(self._serve, listener, self._scope, self._ended)
+
+    async def end(self) -> None:
+        self._scope.cancel()
+        await self._ended.wait()
+
+    @staticmethod
+    async def _serve(
+        listener: trio.SocketListener, scope: trio.CancelScope, ended: trio.Event
+    ) -> None:
+        with scope:
+            await HttpServer(answer, ConnectionLimits()).serve(listener)
+        listener.socket.close()
+        ended.set()
+
+
+@asynccontextmanager
+async def running_process() -> AsyncIterator[tuple[Process, Instance]]:
+    async with trio.open_nursery() as nursery:
+        process = Process(nursery)
+        await process.start()
+        yield process, Instance("u", "u-1", f"{HOST}:{process.port}", "a", "upstream")
+        nursery.cancel_scope.cancel()
+
+
+class TestObserve:
+    @pytest.mark.parametrize("has_witness", [False, True])
+    async def test_live_process_counts_as_ended(self, has_witness: bool) -> None:
+        async with running_process() as (_, upstream):
+            transport = DirectTransport()
+            if has_witness:
+                await transport.keep_witness(upstream)
+            assert await transport.observe(upstream) is ProbeResult.CONNECTED
+
+    @pytest.mark.parametrize("has_witness", [False, True])
+    async def test_ended_process_counts_as_alive(self, has_witness: bool) -> None:
+        async with running_process() as (process, upstream):
+            transport = DirectTransport()
+            if has_witness:
+                await transport.keep_witness(upstream)
+            await process.end()
+            assert await transport.observe(upstream) is ProbeResult.REFUSED
+
+    async def test_process_that_replaced_it_is_taken_for_it(self) -> None:
+        async with running_process() as (process, upstream):
+            transport = DirectTransport()
+            await transport.keep_witness(upstream)
+            await process.end()
+            await process.start()
+            assert await transport.probe(upstream) is ProbeResult.CONNECTED
+            assert await transport.observe(upstream) is ProbeResult.REFUSED
+
+    async def test_witness_that_this_side_has_closed_counts_as_an_end(self) -> None:
+        async with running_process() as (_, upstream):
+            transport = DirectTransport()
+            await transport.keep_witness(upstream)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._check_alive, transport, upstream)
+                await trio.testing.wait_all_tasks_blocked()
+                transport.forget(upstream)
+
+    @staticmethod
+    async def _check_alive(transport: DirectTransport, upstream: Instance) -> None:
+        assert await transport.observe(upstream) is ProbeResult.CONNECTED
+
+    async def test_each_answer_makes_a_connection(self) -> None:
+        async with running_process() as (_, upstream):
+            transport = DirectTransport()
+            for _ in range(5):
+                await transport.keep_witness(upstream)
+            assert len(transport._pool(upstream).idle) == 1
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -2,6 +2,7 @@
 
 import math
 from abc import ABC, abstractmethod
+from contextlib import suppress
 
 import trio
 
@@ -56,6 +57,14 @@
     async def probe(self, upstream: Instance) -> ProbeResult:
         """Return whether a process listens at an upstream's address, without sending anything."""
 
+    @abstractmethod
+    async def keep_witness(self, upstream: Instance) -> None:
+        """Have an idle connection to an upstream, whose end would show that of its process."""
+
+    @abstractmethod
+    async def observe(self, upstream: Instance) -> ProbeResult:
+        """Return whether an upstream's process outlives an answer that has just ended."""
+
     @abstractmethod
     def forget(self, upstream: Instance) -> None:
         """Close the idle connections to a lost incarnation of an upstream; open requests go on."""
@@ -139,6 +148,33 @@
             return ProbeResult.UNKNOWN
         return ProbeResult.CONNECTED
 
+    async def keep_witness(self, upstream: Instance) -> None:
+        """Have an idle connection; see `UpstreamTransport.keep_witness`."""
+        pool = self._pool(upstream)
+        if not len(pool.idle):
+            with suppress(ConnectFailed):  # `observe` then connects after the answer
+                await self.connect(upstream)
+
+    async def observe(self, upstream: Instance) -> ProbeResult:
+        """Return whether an upstream's process lives; see `UpstreamTransport.observe`.
+
+        All connections of a process end with it, and a new one can't be told from one to the
+        process that replaced it.
+        """
+        return await self.observe_kept(upstream) or await self.probe(upstream)
+
+    async def observe_kept(self, upstream: Instance) -> ProbeResult | None:
+        """Return what the idle connections show of an upstream's process, None for nothing."""
+        pool = self._pool_by_incarnation.get(upstream.incarnation)
+        kept = pool.idle.all() if pool else []
+        if not kept:
+            return None
+        await trio.sleep(PROBE_OPEN_S)
+        ends = [await connection.peer_has_ended_it() for connection in kept]
+        if False in ends:
+            return ProbeResult.CONNECTED
+        return ProbeResult.REFUSED if True in ends else None
+
     def close_stale(self) -> None:
         """Close the idle connections that no request can use; see `close_stale`."""
         close_stale(pool.idle for pool in self._pool_by_incarnation.values())
--- a/tests/deployment/fleet.py
+++ b/tests/deployment/fleet.py
@@ -77,7 +77,7 @@
     async def start(self) -> None:
         """Start a process."""
         self.process = await _open(
-            ["railtide.platform.start"],
+            [_program_of(self.build)],
             self.folder / f"{self.name}.log",
             self.build,
             RAILTIDE_BOOT=str(self.folder / f"{self.name}.yaml"),
@@ -106,6 +106,12 @@
         return False
 
 
+def _program_of(build: Path) -> str:
+    """Return the module that runs a router; builds before 3 December have only the second one."""
+    has_start = (build / "railtide" / "platform" / "start.py").exists()
+    return "railtide.platform.start" if has_start else "railtide.platform.program"
+
+
 @dataclass
 class EngineProcess:
     """An engine's process; each life has a name of its own at the same address."""
