Observability: how a stream without framing ended, and after which event a request goes on

The lines could not tell whether the close of its connection or its framing ended a stream, nor after which event a request resumed one, so that two of the five hypotheses of streams out of order made the same lines. request-sent names the event (after), and answer-unframed tells that an answer without framing was taken for complete.

--- a/railtide/platform/tests/test_ended_upstreams.py
+++ b/railtide/platform/tests/test_ended_upstreams.py
@@ -102,6 +102,17 @@
             await add_ending_engine(env, [events(EVENTS)], ends=False)
             assert await outcome(await env.send("/stream/x")) == (200, events(EVENTS), True)
 
+    async def test_lines_do_not_tell_where_a_stream_went_on_and_how_it_ended(
+        self, lines: list[dict[str, object]]
+    ) -> None:
+        async with router_environment() as env:
+            await add_ending_engine(env, [events(EVENTS)], ends=False)
+            exchange = await env.send("/resume/x", (b"last-event-id", b"3"), (b"resumes", b"r0"))
+            assert await outcome(exchange) == (200, events(EVENTS).removeprefix(events(3)), True)
+        told = {line["event"]: line for line in lines}
+        assert told["request-sent"]["after"] == "3"
+        assert told["answer-unframed"]["last_event"] == str(EVENTS)
+
 
 class TestPlainAnswerOfEndedUpstream:
     async def test_part_of_a_body_is_passed_on_as_the_whole(self) -> None:
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -226,6 +226,7 @@
             parts=[part.of_account for part in self._call.parts],
             software_version=upstream.instance.software_version,
             resumes=self._call.resumption.attempt if self._call.resumption else "",
+            after=self._relay.last_event_id,
             **(expected.log_fields() if expected else {}),
         ).info("request-sent")
 
@@ -262,6 +263,11 @@
         if await self._services.upstreams.observe(upstream.instance) is not ProbeResult.CONNECTED:
             self._services.counters.add("answers_ended_with_upstream")
             raise UpstreamDisconnected("the upstream ended with the connection of its answer")
+        logger.bind(
+            request_id=self._call.request_id,
+            upstream=upstream.instance.name,
+            last_event=self._relay.last_event_id,
+        ).info("answer-unframed")
 
     async def _check_may_send(self) -> None:
         """Raise if no answer would be of use any more: the caller has left, or the deadline passed.
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -74,6 +74,11 @@
         """Whether the last event passed on has an id; see `Relay.resumable`."""
         return self._events.resumable
 
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last event that the caller has; see `Relay.last_event_id`."""
+        return self._events.last_id
+
     async def relay(self, upstream: Instance, sent: UpstreamCall) -> Relayed:
         """Send the call and pass its answer on; see `Relay.relay`."""
         ran_before, self._ran = self._ran, True
--- a/railtide/requests/relay.py
+++ b/railtide/requests/relay.py
@@ -84,6 +84,11 @@
         """Whether another attempt can continue after what the caller was sent."""
         return True
 
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last event that the caller has of its stream; empty where it isn't known."""
+        return ""
+
     @abstractmethod
     async def relay(self, upstream: Instance, sent: UpstreamCall) -> Relayed:
         """Send the call and pass its answer on, except for its end.
