Stand-in: a connection behind a wrapper is reset, not closed in order

RawAnswer.reset set the option on the stream, which a stream that repeats answers doesn't have: the handler failed, and its server closed the connection in order.

--- a/railtide/standins/answers.py
+++ b/railtide/standins/answers.py
@@ -1,18 +1,16 @@
 """HTTP answers written as raw bytes, with a choice of body framing and of how they end."""
 
-import struct
 from enum import StrEnum
 
 import trio
 
 from railtide.http.messages import Headers
+from railtide.http.sockets import reset_on_close
 
 __all__ = ["Framing", "RawAnswer"]
 
 RESET_DELAY_S = 0.02
 """Pause before a reset, so that the peer reads what was sent before it."""
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which a close resets the connection."""
 
 
 class Framing(StrEnum):
@@ -64,5 +62,5 @@
     async def reset(self) -> None:
         """Reset the connection."""
         await trio.sleep(RESET_DELAY_S)
-        self._stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(self._stream.socket)
         self._stream.socket.close()
