--- a/railtide/platform/tests/test_ended_upstreams.py
+++ b/railtide/platform/tests/test_ended_upstreams.py
@@ -6,12 +6,15 @@
 import pytest
 import trio
 
+from railtide.containment.crash_detection import ProbeResult
 from railtide.http.client import Exchange
 from railtide.http.messages import HttpRequest, first_header
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.http.sockets import listen
+from railtide.membership.instances import Instance
 from railtide.platform.tests.test_answer_endings import EVENTS, events, read
 from railtide.platform.tests.test_end_to_end import HOST, RouterEnvironment, router_environment
+from railtide.platform.upstreams import PlatformUpstreams
 from railtide.standins.answers import Framing, RawAnswer
 from railtide.standins.platform import engine_entry
 
@@ -132,3 +135,15 @@
         async with router_environment() as env:
             await add_ending_engine(env, [b"whole"], ends=False)
             assert await outcome(await env.send("/once/x", body=b"b")) == (200, b"whole", True)
+
+    async def test_deadline_during_the_check_says_that_nothing_ran(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def observe(upstreams: PlatformUpstreams, upstream: Instance) -> ProbeResult:
+            return await trio.sleep_forever()
+
+        monkeypatch.setattr(PlatformUpstreams, "observe", observe)
+        async with router_environment() as env:
+            await add_ending_engine(env, [b"whole"], ends=False)
+            answer = await env.send("/once/x", body=b"b")
+            assert answer.status == 504
