--- a/railtide/streams/records.py
+++ b/railtide/streams/records.py
@@ -14,7 +14,9 @@
     "StreamOrigin",
     "origin_of",
     "origin_value",
+    "parts_of_record_key",
     "pool_key",
+    "record_key",
     "shares_of_record",
     "shares_value",
     "stream_key",
@@ -22,6 +24,8 @@
 
 KEY_BYTES = 12
 LENGTH_BYTES = 8
+NUMBER_SEPARATOR = "-"
+MAX_NUMBER_DIGITS = 4
 MAX_NAME_LENGTH = 256
 MAX_VERSIONS = 64
 
@@ -42,6 +46,7 @@
     number: Annotated[int, msgspec.Meta(ge=1)]
     shares: _Shares
     next_shares: _Shares | None = None
+    era: int | None = None
 
 
 _origin_decoder = msgspec.msgpack.Decoder(_OriginValue)
@@ -71,6 +76,41 @@
     return hasher.hexdigest()
 
 
+def record_key(stream: str, number: int) -> str:
+    """Return the key of the record of a stream's origin.
+
+    Each change of the origin has a number and a key of its own. An append without an answer may
+    take effect after later ones, when the router that sent it has ended; it replaces none of them.
+
+    Examples
+    --------
+    >>> record_key("5f", 0), record_key("5f", 2)
+    ('5f', '5f-2')
+    """
+    return f"{stream}{NUMBER_SEPARATOR}{number}" if number else stream
+
+
+def parts_of_record_key(key: str) -> tuple[str, int]:
+    """Return the stream and the number of a record's key.
+
+    Raises
+    ------
+    InvalidObject
+        Something else wrote the record.
+
+    Examples
+    --------
+    >>> parts_of_record_key("5f"), parts_of_record_key("5f-2")
+    (('5f', 0), ('5f', 2))
+    """
+    stream, separator, number = key.partition(NUMBER_SEPARATOR)
+    if not separator:
+        return stream, 0
+    if not (number.isascii() and number.isdigit() and len(number) <= MAX_NUMBER_DIGITS):
+        raise InvalidObject(f"{number!r} is not the number of a record")
+    return stream, int(number)
+
+
 def pool_key(pool: str) -> str:
     """Return the key of a pool's shares."""
     return blake2b(pool.encode(), digest_size=KEY_BYTES, person=b"pool").hexdigest()
@@ -102,15 +142,15 @@
     return StreamOrigin(value.pool, value.version)
 
 
-def shares_value(pool: str, shares: VersionShares) -> bytes:
-    """Return the encoded value of the record of a pool's shares."""
+def shares_value(pool: str, shares: VersionShares, era: int | None = None) -> bytes:
+    """Return the encoded value of the record of a pool's shares, and of the store's era."""
     return msgspec.msgpack.encode(
-        _SharesValue(pool, shares.number, shares.shares, shares.next_shares)
+        _SharesValue(pool, shares.number, shares.shares, shares.next_shares, era)
     )
 
 
-def shares_of_record(record: KeyedRecord) -> tuple[str, VersionShares]:
-    """Decode a pool and its shares.
+def shares_of_record(record: KeyedRecord) -> tuple[str, VersionShares, int | None]:
+    """Decode a pool, its shares, and the store's era in which they were written, if known.
 
     Raises
     ------
@@ -120,11 +160,12 @@
     Examples
     --------
     >>> shares = VersionShares(1, {"v1": 1.0})
-    >>> shares_of_record(KeyedRecord("k", shares_value("menu", shares), 0)) == ("menu", shares)
+    >>> record = KeyedRecord("k", shares_value("menu", shares, 3), 0)
+    >>> shares_of_record(record) == ("menu", shares, 3)
     True
     """
     try:
         value = _shares_decoder.decode(record.value)
     except (msgspec.DecodeError, RecursionError) as err:
         raise InvalidObject(str(err)) from err
-    return value.pool, VersionShares(value.number, value.shares, value.next_shares)
+    return value.pool, VersionShares(value.number, value.shares, value.next_shares), value.era
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3747,6 +3747,20 @@
         "            pass\n",
         (STREAMS,),
     ),
+    Mutant(
+        "late-append-replaces-a-later-record",
+        "streams/stored_origins.py",
+        "        if known and number < known.number:\n",
+        "        if False:\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "missing-record-trusted-after-a-rollback-without-routers",
+        "streams/stored_origins.py",
+        "        if self._agreement.is_outdated(pool):\n",
+        "        if False:\n",
+        (STREAMS,),
+    ),
     Mutant(
         "missing-record-trusted-after-an-outage",
         "streams/stored_origins.py",
@@ -3789,6 +3803,13 @@
         "",
         (STREAMS,),
     ),
+    Mutant(
+        "retry-after-of-an-unlisted-version-stays-short",
+        "lanes/scheduler.py",
+        "            self.retry_after(request.urgency), self._upstreams.unlisted_s(version, now)\n",
+        "            self.retry_after(request.urgency), 0.0\n",
+        (REQUIRED_VERSION,),
+    ),
     Mutant(
         "full-version-blocks-its-lane",
         "lanes/scheduler.py",
