Shutdown: requests are answered before the process ends

A request could be sent to an upstream at any time before the end, however long the pool's requests usually last.

Cause: the shutdown waited until its end for open requests and then cancelled the whole process; nothing told the requests when it ends.

Now `Shutdown` limits them. What waits is refused as not run (503, Retry-After) once its answer, by the usual time of the pool's requests, can't be expected before the end; the lanes refuse at once what they don't expect to serve by then, also when the shutdown begins. At the end a call that was sent and whose answer has not begun is answered 502, run unknown ("interrupted"); an answer under way is cut as before. The refusal of new requests now precedes the check whether all requests have ended; both were timers of the same moment, in either order.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -46,6 +46,7 @@
 from railtide.requests.refused_requests import RefusedRequests
 from railtide.requests.retry import RetryBudget
 from railtide.requests.services import Services
+from railtide.requests.shutdown import Shutdown
 from railtide.telemetry.counters import Counters
 from railtide.upstreams.client import UpstreamClient
 
@@ -60,6 +61,8 @@
 MIN_LENDER_CAPACITY_RATIO = 2.0
 """Least capacity of a lender, as a multiple of the borrower's. A lender behind a link as narrow as
 the borrower's wins the ledger no more often, and its units are then missing where callers are."""
+INTERRUPTION_S = 0.1
+"""Time after the end of a shutdown in which interrupted requests are billed and answered."""
 RETURN_TIMEOUT_S = 0.5
 """Longest wait at a shutdown for the store to take back this router's budget allocations."""
 
@@ -123,6 +126,7 @@
         self.snapshot: Snapshot | None = None
         self.leaving = False
         self.open_calls = 0
+        self._shutdown = Shutdown()
         self.on_snapshot: Callable[[Snapshot], None] = lambda snapshot: None
         self._began_at = trio.current_time()
         self._sources = sources
@@ -260,6 +264,7 @@
             CrashGuard(self._crash_registry, self._crash_detector),
             self._streams.origins,
             AnswerMemory(options.requests.max_held_bytes),
+            self._shutdown,
         )
         self._dispatcher = Dispatcher(self.budgets, self.schedulers_by_pool.get, services)
 
@@ -317,19 +322,29 @@
             nursery.start_soon(self._run_budget_spreading)
             nursery.start_soon(partial(self.roster.run, lambda: self.serves))
 
-    async def drain(self) -> None:
+    async def drain(self, stop_accepting: Callable[[], None] = lambda: None) -> None:
         """Shut down gracefully.
 
         The router stops being advertised, serves late callers, finishes requests in flight and
-        returns its budget allocations.
+        returns its budget allocations. At the end it refuses the requests that were not sent to an
+        upstream, and interrupts the others.
+
+        Parameters
+        ----------
+        stop_accepting : callable, optional
+            Called when new requests are to be refused.
         """
         began = trio.current_time()
+        ends_at = began + self.options.shutdown_timeout_s
         logger.bind(open_calls=self.open_calls).info("leaving")
         self.leaving = self.lender.leaving = True
+        self._shutdown.begin(ends_at)
+        self._pools.end_at(ends_at)
         with trio.move_on_after(self.options.shutdown_accept_s):
             await self.roster.leave()
         await trio.sleep_until(began + self.options.shutdown_accept_s)
-        with trio.move_on_at(began + self.options.shutdown_timeout_s):
+        stop_accepting()
+        with trio.move_on_at(ends_at + INTERRUPTION_S):
             while self.open_calls:
                 await trio.sleep(DRAIN_POLL_S)
         self.lender.end_all()
--- a/railtide/edge/pools.py
+++ b/railtide/edge/pools.py
@@ -1,5 +1,6 @@
 """The upstream pools of an edge router: a scheduler for each, and the routing of updates to it."""
 
+import math
 from collections.abc import Callable, Mapping
 from random import Random
 
@@ -63,6 +64,7 @@
         on_listed: Callable[[list[Instance]], None],
     ) -> None:
         self.schedulers_by_pool: dict[str, PoolScheduler] = {}
+        self._ends_at = math.inf
         self.listed = UpstreamList(self._set_pool, lapse_until)
         self.drained = DrainedDomains(self._set_drained)
         self._upstreams = upstreams
@@ -110,6 +112,7 @@
         scheduler.set_drained(self.drained.names)
         scheduler.set_limit_shares(self._limit_shares)
         scheduler.set_brittle_shares(self._brittle_shares)
+        scheduler.end_at(self._ends_at)
         self.schedulers_by_pool[pool] = scheduler
         self._set_slow_start(pool)
 
@@ -119,6 +122,12 @@
             interval_s = self._slow_start_shares.interval_s
             self.schedulers_by_pool[pool].set_slow_start(slow_start, interval_s)
 
+    def end_at(self, ends_at: float) -> None:
+        """Limit the waits of requests, also those of later pools; see `PoolScheduler.end_at`."""
+        self._ends_at = ends_at
+        for scheduler in self.schedulers_by_pool.values():
+            scheduler.end_at(ends_at)
+
     def _set_drained(self, domains: frozenset[str], ended: frozenset[str]) -> None:
         for scheduler in self.schedulers_by_pool.values():
             scheduler.set_drained(domains)
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -154,12 +154,18 @@
         self._bound: list[WaitingRequest] = []
         self._mean_service_s = 0.0
         self._first_byte_s = 0.0
+        self._ends_at = math.inf
 
     @property
     def first_byte_s(self) -> float:
         """The usual time from a slot to the first byte of the answer; 0 before one was seen."""
         return self._first_byte_s
 
+    @property
+    def usual_s(self) -> float:
+        """The usual time from a slot to the end of the answer; 0 before one was seen."""
+        return max(self._first_byte_s, self._mean_service_s)
+
     # -- upstreams ----------------------------------------------------------------------------
 
     @property
@@ -250,6 +256,16 @@
             raise DeadlineTooNear("no slot became free in time", retry_after=retry_after)
         return request.slot
 
+    def end_at(self, ends_at: float) -> None:
+        """Let requests wait only while their answers usually end by this time.
+
+        The waiting ones for which that is not expected are refused.
+        """
+        self._ends_at = ends_at
+        for request in self._waiting:
+            request.until = min(request.until, ends_at - self.usual_s)
+        self._on_capacity_change()
+
     async def _wait(self, request: WaitingRequest) -> None:
         """Wait for a slot; also wake when the interval of a paced upstream has passed."""
         self._waiting.add(request)
@@ -348,7 +364,8 @@
         If it waited longer, its answer would usually begin after its goal. A caller that is
         refused at once can retry, whereas a wait that ends without a slot only costs it time.
         """
-        return min(request.deadline, max(request.goal_at - self._first_byte_s, now))
+        goal_until = max(request.goal_at - self._first_byte_s, now)
+        return min(request.deadline, goal_until, self._ends_at - self.usual_s)
 
     def accepts(self, version: str) -> bool:
         """Return whether upstreams of a software version accept requests, now or later."""
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -249,10 +249,11 @@
 async def _shut_down(node: EdgeNode, ingress: Ingress, server: HttpServer) -> None:
     """Serve requests until callers use other routers, then refuse new ones, then close."""
     server.closing = True
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(node.drain)
-        await trio.sleep(node.options.shutdown_accept_s)
+
+    def stop_accepting() -> None:
         ingress.refusing = True
+
+    await node.drain(stop_accepting)
     server.close_idle()
     await trio.sleep(FLUSH_S)
 
--- a/railtide/platform/tests/test_end_to_end.py
+++ b/railtide/platform/tests/test_end_to_end.py
@@ -54,12 +54,22 @@
 
 @dataclass
 class RouterEnvironment:
-    """One router, its store and engines, and a client's connection pool to the router."""
+    """One router, its store and engines, and a client's connection pool to the router.
+
+    Attributes
+    ----------
+    server_scope : trio.CancelScope
+        The scope of the router's server; cancelling it cuts its connections.
+    """
 
     store: MemoryStore
     node: EdgeNode
     pool: PeerPool
+    port: int
     nursery: trio.Nursery
+    ingress: Ingress
+    server: HttpServer
+    server_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     engine_by_name: dict[str, PlatformEngine] = field(default_factory=dict)
     server_by_engine: dict[str, HttpServer] = field(default_factory=dict)
     sent_count: int = 0
@@ -127,6 +137,7 @@
     link: ThrottledLink | None = None,
     store: MemoryStore | None = None,
     instance: str = "i1",
+    options: EdgeOptions | None = None,
 ) -> AsyncIterator[RouterEnvironment]:
     """Yield a router that is ready; it reaches its store, which may be shared, over `link`."""
     store = store or MemoryStore()
@@ -141,20 +152,33 @@
             PlatformStore(f"{HOST}:{store_port}", Counters()),
             PlatformSources(),
             upstreams,
-            EdgeOptions(),
+            options or EdgeOptions(),
             Random(1),
             suspensions=suspensions,
         )
         upstreams.on_notice = node.apply_notice
         nursery.start_soon(node.run)
-        port = await serve(nursery, Ingress(node, Random(1)).handle)
+        ingress = Ingress(node, Random(1))
+        server = HttpServer(ingress.handle, ConnectionLimits(), check_head=ingress.check_head)
+        scope = trio.CancelScope()
+        listener = await listen(HOST, 0)
+        nursery.start_soon(_serve_within, scope, server, listener)
+        port = listener.socket.getsockname()[1]
         with trio.fail_after(5):
             while not node.ready:
                 await trio.sleep(0.01)
-        yield RouterEnvironment(store, node, PeerPool(HOST, port), nursery)
+        pool = PeerPool(HOST, port)
+        yield RouterEnvironment(store, node, pool, port, nursery, ingress, server, scope)
         nursery.cancel_scope.cancel()
 
 
+async def _serve_within(
+    scope: trio.CancelScope, server: HttpServer, listener: trio.SocketListener
+) -> None:
+    with scope:
+        await server.serve(listener)
+
+
 async def body_of(exchange: Exchange) -> bytes:
     with trio.fail_after(8):
         return b"".join([chunk async for chunk in exchange.chunks()])
--- a/railtide/requests/dispatcher.py
+++ b/railtide/requests/dispatcher.py
@@ -82,10 +82,11 @@
         scheduler = self._scheduler_of(call.pool)
         if scheduler is None:
             raise NoUpstream("no upstream of the pool is known", retry_after=RETRY_AFTER_S)
-        await self._services.guard.check(call.content, call.parts)
-        reservation = await self._budgets.reserve(
-            call.account, call.settings, call.reserve, call.deadline, _terms_of(call, scheduler)
-        )
+        with self._services.shutdown.before_sending(scheduler.usual_s):
+            await self._services.guard.check(call.content, call.parts)
+            reservation = await self._budgets.reserve(
+                call.account, call.settings, call.reserve, call.deadline, _terms_of(call, scheduler)
+            )
         await Execution(call, reservation, scheduler, self._services, sink).run()
 
     async def _look_up(self, call: Call) -> None:
--- a/railtide/requests/errors.py
+++ b/railtide/requests/errors.py
@@ -7,6 +7,7 @@
     "ClaimUnavailable",
     "DeadlineExceeded",
     "HolderFenced",
+    "Interrupted",
     "InvalidRequest",
     "KeyReused",
     "KeyRequired",
@@ -117,6 +118,14 @@
     run = ExecutionStatus.UNKNOWN
 
 
+class Interrupted(RequestError):
+    """This router shut down while an upstream was processing the request."""
+
+    code = "interrupted"
+    status = 502
+    run = ExecutionStatus.UNKNOWN
+
+
 class HolderFenced(RequestError):
     """This router's incarnation was fenced before the request was sent."""
 
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -1,6 +1,7 @@
 """Runs one request: slot, attempts at upstreams, retries, and the bill, also without an answer."""
 
 import math
+from contextlib import AbstractContextManager
 
 import trio
 from loguru import logger
@@ -20,14 +21,17 @@
     ClaimUnavailable,
     DeadlineExceeded,
     HolderFenced,
+    Interrupted,
     OutcomeUnknown,
 )
 from railtide.requests.guarded_attempts import GuardedAttempts
 from railtide.requests.messages import Answer, Bill, Outcome
 from railtide.requests.relay import Relayed
 from railtide.requests.services import Services
+from railtide.requests.shutdown import too_late
 from railtide.requests.stream_version import StreamVersion
 from railtide.requests.usage import cancel_and_get_cost
+from railtide.router.errors import Draining
 from railtide.telemetry.traceparent import traceparent_of
 from railtide.upstreams.client import UpstreamCall
 from railtide.upstreams.errors import (
@@ -120,18 +124,25 @@
             A finished request claimed its key, and the answer is stored.
         """
         try:
-            with trio.move_on_at(self._call.deadline) as scope:
-                self._waiting.preference = self._guarded.preference
-                await self._version.prepare()
-                self._slot = await self._scheduler.acquire(self._waiting)
-                await self._commit.prepare()
+            with self._services.shutdown.limit(self._call.deadline) as scope:
+                with self._before_sending():
+                    self._waiting.preference = self._guarded.preference
+                    await self._version.prepare()
+                    self._slot = await self._scheduler.acquire(self._waiting)
+                    await self._commit.prepare()
                 await self._send_answer(await self._run_at_upstreams())
             if scope.cancelled_caught:
+                if trio.current_time() < self._call.deadline:
+                    raise self._shutdown_error()
                 self._note_unfinished_answer()
                 raise self._deadline_error()
         finally:
             self._close()
 
+    def _before_sending(self) -> AbstractContextManager[None]:
+        """Return the context of waits before an attempt; see `Shutdown.before_sending`."""
+        return self._services.shutdown.before_sending(self._scheduler.usual_s)
+
     def _note_unfinished_answer(self) -> None:
         """Count a failure of an upstream that began an answer and did not end it in time.
 
@@ -146,6 +157,11 @@
             return DeadlineExceeded("the deadline passed before the answer was complete")
         return ClaimUnavailable("the log did not answer before the deadline")
 
+    def _shutdown_error(self) -> Interrupted | Draining:
+        if self._may_have_run:
+            return Interrupted("this router shut down before the answer was complete")
+        return too_late()
+
     async def _send_answer(self, relayed: Relayed) -> None:
         """Bill the answer and send the caller the part of it that is not sent yet."""
         wasted = self._commit.wasted_units(len(self._lost_attempts))
@@ -200,9 +216,10 @@
             try:
                 await self._guarded.note_failure(upstream, failed)
                 self._waiting.preference = self._guarded.preference
-                await self._prepare_retry(failed, attempt)
-                self._scheduler.release(self._slot)
-                self._slot = await self._scheduler.reacquire(self._waiting, upstream)
+                with self._before_sending():
+                    await self._prepare_retry(failed, attempt)
+                    self._scheduler.release(self._slot)
+                    self._slot = await self._scheduler.reacquire(self._waiting, upstream)
             except RailtideError:
                 if isinstance(failed, UpstreamFailed):
                     return failed.answer
@@ -264,14 +281,16 @@
             raise UpstreamDisconnected("the upstream ended with the connection of its answer")
 
     async def _check_may_send(self) -> None:
-        """Raise if no answer would be of use any more: the caller has left, or the deadline passed.
+        """Raise if no answer would be of use any more, or none can be expected.
 
-        Both may have become known in the turn of the event loop in which the wait before ended, or
-        while the loop was late.
+        The caller has left, the deadline passed, or the router shuts down before the answer usually
+        ends. The first two may have become known in the turn of the event loop in which the wait
+        before ended, or while the loop was late.
         """
         await self._sink.check_caller()
         if trio.current_time() >= self._call.deadline:
             raise self._deadline_error()
+        self._services.shutdown.check_may_send(self._scheduler.usual_s)
 
     def _report_stream_pauses(self) -> None:
         """Report to the scheduler whether a complete stream paused for longer than its goal."""
--- a/railtide/requests/services.py
+++ b/railtide/requests/services.py
@@ -11,6 +11,7 @@
 from railtide.requests.answer_memory import AnswerMemory
 from railtide.requests.options import RequestOptions
 from railtide.requests.retry import RetryBudget
+from railtide.requests.shutdown import Shutdown
 from railtide.streams.origins import NoOrigins, StreamOrigins
 from railtide.telemetry.counters import Counters
 from railtide.upstreams.client import UpstreamClient
@@ -45,6 +46,8 @@
         Knows at which software version a stream began.
     answer_memory : AnswerMemory
         Bounds the incomplete answers that are held.
+    shutdown : Shutdown
+        Limits the requests once the router shuts down.
     """
 
     upstreams: UpstreamClient
@@ -60,3 +63,4 @@
     guard: ContentGuard = field(default_factory=NoGuard)
     origins: StreamOrigins = field(default_factory=NoOrigins)
     answer_memory: AnswerMemory = field(default_factory=AnswerMemory)
+    shutdown: Shutdown = field(default_factory=Shutdown)
