Server: requests that arrive during a shutdown are answered

What callers saw: a connection on which a request was arriving when the router's last call ended was closed within it; so was a kept connection whose request had arrived but was not read yet. Of pipelined requests only the first was answered. A request whose body began after the acceptance kept its caller until its last byte, although its refusal was certain.

Cause: the shutdown closed idle connections and gave all others 0.2 s; the cancelled wait of an idle connection left its bytes unread, so that the close reset it; the first answer of pipelined requests said "connection: close".

Now the acceptance's end refuses requests that have arrived in part (503, Retry-After 0) and later ones by their heads, and the rest of their bodies is discarded before the close. A wait that is cancelled reads what has arrived. An answer says "connection: close" only if no further request has begun to arrive. The end of the shutdown closes the listener, and returns once all connections have ended, at the latest as before.

--- a/railtide/http/server.py
+++ b/railtide/http/server.py
@@ -44,6 +44,9 @@
 LINGER_S = 1.0
 """Longest wait for the rest of a rejected body after the rejection was sent."""
 
+CLOSE_POLL_S = 0.01
+"""Interval of the checks whether all connections have ended."""
+
 CONNECTION_BYTES = 12_288
 """Memory of a connection that waits for a request: its task and its parser."""
 REQUEST_BYTES = 32_768
@@ -154,7 +157,7 @@
 
 class _RequestRefused(Exception):  # noqa: N818 - results in an answer, not in an error
     def __init__(
-        self, status: int, *, by_limit: bool = False, rejection: MemoryExhausted | None = None
+        self, status: int, *, by_limit: bool = False, rejection: RailtideError | None = None
     ) -> None:
         super().__init__(str(status))
         self.status = status
@@ -190,7 +193,10 @@
     Attributes
     ----------
     closing : bool
-        If True, each answer asks its caller to close the connection.
+        If True, each answer asks its caller to close the connection, unless the next request has
+        already begun to arrive.
+    refuses_incomplete : bool
+        Whether requests that `check_head` rejects are answered before their bodies have arrived.
     idle_scopes : dict of trio.CancelScope
         The scopes in which connections wait for their next request, the longest wait first;
         cancelling one closes its connection.
@@ -213,6 +219,9 @@
         self.check_head = check_head
         self.answers_rejections = check_head is not _admit_all
         self.closing = False
+        self.refuses_incomplete = False
+        self.reading_scopes: set[trio.CancelScope] = set()
+        self.reading_rejection: RailtideError | None = None
         self.idle_scopes: dict[trio.CancelScope, None] = {}
         self.share = share or unlimited()
         self.waits_for_room = waits_for_room
@@ -220,6 +229,7 @@
         self.lane = ExcessLane()
         self.cancels = cancels
         self._holdings: set[Holding] = set()
+        self._accepting = trio.CancelScope()
 
     async def serve(
         self, listener: trio.SocketListener, accepting: trio.CancelScope | None = None
@@ -235,8 +245,9 @@
             finally:
                 limited.release()
 
+        self._accepting = accepting or self._accepting
         async with trio.open_nursery() as connections:
-            with accepting or trio.CancelScope():
+            with self._accepting:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(limited.series.report_ends)
                     await trio.serve_listeners(
@@ -248,6 +259,24 @@
         for scope in list(self.idle_scopes):
             scope.cancel()
 
+    def refuse_incomplete(self, rejection: RailtideError) -> None:
+        """Refuse at once the requests that have begun to arrive, and later ones by their heads.
+
+        `check_head` must reject all requests from now on.
+        """
+        self.refuses_incomplete = True
+        self.reading_rejection = rejection
+        for scope in self.reading_scopes:
+            scope.cancel()
+
+    async def close(self, rejection: RailtideError) -> None:
+        """Close all connections, those in use once their requests are answered or refused."""
+        self._accepting.cancel()
+        while self._holdings:
+            self.refuse_incomplete(rejection)
+            self.close_idle()
+            await trio.sleep(CLOSE_POLL_S)
+
     def _make_room(self) -> bool:
         """Begin to close the connection that waits longest, or one whose caller stalls.
 
@@ -373,7 +402,8 @@
     @property
     def is_closing(self) -> bool:
         """Whether the connection ends after this answer."""
-        return self.server.closing or self.server.share.is_crowded or self.rejected_unread
+        is_last = self.server.closing and not self.h11.trailing_data[0]
+        return is_last or self.server.share.is_crowded or self.rejected_unread
 
     async def send(self, data: bytes | memoryview) -> None:
         await self.stream.send_all(data)
@@ -394,9 +424,11 @@
             return None
         with trio.move_on_after(self.server.limits.head_timeout_s) as scope:
             self.holding.wait_for_peer(scope.cancel)
+            self.server.reading_scopes.add(scope)
             try:
                 return await self._read_whole(scope)
             finally:
+                self.server.reading_scopes.remove(scope)
                 self.holding.stop_waiting()
         if self.holding.is_evicted:
             err = MemoryExhausted(
@@ -404,12 +436,19 @@
                 retry_after=self.server.memory.retry_after_s(),
             )
             raise _RequestRefused(UNAVAILABLE, rejection=err)
+        if scope.cancelled_caught and self.server.reading_rejection:
+            raise _RequestRefused(UNAVAILABLE, rejection=self.server.reading_rejection)
         if scope.cancelled_caught:
             raise _RequestRefused(TIMEOUT)
         return None
 
     async def _wait_for_bytes(self) -> bool:
-        """Wait for the first bytes of a request; return False if none arrive in time."""
+        """Wait for the first bytes of a request; return False if none arrive in time.
+
+        Bytes that arrived before the wait was cancelled are read: a close would reset the
+        connection, and its caller could not tell whether the request was run.
+        """
+        data = b""
         with trio.move_on_after(self.server.limits.idle_timeout_s) as scope:
             self.server.idle_scopes[scope] = None
             if not self.server.waits_for_room:
@@ -419,7 +458,9 @@
             finally:
                 self.holding.stop_waiting()
                 self.server.idle_scopes.pop(scope, None)
-        if scope.cancelled_caught or not data:
+        if scope.cancelled_caught and not self.holding.is_evicted:
+            data = await self._receive() if self.stream.socket.is_readable() else b""
+        if not data:
             return False
         self.h11.receive_data(data)
         return True
@@ -495,11 +536,14 @@
     def _is_closing_cheaper(self, head: h11.Request) -> bool:
         """Return whether the body of a rejected request is left unread, which ends the connection.
 
-        Only a body that the caller has not sent yet costs the link less that way.
+        Only a body that the caller has not sent yet costs the link less that way. A server that
+        refuses incomplete requests waits for no body.
         """
         if self.h11.they_are_waiting_for_100_continue:
             return True
         missing = _stated_length(head) - len(self.h11.trailing_data[0])
+        if self.server.refuses_incomplete:
+            return missing > 0 or _is_chunked(head)
         return missing > MAX_DISCARDED_BODY
 
     async def _next_event(self, in_head: bool) -> h11.Event | type[h11.PAUSED]:
@@ -597,6 +641,10 @@
     return int(first_header(head.headers, b"content-length") or 0)
 
 
+def _is_chunked(head: h11.Request) -> bool:
+    return first_header(head.headers, b"transfer-encoding") is not None
+
+
 def _head_bytes(head: h11.Request) -> int:
     """Return the size of a head; h11 limits only heads that don't arrive in one read."""
     lines = sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in head.headers)
--- a/railtide/platform/ingress.py
+++ b/railtide/platform/ingress.py
@@ -21,7 +21,7 @@
 from railtide.router.problems import PROBLEM_TYPE, problem_of, problem_to_bytes
 from railtide.telemetry.latency import Latency
 
-__all__ = ["Ingress", "addresses_body"]
+__all__ = ["Ingress", "addresses_body", "shutting_down"]
 
 DEFAULT_RETRY_AFTER_S = 0.3
 """Retry-After of an error that carries none: engines and routers that start, leave or are full are
@@ -99,6 +99,8 @@
 
     def check_head(self, request: HttpRequest, length: int) -> RailtideError | None:
         """Return why a request is rejected by its head; see `railtide.http.server.HeadCheck`."""
+        if self.refusing:
+            return shutting_down()
         shedding, snapshot = self._node.shedding, self._node.snapshot
         sheds = shedding is not None and shedding.rejects
         if snapshot is None or not (sheds or length > MAX_UNCHECKED_BODY):
@@ -158,7 +160,7 @@
                 "this router has not read its configuration yet", retry_after=DEFAULT_RETRY_AFTER_S
             )
         if self.refusing:
-            raise Draining("this router is shutting down; use another address", retry_after=0.0)
+            raise shutting_down()
         trace.version = snapshot.version
         self._node.check_not_superseded()
         return call_of(request, snapshot, self._rng, trio.current_time())
@@ -187,6 +189,11 @@
         trace.status = status
 
 
+def shutting_down() -> Draining:
+    """Return the refusal of new requests during a shutdown."""
+    return Draining("this router is shutting down; use another address", retry_after=0.0)
+
+
 def _is_cancelled(err: BaseException) -> bool:
     """Return whether an error is a cancellation or a group of nothing but cancellations."""
     if isinstance(err, BaseExceptionGroup):
--- a/railtide/platform/program.py
+++ b/railtide/platform/program.py
@@ -27,7 +27,7 @@
 from railtide.membership.identity import Identity
 from railtide.platform.boot import Boot, read_boot
 from railtide.platform.desired_state import PlatformSources
-from railtide.platform.ingress import Ingress, addresses_body
+from railtide.platform.ingress import Ingress, addresses_body, shutting_down
 from railtide.platform.store import PlatformStore
 from railtide.platform.upstreams import PlatformUpstreams, engine_connections
 from railtide.process import (
@@ -81,7 +81,7 @@
 FIXED_WAITS = "fixed"
 ORDERED_WAITS = "ordered"
 FLUSH_S = 0.2
-"""Kept free at the end of a shutdown for the last log lines and for closing connections."""
+"""Time that the closing of connections has at least, at the end of a shutdown."""
 
 
 class EdgeSettings(BaseModel):
@@ -248,14 +248,16 @@
 
 async def _shut_down(node: EdgeNode, ingress: Ingress, server: HttpServer) -> None:
     """Serve requests until callers use other routers, then refuse new ones, then close."""
+    ends_at = trio.current_time() + node.options.shutdown_timeout_s
     server.closing = True
 
     def stop_accepting() -> None:
         ingress.refusing = True
+        server.refuse_incomplete(shutting_down())
 
     await node.drain(stop_accepting)
-    server.close_idle()
-    await trio.sleep(FLUSH_S)
+    with trio.move_on_at(max(ends_at, trio.current_time() + FLUSH_S)):
+        await server.close(shutting_down())
 
 
 def _apply_limits(limits: ConnectionLimits, peers: HttpServer, snapshot: Snapshot) -> None:
--- a/railtide/platform/tests/test_graceful_stop.py
+++ b/railtide/platform/tests/test_graceful_stop.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import msgspec
+import pytest
 import trio
 
 from railtide.edge.options import EdgeOptions
@@ -239,7 +240,78 @@
             assert not (await read_all(stream)).endswith(b"x" * 12_000_000)
 
 
-class TestEndOfAcceptance:
+class TestRequestsThatArrive:
+    """Guards against connections that are closed while the router reads a request from them."""
+
+    @pytest.mark.parametrize("length", [1_000, 200_000])
+    async def test_request_whose_body_is_incomplete_is_refused_at_once(self, length: int) -> None:
+        async with stopping_router() as router:
+            stream = await router.connect()
+            await stream.send_all(request_bytes(1, b"x" * 10, length))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.stop)
+                answer = await read_all(stream)
+            assert answer.startswith(b"HTTP/1.1 503 ") and b"retry-after: 0" in answer.lower()
+            assert not answer.endswith(b"<reset>")
+
+    async def test_rest_of_a_refused_body_does_not_cost_its_caller_the_answer(self) -> None:
+        """Unread bytes would reset the connection, and with it what the caller has not read."""
+        async with stopping_router() as router:
+            stream = await router.connect()
+            await stream.send_all(request_bytes(1, b"x" * 10, 50_000))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.stop)
+                await router.at_refusal()
+                await trio.sleep(0.3)
+                await stream.send_all(b"x" * 49_990)
+                answer = await read_all(stream)
+            assert answer.startswith(b"HTTP/1.1 503 ")
+
+    async def test_request_whose_head_is_incomplete_is_refused(self) -> None:
+        async with stopping_router() as router:
+            stream = await router.connect()
+            await stream.send_all(request_bytes(1)[:60])
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.stop)
+                answer = await read_all(stream)
+            assert answer.startswith(b"HTTP/1.1 503 ") and b"retry-after: 0" in answer.lower()
+
+    async def test_body_that_begins_after_the_acceptance_is_refused_at_once(self) -> None:
+        async with stopping_router(gap_s=1.0) as router:
+            router.begin("keeps the router running")
+            stream = await router.connect()
+            await wait_until(lambda: router.ran == 1)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.stop)
+                await router.at_refusal()
+                await stream.send_all(request_bytes(1, b"x" * 10, 1_000))
+                answer = await read_all(stream)
+                assert router.env.node.open_calls == 1
+            assert answer.startswith(b"HTTP/1.1 503 ")
+
+    async def test_request_on_a_kept_connection_is_answered_in_its_last_moment(self) -> None:
+        """The request has arrived, but the router decides to close before it reads."""
+        async with stopping_router() as router:
+            stream = await router.connect()
+            await stream.send_all(request_bytes(1))
+            assert (await stream.receive_some(65_536)).startswith(b"HTTP/1.1 200 ")
+            await wait_until(lambda: bool(router.env.server.idle_scopes))
+            router.env.ingress.refusing = router.env.server.closing = True
+            stream.socket._sock.send(request_bytes(2))
+            router.env.server.close_idle()
+            assert (await read_all(stream)).startswith(b"HTTP/1.1 503 ")
+
+    async def test_pipelined_requests_are_answered(self) -> None:
+        async with stopping_router(gap_s=0.2) as router:
+            stream = await router.connect()
+            await stream.send_all(b"".join(request_bytes(number) for number in range(3)))
+            await wait_until(lambda: router.ran == 1)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.stop)
+                answers = await read_all(stream)
+            assert answers.count(b"HTTP/1.1 ") == 3
+            assert answers.lower().count(b"connection: close") == 1
+
     async def test_no_request_is_taken_once_the_last_one_has_ended(self) -> None:
         """Guards against a request taken between the end of the wait and the first refusal."""
         async with stopping_router(gap_s=LONG_S) as router:
