--- a/railtide/platform/tests/test_forwarded_requests.py
+++ b/railtide/platform/tests/test_forwarded_requests.py
@@ -468,3 +468,56 @@
 def advertised_names(fleet: RouterFleet) -> list[list[str]]:
     """Return which routers each router advertises."""
     return [[router.name for router in node.roster.advertised()] for node in fleet.nodes]
+
+
+class TestStopOfTheForwarder:
+    """Guards against forwarded requests that are cut without an answer to their callers."""
+
+    @staticmethod
+    def shorten(fleet: RouterFleet, router: int) -> None:
+        """Let a router's shutdown last about a second."""
+        node = fleet.nodes[router]
+        node.options = replace(node.options, shutdown_accept_s=0.3, shutdown_timeout_s=0.8)
+
+    @staticmethod
+    async def stop(fleet: RouterFleet, router: int) -> None:
+        """Stop a router's part for other routers, as the end of its process does."""
+        await fleet.nodes[router].drain()
+        fleet.peer_scopes[router].cancel()
+
+    @pytest.mark.parametrize(("path", "status", "runs"), [("/once/x", 502, 1), ("/safe/x", 200, 2)])
+    async def test_request_at_an_engine_at_the_end_is_answered(
+        self, path: str, status: int, runs: int
+    ) -> None:
+        async with cut_off_fleet(routers=3) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            engine.next_scripts = [EngineScript(gap_s=30.0)]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.send, 0, path)
+                await wait_until(lambda: len(engine.ran) == 1)
+                busy = next(n for n in (1, 2) if fleet.nodes[n].open_calls)
+                self.shorten(fleet, busy)
+                await self.stop(fleet, busy)
+            assert fleet.statuses == {status: 1}
+            assert len(engine.ran) == runs
+
+    @pytest.mark.parametrize("at_s", [0.0, 0.5])
+    async def test_request_during_the_stop_is_forwarded_by_another(self, at_s: float) -> None:
+        async with cut_off_fleet(routers=3) as fleet:
+            engine = fleet.engine_by_name["e0"]
+            fleet.nodes[1].options = replace(fleet.nodes[1].options, shutdown_accept_s=1.5)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.stop, fleet, 1)
+                await wait_until(lambda: fleet.nodes[1].leaving)
+                await trio.sleep(at_s)
+                assert [await fleet.send(0, "/once/x") for _ in range(6)] == [200] * 6
+            assert len(engine.ran) == 6
+
+    async def test_request_without_another_forwarder_is_refused_as_not_run(self) -> None:
+        async with cut_off_fleet(routers=2) as fleet:
+            self.shorten(fleet, 1)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.stop, fleet, 1)
+                await wait_until(lambda: fleet.nodes[1].leaving)
+                assert await fleet.send(0, "/once/x") == 503
+            assert not fleet.engine_by_name["e0"].ran
