Shutdown: a request that can't be answered in time is refused at once

Before its budget is reserved and its slot is taken, a request is refused with "draining" and Retry-After 0, in place of a lane's refusal that names its goal or deadline.

--- a/railtide/lanes/tests/test_scheduler.py
+++ b/railtide/lanes/tests/test_scheduler.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 from msgspec.structs import replace
+from trio.testing import wait_all_tasks_blocked
 
 from railtide.lanes.errors import DeadlineTooNear, LaneError, NoUpstream, QueueFull
 from railtide.lanes.queue import Urgency
@@ -331,3 +332,35 @@
         scheduler.release(slot)
         scheduler.release(slot)
         assert scheduler.by_name["a"].open_requests == 0
+
+
+class TestEnd:
+    """Guards against requests that wait in a lane until their router's process has ended."""
+
+    async def test_waiting_request_is_refused_while_its_answer_could_still_end(
+        self, autojump_clock
+    ) -> None:
+        scheduler = make("a")
+        slots = await fill(scheduler, 3)
+        scheduler._mean_service_s = 2.0
+        began = trio.current_time()
+        with pytest.raises(DeadlineTooNear):
+            async with trio.open_nursery(strict_exception_groups=False) as nursery:
+                nursery.start_soon(scheduler.acquire, request())
+                await wait_all_tasks_blocked()
+                scheduler.end_at(began + 7.0)
+        assert trio.current_time() - began == 5.0
+        for slot in slots:
+            scheduler.release(slot)
+
+    async def test_request_that_would_wait_beyond_the_end_is_refused_at_once(
+        self, autojump_clock
+    ) -> None:
+        scheduler = make("a")
+        await fill(scheduler, 3)
+        scheduler._mean_service_s = 2.0
+        scheduler.end_at(trio.current_time() + 2.5)
+        began = trio.current_time()
+        with pytest.raises(DeadlineTooNear):
+            await scheduler.acquire(request())
+        assert trio.current_time() == began
--- a/railtide/requests/shutdown.py
+++ b/railtide/requests/shutdown.py
@@ -54,8 +54,9 @@
         Raises
         ------
         Draining
-            The wait lasted until the answer could no longer be expected before the end.
+            The answer can't be expected before the end, already now or after a longer wait.
         """
+        self.check_may_send(usual_s)
         with self.limit(margin_s=usual_s) as scope:
             yield
         if scope.cancelled_caught:
