--- a/tests/edge_soak/answers.py
+++ b/tests/edge_soak/answers.py
@@ -7,12 +7,12 @@
 import trio
 
 from railtide.standins.endless_answers import Flood
-from railtide.standins.platform import EngineRun, EngineScript
+from railtide.standins.platform import EngineRun, EngineScript, PlatformEngine
 from tests.edge_soak.faults import PlannedFault
 from tests.edge_soak.fleet import GOOD_ENGINE, Fleet
 from tests.edge_soak.series import plan_series
 
-__all__ = ["ANSWERS", "clear_answers", "plan_answers", "unstopped_runs"]
+__all__ = ["ANSWERS", "FLOODS_SEED", "clear_answers", "plan_answers", "unstopped_runs"]
 
 MIN_FAULTS = 2
 MAX_FAULTS = 5
@@ -21,6 +21,7 @@
 FLOOD_PAUSE_S = 0.005
 STOP_S = 0.4
 """How soon an engine must be told to stop once its request goes on at another one."""
+FLOODS_SEED = 41_000
 LONG_ANSWER = replace(GOOD_ENGINE, gap_s=0.15)
 """Takes longer than `STOP_S`, so that an engine that isn't told to stop shows."""
 FLOODS = (
@@ -64,26 +65,46 @@
 
 async def _flood(fleet: Fleet, rng: Random, duration_s: float) -> None:
     """Have an engine send bytes without end in place of its answers, fast or slowly."""
-    engine = rng.choice(fleet.engines)
+    await _flood_from([rng.choice(fleet.engines)], rng, duration_s)
+
+
+async def _floods(fleet: Fleet, rng: Random, duration_s: float) -> None:
+    """Have two or more engines do so at the same time, sometimes all."""
+    count = rng.randint(2, len(fleet.engines))
+    await _flood_from(rng.sample(fleet.engines, count), rng, duration_s)
+
+
+async def _flood_from(engines: list[PlatformEngine], rng: Random, duration_s: float) -> None:
     pause_s = rng.choice([0.0, FLOOD_PAUSE_S])
-    engine.script = EngineScript(flood=rng.choice(FLOODS), flood_pause_s=pause_s)
+    for engine in engines:
+        engine.script = EngineScript(flood=rng.choice(FLOODS), flood_pause_s=pause_s)
     await trio.sleep(duration_s if pause_s else min(duration_s, MAX_FLOOD_S))
-    engine.script = GOOD_ENGINE
+    for engine in engines:
+        engine.script = GOOD_ENGINE
 
 
 ANSWERS: dict[str, Callable[[Fleet, Random, float], Awaitable[None]]] = {
     "repeated-answers": _repeat_answers,
     "repeated-refusals": _repeat_refusals,
     "flood": _flood,
+    "floods": _floods,
 }
 
 
 def plan_answers(seed: int) -> list[PlannedFault]:
-    """Return the series and faults of a seed, and those of answers, ordered by their begin."""
+    """Return the series and faults of a seed, and those of answers, ordered by their begin.
+
+    Seeds from `FLOODS_SEED` on have at least one fault of several engines.
+    """
     rng = Random(f"answers {seed}")
     planned = plan_series(seed)
-    for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS)):
-        name, at, length = rng.choice(sorted(ANSWERS)), rng.uniform(0, WINDOW_S), rng.uniform(1, 4)
+    has_floods = seed >= FLOODS_SEED
+    names = [name for name in sorted(ANSWERS) if name != "floods" or has_floods]
+    count = rng.randint(MIN_FAULTS, MAX_FAULTS)
+    for number in range(count):
+        name, at, length = rng.choice(names), rng.uniform(0, WINDOW_S), rng.uniform(1, 4)
+        if has_floods and number == 0:
+            name = "floods"
         planned.append(PlannedFault(name, round(at, 2), round(length, 2), rng.randrange(1 << 30)))
     return sorted(planned, key=lambda fault: fault.at)
 
