Store: responses and reads in progress are bounded together

What was seen: a store that sends without end on all topics at once took 16 MB a topic, and more where it was decoded into small records; pages of the newest records that follow each other without end were kept without any bound. Requests of all callers end with the process.

Cause: the bound of 16 MB was for each response. It counted bytes, not what is decoded from them: a record of 5 bytes takes some hundred. A read of the newest records had no bound. The client did not limit the work of reading either.

All responses in progress share an account of 32 MB, in which each weighs its body, its copy and what is decoded from it; the largest one is given up beyond it. Reads of the newest records share as much between their pages. Answers of the store are read at the pace of those of upstreams.

--- a/railtide/platform/page.py
+++ b/railtide/platform/page.py
@@ -12,6 +12,8 @@
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 HEADER_BYTES = 2 * OFFSET_BYTES
+RECORD_BYTES = 512
+"""Memory of a decoded record besides its value."""
 
 
 class PageReader:
@@ -36,6 +38,7 @@
         self._start = start
         self._next_offset = start
         self._records: list[KeyedRecord] = []
+        self._record_bytes = 0
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> None:
@@ -55,6 +58,7 @@
             )
             if record:
                 self._records.append(record)
+                self._record_bytes += RECORD_BYTES + len(record.value)
             self._next_offset += 1
             position = record_end
         del self._buffer[:position]
@@ -67,6 +71,11 @@
         record_end = content_start + int.from_bytes(self._buffer[position:content_start], "big")
         return record_end if len(self._buffer) >= record_end else None
 
+    @property
+    def bytes_held(self) -> int:
+        """Memory of the records, and of the bytes that follow them."""
+        return self._record_bytes + 2 * len(self._buffer)
+
     @property
     def has_records(self) -> bool:
         """True once a complete record has been received, readable or not."""
--- a/railtide/platform/store.py
+++ b/railtide/platform/store.py
@@ -10,10 +10,12 @@
 import trio
 from loguru import logger
 
+from railtide.errors import RailtideError
 from railtide.http.client import PeerPool
 from railtide.http.descriptors import DescriptorShare
 from railtide.http.errors import HttpError, Stalled
 from railtide.http.messages import HttpRequest
+from railtide.http.read_pace import ExcessLane
 from railtide.http.stall import MIN_BYTES, StallWatch
 from railtide.http.traffic import PeerKind, Traffic
 from railtide.journal.backoff import Backoff
@@ -32,7 +34,9 @@
     StoreResponse,
     era_header,
 )
+from railtide.requests.answer_memory import AnswerMemory, HeldAnswer
 from railtide.telemetry.counters import Counters
+from railtide.upstreams.errors import UpstreamAnswerTooLong
 
 __all__ = ["PlatformStore"]
 
@@ -61,6 +65,11 @@
 Half of the shortest retention in the specification, so that later records can still be read. The
 whole read may take any time: if records expire meanwhile, the next read raises `RecordsExpired`."""
 LENGTH_BYTES = 4
+MAX_HELD_BYTES = 33_554_432
+"""Memory of all responses in progress: twice the largest one, which is copied to be decoded. As
+much is held by reads of the newest records between their pages."""
+RECORD_BYTES = 512
+"""Memory of one of the newest records besides its value."""
 
 
 class _Item(msgspec.Struct):
@@ -142,6 +151,9 @@
         Items that were received, readable or not.
     after : str
         Query parameter that asks for the next page.
+    bytes_held : int
+        Memory of the records.
+    is_given_up : bool
     """
 
     received_at: float
@@ -149,6 +161,14 @@
     item_count: int = 0
     records: list[KeyedRecord] = field(default_factory=list)
     after: str = ""
+    bytes_held: int = 0
+    is_given_up: bool = False
+
+    def give_up(self) -> None:
+        """Drop the records; the read fails after its present page."""
+        self.records = []
+        self.bytes_held = 0
+        self.is_given_up = True
 
     def add(self, page: _Newest) -> None:
         """Add a complete page.
@@ -163,8 +183,7 @@
             raise LogUnavailable("a page of the newest records has no readable item")
         self.end = page.end_offset if self.end is None else self.end
         self.received_at = trio.current_time()
-        self.item_count += len(page.items)
-        self.records += decoded
+        self._add_records(decoded, len(page.items))
         if page.has_more:
             self._continue_after(decoded[-1])
 
@@ -183,11 +202,15 @@
         if self.end is None:
             self.end = 1 + max(record.offset for record in decoded)
         self.received_at = trio.current_time()
-        self.item_count += len(items)
-        self.records += decoded
+        self._add_records(decoded, len(items))
         self._continue_after(decoded[-1])
         return True
 
+    def _add_records(self, decoded: list[KeyedRecord], item_count: int) -> None:
+        self.item_count += item_count
+        self.records += decoded
+        self.bytes_held += sum(RECORD_BYTES + len(record.value) for record in decoded)
+
     def _continue_after(self, record: KeyedRecord) -> None:
         self.after = f"&after={quote(record.key, safe='')}"
 
@@ -220,7 +243,8 @@
     ) -> None:
         host, _, port = address.rpartition(":")
         self._traffic = traffic or Traffic()
-        self._pool = PeerPool(host, int(port), self._traffic, share=share)
+        self._pool = PeerPool(host, int(port), self._traffic, lane=ExcessLane(), share=share)
+        self._memory = AnswerMemory(MAX_HELD_BYTES)
         self._host = address.encode()
         self._counters = counters
         self._timeouts = ResponseTimeouts(FIRST_BYTE_TIMEOUT_S, MAX_FIRST_BYTE_TIMEOUT_S)
@@ -253,7 +277,7 @@
             page = await self._next_page(operation, newest_read, progress)
             newest_read.add(page)
             more_pages = page.has_more
-            self._newest_read_by_partition[(topic, partition)] = newest_read
+            self._keep(topic, partition, newest_read)
         self._newest_read_by_partition.pop((topic, partition), None)
         unreadable = newest_read.item_count - len(newest_read.records)
         self._report_unreadable(topic, unreadable)
@@ -272,10 +296,27 @@
         except LogUnavailable:
             if response.status == OK and newest_read.add_partial(complete_items(response.body)):
                 self._counters.add("store_answers_kept_in_part")
-                self._newest_read_by_partition[(operation.topic, operation.partition)] = newest_read
+                self._keep(operation.topic, operation.partition, newest_read)
             raise
         return _decode(bytes(response.body), _Newest)
 
+    def _keep(self, topic: str, partition: int, newest_read: _NewestRead) -> None:
+        """Keep what a read has received, or give the largest read up if all take too much memory.
+
+        Raises
+        ------
+        LogUnavailable
+            This read was given up.
+        """
+        reads = self._newest_read_by_partition
+        reads[(topic, partition)] = newest_read
+        if sum(each.bytes_held for each in reads.values()) > MAX_HELD_BYTES:
+            largest = max(reads, key=lambda key: reads[key].bytes_held)
+            reads.pop(largest).give_up()
+        if newest_read.is_given_up:
+            reads.pop((topic, partition), None)
+            raise LogUnavailable(f"{topic}: the newest records take too much memory")
+
     def _resume_or_start(self, topic: str, partition: int) -> _NewestRead:
         kept = self._newest_read_by_partition.get((topic, partition))
         if kept and trio.current_time() - kept.received_at <= RESUME_TTL_S:
@@ -401,9 +442,9 @@
         if fixed_timeout_s is None:
             self._timeouts.note_sent(watch, first_byte_timeout_s, operation.long_poll_s)
         try:
-            with watch:
-                await self._exchange(operation, response, watch, rises, claim)
-        except HttpError as err:
+            with watch, self._memory.holding() as held:
+                await self._exchange(operation, response, watch, held, rises, claim)
+        except (HttpError, UpstreamAnswerTooLong) as err:
             self._note_failure(operation, watch, err)
             self._eras.check_unchanged(rises)
             raise LogUnavailable(f"{operation.path}: {err.code}, {err.detail}") from err
@@ -413,7 +454,7 @@
         self._eras.check_unchanged(rises)
         self._raise_for_status(operation, response)
 
-    def _note_failure(self, operation: _Operation, watch: StallWatch, err: HttpError) -> None:
+    def _note_failure(self, operation: _Operation, watch: StallWatch, err: RailtideError) -> None:
         self._counters.add("store_calls_unanswered")
         self._counters.add("store_bytes_discarded", watch.received)
         if isinstance(err, Stalled):
@@ -426,6 +467,7 @@
         operation: _Operation,
         response: StoreResponse,
         watch: StallWatch,
+        held: HeldAnswer,
         rises: int,
         claim: Claim,
     ) -> None:
@@ -444,6 +486,7 @@
             async for chunk in exchange.chunks():
                 self._timeouts.note_first_byte(operation.timeout_key, first_byte_s)
                 response.feed(chunk)
+                held.resize(response.bytes_held)
             self._timeouts.note_first_byte(operation.timeout_key, first_byte_s)
         finally:
             exchange.abandon()
--- a/railtide/platform/store_responses.py
+++ b/railtide/platform/store_responses.py
@@ -20,6 +20,10 @@
 OK = 200
 MAX_RESPONSE_BYTES = 16_777_216
 """Largest response. The store's pages hold a megabyte, or one record."""
+COPIES = 2
+"""Copies of a body at the time when it is decoded."""
+ITEM_PART_BYTES = 128
+"""Memory of what is decoded from JSON between two commas."""
 ERA_HEADER = b"store-era"
 
 
@@ -88,6 +92,15 @@
         else:
             self._bytes_before_begin += len(chunk)
 
+    @property
+    def bytes_held(self) -> int:
+        """Memory of the body and of what is decoded from it."""
+        return COPIES * len(self.refusal) + self._body_bytes_held()
+
+    @abstractmethod
+    def _body_bytes_held(self) -> int:
+        """Return the memory of a successful response."""
+
     @abstractmethod
     def _feed(self, chunk: bytes) -> None:
         """Consume bytes of a successful response."""
@@ -111,9 +124,14 @@
     def __init__(self, progress: ReadProgress | None = None) -> None:
         super().__init__(progress)
         self.body = bytearray()
+        self._commas = 0
 
     def _feed(self, chunk: bytes) -> None:
         self.body += chunk
+        self._commas += chunk.count(b",")
+
+    def _body_bytes_held(self) -> int:
+        return COPIES * len(self.body) + ITEM_PART_BYTES * self._commas
 
 
 class PageResponse(StoreResponse):
@@ -133,6 +151,9 @@
         if self._progress.first_only and self.reader.has_records:
             raise FirstRecordReceived
 
+    def _body_bytes_held(self) -> int:
+        return self.reader.bytes_held
+
     def _is_end_known(self) -> bool:
         return self.reader.end is not None
 
