Streams that are given up don't keep their incomplete event

What was seen: with 16 engines of two pools that send an event or a body without end, a router of 150 MB grew to 355 MB within 5 s (72 callers).

Cause: the errors of such answers are in reference cycles with their tracebacks, whose frames refer to the incomplete event, up to 1 MB each, until the collector runs. The account of incomplete answers had released these bytes already.

The bytes are dropped with the error, as those of whole bodies are, and the error of a head is no longer in a cycle with the frame that raises it.

--- a/railtide/http/exchange.py
+++ b/railtide/http/exchange.py
@@ -169,7 +169,10 @@
             head = await self._try_read_head()
             nursery.cancel_scope.cancel()
         if isinstance(head, ConnectionLost):
-            raise head
+            try:
+                raise head
+            finally:
+                del head  # its traceback refers to this frame
         self.status = head.status_code
         self.headers = tuple(head.headers)
         self.framed = any(name in FRAMING for name, _ in self.headers)
--- a/railtide/requests/event_buffer.py
+++ b/railtide/requests/event_buffer.py
@@ -44,9 +44,14 @@
             whole = bytes(self._held[:end])
             del self._held[:end]
         if len(self._held) > MAX_EVENT_BYTES:
+            self.clear()  # the error's traceback refers to it
             raise UpstreamAnswerTooLong(f"an event is larger than {MAX_EVENT_BYTES} bytes")
         return whole
 
+    def clear(self) -> None:
+        """Drop the event that is not complete."""
+        self._held.clear()
+
     def is_blank(self) -> bool:
         """Return whether nothing but white space follows the last complete event."""
         return not self._held.strip()
--- a/railtide/requests/event_stream.py
+++ b/railtide/requests/event_stream.py
@@ -97,6 +97,10 @@
             if self._is_new(event)
         )
 
+    def give_up(self) -> None:
+        """Drop the incomplete event of an attempt that failed."""
+        self._buffer.clear()
+
     def end(self) -> bytes:
         """Return the bytes after the last event of a stream that ended regularly."""
         return self._buffer.take_rest()
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -9,6 +9,7 @@
 
 from railtide.http.messages import Headers
 from railtide.membership.instances import Instance
+from railtide.requests.answer_memory import HeldAnswer
 from railtide.requests.attempt_times import AttemptTimes
 from railtide.requests.call import AnswerSink, Call, Usage, cost_of
 from railtide.requests.event_stream import EventStream
@@ -117,22 +118,29 @@
 
     async def _pass_stream(self, answer: UpstreamAnswer) -> Relayed:
         self._events.restart()
-        read_at = math.inf
-        with self._services.answer_memory.holding() as held:
-            async with aclosing(answer.chunks()) as chunks:
-                async for data in chunks:
-                    now = trio.current_time()
-                    self.longest_pause_s = max(self.longest_pause_s, now - read_at)
-                    read_at = now
-                    for start in range(0, len(data), DECODED_BYTES):
-                        await self._pass_events(answer, data[start : start + DECODED_BYTES], now)
-                        held.resize(self._events.bytes_held)
+        try:
+            with self._services.answer_memory.holding() as held:
+                await self._pass_chunks(answer, held)
+        except BaseException:
+            self._events.give_up()  # the error's traceback refers to it
+            raise
         if not answer.framed and not self._events.at_event_end:
             raise UpstreamDisconnected("the connection ended in the middle of an event")
         unsent = self._events.end()
         stored = Answer(OK_STATUS, answer.content_type, b"")
         return Relayed(self.delivered_cost(), stored, unsent, answer.headers, answer.framed)
 
+    async def _pass_chunks(self, answer: UpstreamAnswer, held: HeldAnswer) -> None:
+        read_at = math.inf
+        async with aclosing(answer.chunks()) as chunks:
+            async for data in chunks:
+                now = trio.current_time()
+                self.longest_pause_s = max(self.longest_pause_s, now - read_at)
+                read_at = now
+                for start in range(0, len(data), DECODED_BYTES):
+                    await self._pass_events(answer, data[start : start + DECODED_BYTES], now)
+                    held.resize(self._events.bytes_held)
+
     async def _pass_events(self, answer: UpstreamAnswer, data: bytes, now: float) -> None:
         """Pass on the new events that some bytes complete."""
         known_events, decoded_events = self._events.events, self._events.decoded
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -99,3 +99,88 @@
         assert len(flooding.runs) >= 2
         assert statuses[200] > len(flooding.runs)
         assert peak < MEMORY_MB
+
+
+STREAM_FLOODS = (
+    Flood.EVENT,
+    Flood.EVENTS,
+    Flood.OLD_EVENTS,
+    Flood.BLANK_EVENTS,
+    Flood.COMMENTS,
+)
+PLAIN_FLOODS = tuple(flood for flood in Flood if flood not in STREAM_FLOODS)
+MIXED_FLOODS = {"s": STREAM_FLOODS, "plain": PLAIN_FLOODS}
+"""Floods of the engines of each service. Those of one kind take most of one kind of memory."""
+BODY_FLOODS = {"s": (Flood.EVENT,) * 8, "plain": (Flood.BODY_IN_CHUNKS,) * 8}
+HEAD_FLOODS = {"s": (Flood.HEAD_LINES,) * 8, "plain": (Flood.TRAILERS,) * 8}
+SERVED_S = 20.0
+"""Time within which requests are answered again once the engines are sound."""
+
+
+async def add_engines(
+    setup: EdgeSetup, floods_by_service: dict[str, tuple[Flood, ...]]
+) -> list[PlatformEngine]:
+    """Add an engine for each flood to the pools of two services; return them."""
+    engines = []
+    for service, floods in floods_by_service.items():
+        for number, flood in enumerate(floods):
+            engine = PlatformEngine(f"{service}-{flood}-{number}", EngineScript(flood=flood))
+            port = await serve(setup.nursery, engine.handle)
+            entry = engine_entry(f"127.0.0.1:{port}", service)
+            setup.store.put("keyed.servers", engine.name, msgspec.json.encode(entry))
+            engines.append(engine)
+    return engines
+
+
+async def send_until_served(setup: EdgeSetup, path: bytes) -> None:
+    """Send requests until one is answered with 200."""
+    statuses: Counter[int] = Counter()
+    with trio.fail_after(SERVED_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call, setup, CALLERS * 10, path, statuses)
+            while not statuses[200]:
+                await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+
+
+class TestManyEngines:
+    """Guards against floods that are bounded each, but not together."""
+
+    @pytest.mark.parametrize(
+        "floods_by_service",
+        [MIXED_FLOODS, BODY_FLOODS, HEAD_FLOODS],
+        ids=["mixed", "bodies", "heads"],
+    )
+    async def test_all_engines_of_two_pools_send_without_end(
+        self, tmp_path: Path, floods_by_service: dict[str, tuple[Flood, ...]]
+    ) -> None:
+        async with edge_setup(tmp_path) as setup:
+            routes = [ROUTES[0] | {"service": "plain"}, ROUTES[1]]
+            state = STATE | {
+                "routes": routes,
+                "services": [{"name": name} for name in floods_by_service],
+            }
+            setup.store.put("keyed.op", "config", msgspec.json.encode(state))
+            limits = f"limits: {{memory_mb: {MEMORY_MB}}}\n"
+            setup.settings.write_text(setup.settings.read_text() + limits)
+            engines = await add_engines(setup, floods_by_service)
+            setup.engine.script = EngineScript(flood=Flood.EVENT)
+            process = await setup.start()
+            statuses: Counter[int] = Counter()
+            with trio.move_on_after(LOAD_S):
+                async with trio.open_nursery() as nursery:
+                    for caller in range(3 * CALLERS):
+                        path = (b"/plain/x", b"/stream/x")[caller % 2]
+                        nursery.start_soon(call, setup, caller, path, statuses)
+            for engine in [setup.engine, *engines]:
+                is_stream = engine is setup.engine or engine.name.startswith("s-")
+                engine.script = EngineScript(events=4) if is_stream else EngineScript()
+            is_running = process.poll() is None
+            for path in (b"/plain/x", b"/stream/x"):
+                await send_until_served(setup, path)
+            peak = peak_mb(process.pid)
+            process.kill()
+            await process.wait()
+        assert is_running
+        assert sum(bool(engine.runs) for engine in engines) >= len(engines) - 4
+        assert peak < MEMORY_MB
