Fault soak: one judge of streams, over all attempts of callers that resume them

Events now name the version and the run that wrote them, and tests/stream_order.py judges what every caller received, in all kinds. Answers that may not be resumed must come from one run. Callers resume streams that break off at any router until their deadline; the faults and rollbacks also have callers that keep their connection until the process is gone. The judge reports events beyond the last one, as the replaced check did.

TestDisorders puts each form into the records of callers, over one and two attempts.

--- a/railtide/standins/crashing_engine.py
+++ b/railtide/standins/crashing_engine.py
@@ -51,6 +51,8 @@
         From the start of a run to the crash; negative if the engine no longer crashes.
     sends_head : bool
         Whether the head of the answer is sent before a crash.
+    version : str or None
+        See `PlatformEngine`.
     restart_delay_s : float
         From a crash to the next start.
 
@@ -74,6 +76,7 @@
     entry_ttl_s: float = 3.6
     keeps_id: bool = False
     crashing_parts: tuple[bytes, ...] = ()
+    version: str | None = None
     port: int = 0
     incarnations: int = 0
     crashes: int = 0
@@ -104,7 +107,7 @@
     async def _run_incarnation(self, task_status: trio.TaskStatus[None]) -> None:
         self.incarnations += 1
         self._crashed = trio.Event()
-        engine = PlatformEngine(self._id(), self.script, ran=self.ran)
+        engine = PlatformEngine(self._id(), self.script, ran=self.ran, version=self.version)
         async with trio.open_nursery() as nursery:
             listener = await self._listen()
             self.port = listener.socket.getsockname()[1]
--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -322,6 +322,8 @@
         Ids of the requests that it began to run.
     runs : list of EngineRun
         The same with their times, and endless refusals.
+    version : str or None
+        Software version that each event names, together with the run that wrote it.
     arrivals, answers : list of EngineEvent
         All requests received, and the heads of all answers, in order.
     """
@@ -345,6 +347,7 @@
     open_requests: int = 0
     silent_until: float = 0.0
     runs: list[EngineRun] = field(default_factory=list)
+    version: str | None = None
     arrivals: list[EngineEvent] = field(default_factory=list)
     answers: list[EngineEvent] = field(default_factory=list)
 
@@ -384,7 +387,7 @@
         self.runs.append(run)
         self.open_requests += 1
         try:
-            await self._answer(script, request, responder)
+            await self._answer(self._labelled(script), request, responder)
         except trio.Cancelled:
             self.cancelled_requests += 1
             raise
@@ -392,6 +395,11 @@
             self.open_requests -= 1
             run.ended_at = trio.current_time()
 
+    def _labelled(self, script: EngineScript) -> EngineScript:
+        if self.version is None:
+            return script
+        return replace(script, label=f"@{self.version}/{self.name}.{len(self.ran)}")
+
     async def _be_silent(self) -> None:
         await trio.sleep_until(max(trio.current_time(), self.silent_until))
 
--- a/tests/edge_soak/checks.py
+++ b/tests/edge_soak/checks.py
@@ -3,11 +3,19 @@
 import signal
 from collections import Counter
 
-from tests.edge_soak.callers import CALLER_TIMEOUT_S, TOKENS_IN, TOKENS_OUT, Attempt
+from tests.edge_soak.callers import CALLER_TIMEOUT_S, RESUMABLE, TOKENS_IN, TOKENS_OUT, Attempt
 from tests.edge_soak.fleet import EVENTS, Fleet, ProcessExit
+from tests.stream_order import (
+    Disorder,
+    StreamAttempt,
+    StreamFault,
+    faults_of,
+    faults_of_single_run,
+)
 
 __all__ = [
     "broken_promises",
+    "disorders",
     "is_expected_exit",
     "lost_answers",
     "poor_recovery",
@@ -25,12 +33,13 @@
 """A budget counts as unspent if it holds so many times what all these requests need at most."""
 
 
-def broken_promises(fleet: Fleet, attempts: list[Attempt]) -> list[str]:
-    """Return a line for each violation of a promise."""
+def broken_promises(fleet: Fleet, attempts: list[Attempt], max_joined: int = 0) -> list[str]:
+    """Return a line for each violation of a promise; see `disorders`."""
     runs = Counter(started_requests(fleet))
     return [
         *_overspent(fleet, attempts),
         *(line for attempt in attempts for line in _violations_of(attempt, runs)),
+        *disorders(attempts, max_joined),
         *_key_regressions(attempts),
         *_unexpected_exits(fleet),
     ]
@@ -93,21 +102,47 @@
         broken.append(f"{name} ran and was answered {attempt.status}")
     if attempt.status == OK and attempt.answered_id != attempt.request_id:
         broken.append(f"{name} got the answer of {attempt.answered_id!r}")
-    if attempt.status == OK and attempt.whole and not _is_whole(attempt):
-        broken.append(f"{name} got {attempt.body!r} as a complete answer")
-    if attempt.status == OK and not _is_in_order(attempt):
-        broken.append(f"{name} got events out of order: {attempt.body!r}")
     return broken
 
 
-def _is_whole(attempt: Attempt) -> bool:
-    return attempt.events == EVENTS
+def disorders(attempts: list[Attempt], max_joined: int = 0) -> list[str]:
+    """Return a line for each way in which a stream is out of order over all its attempts.
+
+    Parameters
+    ----------
+    max_joined : int
+        Resumed streams whose events may come from several software versions.
+    """
+    attempts_by_stream: dict[str, list[Attempt]] = {}
+    for attempt in attempts:
+        if attempt.status == OK:
+            attempts_by_stream.setdefault(attempt.stream, []).append(attempt)
+    faults_by_stream = {
+        stream: faults
+        for stream, each in attempts_by_stream.items()
+        if (faults := _faults_of(each))
+    }
+    joined = {
+        stream
+        for stream, faults in faults_by_stream.items()
+        if attempts_by_stream[stream][0].kind == RESUMABLE
+        and all(fault.form is Disorder.JOINED for fault in faults)
+    }
+    permitted = joined if len(joined) <= max_joined else set()
+    return [
+        f"{fault.request_id} ({attempts_by_stream[stream][0].kind}, stream of {stream}) "
+        f"is out of order: {fault.form}, {fault.detail}"
+        for stream, faults in faults_by_stream.items()
+        if stream not in permitted
+        for fault in faults
+    ]
 
 
-def _is_in_order(attempt: Attempt) -> bool:
-    whole = attempt.body[: attempt.body.rfind(b"\n\n") + 2] if attempt.events else b""
-    expected = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, attempt.events + 1))
-    return whole == expected
+def _faults_of(attempts: list[Attempt]) -> list[StreamFault]:
+    judged = [StreamAttempt(a.request_id, a.after, a.body, a.whole) for a in attempts]
+    if attempts[0].kind == RESUMABLE:
+        return faults_of(judged, EVENTS)
+    return [fault for attempt in judged for fault in faults_of_single_run(attempt, EVENTS)]
 
 
 def _key_regressions(attempts: list[Attempt]) -> list[str]:
--- a/tests/edge_soak/crashes.py
+++ b/tests/edge_soak/crashes.py
@@ -110,7 +110,7 @@
         for number in range(round(seconds / SEND_INTERVAL_S)):
             router = rng.choice(callers.fleet.routers)
             pool = PeerPool("127.0.0.1", router.calls.port)
-            nursery.start_soon(callers.ask, router, pool, kind_of(), body_of(number))
+            nursery.start_soon(callers.call, router, pool, kind_of(), body_of(number))
             await trio.sleep(SEND_INTERVAL_S)
 
 
--- a/tests/edge_soak/cuts.py
+++ b/tests/edge_soak/cuts.py
@@ -152,7 +152,8 @@
 
 def poor_at_cut(fleet: Fleet, attempts: list[Attempt]) -> list[str]:
     """Return a line if callers of routers that were cut off were served far worse than others."""
-    counted = [(attempt, _is_cut_at(fleet, attempt)) for attempt in attempts]
+    firsts = [attempt for attempt in attempts if not attempt.resumes]
+    counted = [(attempt, _is_cut_at(fleet, attempt)) for attempt in firsts]
     at_cut = [attempt for attempt, is_cut in counted if is_cut]
     elsewhere = [attempt for attempt, is_cut in counted if is_cut is False]
     left = fleet.prepaid - spent(fleet, attempts)
--- a/tests/edge_soak/demands.py
+++ b/tests/edge_soak/demands.py
@@ -8,7 +8,6 @@
 
 from railtide.budgets.allocation_sizing import LedgerOptions
 from railtide.budgets.ledger import Holding, Ledger, committed, ledger_from_bytes
-from railtide.http.client import PeerPool
 from railtide.platform.program import LEDGER_PARTITIONS
 from railtide.standins.platform import EngineScript, PlatformEngine
 from tests.edge_soak.callers import CALLER_TIMEOUT_S, KINDS, TOKENS_IN, TOKENS_OUT, Attempt, Callers
@@ -148,7 +147,6 @@
     served_by_account: dict[str, list[bool]] = field(
         default_factory=lambda: {account: [] for account in RATE_BY_ACCOUNT}
     )
-    _pool_by_router: dict[str, PeerPool] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Send requests for ever."""
@@ -169,16 +167,14 @@
     async def _call(self, router: Router, account: str) -> None:
         """Send a request, once more if it is refused, and record whether it was served."""
         rng = self.callers.rng
-        pool = self._pool_by_router.setdefault(
-            router.name, PeerPool("127.0.0.1", router.calls.port)
-        )
+        pool = self.callers.pool_of(router)
         kind = rng.choice(KINDS)
         body = (b"%d " % len(self.callers.attempts)).ljust(rng.choice(BODY_BYTES), b"x")
-        attempt = await self.callers.ask(router, pool, kind, body, account=account)
+        attempt = await self.callers.call(router, pool, kind, body, account)
         if attempt.status == REFUSED:
             left_s = CALLER_TIMEOUT_S - (attempt.ended_at - attempt.sent_at)
             await trio.sleep(min(attempt.retry_after_s, left_s * MAX_WAIT_SHARE))
-            attempt = await self.callers.ask(router, pool, kind, body, account=account)
+            attempt = await self.callers.call(router, pool, kind, body, account)
         self.served_by_account[account].append(attempt.status == OK)
 
 
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -45,6 +45,8 @@
 EVENTS = 6
 """Events of each answer."""
 GOOD_ENGINE = EngineScript(events=EVENTS, gap_s=0.03)
+VERSION = "v1"
+"""Software version of all engines of worlds that list none, as in `engine_entry`."""
 TOP_UP = 500
 PERMANENT_KEY_VERSION = 0
 """Version of the key that every version of the desired state contains."""
@@ -430,20 +432,25 @@
         fleet = Fleet(world, store, [], [], [])
         fleet.put_state()
         for number in range(world.engines):
-            engine = PlatformEngine(f"e{number}", GOOD_ENGINE)
+            version = world.versions[number] if world.versions else VERSION
+            engine = PlatformEngine(f"e{number}", GOOD_ENGINE, version=version)
             answers = RepeatedAnswers(await listen("127.0.0.1", 0), lambda answer: False)
             nursery.start_soon(HttpServer(engine.handle, ConnectionLimits()).serve, answers)
             link = await open_link(nursery, ("127.0.0.1", answers.port))
             entry = engine_entry(f"127.0.0.1:{link.port}")
-            if world.versions:
-                entry["version"] = world.versions[number]
+            entry["version"] = version
             store.put("keyed.servers", engine.name, msgspec.json.encode(entry))
             fleet.engines.append(engine)
             fleet.engine_links.append(link)
             fleet.repeated_answers.append(answers)
         for number in range(world.crashing):
             crashing = CrashingEngine(
-                store, f"c{number}", HOST, GOOD_ENGINE, crashing_parts=world.crashing_parts
+                store,
+                f"c{number}",
+                HOST,
+                GOOD_ENGINE,
+                crashing_parts=world.crashing_parts,
+                version=VERSION,
             )
             await nursery.start(crashing.run)
             fleet.crashing.append(crashing)
--- a/tests/edge_soak/parts.py
+++ b/tests/edge_soak/parts.py
@@ -57,7 +57,7 @@
     router = rng.choice(callers.fleet.routers)
     pool = PeerPool("127.0.0.1", router.calls.port)
     headers = ((b"x-prompt-prefix", parts),)
-    nursery.start_soon(callers.ask, router, pool, kind, body, None, ACCOUNT, headers)
+    nursery.start_soon(callers.call, router, pool, kind, body, ACCOUNT, headers)
 
 
 def broken_part_containment(
--- a/tests/edge_soak/rollbacks.py
+++ b/tests/edge_soak/rollbacks.py
@@ -23,7 +23,7 @@
     "settle",
 ]
 
-ROLLBACKS_WORLD = World(routers=3, engines=3, callers=6, prepaid=11_500, era=1)
+ROLLBACKS_WORLD = World(routers=3, engines=3, callers=4, stayers=2, prepaid=11_500, era=1)
 ACCOUNT = "t"
 LEDGER_TOPIC = LedgerOptions().topic
 KNOWN_S = 4.0
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -115,15 +115,16 @@
     throttle_links,
 )
 from tests.edge_soak.versions import (
+    ATTEMPTS,
+    DEADLINE_S,
+    LEAVE_SHARE,
+    MAX_MIXED,
     STREAMERS,
     VERSIONS,
-    Streams,
-    clear_labels,
     is_calm_version,
-    label_engines,
-    mixed_streams,
     plan_versions,
     poor_resumption,
+    stream_for_ever,
     versions_world_of,
 )
 
@@ -147,6 +148,7 @@
 """Time in which the requests served after a restart of all routers are counted."""
 
 
+FAULTS_WORLD = World(callers=8, stayers=4)
 INJECT_BY_NAME = (
     FAULTS
     | LATER_FAULTS
@@ -180,7 +182,7 @@
 
 
 async def _run_faults(seed: int, folder: Path) -> list[str]:
-    async with open_fleet(folder, World()) as fleet:
+    async with open_fleet(folder, FAULTS_WORLD) as fleet:
         await _until_ready(fleet)
         callers = Callers(fleet, Random(seed))
         async with _calling(callers), trio.open_nursery() as injecting:
@@ -486,31 +488,25 @@
         return unstopped + unserving + broken_promises(fleet, callers.attempts)
 
 
-async def _run_streams(streams: Streams, end: trio.CancelScope) -> None:
+async def _run_streams(callers: Callers, end: trio.CancelScope) -> None:
     with end:
         async with trio.open_nursery() as nursery:
             for _ in range(STREAMERS):
-                nursery.start_soon(streams.run)
-
-
-def _end_streams(scope: trio.CancelScope, fleet: Fleet) -> None:
-    scope.cancel()
-    clear_labels(fleet)
+                nursery.start_soon(stream_for_ever, callers)
 
 
 async def _run_versions(seed: int, folder: Path) -> list[str]:
     async with open_fleet(folder, versions_world_of(seed)) as fleet:
-        label_engines(fleet)
         await _until_ready(fleet)
         callers = Callers(fleet, Random(seed))
-        streams = Streams(callers)
+        streamers = Callers(fleet, callers.rng, [], LEAVE_SHARE, DEADLINE_S, ATTEMPTS, "stream")
         end = trio.CancelScope()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_run_streams, streams, end)
-            unserving = await _inject_all(callers, plan_versions(seed), partial(_end_streams, end))
-        shares = poor_resumption(streams.streams) if is_calm_version(seed) else []
-        mixed = mixed_streams(streams.streams)
-        return mixed + shares + unserving + broken_promises(fleet, callers.attempts)
+            nursery.start_soon(_run_streams, streamers, end)
+            unserving = await _inject_all(callers, plan_versions(seed), lambda fleet: end.cancel())
+        shares = poor_resumption(streamers.attempts) if is_calm_version(seed) else []
+        sent = callers.attempts + streamers.attempts
+        return shares + unserving + broken_promises(fleet, sent, MAX_MIXED)
 
 
 RUN_BY_KIND = {
--- a/tests/edge_soak/test_cut_routers.py
+++ b/tests/edge_soak/test_cut_routers.py
@@ -57,7 +57,7 @@
 
     async def call(kinds: Iterator[str]) -> None:
         for kind in kinds:
-            await callers.ask(router, pool, kind)
+            await callers.call(router, pool, kind)
             await trio.sleep(PAUSE_S)
 
     async with trio.open_nursery() as nursery:
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -10,8 +10,8 @@
 
 from tests.edge_soak.brittle import BRITTLE, plan_brittle, too_many_crashes
 from tests.edge_soak.brittle import OTHER_FAULTS as BRITTLE_OTHER_FAULTS
-from tests.edge_soak.callers import Attempt
-from tests.edge_soak.checks import is_expected_exit, poor_recovery
+from tests.edge_soak.callers import KINDS, RESUMABLE, Attempt
+from tests.edge_soak.checks import OK, disorders, is_expected_exit, poor_recovery
 from tests.edge_soak.crashes import is_calm_crash, plan_crashes
 from tests.edge_soak.cuts import CUTS, Cut, is_calm_cut, plan_cuts, poor_at_cut
 from tests.edge_soak.cuts import OTHER_FAULTS as CUTS_OTHER_FAULTS
@@ -24,7 +24,7 @@
 )
 from tests.edge_soak.demands import OTHER_FAULTS as DEMANDS_OTHER_FAULTS
 from tests.edge_soak.faults import FAULTS, FIRST_WITH_LATER_FAULTS, LATER_FAULTS, plan_faults
-from tests.edge_soak.fleet import PERMANENT_KEY_VERSION, Fleet, ProcessExit, World
+from tests.edge_soak.fleet import EVENTS, PERMANENT_KEY_VERSION, Fleet, ProcessExit, World
 from tests.edge_soak.notices import NOTICES, plan_notices
 from tests.edge_soak.notices import OTHER_FAULTS as NOTICES_OTHER_FAULTS
 from tests.edge_soak.run import Kind, run_seed
@@ -40,11 +40,10 @@
 from tests.edge_soak.versions import OTHER_FAULTS as VERSIONS_OTHER_FAULTS
 from tests.edge_soak.versions import (
     VERSIONS,
-    Stream,
-    mixed_streams,
     plan_versions,
     poor_resumption,
 )
+from tests.stream_order import Disorder
 
 SEEDS = (5, 20, 41, FIRST_WITH_LATER_FAULTS)
 """5 and 41: processes are killed, leave and lose the store. 20: answers that weren't streams were
@@ -212,6 +211,65 @@
         assert too_many_crashes(fleet)
 
 
+def stream_attempt(name: str, *events: tuple[int, str], **fields: object) -> Attempt:
+    """Return an attempt that brought events with these numbers and origins."""
+    body = b"".join(b"id: %d\ndata: x%d@%s\n\n" % (n, n, o.encode()) for n, o in events)
+    values = {"kind": "resume", "status": OK, "body": body} | fields
+    return Attempt(name, router="r0", lifetime=1, key_version=1, sent_at=0.0, **values)
+
+
+def whole_body(origin: str) -> bytes:
+    return stream_attempt("a", *((n, origin) for n in range(1, EVENTS + 1))).body
+
+
+class TestDisorders:
+    """The judge reads the records of the soak's callers; see also `test_stream_order.py`."""
+
+    FIRST = stream_attempt("a", (1, "v1/r1"))
+
+    @staticmethod
+    def resumed(*events: tuple[int, str], **fields: object) -> Attempt:
+        return stream_attempt("b", *events, stream="a", resumes="a", after=1, **fields)
+
+    def test_streams_in_order_are_not_reported(self) -> None:
+        last = [(n, "v1/r2") for n in range(2, EVENTS + 1)]
+        assert disorders([self.FIRST, self.resumed(*last, whole=True)]) == []
+        for kind in KINDS:
+            attempt = stream_attempt("a", kind=kind, whole=True)
+            attempt.body = whole_body("v1/r1")
+            assert disorders([attempt]) == []
+
+    @pytest.mark.parametrize(
+        ("events", "whole", "form"),
+        [
+            ([(3, "v1/r2")], False, Disorder.MISSING),
+            ([(1, "v1/r2")], False, Disorder.REPEATED),
+            ([(2, "v2/r2")], False, Disorder.JOINED),
+            ([(2, "v1/r2")], True, Disorder.ENDS_EARLY),
+        ],
+    )
+    def test_disorder_over_two_attempts_is_reported(
+        self, events: list[tuple[int, str]], whole: bool, form: Disorder
+    ) -> None:
+        (line,) = disorders([self.FIRST, self.resumed(*events, whole=whole)])
+        assert f": {form}," in line
+
+    @pytest.mark.parametrize("kind", [kind for kind in KINDS if kind != RESUMABLE])
+    def test_two_runs_in_one_answer_are_reported(self, kind: str) -> None:
+        joined = stream_attempt("a", (1, "v1/r1"), (2, "v1/r2"), kind=kind)
+        assert disorders([joined])
+        assert disorders([joined], max_joined=2)
+
+    def test_more_than_two_mixed_streams_are_reported(self) -> None:
+        mixed = [stream_attempt(f"a{n}", (1, "v1/r1"), (2, "v2/r2")) for n in range(3)]
+        assert disorders(mixed[:2], max_joined=2) == []
+        assert len(disorders(mixed, max_joined=2)) == 3
+        assert len(disorders(mixed[:1])) == 1
+
+    def test_mixed_stream_with_another_disorder_is_reported(self) -> None:
+        assert len(disorders([stream_attempt("a", (1, "v1/r1"), (3, "v2/r2"))], max_joined=2)) == 2
+
+
 VERSIONS_SEEDS = (14_001, 14_003, 14_015)
 """14001: only routers that are killed or leave. 14003: all routers are killed during releases.
 14015: a router's connection to the store is silent during a release."""
@@ -226,20 +284,15 @@
         drawn = {planned.name for seed in range(14_000, 14_200) for planned in plan_versions(seed)}
         assert drawn == set(VERSIONS) | set(VERSIONS_OTHER_FAULTS)
 
-    def test_more_than_two_mixed_streams_are_reported(self) -> None:
-        mixed = [Stream([b"id: 1\ndata: x1@v1", b"id: 2\ndata: x2@v2"]) for _ in range(3)]
-        assert mixed_streams(mixed[:2]) == []
-        assert mixed_streams(mixed)
-
-    def test_lost_and_repeated_events_are_reported(self) -> None:
-        assert mixed_streams([Stream([b"id: 1\ndata: x1@v1", b"id: 3\ndata: x3@v1"])])
-        assert mixed_streams([Stream([b"id: 1\ndata: x1@v1", b"id: 1\ndata: x1@v1"])])
-
     def test_less_than_half_of_the_share_that_begins_is_reported(self) -> None:
-        streams = [Stream([b"id: 1\ndata: x1@v1"], resumed=2, gone_on=1) for _ in range(10)]
-        assert poor_resumption(streams) == []
-        streams[0].gone_on = 0
-        assert poor_resumption(streams)
+        begun = [stream_attempt(f"a{n}", (1, "v1/r1")) for n in range(10)]
+        resumed = [
+            stream_attempt(f"b{n}", *events, stream=f"a{n // 2}", resumes=f"a{n // 2}", after=1)
+            for n, events in enumerate([[(2, "v1/r2")], []] * 10)
+        ]
+        assert poor_resumption(begun + resumed) == []
+        resumed[0].body = b""
+        assert poor_resumption(begun + resumed)
 
 
 PARTS_SEEDS = (15_000, 15_001)
--- a/tests/stream_order.py
+++ b/tests/stream_order.py
@@ -106,6 +106,8 @@
             if event.number != last + 1:
                 form = Disorder.REPEATED if event.number <= last else Disorder.MISSING
                 faults.append(_fault(form, attempt, f"{event.number} after {last}"))
+            if event.number > length:
+                faults.append(_fault(Disorder.MALFORMED, attempt, f"{event.number} of {length}"))
             versions.add(event.version)
             if len(versions) > 1:
                 faults.append(_fault(Disorder.JOINED, attempt, f"{event.number}: {versions}"))
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -37,6 +37,7 @@
             ([StreamAttempt("a", 0, b"", True)], [Disorder.ENDS_EARLY]),
             ([FIRST, StreamAttempt("b", 2, b"", True)], [Disorder.ENDS_EARLY]),
             ([StreamAttempt("a", 0, WHOLE + b"bad", True)], [Disorder.MALFORMED]),
+            ([StreamAttempt("a", 3, body((4, "v1/r1")), True)], [Disorder.MALFORMED]),
             ([StreamAttempt("a", 0, b"id: 1\ndata: x2\n\n", False)], [Disorder.MALFORMED]),
         ],
     )
