--- a/railtide/platform/tests/test_ended_upstreams.py
+++ b/railtide/platform/tests/test_ended_upstreams.py
@@ -8,7 +8,7 @@
 import trio
 
 from railtide.http.client import Exchange
-from railtide.http.messages import HttpRequest, first_header
+from railtide.http.messages import Headers, HttpRequest, first_header
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.http.sockets import listen
 from railtide.platform.tests.test_answer_endings import EVENTS, events, read
@@ -29,13 +29,14 @@
     listener: trio.SocketListener
     parts: list[bytes]
     ends: bool
+    notices: Headers = ()
     runs: int = 0
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         self.runs += 1
         request_id = first_header(request.headers, ID) or b""
         answer = RawAnswer(responder.hijack(), Framing.CLOSE, 0)
-        await answer.start(200, ((ID, request_id), (b"x-response-seal", b"s")))
+        await answer.start(200, ((ID, request_id), (b"x-response-seal", b"s"), *self.notices))
         for part in self.parts:
             await answer.write(part)
         if self.ends:
@@ -43,11 +44,11 @@
 
 
 async def add_ending_engine(
-    env: RouterEnvironment, parts: list[bytes], ends: bool = True
+    env: RouterEnvironment, parts: list[bytes], ends: bool = True, notices: Headers = ()
 ) -> EndingEngine:
     listener = await listen(HOST, 0)
     address = f"{HOST}:{listener.socket.getsockname()[1]}"
-    engine = EndingEngine(listener, parts, ends)
+    engine = EndingEngine(listener, parts, ends, notices)
     server = HttpServer(engine.handle, ConnectionLimits())
     env.nursery.start_soon(partial(_serve_until_closed, server, listener))
     env.store.put("keyed.servers", NAME, msgspec.json.encode(engine_entry(address)))
@@ -86,6 +87,12 @@
             await add_ending_engine(env, [events(EVENTS)], ends=False)
             assert await outcome(await env.send("/stream/x")) == (200, events(EVENTS), True)
 
+    async def test_last_stream_of_a_leaving_upstream_is_broken_off(self) -> None:
+        leaving = ((b"server-leaving", b"1"),)
+        async with router_environment() as env:
+            await add_ending_engine(env, [events(EVENTS)], notices=leaving)
+            assert await outcome(await env.send("/stream/x")) == (200, events(EVENTS), True)
+
 
 class TestPlainAnswerOfEndedUpstream:
     async def test_part_of_a_body_is_passed_on_as_the_whole(self) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -26,6 +26,7 @@
     "::test_budgets_are_not_empty_before_the_end_of_the_day[power]"
 )
 ENDS = "railtide/platform/tests/test_answer_endings.py"
+ENDED = "railtide/platform/tests/test_ended_upstreams.py"
 HTTP = "railtide/http/tests"
 REQUESTS = "railtide/requests/tests"
 DESCRIPTORS = "railtide/http/tests/test_descriptors.py"
@@ -837,6 +838,55 @@
         "        if True:\n",
         (ENDS,),
     ),
+    Mutant(
+        "event-of-a-stream-dropped",
+        "requests/event_stream.py",
+        "number is not None and last is not None and number <= last\n",
+        "number is not None and last is not None and number <= last + 1\n",
+        (REQUESTS, ENDS),
+    ),
+    Mutant(
+        "events-passed-on-again-by-another-attempt",
+        "requests/event_stream.py",
+        "if self.last_id and _is_at_or_before(event_id, self.last_id):",
+        "if False:",
+        (REQUESTS, ENDS),
+    ),
+    Mutant(
+        "events-passed-on-again-to-callers-that-resume",
+        "requests/passthrough.py",
+        'resumption.after if resumption else ""',
+        '""',
+        (f"{ENDS}::TestStreamResumedByItsCaller",),
+    ),
+    Mutant(
+        "gap-between-attempts-of-a-resumed-stream",
+        "requests/event_stream.py",
+        "bool(self.last_id) and self.events > 0",
+        "False",
+        (f"{ENDS}::TestStreamResumedByItsCaller",),
+    ),
+    Mutant(
+        "end-of-a-process-taken-for-the-end-of-its-answer",
+        "requests/execution.py",
+        "            if not relayed.framed:\n",
+        "            if False:\n",
+        (ENDED,),
+    ),
+    Mutant(
+        "leaving-upstream-not-believed",
+        "requests/execution.py",
+        "        if is_leaving(upstream):\n            return\n        if await",
+        "        if await",
+        (ENDED,),
+    ),
+    Mutant(
+        "broken-answer-to-http-1-0-looks-complete",
+        "http/server.py",
+        "                reset_on_close(self.stream.socket)  # an orderly",
+        "                pass  # an orderly",
+        (f"{HTTP}/test_connections.py::TestOldProtocol",),
+    ),
     Mutant(
         "half-event-taken-for-the-end",
         "requests/passthrough.py",
@@ -3753,7 +3803,7 @@
     Mutant(
         "events-of-a-moved-stream-count-as-passed-on",
         "requests/passthrough.py",
-        "            self._events = EventStream(self._call.max_events)  # none was passed on\n",
+        "            self._events = self._new_events()  # none was passed on\n",
         "",
         (STREAM_VERSIONS,),
     ),
@@ -4061,6 +4111,15 @@
 ]
 
 
+def apply(mutant: Mutant, root: Path) -> None:
+    """Put the fault into a copy of the project."""
+    target = root / "railtide" / mutant.file
+    text = target.read_text()
+    if text.count(mutant.old) != 1:
+        raise ValueError(f"{mutant.name}: its text stands {text.count(mutant.old)} times")
+    target.write_text(text.replace(mutant.old, mutant.new))
+
+
 def survives(mutant: Mutant) -> bool:
     """Return whether the named tests pass with the fault in."""
     with tempfile.TemporaryDirectory() as folder:
@@ -4069,11 +4128,7 @@
             shutil.copytree(ROOT / part, copy / part, ignore=shutil.ignore_patterns("__pycache__"))
         for name in ("pyproject.toml", "conftest.py", "KNOWN-RED.txt"):
             shutil.copy(ROOT / name, copy / name)
-        target = copy / "railtide" / mutant.file
-        text = target.read_text()
-        if text.count(mutant.old) != 1:
-            raise ValueError(f"{mutant.name}: its text stands {text.count(mutant.old)} times")
-        target.write_text(text.replace(mutant.old, mutant.new))
+        apply(mutant, copy)
         done = subprocess.run(
             [sys.executable, "-m", "pytest", "-x", "--timeout", "100", *mutant.tests],
             cwd=copy,
