Fault soak: answers that only their connection ends, engines killed within them, late copies

The engines of the soak sent chunked answers and were never killed, except in the kinds of contents that crash them; copies of late answers came in one kind only. The end of a process that was taken for the end of its answer could not show in it.

In all kinds, seeds that may have faults of engines now have a time in which only the close of their connections ends answers, with events sent in halves, while engines are killed and restart under their ids: listener and connections close at once, and links to them refuse connections. Engines send copies of late answers beside them. The plans of seeds are unchanged but for these additions. Kinds whose engines crash otherwise have no such kills.

test_disorders.py: with end-of-a-process-taken-for-the-end-of-its-answer in, streams that end early are reported, and none without.

--- a/railtide/standins/platform.py
+++ b/railtide/standins/platform.py
@@ -207,6 +207,8 @@
         Delay before each event, and before a plain answer.
     label : str
         Added to the data of each event.
+    halves_events : bool
+        Send each part of an answer that is not chunked in two halves, with a delay between them.
     flood : Flood or None
         Sent without end in place of all this.
     flood_pause_s : float
@@ -231,6 +233,7 @@
     unsigned: bool = False
     gap_s: float = 0.0
     label: str = ""
+    halves_events: bool = False
     flood: Flood | None = None
     flood_pause_s: float = 0.0
 
@@ -324,6 +327,9 @@
         The same with their times, and endless refusals.
     version : str or None
         Software version that each event names, together with the run that wrote it.
+    unframed : bool
+        Whether only the close of its connection ends each answer that is well-formed otherwise;
+        each event is sent in two halves then.
     arrivals, answers : list of EngineEvent
         All requests received, and the heads of all answers, in order.
     """
@@ -348,6 +354,7 @@
     silent_until: float = 0.0
     runs: list[EngineRun] = field(default_factory=list)
     version: str | None = None
+    unframed: bool = False
     arrivals: list[EngineEvent] = field(default_factory=list)
     answers: list[EngineEvent] = field(default_factory=list)
 
@@ -387,7 +394,7 @@
         self.runs.append(run)
         self.open_requests += 1
         try:
-            await self._answer(self._labelled(script), request, responder)
+            await self._answer(self._adapted(script), request, responder)
         except trio.Cancelled:
             self.cancelled_requests += 1
             raise
@@ -395,7 +402,9 @@
             self.open_requests -= 1
             run.ended_at = trio.current_time()
 
-    def _labelled(self, script: EngineScript) -> EngineScript:
+    def _adapted(self, script: EngineScript) -> EngineScript:
+        if self.unframed and script.well_formed:
+            script = replace(script, framing=Framing.CLOSE, halves_events=True)
         if self.version is None:
             return script
         return replace(script, label=f"@{self.version}/{self.name}.{len(self.ran)}")
@@ -457,14 +466,21 @@
             answer = RawAnswer(stream, script.framing, length)
             await answer.start(script.status, headers)
             for part in script.parts(last):
-                await trio.sleep(script.gap_s)
-                await answer.write(part)
+                halves = _halves_of(part) if script.halves_events else (part,)
+                for half in halves:
+                    await trio.sleep(script.gap_s / len(halves))
+                    await answer.write(half)
             if script.break_after < 0:
                 await answer.finish()
         if script.reset:
             await answer.reset()
 
 
+def _halves_of(part: bytes) -> tuple[bytes, bytes]:
+    middle = len(part) // 2
+    return part[:middle], part[middle:]
+
+
 def _refusal_of(request: HttpRequest) -> Headers:
     """Return the headers of an answer that the request was not run."""
     return ((ID, _id_of(request).encode()), (b"x-not-executed", b"1"))
--- a/tests/edge_soak/answers.py
+++ b/tests/edge_soak/answers.py
@@ -42,18 +42,18 @@
 async def _repeat_answers(fleet: Fleet, rng: Random, duration_s: float) -> None:
     """Have engines repeat some of their answers where the next one is due."""
     share = rng.choice([0.1, 0.5, 1.0])
-    for engine, answers in zip(fleet.engines, fleet.repeated_answers, strict=True):
-        engine.script = LONG_ANSWER
-        answers.is_repeated = lambda answer: rng.random() < share
+    for server in fleet.servers:
+        server.engine.script = LONG_ANSWER
+        server.is_repeated = lambda answer: rng.random() < share
     await trio.sleep(duration_s)
     clear_answers(fleet)
 
 
 async def _repeat_refusals(fleet: Fleet, rng: Random, duration_s: float) -> None:
     """Have an engine refuse some requests, and repeat some of the refusals."""
-    engine = rng.choice(fleet.engines)
-    answers = fleet.repeated_answers[fleet.engines.index(engine)]
-    answers.is_repeated = lambda answer: b" 503 " in answer[:16] and rng.random() < 0.5
+    server = rng.choice(fleet.servers)
+    engine = server.engine
+    server.is_repeated = lambda answer: b" 503 " in answer[:16] and rng.random() < 0.5
     ends_at = trio.current_time() + duration_s
     while trio.current_time() < ends_at:
         engine.next_scripts = [replace(GOOD_ENGINE, not_run=rng.random() < 0.7) for _ in range(4)]
@@ -90,9 +90,9 @@
 
 def clear_answers(fleet: Fleet) -> None:
     """Have the engines answer each request once."""
-    for engine, answers in zip(fleet.engines, fleet.repeated_answers, strict=True):
-        engine.script = GOOD_ENGINE
-        answers.is_repeated = lambda answer: False
+    for server in fleet.servers:
+        server.engine.script = GOOD_ENGINE
+        server.is_repeated = lambda answer: False
 
 
 def unstopped_runs(fleet: Fleet) -> list[str]:
--- a/tests/edge_soak/brittle.py
+++ b/tests/edge_soak/brittle.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 from random import Random
 
-import msgspec
 import trio
 
 from railtide.standins.platform import PlatformEngine
@@ -103,11 +102,7 @@
     link = fleet.engine_links[fleet.engines.index(engine)]
     link.set_fault(LinkFault.RESET)
     await trio.sleep(RESTART_S)
-    record = fleet.store.topic("keyed.servers").newest_by_key.get(engine.name)
-    entry = msgspec.json.decode(record.value) if record else None
-    if isinstance(entry, dict):
-        reborn = entry | {"born": entry.get("born", 0) + 1}
-        fleet.store.put("keyed.servers", engine.name, msgspec.json.encode(reborn))
+    fleet.put_reborn(engine)
     link.set_fault(LinkFault.NONE)
 
 
--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -3,7 +3,7 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -333,6 +333,47 @@
         await self.process.wait()
 
 
+@dataclass
+class EngineServer:
+    """An engine's process: its listener and its connections, which close at once if it is killed.
+
+    Attributes
+    ----------
+    is_repeated : callable
+        Given the bytes of an answer, returns whether it is sent a second time.
+    port : int
+    is_running : bool
+    """
+
+    engine: PlatformEngine
+    is_repeated: Callable[[bytes], bool] = lambda answer: False
+    port: int = 0
+    is_running: bool = False
+    _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    _restarted: trio.Event = field(default_factory=trio.Event)
+
+    async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Run one process after another, each until it is killed."""
+        while True:
+            listener = await listen("127.0.0.1", self.port)
+            answers = RepeatedAnswers(listener, lambda answer: self.is_repeated(answer))
+            self.port, self.is_running = answers.port, True
+            task_status.started()
+            task_status = trio.TASK_STATUS_IGNORED
+            with trio.CancelScope() as self._scope:
+                await HttpServer(self.engine.handle, ConnectionLimits()).serve(answers)
+            await self._restarted.wait()
+
+    def kill(self) -> None:
+        """Close the listener and all connections."""
+        self.is_running, self._restarted = False, trio.Event()
+        self._scope.cancel()
+
+    def restart(self) -> None:
+        """Start the next process."""
+        self._restarted.set()
+
+
 @dataclass
 class Fleet:
     """The routers, engines and store of one seed.
@@ -349,8 +390,8 @@
         Times in which routers reached no engine.
     brittle_crashes : list of tuple of float and str
         Trio times at which engines crashed since they had rejected too many requests.
-    repeated_answers : list of RepeatedAnswers
-        Which answers of each engine are sent a second time; none by default.
+    servers : list of EngineServer
+        The processes of the engines.
     """
 
     world: World
@@ -365,7 +406,7 @@
     surges: int = 0
     cuts: list["Cut"] = field(default_factory=list)
     brittle_crashes: list[tuple[float, str]] = field(default_factory=list)
-    repeated_answers: list[RepeatedAnswers] = field(default_factory=list)
+    servers: list["EngineServer"] = field(default_factory=list)
 
     @property
     def prepaid(self) -> int:
@@ -382,6 +423,19 @@
         self.written_at[self.version] = trio.current_time()
         self.store.put("keyed.op", "config", self.state())
 
+    def links_to(self, engine: PlatformEngine) -> list[Link]:
+        """Return all links that lead to an engine."""
+        own = [router.engine_links.get(engine.name) for router in self.routers]
+        return [self.engine_links[self.engines.index(engine)], *(link for link in own if link)]
+
+    def put_reborn(self, engine: PlatformEngine) -> None:
+        """Write an engine's entry as its next process does, if it has one."""
+        record = self.store.topic("keyed.servers").newest_by_key.get(engine.name)
+        entry = msgspec.json.decode(record.value) if record and record.value else None
+        if isinstance(entry, dict):
+            reborn = entry | {"born": entry.get("born", 0) + 1}
+            self.store.put("keyed.servers", engine.name, msgspec.json.encode(reborn))
+
     def state(self) -> bytes:
         """Return the desired state of the current version."""
         return _state(self.world, self.version, self.prepaid)
@@ -434,15 +488,15 @@
         for number in range(world.engines):
             version = world.versions[number] if world.versions else VERSION
             engine = PlatformEngine(f"e{number}", GOOD_ENGINE, version=version)
-            answers = RepeatedAnswers(await listen("127.0.0.1", 0), lambda answer: False)
-            nursery.start_soon(HttpServer(engine.handle, ConnectionLimits()).serve, answers)
-            link = await open_link(nursery, ("127.0.0.1", answers.port))
+            server = EngineServer(engine)
+            await nursery.start(server.run)
+            link = await open_link(nursery, ("127.0.0.1", server.port))
             entry = engine_entry(f"127.0.0.1:{link.port}")
             entry["version"] = version
             store.put("keyed.servers", engine.name, msgspec.json.encode(entry))
             fleet.engines.append(engine)
             fleet.engine_links.append(link)
-            fleet.repeated_answers.append(answers)
+            fleet.servers.append(server)
         for number in range(world.crashing):
             crashing = CrashingEngine(
                 store,
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -77,6 +77,13 @@
     unsettled,
     vary_pace,
 )
+from tests.edge_soak.endings import (
+    ALL_ENDINGS,
+    ENDINGS,
+    WITHOUT_KILLS,
+    WITHOUT_LINKS,
+    plan_endings,
+)
 from tests.edge_soak.faults import FAULTS, LATER_FAULTS, PlannedFault, clear_faults, plan_faults
 from tests.edge_soak.fleet import Fleet, Router, World, open_fleet
 from tests.edge_soak.notices import (
@@ -128,7 +135,7 @@
     versions_world_of,
 )
 
-__all__ = ["Kind", "run_rollbacks", "run_seed"]
+__all__ = ["INJECT_BY_NAME", "Kind", "faults_of_seed", "run_rollbacks", "run_seed"]
 
 WORKERS = 3
 MAX_LINES = 8
@@ -161,6 +168,7 @@
     | BRITTLE
     | VERSIONS
     | ANSWERS
+    | ENDINGS
 )
 
 
@@ -186,7 +194,7 @@
         await _until_ready(fleet)
         callers = Callers(fleet, Random(seed))
         async with _calling(callers), trio.open_nursery() as injecting:
-            for planned in plan_faults(seed):
+            for planned in faults_of_seed(Kind.FAULTS, seed):
                 injecting.start_soon(_inject, fleet, planned)
         clear_faults(fleet)
         unserving = await _check_all_serving(fleet, callers)
@@ -204,7 +212,7 @@
             for router in fleet.routers:
                 background.start_soon(restart_on_exit, router, rng)
             async with _calling(callers), trio.open_nursery() as injecting:
-                for planned in plan_series(seed):
+                for planned in faults_of_seed(Kind.SERIES, seed):
                     injecting.start_soon(_inject, fleet, planned)
             clear_faults(fleet)
             lost = lost_answers(fleet, callers.attempts) if is_calm(seed) else []
@@ -314,7 +322,7 @@
         async with _calling(callers), trio.open_nursery() as nursery:
             for send in sends:
                 nursery.start_soon(send, callers, Random(seed), CRASHING_S)
-            for planned in plan_crashes(seed):
+            for planned in faults_of_seed(Kind.CRASHES, seed):
                 nursery.start_soon(_inject, fleet, planned)
         clear_faults(fleet)
         unserving = await _check_all_serving(fleet, callers)
@@ -351,7 +359,7 @@
                 background.start_soon(probe, callers, router)
             async with _calling(callers):
                 async with trio.open_nursery() as injecting:
-                    for planned in plan_states(seed):
+                    for planned in faults_of_seed(Kind.STATES, seed):
                         injecting.start_soon(_inject, fleet, planned)
                 clear_faults(fleet)
                 late = await _check_newest_everywhere(callers, rng, transfer_s)
@@ -382,7 +390,9 @@
         await _until_ready(fleet)
         await settle()
         callers = Callers(fleet, Random(seed))
-        async with _calling(callers):
+        async with _calling(callers), trio.open_nursery() as injecting:
+            for ending in plan_endings(seed):
+                injecting.start_soon(_inject, fleet, ending)
             for each in planned:
                 await run_rollback(fleet, each)
         withheld = excess_withheld(fleet, callers, planned)
@@ -403,7 +413,7 @@
                 background.start_soon(restart_on_exit, router, rng)
             async with _calling(callers):
                 async with trio.open_nursery() as injecting:
-                    for planned in plan_notices(seed):
+                    for planned in faults_of_seed(Kind.NOTICES, seed):
                         injecting.start_soon(_inject, fleet, planned)
                 clear_faults(fleet)
                 clear_notices(fleet)
@@ -427,7 +437,7 @@
             for engine in fleet.engines:
                 background.start_soon(vary_pace, engine, callers.rng)
             async with trio.open_nursery() as injecting:
-                for planned in plan_demands(seed):
+                for planned in faults_of_seed(Kind.DEMANDS, seed):
                     injecting.start_soon(_inject, fleet, planned)
             clear_faults(fleet)
             await trio.sleep(SPENDING_S)
@@ -465,7 +475,7 @@
     async with open_fleet(folder, cuts_world_of(seed)) as fleet:
         await _until_ready(fleet)
         callers = Callers(fleet, Random(seed))
-        unserving = await _inject_all(callers, plan_cuts(seed))
+        unserving = await _inject_all(callers, faults_of_seed(Kind.CUTS, seed))
         shares = poor_at_cut(fleet, callers.attempts) if is_calm_cut(seed) else []
         return shares + unserving + broken_promises(fleet, callers.attempts)
 
@@ -474,7 +484,7 @@
     async with open_fleet(folder, brittle_world_of(seed)) as fleet:
         await _until_ready(fleet)
         callers = Callers(fleet, Random(seed))
-        unserving = await _inject_all(callers, plan_brittle(seed), clear_brittle)
+        unserving = await _inject_all(callers, faults_of_seed(Kind.BRITTLE, seed), clear_brittle)
         crashes = too_many_crashes(fleet) if is_calm_brittle(seed) else []
         return crashes + unserving + broken_promises(fleet, callers.attempts)
 
@@ -483,7 +493,7 @@
     async with open_fleet(folder, world_of(seed)) as fleet:
         await _until_ready(fleet)
         callers = Callers(fleet, Random(seed))
-        unserving = await _inject_all(callers, plan_answers(seed), clear_answers)
+        unserving = await _inject_all(callers, faults_of_seed(Kind.ANSWERS, seed), clear_answers)
         unstopped = unstopped_runs(fleet) if is_calm(seed) else []
         return unstopped + unserving + broken_promises(fleet, callers.attempts)
 
@@ -503,7 +513,9 @@
         end = trio.CancelScope()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_run_streams, streamers, end)
-            unserving = await _inject_all(callers, plan_versions(seed), lambda fleet: end.cancel())
+            unserving = await _inject_all(
+                callers, faults_of_seed(Kind.VERSIONS, seed), lambda fleet: end.cancel()
+            )
         shares = poor_resumption(streamers.attempts) if is_calm_version(seed) else []
         sent = callers.attempts + streamers.attempts
         return shares + unserving + broken_promises(fleet, sent, MAX_MIXED)
@@ -539,6 +551,33 @@
 }
 
 
+CALM_BY_KIND: dict[Kind, Callable[[int], bool]] = {
+    Kind.SERIES: is_calm,
+    Kind.CRASHES: is_calm_crash,
+    Kind.PARTS: is_calm_crash,
+    Kind.DEMANDS: is_calm_demand,
+    Kind.CUTS: is_calm_cut,
+    Kind.BRITTLE: is_calm_brittle,
+    Kind.VERSIONS: is_calm_version,
+    Kind.ANSWERS: is_calm,
+}
+"""Kinds with seeds without faults of engines."""
+ENDINGS_BY_KIND = {
+    Kind.CRASHES: WITHOUT_LINKS,
+    Kind.PARTS: WITHOUT_LINKS,
+    Kind.BRITTLE: WITHOUT_KILLS,
+}
+"""Kinds whose engines crash in other ways."""
+
+
+def faults_of_seed(kind: Kind, seed: int) -> list[PlannedFault] | list[Rollback]:
+    """Return the faults of a seed, and ends of answers unless its engines have no fault."""
+    planned = PLAN_BY_KIND[kind](seed)
+    if kind in CALM_BY_KIND and CALM_BY_KIND[kind](seed):
+        return planned
+    return [*planned, *plan_endings(seed, ENDINGS_BY_KIND.get(kind, ALL_ENDINGS))]
+
+
 def run_seed(seed: int, folder: str, kind: Kind = Kind.FAULTS) -> list[str]:
     """Run a seed with its logs in a folder; return its violations, or the traceback of an error."""
     logger.remove()
@@ -561,7 +600,7 @@
         for seed, folder, violations in zip(seeds, folders, results, strict=True):
             if violations:
                 failed += 1
-                lines = [*map(str, PLAN_BY_KIND[kind](seed)), *violations[:MAX_LINES]]
+                lines = [*map(str, faults_of_seed(kind, seed)), *violations[:MAX_LINES]]
                 print(f"seed {seed}, logs in {folder}:", *lines, sep="\n  ", flush=True)
     print(f"{count - failed} passed, {failed} failed")
     return 1 if failed else 0
--- a/tests/edge_soak/test_disorders.py
+++ b/tests/edge_soak/test_disorders.py
@@ -1,7 +1,8 @@
 """The checks of the soak report each form of disorder that a router with a fault produces."""
 
 import shutil
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 from random import Random
@@ -14,7 +15,8 @@
 from railtide.standins.platform import EngineScript
 from tests.edge_soak.callers import RESUMABLE, Callers
 from tests.edge_soak.checks import disorders
-from tests.edge_soak.fleet import GOOD_ENGINE, World, open_fleet
+from tests.edge_soak.endings import ENDINGS
+from tests.edge_soak.fleet import GOOD_ENGINE, Fleet, World, open_fleet
 from tests.mutants import MUTANTS, ROOT, apply
 from tests.stream_order import Disorder
 
@@ -38,13 +40,31 @@
 ]
 
 
+def use_mutant(name: str, folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have routers start from a copy of the project with a fault."""
+    (mutant,) = [mutant for mutant in MUTANTS if mutant.name == name]
+    ignored = shutil.ignore_patterns("__pycache__", "tests")
+    shutil.copytree(ROOT / "railtide", folder / "railtide", ignore=ignored)
+    apply(mutant, folder)
+    monkeypatch.chdir(folder)
+    monkeypatch.setenv("PYTHONPATH", str(folder))
+
+
+@asynccontextmanager
+async def ready_fleet(folder: Path, world: World) -> AsyncIterator[Fleet]:
+    logger.remove()
+    async with open_fleet(folder, world) as fleet:
+        with trio.fail_after(60):
+            for router in fleet.routers:
+                while not await router.is_ready():
+                    await trio.sleep(0.1)
+        yield fleet
+
+
 async def reported(folder: Path, scripts: tuple[EngineScript, ...]) -> list[str]:
     """Return what is reported of streams whose runs follow the scripts in turn."""
-    async with open_fleet(folder, WORLD) as fleet:
+    async with ready_fleet(folder, WORLD) as fleet:
         (router,) = fleet.routers
-        with trio.fail_after(60):
-            while not await router.is_ready():
-                await trio.sleep(0.1)
         callers = Callers(fleet, Random(1), disconnect_share=0.0)
         for _ in range(SENT):
             following = list(scripts)
@@ -69,13 +89,7 @@
         tmp_path: Path,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        (mutant,) = [mutant for mutant in MUTANTS if mutant.name == name]
-        ignored = shutil.ignore_patterns("__pycache__", "tests")
-        shutil.copytree(ROOT / "railtide", tmp_path / "railtide", ignore=ignored)
-        apply(mutant, tmp_path)
-        monkeypatch.chdir(tmp_path)
-        monkeypatch.setenv("PYTHONPATH", str(tmp_path))
-        logger.remove()
+        use_mutant(name, tmp_path, monkeypatch)
         assert form in forms_of(trio.run(reported, tmp_path, scripts))
 
     def test_router_without_the_fault_is_reported(
@@ -85,5 +99,30 @@
         scripts: tuple[EngineScript, ...],
         tmp_path: Path,
     ) -> None:
-        logger.remove()
         assert trio.run(reported, tmp_path, scripts) == []
+
+
+async def reported_of_killed_engines(folder: Path) -> list[str]:
+    """Return what is reported of answers without framing whose engines are killed."""
+    async with ready_fleet(folder, World(callers=16, prepaid=400_000)) as fleet:
+        callers = Callers(fleet, Random(1), disconnect_share=0.0)
+        async with trio.open_nursery() as nursery:
+            for _ in range(fleet.world.callers):
+                nursery.start_soon(callers.run)
+            for number in range(2):
+                await ENDINGS["unframed-kill"](fleet, Random(number), 2.0)
+            nursery.cancel_scope.cancel()
+        assert any(attempt.whole and attempt.events for attempt in callers.attempts)
+        return disorders(callers.attempts)
+
+
+class TestKilledEngines:
+    def test_end_of_a_process_taken_for_the_end_of_a_stream_is_not_reported(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        use_mutant("end-of-a-process-taken-for-the-end-of-its-answer", tmp_path, monkeypatch)
+        lines = trio.run(reported_of_killed_engines, tmp_path)
+        assert forms_of(lines) == {Disorder.ENDS_EARLY}
+
+    def test_stream_of_a_killed_engine_looks_complete(self, tmp_path: Path) -> None:
+        assert trio.run(reported_of_killed_engines, tmp_path) == []
