Fault soak: streams of several versions also begin at a router that their callers keep to

Callers of the kind of several software versions looked a router up for each stream; a quarter now keeps to one until it no longer answers. test_disorders.py has a router that resumes streams at any version, which the soak reports by what callers received over two attempts.

--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -126,6 +126,7 @@
     DEADLINE_S,
     LEAVE_SHARE,
     MAX_MIXED,
+    STAYERS,
     STREAMERS,
     VERSIONS,
     is_calm_version,
@@ -501,8 +502,8 @@
 async def _run_streams(callers: Callers, end: trio.CancelScope) -> None:
     with end:
         async with trio.open_nursery() as nursery:
-            for _ in range(STREAMERS):
-                nursery.start_soon(stream_for_ever, callers)
+            for number in range(STREAMERS):
+                nursery.start_soon(stream_for_ever, callers, number < STAYERS)
 
 
 async def _run_versions(seed: int, folder: Path) -> list[str]:
--- a/tests/edge_soak/test_disorders.py
+++ b/tests/edge_soak/test_disorders.py
@@ -32,6 +32,7 @@
         (CUT, CUT, replace(GOOD_ENGINE, ignores_last_id=True)),
     ),
     (Disorder.JOINED, "retry-of-a-begun-stream-at-any-version", (CUT, GOOD_ENGINE)),
+    (Disorder.JOINED, "resumed-stream-at-any-version", (CUT, CUT, GOOD_ENGINE)),
     (
         Disorder.ENDS_EARLY,
         "half-event-taken-for-the-end",
--- a/tests/edge_soak/versions.py
+++ b/tests/edge_soak/versions.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "OTHER_FAULTS",
+    "STAYERS",
     "STREAMERS",
     "ATTEMPTS",
     "DEADLINE_S",
@@ -42,6 +43,8 @@
 CALM_EVERY = 3
 """Seeds divisible by this have routers that are killed or leave, and no other fault."""
 STREAMERS = 24
+STAYERS = 6
+"""Of the streamers."""
 DEADLINE_S = 6.0
 ATTEMPTS = 4
 LEAVE_SHARE = 0.5
@@ -55,11 +58,17 @@
 """Least share of resumed attempts that go on, of the share of new streams that begin."""
 
 
-async def stream_for_ever(callers: Callers) -> None:
-    """Begin streams, leave many of them, and resume them at any router."""
+async def stream_for_ever(callers: Callers, stays: bool) -> None:
+    """Begin streams, leave many of them, and resume them at any router.
+
+    One that stays begins all its streams at one router until that doesn't answer.
+    """
+    router = None
     while True:
-        router = await callers.choose()
+        if router is None or not stays:
+            router = await callers.choose()
         attempts = [await callers.ask(router, callers.pool_of(router), RESUMABLE)]
+        router = router if attempts[0].status else None
         await callers.resume(attempts)
         await trio.sleep(callers.rng.uniform(0, 0.1))
 
