--- a/railtide/platform/tests/test_ended_upstreams.py
+++ b/railtide/platform/tests/test_ended_upstreams.py
@@ -8,7 +8,7 @@
 
 from railtide.containment.crash_detection import ProbeResult
 from railtide.http.client import Exchange
-from railtide.http.messages import HttpRequest, first_header
+from railtide.http.messages import Headers, HttpRequest, first_header
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.http.sockets import listen
 from railtide.membership.instances import Instance
@@ -38,6 +38,7 @@
     parts: list[bytes]
     ends: bool
     restarts: bool
+    notices: Headers = ()
     runs: int = 0
     process: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -54,7 +55,8 @@
         self.runs += 1
         request_id = first_header(request.headers, ID) or b""
         answer = RawAnswer(responder.hijack(), Framing.CLOSE, 0)
-        await answer.start(200, ((ID, request_id), (b"x-response-seal", b"s")))
+        headers = ((ID, request_id), (b"x-response-seal", b"s"), *self.notices)
+        await answer.start(200, headers)
         await trio.sleep(HEAD_TO_BODY_S)
         for part in self.parts:
             await answer.write(part)
@@ -67,11 +69,15 @@
 
 
 async def add_ending_engine(
-    env: RouterEnvironment, parts: list[bytes], ends: bool = True, restarts: bool = False
+    env: RouterEnvironment,
+    parts: list[bytes],
+    ends: bool = True,
+    restarts: bool = False,
+    notices: Headers = (),
 ) -> EndingEngine:
     listener = await listen(HOST, 0)
     address = f"{HOST}:{listener.socket.getsockname()[1]}"
-    engine = EndingEngine(parts, ends, restarts)
+    engine = EndingEngine(parts, ends, restarts, notices)
     env.nursery.start_soon(engine.serve, listener)
     env.store.put("keyed.servers", NAME, msgspec.json.encode(engine_entry(address)))
     await env.wait_until_listed(NAME)
@@ -116,6 +122,12 @@
         assert told["request-sent"]["after"] == "3"
         assert told["answer-unframed"]["last_event"] == str(EVENTS)
 
+    async def test_last_stream_of_a_leaving_upstream_is_broken_off(self) -> None:
+        leaving = ((b"server-leaving", b"1"),)
+        async with router_environment() as env:
+            await add_ending_engine(env, [events(EVENTS)], notices=leaving)
+            assert await outcome(await env.send("/stream/x")) == (200, events(EVENTS), True)
+
 
 class TestPlainAnswerOfEndedUpstream:
     async def test_part_of_a_body_is_passed_on_as_the_whole(self) -> None:
