Soak of versions: all routers are killed at once in each seed from 14200 on

Calm seeds had only single routers that are killed or leave; the others drew a loss of all by chance. The earlier seeds keep their plans.

--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -37,14 +37,17 @@
     plan_states,
     refused_as_outdated,
 )
-from tests.edge_soak.versions import OTHER_FAULTS as VERSIONS_OTHER_FAULTS
 from tests.edge_soak.versions import (
+    FIRST_WITH_LOSS_OF_ALL,
+    LOSS_OF_ALL,
     VERSIONS,
     Stream,
+    is_calm_version,
     mixed_streams,
     plan_versions,
     poor_resumption,
 )
+from tests.edge_soak.versions import OTHER_FAULTS as VERSIONS_OTHER_FAULTS
 
 SEEDS = (5, 20, 41, FIRST_WITH_LATER_FAULTS)
 """5 and 41: processes are killed, leave and lose the store. 20: answers that weren't streams were
@@ -226,6 +229,13 @@
         drawn = {planned.name for seed in range(14_000, 14_200) for planned in plan_versions(seed)}
         assert drawn == set(VERSIONS) | set(VERSIONS_OTHER_FAULTS)
 
+    @pytest.mark.parametrize("is_calm", [True, False])
+    def test_all_routers_are_lost_in_each_seed(self, is_calm: bool) -> None:
+        seeds = range(FIRST_WITH_LOSS_OF_ALL, FIRST_WITH_LOSS_OF_ALL + 100)
+        for seed in seeds:
+            if is_calm_version(seed) is is_calm:
+                assert LOSS_OF_ALL in [planned.name for planned in plan_versions(seed)]
+
     def test_more_than_two_mixed_streams_are_reported(self) -> None:
         mixed = [Stream([b"id: 1\ndata: x1@v1", b"id: 2\ndata: x2@v2"]) for _ in range(3)]
         assert mixed_streams(mixed[:2]) == []
--- a/tests/edge_soak/versions.py
+++ b/tests/edge_soak/versions.py
@@ -18,6 +18,8 @@
 from tests.edge_soak.series import SERIES
 
 __all__ = [
+    "FIRST_WITH_LOSS_OF_ALL",
+    "LOSS_OF_ALL",
     "OTHER_FAULTS",
     "STREAMERS",
     "VERSIONS",
@@ -44,7 +46,7 @@
 CROWD_AT = 7
 """Seeds with this remainder have as many routers as the machine can run beside two other seeds."""
 CALM_EVERY = 3
-"""Seeds divisible by this have routers that are killed or leave, and no other fault."""
+"""Seeds divisible by this have routers that are killed or leave, one or all, and no other fault."""
 STREAMERS = 24
 DEADLINE_S = 6.0
 ATTEMPTS = 4
@@ -225,28 +227,34 @@
     name: fault for name, fault in (FAULTS | SERIES).items() if name not in SCRIPT_FAULTS
 }
 CALM_FAULTS = ("kill", "leave")
+LOSS_OF_ALL = "kill-all"
+FIRST_WITH_LOSS_OF_ALL = 14_200
+"""Smaller seeds are older than the loss of all routers that each seed has, and draw none for it."""
 
 
 def plan_versions(seed: int) -> list[PlannedFault]:
-    """Return the faults of a seed, ordered by their begin."""
+    """Return the faults of a seed, ordered by their begin; one is a loss of all routers."""
     rng = Random(f"versions {seed}")
     if is_calm_version(seed):
         names = [rng.choice(CALM_FAULTS) for _ in range(3)]
     else:
         names = [rng.choice(sorted(VERSIONS)) for _ in range(rng.randint(1, 3))]
         names += [rng.choice(sorted(OTHER_FAULTS)) for _ in range(rng.randint(1, MAX_FAULTS))]
-    drawn = [
-        PlannedFault(
-            name,
-            round(rng.uniform(0.5, MAX_BEGIN_S), 2),
-            round(rng.uniform(1.0, 4.0), 2),
-            rng.randrange(1 << 30),
-        )
-        for name in names
-    ]
+    drawn = [_draw(rng, name) for name in names]
+    if seed >= FIRST_WITH_LOSS_OF_ALL:
+        drawn.append(_draw(Random(f"versions, loss of all {seed}"), LOSS_OF_ALL))
     return sorted(drawn, key=lambda fault: fault.at)
 
 
+def _draw(rng: Random, name: str) -> PlannedFault:
+    return PlannedFault(
+        name,
+        round(rng.uniform(0.5, MAX_BEGIN_S), 2),
+        round(rng.uniform(1.0, 4.0), 2),
+        rng.randrange(1 << 30),
+    )
+
+
 def mixed_streams(streams: list[Stream]) -> list[str]:
     """Return lines for streams out of order, and if too many hold events of two versions."""
     disordered = [stream for stream in streams if not stream.is_in_order]
