Streams: a late append of a killed router replaces no later record

Callers saw streams of two versions when an attempt was sent to one version, failed there, and began its stream at another, and the append of its first record was executed after all routers, or the one that had sent it, were killed: both records had the same key, and only their writer restored the later one.

Each change of a stream's origin now has a key of its own with a number, and the highest number holds, whichever append is executed last.

--- a/railtide/streams/records.py
+++ b/railtide/streams/records.py
@@ -14,7 +14,9 @@
     "StreamOrigin",
     "origin_of",
     "origin_value",
+    "parts_of_record_key",
     "pool_key",
+    "record_key",
     "shares_of_record",
     "shares_value",
     "stream_key",
@@ -22,6 +24,8 @@
 
 KEY_BYTES = 12
 LENGTH_BYTES = 8
+NUMBER_SEPARATOR = "-"
+MAX_NUMBER_DIGITS = 4
 MAX_NAME_LENGTH = 256
 MAX_VERSIONS = 64
 
@@ -71,6 +75,41 @@
     return hasher.hexdigest()
 
 
+def record_key(stream: str, number: int) -> str:
+    """Return the key of the record of a stream's origin.
+
+    Each change of the origin has a number and a key of its own. An append without an answer may
+    take effect after later ones, when the router that sent it has ended; it replaces none of them.
+
+    Examples
+    --------
+    >>> record_key("5f", 0), record_key("5f", 2)
+    ('5f', '5f-2')
+    """
+    return f"{stream}{NUMBER_SEPARATOR}{number}" if number else stream
+
+
+def parts_of_record_key(key: str) -> tuple[str, int]:
+    """Return the stream and the number of a record's key.
+
+    Raises
+    ------
+    InvalidObject
+        Something else wrote the record.
+
+    Examples
+    --------
+    >>> parts_of_record_key("5f"), parts_of_record_key("5f-2")
+    (('5f', 0), ('5f', 2))
+    """
+    stream, separator, number = key.partition(NUMBER_SEPARATOR)
+    if not separator:
+        return stream, 0
+    if not (number.isascii() and number.isdigit() and len(number) <= MAX_NUMBER_DIGITS):
+        raise InvalidObject(f"{number!r} is not the number of a record")
+    return stream, int(number)
+
+
 def pool_key(pool: str) -> str:
     """Return the key of a pool's shares."""
     return blake2b(pool.encode(), digest_size=KEY_BYTES, person=b"pool").hexdigest()
--- a/railtide/streams/stored_origins.py
+++ b/railtide/streams/stored_origins.py
@@ -21,7 +21,14 @@
 from railtide.streams.origins import StreamOrigins
 from railtide.streams.record_reader import RecordReader
 from railtide.streams.record_writer import RecordWriter
-from railtide.streams.records import StreamOrigin, origin_of, origin_value, stream_key
+from railtide.streams.records import (
+    StreamOrigin,
+    origin_of,
+    origin_value,
+    parts_of_record_key,
+    record_key,
+    stream_key,
+)
 from railtide.telemetry.counters import Counters
 
 __all__ = ["STREAMS_TOPIC", "StoredOrigins"]
@@ -61,12 +68,15 @@
         Whether this router began it.
     is_recorded : bool
         Whether the store has a record of it, or will have.
+    number : int
+        Number of its newest record; see `record_key`.
     """
 
     origin: StreamOrigin
     known_at: float
     is_own: bool
     is_recorded: bool
+    number: int = 0
 
 
 class StoredOrigins(StreamOrigins):
@@ -225,16 +235,22 @@
         shares = self._agreement.by_pool.get(origin.pool)
         is_recorded = former is not None and former.is_recorded
         needs_record = shares is None or shares.needs_record(key, origin.version)
+        number = former.number if former else 0
+        if is_recorded and former.origin != origin:
+            number += 1
         self._stream_by_key[key] = _KnownStream(
-            origin, trio.current_time(), True, is_recorded or needs_record
+            origin, trio.current_time(), True, is_recorded or needs_record, number
         )
         if is_recorded or needs_record:
             self._counters.add("stream_records")
-            self._writer.write(key, origin_value(origin))
+            self._writer.write(record_key(key, number), origin_value(origin))
 
     async def wait_until_recorded(self, account: str, attempt: str) -> bool:
         """Wait for the record of a stream; see `StreamOrigins.wait_until_recorded`."""
-        if await self._writer.wait_until_stored(stream_key(account, attempt), RECORD_WAIT_S):
+        key = stream_key(account, attempt)
+        known = self._stream_by_key.get(key)
+        newest = record_key(key, known.number if known else 0)
+        if await self._writer.wait_until_stored(newest, RECORD_WAIT_S):
             return True
         self._counters.add("stream_records_late")
         logger.bind(attempt=attempt).warning("stream-record-late")
@@ -244,31 +260,42 @@
 
     def _apply_records(self, records: list[KeyedRecord]) -> None:
         for record in records:
-            known = self._stream_by_key.get(record.key)
-            if not record.value:
-                if known and not known.is_own:
-                    del self._stream_by_key[record.key]
-                continue
             try:
-                self._apply_origin(record.key, origin_of(record), known)
+                key, number = parts_of_record_key(record.key)
+                if record.value:
+                    self._apply_origin(key, number, origin_of(record))
+                else:
+                    self._apply_removal(key, number)
             except InvalidObject as err:
                 logger.bind(key=record.key, error=err.detail).debug("stream-record-unreadable")
 
-    def _apply_origin(self, key: str, origin: StreamOrigin, known: _KnownStream | None) -> None:
-        """Apply a record; a late write of this router's own is replaced by the present one."""
+    def _apply_removal(self, key: str, number: int) -> None:
+        known = self._stream_by_key.get(key)
+        if known and not known.is_own and known.number == number:
+            del self._stream_by_key[key]
+
+    def _apply_origin(self, key: str, number: int, origin: StreamOrigin) -> None:
+        """Apply a record, unless a newer one is known; a late write of this router's own is
+        replaced by the present one.
+        """
+        known = self._stream_by_key.get(key)
+        if known and number < known.number:
+            return
         if known and known.is_own:
-            if origin != known.origin and not self._writer.is_pending(key):
-                self._writer.write(key, origin_value(known.origin))
+            own_key = record_key(key, known.number)
+            if origin != known.origin and not self._writer.is_pending(own_key):
+                self._writer.write(own_key, origin_value(known.origin))
             return
         since = known.known_at if known else trio.current_time()
         self._stream_by_key.pop(key, None)
-        self._stream_by_key[key] = _KnownStream(origin, since, False, True)
+        self._stream_by_key[key] = _KnownStream(origin, since, False, True, number)
 
     def _write_again(self) -> None:
         """Write all records again that a rolled back store may have lost."""
         for key, stream in self._stream_by_key.items():
             if stream.is_recorded:
-                self._writer.write(key, origin_value(stream.origin))
+                newest = record_key(key, stream.number)
+                self._writer.write(newest, origin_value(stream.origin))
 
     async def _run_pruning(self) -> None:
         while True:
@@ -285,13 +312,18 @@
             if stream.is_own:
                 del self._stream_by_key[key]
                 if stream.is_recorded:
-                    self._writer.write(key, b"", REMOVAL_DELAY_S)
+                    self._remove_records(key, stream.number)
             elif age_s >= self._agreement.retention_s * FORMER_ROUTER_FACTOR:
                 del self._stream_by_key[key]
                 if self._is_owner(key):
-                    self._writer.write(key, b"", REMOVAL_DELAY_S)
+                    self._remove_records(key, stream.number)
         self._writer.write_due()
 
+    def _remove_records(self, key: str, newest: int) -> None:
+        """Remove the records of a stream, up to the newest one."""
+        for number in range(newest + 1):
+            self._writer.write(record_key(key, number), b"", REMOVAL_DELAY_S)
+
 
 def _unknown(detail: str) -> StreamVersionUnknown:
     return StreamVersionUnknown(detail, retry_after=RETRY_AFTER_S)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3687,6 +3687,13 @@
         "            pass\n",
         (STREAMS,),
     ),
+    Mutant(
+        "late-append-replaces-a-later-record",
+        "streams/stored_origins.py",
+        "        if known and number < known.number:\n",
+        "        if False:\n",
+        (STREAMS,),
+    ),
     Mutant(
         "missing-record-trusted-after-an-outage",
         "streams/stored_origins.py",
