Streams whose version is not listed: a code of its own, and a Retry-After that grows

With the last upstream of a stream's version replaced, its callers were refused with no-upstream and a Retry-After of 0.5 s until their deadline. They could not tell this from a full or leaving pool.

Its Retry-After is the time for which no upstream of the version has been listed, or since the router's first list, at least that of other refusals and at most the time that the request has left. A crashed upstream, which returns within seconds, delays its callers by at most twice its absence. While an upstream of the version is listed that accepts no requests, the refusal is no-upstream as before.

--- a/railtide/lanes/errors.py
+++ b/railtide/lanes/errors.py
@@ -2,7 +2,7 @@
 
 from railtide.errors import ExecutionStatus, RailtideError
 
-__all__ = ["DeadlineTooNear", "LaneError", "NoUpstream", "QueueFull"]
+__all__ = ["DeadlineTooNear", "LaneError", "NoUpstream", "QueueFull", "VersionNotListed"]
 
 
 class LaneError(RailtideError):
@@ -29,3 +29,9 @@
     """No upstream of the pool accepts new requests."""
 
     code = "no-upstream"
+
+
+class VersionNotListed(NoUpstream):
+    """No upstream of the stream's software version is listed."""
+
+    code = "version-not-listed"
--- a/railtide/lanes/pool_upstreams.py
+++ b/railtide/lanes/pool_upstreams.py
@@ -9,7 +9,10 @@
 from railtide.membership.instances import Instance
 from railtide.upstreams.upstream_state import REPORT_MAX_AGE_S, Upstream, is_ejected
 
-__all__ = ["MIN_CONFIRMED_SHARE", "PoolUpstreams", "Preference"]
+__all__ = ["MAX_FORMER_VERSIONS", "MIN_CONFIRMED_SHARE", "PoolUpstreams", "Preference"]
+
+MAX_FORMER_VERSIONS = 64
+"""Most software versions for which the end of their listing is remembered."""
 
 MIN_CONFIRMED_SHARE = 0.5
 """Least part of a pool's upstreams that must be confirmed for the unconfirmed ones to get no
@@ -41,6 +44,8 @@
         self._urgent_share = urgent_share
         self._trusts_list = trusts_list
         self._is_listed = False
+        self._first_listed_at = math.inf
+        self._unlisted_at_by_version: dict[str, float] = {}
         self.admission = Admission()
 
     # -- updates ------------------------------------------------------------------------------
@@ -63,10 +68,33 @@
                     self.admission.mark_cold(current, now)
             current.cold_until = max(current.cold_until, instance.warm_at)
             by_name[instance.name] = current
+        self._note_versions(_versions(self.by_name.values()), _versions(by_name.values()), now)
         self.by_name = by_name
         self.admission.brittle.pool = tuple(by_name)
         self._is_listed = self._is_listed or bool(by_name)
 
+    def _note_versions(self, before: set[str], after: set[str], now: float) -> None:
+        self._first_listed_at = min(self._first_listed_at, now)
+        for version in after:
+            self._unlisted_at_by_version.pop(version, None)
+        self._unlisted_at_by_version |= dict.fromkeys(sorted(before - after), now)
+        while len(self._unlisted_at_by_version) > MAX_FORMER_VERSIONS:
+            del self._unlisted_at_by_version[next(iter(self._unlisted_at_by_version))]
+
+    def unlisted_s(self, version: str, now: float) -> float:
+        """Return for how long no upstream of a software version has been listed, seconds.
+
+        For one that this router never saw, the time is counted from its first list.
+        """
+        if self.lists(version):
+            return 0.0
+        since = self._unlisted_at_by_version.get(version, self._first_listed_at)
+        return max(0.0, now - since)
+
+    def lists(self, version: str) -> bool:
+        """Return whether an upstream of a software version is listed."""
+        return version in _versions(self.by_name.values())
+
     def _reporting_but_unlisted(self, listed: set[str], now: float) -> dict[str, Upstream]:
         if self._trusts_list:
             return {}
@@ -227,3 +255,8 @@
 def _of_version(upstreams: Iterable[Upstream], version: str | None) -> list[Upstream]:
     """Return the upstreams of a software version, all if none is given."""
     return [u for u in upstreams if version in (None, u.instance.software_version)]
+
+
+def _versions(upstreams: Iterable[Upstream]) -> set[str]:
+    """Return the software versions of upstreams."""
+    return {upstream.instance.software_version for upstream in upstreams}
--- a/railtide/lanes/scheduler.py
+++ b/railtide/lanes/scheduler.py
@@ -11,7 +11,13 @@
 from loguru import logger
 
 from railtide.lanes.admission import BlockReason, ColdInterval
-from railtide.lanes.errors import DeadlineTooNear, LaneError, NoUpstream, QueueFull
+from railtide.lanes.errors import (
+    DeadlineTooNear,
+    LaneError,
+    NoUpstream,
+    QueueFull,
+    VersionNotListed,
+)
 from railtide.lanes.pool_notices import PoolNotices
 from railtide.lanes.pool_upstreams import PoolUpstreams, Preference
 from railtide.lanes.queue import FairLanes, QueuedRequest, Urgency, WaitingQueue
@@ -359,15 +365,40 @@
         return self._upstreams.any_free(urgency, trio.current_time(), version)
 
     def check_version(self, request: WaitingRequest) -> None:
-        """Raise `NoUpstream` if no upstream of a request's required version is left."""
+        """Raise an error if no upstream of a request's required version is left.
+
+        Raises
+        ------
+        VersionNotListed
+            None is listed. The longer this lasts, the less likely one is to return.
+        NoUpstream
+            None of those that are listed accepts requests.
+        """
         version = request.required_version
         if version is None or self.accepts(version):
             return
+        if not self._upstreams.lists(version):
+            raise VersionNotListed(
+                f"no upstream of the stream's software version {version!r} is listed",
+                retry_after=self._retry_after_unlisted(version, request),
+            )
         raise NoUpstream(
             f"no upstream of the stream's software version {version!r} accepts requests",
             retry_after=self.retry_after(request.urgency),
         )
 
+    def _retry_after_unlisted(self, version: str, request: WaitingRequest) -> float:
+        """Return after how many seconds to retry a request whose version isn't listed.
+
+        This grows with the time since the version was listed: a crashed upstream returns within
+        seconds, a replaced one doesn't.
+        """
+        now = trio.current_time()
+        retry_after_s = max(
+            self.retry_after(request.urgency), self._upstreams.unlisted_s(version, now)
+        )
+        return min(retry_after_s, max(MIN_RETRY_AFTER_S, request.deadline - now))
+
     def _check(self, request: WaitingRequest, now: float) -> None:
         if request.required_version is not None:
             self.check_version(request)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3736,6 +3736,13 @@
         "",
         (STREAMS,),
     ),
+    Mutant(
+        "retry-after-of-an-unlisted-version-stays-short",
+        "lanes/scheduler.py",
+        "            self.retry_after(request.urgency), self._upstreams.unlisted_s(version, now)\n",
+        "            self.retry_after(request.urgency), 0.0\n",
+        (REQUIRED_VERSION,),
+    ),
     Mutant(
         "full-version-blocks-its-lane",
         "lanes/scheduler.py",
