Streams: missing records are not trusted after a rollback that no router outlived

Callers could see streams of two versions where the store came back from a copy while all routers were dead: the records of the last streams were missing, and routers that started took these streams for ones of the version that the shares assign.

The record of a pool's shares now states the store's era. A router that starts and reads an earlier era than the present one refuses streams without a record as of unknown version, where the pool has several versions, for the longest stream. A router that outlived the rollback writes the present era with the shares, as it writes the lost records again, which ends the refusals. Such a rewrite no longer waits as long as a change of the shares.

test_copy_without_the_record_is_not_trusted failed before; the other tests of copies guard against refusals that are not needed. The tests of large fleets passed before.

--- a/railtide/streams/agreement.py
+++ b/railtide/streams/agreement.py
@@ -2,6 +2,10 @@
 
 A proposal is an append under the condition that nobody else appended. The shares with the highest
 number hold, also after a rollback of the store: routers write again what it lost.
+
+The shares' record states the store's era. A router that starts and reads an earlier era than the
+present one knows that the store was rolled back and that no router has written again since what it
+lost, neither shares nor records of streams.
 """
 
 import math
@@ -68,6 +72,8 @@
         self._known_at: dict[str, float] = {}
         self._due_at: dict[str, float] = {}
         self._stored_number_by_pool: dict[str, int] = {}
+        self._stored_era_by_pool: dict[str, int | None] = {}
+        self._outdated_at_by_pool: dict[str, float] = {}
         self._is_proposing = False
         self._feed = Feed(store, SHARES_TOPIC, FeedOptions(READ_WAIT_S), rng, self._apply_records)
         store.on_era_rise(self._stored_number_by_pool.clear)
@@ -111,18 +117,34 @@
             return shares.only_version
         return next(iter(listed)) if self.caught_up and len(listed) == 1 else None
 
+    def is_outdated(self, pool: str) -> bool:
+        """Return whether the store lost records that no router has written again.
+
+        This ends after the longest stream, or when a router that knows them has written them.
+        """
+        return pool in self._outdated_at_by_pool
+
     def _apply_records(self, records: list[KeyedRecord]) -> None:
         for record in records:
             if not record.value:
                 continue
             try:
-                pool, shares = shares_of_record(record)
+                pool, shares, era = shares_of_record(record)
             except InvalidObject as err:
                 logger.bind(key=record.key, error=err.detail).error("version-shares-unreadable")
                 continue
             self._stored_number_by_pool[pool] = shares.number
+            self._note_era(pool, era)
             self._adopt(pool, shares)
 
+    def _note_era(self, pool: str, era: int | None) -> None:
+        """Note the era of a pool's record; one that was read before a rollback stays known."""
+        self._stored_era_by_pool[pool] = era
+        if era in (None, self._store.era):
+            self._outdated_at_by_pool.pop(pool, None)
+        elif pool not in self.by_pool:
+            self._outdated_at_by_pool[pool] = trio.current_time()
+
     def _adopt(self, pool: str, shares: VersionShares) -> None:
         known = self.by_pool.get(pool)
         if known and known.number >= shares.number:
@@ -144,7 +166,7 @@
             proposal = self._proposal(pool, shares_of(slots_by_version))
             if proposal is None:
                 self._due_at.pop(pool, None)
-            elif self._is_due(pool):
+            elif self._is_due(pool, proposal):
                 self._is_proposing = True
                 self._start_soon(self._propose, pool, proposal)
                 return
@@ -154,7 +176,11 @@
         known = self.by_pool.get(pool)
         if known is None:
             return VersionShares(1, present) if present else None
-        if self._stored_number_by_pool.get(pool, 0) < known.number:
+        if pool in self._outdated_at_by_pool:
+            age_s = trio.current_time() - self._outdated_at_by_pool[pool]
+            return known if age_s >= self.retention_s else None
+        is_stored = self._stored_number_by_pool.get(pool, 0) >= known.number
+        if not is_stored or self._stored_era_by_pool.get(pool) != self._store.era:
             return known
         if known.next_shares is not None:
             age_s = trio.current_time() - self._known_at[pool]
@@ -164,24 +190,26 @@
             return VersionShares(known.number + 1, known.shares, present)
         return None
 
-    def _is_due(self, pool: str) -> bool:
+    def _is_due(self, pool: str, proposal: VersionShares) -> bool:
         """Return whether this router should propose now: the pool's owner does so first."""
         now = trio.current_time()
         if pool not in self._due_at:
-            known = self.by_pool.get(pool)
-            is_shift = known is not None and known.next_shares is None
+            is_shift = bool(proposal.next_shares) and proposal is not self.by_pool.get(pool)
             self._due_at[pool] = now + (SETTLE_S if is_shift else 0.0)
         lead_s = 0.0 if self._is_owner(pool) else OWNER_LEAD_S * (1 + self._rng.random())
         return now >= self._due_at[pool] + lead_s
 
     async def _propose(self, pool: str, proposal: VersionShares) -> None:
-        values = {pool_key(pool): shares_value(pool, proposal)}
+        era = self._store.era
+        values = {pool_key(pool): shares_value(pool, proposal, era)}
         try:
             await self._store.append(SHARES_TOPIC, values, self._feed.next_offset)
         except (AppendConflict, LogUnavailable):
             return  # the feed reads what was appended; the next check decides again
         else:
             self._stored_number_by_pool[pool] = proposal.number
+            self._due_at.pop(pool, None)
+            self._note_era(pool, era)
             self._adopt(pool, proposal)
         finally:
             self._is_proposing = False
--- a/railtide/streams/records.py
+++ b/railtide/streams/records.py
@@ -46,6 +46,7 @@
     number: Annotated[int, msgspec.Meta(ge=1)]
     shares: _Shares
     next_shares: _Shares | None = None
+    era: int | None = None
 
 
 _origin_decoder = msgspec.msgpack.Decoder(_OriginValue)
@@ -141,15 +142,15 @@
     return StreamOrigin(value.pool, value.version)
 
 
-def shares_value(pool: str, shares: VersionShares) -> bytes:
-    """Return the encoded value of the record of a pool's shares."""
+def shares_value(pool: str, shares: VersionShares, era: int | None = None) -> bytes:
+    """Return the encoded value of the record of a pool's shares, and of the store's era."""
     return msgspec.msgpack.encode(
-        _SharesValue(pool, shares.number, shares.shares, shares.next_shares)
+        _SharesValue(pool, shares.number, shares.shares, shares.next_shares, era)
     )
 
 
-def shares_of_record(record: KeyedRecord) -> tuple[str, VersionShares]:
-    """Decode a pool and its shares.
+def shares_of_record(record: KeyedRecord) -> tuple[str, VersionShares, int | None]:
+    """Decode a pool, its shares, and the store's era in which they were written, if known.
 
     Raises
     ------
@@ -159,11 +160,12 @@
     Examples
     --------
     >>> shares = VersionShares(1, {"v1": 1.0})
-    >>> shares_of_record(KeyedRecord("k", shares_value("menu", shares), 0)) == ("menu", shares)
+    >>> record = KeyedRecord("k", shares_value("menu", shares, 3), 0)
+    >>> shares_of_record(record) == ("menu", shares, 3)
     True
     """
     try:
         value = _shares_decoder.decode(record.value)
     except (msgspec.DecodeError, RecursionError) as err:
         raise InvalidObject(str(err)) from err
-    return value.pool, VersionShares(value.number, value.shares, value.next_shares)
+    return value.pool, VersionShares(value.number, value.shares, value.next_shares), value.era
--- a/railtide/streams/stored_origins.py
+++ b/railtide/streams/stored_origins.py
@@ -161,6 +161,8 @@
         only = self._only_version(pool)
         if only is not None:
             return only
+        if self._agreement.is_outdated(pool):
+            raise _unknown("the store was restored from a copy, which may lack the stream's record")
         shares = self._agreement.by_pool.get(pool)
         if not key:
             raise _unknown("the caller does not name the attempt that began the stream")
--- a/railtide/streams/tests/test_loss_of_all.py
+++ b/railtide/streams/tests/test_loss_of_all.py
@@ -253,6 +253,98 @@
         await trio.sleep(READY_S)
         assert await known_versions(fleet, "a") == {"v2"}
 
+    async def test_copy_without_the_record_is_not_trusted(self, nursery, autojump_clock) -> None:
+        fleet = await started(nursery, None)
+        copy = fleet.store.copy()
+        streams = [(f"a{number}", (V1, V2)[number % 2]) for number in range(8)]
+        for attempt, origin in streams:
+            await fleet.routers[0].begin(attempt, origin)
+        await fleet.kill_all()
+        fleet.store.roll_back(copy)
+        await fleet.start_all()
+        for _ in range(20):
+            for attempt, origin in streams:
+                assert await known_versions(fleet, attempt) <= {origin.version}
+            await trio.sleep(1)
+
+    async def test_copy_is_trusted_again_after_the_longest_stream(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await started(nursery, None)
+        await fleet.kill_all()
+        fleet.store.roll_back(fleet.store.copy())
+        await fleet.start_all()
+        await trio.sleep(MIN_RETENTION_S + READY_S)
+        assert await known_versions(fleet, "a")
+
+    async def test_copy_is_trusted_where_a_router_outlives_the_rollback(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await started(nursery, None)
+        copy = fleet.store.copy()
+        await fleet.routers[0].begin("a", V2)
+        await fleet.routers[0].begin("b", V1)
+        fleet.store.roll_back(copy)
+        await trio.sleep(READY_S)
+        await fleet.restart_all()
+        await trio.sleep(READY_S)
+        assert await known_versions(fleet, "a") == {"v2"}
+        assert await known_versions(fleet, "b") == {"v1"}
+
+    async def test_copy_refuses_no_stream_of_the_only_version(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = Fleet(nursery, None)
+        fleet.slots_by_pool = {POOL: OLD}
+        await fleet.start_all()
+        await trio.sleep(1)
+        await fleet.kill_all()
+        fleet.store.roll_back(fleet.store.copy())
+        await fleet.start_all()
+        await trio.sleep(READY_S)
+        assert await known_versions(fleet, "a") == {"v1"}
+
+
+class TestLargeFleet:
+    """Routers that may append less often than a first event can wait."""
+
+    async def test_streams_at_the_preferred_version_are_not_mixed(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await started(nursery, HALVES)
+        fleet.router_count = LARGE_FLEET
+        versions = {}
+        for number in range(20):
+            origins = fleet.routers[0].origins
+            preferred = origins.preferred_version(POOL, ACCOUNT, f"a{number}")
+            versions[f"a{number}"] = await fleet.routers[0].begin(
+                f"a{number}", StreamOrigin(POOL, preferred)
+            )
+        await fleet.restart_all()
+        await trio.sleep(READY_S)
+        for attempt, version in versions.items():
+            assert await known_versions(fleet, attempt) == {version}
+
+    async def test_streams_are_not_mixed_while_the_preferred_version_is_full(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await started(nursery)
+        fleet.router_count = LARGE_FLEET
+        passed_on: list[str] = []
+
+        async def begin(attempt: str) -> None:
+            await fleet.routers[0].begin(attempt, V2)
+            passed_on.append(attempt)
+
+        for number in range(20):
+            nursery.start_soon(begin, f"a{number}")
+            await trio.sleep(0.05)
+        passed_on_before_the_loss = list(passed_on)
+        await fleet.restart_all()
+        await trio.sleep(READY_S)
+        for attempt in passed_on_before_the_loss:
+            assert await known_versions(fleet, attempt) <= {"v2"}
+
 
 @dataclass(frozen=True)
 class Begun:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3694,6 +3694,13 @@
         "        if False:\n",
         (STREAMS,),
     ),
+    Mutant(
+        "missing-record-trusted-after-a-rollback-without-routers",
+        "streams/stored_origins.py",
+        "        if self._agreement.is_outdated(pool):\n",
+        "        if False:\n",
+        (STREAMS,),
+    ),
     Mutant(
         "missing-record-trusted-after-an-outage",
         "streams/stored_origins.py",
