--- a/railtide/platform/tests/router_fleet.py
+++ b/railtide/platform/tests/router_fleet.py
@@ -91,6 +91,8 @@
         The scopes of the routers' servers for other routers; cancelling one ends it.
     engine_scopes : dict of str to trio.CancelScope
         The same of the engines.
+    node_scopes : list of trio.CancelScope
+        The scopes of the routers' own tasks.
     repeated_answers : dict of str to RepeatedAnswers
         Which answers of the engines are sent a second time; none by default.
     forwards : bool
@@ -107,6 +109,7 @@
     links: list["EngineLinks"] = field(default_factory=list)
     peer_scopes: list[trio.CancelScope] = field(default_factory=list)
     engine_scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
+    node_scopes: list[trio.CancelScope] = field(default_factory=list)
     repeated_answers: dict[str, RepeatedAnswers] = field(default_factory=dict)
     forwards: bool = True
     nodes: list[EdgeNode] = field(default_factory=list)
@@ -152,7 +155,9 @@
         upstreams.on_late_answer = node.note_late_answer
         self.links.append(links)
         self.nodes.append(node)
-        self.nursery.start_soon(node.run)
+        node_scope = trio.CancelScope()
+        self.node_scopes.append(node_scope)
+        self.nursery.start_soon(_run_within, node_scope, node)
         peers = peer_server(node.lender, forwarding.handler)
         scope = trio.CancelScope()
         self.peer_scopes.append(scope)
@@ -162,6 +167,11 @@
             lambda: node.ready and len(self.upstreams(number)) == len(self.engine_by_name)
         )
 
+    def kill_all(self) -> None:
+        """End the tasks of all routers; those that are added later know nothing of them."""
+        for scope in (*self.node_scopes, *self.peer_scopes):
+            scope.cancel()
+
     def upstreams(self, router: int) -> dict[str, object]:
         """Return the upstreams that a router knows, by name."""
         scheduler = self.nodes[router].schedulers_by_pool.get("s")
@@ -245,6 +255,11 @@
         await server.serve(listener)
 
 
+async def _run_within(scope: trio.CancelScope, node: EdgeNode) -> None:
+    with scope:
+        await node.run()
+
+
 async def wait_until(condition: Callable[[], bool], within_s: float = 8.0) -> None:
     """Wait until a condition is true."""
     with trio.fail_after(within_s):
--- a/railtide/platform/tests/test_stream_versions.py
+++ b/railtide/platform/tests/test_stream_versions.py
@@ -205,6 +205,48 @@
             assert all(stream.statuses[0] == 200 for stream in streams)
 
 
+def remove_version(fleet: RouterFleet, version: str) -> None:
+    """Remove the upstreams of a software version from the list."""
+    for name in [name for name, each in VERSION_BY_ENGINE.items() if each == version]:
+        fleet.store.put("keyed.servers", name, b"")
+        del fleet.engine_by_name[name]
+
+
+class TestLossOfAllRouters:
+    """Routers that start after a loss of all must not guess where a stream began."""
+
+    @pytest.mark.parametrize("removed", ["never", "before", "during", "after"])
+    async def test_no_stream_is_mixed_and_versions_in_service_go_on(self, removed: str) -> None:
+        async with mixed_fleet() as fleet:
+            streams = [ResumedStream() for _ in range(STREAMS)]
+            async with trio.open_nursery() as nursery:
+                for number, stream in enumerate(streams):
+                    nursery.start_soon(receive, fleet, number % 2, stream, EVENTS_BEFORE_BREAK)
+            if removed == "before":
+                remove_version(fleet, "v1")
+                await wait_until(lambda: len(fleet.upstreams(1)) == 2)
+            fleet.kill_all()
+            if removed == "during":
+                remove_version(fleet, "v1")
+            for _ in range(2):
+                await fleet.add_router()
+            if removed == "after":
+                remove_version(fleet, "v1")
+                await wait_until(lambda: all(len(fleet.upstreams(n)) == 2 for n in (2, 3)))
+            began_at = [versions_of(stream) for stream in streams]
+            async with trio.open_nursery() as nursery:
+                for number, stream in enumerate(streams):
+                    nursery.start_soon(receive, fleet, 2 + number % 2, stream)
+            assert mixed(streams) == []
+            gone = [s for s, began in zip(streams, began_at, strict=True) if "v1" in began]
+            assert 0 < len(gone) < STREAMS
+            if removed != "never":
+                assert all(stream.statuses == [200, 503] for stream in gone)
+            served = [s for s in streams if removed == "never" or s not in gone]
+            complete = [stream for stream in served if stream.is_complete]
+            assert len(complete) >= MIN_RESUMED_SHARE * len(served)
+
+
 async def leave_list_after(fleet: RouterFleet, name: str, seconds: float) -> None:
     await trio.sleep(seconds)
     fleet.store.put("keyed.servers", name, b"")
--- a/railtide/streams/tests/test_loss_of_all.py
+++ b/railtide/streams/tests/test_loss_of_all.py
@@ -25,6 +25,7 @@
 READY_S = 3.0
 LARGE_FLEET = 40
 """Routers of a fleet in which each may append less often than a first event can wait."""
+BEGIN_INTERVAL_S = 0.05
 OLD, BOTH, NEW = {"v1": 4}, {"v1": 2, "v2": 2}, {"v2": 4}
 V1, V2 = StreamOrigin(POOL, "v1"), StreamOrigin(POOL, "v2")
 SETTLED = VersionShares(1, {"v1": 1.0})
@@ -328,22 +329,32 @@
     async def test_streams_are_not_mixed_while_the_preferred_version_is_full(
         self, nursery, autojump_clock
     ) -> None:
+        mixed = [
+            (routers, lost_at, await self._mixed_while_full(nursery, routers, lost_at))
+            for routers in (25, LARGE_FLEET, 5 * LARGE_FLEET)
+            for lost_at in (0.95, 1.05, 1.15)
+        ]
+        assert [each for each in mixed if each[-1]] == []
+
+    @staticmethod
+    async def _mixed_while_full(nursery: trio.Nursery, routers: int, lost_at: float) -> int:
+        """Return how many streams are mixed after a loss of all; none began where preferred."""
         fleet = await started(nursery)
-        fleet.router_count = LARGE_FLEET
+        fleet.router_count = routers
         passed_on: list[str] = []
 
         async def begin(attempt: str) -> None:
             await fleet.routers[0].begin(attempt, V2)
             passed_on.append(attempt)
 
-        for number in range(20):
+        for number in range(round(lost_at / BEGIN_INTERVAL_S)):
             nursery.start_soon(begin, f"a{number}")
-            await trio.sleep(0.05)
-        passed_on_before_the_loss = list(passed_on)
+            await trio.sleep(BEGIN_INTERVAL_S)
+        before_the_loss = list(passed_on)
         await fleet.restart_all()
         await trio.sleep(READY_S)
-        for attempt in passed_on_before_the_loss:
-            assert await known_versions(fleet, attempt) <= {"v2"}
+        known = [await known_versions(fleet, attempt) for attempt in before_the_loss]
+        return sum(not versions <= {"v2"} for versions in known)
 
 
 @dataclass(frozen=True)
