--- a/tests/edge_soak/endings.py
+++ b/tests/edge_soak/endings.py
@@ -48,12 +48,15 @@
 
 
 async def _kill(fleet: Fleet, server: EngineServer, down_s: float) -> None:
-    """Kill an engine once no link to it has a fault, and restart it under its id."""
+    """Kill an engine once no link to it has a fault, and restart it under its id.
+
+    One that is leaving ends by itself.
+    """
     links = fleet.links_to(server.engine)
     with trio.move_on_after(MAX_WAIT_S) as waiting:
         while any(link.cut_by or link.fault is not LinkFault.NONE for link in links):
             await trio.sleep(CLOSE_S)
-    if waiting.cancelled_caught:
+    if waiting.cancelled_caught or server.engine.leaving:
         return
     for link in links:
         link.cut(PathCut.NEW_REFUSED)
@@ -66,7 +69,8 @@
     for link in links:
         if link.cut_by is PathCut.NEW_REFUSED:
             link.heal()
-    fleet.put_reborn(server.engine)
+    if not server.engine.leaving:
+        fleet.put_reborn(server.engine)
 
 
 async def _copy(fleet: Fleet, rng: Random, duration_s: float) -> None:
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -135,7 +135,8 @@
         assert drawn == set(STATES) | set(OTHER_FAULTS)
 
 
-NOTICES_SEEDS = (10_000, 10_001)
+NOTICES_SEEDS = (10_000, 10_001, 10_102)
+"""10102: an engine that had said that it leaves was killed by the soak and listed again."""
 
 
 class TestNotices:
--- a/tests/edge_soak/test_endings.py
+++ b/tests/edge_soak/test_endings.py
@@ -8,6 +8,7 @@
 from railtide.http.client import PeerPool
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
+from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import PlatformEngine
 from tests.edge_soak.endings import ENDINGS, plan_endings
 from tests.edge_soak.fleet import EVENTS, GOOD_ENGINE, EngineServer, Fleet, World
@@ -78,6 +79,23 @@
             nursery.cancel_scope.cancel()
 
 
+class TestLeavingEngine:
+    async def test_its_next_process_is_listed_while_it_leaves(self) -> None:
+        """In notices, seed 10102: routers then sent requests to an engine that said it leaves."""
+        engine = PlatformEngine("e0", GOOD_ENGINE, leaving=True)
+        store = MemoryStore()
+        store.put("keyed.servers", "e0", b"{}")
+        async with trio.open_nursery() as nursery:
+            server = EngineServer(engine)
+            await nursery.start(server.run)
+            link = await open_link(nursery, ("127.0.0.1", server.port))
+            fleet = Fleet(World(engines=1), store, [], [engine], [link], servers=[server])
+            with trio.fail_after(30):
+                await ENDINGS["unframed-kill"](fleet, Random(1), 0.2)
+            nursery.cancel_scope.cancel()
+        assert store.topic("keyed.servers").newest_by_key["e0"].value == b"{}"
+
+
 class TestPlans:
     @pytest.mark.parametrize("kind", KINDS)
     def test_kind_has_no_ends_of_answers(self, kind: Kind) -> None:
