Failures without framing are complete only if their upstream outlives them

Callers got the first part of an engine's 5xx as the whole failure, with a length, where the engine's process ended within its body. The check of an answer's end ran only after answers that are no failures: UpstreamFailed left _send_once before it.

The check now also runs before a failure without framing is reported. A cut one counts as a lost attempt; one of a live upstream is still passed on. test_part_of_a_failure_is_passed_on_as_the_whole fails without the change (500 where 502 is due); test_ended_upstreams.py and test_answer_endings.py pass with it.

--- a/railtide/platform/tests/test_ended_upstreams.py
+++ b/railtide/platform/tests/test_ended_upstreams.py
@@ -38,6 +38,7 @@
     parts: list[bytes]
     ends: bool
     restarts: bool
+    status: int = 200
     runs: int = 0
     process: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -54,7 +55,7 @@
         self.runs += 1
         request_id = first_header(request.headers, ID) or b""
         answer = RawAnswer(responder.hijack(), Framing.CLOSE, 0)
-        await answer.start(200, ((ID, request_id), (b"x-response-seal", b"s")))
+        await answer.start(self.status, ((ID, request_id), (b"x-response-seal", b"s")))
         await trio.sleep(HEAD_TO_BODY_S)
         for part in self.parts:
             await answer.write(part)
@@ -67,11 +68,15 @@
 
 
 async def add_ending_engine(
-    env: RouterEnvironment, parts: list[bytes], ends: bool = True, restarts: bool = False
+    env: RouterEnvironment,
+    parts: list[bytes],
+    ends: bool = True,
+    restarts: bool = False,
+    status: int = 200,
 ) -> EndingEngine:
     listener = await listen(HOST, 0)
     address = f"{HOST}:{listener.socket.getsockname()[1]}"
-    engine = EndingEngine(parts, ends, restarts)
+    engine = EndingEngine(parts, ends, restarts, status)
     env.nursery.start_soon(engine.serve, listener)
     env.store.put("keyed.servers", NAME, msgspec.json.encode(engine_entry(address)))
     await env.wait_until_listed(NAME)
@@ -136,6 +141,16 @@
             await add_ending_engine(env, [b"whole"], ends=False)
             assert await outcome(await env.send("/once/x", body=b"b")) == (200, b"whole", True)
 
+    async def test_part_of_a_failure_is_passed_on_as_the_whole(self) -> None:
+        async with router_environment() as env:
+            await add_ending_engine(env, [b"par"], status=500)
+            assert (await env.send("/once/x", body=b"b")).status == 502
+
+    async def test_failure_of_a_live_upstream_is_rejected(self) -> None:
+        async with router_environment() as env:
+            await add_ending_engine(env, [b"whole"], ends=False, status=500)
+            assert await outcome(await env.send("/once/x", body=b"b")) == (500, b"whole", True)
+
     async def test_deadline_during_the_check_says_that_nothing_ran(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -242,6 +242,10 @@
                 sent = self._upstream_call(traceparent_of(span))
                 try:
                     relayed = await self._relay.relay(upstream, sent)
+                except UpstreamFailed as err:
+                    if not err.answer.framed:
+                        await self._check_end()
+                    raise
                 finally:
                     self._report_times()
             if scope.cancelled_caught:
