Streams without framing: events do not wait for the connection of the witness

The events of an unframed answer, and the rest of a plain one, waited until the idle connection that shows the end of the upstream's process was made: one round trip, and the whole timeout of a connection where the upstream's backlog is full or a packet is lost.

The connection is now made in the background.

--- a/railtide/platform/tests/test_ended_upstreams.py
+++ b/railtide/platform/tests/test_ended_upstreams.py
@@ -110,6 +110,18 @@
             await add_ending_engine(env, [events(EVENTS)], ends=False)
             assert await outcome(await env.send("/stream/x")) == (200, events(EVENTS), True)
 
+    async def test_slow_connection_of_the_witness_delays_events(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def keep_witness(upstreams: PlatformUpstreams, upstream: Instance) -> None:
+            await trio.sleep_forever()
+
+        monkeypatch.setattr(PlatformUpstreams, "keep_witness", keep_witness)
+        async with router_environment() as env:
+            await add_ending_engine(env, [events(EVENTS)], ends=False)
+            with trio.fail_after(5):
+                assert await outcome(await env.send("/stream/x")) == (200, events(EVENTS), True)
+
     async def test_lines_do_not_tell_where_a_stream_went_on_and_how_it_ended(
         self, lines: list[dict[str, object]]
     ) -> None:
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing
 from dataclasses import replace
+from functools import partial
 
 import trio
 
@@ -96,7 +97,8 @@
             self.times.note_failure()
         async with closing(answer):
             if not answer.framed:
-                await self._services.upstreams.keep_witness(upstream)
+                witness = partial(self._services.upstreams.keep_witness, upstream)
+                self._services.start_soon(witness)  # events don't wait for its connection
             if self._call.stream and answer.status == OK_STATUS:
                 return await self._pass_stream(answer)
             return await self._read_whole(answer)
