Answers without framing: many at once make one witness

Each unframed answer that began before the first witness was connected made one of its own: five at once, five connections to an upstream that accepts a limited number. Only one is made at a time now. test_each_of_many_answers_at_once_makes_a_connection fails without the change (5 connections); the sequential test did not show it.

--- a/railtide/upstreams/tests/test_transport.py
+++ b/railtide/upstreams/tests/test_transport.py
@@ -99,6 +99,14 @@
     async def _check_alive(transport: DirectTransport, upstream: Instance) -> None:
         assert await transport.observe(upstream) is ProbeResult.CONNECTED
 
+    async def test_each_of_many_answers_at_once_makes_a_connection(self) -> None:
+        async with running_process() as (_, upstream):
+            transport = DirectTransport()
+            async with trio.open_nursery() as nursery:
+                for _ in range(5):
+                    nursery.start_soon(transport.keep_witness, upstream)
+            assert transport._pool(upstream).opened == 1
+
     async def test_each_answer_makes_a_connection(self) -> None:
         async with running_process() as (_, upstream):
             transport = DirectTransport()
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -97,6 +97,7 @@
         self._pool_by_incarnation: dict[str, PeerPool] = {}
         self._upstream_by_pool: dict[PeerPool, Instance] = {}
         self._busy: set[PeerPool] = set()
+        self._connecting: set[PeerPool] = set()
 
     async def send(
         self, upstream: Instance, request: HttpRequest, timeout_s: float, repeatable: bool = False
@@ -151,9 +152,14 @@
     async def keep_witness(self, upstream: Instance) -> None:
         """Have an idle connection; see `UpstreamTransport.keep_witness`."""
         pool = self._pool(upstream)
-        if not len(pool.idle):
+        if len(pool.idle) or pool in self._connecting:
+            return
+        self._connecting.add(pool)
+        try:
             with suppress(ConnectFailed):  # `observe` then connects after the answer
-                await self.connect(upstream)
+                await pool.connect()
+        finally:
+            self._connecting.discard(pool)
 
     async def observe(self, upstream: Instance) -> ProbeResult:
         """Return whether an upstream's process lives; see `UpstreamTransport.observe`.
