Answers without framing: a rejected witness does not prove an end

An upstream at its limit of connections resets new ones, also the one that is made while an unframed answer comes. Its end was taken for the end of the process, and the whole answer of a live upstream for a lost one: a request that may not be repeated was answered 502 or broken off.

--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -135,15 +135,25 @@
         oldest = min((exchange.began_at for exchange in self._open_exchanges), default=math.inf)
         return max(oldest, self.received_at)
 
-    async def connect(self) -> None:
+    async def connect(self, open_s: float = 0.0) -> None:
         """Make a connection and keep it for the next request.
 
+        Parameters
+        ----------
+        open_s : float, optional
+            Time for which the peer must leave it open before it is kept, seconds. A peer with too
+            many connections closes new ones.
+
         Raises
         ------
         ConnectFailed
             See `connect_tcp_stream`.
         """
-        self.release(await self._connect())
+        connection = await self._connect()
+        if open_s and not await _stays_open(connection, open_s):
+            connection.close()
+            return
+        self.release(connection)
 
     def note_received(self, count: int) -> None:
         """Record that bytes of an answer were received."""
@@ -201,3 +211,12 @@
         """Close the idle connections now, and the others at the end of their exchanges."""
         self._closed = True
         self.drop_idle()
+
+
+async def _stays_open(connection: PooledConnection, open_s: float) -> bool:
+    try:
+        await trio.sleep(open_s)
+        return not await connection.peer_has_ended_it()
+    except BaseException:
+        connection.close()
+        raise
--- a/railtide/upstreams/tests/test_transport.py
+++ b/railtide/upstreams/tests/test_transport.py
@@ -10,7 +10,7 @@
 from railtide.containment.crash_detection import ProbeResult
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
-from railtide.http.sockets import listen
+from railtide.http.sockets import listen, reset_on_close
 from railtide.membership.instances import Instance
 from railtide.upstreams.transport import DirectTransport
 
@@ -21,6 +21,11 @@
     await responder.answer(200, ())
 
 
+async def reject(stream: trio.SocketStream) -> None:
+    reset_on_close(stream.socket)
+    stream.socket.close()
+
+
 class Process:
     """A server that ends as a killed process does, and can be followed by another one."""
 
@@ -99,6 +104,18 @@
     async def _check_alive(transport: DirectTransport, upstream: Instance) -> None:
         assert await transport.observe(upstream) is ProbeResult.CONNECTED
 
+    async def test_rejected_witness_counts_as_an_end(self) -> None:
+        """An upstream resets the connections beyond its limit."""
+        async with trio.open_nursery() as nursery:
+            listener = await listen(HOST, 0)
+            nursery.start_soon(trio.serve_listeners, reject, [listener])
+            port = listener.socket.getsockname()[1]
+            upstream = Instance("u", "u-1", f"{HOST}:{port}", "a", "upstream")
+            transport = DirectTransport()
+            await transport.keep_witness(upstream)
+            assert await transport.observe(upstream) is ProbeResult.CONNECTED
+            nursery.cancel_scope.cancel()
+
     async def test_each_of_many_answers_at_once_makes_a_connection(self) -> None:
         async with running_process() as (_, upstream):
             transport = DirectTransport()
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -157,7 +157,7 @@
         self._connecting.add(pool)
         try:
             with suppress(ConnectFailed):  # `observe` then connects after the answer
-                await pool.connect()
+                await pool.connect(PROBE_OPEN_S)
         finally:
             self._connecting.discard(pool)
 
