Answers without framing: an idle timeout of the upstream does not prove its end

An end counts only within the connection's time for reuse; afterwards the address is probed. test_idle_timeout_of_the_upstream_counts_as_its_end fails without the change (REFUSED).

Left: an upstream whose idle timeout is below 4 s and that names none (a new connection has no Keep-Alive header).

--- a/railtide/upstreams/tests/test_transport.py
+++ b/railtide/upstreams/tests/test_transport.py
@@ -116,6 +116,24 @@
             assert await transport.observe(upstream) is ProbeResult.CONNECTED
             nursery.cancel_scope.cancel()
 
+    async def test_idle_timeout_of_the_upstream_counts_as_its_end(self) -> None:
+        async with trio.open_nursery() as nursery:
+            is_idle = trio.Event()
+
+            async def close_when_idle(stream: trio.SocketStream) -> None:
+                await is_idle.wait()
+
+            listener = await listen(HOST, 0)
+            nursery.start_soon(trio.serve_listeners, close_when_idle, [listener])
+            port = listener.socket.getsockname()[1]
+            upstream = Instance("u", "u-1", f"{HOST}:{port}", "a", "upstream")
+            transport = DirectTransport()
+            await transport.keep_witness(upstream)
+            transport._pool(upstream).idle.all()[0].usable_until = trio.current_time()
+            is_idle.set()
+            assert await transport.observe(upstream) is ProbeResult.CONNECTED
+            nursery.cancel_scope.cancel()
+
     async def test_each_of_many_answers_at_once_makes_a_connection(self) -> None:
         async with running_process() as (_, upstream):
             transport = DirectTransport()
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -176,10 +176,15 @@
         if not kept:
             return None
         await trio.sleep(PROBE_OPEN_S)
-        ends = [await connection.peer_has_ended_it() for connection in kept]
-        if False in ends:
+        now = trio.current_time()
+        ends = [
+            (await connection.peer_has_ended_it(), now < connection.usable_until)
+            for connection in kept
+        ]
+        if any(has_ended is False for has_ended, _ in ends):
             return ProbeResult.CONNECTED
-        return ProbeResult.REFUSED if True in ends else None
+        # An upstream may close a connection by itself once its time for reuse has ended.
+        return ProbeResult.REFUSED if (True, True) in ends else None
 
     def close_stale(self) -> None:
         """Close the idle connections that no request can use; see `close_stale`."""
