Resumed streams: a Last-Event-Id beyond ASCII reaches the upstream unchanged

Since the first attempt of a resumed stream sends the id from the relay's state, which is decoded as Latin-1, encoded as UTF-8: the upstream got other bytes than the caller had sent, and ids of events that a later attempt names had the same fault before. Both directions are Latin-1 now. test_last_event_id_beyond_ascii_is_changed fails without the change (c3 a9 for e9).

--- a/railtide/platform/tests/test_end_to_end.py
+++ b/railtide/platform/tests/test_end_to_end.py
@@ -223,6 +223,12 @@
             assert (await env.send("/safe/x", (name, b"5e:7"))).status == 200
             assert first_header(engine.seen[0].headers, name) == b"5e:7"
 
+    async def test_last_event_id_beyond_ascii_is_changed(self) -> None:
+        async with router_environment() as env:
+            engine = await env.add_engine("e1")
+            await env.send("/resume/x", (b"last-event-id", b"\xe9"))
+            assert first_header(engine.seen[0].headers, b"last-event-id") == b"\xe9"
+
     async def test_last_event_id_is_forwarded_only_for_resumable_streams(self) -> None:
         async with router_environment() as env:
             engine = await env.add_engine("e1", events=3)
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -236,6 +236,6 @@
         (header_names.RANK, str(min(call.rank, MAX_RANK)).encode()),
     ]
     if call.resume_after:
-        own.append((header_names.LAST_EVENT_ID, call.resume_after.encode()))
+        own.append((header_names.LAST_EVENT_ID, call.resume_after.encode("latin-1")))
     replaced = {name for name, _ in own}
     return (*(h for h in call.headers if h[0] not in replaced), *own)
