HTTP client: answers that can have no body count as framed

A 204, a 304 and the answer to HEAD end with their head. Without a length they counted as ended by the close of their connection, so that each was held for the check of its upstream's end (0.02 s) and counted as lost if that ended meanwhile. TestAnswersWithoutBody fails without the change.

--- a/railtide/http/exchange.py
+++ b/railtide/http/exchange.py
@@ -40,6 +40,7 @@
 MAX_EVENTS_AT_A_TIME = 64
 """Parts of a body that are decoded before other tasks get a turn."""
 FRAMING = (b"content-length", b"transfer-encoding")
+STATUSES_WITHOUT_BODY = (204, 304)
 
 
 @dataclass(frozen=True)
@@ -67,7 +68,7 @@
     headers : Headers
     framed : bool
         Whether the end of the body is marked by its length or a last chunk, and not by the close
-        of the connection.
+        of the connection; also where an answer can have no body.
     use : ConnectionUse
         The connection of this router that it arrives on.
     """
@@ -172,7 +173,8 @@
             raise head
         self.status = head.status_code
         self.headers = tuple(head.headers)
-        self.framed = any(name in FRAMING for name, _ in self.headers)
+        has_no_body = request.method == b"HEAD" or self.status in STATUSES_WITHOUT_BODY
+        self.framed = has_no_body or any(name in FRAMING for name, _ in self.headers)
         self._check_id(request)
 
     def _check_id(self, request: HttpRequest) -> None:
--- a/railtide/http/tests/test_connections.py
+++ b/railtide/http/tests/test_connections.py
@@ -623,3 +623,21 @@
             with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
                 while await stream.receive_some():
                     pass
+
+
+class TestAnswersWithoutBody:
+    @pytest.mark.parametrize(("method", "status"), [(b"GET", 204), (b"GET", 304), (b"HEAD", 200)])
+    async def test_end_of_the_head_is_no_end_of_the_answer(
+        self, method: bytes, status: int
+    ) -> None:
+        async def handler(request: HttpRequest, responder: Responder) -> None:
+            stream = responder.hijack()
+            await stream.send_all(f"HTTP/1.1 {status} x\r\n\r\n".encode())
+            await trio.sleep_forever()
+
+        async with server(handler) as http_server:
+            pool = PeerPool("127.0.0.1", http_server.port)
+            exchange = await pool.send(HttpRequest(method, b"/a", ((b"host", b"h"),)))
+            with trio.fail_after(5):
+                assert [part async for part in exchange.chunks()] == []
+            assert exchange.framed
