--- a/railtide/platform/tests/test_ended_upstreams.py
+++ b/railtide/platform/tests/test_ended_upstreams.py
@@ -39,6 +39,7 @@
     ends: bool
     restarts: bool
     notices: Headers = ()
+    status: int = 200
     runs: int = 0
     process: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -56,7 +57,7 @@
         request_id = first_header(request.headers, ID) or b""
         answer = RawAnswer(responder.hijack(), Framing.CLOSE, 0)
         headers = ((ID, request_id), (b"x-response-seal", b"s"), *self.notices)
-        await answer.start(200, headers)
+        await answer.start(self.status, headers)
         await trio.sleep(HEAD_TO_BODY_S)
         for part in self.parts:
             await answer.write(part)
@@ -74,10 +75,11 @@
     ends: bool = True,
     restarts: bool = False,
     notices: Headers = (),
+    status: int = 200,
 ) -> EndingEngine:
     listener = await listen(HOST, 0)
     address = f"{HOST}:{listener.socket.getsockname()[1]}"
-    engine = EndingEngine(parts, ends, restarts, notices)
+    engine = EndingEngine(parts, ends, restarts, notices, status)
     env.nursery.start_soon(engine.serve, listener)
     env.store.put("keyed.servers", NAME, msgspec.json.encode(engine_entry(address)))
     await env.wait_until_listed(NAME)
@@ -111,6 +113,18 @@
             await add_ending_engine(env, [events(EVENTS)], ends=False)
             assert await outcome(await env.send("/stream/x")) == (200, events(EVENTS), True)
 
+    async def test_slow_connection_of_the_witness_delays_events(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def keep_witness(upstreams: PlatformUpstreams, upstream: Instance) -> None:
+            await trio.sleep_forever()
+
+        monkeypatch.setattr(PlatformUpstreams, "keep_witness", keep_witness)
+        async with router_environment() as env:
+            await add_ending_engine(env, [events(EVENTS)], ends=False)
+            with trio.fail_after(5):
+                assert await outcome(await env.send("/stream/x")) == (200, events(EVENTS), True)
+
     async def test_lines_do_not_tell_where_a_stream_went_on_and_how_it_ended(
         self, lines: list[dict[str, object]]
     ) -> None:
@@ -148,6 +162,16 @@
             await add_ending_engine(env, [b"whole"], ends=False)
             assert await outcome(await env.send("/once/x", body=b"b")) == (200, b"whole", True)
 
+    async def test_part_of_a_failure_is_passed_on_as_the_whole(self) -> None:
+        async with router_environment() as env:
+            await add_ending_engine(env, [b"par"], status=500)
+            assert (await env.send("/once/x", body=b"b")).status == 502
+
+    async def test_failure_of_a_live_upstream_is_rejected(self) -> None:
+        async with router_environment() as env:
+            await add_ending_engine(env, [b"whole"], ends=False, status=500)
+            assert await outcome(await env.send("/once/x", body=b"b")) == (500, b"whole", True)
+
     async def test_deadline_during_the_check_says_that_nothing_ran(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -97,6 +97,7 @@
         self._pool_by_incarnation: dict[str, PeerPool] = {}
         self._upstream_by_pool: dict[PeerPool, Instance] = {}
         self._busy: set[PeerPool] = set()
+        self._connecting: set[PeerPool] = set()
 
     async def send(
         self, upstream: Instance, request: HttpRequest, timeout_s: float, repeatable: bool = False
@@ -151,9 +152,14 @@
     async def keep_witness(self, upstream: Instance) -> None:
         """Have an idle connection; see `UpstreamTransport.keep_witness`."""
         pool = self._pool(upstream)
-        if not len(pool.idle):
+        if len(pool.idle) or pool in self._connecting:
+            return
+        self._connecting.add(pool)
+        try:
             with suppress(ConnectFailed):  # `observe` then connects after the answer
-                await self.connect(upstream)
+                await pool.connect(PROBE_OPEN_S)
+        finally:
+            self._connecting.discard(pool)
 
     async def observe(self, upstream: Instance) -> ProbeResult:
         """Return whether an upstream's process lives; see `UpstreamTransport.observe`.
@@ -170,10 +176,15 @@
         if not kept:
             return None
         await trio.sleep(PROBE_OPEN_S)
-        ends = [await connection.peer_has_ended_it() for connection in kept]
-        if False in ends:
+        now = trio.current_time()
+        ends = [
+            (await connection.peer_has_ended_it(), now < connection.usable_until)
+            for connection in kept
+        ]
+        if any(has_ended is False for has_ended, _ in ends):
             return ProbeResult.CONNECTED
-        return ProbeResult.REFUSED if True in ends else None
+        # An upstream may close a connection by itself once its time for reuse has ended.
+        return ProbeResult.REFUSED if (True, True) in ends else None
 
     def close_stale(self) -> None:
         """Close the idle connections that no request can use; see `close_stale`."""
