Plays of deployments: each process is started once, and found by the end of the play

Two disruptions could restart the same process at once, and a cancellation could come between the start of a process and the record of it: some routers and engines outlived their play, and an engine's successor listened at its address at once.

--- a/tests/deployment/fleet.py
+++ b/tests/deployment/fleet.py
@@ -53,7 +53,8 @@
 
 
 async def _open(arguments: list[str], log: Path, cwd: Path = ROOT, **env: str) -> trio.Process:
-    with log.open("ab") as file:
+    """Start a process; a cancellation waits, so that the end of the play finds and kills it."""
+    with log.open("ab") as file, trio.CancelScope(shield=True):
         return await trio.lowlevel.open_process(
             [sys.executable, "-m", *arguments],
             cwd=cwd,
@@ -73,9 +74,15 @@
     build: Path
     max_fds: int
     process: trio.Process | None = None
+    starting: trio.Lock = field(default_factory=trio.Lock)
 
     async def start(self) -> None:
-        """Start a process."""
+        """Start a process, unless another disruption has started one already."""
+        async with self.starting:
+            if self.process is None or self.process.poll() is not None:
+                await self._start()
+
+    async def _start(self) -> None:
         self.process = await _open(
             [_program_of(self.build)],
             self.folder / f"{self.name}.log",
@@ -121,6 +128,7 @@
     folder: Path
     life: int = 0
     process: trio.Process | None = None
+    restarting: trio.Lock = field(default_factory=trio.Lock)
 
     @property
     def name(self) -> str:
--- a/tests/deployment/play.py
+++ b/tests/deployment/play.py
@@ -130,11 +130,7 @@
                 halt.ended_at = now()
                 recorder.add(halt)
         else:
-            engine.send(signal.SIGKILL)
-            recorder.add(halt)
-            await engine.process.wait()
-            await trio.sleep(rng.uniform(0, RESTART_S))
-            await engine.start()
+            await _restart(engine, recorder, rng)
         await trio.sleep(rng.uniform(0.2, 1.5))
 
 
@@ -156,12 +152,14 @@
 
 
 async def _restart(engine: EngineProcess, recorder: Recorder, rng: Random) -> None:
-    halt = Halt(engine.name, now())
-    engine.send(signal.SIGKILL)
-    recorder.add(halt)
-    await engine.process.wait()
-    await trio.sleep(rng.uniform(0, RESTART_S))
-    await engine.start()
+    """Kill an engine and start it again, after another restart of it that is under way."""
+    async with engine.restarting:
+        halt = Halt(engine.name, now())
+        engine.send(signal.SIGKILL)
+        recorder.add(halt)
+        await engine.process.wait()
+        await trio.sleep(rng.uniform(0, RESTART_S))
+        await engine.start()
 
 
 async def _release(deployment: Deployment, rng: Random) -> None:
