Answers without framing: the end of a closed idle connection is not forgotten

Callers got streams that looked complete before their last event: the router stood still while the upstream's process was killed and replaced at its address. What was left, the probe or a connection opened since, reached the successor.

The pool now remembers when a connection was last cut within its time for reuse. A connection proves that the process lives if it was opened before the answer's exchange began, or if none was cut since. The end of the peer is read from the socket's state, so that bytes received before it don't hide it.

--- a/railtide/forwarding/transport.py
+++ b/railtide/forwarding/transport.py
@@ -91,14 +91,14 @@
         if self._monitor.table.state_of(upstream) is PathState.DIRECT:
             await self._direct.keep_witness(upstream)
 
-    async def observe(self, upstream: Instance) -> ProbeResult:
+    async def observe(self, upstream: Instance, since: float) -> ProbeResult:
         """Return whether an upstream's process lives; see `UpstreamTransport.observe`.
 
         Connections over a path that carries no packets show no end.
         """
         if self._monitor.table.state_of(upstream) is not PathState.DIRECT:
             return await self.probe(upstream)
-        return await self._direct.observe_kept(upstream) or await self.probe(upstream)
+        return await self._direct.observe_kept(upstream, since) or await self.probe(upstream)
 
     def forget(self, upstream: Instance) -> None:
         """Forget a lost incarnation of an upstream; see `UpstreamTransport.forget`."""
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -216,7 +216,7 @@
 async def _stays_open(connection: PooledConnection, open_s: float) -> bool:
     try:
         await trio.sleep(open_s)
-        return not await connection.peer_has_ended_it()
+        return connection.is_open()
     except BaseException:
         connection.close()
         raise
--- a/railtide/http/exchange.py
+++ b/railtide/http/exchange.py
@@ -71,12 +71,15 @@
         of the connection; also where an answer can have no body.
     use : ConnectionUse
         The connection of this router that it arrives on.
+    began_at : float
+        Trio time at which its exchange began.
     """
 
     status: int
     headers: Headers
     framed: bool
     use: ConnectionUse
+    began_at: float
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
@@ -117,8 +120,6 @@
     ----------
     reused : bool
         Whether the connection was used for an earlier request.
-    began_at : float
-        Trio time at which the exchange began.
     received_at : float
         Trio time at which it began or bytes were received last.
     repeatable : bool
--- a/railtide/http/idle_connections.py
+++ b/railtide/http/idle_connections.py
@@ -10,7 +10,7 @@
 import trio
 
 from railtide.http.descriptors import DescriptorShare
-from railtide.http.sockets import has_ended
+from railtide.http.sockets import peer_has_closed
 
 __all__ = ["IdleConnections", "PooledConnection", "close_stale"]
 
@@ -37,6 +37,8 @@
         Tells it from all other connections of the process.
     share : DescriptorShare or None
         Gets its descriptor back when it is closed.
+    opened_at : float
+        Trio time.
     repeated_until_by_id : dict of int to float
         Until when each request sent on it may be sent again, by the hash of its id; trio times.
     """
@@ -48,6 +50,7 @@
     repeated_until_by_id: dict[int, float] = field(default_factory=dict)
     number: int = field(default_factory=_numbers.__next__)
     share: DescriptorShare | None = None
+    opened_at: float = field(default_factory=trio.current_time)
     _max_ids: int = MIN_REMEMBERED_IDS
 
     def is_usable(self) -> bool:
@@ -56,10 +59,16 @@
             return False
         return not self.stream.socket.is_readable()
 
-    async def peer_has_ended_it(self) -> bool | None:
-        """Return whether the peer has closed the connection; None if this side has closed it."""
+    def is_open(self) -> bool:
+        """Return whether neither side has closed the connection."""
         sock = self.stream.socket
-        return None if sock.fileno() < 0 else await has_ended(sock)
+        return sock.fileno() >= 0 and not peer_has_closed(sock)
+
+    def was_cut(self) -> bool:
+        """Return whether the peer has closed it within its time for reuse."""
+        sock = self.stream.socket
+        in_time = trio.current_time() < self.usable_until
+        return in_time and sock.fileno() >= 0 and peer_has_closed(sock)
 
     def note_sent(self, request_id: bytes, repeated_until: float) -> None:
         """Record that a request is sent on it, which may be sent again until a trio time."""
@@ -83,9 +92,16 @@
 
 
 class IdleConnections:
-    """Idle connections to one peer; the one used last is reused first."""
+    """Idle connections to one peer; the one used last is reused first.
+
+    Attributes
+    ----------
+    cut_at : float
+        Trio time at which one was last found to be closed by the peer within its time for reuse.
+    """
 
     def __init__(self) -> None:
+        self.cut_at = -math.inf
         self._connections: list[PooledConnection] = []
 
     def __len__(self) -> int:
@@ -102,7 +118,7 @@
         while self._connections and found is None:
             connection = self._connections.pop()
             if not connection.is_usable():
-                connection.close()
+                self._close(connection)
             elif connection.has_carried(request_id):
                 skipped.append(connection)
             else:
@@ -128,12 +144,22 @@
     def drop(self, connection: PooledConnection) -> None:
         """Close one of the connections."""
         self._connections.remove(connection)
-        connection.close()
+        self._close(connection)
 
     def close(self) -> None:
         """Close all connections."""
         while self._connections:
-            self._connections.pop().close()
+            self._close(self._connections.pop())
+
+    def note_cuts(self) -> None:
+        """Update `cut_at`; the connections stay."""
+        if any(connection.was_cut() for connection in self._connections):
+            self.cut_at = trio.current_time()
+
+    def _close(self, connection: PooledConnection) -> None:
+        if connection.was_cut():
+            self.cut_at = trio.current_time()
+        connection.close()
 
 
 def close_stale(peers: Iterable[IdleConnections]) -> None:
--- a/railtide/http/sockets.py
+++ b/railtide/http/sockets.py
@@ -1,5 +1,6 @@
 """TCP socket options: no Nagle delay, and lost peers are detected within seconds."""
 
+import select
 import socket
 import struct
 
@@ -10,6 +11,7 @@
     "LISTENER_BUFFER_BYTES",
     "has_ended",
     "listen",
+    "peer_has_closed",
     "reset_on_close",
     "set_buffer_bytes",
     "set_tcp_options",
@@ -68,6 +70,13 @@
         return True
 
 
+def peer_has_closed(sock: trio.socket.SocketType) -> bool:
+    """Return whether the peer has closed or reset the connection, whatever it sent before."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 async def listen(host: str, port: int) -> trio.SocketListener:
     """Return a TCP listener; port 0 lets the system choose a port.
 
--- a/railtide/platform/tests/test_ended_upstreams.py
+++ b/railtide/platform/tests/test_ended_upstreams.py
@@ -175,7 +175,9 @@
     async def test_deadline_during_the_check_says_that_nothing_ran(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        async def observe(upstreams: PlatformUpstreams, upstream: Instance) -> ProbeResult:
+        async def observe(
+            upstreams: PlatformUpstreams, upstream: Instance, since: float
+        ) -> ProbeResult:
             return await trio.sleep_forever()
 
         monkeypatch.setattr(PlatformUpstreams, "observe", observe)
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -54,6 +54,7 @@
         self._exchange = exchange
         self.status = exchange.status
         self.framed = exchange.framed
+        self.began_at = exchange.began_at
         self.headers = without_hop_by_hop(exchange.headers)
         self.content_type = ""
         self.request_id = (first_header(exchange.headers, header_names.ATTEMPT_ID) or b"").decode()
@@ -191,9 +192,9 @@
         """Have an idle connection to an engine; see `UpstreamClient.keep_witness`."""
         await self._transport.keep_witness(upstream)
 
-    async def observe(self, upstream: Instance) -> ProbeResult:
+    async def observe(self, upstream: Instance, since: float) -> ProbeResult:
         """Return whether an engine's process lives; see `UpstreamClient.observe`."""
-        return await self._transport.observe(upstream)
+        return await self._transport.observe(upstream, since)
 
     async def run_report(self, upstream: Instance, request_id: str) -> RunReport:
         """Raise `UpstreamLost`: the engines keep no outcomes of requests."""
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -264,18 +264,18 @@
                     relayed = await self._relay.relay(upstream, sent)
                 except UpstreamFailed as err:
                     if not err.answer.framed:
-                        await self._check_end()
+                        await self._check_end(err.answer)
                     raise
                 finally:
                     self._report_times()
             if scope.cancelled_caught:
                 raise UpstreamLost("upstreams crash on this request; its attempt was cancelled")
             if not relayed.framed:
-                await self._check_end()
+                await self._check_end(relayed)
             self._sent_to = None
             return relayed
 
-    async def _check_end(self) -> None:
+    async def _check_end(self, relayed: Relayed) -> None:
         """Raise if an answer that only the close of its connection ended may be incomplete.
 
         The connections of a killed process close in the same way. An upstream that is leaving may
@@ -284,7 +284,8 @@
         upstream = self._slot.upstream
         if is_leaving(upstream):
             return
-        if await self._services.upstreams.observe(upstream.instance) is not ProbeResult.CONNECTED:
+        observed = await self._services.upstreams.observe(upstream.instance, relayed.began_at)
+        if observed is not ProbeResult.CONNECTED:
             self._services.counters.add("answers_ended_with_upstream")
             raise UpstreamDisconnected("the upstream ended with the connection of its answer")
         logger.bind(
--- a/railtide/requests/relay.py
+++ b/railtide/requests/relay.py
@@ -1,5 +1,6 @@
 """Relays the answer of an upstream to the caller and checks it on the way."""
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import aclosing, asynccontextmanager
@@ -44,6 +45,8 @@
     headers : Headers
     framed : bool
         Whether its HTTP framing marks its end, rather than just the close of the connection.
+    began_at : float
+        See `UpstreamAnswer`.
     """
 
     def __init__(
@@ -53,12 +56,14 @@
         unsent: bytes,
         headers: Headers = (),
         framed: bool = True,
+        began_at: float = math.inf,
     ) -> None:
         self.cost = cost
         self.answer = answer
         self.unsent = unsent
         self.headers = headers
         self.framed = framed
+        self.began_at = began_at
 
 
 class Relay(ABC):
--- a/railtide/upstreams/client.py
+++ b/railtide/upstreams/client.py
@@ -1,5 +1,6 @@
 """Interface for calling upstreams."""
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -58,6 +59,8 @@
     headers: Headers = ()
     framed = True
     """Whether a length or a last chunk marks the end of the body; otherwise the close does."""
+    began_at = math.inf
+    """Trio time at which its request was begun to be sent; infinite where it isn't known."""
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
@@ -126,8 +129,8 @@
     async def keep_witness(self, upstream: Instance) -> None:  # noqa: B027 - optional to override
         """Prepare `observe`, while an answer comes that only the close of its connection ends."""
 
-    async def observe(self, upstream: Instance) -> ProbeResult:
-        """Return whether an upstream's process outlives an answer that has just ended."""
+    async def observe(self, upstream: Instance, since: float) -> ProbeResult:
+        """Return whether an upstream's process outlives an answer; see `UpstreamTransport`."""
         return await self.probe(upstream)
 
     @abstractmethod
--- a/railtide/upstreams/tests/test_transport.py
+++ b/railtide/upstreams/tests/test_transport.py
@@ -64,6 +64,18 @@
         nursery.cancel_scope.cancel()
 
 
+async def close_idle(transport: DirectTransport, upstream: Instance, closed_by: str) -> None:
+    """Have the ended connections closed, by the sweep or by a request that leaves a new one."""
+    if closed_by == "sweep":
+        transport.close_stale()
+        return
+    host = upstream.address.encode()
+    request = HttpRequest(b"GET", b"/", ((b"host", host),), b"")
+    exchange = await transport.send(upstream, request, 1.0)
+    async for _ in exchange.chunks():
+        pass
+
+
 class TestObserve:
     @pytest.mark.parametrize("has_witness", [False, True])
     async def test_live_process_counts_as_ended(self, has_witness: bool) -> None:
@@ -71,7 +83,7 @@
             transport = DirectTransport()
             if has_witness:
                 await transport.keep_witness(upstream)
-            assert await transport.observe(upstream) is ProbeResult.CONNECTED
+            assert await transport.observe(upstream, trio.current_time()) is ProbeResult.CONNECTED
 
     @pytest.mark.parametrize("has_witness", [False, True])
     async def test_ended_process_counts_as_alive(self, has_witness: bool) -> None:
@@ -80,7 +92,7 @@
             if has_witness:
                 await transport.keep_witness(upstream)
             await process.end()
-            assert await transport.observe(upstream) is ProbeResult.REFUSED
+            assert await transport.observe(upstream, trio.current_time()) is ProbeResult.REFUSED
 
     async def test_process_that_replaced_it_is_taken_for_it(self) -> None:
         async with running_process() as (process, upstream):
@@ -89,7 +101,44 @@
             await process.end()
             await process.start()
             assert await transport.probe(upstream) is ProbeResult.CONNECTED
-            assert await transport.observe(upstream) is ProbeResult.REFUSED
+            assert await transport.observe(upstream, trio.current_time()) is ProbeResult.REFUSED
+
+    @pytest.mark.parametrize("closed_by", ["sweep", "request"])
+    async def test_end_of_the_process_is_forgotten_with_its_connection(
+        self, closed_by: str
+    ) -> None:
+        async with running_process() as (process, upstream):
+            transport = DirectTransport()
+            since = trio.current_time()
+            await transport.keep_witness(upstream)
+            await process.end()
+            await process.start()
+            await close_idle(transport, upstream, closed_by)
+            assert await transport.observe(upstream, since) is ProbeResult.REFUSED
+
+    @pytest.mark.parametrize("closed_by", ["sweep", "request"])
+    async def test_process_that_ended_before_the_request_is_taken_for_its_own(
+        self, closed_by: str
+    ) -> None:
+        async with running_process() as (process, upstream):
+            transport = DirectTransport()
+            await transport.keep_witness(upstream)
+            await process.end()
+            await process.start()
+            await close_idle(transport, upstream, closed_by)
+            await trio.lowlevel.checkpoint()
+            since = trio.current_time()
+            await transport.keep_witness(upstream)
+            assert await transport.observe(upstream, since) is ProbeResult.CONNECTED
+
+    async def test_one_cut_connection_of_a_live_process_counts_as_its_end(self) -> None:
+        async with running_process() as (_, upstream):
+            transport = DirectTransport()
+            await transport.connect(upstream)
+            await transport.connect(upstream)
+            since = trio.current_time()
+            transport._pool(upstream).idle.cut_at = since
+            assert await transport.observe(upstream, since) is ProbeResult.CONNECTED
 
     async def test_witness_that_this_side_has_closed_counts_as_an_end(self) -> None:
         async with running_process() as (_, upstream):
@@ -102,7 +151,7 @@
 
     @staticmethod
     async def _check_alive(transport: DirectTransport, upstream: Instance) -> None:
-        assert await transport.observe(upstream) is ProbeResult.CONNECTED
+        assert await transport.observe(upstream, trio.current_time()) is ProbeResult.CONNECTED
 
     async def test_rejected_witness_counts_as_an_end(self) -> None:
         """An upstream resets the connections beyond its limit."""
@@ -113,7 +162,7 @@
             upstream = Instance("u", "u-1", f"{HOST}:{port}", "a", "upstream")
             transport = DirectTransport()
             await transport.keep_witness(upstream)
-            assert await transport.observe(upstream) is ProbeResult.CONNECTED
+            assert await transport.observe(upstream, trio.current_time()) is ProbeResult.CONNECTED
             nursery.cancel_scope.cancel()
 
     async def test_idle_timeout_of_the_upstream_counts_as_its_end(self) -> None:
@@ -131,7 +180,7 @@
             await transport.keep_witness(upstream)
             transport._pool(upstream).idle.all()[0].usable_until = trio.current_time()
             is_idle.set()
-            assert await transport.observe(upstream) is ProbeResult.CONNECTED
+            assert await transport.observe(upstream, trio.current_time()) is ProbeResult.CONNECTED
             nursery.cancel_scope.cancel()
 
     async def test_each_of_many_answers_at_once_makes_a_connection(self) -> None:
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -62,8 +62,15 @@
         """Have an idle connection to an upstream, whose end would show that of its process."""
 
     @abstractmethod
-    async def observe(self, upstream: Instance) -> ProbeResult:
-        """Return whether an upstream's process outlives an answer that has just ended."""
+    async def observe(self, upstream: Instance, since: float) -> ProbeResult:
+        """Return whether an upstream's process outlives an answer that has just ended.
+
+        Parameters
+        ----------
+        upstream : Instance
+        since : float
+            Trio time at which the answer's exchange began.
+        """
 
     @abstractmethod
     def forget(self, upstream: Instance) -> None:
@@ -161,30 +168,33 @@
         finally:
             self._connecting.discard(pool)
 
-    async def observe(self, upstream: Instance) -> ProbeResult:
+    async def observe(self, upstream: Instance, since: float) -> ProbeResult:
         """Return whether an upstream's process lives; see `UpstreamTransport.observe`.
 
         All connections of a process end with it, and a new one can't be told from one to the
         process that replaced it.
         """
-        return await self.observe_kept(upstream) or await self.probe(upstream)
+        return await self.observe_kept(upstream, since) or await self.probe(upstream)
 
-    async def observe_kept(self, upstream: Instance) -> ProbeResult | None:
-        """Return what the idle connections show of an upstream's process, None for nothing."""
+    async def observe_kept(self, upstream: Instance, since: float) -> ProbeResult | None:
+        """Return what the idle connections show of an upstream's process, None for nothing.
+
+        One that is open proves that the process lives if it was opened before the answer's exchange
+        began, or if none was cut since: a later one may lead to the process that replaced it.
+        """
         pool = self._pool_by_incarnation.get(upstream.incarnation)
-        kept = pool.idle.all() if pool else []
-        if not kept:
+        if pool is None:
             return None
-        await trio.sleep(PROBE_OPEN_S)
-        now = trio.current_time()
-        ends = [
-            (await connection.peer_has_ended_it(), now < connection.usable_until)
-            for connection in kept
-        ]
-        if any(has_ended is False for has_ended, _ in ends):
+        kept = pool.idle.all()
+        if kept:
+            await trio.sleep(PROBE_OPEN_S)
+        pool.idle.note_cuts()
+        opened_at = [connection.opened_at for connection in kept if connection.is_open()]
+        if any(opened <= since for opened in opened_at):
             return ProbeResult.CONNECTED
-        # An upstream may close a connection by itself once its time for reuse has ended.
-        return ProbeResult.REFUSED if (True, True) in ends else None
+        if pool.idle.cut_at >= since:
+            return ProbeResult.REFUSED
+        return ProbeResult.CONNECTED if opened_at else None
 
     def close_stale(self) -> None:
         """Close the idle connections that no request can use; see `close_stale`."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -877,8 +877,8 @@
     Mutant(
         "leaving-upstream-not-believed",
         "requests/execution.py",
-        "        if is_leaving(upstream):\n            return\n        if await",
-        "        if await",
+        "        if is_leaving(upstream):\n            return\n        observed =",
+        "        observed =",
         (ENDED,),
     ),
     Mutant(
@@ -898,31 +898,45 @@
     Mutant(
         "end-of-the-process-taken-for-the-end-of-the-answer",
         "requests/execution.py",
-        "            if not relayed.framed:\n                await self._check_end()\n",
+        "            if not relayed.framed:\n                await self._check_end(relayed)\n",
         "",
         (ENDED,),
     ),
     Mutant(
         "attempt-counts-as-ended-before-its-end-is-checked",
         "requests/execution.py",
-        "            if not relayed.framed:\n                await self._check_end()\n"
+        "            if not relayed.framed:\n                await self._check_end(relayed)\n"
         "            self._sent_to = None\n",
         "            self._sent_to = None\n            if not relayed.framed:\n"
-        "                await self._check_end()\n",
+        "                await self._check_end(relayed)\n",
         (ENDED,),
     ),
     Mutant(
         "successor-at-the-address-taken-for-the-process",
         "upstreams/transport.py",
-        "        return await self.observe_kept(upstream) or await self.probe(upstream)\n",
+        "        return await self.observe_kept(upstream, since) or await self.probe(upstream)\n",
         "        return await self.probe(upstream)\n",
         (TRANSPORT,),
     ),
     Mutant(
         "witness-closed-by-this-side-counts-as-an-end",
         "http/idle_connections.py",
-        "        return None if sock.fileno() < 0 else await has_ended(sock)\n",
-        "        return True if sock.fileno() < 0 else await has_ended(sock)\n",
+        "        if connection.was_cut():\n            self.cut_at = trio.current_time()\n",
+        "        self.cut_at = trio.current_time()\n",
+        (TRANSPORT,),
+    ),
+    Mutant(
+        "cut-connections-are-forgotten-when-they-are-closed",
+        "http/idle_connections.py",
+        "        if connection.was_cut():\n            self.cut_at = trio.current_time()\n",
+        "",
+        (TRANSPORT,),
+    ),
+    Mutant(
+        "connection-to-the-successor-proves-the-process",
+        "upstreams/transport.py",
+        "        if any(opened <= since for opened in opened_at):\n",
+        "        if opened_at:\n",
         (TRANSPORT,),
     ),
     Mutant(
