--- a/railtide/forwarding/tests/test_transport.py
+++ b/railtide/forwarding/tests/test_transport.py
@@ -13,7 +13,7 @@
 class CutConnections:
     """Connections over a path that carries no packets, so that they show no end."""
 
-    async def observe_kept(self, upstream: Instance) -> ProbeResult:
+    async def observe_kept(self, upstream: Instance, since: float) -> ProbeResult:
         return ProbeResult.CONNECTED
 
     async def probe(self, upstream: Instance) -> ProbeResult:
@@ -42,8 +42,8 @@
 class TestObserveOverCutPath:
     async def test_idle_connection_of_a_cut_path_hides_the_end_of_the_process(self) -> None:
         transport = transport_over_cut_path(PathResult.REFUSED)
-        assert await transport.observe(upstream(1)) is ProbeResult.REFUSED
+        assert await transport.observe(upstream(1), since=0.0) is ProbeResult.REFUSED
 
     async def test_live_process_counts_as_ended(self) -> None:
         transport = transport_over_cut_path(PathResult.REACHED)
-        assert await transport.observe(upstream(1)) is ProbeResult.CONNECTED
+        assert await transport.observe(upstream(1), since=0.0) is ProbeResult.CONNECTED
