HTTP client: an answer whose status does not exist is invalid

Reported from other systems: an answer with status 000 was passed on. Here 000 to 199 and statuses of other than three digits were rejected before; 600 to 999, which HTTP doesn't define either, were passed on as answers. They now count as a lost connection (RFC 9110, 15).

Tests: test_status_that_does_not_exist_is_passed_on[600] and [999] failed before, [000] and four more passed. Mutant caught.

--- a/railtide/http/exchange.py
+++ b/railtide/http/exchange.py
@@ -41,6 +41,8 @@
 """Parts of a body that are decoded before other tasks get a turn."""
 FRAMING = (b"content-length", b"transfer-encoding")
 STATUSES_WITHOUT_BODY = (204, 304)
+MAX_STATUS = 599
+"""Highest status code that HTTP defines (RFC 9110, 15)."""
 
 
 @dataclass(frozen=True)
@@ -240,6 +242,8 @@
         for _ in range(1 + MAX_INFORMATIONAL):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise ConnectionLost(f"invalid HTTP answer: status {event.status_code}")
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLost("the connection was closed before the answer began")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -946,6 +946,13 @@
         "        if True:\n",
         (ENDED,),
     ),
+    Mutant(
+        "status-that-does-not-exist-is-passed-on",
+        "http/exchange.py",
+        "                if event.status_code > MAX_STATUS:\n",
+        "                if False:\n",
+        ("railtide/platform/tests/test_broken_heads.py",),
+    ),
     Mutant(
         "witness-for-each-answer",
         "upstreams/transport.py",
