Upstreams' records: a silent connection to the store is noticed within 3 s

Users saw a request reach an upstream 3.46 s after its departure was acknowledged, from a router that nothing had disturbed for 4 s. A connection that went silent just before that is noticed after the pause before the next read, the wait of the read and the timeout of its first byte: 1.0 + 2.0 + 1.0 s on a router that is not advertised, 0.3 + 2.0 + 1.0 s on others. The record fits the former to 0.05 s; that it was the cause is suspected, as its logs are not kept.

Reads of the upstreams' records now wait for 0.5 s: heartbeats come several times a second, so that few reads wait so long. The configuration's feed has the same bound; its reads wait for 1.8 s.

Mutant caught.

--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -218,9 +218,7 @@
         self._upstream_feed = Feed(
             store,
             sources.upstream_topic,
-            FeedOptions(
-                wait_s=options.configuration_wait_s, pause_s=options.upstream_read_interval_s
-            ),
+            FeedOptions(wait_s=options.upstream_wait_s, pause_s=options.upstream_read_interval_s),
             rng,
             self._apply_upstream_records,
             self._pools.listed.retain,
--- a/railtide/edge/options.py
+++ b/railtide/edge/options.py
@@ -17,9 +17,11 @@
     ----------
     requests, ledger, roster
         Options of the request path, of the budget ledger and of the roster.
-    configuration_wait_s : float
-        How long a read of the configuration or of the upstreams' records waits for a new record;
-        bounds how late an unresponsive store is noticed.
+    configuration_wait_s, upstream_wait_s : float
+        How long a read of the configuration, or of the upstreams' records, waits for a new record.
+        A connection to the store that went silent is noticed after the pause before a read, this
+        wait and the timeout of a first byte. All together stay below 3 s, the shortest time after
+        a disturbance within which users expect a router to be up to date.
     upstream_read_interval_s : float
         Least time between two reads of the upstreams' records. Their heartbeats come several times
         a second, and users allow seconds in which a leaving upstream is still sent work.
@@ -52,7 +54,8 @@
     requests: RequestOptions = field(default_factory=RequestOptions)
     ledger: LedgerOptions = field(default_factory=LedgerOptions)
     roster: RosterOptions = field(default_factory=RosterOptions)
-    configuration_wait_s: float = 2.0
+    configuration_wait_s: float = 1.8
+    upstream_wait_s: float = 0.5
     upstream_read_interval_s: float = 0.3
     idle_upstream_read_interval_s: float = 1.0
     capacity: float = 200.0
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -953,6 +953,13 @@
         "                if False:\n",
         ("railtide/platform/tests/test_broken_heads.py",),
     ),
+    Mutant(
+        "silence-of-the-upstreams-records-is-noticed-late",
+        "edge/options.py",
+        "    upstream_wait_s: float = 0.5\n",
+        "    upstream_wait_s: float = 2.0\n",
+        ("railtide/platform/tests/test_silent_store_connections.py",),
+    ),
     Mutant(
         "witness-for-each-answer",
         "upstreams/transport.py",
