Resumed streams: a router whose list of upstreams is outdated does not guess their version

Reported from other systems, and it happens here: a router was cut off from the store, or stood still, while upstreams of a new software version joined. It listed one version, took it for the only one, and continued streams that had begun at the new version through other routers at the old one.

One listed version now proves the version of all streams only while the list was read in the last 1.75 s. Streams don't begin at a version for 2 s after it is listed, where they need not, since lists that count as current may lack it for as long.

The fleet of test_stream_versions.py waits until streams begin at the new version, 2 s instead of 0.5 s; its assertions are unchanged.

--- a/railtide/edge/forwarding.py
+++ b/railtide/edge/forwarding.py
@@ -17,6 +17,7 @@
 from railtide.forwarding.messages import KEY_BYTES
 from railtide.forwarding.path_monitor import PathMonitor
 from railtide.forwarding.peer_choice import ForwardingPeer
+from railtide.forwarding.peer_versions import PeerVersions
 from railtide.forwarding.transport import ForwardingTransport
 from railtide.http.client import HttpAnswer
 from railtide.http.descriptors import DescriptorShare
@@ -120,6 +121,10 @@
         """Return an upstream; see `ForwardingHost.find_upstream`."""
         return self.pools.find(name, incarnation)
 
+    def versions_of(self, pool: str) -> frozenset[str]:
+        """Return a pool's versions; see `ForwardingHost.versions_of`."""
+        return self.pools.versions_of(pool)
+
     def check_may_send(self, upstream: Instance) -> None:
         """Raise unless this router may send; see `ForwardingHost.check_may_send`."""
         if not self.is_serving():
@@ -180,6 +185,7 @@
     transport : ForwardingTransport
         For the client of the upstreams.
     table : PathTable
+    peer_versions : PeerVersions
     handler : ForwardHandler or None
         Answers other routers; None before `attach`.
     on_answer : callable
@@ -202,6 +208,7 @@
         self.on_answer: Callable[[Instance, HttpRequest, HttpAnswer, float], None] = _ignore_answer
         self._identity = identity
         self._directory = RosterPeerDirectory()
+        rng = rng or Random()
         self._client = ForwardingClient(
             identity.instance, identity.incarnation, self.key, traffic, share
         )
@@ -210,8 +217,9 @@
             identity.failure_domain,
             self._client,
             self._directory,
-            rng or Random(),
+            rng,
         )
+        self.peer_versions = PeerVersions(self._client, self._directory, rng)
         self._monitor = PathMonitor(self.table, self.direct, forwarders)
         self.transport = ForwardingTransport(self.direct, self._monitor, forwarders)
 
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -1,5 +1,6 @@
 """The edge router: composition of its parts, and its lifecycle up to a graceful shutdown."""
 
+import math
 from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from random import Random
@@ -195,6 +196,8 @@
             self._start_soon,
             rng,
             self.counters,
+            self._upstream_list_age_s,
+            self.forwarding.peer_versions.ask,
         )
         self.apply_notice = self._pools.apply_notice
         self.upstream_paces = self._pools.paces
@@ -573,6 +576,13 @@
         """Return how many routers hold budget allocations, 0 if this one must not."""
         return len(self.roster.advertised()) if self.roster.is_advertised() else 0
 
+    def _upstream_list_age_s(self) -> float:
+        """Return for how long the list may have lacked upstreams; infinite while it is reread."""
+        feed = self._upstream_feed
+        if not feed.is_current():
+            return math.inf
+        return trio.current_time() - feed.freshness.read_at
+
     def _upstream_read_interval_s(self) -> float:
         advertised = self.roster.is_advertised()
         return (
--- a/railtide/edge/peer_server.py
+++ b/railtide/edge/peer_server.py
@@ -1,7 +1,12 @@
 """Answers other routers, about loans of units and about requests to forward, on one address."""
 
 from railtide.forwarding.handler import ForwardHandler
-from railtide.forwarding.messages import FORWARD_PATH, MESSAGE_OVERHEAD, PATHS_PATH
+from railtide.forwarding.messages import (
+    FORWARD_PATH,
+    MESSAGE_OVERHEAD,
+    PATHS_PATH,
+    VERSIONS_PATH,
+)
 from railtide.http.connection_memory import ConnectionMemory
 from railtide.http.descriptors import DescriptorShare
 from railtide.http.messages import HttpRequest
@@ -12,7 +17,7 @@
 __all__ = ["peer_server", "set_body_limit"]
 
 POST = b"POST"
-FORWARDING_PATHS = (FORWARD_PATH, PATHS_PATH)
+FORWARDING_PATHS = (FORWARD_PATH, PATHS_PATH, VERSIONS_PATH)
 DEFAULT_BODY_BYTES = 1_048_576
 """Largest body of a forwarded request before the configuration is known."""
 
--- a/railtide/edge/streams.py
+++ b/railtide/edge/streams.py
@@ -1,6 +1,6 @@
 """Resumable streams of an edge router: the agreed shares of versions and the streams' origins."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence, Set
 from random import Random
 
 import trio
@@ -33,6 +33,8 @@
     start_soon : callable
     rng : random.Random
     counters : Counters
+    list_age_s, peer_versions : callable
+        See `StoredOrigins`.
 
     Attributes
     ----------
@@ -48,11 +50,21 @@
         start_soon: Callable[..., None],
         rng: Random,
         counters: Counters,
+        list_age_s: Callable[[], float],
+        peer_versions: Callable[[str], Awaitable[Set[str] | None]],
     ) -> None:
         self._pools = pools
         self._agreement = SharesAgreement(store, rng, is_owner, start_soon)
         self.origins = StoredOrigins(
-            store, self._agreement, pools.versions_of, router_count, is_owner, rng, counters
+            store,
+            self._agreement,
+            pools.versions_of,
+            router_count,
+            is_owner,
+            rng,
+            counters,
+            list_age_s,
+            peer_versions,
         )
 
     async def run(self) -> None:
--- a/railtide/forwarding/client.py
+++ b/railtide/forwarding/client.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import AsyncIterator
+from typing import TypeVar
 
 import msgspec
 
@@ -20,11 +21,14 @@
     PATHS_PATH,
     PROOF_HEADER,
     STATUS_HEADER,
+    VERSIONS_PATH,
     ForwardedRequest,
     ForwardOutcome,
     PathQuery,
     PathReport,
     PathResult,
+    VersionsQuery,
+    VersionsReport,
     decode,
     encode,
     proof_of,
@@ -53,6 +57,7 @@
 MIN_TIMEOUT_S = 0.001
 MAX_POOLS = 64
 """Peers to which connections are kept; the others are closed, those used least recently first."""
+T = TypeVar("T")
 STATUS = re.compile(rb"[1-9][0-9]{2}")
 ERROR_BY_OUTCOME = {
     ForwardOutcome.UPSTREAM_REFUSED.encode(): UpstreamGone,
@@ -172,11 +177,28 @@
             The peer does not say.
         """
         query = PathQuery(self._instance, self._incarnation, upstream.name, upstream.incarnation)
+        return (await self._ask(peer, PATHS_PATH, query, PathReport)).result
+
+    async def ask_versions(self, peer: ForwardingPeer, pool: str) -> frozenset[str]:
+        """Return which software versions a peer lists in a pool.
+
+        Raises
+        ------
+        NotForwarded
+            The peer does not say.
+        """
+        query = VersionsQuery(self._instance, self._incarnation, pool)
+        return frozenset((await self._ask(peer, VERSIONS_PATH, query, VersionsReport)).versions)
+
+    async def _ask(
+        self, peer: ForwardingPeer, path: bytes, query: msgspec.Struct, kind: type[T]
+    ) -> T:
+        """Return a peer's answer to a query; raise `NotForwarded` without one."""
         try:
-            exchange = await self._send(peer, PATHS_PATH, query)
+            exchange = await self._send(peer, path, query)
             body = await _read_short(exchange)
             if exchange.status == OK:
-                return decode(body, PathReport).result
+                return decode(body, kind)
         except (ConnectionLost, InvalidForward) as err:
             raise NotForwarded(f"{peer.name}: {err.detail}") from err
         raise NotForwarded(f"{peer.name}: status {exchange.status} {body[:200]!r}")
--- a/railtide/forwarding/forwarders.py
+++ b/railtide/forwarding/forwarders.py
@@ -16,7 +16,7 @@
 from railtide.http.messages import HttpRequest
 from railtide.membership.instances import Instance
 
-__all__ = ["Forwarders", "PeerDirectory"]
+__all__ = ["Forwarders", "PeerDirectory", "alternating_domains"]
 
 ASKED_PEERS = (2, 4)
 """Peers that are asked about a path, and those that are asked next if none of these reaches it.
@@ -94,7 +94,7 @@
         """
         peers = self._usable(upstream)
         self._rng.shuffle(peers)
-        peers = _alternating_domains(peers)
+        peers = alternating_domains(peers)
         results: dict[str, PathResult] = {}
         for count in ASKED_PEERS:
             asked, peers = peers[:count], peers[count:]
@@ -152,7 +152,7 @@
     return UNREACHABLE_PAUSE_S if isinstance(err, PeerUnreachable) else REFUSED_PAUSE_S
 
 
-def _alternating_domains(peers: Sequence[ForwardingPeer]) -> list[ForwardingPeer]:
+def alternating_domains(peers: Sequence[ForwardingPeer]) -> list[ForwardingPeer]:
     """Return the peers in the given order, but one of each failure domain in turn."""
     by_domain: dict[str, list[ForwardingPeer]] = {}
     for peer in peers:
--- a/railtide/forwarding/handler.py
+++ b/railtide/forwarding/handler.py
@@ -21,14 +21,18 @@
     CODE_HEADER,
     FORWARD_PATH,
     FRAMED_HEADER,
+    MAX_VERSIONS,
     OUTCOME_HEADER,
     PROOF_HEADER,
     STATUS_HEADER,
+    VERSIONS_PATH,
     ForwardedRequest,
     ForwardOutcome,
     PathQuery,
     PathReport,
     PathResult,
+    VersionsQuery,
+    VersionsReport,
     decode,
     encode,
     proof_of,
@@ -87,6 +91,8 @@
         try:
             if request.target == FORWARD_PATH:
                 await self._forward(request, responder)
+            elif request.target == VERSIONS_PATH:
+                await self._report_versions(request, responder)
             else:
                 await self._report_path(request, responder)
         except ForwardingError as err:
@@ -97,15 +103,20 @@
     async def _check(self, request: HttpRequest, message: ForwardedRequest | PathQuery) -> Instance:
         """Return the upstream that a message of a known router names."""
         await self._host.wait_until_current()
+        self._check_sender(request, message)
+        upstream = self._host.find_upstream(message.upstream, message.upstream_incarnation)
+        if upstream is None:
+            raise ForwardingRefused("this router does not know the upstream")
+        return upstream
+
+    def _check_sender(
+        self, request: HttpRequest, message: ForwardedRequest | PathQuery | VersionsQuery
+    ) -> None:
         key = self._host.key_of(message.sender, message.sender_incarnation)
         given = first_header(request.headers, PROOF_HEADER) or b""
         expected = proof_of(key or b"", self._incarnation, request.target, request.body)
         if not key or not hmac.compare_digest(given, expected):
             raise SenderUnknown("the message does not prove which router sent it")
-        upstream = self._host.find_upstream(message.upstream, message.upstream_incarnation)
-        if upstream is None:
-            raise ForwardingRefused("this router does not know the upstream")
-        return upstream
 
     # -- requests -----------------------------------------------------------------------------
 
@@ -201,6 +212,15 @@
             return PathResult.FAILED
         return PathResult.REACHED
 
+    # -- versions -----------------------------------------------------------------------------
+
+    async def _report_versions(self, request: HttpRequest, responder: Responder) -> None:
+        query = decode(request.body, VersionsQuery)
+        await self._host.wait_until_current()
+        self._check_sender(request, query)
+        versions = sorted(self._host.versions_of(query.pool))[:MAX_VERSIONS]
+        await responder.answer(OK, (MSGPACK,), encode(VersionsReport(tuple(versions))))
+
     @staticmethod
     async def _answer_problem(
         responder: Responder, outcome: ForwardOutcome, err: RailtideError
--- a/railtide/forwarding/host.py
+++ b/railtide/forwarding/host.py
@@ -21,6 +21,10 @@
     def find_upstream(self, name: str, incarnation: str) -> Instance | None:
         """Return an upstream, None unless this incarnation of it is listed."""
 
+    @abstractmethod
+    def versions_of(self, pool: str) -> frozenset[str]:
+        """Return the software versions of a pool's listed upstreams."""
+
     @abstractmethod
     def check_may_send(self, upstream: Instance) -> None:
         """Raise unless this router may send another one's request to an upstream now.
--- a/railtide/forwarding/messages.py
+++ b/railtide/forwarding/messages.py
@@ -1,4 +1,4 @@
-"""Messages between routers about requests that one forwards for another. Pure.
+"""Messages between routers: requests that one forwards for another, and queries. Pure.
 
 The order of the fields is the wire format. Decoding checks every bound, since a sender may be of
 another release or no router at all.
@@ -17,16 +17,20 @@
     "FORWARD_PATH",
     "FRAMED_HEADER",
     "KEY_BYTES",
+    "MAX_VERSIONS",
     "MESSAGE_OVERHEAD",
     "OUTCOME_HEADER",
     "PATHS_PATH",
     "PROOF_HEADER",
     "STATUS_HEADER",
+    "VERSIONS_PATH",
     "ForwardOutcome",
     "ForwardedRequest",
     "PathQuery",
     "PathReport",
     "PathResult",
+    "VersionsQuery",
+    "VersionsReport",
     "decode",
     "encode",
     "proof_of",
@@ -34,6 +38,7 @@
 
 FORWARD_PATH = b"/forward"
 PATHS_PATH = b"/paths"
+VERSIONS_PATH = b"/versions"
 PROOF_HEADER = b"railtide-proof"
 """Proves that the sender is the router that it names; see `proof_of`."""
 OUTCOME_HEADER = b"railtide-outcome"
@@ -49,6 +54,7 @@
 MESSAGE_OVERHEAD = 65_536
 """Bytes by which a message exceeds the body of the request in it at most."""
 MAX_NAME = 256
+MAX_VERSIONS = 256
 MAX_TIMEOUT_S = 3_600.0
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME)]
@@ -128,6 +134,20 @@
     result: PathResult
 
 
+class VersionsQuery(msgspec.Struct, array_like=True, frozen=True):
+    """Asks which software versions the receiver lists in a pool; see `ForwardedRequest`."""
+
+    sender: Name
+    sender_incarnation: Name
+    pool: Name
+
+
+class VersionsReport(msgspec.Struct, array_like=True, frozen=True):
+    """The versions of a pool's listed upstreams; none if the pool is not known."""
+
+    versions: Annotated[tuple[str, ...], msgspec.Meta(max_length=MAX_VERSIONS)]
+
+
 def encode(message: msgspec.Struct) -> bytes:
     """Return a message's body."""
     return msgspec.msgpack.encode(message)
--- a/railtide/platform/tests/router_fleet.py
+++ b/railtide/platform/tests/router_fleet.py
@@ -1,10 +1,12 @@
 """Test environment of several routers with one store and scripted engines."""
 
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
+from typing import TypeVar
 
 import msgspec
 import trio
@@ -20,6 +22,8 @@
 from railtide.http.messages import HttpRequest
 from railtide.http.server import ConnectionLimits, HttpServer
 from railtide.http.sockets import listen
+from railtide.journal.errors import LogUnavailable
+from railtide.journal.keyed import KeyedPage
 from railtide.membership.identity import Identity
 from railtide.membership.instances import Instance
 from railtide.platform.desired_state import PlatformSources
@@ -34,8 +38,16 @@
 from railtide.telemetry.counters import Counters
 from railtide.upstreams.transport import DirectTransport
 
-__all__ = ["EngineLinks", "RouterFleet", "max_within", "open_router_fleet", "wait_until"]
+__all__ = [
+    "CuttableStore",
+    "EngineLinks",
+    "RouterFleet",
+    "max_within",
+    "open_router_fleet",
+    "wait_until",
+]
 
+T = TypeVar("T")
 PREPAID_TOKENS = 10_000_000
 DEADLINE_MS = 2_500
 
@@ -79,12 +91,48 @@
             raise ConnectFailed("cut")
 
 
+class CuttableStore(PlatformStore):
+    """A router's connections to the store, from which it can be cut off for good."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address, Counters())
+        self._is_cut = False
+        self._calls: set[trio.CancelScope] = set()
+
+    def cut_off(self) -> None:
+        """Fail all calls, also those in progress."""
+        self._is_cut = True
+        for call in self._calls:
+            call.cancel()
+
+    async def newest(self, *arguments: object, **options: object) -> KeyedPage:
+        return await self._unless_cut(partial(super().newest, *arguments, **options))
+
+    async def read(self, *arguments: object, **options: object) -> KeyedPage:
+        return await self._unless_cut(partial(super().read, *arguments, **options))
+
+    async def append(self, *arguments: object, **options: object) -> int:
+        return await self._unless_cut(partial(super().append, *arguments, **options))
+
+    async def _unless_cut(self, call: Callable[[], Awaitable[T]]) -> T:
+        if not self._is_cut:
+            with trio.CancelScope() as scope:
+                self._calls.add(scope)
+                try:
+                    return await call()
+                finally:
+                    self._calls.discard(scope)
+        raise LogUnavailable("cut off")
+
+
 @dataclass
 class RouterFleet:
     """Routers, engines and the store that they share.
 
     Attributes
     ----------
+    stores : list of CuttableStore
+        Each router's connections to the store.
     links : list of EngineLinks
         Each router's connections to the engines, which can be cut.
     peer_scopes : list of trio.CancelScope
@@ -106,6 +154,7 @@
     store: MemoryStore
     nursery: trio.Nursery
     store_port: int = 0
+    stores: list["CuttableStore"] = field(default_factory=list)
     links: list["EngineLinks"] = field(default_factory=list)
     peer_scopes: list[trio.CancelScope] = field(default_factory=list)
     engine_scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
@@ -142,9 +191,11 @@
         forwarding = EdgeForwarding(identity, rng=Random(number), direct=links)
         upstreams = PlatformUpstreams(transport=forwarding.transport)
         forwarding.on_answer = upstreams.note_forwarded
+        store = CuttableStore(f"{HOST}:{self.store_port}")
+        self.stores.append(store)
         node = EdgeNode(
             identity,
-            PlatformStore(f"{HOST}:{self.store_port}", Counters()),
+            store,
             PlatformSources(),
             upstreams,
             EdgeOptions(peer_address=peer_address if self.forwards else ""),
--- a/railtide/platform/tests/test_stream_versions.py
+++ b/railtide/platform/tests/test_stream_versions.py
@@ -18,6 +18,7 @@
 from railtide.streams.agreement import SHARES_TOPIC
 from railtide.streams.records import pool_key, shares_value
 from railtide.streams.shares import VersionShares
+from railtide.streams.stored_origins import LIST_LAG_S, NEW_VERSION_S
 
 STREAMS = 24
 EVENTS = 8
@@ -51,7 +52,7 @@
             await fleet.add_engine(name, version, label=f"@{version}", **script)
         everywhere = range(len(fleet.nodes))
         await wait_until(lambda: all(len(fleet.upstreams(router)) == 4 for router in everywhere))
-        await trio.sleep(0.5)
+        await trio.sleep(NEW_VERSION_S)  # until streams begin at both versions
         yield fleet
 
 
@@ -247,6 +248,48 @@
             assert len(complete) >= MIN_RESUMED_SHARE * len(served)
 
 
+class TestRouterOutOfStep:
+    """A router that is cut off from the store does not know a version that joins meanwhile."""
+
+    @pytest.mark.parametrize("peers_answer", [False, True])
+    async def test_stream_of_a_version_that_joined_continues_at_the_old_one(
+        self, peers_answer: bool
+    ) -> None:
+        async with open_router_fleet(routers=2, engines=0) as fleet:
+            script = {"events": EVENTS, "gap_s": 0.03}
+            await fleet.add_engine("a0", "v1", label="@v1", **script)
+            await wait_until(lambda: all("a0" in fleet.upstreams(number) for number in (0, 1)))
+            await trio.sleep(LIST_LAG_S + 4.0)
+            fleet.stores[0].cut_off()
+            if not peers_answer:
+                fleet.peer_scopes[1].cancel()
+            await fleet.add_engine("b0", "v2", label="@v2", **script)
+            await wait_until(lambda: "b0" in fleet.upstreams(1))
+            await trio.sleep(NEW_VERSION_S)
+            streams = [ResumedStream() for _ in range(STREAMS // 2)]
+            for router, max_events in ((1, EVENTS_BEFORE_BREAK), (0, EVENTS)):
+                async with trio.open_nursery() as nursery:
+                    for stream in streams:
+                        nursery.start_soon(receive, fleet, router, stream, max_events)
+            assert "b0" not in fleet.upstreams(0)
+            assert mixed(streams) == []
+            assert {"v2"} in [versions_of(stream) for stream in streams]
+
+    async def test_outage_for_all_routers_refuses_streams_of_the_only_version(self) -> None:
+        async with open_router_fleet(routers=2, engines=0) as fleet:
+            await fleet.add_engine("a0", "v1", events=EVENTS, gap_s=0.03, label="@v1")
+            await wait_until(lambda: all("a0" in fleet.upstreams(number) for number in (0, 1)))
+            await trio.sleep(LIST_LAG_S + 4.0)
+            for store in fleet.stores:
+                store.cut_off()
+            streams = [ResumedStream() for _ in range(STREAMS // 2)]
+            for router, max_events in ((1, EVENTS_BEFORE_BREAK), (0, EVENTS)):
+                async with trio.open_nursery() as nursery:
+                    for stream in streams:
+                        nursery.start_soon(receive, fleet, router, stream, max_events)
+            assert all(stream.is_complete for stream in streams)
+
+
 async def leave_list_after(fleet: RouterFleet, name: str, seconds: float) -> None:
     await trio.sleep(seconds)
     fleet.store.put("keyed.servers", name, b"")
--- a/railtide/streams/agreement.py
+++ b/railtide/streams/agreement.py
@@ -101,6 +101,11 @@
         """Whether the store answered the last read."""
         return self._feed.reachable
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the shares were read up to the store's last answer, and are not being reread."""
+        return self._feed.is_current()
+
     @property
     def restored_at(self) -> float:
         """Trio time of the store's latest return after a loss; see `Feed.restored_at`."""
--- a/railtide/streams/stored_origins.py
+++ b/railtide/streams/stored_origins.py
@@ -5,7 +5,8 @@
 outlives the router. A router that is asked to resume a stream reads the records up to the present.
 """
 
-from collections.abc import Callable
+import math
+from collections.abc import Awaitable, Callable, Set
 from dataclasses import dataclass
 from random import Random
 
@@ -54,6 +55,12 @@
 FORMER_ROUTER_FACTOR = 2.0
 """After this multiple of the retention a record is removed for a router that no longer exists."""
 RETRY_AFTER_S = 0.5
+MAX_LIST_AGE_S = 1.75
+"""Age up to which the list of upstreams proves that a pool has one version: the pause and the wait
+of a read, and a margin for a slow answer."""
+NEW_VERSION_S = 2.0
+"""For how long streams don't begin at a version that has just been listed, where they need not:
+routers whose list is older than `MAX_LIST_AGE_S` ask before they resume a stream."""
 
 
 @dataclass
@@ -94,6 +101,10 @@
         Returns whether this router removes the record of a router that no longer exists.
     rng : random.Random
     counters : Counters
+    list_age_s : callable, optional
+        Returns for how long the list of upstreams may have lacked some, seconds.
+    peer_versions : callable, optional
+        Returns the versions that other routers list in a pool, None if they don't answer.
     """
 
     def __init__(
@@ -105,7 +116,12 @@
         is_owner: Callable[[str], bool],
         rng: Random,
         counters: Counters,
+        list_age_s: Callable[[], float] = lambda: 0.0,
+        peer_versions: Callable[[str], Awaitable[Set[str] | None]] | None = None,
     ) -> None:
+        self._list_age_s = list_age_s
+        self._peer_versions = peer_versions or _no_peer_versions
+        self._listed_at_by_version: dict[tuple[str, str], float] = {}
         self._agreement = agreement
         self._versions_of = versions_of
         self._router_count = router_count
@@ -144,19 +160,24 @@
         """Return the version at which a stream began; see `StreamOrigins.version_of`."""
         key = stream_key(account, attempt) if attempt else ""
         known = self._stream_by_key.get(key)
-        if known is None and self._knows_all_records(pool):
-            only = self._only_version(pool)
+        if known is None and self._list_age_s() <= MAX_LIST_AGE_S:
+            only = self._only_version_of_all(pool)
             if only is not None:
                 return only
         if known is None or not known.is_own:
-            known = await self._read_stream(key, known)
+            try:
+                known = await self._read_stream(key)
+            except LogUnavailable as err:
+                self._counters.add("stream_lookups_failed")
+                if known is None:
+                    return await self._version_in_outage(pool, err)
         if known:
             return known.origin.version if known.origin.pool == pool else None
         return self._version_without_record(pool, key)
 
     def _version_without_record(self, pool: str, key: str) -> str:
         """Return the version at which a stream began that has no record up to the present."""
-        if not self._agreement.reachable or self._is_backlog_due():
+        if not self._agreement.is_current or self._is_backlog_due():
             raise _unknown("other routers may still have records to write after an outage")
         only = self._only_version(pool)
         if only is not None:
@@ -170,10 +191,26 @@
             raise _unknown("the versions' shares are not known yet")
         return shares.version_of(key)
 
+    async def _version_in_outage(self, pool: str, err: LogUnavailable) -> str:
+        """Return the only version of a pool, if the other routers know of no other one either.
+
+        The store may be away for this router only, which then knows no upstreams that joined since.
+        """
+        only = self._only_version_of_all(pool)
+        if only is not None:
+            versions = await self._peer_versions(pool)
+            if versions is not None and versions <= {only}:
+                return only
+        raise _unknown("the records of streams can't be read now") from err
+
     def _is_backlog_due(self) -> bool:
         """Return whether records that an outage held up may still be missing."""
         return trio.current_time() < self._agreement.restored_at + BACKLOG_S
 
+    def _only_version_of_all(self, pool: str) -> str | None:
+        """Return the only version of a pool, None unless all earlier records are known."""
+        return self._only_version(pool) if self._knows_all_records(pool) else None
+
     def _only_version(self, pool: str) -> str | None:
         """Return the version at which all streams of a pool began, None if they may differ."""
         versions = self._versions_of(pool)
@@ -191,28 +228,42 @@
 
     def note_versions(self, pool: str) -> None:
         """Note which versions a pool has now; to be called several times a second."""
+        now = trio.current_time()
         versions = self._versions_of(pool)
         only = self._agreement.only_version_of(pool, versions)
         if only is None or versions - {only}:
-            self._mixed_at_by_pool[pool] = trio.current_time()
-
-    async def _read_stream(self, key: str, known: _KnownStream | None) -> _KnownStream | None:
+            self._mixed_at_by_pool[pool] = now
+        listed_at = self._listed_at_by_version
+        for gone in [key for key in listed_at if key[0] == pool and key[1] not in versions]:
+            del listed_at[gone]
+        is_first_list = all(known_pool != pool for known_pool, _ in listed_at)
+        for version in versions:
+            listed_at.setdefault((pool, version), -math.inf if is_first_list else now)
+
+    def _has_new_version(self, pool: str) -> bool:
+        """Return whether a version was listed so recently that other routers may not know it."""
+        new_since = trio.current_time() - NEW_VERSION_S
+        listed = self._listed_at_by_version.items()
+        return any(key[0] == pool and since > new_since for key, since in listed)
+
+    async def _read_stream(self, key: str) -> _KnownStream | None:
         """Return what the present records tell of a stream that another router began.
 
         A record that was read earlier may have been replaced: before its first event, a stream can
         be sent to another version. While the store doesn't answer, that record still counts.
+
+        Raises
+        ------
+        LogUnavailable
+            The store did not answer in time.
         """
-        try:
-            await self._reader.read(LOOKUP_S)
-        except LogUnavailable as err:
-            self._counters.add("stream_lookups_failed")
-            if known is None:
-                raise _unknown("the records of streams can't be read now") from err
+        await self._reader.read(LOOKUP_S)
         return self._stream_by_key.get(key)
 
     def preferred_version(self, pool: str, account: str, attempt: str) -> str | None:
-        """Return the version that needs no record, while records take long."""
-        if self._writer.is_prompt() and self._agreement.reachable:
+        """Return the version that needs no record, while records take long or a version is new."""
+        is_prompt = self._writer.is_prompt() and self._agreement.reachable
+        if is_prompt and not self._has_new_version(pool):
             return None
         return self.version_without_record(pool, account, attempt)
 
@@ -327,5 +378,9 @@
             self._writer.write(record_key(key, number), b"", REMOVAL_DELAY_S)
 
 
+async def _no_peer_versions(pool: str) -> Set[str]:
+    return frozenset()
+
+
 def _unknown(detail: str) -> StreamVersionUnknown:
     return StreamVersionUnknown(detail, retry_after=RETRY_AFTER_S)
--- a/railtide/streams/tests/test_stored_origins.py
+++ b/railtide/streams/tests/test_stored_origins.py
@@ -1,5 +1,6 @@
 """Origins of streams over several routers, their ends and the faults of the store."""
 
+import math
 from collections.abc import Callable
 from random import Random
 
@@ -13,6 +14,7 @@
 from railtide.streams.records import StreamOrigin, pool_key, shares_value
 from railtide.streams.shares import VersionShares
 from railtide.streams.stored_origins import (
+    NEW_VERSION_S,
     RECORD_WAIT_S,
     STREAMS_TOPIC,
     StoredOrigins,
@@ -29,9 +31,22 @@
 
 
 class Router:
-    """One router's view, which ends with its process."""
+    """One router's view, which ends with its process.
+
+    Attributes
+    ----------
+    versions : frozenset of str or None
+        The versions that it lists; None for those that the fleet lists.
+    list_age_s : float
+        Age of its list.
+    peer_versions : frozenset of str or None
+        What the other routers answer.
+    """
 
     def __init__(self, fleet: "Fleet", number: int) -> None:
+        self.versions: frozenset[str] | None = None
+        self.list_age_s = 0.0
+        self.peer_versions: frozenset[str] | None = frozenset()
         self.scope = trio.CancelScope()
         self.counters = Counters()
         self.agreement = SharesAgreement(
@@ -40,13 +55,18 @@
         self.origins = StoredOrigins(
             fleet.store,
             self.agreement,
-            lambda pool: fleet.versions,
+            lambda pool: fleet.versions if self.versions is None else self.versions,
             lambda: fleet.router_count,
             lambda key: True,
             Random(number),
             self.counters,
+            lambda: self.list_age_s,
+            self._ask_peers,
         )
 
+    async def _ask_peers(self, pool: str) -> frozenset[str] | None:
+        return self.peer_versions
+
     async def run(self) -> None:
         with self.scope:
             async with trio.open_nursery() as nursery:
@@ -198,6 +218,62 @@
         assert await fleet.routers[1].version_of("a") == "v2"
 
 
+class TestRouterOutOfStep:
+    """A router that lists one version does not know the streams of a version that joined since."""
+
+    @staticmethod
+    async def fleet_with_new_version(nursery: trio.Nursery) -> Fleet:
+        """Return a fleet whose second router has missed that a version joined, and its stream."""
+        fleet = await started(nursery)
+        await fleet.settle_at("v1")
+        fleet.routers[1].versions = frozenset({"v1"})
+        fleet.versions = frozenset({"v1", "v2"})
+        await trio.sleep(3)
+        await fleet.routers[0].begin("a", V2)
+        return fleet
+
+    async def test_stream_of_the_new_version_continues_at_the_old_one(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await self.fleet_with_new_version(nursery)
+        fleet.routers[1].list_age_s = 2.0
+        assert await fleet.routers[1].version_of("a") == "v2"
+
+    @pytest.mark.parametrize("peer_versions", [None, frozenset({"v1", "v2"}), frozenset({"v2"})])
+    async def test_router_without_the_store_guesses_the_old_version(
+        self, nursery, autojump_clock, peer_versions: frozenset[str] | None
+    ) -> None:
+        fleet = await self.fleet_with_new_version(nursery)
+        fleet.store.down = True
+        fleet.routers[1].list_age_s = math.inf
+        fleet.routers[1].peer_versions = peer_versions
+        with pytest.raises(StreamVersionUnknown):
+            await fleet.routers[1].version_of("a")
+
+    @pytest.mark.parametrize("peer_versions", [frozenset(), frozenset({"v1"})])
+    async def test_outage_for_all_routers_refuses_streams_of_the_only_version(
+        self, nursery, autojump_clock, peer_versions: frozenset[str]
+    ) -> None:
+        fleet = await started(nursery)
+        await fleet.settle_at("v1")
+        fleet.store.down = True
+        await trio.sleep(5)
+        fleet.routers[1].list_age_s = math.inf
+        fleet.routers[1].peer_versions = peer_versions
+        assert await fleet.routers[1].version_of("a") == "v1"
+
+    async def test_streams_begin_at_a_version_that_other_routers_do_not_list_yet(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await started(nursery)
+        await fleet.settle_at("v1")
+        fleet.versions = frozenset({"v1", "v2"})
+        await trio.sleep(0.2)
+        assert fleet.routers[0].origins.preferred_version(POOL, ACCOUNT, "a") == "v1"
+        await trio.sleep(NEW_VERSION_S)
+        assert fleet.routers[0].origins.preferred_version(POOL, ACCOUNT, "a") is None
+
+
 class TestUnknownVersion:
     async def test_caller_that_names_no_attempt_is_refused(self, nursery, autojump_clock) -> None:
         fleet = await started(nursery)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3553,7 +3553,7 @@
     Mutant(
         "peers-of-one-failure-domain-are-asked",
         "forwarding/forwarders.py",
-        "        peers = _alternating_domains(peers)\n",
+        "        peers = alternating_domains(peers)\n",
         "        peers = sorted(peers, key=lambda peer: peer.failure_domain)\n",
         (FORWARDING,),
     ),
@@ -3824,11 +3824,39 @@
         "            return True\n",
         (STREAMS,),
     ),
+    Mutant(
+        "list-of-any-age-proves-that-a-pool-has-one-version",
+        "streams/stored_origins.py",
+        "        if known is None and self._list_age_s() <= MAX_LIST_AGE_S:\n",
+        "        if known is None:\n",
+        (STREAMS, "railtide/platform/tests/test_stream_versions.py"),
+    ),
+    Mutant(
+        "other-routers-are-not-asked-in-an-outage",
+        "streams/stored_origins.py",
+        "            if versions is not None and versions <= {only}:\n",
+        "            if True:\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "new-version-begins-streams-at-once",
+        "streams/stored_origins.py",
+        "        if is_prompt and not self._has_new_version(pool):\n",
+        "        if is_prompt:\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "silent-peers-count-as-none",
+        "forwarding/peer_versions.py",
+        "if answers else None",
+        "",
+        ("railtide/platform/tests/test_stream_versions.py",),
+    ),
     Mutant(
         "resumed-stream-trusts-records-read-before",
         "streams/stored_origins.py",
-        "            await self._reader.read(LOOKUP_S)\n",
-        "            pass\n",
+        "        await self._reader.read(LOOKUP_S)\n",
+        "        pass\n",
         (STREAMS,),
     ),
     Mutant(
@@ -3848,7 +3876,7 @@
     Mutant(
         "missing-record-trusted-after-an-outage",
         "streams/stored_origins.py",
-        "        if not self._agreement.reachable or self._is_backlog_due():\n",
+        "        if not self._agreement.is_current or self._is_backlog_due():\n",
         "        if False:\n",
         (STREAMS,),
     ),
@@ -3862,8 +3890,8 @@
     Mutant(
         "outage-changes-no-preference",
         "streams/stored_origins.py",
-        "        if self._writer.is_prompt() and self._agreement.reachable:\n",
-        "        if True:\n",
+        "        is_prompt = self._writer.is_prompt() and self._agreement.reachable\n",
+        "        is_prompt = True\n",
         (STREAMS,),
     ),
     Mutant(
