Engines' records: integers beyond 2**53 - 1 are invalid

Reported from other systems: one odd entry ended machines or their list of engines. Very deep nesting and ports out of range are harmless here. A number of slots of 400 digits is not: where the pool's engines state their pace, the choice of an engine divides by it, and each request ended without an answer (OverflowError).

The numbers of a record are now bounded where it is decoded, by the integers that all JSON parsers read exactly; such an entry is unreadable, and its engine gets no requests until it writes a readable one.

--- a/railtide/platform/desired_state.py
+++ b/railtide/platform/desired_state.py
@@ -33,6 +33,8 @@
 ENGINE_ID = re.compile(r"[!-~]+", re.ASCII)
 """Printable ASCII without spaces, since an engine's id is sent to it in a header."""
 MS = 1000.0
+MAX_INTEGER = 2**53 - 1
+"""Largest integer that all JSON parsers read exactly (RFC 7493, 2.2)."""
 MAX_COLD_S = 600.0
 """No engine stays cold for longer; a higher value is taken for an error and is reduced to this."""
 
@@ -111,11 +113,11 @@
     address: str
     zone: str
     version: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
     state: str
     warmup_left_ms: float
-    seq: int
-    born: Annotated[int, Meta(ge=0)] | UnsetType = UNSET
+    seq: Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+    born: Annotated[int, Meta(ge=0, le=MAX_INTEGER)] | UnsetType = UNSET
 
 
 _state_decoder = msgspec.json.Decoder(_DesiredState)
--- a/railtide/platform/tests/test_invalid_records.py
+++ b/railtide/platform/tests/test_invalid_records.py
@@ -5,6 +5,7 @@
 malformed record, since every record was expected to be readable.
 """
 
+import json
 from base64 import b64encode
 from collections.abc import Callable
 
@@ -74,6 +75,11 @@
             GOOD | {"state": "confused"},
             GOOD | {"state": ""},
             GOOD | {"service": ""},
+            GOOD | {"slots": 2**53},
+            GOOD | {"seq": 2**53},
+            GOOD | {"born": 2**53},
+            GOOD | {"other": [[]]} | {"address": "10.0.0.9:65536"},
+            json.dumps(GOOD).encode()[:-1] + b',"other":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
             GOOD | {"born": -1},
             GOOD | {"born": "1790000000000"},
             [],
@@ -287,3 +293,26 @@
             assert by_name["e1"].report is None
             assert (by_name["e1"].failures, by_name["e1"].open_requests) == (0, 0)
             assert await request_status(env) == 200
+
+
+NUMBERS = [2**63, 2**64, 10**30, 10**400, 1e308]
+
+
+class TestNumbersBeyondAnyUse:
+    """An entry with such a number fails the requests of its pool, or ends the list of engines."""
+
+    @pytest.mark.parametrize("number", NUMBERS, ids=["2**63", "2**64", "1e30", "1e400", "1e308"])
+    @pytest.mark.parametrize("field", ["slots", "seq", "born", "warmup_left_ms"])
+    async def test_router_serves_on_and_follows_the_list(self, field: str, number: float) -> None:
+        async with router_environment() as env:
+            for name in ("e1", "odd"):
+                (await env.add_engine(name)).pace_text = "100"
+            for _ in range(8):
+                await request_status(env)
+            entry = msgspec.json.decode(env.stored_entry("odd")) | {field: number}
+            env.store.put("keyed.servers", "odd", json.dumps(entry).encode())
+            await wait_until_read(env)
+            assert [await request_status(env) for _ in range(16)] == [200] * 16
+            env.store.put("keyed.servers", "e1", b"")
+            await env.add_engine("e2")
+            assert [await request_status(env) for _ in range(4)] == [200] * 4
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -960,6 +960,13 @@
         "    upstream_wait_s: float = 2.0\n",
         ("railtide/platform/tests/test_silent_store_connections.py",),
     ),
+    Mutant(
+        "slots-without-bound",
+        "platform/desired_state.py",
+        "    slots: Annotated[int, Meta(ge=1, le=MAX_INTEGER)]\n",
+        "    slots: Annotated[int, Meta(ge=1)]\n",
+        ("railtide/platform/tests/test_invalid_records.py",),
+    ),
     Mutant(
         "witness-for-each-answer",
         "upstreams/transport.py",
