Records of streams: a prompt store gets each record before its stream's first event

With more than 25 routers, a router's share of the appends left more time between two of them than a first event waits for its record (0.25 s).

While appends are prompt, a router that has records to write now appends each 0.2 s. The share of the fleet applies when they are slow or fail, so that a busy store isn't pressed by all.

Two mutants, both caught.

--- a/railtide/streams/record_writer.py
+++ b/railtide/streams/record_writer.py
@@ -19,6 +19,9 @@
 """How long after a slow or failed append the next one is assumed to be slow too."""
 MAX_INTERVAL_S = 0.25
 """Longest interval of appends at which a record is stored within the time that a prompt takes."""
+PROMPT_INTERVAL_S = 0.2
+"""Longest interval of appends while they are prompt, so that a record is stored before the first
+event of its stream is passed on."""
 MAX_BATCH = 200
 BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.2
@@ -41,7 +44,8 @@
     store : KeyedStore
     topic : str
     interval_s_of : callable
-        Returns the least time between two appends, seconds.
+        Returns this router's share of the appends of all, as the time between two, seconds. It
+        applies while appends are slow or fail; otherwise `PROMPT_INTERVAL_S` at most.
     rng : random.Random
         Source of the jitter in retries.
     """
@@ -111,7 +115,12 @@
             if trio.current_time() - began > PROMPT_S:
                 self._slow_until = trio.current_time() + SLOW_RETENTION_S
             self._note_stored(batch)
-            await trio.sleep(self._interval_s_of())
+            await trio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        interval_s = self._interval_s_of()
+        is_slow = trio.current_time() < self._slow_until
+        return interval_s if is_slow else min(interval_s, PROMPT_INTERVAL_S)
 
     def _note_stored(self, batch: Mapping[str, _PendingRecord]) -> None:
         for key, stored in batch.items():
--- a/railtide/streams/tests/test_stored_origins.py
+++ b/railtide/streams/tests/test_stored_origins.py
@@ -335,6 +335,20 @@
         fleet.router_count = 1_100
         assert fleet.routers[0].origins.preferred_version(POOL, ACCOUNT, "a") == "v1"
 
+    async def test_slow_store_gets_the_appends_of_a_large_fleet_as_often_as_a_prompt_one(
+        self, nursery, autojump_clock
+    ) -> None:
+        fleet = await started(nursery)
+        fleet.router_count = 200
+        fleet.store.delay_s = 0.1
+        fleet.routers[0].origins.note_sent(V2, ACCOUNT, "a")
+        await trio.sleep(0.2)
+        fleet.routers[0].origins.note_sent(V2, ACCOUNT, "b")
+        await trio.sleep(1.0)
+        assert fleet.stored() == 1
+        await trio.sleep(1.5)
+        assert fleet.stored() == 2
+
     async def test_first_event_is_held_back_for_a_bounded_time(
         self, nursery, autojump_clock, lines
     ) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3859,6 +3859,20 @@
         "",
         ("railtide/platform/tests/test_stream_versions.py",),
     ),
+    Mutant(
+        "records-of-a-large-fleet-come-after-their-first-events",
+        "streams/record_writer.py",
+        "        return interval_s if is_slow else min(interval_s, PROMPT_INTERVAL_S)\n",
+        "        return interval_s\n",
+        (STREAMS,),
+    ),
+    Mutant(
+        "slow-store-gets-prompt-appends-of-all-routers",
+        "streams/record_writer.py",
+        "        return interval_s if is_slow else min(interval_s, PROMPT_INTERVAL_S)\n",
+        "        return min(interval_s, PROMPT_INTERVAL_S)\n",
+        (STREAMS,),
+    ),
     Mutant(
         "resumed-stream-trusts-records-read-before",
         "streams/stored_origins.py",
