Resumed streams: a router without the store asks the others at once

While the store counted as lost, each resumed stream of a pool with one version first waited up to 0.5 s for records that can't be read. The other routers are now asked at once; the records come first only while the store counts as reachable. The line versions-asked tells what they answered.

Test: test_outage_for_all_routers_refuses_streams_of_the_only_version also checks that it takes no time. The mutants of this path are caught.

--- a/railtide/streams/stored_origins.py
+++ b/railtide/streams/stored_origins.py
@@ -160,17 +160,18 @@
         """Return the version at which a stream began; see `StreamOrigins.version_of`."""
         key = stream_key(account, attempt) if attempt else ""
         known = self._stream_by_key.get(key)
-        if known is None and self._list_age_s() <= MAX_LIST_AGE_S:
-            only = self._only_version_of_all(pool)
-            if only is not None:
-                return only
+        only = self._only_version_of_all(pool) if known is None else None
+        if only is not None and await self._is_only_version_now(pool, only):
+            return only
         if known is None or not known.is_own:
             try:
                 known = await self._read_stream(key)
             except LogUnavailable as err:
                 self._counters.add("stream_lookups_failed")
+                if only is not None and await self._others_list_only(pool, only):
+                    return only
                 if known is None:
-                    return await self._version_in_outage(pool, err)
+                    raise _unknown("the records of streams can't be read now") from err
         if known:
             return known.origin.version if known.origin.pool == pool else None
         return self._version_without_record(pool, key)
@@ -191,17 +192,22 @@
             raise _unknown("the versions' shares are not known yet")
         return shares.version_of(key)
 
-    async def _version_in_outage(self, pool: str, err: LogUnavailable) -> str:
-        """Return the only version of a pool, if the other routers know of no other one either.
+    async def _is_only_version_now(self, pool: str, only: str) -> bool:
+        """Return whether the only version that this router lists is known to be a pool's only one.
 
-        The store may be away for this router only, which then knows no upstreams that joined since.
+        A router that can't read the store knows no upstreams that joined since. While the store
+        counts as reachable, the records of streams tell more than the other routers.
         """
-        only = self._only_version_of_all(pool)
-        if only is not None:
-            versions = await self._peer_versions(pool)
-            if versions is not None and versions <= {only}:
-                return only
-        raise _unknown("the records of streams can't be read now") from err
+        if self._list_age_s() <= MAX_LIST_AGE_S:
+            return True
+        return not self._feed.reachable and await self._others_list_only(pool, only)
+
+    async def _others_list_only(self, pool: str, only: str) -> bool:
+        """Return whether other routers answer, and list no other version of a pool."""
+        versions = await self._peer_versions(pool)
+        listed = None if versions is None else sorted(versions)
+        logger.bind(pool=pool, only=only, listed_by_others=listed).info("versions-asked")
+        return versions is not None and versions <= {only}
 
     def _is_backlog_due(self) -> bool:
         """Return whether records that an outage held up may still be missing."""
--- a/railtide/streams/tests/test_stored_origins.py
+++ b/railtide/streams/tests/test_stored_origins.py
@@ -260,7 +260,9 @@
         await trio.sleep(5)
         fleet.routers[1].list_age_s = math.inf
         fleet.routers[1].peer_versions = peer_versions
+        began = trio.current_time()
         assert await fleet.routers[1].version_of("a") == "v1"
+        assert trio.current_time() == began
 
     async def test_streams_begin_at_a_version_that_other_routers_do_not_list_yet(
         self, nursery, autojump_clock
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3834,15 +3834,15 @@
     Mutant(
         "list-of-any-age-proves-that-a-pool-has-one-version",
         "streams/stored_origins.py",
-        "        if known is None and self._list_age_s() <= MAX_LIST_AGE_S:\n",
-        "        if known is None:\n",
+        "        if self._list_age_s() <= MAX_LIST_AGE_S:\n",
+        "        if True:\n",
         (STREAMS, "railtide/platform/tests/test_stream_versions.py"),
     ),
     Mutant(
         "other-routers-are-not-asked-in-an-outage",
         "streams/stored_origins.py",
-        "            if versions is not None and versions <= {only}:\n",
-        "            if True:\n",
+        "        return versions is not None and versions <= {only}\n",
+        "        return True\n",
         (STREAMS,),
     ),
     Mutant(
