Answers without framing: a process that replaced another during a pause of the router proves nothing

Callers got streams that ended early as complete ones (ORDER). An engine was killed and replaced while the router was stopped. Where the router had no connection to it besides that of the answer, a probe, or a connection opened after the pause, led to the next process, which was taken for that of the answer.

The router now detects its own pauses of 0.25 s and more. After one, connections that are made later prove nothing about answers whose connection the other side has closed meanwhile; answers whose connection is still open count as seen.

Test: test_endings.py::TestEngineReplacedDuringPause (real router) fails 3 of 3 times before, passes now.

--- a/railtide/edge/forwarding.py
+++ b/railtide/edge/forwarding.py
@@ -256,6 +256,7 @@
                 self.handler.start_soon = nursery.start_soon
             nursery.start_soon(self._monitor.run)
             nursery.start_soon(self._close_stale_connections)
+            nursery.start_soon(self.direct.watch_pauses)
 
     async def _close_stale_connections(self) -> None:
         while True:
--- a/railtide/forwarding/client.py
+++ b/railtide/forwarding/client.py
@@ -83,7 +83,7 @@
         self.headers = tuple(h for h in end_to_end if h[0] not in OWN_HEADERS)
         self.framed = first_header(exchange.headers, FRAMED_HEADER) == b"1"
         self.use = exchange.use
-        self.began_at = exchange.began_at
+        self.alive_at = exchange.alive_at
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; see `HttpAnswer.chunks`."""
--- a/railtide/forwarding/handler.py
+++ b/railtide/forwarding/handler.py
@@ -177,7 +177,7 @@
     async def _outlives(self, upstream: Instance, answer: HttpAnswer) -> bool:
         if self._host.is_leaving(upstream):
             return True
-        observed = await self._transport.observe(upstream, answer.began_at)
+        observed = await self._transport.observe(upstream, answer.alive_at)
         return observed is ProbeResult.CONNECTED
 
     # -- paths --------------------------------------------------------------------------------
--- a/railtide/forwarding/tests/test_client.py
+++ b/railtide/forwarding/tests/test_client.py
@@ -12,7 +12,7 @@
 class FakeExchange:
     headers: Headers
     use: ConnectionUse = ConnectionUse(1, 0)
-    began_at: float = 0.0
+    alive_at: float = 0.0
 
 
 class TestForwardedAnswer:
--- a/railtide/forwarding/tests/test_transport.py
+++ b/railtide/forwarding/tests/test_transport.py
@@ -19,6 +19,9 @@
     async def probe(self, upstream: Instance) -> ProbeResult:
         return ProbeResult.UNKNOWN
 
+    def as_proof(self, probed: ProbeResult, since: float) -> ProbeResult:
+        return probed
+
 
 @dataclass
 class OtherRouters:
--- a/railtide/forwarding/transport.py
+++ b/railtide/forwarding/transport.py
@@ -96,9 +96,10 @@
 
         Connections over a path that carries no packets show no end.
         """
-        if self._monitor.table.state_of(upstream) is not PathState.DIRECT:
-            return await self.probe(upstream)
-        return await self._direct.observe_kept(upstream, since) or await self.probe(upstream)
+        kept = None
+        if self._monitor.table.state_of(upstream) is PathState.DIRECT:
+            kept = await self._direct.observe_kept(upstream, since)
+        return kept or self._direct.as_proof(await self.probe(upstream), since)
 
     def forget(self, upstream: Instance) -> None:
         """Forget a lost incarnation of an upstream; see `UpstreamTransport.forget`."""
--- a/railtide/http/client.py
+++ b/railtide/http/client.py
@@ -171,6 +171,11 @@
         if not self._open_exchanges:
             self._busy.discard(self)
 
+    def note_open_connections(self) -> None:
+        """Record which exchanges in progress have a connection that is open now."""
+        for exchange in self._open_exchanges:
+            exchange.note_if_open()
+
     def break_repeatable(self, since: float) -> None:
         """Close the connections of repeatable requests that bring nothing since a trio time.
 
--- a/railtide/http/exchange.py
+++ b/railtide/http/exchange.py
@@ -73,15 +73,16 @@
         of the connection; also where an answer can have no body.
     use : ConnectionUse
         The connection of this router that it arrives on.
-    began_at : float
-        Trio time at which its exchange began.
+    alive_at : float
+        Trio time at which its peer was last known to run: its exchange began, or its connection was
+        seen to be open.
     """
 
     status: int
     headers: Headers
     framed: bool
     use: ConnectionUse
-    began_at: float
+    alive_at: float
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
@@ -122,8 +123,8 @@
     ----------
     reused : bool
         Whether the connection was used for an earlier request.
-    received_at : float
-        Trio time at which it began or bytes were received last.
+    began_at, received_at : float
+        Trio time at which it began, and at which it began or bytes were received last.
     repeatable : bool
         See `PeerPool.send`.
     """
@@ -141,7 +142,7 @@
         self.framed = False
         self.use = ConnectionUse(connection.number, connection.exchanges)
         self.reused = connection.exchanges > 0
-        self.began_at = self.received_at = trio.current_time()
+        self.began_at = self.alive_at = self.received_at = trio.current_time()
         self.repeatable = repeatable
         self._pool = pool
         pool.note_begun(self)
@@ -154,6 +155,11 @@
         self._has_id = False
         self._send_failed = False
 
+    def note_if_open(self) -> None:
+        """Update `alive_at` if neither side has closed the connection."""
+        if self._connection.is_open():
+            self.alive_at = trio.current_time()
+
     async def begin(self, request: HttpRequest) -> None:
         """Send the request and concurrently wait for the head of the answer.
 
--- a/railtide/platform/upstreams.py
+++ b/railtide/platform/upstreams.py
@@ -54,11 +54,15 @@
         self._exchange = exchange
         self.status = exchange.status
         self.framed = exchange.framed
-        self.began_at = exchange.began_at
         self.headers = without_hop_by_hop(exchange.headers)
         self.content_type = ""
         self.request_id = (first_header(exchange.headers, header_names.ATTEMPT_ID) or b"").decode()
 
+    @property
+    def alive_at(self) -> float:
+        """See `UpstreamAnswer.alive_at`."""
+        return self._exchange.alive_at
+
     async def chunks(self) -> AsyncIterator[bytes]:
         try:
             async for data in self._exchange.chunks():
--- a/railtide/requests/execution.py
+++ b/railtide/requests/execution.py
@@ -284,7 +284,7 @@
         upstream = self._slot.upstream
         if is_leaving(upstream):
             return
-        observed = await self._services.upstreams.observe(upstream.instance, relayed.began_at)
+        observed = await self._services.upstreams.observe(upstream.instance, relayed.alive_at)
         if observed is not ProbeResult.CONNECTED:
             self._services.counters.add("answers_ended_with_upstream")
             raise UpstreamDisconnected("the upstream ended with the connection of its answer")
--- a/railtide/requests/passthrough.py
+++ b/railtide/requests/passthrough.py
@@ -120,7 +120,7 @@
             # and failing upstreams.
             raise UpstreamLost(f"the resumed stream was answered with status {answer.status}")
         cost = self._call.reserve if answer.status == OK_STATUS else self.delivered_cost()
-        relayed = Relayed(cost, stored, stored.body, answer.headers, answer.framed, answer.began_at)
+        relayed = Relayed(cost, stored, stored.body, answer.headers, answer.framed, answer.alive_at)
         if answer.status >= SERVER_ERROR:
             raise UpstreamFailed(relayed)
         return relayed
@@ -138,7 +138,7 @@
         unsent = self._events.end()
         stored = Answer(OK_STATUS, answer.content_type, b"")
         cost = self.delivered_cost()
-        return Relayed(cost, stored, unsent, answer.headers, answer.framed, answer.began_at)
+        return Relayed(cost, stored, unsent, answer.headers, answer.framed, answer.alive_at)
 
     async def _pass_chunks(self, answer: UpstreamAnswer, held: HeldAnswer) -> None:
         read_at = math.inf
--- a/railtide/requests/relay.py
+++ b/railtide/requests/relay.py
@@ -45,7 +45,7 @@
     headers : Headers
     framed : bool
         Whether its HTTP framing marks its end, rather than just the close of the connection.
-    began_at : float
+    alive_at : float
         See `UpstreamAnswer`.
     """
 
@@ -56,14 +56,14 @@
         unsent: bytes,
         headers: Headers = (),
         framed: bool = True,
-        began_at: float = math.inf,
+        alive_at: float = math.inf,
     ) -> None:
         self.cost = cost
         self.answer = answer
         self.unsent = unsent
         self.headers = headers
         self.framed = framed
-        self.began_at = began_at
+        self.alive_at = alive_at
 
 
 class Relay(ABC):
--- a/railtide/upstreams/client.py
+++ b/railtide/upstreams/client.py
@@ -59,8 +59,11 @@
     headers: Headers = ()
     framed = True
     """Whether a length or a last chunk marks the end of the body; otherwise the close does."""
-    began_at = math.inf
-    """Trio time at which its request was begun to be sent; infinite where it isn't known."""
+
+    @property
+    def alive_at(self) -> float:
+        """Trio time at which its upstream was last known to run; infinite where it isn't known."""
+        return math.inf
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/railtide/upstreams/tests/test_transport.py
+++ b/railtide/upstreams/tests/test_transport.py
@@ -1,10 +1,12 @@
 """Tests of railtide.upstreams.transport."""
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
 import trio
+import trio.lowlevel
 import trio.testing
 
 from railtide.containment.crash_detection import ProbeResult
@@ -12,9 +14,11 @@
 from railtide.http.server import ConnectionLimits, HttpServer, Responder
 from railtide.http.sockets import listen, reset_on_close
 from railtide.membership.instances import Instance
+from railtide.standins.answers import Framing, RawAnswer
 from railtide.upstreams.transport import DirectTransport
 
 HOST = "127.0.0.1"
+PAUSE_S = 0.4
 
 
 async def answer(request: HttpRequest, responder: Responder) -> None:
@@ -197,3 +201,60 @@
             for _ in range(5):
                 await transport.keep_witness(upstream)
             assert len(transport._pool(upstream).idle) == 1
+
+
+class TestObserveAfterPause:
+    """Of this process, during which the other one may have ended and been replaced."""
+
+    @pytest.mark.parametrize("has_later_witness", [False, True])
+    async def test_process_that_replaced_it_is_taken_for_it(self, has_later_witness: bool) -> None:
+        async with running_process() as (process, upstream), trio.open_nursery() as nursery:
+            transport = DirectTransport()
+            nursery.start_soon(transport.watch_pauses)
+            await trio.testing.wait_all_tasks_blocked()
+            since = trio.current_time()
+            await process.end()
+            await process.start()
+            time.sleep(PAUSE_S)  # noqa: ASYNC251 - the pause
+            await trio.lowlevel.checkpoint()
+            if has_later_witness:
+                await transport.keep_witness(upstream)
+            assert await transport.observe(upstream, since) is ProbeResult.UNKNOWN
+            nursery.cancel_scope.cancel()
+
+    async def test_answer_that_ends_later_counts_as_cut(self) -> None:
+        async with trio.open_nursery() as nursery:
+            may_end = trio.Event()
+
+            async def answer_late(request: HttpRequest, responder: Responder) -> None:
+                await RawAnswer(responder.hijack(), Framing.CLOSE, 0).start(200, ())
+                await may_end.wait()
+
+            listener = await listen(HOST, 0)
+            server = HttpServer(answer_late, ConnectionLimits())
+            nursery.start_soon(server.serve, listener)
+            port = listener.socket.getsockname()[1]
+            upstream = Instance("u", "u-1", f"{HOST}:{port}", "a", "upstream")
+            transport = DirectTransport()
+            nursery.start_soon(transport.watch_pauses)
+            request = HttpRequest(b"GET", b"/", ((b"host", b"h"),), b"")
+            exchange = await transport.send(upstream, request, 1.0)
+            time.sleep(PAUSE_S)  # noqa: ASYNC251 - the pause
+            await trio.sleep(0.05)
+            may_end.set()
+            async for _ in exchange.chunks():
+                pass
+            assert await transport.observe(upstream, exchange.alive_at) is ProbeResult.CONNECTED
+            nursery.cancel_scope.cancel()
+
+    async def test_witness_from_before_it_proves_nothing(self) -> None:
+        async with running_process() as (_, upstream), trio.open_nursery() as nursery:
+            transport = DirectTransport()
+            nursery.start_soon(transport.watch_pauses)
+            await trio.testing.wait_all_tasks_blocked()
+            since = trio.current_time()
+            await transport.keep_witness(upstream)
+            time.sleep(PAUSE_S)  # noqa: ASYNC251 - the pause
+            await trio.lowlevel.checkpoint()
+            assert await transport.observe(upstream, since) is ProbeResult.CONNECTED
+            nursery.cancel_scope.cancel()
--- a/railtide/upstreams/transport.py
+++ b/railtide/upstreams/transport.py
@@ -18,6 +18,7 @@
 from railtide.http.traffic import Traffic
 from railtide.membership.instances import Instance
 from railtide.settings import parse_endpoint
+from railtide.upstreams.process_pauses import ProcessPauses
 
 __all__ = ["DirectTransport", "UpstreamTransport"]
 
@@ -69,7 +70,7 @@
         ----------
         upstream : Instance
         since : float
-            Trio time at which the answer's exchange began.
+            Trio time at which the process was last known to run; see `HttpAnswer.alive_at`.
         """
 
     @abstractmethod
@@ -97,6 +98,7 @@
         share: DescriptorShare | None = None,
     ) -> None:
         self.traffic = traffic or Traffic()
+        self._pauses = ProcessPauses()
         self._correlation = correlation
         self._share = share or unlimited()
         self._share.reclaimers.append(self._drop_idle)
@@ -174,13 +176,23 @@
         All connections of a process end with it, and a new one can't be told from one to the
         process that replaced it.
         """
-        return await self.observe_kept(upstream, since) or await self.probe(upstream)
+        kept = await self.observe_kept(upstream, since)
+        return kept or self.as_proof(await self.probe(upstream), since)
+
+    def as_proof(self, probed: ProbeResult, since: float) -> ProbeResult:
+        """Return what a probe shows of the process that was known to run at a trio time.
+
+        If this process has paused since, another one may have replaced it at its address.
+        """
+        if probed is ProbeResult.CONNECTED and self._pauses.any_between(since):
+            return ProbeResult.UNKNOWN
+        return probed
 
     async def observe_kept(self, upstream: Instance, since: float) -> ProbeResult | None:
         """Return what the idle connections show of an upstream's process, None for nothing.
 
-        One that is open proves that the process lives if it was opened before the answer's exchange
-        began, or if none was cut since: a later one may lead to the process that replaced it.
+        One that is open proves that the process lives if it was opened before `since`. A later one
+        may lead to the process that replaced it, if another was cut or this process has paused.
         """
         pool = self._pool_by_incarnation.get(upstream.incarnation)
         if pool is None:
@@ -194,7 +206,17 @@
             return ProbeResult.CONNECTED
         if pool.idle.cut_at >= since:
             return ProbeResult.REFUSED
-        return ProbeResult.CONNECTED if opened_at else None
+        if any(not self._pauses.any_between(since, opened) for opened in opened_at):
+            return ProbeResult.CONNECTED
+        return None
+
+    async def watch_pauses(self) -> None:
+        """Record pauses of this process, and which connections are open after each."""
+        await self._pauses.run(self._note_open_connections)
+
+    def _note_open_connections(self) -> None:
+        for pool in self._busy:
+            pool.note_open_connections()
 
     def close_stale(self) -> None:
         """Close the idle connections that no request can use; see `close_stale`."""
--- a/tests/edge_soak/test_endings.py
+++ b/tests/edge_soak/test_endings.py
@@ -1,6 +1,9 @@
 """Ends of answers in the soak: engines that are killed, and which seeds have them."""
 
+from dataclasses import replace
+from pathlib import Path
 from random import Random
+from signal import SIGCONT, SIGSTOP
 
 import pytest
 import trio
@@ -8,16 +11,22 @@
 from railtide.http.client import PeerPool
 from railtide.http.errors import HttpError
 from railtide.http.messages import HttpRequest
+from railtide.standins.answers import Framing
 from railtide.standins.keyed_store import MemoryStore
 from railtide.standins.platform import PlatformEngine
+from tests.edge_soak.callers import Callers
+from tests.edge_soak.checks import broken_promises
 from tests.edge_soak.endings import ENDINGS, plan_endings
-from tests.edge_soak.fleet import EVENTS, GOOD_ENGINE, EngineServer, Fleet, World
-from tests.edge_soak.proxy import open_link
+from tests.edge_soak.fleet import EVENTS, GOOD_ENGINE, EngineServer, Fleet, World, open_fleet
+from tests.edge_soak.proxy import LinkFault, open_link
 from tests.edge_soak.run import INJECT_BY_NAME, Kind, faults_of_seed
 from tests.edge_soak.series import CALM, is_calm
 from tests.stream_order import StreamAttempt, complete_events, faults_of_single_run
 
 REQUEST = HttpRequest(b"POST", b"/stream/x", ((b"host", b"h"), (b"x-attempt-id", b"a")), b"b")
+STREAMS = 4
+GAP_S = 0.2
+DOWN_S = 0.3
 KINDS = [kind for kind in Kind if kind is not Kind.ROLLBACKS]
 
 
@@ -79,6 +88,37 @@
             nursery.cancel_scope.cancel()
 
 
+class TestEngineReplacedDuringPause:
+    async def test_router_takes_the_next_process_for_that_of_the_answer(
+        self, tmp_path: Path
+    ) -> None:
+        """The next process listens when the router, which was stopped, learns of the end."""
+        async with open_fleet(tmp_path, World(routers=1, engines=1)) as fleet:
+            router, engine, server = fleet.routers[0], fleet.engines[0], fleet.servers[0]
+            link = fleet.engine_links[0]
+            with trio.fail_after(60):
+                while not await router.is_ready():
+                    await trio.sleep(0.1)
+            callers = Callers(fleet, Random(1), disconnect_share=0.0)
+            engine.script = replace(GOOD_ENGINE, gap_s=GAP_S, framing=Framing.CLOSE)
+            link.set_fault(LinkFault.ONE_WAY)
+            async with trio.open_nursery() as nursery:
+                for _ in range(STREAMS):
+                    pool = PeerPool("127.0.0.1", router.calls.port)
+                    nursery.start_soon(callers.call, router, pool, "stream")
+                while engine.open_requests < STREAMS:
+                    await trio.sleep(0.001)
+                router.send(SIGSTOP)
+                link.set_fault(LinkFault.NONE)
+                await trio.sleep(2.5 * GAP_S)
+                server.kill()
+                await trio.sleep(DOWN_S)
+                server.restart()
+                await trio.sleep(DOWN_S)
+                router.send(SIGCONT)
+            assert broken_promises(fleet, callers.attempts) == []
+
+
 class TestLeavingEngine:
     async def test_its_next_process_is_listed_while_it_leaves(self) -> None:
         """In notices, seed 10102: routers then sent requests to an engine that said it leaves."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -914,8 +914,29 @@
     Mutant(
         "successor-at-the-address-taken-for-the-process",
         "upstreams/transport.py",
-        "        return await self.observe_kept(upstream, since) or await self.probe(upstream)\n",
-        "        return await self.probe(upstream)\n",
+        "        kept = await self.observe_kept(upstream, since)\n",
+        "        kept = None\n",
+        (TRANSPORT,),
+    ),
+    Mutant(
+        "process-that-replaced-another-during-a-pause-is-taken-for-it",
+        "upstreams/transport.py",
+        "        if probed is ProbeResult.CONNECTED and self._pauses.any_between(since):\n",
+        "        if False:\n",
+        (TRANSPORT,),
+    ),
+    Mutant(
+        "witness-opened-after-a-pause-proves-the-process",
+        "upstreams/transport.py",
+        "        if any(not self._pauses.any_between(since, opened) for opened in opened_at):\n",
+        "        if opened_at:\n",
+        (TRANSPORT,),
+    ),
+    Mutant(
+        "pause-cuts-the-answers-that-outlast-it",
+        "http/client.py",
+        "            exchange.note_if_open()\n",
+        "            pass\n",
         (TRANSPORT,),
     ),
     Mutant(
