Tests of routers cut off from upstreams: requests wait for units under way

All failures are `budget-unavailable` after 0.1 s, with 200,000 units left and the store reachable: an account's requests quadruple, and on a busy machine a grant takes longer than the 0.1 s for which requests wait by default. The routers that are cut off fail alike, and it isn't what the test is about.

--- a/tests/edge_soak/fleet.py
+++ b/tests/edge_soak/fleet.py
@@ -105,6 +105,8 @@
         Software versions of the engines, in their order; the same for all if empty.
     goal_ms : int
         Latency objective of all routes; requests that can't meet it are refused.
+    ordered_waits : bool
+        Whether requests wait for units under way until their latest start, and not for 0.1 s.
     """
 
     routers: int = 3
@@ -122,6 +124,7 @@
     narrow_mbps: float = 0.0
     separate_paths: bool = False
     goal_ms: int = GOAL_MS
+    ordered_waits: bool = False
     versions: tuple[str, ...] = ()
 
 
@@ -189,6 +192,8 @@
         Its own links to the engines, by their names; only where paths are separate.
     is_cut : bool
         Whether it is cut off from all engines.
+    env : dict of str to str
+        Settings of its processes besides those of all routers.
     """
 
     name: str
@@ -206,6 +211,7 @@
     changing: trio.Lock = field(default_factory=trio.Lock)
     stops: list[float] = field(default_factory=list)
     is_cut: bool = False
+    env: dict[str, str] = field(default_factory=dict)
     _log_begin: int = 0
     _signals: set[signal.Signals] = field(default_factory=set)
     _early: set[signal.Signals] = field(default_factory=set)
@@ -231,6 +237,7 @@
             "RAILTIDE_BOOT": str(self.settings),
             "RAILTIDE_EDGE_METRICS_PORT": str(self.metrics_port),
             "RAILTIDE_EDGE_LOG_LEVEL": "INFO",
+            **self.env,
         }
         program = [sys.executable, "-m", "railtide.platform.start"]
         self._note_end()
@@ -513,6 +520,8 @@
             own = ports[PORTS_PER_ROUTER * number : PORTS_PER_ROUTER * (number + 1)]
             mbps = world.narrow_mbps if number >= world.routers - world.narrow else None
             router = await _router(nursery, folder, f"r{number}", store_port, own, mbps)
+            if world.ordered_waits:
+                router.env["RAILTIDE_EDGE_UNIT_WAITS"] = "ordered"
             fleet.routers.append(router)
             if world.separate_paths:
                 await _separate_paths(nursery, fleet, router)
