Budgets: a ledger that was just read proves the store to be reached

Callers were refused units at once although their ledger was being read: a router counts the store as lost when the connection that reads the upstreams' records is lost, since ledgers of accounts without traffic cause no calls.

A partition that was read after the loss now counts as reached.

Test: test_other_connection_that_is_lost_refuses_while_ledgers_are_read[True] fails before. Mutant caught.

--- a/railtide/budgets/ledger_budget_source.py
+++ b/railtide/budgets/ledger_budget_source.py
@@ -99,6 +99,9 @@
     store_reached : callable, optional
         Returns whether other calls to the store are answered now; ledgers of accounts without
         traffic cause no calls.
+    store_lost_at : callable, optional
+        Returns the trio time at which they ceased to be answered last. A ledger that was read since
+        then proves that only their connection is lost.
     clocks : Clocks, optional
         Prove what this process's predecessor can have spent.
     counters : Counters, optional
@@ -129,11 +132,11 @@
         address: str = "",
         peers: Peers | None = None,
         loans: Loans | None = None,
+        store_lost_at: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.refusals = 0
         self._started_at = trio.current_time()
         self._has_served = False
-        self._store_reached = store_reached
         self._options = options
         clocks = clocks or NoClocks()
         self._process = ProcessContext(
@@ -148,6 +151,7 @@
             peers=peers or NoPeers(),
             loans=loans or NoLoans(),
             store_reached=store_reached,
+            store_lost_at=store_lost_at,
         )
         self._rng = Random(incarnation)
         self.partitions = [
@@ -311,7 +315,7 @@
 
     def _is_store_unreachable(self, partition: LedgerPartition) -> bool:
         """Return whether the store is unreachable, so that no grant can be obtained now."""
-        return partition.loaded and not (partition.reachable and self._store_reached())
+        return partition.loaded and not partition.is_reached()
 
     def _refusal(
         self,
--- a/railtide/budgets/ledger_partition.py
+++ b/railtide/budgets/ledger_partition.py
@@ -189,11 +189,15 @@
         now = trio.current_time()
         if self.loaded and not self.reachable and now - self._lost_at < SHORT_LOSS_S:
             return now + self._options.unreachable_retry_s + self._update_duration.mean_s
-        is_reached = self.reachable and self._process.store_reached()
-        if math.isinf(self._update_began_at) or (self.loaded and not is_reached):
+        if math.isinf(self._update_began_at) or (self.loaded and not self.is_reached()):
             return math.inf
         return expected_end(self._update_duration, self._update_began_at, now)
 
+    def is_reached(self) -> bool:
+        """Return whether the store answers, by the latest calls of this partition and by others."""
+        has_read_since = self._read_at > self._process.store_lost_at()
+        return self.reachable and (has_read_since or self._process.store_reached())
+
     def _note_update_end(self, read_before: float) -> None:
         """Record the duration of an update that read the ledgers; another may be requested."""
         now = trio.current_time()
--- a/railtide/budgets/process_context.py
+++ b/railtide/budgets/process_context.py
@@ -1,5 +1,6 @@
 """State that all account budgets of one process share."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -42,6 +43,8 @@
         Units that other routers lend to this one.
     store_reached : callable
         Returns whether other calls to the store are answered now.
+    store_lost_at : callable
+        Returns the trio time at which they ceased to be answered last.
     """
 
     instance: str
@@ -58,3 +61,4 @@
     peers: Peers = field(default_factory=NoPeers)
     loans: Loans = field(default_factory=NoLoans)
     store_reached: Callable[[], bool] = lambda: True
+    store_lost_at: Callable[[], float] = lambda: math.inf
--- a/railtide/budgets/tests/test_ledger_budget_source.py
+++ b/railtide/budgets/tests/test_ledger_budget_source.py
@@ -93,6 +93,34 @@
             assert OPTIONS.horizon_s - 3 <= refused.value.retry_after <= OPTIONS.horizon_s * 1.25
             nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize("was_read_since", [True, False])
+    async def test_other_connection_that_is_lost_refuses_while_ledgers_are_read(
+        self, autojump_clock, was_read_since: bool
+    ) -> None:
+        store = MemoryStore()
+        lost_at = 0.5 if was_read_since else 60.0
+        source = LedgerBudgetSource(
+            store,
+            "i1",
+            "i1-1",
+            lambda: 1,
+            OPTIONS,
+            lambda: False,
+            FakeClocks(""),
+            store_lost_at=lambda: began + lost_at,
+        )
+        began = trio.current_time()
+        source.set_prepaid({ACCOUNT: 1000})
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(source.run)
+            await trio.sleep(3)
+            if was_read_since:
+                (await source.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)).settle(40)
+            else:
+                with pytest.raises(BudgetUnavailable):
+                    await source.reserve(ACCOUNT, SETTINGS, 50, trio.current_time() + 9)
+            nursery.cancel_scope.cancel()
+
     async def test_retry_after_follows_observed_outages(self, autojump_clock) -> None:
         """After five outages of 4 s, Retry-After early in the sixth points to about its end."""
         store = MemoryStore()
--- a/railtide/edge/node.py
+++ b/railtide/edge/node.py
@@ -176,6 +176,7 @@
             identity.address,
             RosterPeers(self.roster),
             self.borrower,
+            lambda: self._upstream_feed.lost_at,
         )
         self.lender = Lender(self.budgets.lend, self.counters)
         self.roster.on_update = self.budgets.recheck_waiting
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -974,6 +974,13 @@
         "                if False:\n",
         ("railtide/platform/tests/test_broken_heads.py",),
     ),
+    Mutant(
+        "lost-connection-of-other-calls-refuses-requests",
+        "budgets/ledger_partition.py",
+        "        has_read_since = self._read_at > self._process.store_lost_at()\n",
+        "        has_read_since = False\n",
+        ("railtide/budgets/tests/test_ledger_budget_source.py",),
+    ),
     Mutant(
         "silence-of-the-upstreams-records-is-noticed-late",
         "edge/options.py",
