Soak: routers leave again in the kinds that draw it

The soak's table of faults had two by the name `leave`: a router that is sent SIGTERM, and an engine that announces its departure. The latter had replaced the former, so that no router was asked to leave except in series.

Test: test_fault_hides_another_of_its_name fails before.

--- a/tests/edge_soak/notices.py
+++ b/tests/edge_soak/notices.py
@@ -158,7 +158,7 @@
 NOTICES: dict[str, Callable[[Fleet, Random, float], Awaitable[None]]] = {
     "limit": _state_limit,
     "rest": _ask_for_rest,
-    "leave": _leave,
+    "departure": _leave,
 }
 OTHER_FAULTS = sorted(set(SERIES) | set(FAULTS) - {"engine-link", "unlisted-engine"})
 """All but faults that delay requests on their way to an engine or write its older record."""
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -136,7 +136,7 @@
     versions_world_of,
 )
 
-__all__ = ["INJECT_BY_NAME", "Kind", "faults_of_seed", "run_rollbacks", "run_seed"]
+__all__ = ["INJECTIONS", "INJECT_BY_NAME", "Kind", "faults_of_seed", "run_rollbacks", "run_seed"]
 
 WORKERS = 3
 MAX_LINES = 8
@@ -157,20 +157,21 @@
 
 
 FAULTS_WORLD = World(callers=8, stayers=4)
-INJECT_BY_NAME = (
-    FAULTS
-    | LATER_FAULTS
-    | SERIES
-    | CRASHES
-    | STATES
-    | NOTICES
-    | DEMANDS
-    | CUTS
-    | BRITTLE
-    | VERSIONS
-    | ANSWERS
-    | ENDINGS
+INJECTIONS = (
+    FAULTS,
+    LATER_FAULTS,
+    SERIES,
+    CRASHES,
+    STATES,
+    NOTICES,
+    DEMANDS,
+    CUTS,
+    BRITTLE,
+    VERSIONS,
+    ANSWERS,
+    ENDINGS,
 )
+INJECT_BY_NAME = {name: inject for group in INJECTIONS for name, inject in group.items()}
 
 
 class Kind(StrEnum):
--- a/tests/edge_soak/test_edge_soak.py
+++ b/tests/edge_soak/test_edge_soak.py
@@ -27,7 +27,7 @@
 from tests.edge_soak.fleet import EVENTS, PERMANENT_KEY_VERSION, Fleet, ProcessExit, World
 from tests.edge_soak.notices import NOTICES, plan_notices
 from tests.edge_soak.notices import OTHER_FAULTS as NOTICES_OTHER_FAULTS
-from tests.edge_soak.run import Kind, run_seed
+from tests.edge_soak.run import INJECT_BY_NAME, INJECTIONS, Kind, run_seed
 from tests.edge_soak.series import CALM, SERIES, is_calm, plan_series
 from tests.edge_soak.states import (
     APPLY_S,
@@ -110,6 +110,12 @@
 send was in flight at each of the three and was held for good, and its own attempts were stopped."""
 
 
+class TestInjections:
+    def test_fault_hides_another_of_its_name(self) -> None:
+        names = [name for group in INJECTIONS for name in group]
+        assert sorted(names) == sorted(INJECT_BY_NAME)
+
+
 class TestCrashes:
     @pytest.mark.parametrize("seed", CRASH_SEEDS)
     def test_promises_hold(self, seed: int) -> None:
