Tests of streams whose record can't be stored: appends take longer than the time until the store is lost

Its streams began 0.02 s before the store was lost. Since their records are appended within moments, so that often all were stored by then.

The store now answers after 0.2 s from the moment at which the streams begin, so that none of their records is stored. All assertions are unchanged, and units are allocated before.

--- a/railtide/platform/tests/test_stream_versions.py
+++ b/railtide/platform/tests/test_stream_versions.py
@@ -326,6 +326,8 @@
             for engine in fleet.engine_by_name.values():
                 engine.script.gap_s = 0.1
             streams = [ResumedStream() for _ in range(STREAMS // 3)]
+            await fleet.send_load(per_s=30, for_s=0.5)  # so that units are allocated
+            fleet.store.delay_s = 0.2
             async with trio.open_nursery() as nursery:
                 for stream in streams:
                     nursery.start_soon(receive, fleet, 0, stream)
