Review: show that restarts refill the shared retry slack

Cause: each process starts with its whole part of the retry slack saved up, whatever the process before it has spent in the same window.

Attempts without a connection are counted as requests.

--- a/review/rig_2/fleet.py
+++ b/review/rig_2/fleet.py
@@ -220,6 +220,11 @@
         sent.answered = time.monotonic()
         return sent
 
+    def note_unconnected(self, router: Router, request: Request) -> None:
+        """Record an attempt for which no connection could be made."""
+        now = time.monotonic()
+        self.sent.append(Sent(self.next_attempt(), router.name, request.target, now, False))
+
     async def close(self) -> None:
         """Kill the routers that still run."""
         for router in self.routers:
