Review: show that refused HEAD requests are never answered

Cause: a router's own refusal of a HEAD request is written with a body, which the HTTP library rejects, so that the connection is closed without an answer.

--- a/review/rig_2/engine.py
+++ b/review/rig_2/engine.py
@@ -10,6 +10,7 @@
 
 HEARTBEAT_S = 1.2
 EVENT_S = 0.03
+FULL = 503
 
 
 @dataclass
@@ -31,6 +32,7 @@
 
     `work_s` is how long a plain request takes; a path that ends with ``/stream`` is answered by
     `events` events. `reject` may return a status with which a request is rejected without a run.
+    With `queue`, it runs `slots` requests at a time, lets so many more wait, and rejects others.
     """
 
     name: str
@@ -45,7 +47,13 @@
     line_end: str = "\n"
     reject: Callable[[Request], int] = lambda request: 0
     fail: Callable[[Request], bool] = lambda request: False
+    queue: int | None = None
+    _accepted: int = 0
     _tasks: set[asyncio.Task] = field(default_factory=set)
+    _free: asyncio.Semaphore = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._free = asyncio.Semaphore(self.slots)
 
     async def start(self) -> None:
         """Listen and register."""
@@ -78,27 +86,48 @@
         run = Run(attempt, self.name, request.target, time.monotonic())
         run.tenant = request.headers.get("x-tenant", "")
         echo = {"X-Attempt-Id": attempt, "X-Instance-Id": self.name}
-        status = self.reject(request)
+        status = FULL if self._is_full() else self.reject(request)
         if request.headers.get("x-expect-instance", self.name) != self.name:
             status = 421
         self.runs.append(run)
         if status:
             run.rejected = True
-            writer.write(response_bytes(status, {**echo, "X-Not-Executed": "1"}))
+            rejection = {**echo, "X-Not-Executed": "1", "X-Instance-Load": self._load()}
+            writer.write(response_bytes(status, rejection, method=request.method))
             await writer.drain()
             return True
         seal = {**echo, "X-Response-Seal": f"seal.{attempt}"}
         if request.target.endswith("/stream"):
             return await self._stream(run, seal, writer)
-        await asyncio.sleep(self.work_s)
+        await self._work()
         run.ended = time.monotonic()
         if self.fail(request):
-            writer.write(response_bytes(500, seal, b"failed"))
+            writer.write(response_bytes(500, seal, b"failed", request.method))
         else:
-            writer.write(response_bytes(200, seal, f"result of {attempt}".encode()))
+            body = f"result of {attempt}".encode()
+            writer.write(response_bytes(200, seal, body, request.method))
         await writer.drain()
         return True
 
+    def _is_full(self) -> bool:
+        return self.queue is not None and self._accepted >= self.slots + self.queue
+
+    def _load(self) -> str:
+        running = min(self._accepted, self.slots)
+        return f"{running},{self._accepted - running},{self.slots}"
+
+    async def _work(self) -> None:
+        """Wait for a slot if the queue is bounded, and work."""
+        self._accepted += 1
+        try:
+            if self.queue is None:
+                await asyncio.sleep(self.work_s)
+            else:
+                async with self._free:
+                    await asyncio.sleep(self.work_s)
+        finally:
+            self._accepted -= 1
+
     async def _stream(
         self, run: Run, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> bool:
--- a/review/rig_2/http1.py
+++ b/review/rig_2/http1.py
@@ -62,11 +62,14 @@
     return request
 
 
-def response_bytes(status: int, headers: dict[str, str], body: bytes = b"") -> bytes:
-    """Return a response whose length is stated."""
+def response_bytes(
+    status: int, headers: dict[str, str], body: bytes = b"", method: str = "GET"
+) -> bytes:
+    """Return a response whose length is stated; to HEAD, without its body (RFC 9110, 9.3.2)."""
     lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in headers.items())]
     lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+    return head if method == "HEAD" else head + body
 
 
 async def serve(host: str, port: int, handler: Handler) -> asyncio.Server:
@@ -124,6 +127,9 @@
         response.headers = _headers_of(rest)
         if response.headers.get("connection", "").lower() == "close":
             self.usable = False
+        if request.method == "HEAD":
+            response.complete = True
+            return
         body = bytearray()
         try:
             if "chunked" in response.headers.get("transfer-encoding", ""):
