Review: show that crowds within the limits exceed a process's memory

Cause: bodies, unsent answers and incomplete answers are bounded one by one; together, with what the allocator keeps, they exceed the memory of a machine of 150 MB.

Change: review/6 sends large bodies while other clients read long answers slowly, and kills a process over its memory as the platform does.

--- a/review/rig_2/case.py
+++ b/review/rig_2/case.py
@@ -64,8 +64,8 @@
     }
 
 
-async def _play(play: Play, folder: Path, record: Path) -> int:
-    fleet = Fleet(folder)
+async def _play(play: Play, folder: Path, record: Path, memory_mb: int) -> int:
+    fleet = Fleet(folder, memory_mb)
     try:
         async with asyncio.timeout(TIME_LIMIT_S):
             await fleet.open()
@@ -77,12 +77,12 @@
     return BROKEN if broken else HELD
 
 
-def run(case_file: str, play: Play) -> None:
+def run(case_file: str, play: Play, memory_mb: int = 300) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     record = Path(case_file).parent / "record.txt"
     try:
         with temporary_folder() as folder:
-            status = asyncio.run(_play(play, folder, record))
+            status = asyncio.run(_play(play, folder, record, memory_mb))
     except (Exception, SystemExit):
         traceback.print_exc()
         status = NOT_RUN
--- a/review/rig_2/engine.py
+++ b/review/rig_2/engine.py
@@ -48,6 +48,7 @@
     reject: Callable[[Request], int] = lambda request: 0
     fail: Callable[[Request], bool] = lambda request: False
     queue: int | None = None
+    body: bytes = b""
     _accepted: int = 0
     _tasks: set[asyncio.Task] = field(default_factory=set)
     _free: asyncio.Semaphore = field(init=False)
@@ -104,7 +105,7 @@
         if self.fail(request):
             writer.write(response_bytes(500, seal, b"failed", request.method))
         else:
-            body = f"result of {attempt}".encode()
+            body = self.body or f"result of {attempt}".encode()
             writer.write(response_bytes(200, seal, body, request.method))
         await writer.drain()
         return True
